Lay out the workspaces, the schemas and the replicated state

Cause: nothing existed. The shapes come first so that the parts can be built side by side: inventory, rules, announcements, VM records, ledger, commands.

--- /dev/null
+++ b/packages/core/src/configuration.ts
@@ -0,0 +1,109 @@
+/**
+ * Configuration changes: a whole inventory and whole rules that build on a named version.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { type Fault, fault } from "./fault.ts";
+import type { VmRecord } from "./fleet.ts";
+import { Inventory } from "./inventory.ts";
+import { Err, Ok, type Result } from "./result.ts";
+import { Rules } from "./rules.ts";
+import type { Change, State } from "./state.ts";
+
+export const ConfigureCommand = z.object({
+  kind: z.literal("configure"),
+  /** Id of the change; a resend with the same id gets the first answer. */
+  change: z.string().min(1).max(128),
+  /** The version that the change builds on. */
+  base: z.number().int().nonnegative(),
+  inventory: Inventory,
+  rules: Rules,
+  at: z.number(),
+});
+export type ConfigureCommand = z.infer<typeof ConfigureCommand>;
+
+/** The accepted version and the view revision that carries it. */
+export interface Configured {
+  kind: "configured";
+  version: number;
+  revision: number;
+}
+
+/** How many changes are remembered for resends. */
+const MAX_REMEMBERED_CHANGES = 4_096;
+
+/** Applies a change to the state in place, or refuses it whole. */
+export function applyConfiguration(
+  state: State,
+  command: ConfigureCommand,
+): Result<Configured, Fault> {
+  const known = state.changes.find((change) => change.id === command.change);
+  if (known !== undefined) {
+    return Ok(configured(known));
+  }
+  if (command.base !== state.version) {
+    return Err(
+      fault(
+        "stale_version",
+        `The change builds on version ${command.base}, but version ${state.version} is in force`,
+        {
+          version: state.version,
+          remedy: "Read the current version, merge, and apply again",
+        },
+      ),
+    );
+  }
+  state.version += 1;
+  state.revision += 1;
+  state.configurationRevision = state.revision;
+  state.inventory = command.inventory;
+  state.rules = command.rules;
+  reconcileVms(state, command.at);
+  const change = {
+    id: command.change,
+    version: state.version,
+    revision: state.revision,
+  };
+  state.changes = [...state.changes, change].slice(-MAX_REMEMBERED_CHANGES);
+  return Ok(configured(change));
+}
+
+function configured(change: Change): Configured {
+  return {
+    kind: "configured",
+    version: change.version,
+    revision: change.revision,
+  };
+}
+
+/** Adds records of new VMs. A VM that left the inventory keeps its record until it is drained. */
+function reconcileVms(state: State, at: number): void {
+  const listed = new Set(state.inventory.vms.map((vm) => vm.name));
+  for (const vm of state.inventory.vms) {
+    state.vms[vm.name] ??= newRecord(vm, state.revision, at);
+    delete state.removed[vm.name];
+  }
+  for (const name of Object.keys(state.vms)) {
+    if (!listed.has(name)) {
+      delete state.vms[name];
+      state.removed[name] = state.revision;
+    }
+  }
+}
+
+function newRecord(
+  vm: { name: string; pool: string },
+  revision: number,
+  at: number,
+): VmRecord {
+  return {
+    name: vm.name,
+    pool: vm.pool,
+    phase: "serving",
+    reason: "none",
+    since: at,
+    revision,
+    maintainedAt: 0,
+  };
+}
--- /dev/null
+++ b/packages/core/src/fault.ts
@@ -0,0 +1,76 @@
+/**
+ * Typed failures. Every operation of the system that can fail returns a {@link Fault}, which crosses links and
+ * HTTP unchanged.
+ *
+ * @module
+ */
+import { z } from "zod";
+
+/** What is known about a request that the system answered itself. */
+export const Outcome = z.enum(["not run", "running", "done", "unknown"]);
+export type Outcome = z.infer<typeof Outcome>;
+
+/** The kinds of failure and the HTTP status that reports each. */
+export const FAULT_STATUS = {
+  invalid: 400,
+  unknown_service: 404,
+  not_found: 404,
+  conflict: 409,
+  stale_version: 409,
+  too_large: 413,
+  key_reused: 422,
+  fenced: 409,
+  over_quota: 429,
+  overloaded: 503,
+  no_target: 503,
+  no_lease: 503,
+  no_leader: 503,
+  not_leader: 503,
+  stopping: 503,
+  broken_answer: 502,
+  target_lost: 502,
+  timeout: 504,
+  expired: 503,
+  running: 409,
+  unknown_outcome: 409,
+  storage: 500,
+  internal: 500,
+} as const;
+
+export type FaultKind = keyof typeof FAULT_STATUS;
+
+const KINDS = Object.keys(FAULT_STATUS) as [FaultKind, ...FaultKind[]];
+
+/** A failure: its kind, a message that names the value, and the remedy where one is known. */
+export const Fault = z.object({
+  kind: z.enum(KINDS),
+  message: z.string(),
+  /** Path of the offending value inside the input, for example `vms[3].rack`. */
+  path: z.string().optional(),
+  remedy: z.string().optional(),
+  outcome: Outcome.optional(),
+  /** How long the caller should wait before it tries again, in milliseconds. */
+  retryAfterMs: z.number().int().nonnegative().optional(),
+  /** The configuration version in force, for `stale_version`. */
+  version: z.number().int().optional(),
+  /** The id of the current leader, for `not_leader`. */
+  leader: z.string().optional(),
+  /** Further faults, when one input has several. */
+  causes: z.array(z.object({ path: z.string(), message: z.string() }))
+    .optional(),
+});
+export type Fault = z.infer<typeof Fault>;
+
+/** Builds a fault. */
+export function fault(
+  kind: FaultKind,
+  message: string,
+  details: Omit<Fault, "kind" | "message"> = {},
+): Fault {
+  return { kind, message, ...details };
+}
+
+/** The HTTP status that reports a fault. */
+export function statusOf(kind: FaultKind): number {
+  return FAULT_STATUS[kind];
+}
--- /dev/null
+++ b/packages/core/src/ledger.ts
@@ -0,0 +1,317 @@
+/**
+ * The ledger of requests that must not be repeated. A request runs at most once for each key: an entry asks for an
+ * attempt before it forwards, and no second attempt is granted while the first may have run.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { type Fault, fault } from "./fault.ts";
+import { Err, Ok, type Result } from "./result.ts";
+
+/** The stored answer of a request. `body` is base64; it is absent when the answer was too large to store. */
+export const Answer = z.object({
+  status: z.number().int(),
+  headers: z.record(z.string(), z.string()),
+  body: z.string().optional(),
+  bytes: z.number().int(),
+});
+export type Answer = z.infer<typeof Answer>;
+
+export const AttemptPhase = z.enum(["running", "done", "unknown"]);
+export type AttemptPhase = z.infer<typeof AttemptPhase>;
+
+export const Attempt = z.object({
+  key: z.string(),
+  /** Digest of method, service, path and body; the same key with another digest is refused. */
+  digest: z.string(),
+  /** Id of the attempt, chosen by the entry. */
+  attempt: z.string(),
+  entry: z.string(),
+  incarnation: z.number().int(),
+  service: z.string(),
+  phase: AttemptPhase,
+  answer: Answer.optional(),
+  /** Wall-clock time of the last change, in milliseconds. */
+  at: z.number(),
+});
+export type Attempt = z.infer<typeof Attempt>;
+
+export const LedgerCommand = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("ledger.begin"),
+    key: z.string(),
+    digest: z.string(),
+    attempt: z.string(),
+    entry: z.string(),
+    incarnation: z.number().int(),
+    service: z.string(),
+    at: z.number(),
+  }),
+  z.object({
+    kind: z.literal("ledger.finish"),
+    key: z.string(),
+    attempt: z.string(),
+    answer: Answer,
+    at: z.number(),
+  }),
+  /** Gives an attempt back that surely did not run. */
+  z.object({
+    kind: z.literal("ledger.release"),
+    key: z.string(),
+    attempt: z.string(),
+    at: z.number(),
+  }),
+  /** Marks an attempt whose outcome the entry could not learn. */
+  z.object({
+    kind: z.literal("ledger.lose"),
+    key: z.string(),
+    attempt: z.string(),
+    at: z.number(),
+  }),
+  /** Ends every running attempt of an entry incarnation whose lease has surely run out. */
+  z.object({
+    kind: z.literal("ledger.fence"),
+    entry: z.string(),
+    incarnation: z.number().int(),
+    at: z.number(),
+  }),
+  /** The operator's word on an unknown attempt: `ran` keeps the key closed, `not run` opens it. */
+  z.object({
+    kind: z.literal("ledger.settle"),
+    key: z.string(),
+    outcome: z.enum(["ran", "not run"]),
+    at: z.number(),
+  }),
+  z.object({ kind: z.literal("ledger.prune"), before: z.number() }),
+]);
+export type LedgerCommand = z.infer<typeof LedgerCommand>;
+
+/** What a ledger command reports back. */
+export const LedgerOutput = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("granted") }),
+  z.object({ kind: z.literal("running") }),
+  z.object({ kind: z.literal("done"), answer: Answer }),
+  z.object({ kind: z.literal("unknown") }),
+  z.object({ kind: z.literal("recorded"), count: z.number().int() }),
+]);
+export type LedgerOutput = z.infer<typeof LedgerOutput>;
+
+export const Ledger = z.object({
+  attempts: z.record(z.string(), Attempt),
+  /** The highest fenced incarnation of each entry. */
+  fenced: z.record(z.string(), z.number().int()),
+  /** Attempts that were released before their `begin` arrived, with the time of the release. */
+  released: z.record(z.string(), z.number()),
+});
+export type Ledger = z.infer<typeof Ledger>;
+
+export function emptyLedger(): Ledger {
+  return { attempts: {}, fenced: {}, released: {} };
+}
+
+/** Applies a command to the ledger in place. */
+export function applyLedger(
+  ledger: Ledger,
+  command: LedgerCommand,
+): Result<LedgerOutput, Fault> {
+  switch (command.kind) {
+    case "ledger.begin":
+      return begin(ledger, command);
+    case "ledger.finish":
+      return finish(ledger, command);
+    case "ledger.release":
+      return release(ledger, command);
+    case "ledger.lose":
+      return lose(ledger, command);
+    case "ledger.fence":
+      return fence(ledger, command);
+    case "ledger.settle":
+      return settle(ledger, command);
+    case "ledger.prune":
+      return prune(ledger, command);
+  }
+}
+
+type Of<K extends LedgerCommand["kind"]> = Extract<LedgerCommand, { kind: K }>;
+
+function begin(
+  ledger: Ledger,
+  command: Of<"ledger.begin">,
+): Result<LedgerOutput, Fault> {
+  const fenced = ledger.fenced[command.entry] ?? -1;
+  if (command.incarnation <= fenced) {
+    return Err(
+      fault(
+        "fenced",
+        `Entry "${command.entry}" incarnation ${command.incarnation} is fenced`,
+        {
+          outcome: "not run",
+        },
+      ),
+    );
+  }
+  if (ledger.released[command.attempt] !== undefined) {
+    return Err(
+      fault("fenced", `Attempt "${command.attempt}" was released`, {
+        outcome: "not run",
+      }),
+    );
+  }
+  const known = ledger.attempts[command.key];
+  if (known === undefined) {
+    const { kind: _kind, ...attempt } = command;
+    ledger.attempts[command.key] = { ...attempt, phase: "running" };
+    return Ok({ kind: "granted" });
+  }
+  return repeatedBegin(known, command);
+}
+
+function repeatedBegin(
+  known: Attempt,
+  command: Of<"ledger.begin">,
+): Result<LedgerOutput, Fault> {
+  if (known.digest !== command.digest) {
+    return Err(
+      fault("key_reused", `Idempotency-Key was used for another request`, {
+        remedy: "Choose a new key for a new request",
+        outcome: "not run",
+      }),
+    );
+  }
+  if (known.phase === "done" && known.answer !== undefined) {
+    return Ok({ kind: "done", answer: known.answer });
+  }
+  if (known.phase === "unknown") {
+    return Ok({ kind: "unknown" });
+  }
+  // The same attempt id asks again after a lost answer; it is the same grant.
+  return Ok({
+    kind: known.attempt === command.attempt ? "granted" : "running",
+  });
+}
+
+function held(
+  ledger: Ledger,
+  key: string,
+  attempt: string,
+): Result<Attempt, Fault> {
+  const known = ledger.attempts[key];
+  if (known === undefined || known.attempt !== attempt) {
+    return Err(
+      fault("not_found", `Attempt "${attempt}" does not hold key "${key}"`),
+    );
+  }
+  return Ok(known);
+}
+
+function finish(
+  ledger: Ledger,
+  command: Of<"ledger.finish">,
+): Result<LedgerOutput, Fault> {
+  return held(ledger, command.key, command.attempt).map((known) => {
+    // A late answer of an unknown attempt is the truth and replaces the doubt.
+    known.phase = "done";
+    known.answer = command.answer;
+    known.at = command.at;
+    return { kind: "recorded", count: 1 } as const;
+  });
+}
+
+function release(
+  ledger: Ledger,
+  command: Of<"ledger.release">,
+): Result<LedgerOutput, Fault> {
+  const known = ledger.attempts[command.key];
+  ledger.released[command.attempt] = command.at;
+  if (known === undefined || known.attempt !== command.attempt) {
+    return Ok({ kind: "recorded", count: 0 });
+  }
+  if (known.phase !== "running") {
+    return Err(
+      fault("conflict", `Attempt "${command.attempt}" is ${known.phase}`),
+    );
+  }
+  delete ledger.attempts[command.key];
+  return Ok({ kind: "recorded", count: 1 });
+}
+
+function lose(
+  ledger: Ledger,
+  command: Of<"ledger.lose">,
+): Result<LedgerOutput, Fault> {
+  return held(ledger, command.key, command.attempt).map((known) => {
+    if (known.phase === "running") {
+      known.phase = "unknown";
+      known.at = command.at;
+    }
+    return { kind: "recorded", count: 1 } as const;
+  });
+}
+
+function fence(
+  ledger: Ledger,
+  command: Of<"ledger.fence">,
+): Result<LedgerOutput, Fault> {
+  const previous = ledger.fenced[command.entry] ?? -1;
+  ledger.fenced[command.entry] = Math.max(previous, command.incarnation);
+  let count = 0;
+  for (const attempt of Object.values(ledger.attempts)) {
+    const covered = attempt.entry === command.entry &&
+      attempt.incarnation <= command.incarnation;
+    if (covered && attempt.phase === "running") {
+      attempt.phase = "unknown";
+      attempt.at = command.at;
+      count += 1;
+    }
+  }
+  return Ok({ kind: "recorded", count });
+}
+
+function settle(
+  ledger: Ledger,
+  command: Of<"ledger.settle">,
+): Result<LedgerOutput, Fault> {
+  const known = ledger.attempts[command.key];
+  if (known === undefined) {
+    return Err(fault("not_found", `No attempt holds key "${command.key}"`));
+  }
+  if (known.phase !== "unknown") {
+    return Err(
+      fault(
+        "conflict",
+        `The attempt of key "${command.key}" is ${known.phase}, not unknown`,
+      ),
+    );
+  }
+  if (command.outcome === "not run") {
+    delete ledger.attempts[command.key];
+  } else {
+    known.phase = "done";
+    known.answer = {
+      status: 204,
+      headers: { "x-quetzalcove-settled": "ran" },
+      bytes: 0,
+    };
+    known.at = command.at;
+  }
+  return Ok({ kind: "recorded", count: 1 });
+}
+
+function prune(
+  ledger: Ledger,
+  command: Of<"ledger.prune">,
+): Result<LedgerOutput, Fault> {
+  let count = 0;
+  for (const [key, attempt] of Object.entries(ledger.attempts)) {
+    if (attempt.phase === "done" && attempt.at < command.before) {
+      delete ledger.attempts[key];
+      count += 1;
+    }
+  }
+  for (const [attempt, at] of Object.entries(ledger.released)) {
+    if (at < command.before) {
+      delete ledger.released[attempt];
+    }
+  }
+  return Ok({ kind: "recorded", count });
+}
--- /dev/null
+++ b/packages/core/src/machine.ts
@@ -0,0 +1,59 @@
+/**
+ * The replicated state machine. Commands are applied in log order on every replica; the result depends on state and
+ * command alone.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { applyConfiguration, ConfigureCommand } from "./configuration.ts";
+import { type Fault, Fault as FaultShape } from "./fault.ts";
+import { applyFleet, FleetCommand } from "./fleet.ts";
+import { applyLedger, LedgerCommand, LedgerOutput } from "./ledger.ts";
+import { Ok, type Result } from "./result.ts";
+import type { State } from "./state.ts";
+
+export const Command = z.union([ConfigureCommand, FleetCommand, LedgerCommand]);
+export type Command = z.infer<typeof Command>;
+
+/** What applying a command reports to the one who proposed it. */
+export const Output = z.union([
+  LedgerOutput,
+  z.object({
+    kind: z.literal("configured"),
+    version: z.number().int(),
+    revision: z.number().int(),
+  }),
+  z.object({ kind: z.literal("changed"), revision: z.number().int() }),
+]);
+export type Output = z.infer<typeof Output>;
+
+/** An output or a fault, as it crosses a link. */
+export const Reply = z.union([
+  z.object({ ok: z.literal(true), output: Output }),
+  z.object({ ok: z.literal(false), fault: FaultShape }),
+]);
+export type Reply = z.infer<typeof Reply>;
+
+/** Applies one command to the state in place. A command that fails changes nothing. */
+export function apply(state: State, command: Command): Result<Output, Fault> {
+  switch (command.kind) {
+    case "configure":
+      return applyConfiguration(state, command);
+    case "vm.phase":
+    case "vm.move":
+      return changeVm(state, command);
+    default:
+      return applyLedger(state.ledger, command);
+  }
+}
+
+function changeVm(state: State, command: FleetCommand): Result<Output, Fault> {
+  const revision = state.revision + 1;
+  return applyFleet(state.vms[command.vm], command, revision).andThen(
+    (record) => {
+      state.revision = revision;
+      state.vms[command.vm] = record;
+      return Ok({ kind: "changed", revision } as const);
+    },
+  );
+}
--- /dev/null
+++ b/packages/core/src/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * The core of quetzalcove: schemas, state machine and decisions, without input or output.
+ *
+ * @module
+ */
+export * from "./announcement.ts";
+export * from "./configuration.ts";
+export * from "./fault.ts";
+export * from "./fleet.ts";
+export * from "./inventory.ts";
+export * from "./ledger.ts";
+export * from "./machine.ts";
+export * from "./names.ts";
+export * from "./result.ts";
+export * from "./rules.ts";
+export * from "./state.ts";
+export * from "./validate.ts";
--- /dev/null
+++ b/packages/core/src/state.ts
@@ -0,0 +1,50 @@
+/**
+ * The replicated state: everything that must survive the loss of a process.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { VmRecord } from "./fleet.ts";
+import { emptyInventory, Inventory } from "./inventory.ts";
+import { emptyLedger, Ledger } from "./ledger.ts";
+import { emptyRules, Rules } from "./rules.ts";
+
+/** The recorded result of a configuration change, kept so that a resend gets the first answer. */
+export const Change = z.object({
+  id: z.string(),
+  version: z.number().int(),
+  revision: z.number().int(),
+});
+export type Change = z.infer<typeof Change>;
+
+export const State = z.object({
+  /** Version of inventory and rules; each accepted change adds one. */
+  version: z.number().int(),
+  /** Increases with every change that entries must see: configuration and VM records. */
+  revision: z.number().int(),
+  /** Revision at which inventory and rules last changed. */
+  configurationRevision: z.number().int(),
+  inventory: Inventory,
+  rules: Rules,
+  vms: z.record(z.string(), VmRecord),
+  /** VMs that left the inventory, with the revision at which they left. */
+  removed: z.record(z.string(), z.number().int()),
+  ledger: Ledger,
+  /** Recent changes, oldest first. */
+  changes: z.array(Change),
+});
+export type State = z.infer<typeof State>;
+
+export function emptyState(): State {
+  return {
+    version: 0,
+    revision: 0,
+    configurationRevision: 0,
+    inventory: emptyInventory(),
+    rules: emptyRules(),
+    vms: {},
+    removed: {},
+    ledger: emptyLedger(),
+    changes: [],
+  };
+}
--- /dev/null
+++ b/packages/core/src/validate.ts
@@ -0,0 +1,199 @@
+/**
+ * Checks of an inventory and its rules as a whole: shapes, duplicate names, references and sharing.
+ *
+ * @module
+ */
+import type { z } from "zod";
+import { type Fault, fault } from "./fault.ts";
+import type { Inventory } from "./inventory.ts";
+import { Err, Ok, type Result } from "./result.ts";
+import type { Rules } from "./rules.ts";
+
+/** One finding: where it is and what is wrong with it. */
+export interface Finding {
+  path: string;
+  message: string;
+}
+
+/** Parses a value against a schema; the fault lists every finding with its path. */
+export function parse<T extends z.ZodType>(
+  schema: T,
+  value: unknown,
+  what: string,
+): Result<z.output<T>, Fault> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) {
+    return Ok(parsed.data);
+  }
+  const causes = parsed.error.issues.flatMap(describe);
+  return Err(invalid(what, causes));
+}
+
+function invalid(what: string, causes: Finding[]): Fault {
+  const [first] = causes;
+  const more = causes.length > 1 ? ` (and ${causes.length - 1} more)` : "";
+  return fault(
+    "invalid",
+    `${what} is invalid: ${first?.path}: ${first?.message}${more}`,
+    {
+      path: first?.path ?? "",
+      causes,
+    },
+  );
+}
+
+function describe(issue: z.core.$ZodIssue): Finding[] {
+  const path = pathOf(issue.path);
+  if (issue.code !== "unrecognized_keys") {
+    return [{ path, message: issue.message }];
+  }
+  return issue.keys.map((key) => ({
+    path: path === "$" ? key : `${path}.${key}`,
+    message: `unknown key "${key}"`,
+  }));
+}
+
+/** Writes a path of keys and indices as `vms[3].rack`; `$` is the whole value. */
+export function pathOf(path: readonly PropertyKey[]): string {
+  let text = "";
+  for (const part of path) {
+    text += typeof part === "number"
+      ? `[${part}]`
+      : `${text === "" ? "" : "."}${String(part)}`;
+  }
+  return text === "" ? "$" : text;
+}
+
+/** Checks that names are unique and that every reference has its object. */
+export function validate(
+  inventory: Inventory,
+  rules: Rules,
+): Result<void, Fault> {
+  const findings = [
+    ...duplicates(inventory.zones, "inventory.zones"),
+    ...duplicates(inventory.racks, "inventory.racks"),
+    ...duplicates(inventory.pools, "inventory.pools"),
+    ...duplicates(inventory.vms, "inventory.vms"),
+    ...duplicates(rules.services, "rules.services"),
+    ...duplicates(rules.teams, "rules.teams"),
+    ...references(inventory, rules),
+    ...unsharedPools(rules),
+  ];
+  return findings.length === 0
+    ? Ok.EMPTY
+    : Err(invalid("Configuration", findings));
+}
+
+function duplicates(
+  items: readonly { name: string }[],
+  path: string,
+): Finding[] {
+  const first = new Map<string, number>();
+  const findings: Finding[] = [];
+  items.forEach((item, index) => {
+    const earlier = first.get(item.name);
+    if (earlier === undefined) {
+      first.set(item.name, index);
+    } else {
+      findings.push({
+        path: `${path}[${index}].name`,
+        message:
+          `"${item.name}" is listed twice, first at ${path}[${earlier}]; remove one`,
+      });
+    }
+  });
+  return findings;
+}
+
+function references(inventory: Inventory, rules: Rules): Finding[] {
+  const zones = namesOf(inventory.zones);
+  const racks = namesOf(inventory.racks);
+  const pools = namesOf(inventory.pools);
+  const services = namesOf(rules.services);
+  const findings: Finding[] = [];
+  const need = (
+    known: Set<string>,
+    name: string,
+    path: string,
+    what: string,
+  ): void => {
+    if (!known.has(name)) {
+      findings.push({
+        path,
+        message: `${what} "${name}" does not exist${nearest(name, known)}`,
+      });
+    }
+  };
+  inventory.racks.forEach((r, i) =>
+    need(zones, r.zone, `inventory.racks[${i}].zone`, "zone")
+  );
+  inventory.vms.forEach((vm, i) => {
+    need(racks, vm.rack, `inventory.vms[${i}].rack`, "rack");
+    need(pools, vm.pool, `inventory.vms[${i}].pool`, "pool");
+  });
+  rules.services.forEach((s, i) =>
+    need(pools, s.pool, `rules.services[${i}].pool`, "pool")
+  );
+  rules.sharing.forEach((group, i) =>
+    group.forEach((name, j) =>
+      need(services, name, `rules.sharing[${i}][${j}]`, "service")
+    )
+  );
+  return findings;
+}
+
+function unsharedPools(rules: Rules): Finding[] {
+  const findings: Finding[] = [];
+  rules.services.forEach((service, index) => {
+    const other = rules.services.slice(0, index).find((s) =>
+      s.pool === service.pool
+    );
+    if (other !== undefined && !mayShare(rules, service.name, other.name)) {
+      findings.push({
+        path: `rules.services[${index}].pool`,
+        message:
+          `services "${other.name}" and "${service.name}" share pool "${service.pool}"; add them to one group of rules.sharing or use two pools`,
+      });
+    }
+  });
+  return findings;
+}
+
+function mayShare(rules: Rules, a: string, b: string): boolean {
+  return rules.sharing.some((group) => group.includes(a) && group.includes(b));
+}
+
+function namesOf(items: readonly { name: string }[]): Set<string> {
+  return new Set(items.map((item) => item.name));
+}
+
+/** A hint at the nearest known name, or nothing when none is near. */
+export function nearest(name: string, known: Iterable<string>): string {
+  const maxDistance = 3;
+  let best: string | undefined;
+  let bestDistance = maxDistance + 1;
+  for (const candidate of known) {
+    const distance = editDistance(name, candidate);
+    if (distance < bestDistance) {
+      best = candidate;
+      bestDistance = distance;
+    }
+  }
+  return best === undefined ? "" : `; did you mean "${best}"?`;
+}
+
+/** Levenshtein distance (Wagner and Fischer, 1974). */
+function editDistance(a: string, b: string): number {
+  let previous = Array.from({ length: b.length + 1 }, (_, j) => j);
+  for (let i = 1; i <= a.length; i++) {
+    const row = [i];
+    for (let j = 1; j <= b.length; j++) {
+      const replaced = (previous[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
+      row.push(
+        Math.min(replaced, (previous[j] ?? 0) + 1, (row[j - 1] ?? 0) + 1),
+      );
+    }
+    previous = row;
+  }
+  return previous[b.length] ?? 0;
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,27 @@
+import { fileURLToPath } from "node:url";
+import { defineConfig } from "vitest/config";
+
+function source(path: string): string {
+  return fileURLToPath(new URL(path, import.meta.url));
+}
+
+export default defineConfig({
+  resolve: {
+    alias: {
+      "@quetzalcove/core": source("packages/core/src/mod.ts"),
+      "@quetzalcove/daemon": source("packages/daemon/src/mod.ts"),
+      "@quetzalcove/cli": source("packages/cli/src/mod.ts"),
+    },
+  },
+  test: {
+    include: [
+      "packages/*/test/**/*_test.ts",
+      "bench/test/**/*_test.ts",
+      "test/**/*_test.ts",
+    ],
+    exclude: ["test/torture/**", "**/node_modules/**", "**/dist/**"],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+  },
+});
