--- /dev/null
+++ b/packages/core/src/settings_check.ts
@@ -0,0 +1,203 @@
+/**
+ * Checks of settings that concern more than one value.
+ *
+ * @module
+ */
+import type { Fault } from "./fault.ts";
+import { Err, Ok, type Result } from "./result.ts";
+import type { Peer, Settings } from "./settings.ts";
+import { type Finding, invalid } from "./validate.ts";
+
+/** Returns the settings when their values fit each other, and every finding otherwise. */
+export function checkSettings(
+  settings: Settings,
+  fileName: string,
+): Result<Settings, Fault> {
+  const findings = [
+    ...timing(settings),
+    ...sizes(settings),
+    ...addresses(settings),
+    ...ownPeer(settings),
+    ...storage(settings),
+  ];
+  return findings.length === 0
+    ? Ok(settings)
+    : Err(invalid(fileName, findings));
+}
+
+/** Each interval must fit into its deadline at least twice, so that one loss is no failure. */
+function timing(settings: Settings): Finding[] {
+  const { lease, raft, link, targets } = settings;
+  return [
+    ...twice("lease.renewEveryMs", lease.renewEveryMs, {
+      path: "lease.durationMs",
+      value: lease.durationMs,
+    }),
+    ...twice("raft.heartbeatMs", raft.heartbeatMs, {
+      path: "raft.electionMinMs",
+      value: raft.electionMinMs,
+    }),
+    ...twice("link.heartbeatMs", link.heartbeatMs, {
+      path: "link.idleMs",
+      value: link.idleMs,
+    }),
+    ...twice("targets.announceEveryMs", targets.announceEveryMs, {
+      path: "targets.expireMs",
+      value: targets.expireMs,
+    }),
+    ...atMost(
+      "raft.electionMinMs",
+      raft.electionMinMs + 1,
+      { path: "raft.electionMaxMs", value: raft.electionMaxMs },
+    ),
+    ...atMost("link.reconnectMinMs", link.reconnectMinMs, {
+      path: "link.reconnectMaxMs",
+      value: link.reconnectMaxMs,
+    }),
+    ...positive("lease.driftMarginMs", lease.driftMarginMs),
+    ...positive("link.callTimeoutMs", link.callTimeoutMs),
+    ...positive("forward.connectTimeoutMs", settings.forward.connectTimeoutMs),
+  ];
+}
+
+/** Bytes become longer in base64, by a third. */
+const BASE64_GROWTH = 4 / 3;
+
+/** Room in a message for what surrounds its payload. */
+const ENVELOPE_BYTES = 4_096;
+
+function sizes(settings: Settings): Finding[] {
+  const { link, raft, ledger } = settings;
+  const message = { path: "link.maxMessageBytes", value: link.maxMessageBytes };
+  return [
+    ...atMost("link.maxMessageBytes", link.maxMessageBytes, {
+      path: "link.maxQueuedBytes",
+      value: link.maxQueuedBytes,
+    }),
+    ...atMost(
+      "raft.snapshotChunkBytes",
+      encoded(raft.snapshotChunkBytes),
+      message,
+    ),
+    ...atMost("raft.maxAppendBytes", encoded(raft.maxAppendBytes), message),
+    ...atMost(
+      "ledger.maxStoredAnswerBytes",
+      encoded(ledger.maxStoredAnswerBytes),
+      message,
+    ),
+  ];
+}
+
+function encoded(bytes: number): number {
+  return Math.ceil(bytes * BASE64_GROWTH) + ENVELOPE_BYTES;
+}
+
+/** A value and where it stands. */
+interface Bound {
+  path: string;
+  value: number;
+}
+
+function twice(path: string, value: number, bound: Bound): Finding[] {
+  if (value > 0 && value * 2 <= bound.value) {
+    return [];
+  }
+  const message =
+    `${value} must be above 0 and at most half of ${bound.path} (${bound.value})`;
+  return [{ path, message }];
+}
+
+function atMost(path: string, need: number, bound: Bound): Finding[] {
+  if (need <= bound.value) {
+    return [];
+  }
+  const message =
+    `needs ${bound.path} to be at least ${need}, but it is ${bound.value}`;
+  return [{ path, message }];
+}
+
+function positive(path: string, value: number): Finding[] {
+  return value > 0 ? [] : [{ path, message: "must be above 0" }];
+}
+
+/** The addresses of one daemon differ, and no two daemons share an address or a name. */
+function addresses(settings: Settings): Finding[] {
+  const owners = new Map<string, string>();
+  const findings: Finding[] = [];
+  const claim = (address: string, path: string): void => {
+    const owner = owners.get(address);
+    if (owner === undefined) {
+      owners.set(address, path);
+    } else {
+      findings.push({ path, message: `${address} is in use by ${owner}` });
+    }
+  };
+  claim(settings.listen.service, "listen.service");
+  claim(settings.listen.admin, "listen.admin");
+  claim(settings.listen.link, "listen.link");
+  const entries = new Map<string, number>();
+  settings.peers.forEach((peer, index) => {
+    const path = `peers[${index}]`;
+    const earlier = entries.get(peer.entry);
+    if (earlier !== undefined) {
+      findings.push({
+        path: `${path}.entry`,
+        message:
+          `"${peer.entry}" is listed twice, first at peers[${earlier}]; remove one`,
+      });
+      return;
+    }
+    entries.set(peer.entry, index);
+    if (peer.entry !== settings.entry) {
+      claim(peer.link, `${path}.link`);
+      claim(peer.admin, `${path}.admin`);
+    }
+  });
+  return findings;
+}
+
+/** This daemon's own line among the peers must say what the rest of the settings says. */
+function ownPeer(settings: Settings): Finding[] {
+  const index = settings.peers.findIndex((p) => p.entry === settings.entry);
+  const own = settings.peers[index];
+  if (own === undefined) {
+    return [];
+  }
+  const expected: Pick<Peer, "zone" | "link" | "admin"> = {
+    zone: settings.zone,
+    link: settings.listen.link,
+    admin: settings.listen.admin,
+  };
+  const findings: Finding[] = [];
+  for (const key of ["zone", "link", "admin"] as const) {
+    if (own[key] !== expected[key]) {
+      const source = key === "zone" ? "zone" : `listen.${key}`;
+      findings.push({
+        path: `peers[${index}].${key}`,
+        message: `"${own[key]}" is not this daemon's own ${source} ("${
+          expected[key]
+        }")`,
+      });
+    }
+  }
+  return findings;
+}
+
+function storage(settings: Settings): Finding[] {
+  if (settings.dataFolder !== undefined) {
+    return [];
+  }
+  if (settings.peers.length === 0) {
+    return [{
+      path: "dataFolder",
+      message: "is required for a single process, which has no peers",
+    }];
+  }
+  const own = settings.peers.findIndex((peer) =>
+    peer.entry === settings.entry && peer.replica
+  );
+  return own < 0 ? [] : [{
+    path: "dataFolder",
+    message: `is required, because peers[${own}].replica is true`,
+  }];
+}
--- a/packages/core/src/validate.ts
+++ b/packages/core/src/validate.ts
@@ -29,7 +29,8 @@
   return Err(invalid(what, causes));
 }
 
-function invalid(what: string, causes: Finding[]): Fault {
+/** A fault that lists findings. */
+export function invalid(what: string, causes: Finding[]): Fault {
   const [first] = causes;
   const more = causes.length > 1 ? ` (and ${causes.length - 1} more)` : "";
   return fault(
