--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -30,6 +30,7 @@
   broken_answer: 502,
   target_lost: 502,
   timeout: 504,
+  unreachable: 502,
   expired: 503,
   running: 409,
   unknown_outcome: 409,
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./names.ts";
 export * from "./result.ts";
 export * from "./rules.ts";
+export * from "./schema_keys.ts";
 export * from "./settings.ts";
 export * from "./state.ts";
 export * from "./validate.ts";
--- a/packages/core/src/validate.ts
+++ b/packages/core/src/validate.ts
@@ -8,6 +8,7 @@
 import type { Inventory } from "./inventory.ts";
 import { Err, Ok, type Result } from "./result.ts";
 import type { Rules } from "./rules.ts";
+import { keysAt } from "./schema_keys.ts";
 
 /** One finding: where it is and what is wrong with it. */
 export interface Finding {
@@ -15,17 +16,19 @@
   message: string;
 }
 
-/** Parses a value against a schema; the fault lists every finding with its path. */
+/** Parses a value against a schema; the fault lists every finding with its path and the nearest known key. */
 export function parse<T extends z.ZodType>(
   schema: T,
   value: unknown,
   what: string,
 ): Result<z.output<T>, Fault> {
-  const parsed = schema.safeParse(value);
+  const parsed = schema.safeParse(value, { reportInput: true });
   if (parsed.success) {
     return Ok(parsed.data);
   }
-  const causes = parsed.error.issues.flatMap(describe);
+  const causes = parsed.error.issues.flatMap((issue) =>
+    describe(issue, schema)
+  );
   return Err(invalid(what, causes));
 }
 
@@ -43,15 +46,22 @@
   );
 }
 
-function describe(issue: z.core.$ZodIssue): Finding[] {
+/** The codes of an issue whose value may be absent. */
+const MISSING_CODES: readonly string[] = ["invalid_type", "invalid_value"];
+
+function describe(issue: z.core.$ZodIssue, schema: z.ZodType): Finding[] {
   const path = pathOf(issue.path);
-  if (issue.code !== "unrecognized_keys") {
-    return [{ path, message: issue.message }];
+  if (issue.code === "unrecognized_keys") {
+    const known = keysAt(schema, issue.path);
+    return issue.keys.map((key) => ({
+      path: path === "$" ? key : `${path}.${key}`,
+      message: `unknown key "${key}"${nearest(key, known)}`,
+    }));
+  }
+  if (issue.input === undefined && MISSING_CODES.includes(issue.code)) {
+    return [{ path, message: "is required, but missing" }];
   }
-  return issue.keys.map((key) => ({
-    path: path === "$" ? key : `${path}.${key}`,
-    message: `unknown key "${key}"`,
-  }));
+  return [{ path, message: issue.message }];
 }
 
 /** Writes a path of keys and indices as `vms[3].rack`; `$` is the whole value. */
@@ -170,7 +180,8 @@
 
 /** A hint at the nearest known name, or nothing when none is near. */
 export function nearest(name: string, known: Iterable<string>): string {
-  const maxDistance = 3;
+  // A hint that changes more than half of a short name would mislead.
+  const maxDistance = Math.min(3, Math.ceil(name.length / 2));
   let best: string | undefined;
   let bestDistance = maxDistance + 1;
   for (const candidate of known) {
