--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./admin_api.ts";
 export * from "./announcement.ts";
 export * from "./configuration.ts";
 export * from "./fault.ts";
