--- /dev/null
+++ b/packages/core/src/membership/lease_table.ts
@@ -0,0 +1,132 @@
+/**
+ * The leases that the leader granted to entries. The leader waits longer than each entry does, so a lease that has
+ * run out here has surely run out at the entry (Gray and Cheriton, 1989).
+ *
+ * @module
+ */
+
+/** Durations in milliseconds. */
+export interface LeaseTerms {
+  durationMs: number;
+  /** What the leader waits beyond the duration, for clocks that run at different speeds. */
+  driftMarginMs: number;
+}
+
+/** The lease of one process of an entry. */
+export interface LeaseRecord {
+  entry: string;
+  zone: string;
+  incarnation: number;
+  revision: number;
+  grantedAt: number;
+  inFlight: Record<string, number>;
+  stopping: boolean;
+}
+
+/** Whether a revision is in force, and the entries that it waits for. */
+export interface Force {
+  inForce: boolean;
+  waiting: string[];
+}
+
+export class LeaseTable {
+  readonly #terms: LeaseTerms;
+  /** Leases granted by an earlier leader have surely run out at this time. */
+  readonly #inheritedUntil: number;
+  readonly #records = new Map<string, LeaseRecord>();
+
+  constructor(terms: LeaseTerms, startedAt: number) {
+    this.#terms = terms;
+    this.#inheritedUntil = startedAt + terms.durationMs + terms.driftMarginMs;
+  }
+
+  /** Records a grant. */
+  grant(record: Omit<LeaseRecord, "grantedAt">, now: number): void {
+    this.#records.set(keyOf(record), { ...record, grantedAt: now });
+  }
+
+  /** Forgets the lease of a process that gave it back. */
+  giveBack(entry: string, incarnation: number): void {
+    this.#records.delete(keyOf({ entry, incarnation }));
+  }
+
+  records(): LeaseRecord[] {
+    return [...this.#records.values()];
+  }
+
+  /** Whether leases of an earlier leader may still be in use. */
+  inherits(now: number): boolean {
+    return now < this.#inheritedUntil;
+  }
+
+  isLive(record: LeaseRecord, now: number): boolean {
+    return now <
+      record.grantedAt + this.#terms.durationMs + this.#terms.driftMarginMs;
+  }
+
+  /** Whether each process that may hold a lease runs the revision or a later one. */
+  force(revision: number, now: number): Force {
+    const waiting = this.records()
+      .filter((record) =>
+        this.isLive(record, now) && record.revision < revision
+      )
+      .map((record) => record.entry)
+      .sort();
+    return { inForce: waiting.length === 0 && !this.inherits(now), waiting };
+  }
+
+  /** The highest revision that is in force. */
+  revisionInForce(latest: number, now: number): number {
+    if (this.inherits(now)) {
+      return -1;
+    }
+    const live = this.records().filter((record) => this.isLive(record, now));
+    return live.reduce(
+      (lowest, record) => Math.min(lowest, record.revision),
+      latest,
+    );
+  }
+
+  /** Processes whose lease has surely run out. */
+  expired(now: number): LeaseRecord[] {
+    return this.records().filter((record) => !this.isLive(record, now));
+  }
+
+  /**
+   * Whether no request can be in progress on a VM that left `serving` at the given revision. A process whose lease ran
+   * out may still finish requests, each at most `longestRequestMs` old; so may one that only an earlier leader knew.
+   */
+  isIdle(
+    vm: { name: string; revision: number },
+    longestRequestMs: number,
+    now: number,
+  ): boolean {
+    if (now < this.#inheritedUntil + longestRequestMs) {
+      return false;
+    }
+    return this.records().every((record) => {
+      if (!this.isLive(record, now)) {
+        return now >=
+          record.grantedAt + this.#terms.durationMs + longestRequestMs;
+      }
+      return record.revision >= vm.revision &&
+        (record.inFlight[vm.name] ?? 0) === 0;
+    });
+  }
+
+  /** Forgets processes whose last request has surely ended. */
+  forget(longestRequestMs: number, now: number): void {
+    for (const [key, record] of this.#records) {
+      const { durationMs, driftMarginMs } = this.#terms;
+      if (
+        now >= record.grantedAt + durationMs + driftMarginMs + longestRequestMs
+      ) {
+        this.#records.delete(key);
+      }
+    }
+  }
+}
+
+function keyOf(record: { entry: string; incarnation: number }): string {
+  return `${record.entry}#${record.incarnation}`;
+}
--- /dev/null
+++ b/packages/core/src/membership/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Membership: leases of entries, views, and the table of targets.
+ *
+ * @module
+ */
+export * from "./delta_map.ts";
+export * from "./entry_lease.ts";
+export * from "./lease_table.ts";
+export * from "./registry.ts";
+export * from "./renewal.ts";
+export * from "./target_table.ts";
+export * from "./view.ts";
--- /dev/null
+++ b/packages/core/src/membership/target_table.ts
@@ -0,0 +1,96 @@
+/**
+ * The table of targets at the leader, merged from what each entry reports. It is soft state: a new leader builds it
+ * anew from the first renewal of each entry.
+ *
+ * @module
+ */
+import { type Announcement, supersedes } from "../announcement.ts";
+import { type Delta, DeltaMap } from "./delta_map.ts";
+
+export class TargetTable {
+  readonly #reports = new Map<
+    string,
+    { incarnation: number; targets: DeltaMap<Announcement> }
+  >();
+  readonly #merged = new DeltaMap<Announcement>();
+
+  /** Version of the merged table. */
+  get version(): number {
+    return this.#merged.version;
+  }
+
+  /** Takes in an entry's report and returns the version of its announcements that the table now holds. */
+  report(
+    entry: string,
+    incarnation: number,
+    delta: Delta<Announcement>,
+  ): number {
+    const known = this.#reportOf(entry, incarnation);
+    const before = delta.from === 0
+      ? [...known.entries()].map(([key]) => key)
+      : [];
+    if (!known.apply(delta)) {
+      return known.version;
+    }
+    this.#merge([...before, ...Object.keys(delta.set), ...delta.deleted]);
+    return known.version;
+  }
+
+  /** Drops the report of an entry whose lease ran out. */
+  drop(entry: string): void {
+    const known = this.#reports.get(entry);
+    this.#reports.delete(entry);
+    if (known !== undefined) {
+      this.#merge([...known.targets.entries()].map(([key]) => key));
+    }
+  }
+
+  since(version: number): Delta<Announcement> {
+    return this.#merged.since(version);
+  }
+
+  targets(): Announcement[] {
+    return [...this.#merged.entries()].map(([, announcement]) => announcement);
+  }
+
+  #reportOf(entry: string, incarnation: number): DeltaMap<Announcement> {
+    const known = this.#reports.get(entry);
+    if (known !== undefined && known.incarnation === incarnation) {
+      return known.targets;
+    }
+    this.drop(entry);
+    const targets = new DeltaMap<Announcement>();
+    this.#reports.set(entry, { incarnation, targets });
+    return targets;
+  }
+
+  #merge(targets: readonly string[]): void {
+    for (const target of new Set(targets)) {
+      const newest = this.#newest(target);
+      const merged = this.#merged.get(target);
+      if (newest === undefined) {
+        this.#merged.delete(target);
+      } else if (merged === undefined || !equal(newest, merged)) {
+        this.#merged.set(target, newest);
+      }
+    }
+  }
+
+  #newest(target: string): Announcement | undefined {
+    let newest: Announcement | undefined;
+    for (const { targets } of this.#reports.values()) {
+      const claim = targets.get(target);
+      if (
+        claim !== undefined &&
+        (newest === undefined || supersedes(claim, newest))
+      ) {
+        newest = claim;
+      }
+    }
+    return newest;
+  }
+}
+
+function equal(a: Announcement, b: Announcement): boolean {
+  return a.incarnation === b.incarnation && a.sequence === b.sequence;
+}
--- /dev/null
+++ b/packages/daemon/src/link/connection.ts
@@ -0,0 +1,214 @@
+/**
+ * One connection between two daemons: JSON-RPC 2.0 in both directions over TCP, one message a line.
+ *
+ * A connection whose other end went silent still looks open, so both ends send heartbeats and destroy a socket on
+ * which nothing arrived for the idle timeout.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { Buffer } from "node:buffer";
+import { Err, Fault, fault, Ok, type Result } from "@quetzalcove/core";
+import {
+  isJSONRPCRequest,
+  isJSONRPCResponse,
+  JSONRPCClient,
+  JSONRPCErrorException,
+  JSONRPCServer,
+} from "json-rpc-2.0";
+
+/** Bounds of a connection. */
+export interface ConnectionBounds {
+  heartbeatMs: number;
+  idleMs: number;
+  maxMessageBytes: number;
+  maxQueuedBytes: number;
+}
+
+/** Handles a request of the other end; a fault is sent back as such. */
+export type Handler = (
+  params: unknown,
+  connection: Connection,
+) => Promise<Result<unknown, Fault>>;
+
+/** Handlers by method name. */
+export type Handlers = ReadonlyMap<string, Handler>;
+
+const FAULT_CODE = -32_000;
+const HEARTBEAT_METHOD = "heartbeat";
+const NEWLINE = 0x0a;
+
+export class Connection {
+  readonly #socket: Socket;
+  readonly #bounds: ConnectionBounds;
+  readonly #client: JSONRPCClient;
+  readonly #server = new JSONRPCServer();
+  readonly #timers: NodeJS.Timeout[] = [];
+  #pending: Buffer[] = [];
+  #pendingBytes = 0;
+  #heardAt: number;
+  #closed = false;
+  /** Name of the entry at the other end, once it is known. */
+  peer: string | undefined;
+  /** Called once when the connection ends. */
+  onClose: (reason: string) => void = () => {};
+
+  constructor(
+    socket: Socket,
+    handlers: Handlers,
+    bounds: ConnectionBounds,
+    now: () => number,
+  ) {
+    this.#socket = socket;
+    this.#bounds = bounds;
+    this.#heardAt = now();
+    this.#client = new JSONRPCClient((request) => this.#write(request));
+    for (const [method, handler] of handlers) {
+      this.#server.addMethod(method, (params) => this.#handle(handler, params));
+    }
+    this.#server.addMethod(HEARTBEAT_METHOD, () => null);
+    socket.setNoDelay(true);
+    socket.on("data", (chunk) => {
+      this.#heardAt = now();
+      this.#read(chunk);
+    });
+    socket.on("error", (error) => this.close(error.message));
+    socket.on("close", () => this.close("closed by the other end"));
+    this.#timers.push(
+      setInterval(() => this.#beat(now()), bounds.heartbeatMs),
+    );
+  }
+
+  get isOpen(): boolean {
+    return !this.#closed;
+  }
+
+  /** Calls a method at the other end. The call ends at the timeout at the latest, in milliseconds. */
+  async request(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, Fault>> {
+    try {
+      return Ok(await this.#client.timeout(timeoutMs).request(method, params));
+    } catch (error) {
+      return Err(this.#faultOf(error, method));
+    }
+  }
+
+  /** Sends a message that has no answer. It is dropped when the queue is full. */
+  notify(method: string, params: unknown): void {
+    if (
+      !this.#closed && this.#socket.writableLength < this.#bounds.maxQueuedBytes
+    ) {
+      this.#client.notify(method, params);
+    }
+  }
+
+  close(reason: string): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
+    this.#timers.forEach(clearInterval);
+    this.#socket.destroy();
+    this.#pending = [];
+    this.#client.rejectAllPendingRequests(`Connection closed: ${reason}`);
+    this.onClose(reason);
+  }
+
+  #beat(now: number): void {
+    if (now - this.#heardAt > this.#bounds.idleMs) {
+      this.close(`nothing arrived for ${this.#bounds.idleMs} ms`);
+      return;
+    }
+    this.notify(HEARTBEAT_METHOD, []);
+  }
+
+  #write(message: unknown): Promise<void> {
+    if (this.#closed) {
+      return Promise.reject(new Error("Connection is closed"));
+    }
+    if (this.#socket.writableLength >= this.#bounds.maxQueuedBytes) {
+      return Promise.reject(new Error("Send queue is full"));
+    }
+    this.#socket.write(`${JSON.stringify(message)}\n`);
+    return Promise.resolve();
+  }
+
+  #read(chunk: Buffer): void {
+    let rest = chunk;
+    for (
+      let end = rest.indexOf(NEWLINE);
+      end >= 0;
+      end = rest.indexOf(NEWLINE)
+    ) {
+      const line = Buffer.concat([...this.#pending, rest.subarray(0, end)]);
+      this.#pending = [];
+      this.#pendingBytes = 0;
+      rest = rest.subarray(end + 1);
+      this.#receive(line.toString("utf8"));
+    }
+    this.#pending.push(rest);
+    this.#pendingBytes += rest.length;
+    if (this.#pendingBytes > this.#bounds.maxMessageBytes) {
+      this.close(
+        `message is longer than ${this.#bounds.maxMessageBytes} bytes`,
+      );
+    }
+  }
+
+  #receive(line: string): void {
+    let message: unknown;
+    try {
+      message = JSON.parse(line);
+    } catch {
+      this.close("message is not JSON");
+      return;
+    }
+    if (isJSONRPCResponse(message)) {
+      this.#client.receive(message);
+    } else if (isJSONRPCRequest(message)) {
+      this.#answer(message);
+    } else {
+      this.close("message is not JSON-RPC 2.0");
+    }
+  }
+
+  async #answer(
+    message: Parameters<JSONRPCServer["receive"]>[0],
+  ): Promise<void> {
+    const response = await this.#server.receive(message);
+    if (response !== null) {
+      await this.#write(response).catch(() =>
+        this.close("answer could not be sent")
+      );
+    }
+  }
+
+  async #handle(handler: Handler, params: unknown): Promise<unknown> {
+    const result = await handler(params, this);
+    if (result.err) {
+      throw new JSONRPCErrorException(
+        result.val.message,
+        FAULT_CODE,
+        result.val,
+      );
+    }
+    return result.val;
+  }
+
+  #faultOf(error: unknown, method: string): Fault {
+    if (error instanceof JSONRPCErrorException && error.data !== undefined) {
+      const carried = Fault.safeParse(error.data);
+      return carried.success
+        ? carried.data
+        : fault("internal", `${method}: ${error.message}`);
+    }
+    const message = error instanceof Error ? error.message : String(error);
+    return fault(
+      "timeout",
+      `Call of ${method} at "${this.peer ?? "?"}" failed: ${message}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/observe/metrics.ts
@@ -0,0 +1,126 @@
+/**
+ * Counters, gauges and HDR histograms, written in the text format that Prometheus reads.
+ *
+ * @module
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+
+export type Labels = Record<string, string>;
+
+const QUANTILES = [50, 90, 99, 99.9] as const;
+
+/** Highest duration that a histogram can tell apart, in microseconds: ten minutes. */
+const MAX_DURATION_US = 600_000_000;
+
+interface Series<T> {
+  values: Map<string, T>;
+}
+
+export class Metrics {
+  readonly #counters = new Map<string, Series<number>>();
+  readonly #gauges = new Map<string, Series<() => number>>();
+  readonly #histograms = new Map<string, Series<Histogram>>();
+
+  /** Adds to a counter. */
+  count(name: string, labels: Labels = {}, by = 1): void {
+    const series = seriesOf(this.#counters, name);
+    const key = labelText(labels);
+    series.values.set(key, (series.values.get(key) ?? 0) + by);
+  }
+
+  /** The value of a counter. */
+  counted(name: string, labels: Labels = {}): number {
+    return this.#counters.get(name)?.values.get(labelText(labels)) ?? 0;
+  }
+
+  /** Registers a gauge that is read when metrics are written. */
+  gauge(name: string, read: () => number, labels: Labels = {}): void {
+    seriesOf(this.#gauges, name).values.set(labelText(labels), read);
+  }
+
+  /** Records a duration in milliseconds. */
+  observe(name: string, durationMs: number, labels: Labels = {}): void {
+    const series = seriesOf(this.#histograms, name);
+    const key = labelText(labels);
+    let histogram = series.values.get(key);
+    if (histogram === undefined) {
+      histogram = build({
+        bitBucketSize: 32,
+        numberOfSignificantValueDigits: 2,
+        highestTrackableValue: MAX_DURATION_US,
+      });
+      series.values.set(key, histogram);
+    }
+    histogram.recordValue(
+      Math.min(MAX_DURATION_US, Math.max(1, Math.round(durationMs * 1_000))),
+    );
+  }
+
+  /** Writes all metrics. Durations are in seconds. */
+  text(): string {
+    return [
+      ...this.#counterLines(),
+      ...this.#gaugeLines(),
+      ...this.#histogramLines(),
+      "",
+    ].join("\n");
+  }
+
+  *#counterLines(): Generator<string> {
+    for (const [name, series] of this.#counters) {
+      yield `# TYPE ${name} counter`;
+      for (const [labels, value] of series.values) {
+        yield `${name}${braced(labels)} ${value}`;
+      }
+    }
+  }
+
+  *#gaugeLines(): Generator<string> {
+    for (const [name, series] of this.#gauges) {
+      yield `# TYPE ${name} gauge`;
+      for (const [labels, read] of series.values) {
+        yield `${name}${braced(labels)} ${read()}`;
+      }
+    }
+  }
+
+  *#histogramLines(): Generator<string> {
+    for (const [name, series] of this.#histograms) {
+      yield `# TYPE ${name} summary`;
+      for (const [labels, histogram] of series.values) {
+        for (const quantile of QUANTILES) {
+          const seconds = histogram.getValueAtPercentile(quantile) / 1e6;
+          const all = [labels, `quantile="${quantile / 100}"`].filter((part) =>
+            part !== ""
+          );
+          yield `${name}{${all.join(",")}} ${seconds}`;
+        }
+        yield `${name}_count${braced(labels)} ${histogram.totalCount}`;
+        yield `${name}_sum${braced(labels)} ${
+          (histogram.mean * histogram.totalCount || 0) / 1e6
+        }`;
+      }
+    }
+  }
+}
+
+function seriesOf<T>(all: Map<string, Series<T>>, name: string): Series<T> {
+  let series = all.get(name);
+  if (series === undefined) {
+    series = { values: new Map() };
+    all.set(name, series);
+  }
+  return series;
+}
+
+function labelText(labels: Labels): string {
+  return Object.entries(labels)
+    .map(([key, value]) =>
+      `${key}="${value.replace(/(["\\])/g, "\\$1").replace(/\n/g, "\\n")}"`
+    )
+    .join(",");
+}
+
+function braced(labels: string): string {
+  return labels === "" ? "" : `{${labels}}`;
+}
