--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./json_text.ts";
 export * from "./ledger.ts";
 export * from "./machine.ts";
+export * from "./membership/mod.ts";
 export * from "./names.ts";
 export * from "./result.ts";
 export * from "./rules.ts";
