--- a/packages/core/src/ledger.ts
+++ b/packages/core/src/ledger.ts
@@ -97,7 +97,10 @@
 export type LedgerOutput = z.infer<typeof LedgerOutput>;
 
 export const Ledger = z.object({
-  attempts: z.record(z.string(), Attempt),
+  /** Attempts that run or whose outcome is unknown, by key. */
+  open: z.record(z.string(), Attempt),
+  /** Attempts that are done, by key, the earliest first. */
+  closed: z.record(z.string(), Attempt),
   /** The highest fenced incarnation of each entry. */
   fenced: z.record(z.string(), z.number().int()),
   /** Attempts that were released before their `begin` arrived, with the time of the release. */
@@ -106,7 +109,7 @@
 export type Ledger = z.infer<typeof Ledger>;
 
 export function emptyLedger(): Ledger {
-  return { attempts: {}, fenced: {}, released: {} };
+  return { open: {}, closed: {}, fenced: {}, released: {} };
 }
 
 /** Applies a command to the ledger in place. */
@@ -132,6 +135,18 @@
   }
 }
 
+/** The answer of an attempt that the operator settled as having run. */
+const SETTLED_ANSWER: Answer = {
+  status: 204,
+  headers: { "x-quetzalcove-settled": "ran" },
+  bytes: 0,
+};
+
+/** The attempt that holds a key. */
+export function attemptOf(ledger: Ledger, key: string): Attempt | undefined {
+  return ledger.open[key] ?? ledger.closed[key];
+}
+
 type Of<K extends LedgerCommand["kind"]> = Extract<LedgerCommand, { kind: K }>;
 
 function begin(
@@ -157,10 +172,10 @@
       }),
     );
   }
-  const known = ledger.attempts[command.key];
+  const known = attemptOf(ledger, command.key);
   if (known === undefined) {
     const { kind: _kind, ...attempt } = command;
-    ledger.attempts[command.key] = { ...attempt, phase: "running" };
+    ledger.open[command.key] = { ...attempt, phase: "running" };
     return Ok({ kind: "granted" });
   }
   return repeatedBegin(known, command);
@@ -195,7 +210,7 @@
   key: string,
   attempt: string,
 ): Result<Attempt, Fault> {
-  const known = ledger.attempts[key];
+  const known = attemptOf(ledger, key);
   if (known === undefined || known.attempt !== attempt) {
     return Err(
       fault("not_found", `Attempt "${attempt}" does not hold key "${key}"`),
@@ -210,18 +225,32 @@
 ): Result<LedgerOutput, Fault> {
   return held(ledger, command.key, command.attempt).map((known) => {
     // A late answer of an unknown attempt is the truth and replaces the doubt.
-    known.phase = "done";
-    known.answer = command.answer;
-    known.at = command.at;
+    close(ledger, known, command);
     return { kind: "recorded", count: 1 } as const;
   });
 }
 
+function close(
+  ledger: Ledger,
+  attempt: Attempt,
+  end: { answer: Answer; at: number },
+): void {
+  const { key } = attempt;
+  delete ledger.open[key];
+  delete ledger.closed[key];
+  ledger.closed[key] = {
+    ...attempt,
+    phase: "done",
+    answer: end.answer,
+    at: end.at,
+  };
+}
+
 function release(
   ledger: Ledger,
   command: Of<"ledger.release">,
 ): Result<LedgerOutput, Fault> {
-  const known = ledger.attempts[command.key];
+  const known = attemptOf(ledger, command.key);
   ledger.released[command.attempt] = command.at;
   if (known === undefined || known.attempt !== command.attempt) {
     return Ok({ kind: "recorded", count: 0 });
@@ -231,7 +260,7 @@
       fault("conflict", `Attempt "${command.attempt}" is ${known.phase}`),
     );
   }
-  delete ledger.attempts[command.key];
+  delete ledger.open[command.key];
   return Ok({ kind: "recorded", count: 1 });
 }
 
@@ -255,7 +284,7 @@
   const previous = ledger.fenced[command.entry] ?? -1;
   ledger.fenced[command.entry] = Math.max(previous, command.incarnation);
   let count = 0;
-  for (const attempt of Object.values(ledger.attempts)) {
+  for (const attempt of Object.values(ledger.open)) {
     const covered = attempt.entry === command.entry &&
       attempt.incarnation <= command.incarnation;
     if (covered && attempt.phase === "running") {
@@ -271,7 +300,7 @@
   ledger: Ledger,
   command: Of<"ledger.settle">,
 ): Result<LedgerOutput, Fault> {
-  const known = ledger.attempts[command.key];
+  const known = attemptOf(ledger, command.key);
   if (known === undefined) {
     return Err(fault("not_found", `No attempt holds key "${command.key}"`));
   }
@@ -284,15 +313,9 @@
     );
   }
   if (command.outcome === "not run") {
-    delete ledger.attempts[command.key];
+    delete ledger.open[command.key];
   } else {
-    known.phase = "done";
-    known.answer = {
-      status: 204,
-      headers: { "x-quetzalcove-settled": "ran" },
-      bytes: 0,
-    };
-    known.at = command.at;
+    close(ledger, known, { answer: SETTLED_ANSWER, at: command.at });
   }
   return Ok({ kind: "recorded", count: 1 });
 }
@@ -302,11 +325,12 @@
   command: Of<"ledger.prune">,
 ): Result<LedgerOutput, Fault> {
   let count = 0;
-  for (const [key, attempt] of Object.entries(ledger.attempts)) {
-    if (attempt.phase === "done" && attempt.at < command.before) {
-      delete ledger.attempts[key];
-      count += 1;
+  for (const [key, attempt] of Object.entries(ledger.closed)) {
+    if (attempt.at >= command.before) {
+      break;
     }
+    delete ledger.closed[key];
+    count += 1;
   }
   for (const [attempt, at] of Object.entries(ledger.released)) {
     if (at < command.before) {
--- a/packages/core/src/membership/lease_table.ts
+++ b/packages/core/src/membership/lease_table.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { Renewal } from "./renewal.ts";
+
 /** Durations in milliseconds. */
 export interface LeaseTerms {
   durationMs: number;
@@ -19,7 +21,10 @@
   incarnation: number;
   revision: number;
   grantedAt: number;
-  inFlight: Record<string, number>;
+  /** Requests in progress on VMs that are not serving. */
+  inFlight: Renewal["inFlight"];
+  usage: Renewal["usage"];
+  unhealthy: Renewal["unhealthy"];
   stopping: boolean;
 }
 
@@ -60,8 +65,13 @@
   }
 
   isLive(record: LeaseRecord, now: number): boolean {
-    return now <
-      record.grantedAt + this.#terms.durationMs + this.#terms.driftMarginMs;
+    return this.remainingMs(record, now) > 0;
+  }
+
+  /** Time left until the lease has surely run out, in milliseconds; negative after that. */
+  remainingMs(record: LeaseRecord, now: number): number {
+    return record.grantedAt + this.#terms.durationMs +
+      this.#terms.driftMarginMs - now;
   }
 
   /** Whether each process that may hold a lease runs the revision or a later one. */
--- a/packages/core/src/membership/mod.ts
+++ b/packages/core/src/membership/mod.ts
@@ -8,5 +8,6 @@
 export * from "./lease_table.ts";
 export * from "./registry.ts";
 export * from "./renewal.ts";
+export * from "./target_copy.ts";
 export * from "./target_table.ts";
 export * from "./view.ts";
--- a/packages/core/src/membership/renewal.ts
+++ b/packages/core/src/membership/renewal.ts
@@ -50,6 +50,8 @@
   leaseMs: z.number().int(),
   view: ViewDelta,
   targets: deltaOf(Announcement),
+  /** Whether every entry that holds a lease has reported its targets to this leader. */
+  targetsComplete: z.boolean(),
   /** Version of the entry's announcements that the leader holds. */
   announcedVersion: z.number().int(),
 });
--- a/packages/core/src/membership/target_table.ts
+++ b/packages/core/src/membership/target_table.ts
@@ -36,11 +36,11 @@
     return known.version;
   }
 
-  /** Drops the report of an entry whose lease ran out. */
-  drop(entry: string): void {
+  /** Drops the report of one process of an entry whose lease ran out. */
+  drop(entry: string, incarnation: number): void {
     const known = this.#reports.get(entry);
-    this.#reports.delete(entry);
-    if (known !== undefined) {
+    if (known !== undefined && known.incarnation === incarnation) {
+      this.#reports.delete(entry);
       this.#merge([...known.targets.entries()].map(([key]) => key));
     }
   }
@@ -58,7 +58,9 @@
     if (known !== undefined && known.incarnation === incarnation) {
       return known.targets;
     }
-    this.drop(entry);
+    if (known !== undefined) {
+      this.drop(entry, known.incarnation);
+    }
     const targets = new DeltaMap<Announcement>();
     this.#reports.set(entry, { incarnation, targets });
     return targets;
--- /dev/null
+++ b/packages/daemon/src/admin/admin.ts
@@ -0,0 +1,213 @@
+/**
+ * The administration API.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type Command,
+  type Fault,
+  fault,
+  Inventory,
+  Ok,
+  parse,
+  parseJson,
+  type Result,
+  Rules,
+  type Settings,
+  validate,
+  VmReason,
+} from "@quetzalcove/core";
+import findMyWay from "find-my-way";
+import { z } from "zod";
+import type { LeaderClient } from "../entry/leader_client.ts";
+import { readBody, writeReply } from "../http_server.ts";
+import type { Query } from "../leader/queries.ts";
+import type { Metrics } from "../observe/metrics.ts";
+import type { SpanRecord } from "../observe/tracing.ts";
+import { type HttpReply, jsonReply, problemReply } from "../problem.ts";
+
+/** What the administration API needs. */
+export interface AdminParts {
+  settings: Settings;
+  leader: LeaderClient;
+  metrics: Metrics;
+  health: () => HttpReply;
+  ready: () => HttpReply;
+  /** Spans of a trace on all daemons. */
+  findTrace: (traceId: string) => Promise<SpanRecord[]>;
+  /** Operations on the replicas. */
+  replicas: ReplicaOperations;
+}
+
+/** Operations on the replicas; each answers a JSON value. */
+export interface ReplicaOperations {
+  init: () => Promise<Result<unknown, Fault>>;
+  add: (entry: string) => Promise<Result<unknown, Fault>>;
+  remove: (replica: string) => Promise<Result<unknown, Fault>>;
+  transfer: (entry: string) => Promise<Result<unknown, Fault>>;
+}
+
+const Change = z.strictObject({
+  change: z.string().min(1).max(128),
+  base: z.number().int().nonnegative(),
+  inventory: Inventory,
+  rules: Rules,
+});
+const DrainOrder = z.strictObject({ reason: VmReason.default("operator") });
+const Settlement = z.strictObject({ key: z.string(), outcome: z.enum(["ran", "not run"]) });
+const EntryName = z.strictObject({ entry: z.string() });
+const ReplicaName = z.strictObject({ replica: z.string() });
+const VmRows = z.object({
+  vms: z.array(z.looseObject({ name: z.string(), phase: z.string(), reason: z.string() })),
+});
+
+/** Longest wait for the leader, in milliseconds. */
+const LEADER_TIMEOUT_MS = 5_000;
+
+type Params = Record<string, string | undefined>;
+type Answer = Promise<Result<unknown, Fault>>;
+
+export class Admin {
+  readonly #parts: AdminParts;
+  readonly #router = findMyWay({
+    defaultRoute: (request, response) => {
+      const reply = problemReply(fault("not_found", `No route for ${request.method} ${request.url}`));
+      writeReply(request as IncomingMessage, response as ServerResponse, reply);
+    },
+  });
+
+  constructor(parts: AdminParts) {
+    this.#parts = parts;
+    this.#registerReads();
+    this.#registerChanges();
+    this.#registerChecks();
+  }
+
+  /** Handles one HTTP request. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    this.#router.lookup(request, response);
+  }
+
+  #registerReads(): void {
+    this.#get("/v1/status", () => this.#status());
+    this.#get("/v1/configuration", () => this.#read({ what: "configuration" }));
+    this.#get("/v1/vms", () => this.#read({ what: "vms" }));
+    this.#get("/v1/services", () => this.#read({ what: "services" }));
+    this.#get("/v1/replicas", () => this.#read({ what: "replicas" }));
+    this.#get("/v1/force", (_, query) => {
+      return this.#read({ what: "force", revision: Number(query.get("revision") ?? 0) });
+    });
+    this.#get("/v1/requests", (_, query) => {
+      return this.#read({ what: "requests", phase: query.get("phase") ?? undefined });
+    });
+    this.#get("/v1/traces/:id", async (params) => {
+      return Ok({ spans: await this.#parts.findTrace(params["id"] ?? "") });
+    });
+  }
+
+  #registerChanges(): void {
+    this.#post("/v1/configuration", Change, (change) => this.#configure(change));
+    this.#post("/v1/vms/:name/drain", DrainOrder, (order, params) => {
+      return this.#changePhase(params["name"] ?? "", ["serving"], "draining", order.reason);
+    });
+    this.#post("/v1/vms/:name/resume", DrainOrder, (_, params) => {
+      return this.#changePhase(params["name"] ?? "", ["draining", "drained"], "serving", "none");
+    });
+    this.#post("/v1/requests/settle", Settlement, (settlement) => {
+      return this.#propose({ kind: "ledger.settle", ...settlement, at: 0 });
+    });
+    const { replicas } = this.#parts;
+    this.#post("/v1/init", z.object({}), () => replicas.init());
+    this.#post("/v1/replicas/add", EntryName, ({ entry }) => replicas.add(entry));
+    this.#post("/v1/replicas/remove", ReplicaName, ({ replica }) => replicas.remove(replica));
+    this.#post("/v1/replicas/transfer", EntryName, ({ entry }) => replicas.transfer(entry));
+  }
+
+  #registerChecks(): void {
+    this.#router.get("/healthz", (request, response) => {
+      writeReply(request as IncomingMessage, response as ServerResponse, this.#parts.health());
+    });
+    this.#router.get("/readyz", (request, response) => {
+      writeReply(request as IncomingMessage, response as ServerResponse, this.#parts.ready());
+    });
+    this.#router.get("/metrics", (_request, response) => {
+      response.setHeader("content-type", "text/plain; version=0.0.4");
+      response.end(this.#parts.metrics.text());
+    });
+  }
+
+  #get(route: string, answer: (params: Params, query: URLSearchParams) => Answer): void {
+    this.#router.get(route, async (request, response, params) => {
+      const query = new URL(request.url ?? "/", "http://admin").searchParams;
+      const result = await answer(params, query);
+      writeReply(request as IncomingMessage, response as ServerResponse, replyOf(result));
+    });
+  }
+
+  #post<T extends z.ZodType>(
+    route: string,
+    schema: T,
+    answer: (body: z.output<T>, params: Params) => Answer,
+  ): void {
+    this.#router.post(route, async (request, response, params) => {
+      const body = await this.#body(request as IncomingMessage, schema);
+      const result = body.ok ? await answer(body.val, params) : body;
+      writeReply(request as IncomingMessage, response as ServerResponse, replyOf(result));
+    });
+  }
+
+  async #body<T extends z.ZodType>(
+    request: IncomingMessage,
+    schema: T,
+  ): Promise<Result<z.output<T>, Fault>> {
+    const bytes = await readBody(request, this.#parts.settings.limits.maxAdminBytes);
+    return bytes
+      .andThen((read) => parseJson(read.length === 0 ? "{}" : read.toString("utf8"), "body"))
+      .andThen((value) => parse(schema, value, "body"));
+  }
+
+  #read(query: Query): Answer {
+    return this.#parts.leader.call("read", query, LEADER_TIMEOUT_MS);
+  }
+
+  #propose(command: Command): Answer {
+    return this.#parts.leader.call("propose", command, LEADER_TIMEOUT_MS);
+  }
+
+  async #status(): Answer {
+    const { cluster, entry, zone } = this.#parts.settings;
+    const status = await this.#read({ what: "status" });
+    return status.map((value) => ({ cluster, entry, zone, ...(value as object) }));
+  }
+
+  async #configure(change: z.output<typeof Change>): Answer {
+    const valid = validate(change.inventory, change.rules);
+    return valid.err ? valid : await this.#propose({ kind: "configure", ...change, at: 0 });
+  }
+
+  async #changePhase(
+    name: string,
+    from: readonly string[],
+    to: "draining" | "serving",
+    reason: VmReason,
+  ): Answer {
+    const rows = (await this.#read({ what: "vms" })).andThen((rows) => parse(VmRows, rows, "vms"));
+    if (rows.err) {
+      return rows;
+    }
+    const vm = rows.val.vms.find((row) => row.name === name);
+    if (vm === undefined) {
+      return refused(fault("not_found", `VM "${name}" is in no inventory`));
+    }
+    if (!from.includes(vm.phase)) {
+      return refused(fault("conflict", `VM "${name}" is ${vm.phase}; this needs ${from.join(" or ")}`));
+    }
+    const phase = vm.phase as "serving" | "draining" | "drained";
+    return await this.#propose({ kind: "vm.phase", vm: name, from: phase, to, reason, at: 0 });
+  }
+}
+
+function replyOf(result: Result<unknown, Fault>): HttpReply {
+  return result.ok ? jsonReply(result.val) : problemReply(result.val as Fault);
+}
--- /dev/null
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -0,0 +1,85 @@
+/**
+ * Carries the router's decisions to the requests that wait for them.
+ *
+ * @module
+ */
+import type { Completion, Dispatch, Router, Submission } from "@quetzalcove/core";
+import type { Clock } from "../clock.ts";
+import type { Component } from "../lifecycle.ts";
+
+/** A decision that a request acts on; being queued is not one. */
+export type Turn = Exclude<Dispatch, { kind: "queue" }>;
+
+export class Dispatcher implements Component {
+  readonly name = "dispatcher";
+  readonly #router: Router;
+  readonly #clock: Clock;
+  readonly #waiting = new Map<string, (turn: Turn) => void>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(router: Router, clock: Clock) {
+    this.#router = router;
+    this.#clock = clock;
+  }
+
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    clearTimeout(this.#timer);
+    return Promise.resolve();
+  }
+
+  /** Asks for a slot and waits for the decision. */
+  submit(submission: Submission): Promise<Turn> {
+    const turn = this.next(submission.id);
+    this.#deliver(this.#router.submit(submission, this.#clock.monotonic()));
+    return turn;
+  }
+
+  /** Waits for the next decision on a request. */
+  next(id: string): Promise<Turn> {
+    return new Promise((resolve) => this.#waiting.set(id, resolve));
+  }
+
+  /** Reports how an attempt ended. */
+  complete(id: string, completion: Completion): void {
+    this.#deliver(this.#router.complete(id, completion, this.#clock.monotonic()));
+  }
+
+  /** Takes a request back whose caller is gone. */
+  cancel(id: string): void {
+    this.#deliver(this.#router.cancel(id, this.#clock.monotonic()));
+  }
+
+  /** Stops waiting for decisions on a request. */
+  forget(id: string): void {
+    this.#waiting.delete(id);
+  }
+
+  /** Runs an event that lets the router decide, such as new targets. */
+  drive(event: (router: Router, now: number) => Dispatch[]): void {
+    this.#deliver(event(this.#router, this.#clock.monotonic()));
+  }
+
+  #deliver(decisions: readonly Dispatch[]): void {
+    for (const decision of decisions) {
+      if (decision.kind !== "queue") {
+        const resolve = this.#waiting.get(decision.id);
+        this.#waiting.delete(decision.id);
+        resolve?.(decision);
+      }
+    }
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    clearTimeout(this.#timer);
+    const at = this.#router.nextWakeup();
+    if (Number.isFinite(at)) {
+      const delayMs = Math.max(1, Math.ceil(at - this.#clock.monotonic()));
+      this.#timer = setTimeout(() => this.drive((router, now) => router.expire(now)), delayMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/forwarder.ts
@@ -0,0 +1,262 @@
+/**
+ * Sends requests to targets and reads their answers whole.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  type Announcement,
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  type Result,
+  type Settings,
+} from "@quetzalcove/core";
+import { type Dispatcher, Pool } from "undici";
+import type { Component } from "../lifecycle.ts";
+import { endToEndHeaders } from "./headers.ts";
+
+/** A request as it goes to a target. */
+export interface OutgoingRequest {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body: Buffer;
+  maxAnswerBytes: number;
+  /** Ends the request; its connection is closed and not used again. */
+  signal: AbortSignal;
+  /** Asked right before the first byte leaves; a fault keeps the request from being sent. */
+  mayStart: () => Result<void, Fault>;
+}
+
+/** A whole answer of a target. */
+export interface WholeAnswer {
+  status: number;
+  headers: Record<string, string | string[]>;
+  body: Buffer;
+  /** False for answers that carry no body whatever their length says, such as those to HEAD. */
+  hasBody: boolean;
+}
+
+/** An attempt that brought no answer. `sent` is false when surely no byte left. */
+export interface Failure {
+  sent: boolean;
+  fault: Fault;
+}
+
+interface Upstream {
+  pool: Pool;
+  address: string;
+}
+
+export class Forwarder implements Component {
+  readonly name = "forwarder";
+  readonly #settings: Settings["forward"];
+  readonly #upstreams = new Map<string, Upstream>();
+
+  constructor(settings: Settings["forward"]) {
+    this.#settings = settings;
+  }
+
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  async stop(): Promise<void> {
+    const pools = [...this.#upstreams.values()].map(({ pool }) =>
+      pool.destroy()
+    );
+    this.#upstreams.clear();
+    await Promise.all(pools);
+  }
+
+  /** Closes connections to targets that are gone, once their requests have ended. */
+  retain(targets: readonly Announcement[]): void {
+    const present = new Set(targets.map((target) => target.target));
+    for (const [target, { pool }] of this.#upstreams) {
+      if (!present.has(target)) {
+        this.#upstreams.delete(target);
+        void pool.close();
+      }
+    }
+  }
+
+  /** Sends a request once. It never sends it a second time. */
+  send(
+    target: Announcement,
+    request: OutgoingRequest,
+  ): Promise<Result<WholeAnswer, Failure>> {
+    const pool = this.#poolOf(target);
+    return new Promise((resolve) => {
+      pool.dispatch(
+        {
+          origin: `http://${target.address}`,
+          path: request.path,
+          method: request.method as Dispatcher.HttpMethod,
+          headers: request.headers,
+          body: request.body.length === 0 ? null : request.body,
+          idempotent: false,
+        },
+        new AnswerReader(request, resolve),
+      );
+    });
+  }
+
+  #poolOf(target: Announcement): Pool {
+    const known = this.#upstreams.get(target.target);
+    if (known !== undefined && known.address === target.address) {
+      return known.pool;
+    }
+    void known?.pool.close();
+    const pool = new Pool(`http://${target.address}`, {
+      connections: target.connections,
+      pipelining: 1,
+      connectTimeout: this.#settings.connectTimeoutMs,
+      keepAliveTimeout: this.#settings.keepAliveMs,
+      keepAliveMaxTimeout: this.#settings.keepAliveMs,
+      // The deadline of each request ends it; no second timer is wanted.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.#upstreams.set(target.target, { pool, address: target.address });
+    return pool;
+  }
+}
+
+/** Collects one answer and settles exactly once. */
+class AnswerReader implements Dispatcher.DispatchHandler {
+  readonly #request: OutgoingRequest;
+  readonly #settle: (result: Result<WholeAnswer, Failure>) => void;
+  readonly #chunks: Buffer[] = [];
+  #bytes = 0;
+  #status = 0;
+  #headers: IncomingHttpHeaders = {};
+  #sent = false;
+  #settled = false;
+  #controller: Dispatcher.DispatchController | undefined;
+  readonly #onAbort = (): void =>
+    this.#fail(fault("timeout", "The target gave no answer in time"));
+
+  constructor(
+    request: OutgoingRequest,
+    settle: (result: Result<WholeAnswer, Failure>) => void,
+  ) {
+    this.#request = request;
+    this.#settle = settle;
+    request.signal.addEventListener("abort", this.#onAbort, { once: true });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#settled) {
+      controller.abort(new Error("Request has ended"));
+      return;
+    }
+    const allowed = this.#request.mayStart();
+    if (allowed.err) {
+      this.#fail(allowed.val);
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) {
+      return;
+    }
+    this.#status = status;
+    this.#headers = headers;
+    const declared = Number(headers["content-length"] ?? 0);
+    if (
+      declared > this.#request.maxAnswerBytes && this.#request.method !== "HEAD"
+    ) {
+      this.#failTooLarge();
+    } else if (this.#hasBody() && !hasDeclaredEnd(headers)) {
+      this.#fail(
+        fault(
+          "broken_answer",
+          "The answer of the target does not declare its end",
+        ),
+      );
+    }
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#bytes += chunk.length;
+    if (this.#bytes > this.#request.maxAnswerBytes) {
+      this.#failTooLarge();
+      return;
+    }
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.#end(Ok({
+      status: this.#status,
+      headers: this.#answerHeaders(),
+      body: Buffer.concat(this.#chunks),
+      hasBody: this.#hasBody(),
+    }));
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    const kind = this.#status > 0 ? "broken_answer" : "target_lost";
+    this.#fail(
+      fault(kind, `The target gave no whole answer: ${error.message}`),
+    );
+  }
+
+  #answerHeaders(): Record<string, string | string[]> {
+    const headers = endToEndHeaders(this.#headers);
+    const declared = this.#headers["content-length"];
+    if (!this.#hasBody() && declared !== undefined && this.#status !== 204) {
+      headers["content-length"] = declared;
+    }
+    return headers;
+  }
+
+  #hasBody(): boolean {
+    return this.#request.method !== "HEAD" && this.#status !== 204 &&
+      this.#status !== 304;
+  }
+
+  #failTooLarge(): void {
+    const limit = this.#request.maxAnswerBytes;
+    this.#fail(
+      fault(
+        "broken_answer",
+        `The answer of the target is longer than ${limit} bytes`,
+      ),
+    );
+  }
+
+  #fail(cause: Fault): void {
+    this.#end(Err({ sent: this.#sent, fault: cause }));
+    this.#controller?.abort(new Error(cause.message));
+  }
+
+  #end(result: Result<WholeAnswer, Failure>): void {
+    if (!this.#settled) {
+      this.#settled = true;
+      this.#request.signal.removeEventListener("abort", this.#onAbort);
+      this.#settle(result);
+    }
+  }
+}
+
+function hasDeclaredEnd(headers: IncomingHttpHeaders): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/front.ts
@@ -0,0 +1,192 @@
+/**
+ * The entry's face towards callers and targets: requests for services, announcements and the health check.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { SpanKind } from "@opentelemetry/api";
+import {
+  Announcement,
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  parse,
+  parseJson,
+  type Result,
+  type Settings,
+} from "@quetzalcove/core";
+import findMyWay from "find-my-way";
+import type { Clock } from "../clock.ts";
+import { readBody, writeReply } from "../http_server.ts";
+import type { Metrics } from "../observe/metrics.ts";
+import { extractContext, type Tracing } from "../observe/tracing.ts";
+import { type HttpReply, jsonReply, problemReply } from "../problem.ts";
+import type { MembershipTask } from "./membership_task.ts";
+import type { IncomingRequest } from "./request.ts";
+import type { RequestPath } from "./request_path.ts";
+
+/** What the front needs. */
+export interface FrontParts {
+  settings: Settings;
+  membership: MembershipTask;
+  path: RequestPath;
+  tracing: Tracing;
+  metrics: Metrics;
+  clock: Clock;
+}
+
+/** Path prefix of the system itself; no service name can begin with `-`. */
+const SYSTEM_PREFIX = "/-/";
+const MAX_ANNOUNCEMENT_BYTES = 4_096;
+
+/** How long an announcement of leaving waits until the leader holds it, in milliseconds. */
+const LEAVING_ROUNDS = 3;
+
+export class Front {
+  readonly #parts: FrontParts;
+  readonly #router = findMyWay({
+    defaultRoute: (request, response) => {
+      writeReply(request as IncomingMessage, response as ServerResponse, problemReply(noRoute()));
+    },
+  });
+  #bufferedBytes = 0;
+  #inProgress = 0;
+
+  constructor(parts: FrontParts) {
+    this.#parts = parts;
+    this.#router.get(`${SYSTEM_PREFIX}healthz`, (request, response) => {
+      writeReply(request as IncomingMessage, response as ServerResponse, this.health());
+    });
+    this.#router.post(`${SYSTEM_PREFIX}announce`, (request, response) => {
+      void this.#announce(request as IncomingMessage, response as ServerResponse);
+    });
+    for (const route of ["/:service", "/:service/*"]) {
+      this.#router.all(route, (request, response, params) => {
+        const service = params["service"] ?? "";
+        void this.#serve(request as IncomingMessage, response as ServerResponse, service);
+      });
+    }
+  }
+
+  /** Requests that are not answered yet. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  /** Handles one HTTP request. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    this.#router.lookup(request, response);
+  }
+
+  /** Tells the balancer whether this entry takes new work. */
+  health(): HttpReply {
+    return this.#parts.membership.mayServe()
+      ? jsonReply({ serving: true })
+      : problemReply(fault("no_lease", "This entry takes no new work", { outcome: "not run" }));
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    service: string,
+  ): Promise<void> {
+    const { tracing, metrics, clock } = this.#parts;
+    const startedAt = clock.monotonic();
+    const parent = extractContext(request.headers);
+    const { span, context } = tracing.span("entry", parent, SpanKind.SERVER);
+    span.setAttributes({ "quetzalcove.service": service, "http.request.method": request.method });
+    this.#inProgress += 1;
+    const incoming = await this.#read(request, response, service);
+    const reply = incoming.ok
+      ? await this.#parts.path.serve(incoming.val, context)
+      : problemReply(incoming.val);
+    this.#bufferedBytes -= incoming.ok ? incoming.val.body.length : 0;
+    this.#inProgress -= 1;
+    span.setAttribute("http.response.status_code", reply.status);
+    span.end();
+    metrics.observe("quetzalcove_request_seconds", clock.monotonic() - startedAt, {
+      status: String(reply.status),
+    });
+    writeReply(request, response, reply);
+  }
+
+  async #read(
+    request: IncomingMessage,
+    response: ServerResponse,
+    service: string,
+  ): Promise<Result<IncomingRequest, Fault>> {
+    const { forward } = this.#parts.settings;
+    if (this.#bufferedBytes >= forward.maxBufferedBytes) {
+      return Err(fault("overloaded", "Too many bytes wait here", { outcome: "not run" }));
+    }
+    const rule = this.#parts.membership.view.service(service);
+    const body = await readBody(request, rule?.maxRequestBytes ?? forward.maxRequestBytes);
+    if (body.err) {
+      return body;
+    }
+    this.#bufferedBytes += body.val.length;
+    const gone = new AbortController();
+    response.once("close", () => gone.abort());
+    return Ok({
+      id: randomUUID(),
+      method: request.method ?? "GET",
+      service,
+      path: pathBelow(request.url ?? "/", service),
+      headers: request.headers,
+      body: body.val,
+      callerGone: gone.signal,
+    });
+  }
+
+  async #announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request, MAX_ANNOUNCEMENT_BYTES);
+    const announcement = body
+      .andThen((bytes) => parseJson(bytes.toString("utf8"), "announcement"))
+      .andThen((value) => parse(Announcement, value, "announcement"));
+    const reply = announcement.ok
+      ? await this.#accept(announcement.val)
+      : problemReply(announcement.val as Fault);
+    writeReply(request, response, reply);
+  }
+
+  /** Leaving is acknowledged only when the leader holds it, so that the target may rely on the answer. */
+  async #accept(announcement: Announcement): Promise<HttpReply> {
+    const { membership, clock, settings } = this.#parts;
+    const changed = membership.registry.announce(announcement, clock.monotonic());
+    const version = membership.registry.version;
+    if (changed) {
+      await this.#report(version, announcement.condition === "leaving" ? LEAVING_ROUNDS : 0);
+    }
+    if (announcement.condition === "leaving" && !membership.hasReported(version)) {
+      return problemReply(
+        fault("no_leader", "The leader does not know yet that this target is leaving", {
+          retryAfterMs: settings.targets.announceEveryMs,
+        }),
+      );
+    }
+    return jsonReply({ announceEveryMs: settings.targets.announceEveryMs });
+  }
+
+  async #report(version: number, rounds: number): Promise<void> {
+    const { membership } = this.#parts;
+    const first = membership.renew();
+    for (let round = 0; round < rounds && !membership.hasReported(version); round++) {
+      await (round === 0 ? first : membership.renew());
+    }
+  }
+}
+
+/** The path that the target sees: what follows the name of the service. */
+function pathBelow(url: string, service: string): string {
+  const rest = url.slice(service.length + 1);
+  return rest.startsWith("/") ? rest : `/${rest}`;
+}
+
+function noRoute(): Fault {
+  return fault("not_found", "No service is named in the path", {
+    outcome: "not run",
+    remedy: "Use the path /SERVICE/...",
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -0,0 +1,120 @@
+/**
+ * Calls of an entry at whichever replica leads.
+ *
+ * @module
+ */
+import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
+import type { Clock } from "../clock.ts";
+import type { Handlers } from "../link/connection.ts";
+import type { Link } from "../link/link.ts";
+
+/** What a leader client needs. */
+export interface LeaderRoutes {
+  /** This daemon's entry name. */
+  entry: string;
+  /** Handlers of this daemon, when it is a replica itself. */
+  local: Handlers | undefined;
+  /** Links to the other replicas, by entry name. */
+  links: ReadonlyMap<string, Link>;
+  clock: Clock;
+}
+
+/** Wait before the next replica is tried, in milliseconds. */
+const RETRY_WAIT_MS = 50;
+
+export class LeaderClient {
+  readonly #routes: LeaderRoutes;
+  readonly #candidates: string[];
+  #leader: string | undefined;
+  #turn = 0;
+
+  constructor(routes: LeaderRoutes) {
+    this.#routes = routes;
+    const own = routes.local === undefined ? [] : [routes.entry];
+    this.#candidates = [...own, ...routes.links.keys()];
+  }
+
+  /** The replica that led at the last successful call. */
+  get leader(): string | undefined {
+    return this.#leader;
+  }
+
+  /**
+   * Calls an idempotent method at the leader, again at another replica while the answer is `not_leader`, `no_leader` or
+   * `timeout`, until the timeout in milliseconds.
+   */
+  async call(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, Fault>> {
+    const { clock } = this.#routes;
+    const deadline = clock.monotonic() + timeoutMs;
+    let last: Result<unknown, Fault> = Err(
+      fault("no_leader", "No replica is known"),
+    );
+    for (let left = timeoutMs; left > 0; left = deadline - clock.monotonic()) {
+      const candidate = this.#leader ?? this.#nextCandidate();
+      last = await this.#callAt(candidate, method, params, left);
+      if (last.ok || !isAboutLeadership(last.val)) {
+        return last;
+      }
+      const hint = last.val.kind === "not_leader" ? last.val.leader : undefined;
+      this.#leader = hint === candidate ? undefined : hint;
+      if (this.#leader === undefined) {
+        await wait(
+          Math.min(RETRY_WAIT_MS, Math.max(0, deadline - clock.monotonic())),
+        );
+      }
+    }
+    return last;
+  }
+
+  async #callAt(
+    candidate: string | undefined,
+    method: string,
+    params: unknown,
+    leftMs: number,
+  ): Promise<Result<unknown, Fault>> {
+    if (candidate === undefined) {
+      return Err(fault("no_leader", "No replica is known"));
+    }
+    const result = await this.#send(candidate, method, params, leftMs);
+    if (result.ok) {
+      this.#leader = candidate;
+    }
+    return result;
+  }
+
+  #send(
+    candidate: string,
+    method: string,
+    params: unknown,
+    leftMs: number,
+  ): Promise<Result<unknown, Fault>> {
+    if (candidate === this.#routes.entry) {
+      const handler = this.#routes.local?.get(method);
+      return handler === undefined
+        ? Promise.resolve(Err(fault("internal", `No method "${method}"`)))
+        : handler(params);
+    }
+    const link = this.#routes.links.get(candidate);
+    return link === undefined
+      ? Promise.resolve(Err(fault("no_leader", `No link to "${candidate}"`)))
+      : link.request(method, params, leftMs);
+  }
+
+  #nextCandidate(): string | undefined {
+    this.#turn += 1;
+    return this.#candidates[this.#turn % Math.max(1, this.#candidates.length)];
+  }
+}
+
+function isAboutLeadership(found: Fault): boolean {
+  return found.kind === "not_leader" || found.kind === "no_leader" ||
+    found.kind === "timeout";
+}
+
+function wait(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/daemon/src/entry/ledger_client.ts
@@ -0,0 +1,87 @@
+/**
+ * The entry's side of the ledger.
+ *
+ * @module
+ */
+import {
+  type Answer,
+  Err,
+  type Fault,
+  fault,
+  type LedgerCommand,
+  LedgerOutput,
+  Ok,
+  parse,
+  type Result,
+} from "@quetzalcove/core";
+import { z } from "zod";
+import type { LeaderClient } from "./leader_client.ts";
+
+/** An attempt that this entry asked for. */
+export interface Claim {
+  key: string;
+  digest: string;
+  attempt: string;
+  entry: string;
+  incarnation: number;
+  service: string;
+}
+
+/** What the ledger holds for a key. */
+export const Holding = z.object({
+  phase: z.enum(["none", "running", "done", "unknown"]),
+});
+
+/** How long an entry keeps trying to give an attempt back, in milliseconds. */
+const GIVE_BACK_MS = 30_000;
+
+/** How long an entry waits for the ledger to record an answer, in milliseconds. */
+const RECORD_MS = 10_000;
+
+export class LedgerClient {
+  readonly #leader: LeaderClient;
+
+  constructor(leader: LeaderClient) {
+    this.#leader = leader;
+  }
+
+  /** Asks for the attempt. A lost answer is asked for again under the same attempt id. */
+  begin(claim: Claim, timeoutMs: number): Promise<Result<LedgerOutput, Fault>> {
+    return this.#propose({ kind: "ledger.begin", ...claim, at: 0 }, timeoutMs);
+  }
+
+  /** Records the answer of an attempt. */
+  finish(claim: Claim, answer: Answer): Promise<Result<LedgerOutput, Fault>> {
+    const { key, attempt } = claim;
+    return this.#propose({ kind: "ledger.finish", key, attempt, answer, at: 0 }, RECORD_MS);
+  }
+
+  /** Gives back an attempt that surely did not run. */
+  release(claim: Claim): Promise<Result<LedgerOutput, Fault>> {
+    const { key, attempt } = claim;
+    return this.#propose({ kind: "ledger.release", key, attempt, at: 0 }, GIVE_BACK_MS);
+  }
+
+  /** Records that the outcome of an attempt is unknown. */
+  lose(claim: Claim): Promise<Result<LedgerOutput, Fault>> {
+    const { key, attempt } = claim;
+    return this.#propose({ kind: "ledger.lose", key, attempt, at: 0 }, RECORD_MS);
+  }
+
+  /** What the ledger holds for a key. */
+  async holding(key: string, timeoutMs: number): Promise<Result<z.infer<typeof Holding>, Fault>> {
+    const answer = await this.#leader.call("read", { what: "holding", key }, timeoutMs);
+    return answer.andThen((value) => parse(Holding, value, "holding"));
+  }
+
+  async #propose(command: LedgerCommand, timeoutMs: number): Promise<Result<LedgerOutput, Fault>> {
+    const answer = await this.#leader.call("propose", command, timeoutMs);
+    if (answer.err) {
+      return answer;
+    }
+    const output = LedgerOutput.safeParse(answer.val);
+    return output.success
+      ? Ok(output.data)
+      : Err(fault("internal", "The ledger gave an answer of another shape"));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/membership_task.ts
@@ -0,0 +1,216 @@
+/**
+ * The task that keeps an entry's lease, view and table of targets.
+ *
+ * @module
+ */
+import {
+  type Announcement,
+  EntryLease,
+  type Fault,
+  Grant,
+  parse,
+  Registry,
+  type Renewal,
+  type Result,
+  type Settings,
+  TargetCopy,
+  View,
+} from "@quetzalcove/core";
+import type { Clock } from "../clock.ts";
+import { type Component, ticker } from "../lifecycle.ts";
+import type { Log } from "../observe/log.ts";
+import type { LeaderClient } from "./leader_client.ts";
+
+/** What an entry reports with each renewal. */
+export type Report = Pick<Renewal, "inFlight" | "usage" | "unhealthy">;
+
+/** What the membership task needs. */
+export interface MembershipParts {
+  settings: Settings;
+  leader: LeaderClient;
+  clock: Clock;
+  log: Log;
+  /** Collects the report of the requests in progress. */
+  report: (view: View) => Report;
+  /** Called after the view or the table of targets changed. */
+  onChange: () => void;
+}
+
+/** Share of the lease after which a renewal without an answer is given up. */
+const RENEWAL_TIMEOUT_SHARE = 0.4;
+
+export class MembershipTask implements Component {
+  readonly name = "membership";
+  readonly lease = new EntryLease();
+  readonly view = new View();
+  readonly registry: Registry;
+  readonly #parts: MembershipParts;
+  readonly #ticker: Component;
+  #copy = new TargetCopy();
+  #incarnation: number;
+  #acknowledged = 0;
+  #renewal: Promise<void> | undefined;
+  #again = false;
+  #stopping = false;
+
+  constructor(parts: MembershipParts) {
+    this.#parts = parts;
+    this.registry = new Registry(parts.settings.targets.expireMs);
+    this.#incarnation = Math.floor(parts.clock.wall());
+    this.#ticker = ticker(
+      "renewals",
+      parts.settings.lease.renewEveryMs,
+      () => this.renew(),
+    );
+  }
+
+  get incarnation(): number {
+    return this.#incarnation;
+  }
+
+  /** Whether this entry may take new work now. */
+  mayServe(): boolean {
+    return !this.#stopping && this.hasLease();
+  }
+
+  /** Whether the lease is valid now. */
+  hasLease(): boolean {
+    return this.lease.isValid(this.#parts.clock.monotonic());
+  }
+
+  async start(): Promise<void> {
+    await this.#ticker.start();
+    void this.renew();
+  }
+
+  /** Gives the lease back, so that the leader need not wait for it to run out. */
+  async stop(): Promise<void> {
+    await this.#ticker.stop();
+    this.lease.end();
+    const params = {
+      entry: this.#parts.settings.entry,
+      incarnation: this.#incarnation,
+    };
+    await this.#parts.leader.call("give_back", params, this.#timeoutMs());
+  }
+
+  /** Takes no more new work. */
+  beginStop(): void {
+    this.#stopping = true;
+    void this.renew();
+  }
+
+  /** Renews now, or once more after the renewal that is under way. */
+  renew(): Promise<void> {
+    if (this.#renewal !== undefined) {
+      this.#again = true;
+      return this.#renewal;
+    }
+    this.#renewal = this.#renewUntilQuiet().finally(() => {
+      this.#renewal = undefined;
+    });
+    return this.#renewal;
+  }
+
+  /** Targets as the leader's table and this entry's own registry know them. */
+  targets(): Announcement[] {
+    return this.#copy.targets().map((known) => {
+      const own = this.registry.get(known.target);
+      return own?.condition === "leaving" ? own : known;
+    });
+  }
+
+  /** Whether the leader holds what this entry knew of announcements at a version. */
+  hasReported(version: number): boolean {
+    return this.#acknowledged >= version;
+  }
+
+  async #renewUntilQuiet(): Promise<void> {
+    do {
+      this.#again = false;
+      await this.#renewOnce();
+    } while (this.#again);
+  }
+
+  async #renewOnce(): Promise<void> {
+    const { clock, leader } = this.#parts;
+    const sentAt = clock.monotonic();
+    this.registry.expire(sentAt);
+    const answer = await leader.call(
+      "renew",
+      this.#renewalMessage(),
+      this.#timeoutMs(),
+    );
+    const grant = answer.andThen((value) => parse(Grant, value, "grant"));
+    if (grant.err) {
+      this.#refused(grant);
+    } else {
+      this.#granted(grant.val, sentAt);
+    }
+  }
+
+  #renewalMessage(): Renewal {
+    const { settings, report } = this.#parts;
+    return {
+      entry: settings.entry,
+      zone: settings.zone,
+      incarnation: this.#incarnation,
+      revision: this.view.revision,
+      tableTerm: this.#copy.term,
+      tableVersion: this.#copy.version,
+      announced: this.registry.since(this.#acknowledged),
+      stopping: this.#stopping,
+      ...report(this.view),
+    };
+  }
+
+  #granted(grant: Grant, sentAt: number): void {
+    const before = this.view.revision;
+    const tableBefore = this.#copy.version;
+    this.#acknowledged = grant.announcedVersion;
+    const viewApplied = this.view.apply(grant.view);
+    const tableApplied = this.#copy.apply(
+      grant.term,
+      grant.targets,
+      grant.targetsComplete,
+    );
+    if (!viewApplied || !tableApplied) {
+      this.#parts.log.warn("renewal.outdated", {
+        revision: grant.view.to,
+        term: grant.term,
+      });
+      return;
+    }
+    this.lease.extend(sentAt, grant.leaseMs);
+    if (this.registry.version > grant.announcedVersion) {
+      this.#again = true;
+    }
+    // A view that is new here is in force only after the leader heard of it.
+    if (this.view.revision !== before) {
+      this.#again = true;
+    }
+    if (this.view.revision !== before || this.#copy.version !== tableBefore) {
+      this.#parts.onChange();
+    }
+  }
+
+  #refused(answer: Result<unknown, Fault>): void {
+    if (answer.ok) {
+      return;
+    }
+    const refusal = answer.val as Fault;
+    this.#parts.log.warn("renewal.refused", {
+      kind: refusal.kind,
+      reason: refusal.message,
+    });
+    if (refusal.kind === "fenced") {
+      this.#incarnation = Math.max(this.#incarnation, refusal.version ?? 0) + 1;
+      this.#acknowledged = 0;
+      this.#again = true;
+    }
+  }
+
+  #timeoutMs(): number {
+    return this.#parts.settings.lease.durationMs * RENEWAL_TIMEOUT_SHARE;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/request.ts
@@ -0,0 +1,94 @@
+/**
+ * A caller's request as the entry reads it.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  DurationMs,
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  Priority,
+  type Result,
+  type Service,
+} from "@quetzalcove/core";
+
+/** A whole request. `path` is what the target sees. */
+export interface IncomingRequest {
+  id: string;
+  method: string;
+  service: string;
+  path: string;
+  headers: IncomingHttpHeaders;
+  body: Buffer;
+  /** Aborts when the caller is gone. */
+  callerGone: AbortSignal;
+}
+
+/** How a request is to be treated. */
+export interface Treatment {
+  service: Service;
+  priority: Priority;
+  /** Time from arrival by which the caller needs the answer, in milliseconds. */
+  deadlineMs: number;
+  repeatable: boolean;
+  /** Key of the ledger, when the request must not be repeated and names one. */
+  key: string | undefined;
+}
+
+export const CALLER_HEADER = "x-quetzalcove-caller";
+export const PRIORITY_HEADER = "x-quetzalcove-priority";
+export const DEADLINE_HEADER = "x-quetzalcove-deadline-ms";
+const KEY_HEADER = "idempotency-key";
+const MAX_KEY_LENGTH = 256;
+
+/** Reads priority, deadline and key from the headers of a request. */
+export function treatmentOf(
+  request: IncomingRequest,
+  service: Service,
+): Result<Treatment, Fault> {
+  const priority = Priority.safeParse(request.headers[PRIORITY_HEADER] ?? service.priority);
+  if (!priority.success) {
+    return Err(invalidHeader(PRIORITY_HEADER, "urgent, live or overnight"));
+  }
+  const asked = Number(request.headers[DEADLINE_HEADER] ?? service.deadlineMs);
+  if (!DurationMs.safeParse(asked).success || asked === 0) {
+    return Err(invalidHeader(DEADLINE_HEADER, "a whole number of milliseconds above 0"));
+  }
+  const key = request.headers[KEY_HEADER];
+  if (Array.isArray(key) || (key !== undefined && (key === "" || key.length > MAX_KEY_LENGTH))) {
+    return Err(invalidHeader(KEY_HEADER, `one value of 1 to ${MAX_KEY_LENGTH} characters`));
+  }
+  const repeatable = (service.repeatable as string[]).includes(request.method);
+  return Ok({
+    service,
+    priority: priority.data,
+    deadlineMs: Math.min(asked, service.deadlineMs),
+    repeatable,
+    key: repeatable || key === undefined ? undefined : `${callerOf(request)}/${key}`,
+  });
+}
+
+/** Digest of everything that makes two requests the same. */
+export function digestOf(request: IncomingRequest): string {
+  return createHash("sha256")
+    .update(`${request.method}\n${request.service}\n${request.path}\n`)
+    .update(request.body)
+    .digest("hex");
+}
+
+function callerOf(request: IncomingRequest): string {
+  const caller = request.headers[CALLER_HEADER];
+  return typeof caller === "string" && caller !== "" ? caller : "anonymous";
+}
+
+function invalidHeader(name: string, expected: string): Fault {
+  return fault("invalid", `Header "${name}" must be ${expected}`, {
+    path: name,
+    outcome: "not run",
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/entry/request_path.ts
@@ -0,0 +1,327 @@
+/**
+ * The path of one request through an entry: admission, ledger, target, answer.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { Context } from "@opentelemetry/api";
+import {
+  type Answer,
+  type Fault,
+  fault,
+  type LedgerOutput,
+  type Outcome,
+  type Result,
+  type Settings,
+} from "@quetzalcove/core";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../observe/log.ts";
+import { traceIdOf } from "../observe/tracing.ts";
+import { type HttpReply, problemReply } from "../problem.ts";
+import { answerReply, replayReply, storedAnswer } from "./answer.ts";
+import { type AttemptEnd, type AttemptParts, runAttempt } from "./attempt.ts";
+import type { Dispatcher, Turn } from "./dispatcher.ts";
+import type { Claim, LedgerClient } from "./ledger_client.ts";
+import { digestOf, type IncomingRequest, type Treatment, treatmentOf } from "./request.ts";
+import type { Usage } from "./usage.ts";
+
+/** What the request path needs. */
+export interface RequestParts extends AttemptParts {
+  settings: Settings;
+  dispatcher: Dispatcher;
+  ledger: LedgerClient;
+  usage: Usage;
+  clock: Clock;
+  log: Log;
+}
+
+/** A request on its way. */
+interface Journey {
+  request: IncomingRequest;
+  treatment: Treatment;
+  claim: Claim | undefined;
+  /** Monotonic time by which the caller needs the answer. */
+  deadline: number;
+  context: Context;
+}
+
+/** When a caller should ask again for a request that is still running, in milliseconds. */
+const RUNNING_RETRY_MS = 1_000;
+const NO_LEASE_RETRY_MS = 1_000;
+
+/** Longest wait for the ledger before a request is refused, in milliseconds. */
+const LEDGER_TIMEOUT_MS = 2_000;
+
+export class RequestPath {
+  readonly #parts: RequestParts;
+
+  constructor(parts: RequestParts) {
+    this.#parts = parts;
+  }
+
+  /** Serves a request. Every request gets exactly one reply. */
+  async serve(request: IncomingRequest, context: Context): Promise<HttpReply> {
+    const { membership } = this.#parts;
+    if (!membership.mayServe()) {
+      return problemReply(noLease());
+    }
+    const service = membership.view.service(request.service);
+    if (service === undefined) {
+      return problemReply(unknownService(request.service));
+    }
+    const treatment = treatmentOf(request, service);
+    if (treatment.err) {
+      return problemReply(treatment.val);
+    }
+    return await this.#admit(request, treatment.val, context);
+  }
+
+  async #admit(
+    request: IncomingRequest,
+    treatment: Treatment,
+    context: Context,
+  ): Promise<HttpReply> {
+    const { dispatcher, tracing, clock, usage } = this.#parts;
+    const deadline = clock.monotonic() + treatment.deadlineMs;
+    const journey: Journey = {
+      request,
+      treatment,
+      claim: this.#claimOf(request, treatment),
+      deadline,
+      context,
+    };
+    usage.entered(treatment.service.name);
+    const turn = await tracing.within("queue", context, () => {
+      this.#watchCaller(journey);
+      return dispatcher.submit({
+        id: request.id,
+        service: treatment.service.name,
+        priority: treatment.priority,
+        deadline,
+        repeatable: treatment.repeatable,
+      });
+    });
+    const reply = await this.#takeFirstTurn(journey, turn);
+    dispatcher.forget(request.id);
+    usage.left(treatment.service.name, reply.status);
+    return reply;
+  }
+
+  /** A request that still waits when its caller goes away is taken back; it did not run. */
+  #watchCaller({ request }: Journey): void {
+    const { dispatcher } = this.#parts;
+    request.callerGone.addEventListener("abort", () => dispatcher.cancel(request.id), {
+      once: true,
+    });
+  }
+
+  #claimOf(request: IncomingRequest, treatment: Treatment): Claim | undefined {
+    if (treatment.key === undefined) {
+      return undefined;
+    }
+    return {
+      key: treatment.key,
+      digest: digestOf(request),
+      attempt: randomUUID(),
+      entry: this.#parts.settings.entry,
+      incarnation: this.#parts.membership.incarnation,
+      service: treatment.service.name,
+    };
+  }
+
+  async #takeFirstTurn(journey: Journey, turn: Turn): Promise<HttpReply> {
+    if (turn.kind !== "send") {
+      return await this.#refuse(journey, refusalOf(turn));
+    }
+    if (journey.claim === undefined) {
+      return await this.#attempt(journey, turn.target);
+    }
+    return await this.#attemptOnce(journey, journey.claim, turn.target);
+  }
+
+  /** Takes the attempt in the ledger before the request is sent. */
+  async #attemptOnce(journey: Journey, claim: Claim, target: string): Promise<HttpReply> {
+    const { tracing, ledger, dispatcher, clock } = this.#parts;
+    const timeoutMs = Math.min(LEDGER_TIMEOUT_MS, journey.deadline - clock.monotonic());
+    const begun = await tracing.within(
+      "ledger",
+      journey.context,
+      () => ledger.begin(claim, timeoutMs),
+    );
+    if (begun.ok && begun.val.kind === "granted") {
+      return await this.#attempt(journey, target);
+    }
+    dispatcher.complete(journey.request.id, "unsent");
+    return begun.ok ? heldReply(begun.val) : this.#notBegun(claim, begun.val);
+  }
+
+  /** The attempt may have been granted with its answer lost, so it is given back in the background. */
+  #notBegun(claim: Claim, cause: Fault): HttpReply {
+    if (cause.kind === "key_reused") {
+      return problemReply(cause);
+    }
+    void this.#giveBack(claim);
+    // An earlier request under the same key may have run; only this one surely did not.
+    return problemReply({ ...cause, outcome: "unknown", retryAfterMs: RUNNING_RETRY_MS });
+  }
+
+  async #giveBack(claim: Claim): Promise<void> {
+    const released = await this.#parts.ledger.release(claim);
+    if (released.err) {
+      this.#parts.log.warn("ledger.release_failed", {
+        key: claim.key,
+        kind: released.val.kind,
+        reason: released.val.message,
+      });
+    }
+  }
+
+  async #attempt(journey: Journey, target: string): Promise<HttpReply> {
+    const { dispatcher } = this.#parts;
+    const { request, treatment } = journey;
+    const next = dispatcher.next(request.id);
+    const running = runAttempt(this.#parts, { request, treatment, target }, journey.context);
+    const first = await Promise.race([running, next]);
+    if ("kind" in first) {
+      void running.then((end) => this.#settleLate(journey, end));
+      return this.#timedOut(journey, first);
+    }
+    return await this.#settle(journey, first, next);
+  }
+
+  async #settle(journey: Journey, end: AttemptEnd, next: Promise<Turn>): Promise<HttpReply> {
+    const { dispatcher } = this.#parts;
+    const { id } = journey.request;
+    if (end.completion === "ok") {
+      dispatcher.complete(id, "ok");
+      return await this.#answer(journey, end);
+    }
+    const turn = await this.#nextTurn(id, end, next);
+    if (turn.kind === "send") {
+      return await this.#attempt(journey, turn.target);
+    }
+    return await this.#answer(journey, end);
+  }
+
+  #nextTurn(id: string, end: AttemptEnd, next: Promise<Turn>): Promise<Turn> {
+    this.#parts.dispatcher.complete(id, end.completion);
+    const none = Promise.resolve().then((): Turn => ({
+      kind: "fail",
+      id,
+      completion: end.completion,
+    }));
+    return Promise.race([next, none]);
+  }
+
+  /** Turns the end of the last attempt into the reply and records it. */
+  async #answer(journey: Journey, end: AttemptEnd): Promise<HttpReply> {
+    const { claim, treatment } = journey;
+    if (end.result.ok) {
+      const answer = end.result.val;
+      if (claim !== undefined) {
+        await this.#record(claim, storedAnswer(answer, this.#parts.settings.ledger));
+      }
+      return answerReply(answer, traceIdOf(journey.context));
+    }
+    const { sent, fault: cause } = end.result.val;
+    if (!sent) {
+      return await this.#refuse(journey, { ...cause, outcome: "not run" });
+    }
+    if (claim !== undefined) {
+      void this.#parts.ledger.lose(claim);
+    }
+    const outcome: Outcome = "unknown";
+    return problemReply({ ...cause, outcome, ...(treatment.repeatable && { retryAfterMs: 0 }) });
+  }
+
+  /** The answer is the truth, so it goes out even when the ledger could not record it. */
+  async #record(claim: Claim, answer: Answer): Promise<void> {
+    const recorded: Result<LedgerOutput, Fault> = await this.#parts.ledger.finish(claim, answer);
+    if (recorded.err) {
+      this.#parts.log.error("ledger.finish_failed", {
+        key: claim.key,
+        kind: recorded.val.kind,
+        reason: recorded.val.message,
+      });
+    }
+  }
+
+  /** An attempt that ended after the caller had its answer is still recorded. */
+  async #settleLate(journey: Journey, end: AttemptEnd): Promise<void> {
+    this.#parts.dispatcher.complete(journey.request.id, end.completion);
+    if (journey.claim === undefined) {
+      return;
+    }
+    if (end.result.ok) {
+      await this.#record(journey.claim, storedAnswer(end.result.val, this.#parts.settings.ledger));
+    } else if (end.result.val.sent) {
+      await this.#parts.ledger.lose(journey.claim);
+    } else {
+      await this.#giveBack(journey.claim);
+    }
+  }
+
+  #timedOut(journey: Journey, turn: Turn): HttpReply {
+    const cause = turn.kind === "timeout" ? turn.fault : fault("timeout", "No answer in time");
+    const outcome: Outcome = journey.claim === undefined ? "unknown" : "running";
+    return problemReply({ ...cause, outcome, retryAfterMs: RUNNING_RETRY_MS });
+  }
+
+  /**
+   * Refuses a request that did not run. With a key, an earlier request may have run, so the ledger is asked before
+   * "not run" is said.
+   */
+  async #refuse(journey: Journey, cause: Fault): Promise<HttpReply> {
+    const { claim } = journey;
+    if (claim === undefined) {
+      return problemReply({ ...cause, outcome: "not run" });
+    }
+    if (cause.kind !== "overloaded" && cause.kind !== "expired") {
+      await this.#giveBack(claim);
+    }
+    const holding = await this.#parts.ledger.holding(claim.key, LEDGER_TIMEOUT_MS);
+    if (holding.err) {
+      return problemReply({ ...cause, outcome: "unknown" });
+    }
+    const { phase } = holding.val;
+    return problemReply({ ...cause, outcome: phase === "none" ? "not run" : phase });
+  }
+}
+
+function refusalOf(turn: Exclude<Turn, { kind: "send" }>): Fault {
+  return turn.kind === "fail" ? fault("no_target", "No target took the request") : turn.fault;
+}
+
+function heldReply(output: LedgerOutput): HttpReply {
+  if (output.kind === "done") {
+    return replayReply(output.answer);
+  }
+  if (output.kind === "running") {
+    return problemReply(
+      fault("running", "A request with this key is still running", {
+        outcome: "running",
+        retryAfterMs: RUNNING_RETRY_MS,
+      }),
+    );
+  }
+  return problemReply(
+    fault("unknown_outcome", "A request with this key may have run; it is not run again", {
+      outcome: "unknown",
+      remedy: "The operator settles it with: quetzalcove settle",
+    }),
+  );
+}
+
+function noLease(): Fault {
+  return fault("no_lease", "This entry takes no new work", {
+    outcome: "not run",
+    retryAfterMs: NO_LEASE_RETRY_MS,
+  });
+}
+
+function unknownService(name: string): Fault {
+  return fault("unknown_service", `Service "${name}" does not exist`, {
+    outcome: "not run",
+    remedy: "Use the path /SERVICE/... with the name of a service of the rules",
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/leader/leader.ts
@@ -0,0 +1,232 @@
+/**
+ * The task of the leader: it grants leases, takes proposals, answers reads and proposes the commands that are due.
+ *
+ * @module
+ */
+import {
+  Command,
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  parse,
+  Renewal,
+  type Result,
+  type Settings,
+} from "@quetzalcove/core";
+import { z } from "zod";
+import type { Clock } from "../clock.ts";
+import type { Consensus } from "../consensus/consensus.ts";
+import { type Component, ticker } from "../lifecycle.ts";
+import type { Handler, Handlers } from "../link/connection.ts";
+import type { Log } from "../observe/log.ts";
+import { dueCommands, longestRequestMs } from "./conductor.ts";
+import { answerQuery, Query } from "./queries.ts";
+import { Tenure } from "./tenure.ts";
+
+/** What the leader task needs. */
+export interface LeaderParts {
+  settings: Settings;
+  consensus: Consensus;
+  clock: Clock;
+  log: Log;
+  /** Tells all entries that a renewal would bring news. */
+  announceNews: () => void;
+}
+
+const GiveBack = z.object({ entry: z.string(), incarnation: z.number().int() });
+
+/** Interval of the leader's own decisions, in milliseconds. */
+const TICK_MS = 200;
+
+export class Leader implements Component {
+  readonly name = "leader";
+  readonly #parts: LeaderParts;
+  readonly #ticker: Component;
+  #tenure: Tenure | undefined;
+  #newsRevision = 0;
+  #newsTable = 0;
+
+  constructor(parts: LeaderParts) {
+    this.#parts = parts;
+    this.#ticker = ticker("leader decisions", TICK_MS, () => this.#decide());
+    parts.consensus.onChange(() => this.#follow());
+  }
+
+  start(): Promise<void> {
+    this.#follow();
+    return this.#ticker.start();
+  }
+
+  stop(): Promise<void> {
+    return this.#ticker.stop();
+  }
+
+  /** The methods that entries call at the leader. */
+  handlers(): Handlers {
+    return new Map<string, Handler>([
+      ["renew", (params) => this.#renew(params)],
+      ["give_back", (params) => this.#giveBack(params)],
+      ["propose", (params) => this.#propose(params)],
+      ["read", (params) => this.#read(params)],
+    ]);
+  }
+
+  #follow(): void {
+    const { term, isLeader } = this.#parts.consensus.leadership();
+    if (!isLeader) {
+      this.#tenure = undefined;
+      return;
+    }
+    if (this.#tenure?.term !== term) {
+      const { settings, clock, log } = this.#parts;
+      this.#tenure = new Tenure(
+        settings.entry,
+        term,
+        settings.lease,
+        clock.monotonic(),
+      );
+      log.info("leader.elected", { term });
+    }
+    this.#announceNews();
+  }
+
+  #announceNews(): void {
+    const revision = this.#parts.consensus.state.revision;
+    const table = this.#tenure?.targets.version ?? 0;
+    if (revision !== this.#newsRevision || table !== this.#newsTable) {
+      this.#newsRevision = revision;
+      this.#newsTable = table;
+      this.#parts.announceNews();
+    }
+  }
+
+  async #renew(params: unknown): Promise<Result<unknown, Fault>> {
+    const parsed = parse(Renewal, params, "renewal");
+    if (parsed.err) {
+      return parsed;
+    }
+    return (await this.#confirmed()).andThen(
+      (tenure): Result<unknown, Fault> => {
+        const { consensus, clock } = this.#parts;
+        const fenced = consensus.state.ledger.fenced[parsed.val.entry] ?? -1;
+        if (parsed.val.incarnation <= fenced) {
+          return Err(
+            fault("fenced", `Incarnation ${parsed.val.incarnation} is fenced`, {
+              version: fenced,
+            }),
+          );
+        }
+        const grant = tenure.renew(
+          parsed.val,
+          consensus.state,
+          clock.monotonic(),
+        );
+        this.#announceNews();
+        return Ok(grant);
+      },
+    );
+  }
+
+  #giveBack(params: unknown): Promise<Result<unknown, Fault>> {
+    return Promise.resolve(
+      parse(GiveBack, params, "give_back").map(({ entry, incarnation }) => {
+        this.#tenure?.targets.drop(entry, incarnation);
+        this.#tenure?.leases.giveBack(entry, incarnation);
+        this.#announceNews();
+        return {};
+      }),
+    );
+  }
+
+  async #propose(params: unknown): Promise<Result<unknown, Fault>> {
+    const command = parse(Command, params, "command");
+    if (command.err) {
+      return command;
+    }
+    if (this.#tenure === undefined) {
+      return Err(this.#notLeader());
+    }
+    return await this.#stamped(command.val);
+  }
+
+  #stamped(command: Command): Promise<Result<unknown, Fault>> {
+    const { consensus, clock } = this.#parts;
+    return consensus.propose(
+      "at" in command ? { ...command, at: clock.wall() } : command,
+    );
+  }
+
+  async #read(params: unknown): Promise<Result<unknown, Fault>> {
+    const query = parse(Query, params, "query");
+    if (query.err) {
+      return query;
+    }
+    return (await this.#confirmed()).map((tenure) => {
+      const { consensus, clock } = this.#parts;
+      return answerQuery(query.val, {
+        state: consensus.state,
+        tenure,
+        leadership: consensus.leadership(),
+        replicas: consensus.replicas(),
+        now: clock.monotonic(),
+      });
+    });
+  }
+
+  /** The tenure, after a quorum confirmed that this replica still leads. */
+  async #confirmed(): Promise<Result<Tenure, Fault>> {
+    const before = this.#tenure;
+    if (before === undefined) {
+      return Err(this.#notLeader());
+    }
+    const confirmed = await this.#parts.consensus.barrier();
+    if (confirmed.err) {
+      return confirmed;
+    }
+    return this.#tenure === before ? Ok(before) : Err(this.#notLeader());
+  }
+
+  #notLeader(): Fault {
+    const { leader } = this.#parts.consensus.leadership();
+    return fault(
+      "not_leader",
+      `Entry "${this.#parts.settings.entry}" does not lead`,
+      {
+        leader,
+        outcome: "not run",
+      },
+    );
+  }
+
+  async #decide(): Promise<void> {
+    const { consensus, clock, settings, log } = this.#parts;
+    const tenure = this.#tenure;
+    if (tenure === undefined) {
+      return;
+    }
+    const now = clock.monotonic();
+    tenure.expire(longestRequestMs(consensus.state), now);
+    const commands = dueCommands({
+      state: consensus.state,
+      leases: tenure.leases,
+      retentionMs: settings.ledger.retentionMs,
+      now,
+      at: clock.wall(),
+    });
+    const results = await Promise.all(
+      commands.map((command) => consensus.propose(command)),
+    );
+    results.forEach((result, index) => {
+      log.info("leader.decided", {
+        command: commands[index]?.kind,
+        vm: vmOf(commands[index]),
+        fault: result.err ? result.val.kind : undefined,
+      });
+    });
+  }
+}
+
+function vmOf(command: Command | undefined): string | undefined {
+  return command !== undefined && "vm" in command ? command.vm : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/leader/queries.ts
@@ -0,0 +1,163 @@
+/**
+ * What the leader answers to reads of the admin API.
+ *
+ * @module
+ */
+import {
+  type Announcement,
+  type State,
+  type VmRecord,
+} from "@quetzalcove/core";
+import { z } from "zod";
+import type { Leadership, ReplicaStatus } from "../consensus/consensus.ts";
+import type { Tenure } from "./tenure.ts";
+
+export const Query = z.discriminatedUnion("what", [
+  z.object({ what: z.literal("status") }),
+  z.object({ what: z.literal("configuration") }),
+  z.object({ what: z.literal("force"), revision: z.number().int() }),
+  z.object({ what: z.literal("vms") }),
+  z.object({ what: z.literal("services") }),
+  z.object({ what: z.literal("requests"), phase: z.string().optional() }),
+  z.object({ what: z.literal("replicas") }),
+]);
+export type Query = z.infer<typeof Query>;
+
+/** What queries read from. */
+export interface Sources {
+  state: State;
+  tenure: Tenure;
+  leadership: Leadership;
+  replicas: ReplicaStatus[];
+  now: number;
+}
+
+/** Answers one query. */
+export function answerQuery(query: Query, sources: Sources): unknown {
+  switch (query.what) {
+    case "status":
+      return status(sources);
+    case "configuration":
+      return configuration(sources.state);
+    case "force":
+      return {
+        revision: query.revision,
+        ...sources.tenure.leases.force(query.revision, sources.now),
+      };
+    case "vms":
+      return vms(sources);
+    case "services":
+      return services(sources);
+    case "requests":
+      return requests(sources.state, query.phase);
+    case "replicas":
+      return { replicas: sources.replicas };
+  }
+}
+
+function status({ state, tenure, leadership, now }: Sources): unknown {
+  const open = Object.values(state.ledger.open);
+  return {
+    version: state.version,
+    revision: state.revision,
+    inForceRevision: tenure.leases.revisionInForce(state.revision, now),
+    leader: leadership.leader ?? null,
+    term: leadership.term,
+    entries: tenure.leases.records().map((record) => ({
+      entry: record.entry,
+      zone: record.zone,
+      incarnation: record.incarnation,
+      leaseMs: Math.round(tenure.leases.remainingMs(record, now)),
+      revision: record.revision,
+      stopping: record.stopping,
+    })),
+    counts: {
+      vms: Object.keys(state.vms).length,
+      targets: tenure.targets.targets().length,
+      attemptsRunning:
+        open.filter((attempt) => attempt.phase === "running").length,
+      attemptsUnknown:
+        open.filter((attempt) => attempt.phase === "unknown").length,
+    },
+  };
+}
+
+function configuration(state: State): unknown {
+  const { version, revision, inventory, rules } = state;
+  return { version, revision, inventory, rules };
+}
+
+function vms({ state, tenure }: Sources): unknown {
+  const byVm = groupByVm(tenure.targets.targets());
+  const rackZones = new Map(
+    state.inventory.racks.map((rack) => [rack.name, rack.zone]),
+  );
+  const listed = new Map(state.inventory.vms.map((vm) => [vm.name, vm]));
+  const rows = Object.values(state.vms).map((record: VmRecord) => {
+    const vm = listed.get(record.name);
+    const targets = byVm.get(record.name) ?? [];
+    return {
+      ...record,
+      rack: vm?.rack ?? null,
+      zone: rackZones.get(vm?.rack ?? "") ?? null,
+      desiredPool: vm?.pool ?? null,
+      announced: targets.length > 0,
+      inFlight: inFlightOf(record.name, tenure),
+      targets,
+    };
+  });
+  const unknownTargets = tenure.targets.targets().filter((target) =>
+    state.vms[target.vm] === undefined
+  );
+  return { vms: rows, unknownTargets };
+}
+
+function groupByVm(targets: Announcement[]): Map<string, Announcement[]> {
+  const byVm = new Map<string, Announcement[]>();
+  for (const target of targets) {
+    byVm.set(target.vm, [...(byVm.get(target.vm) ?? []), target]);
+  }
+  return byVm;
+}
+
+function inFlightOf(vm: string, tenure: Tenure): number {
+  return tenure.leases.records().reduce(
+    (sum, record) => sum + (record.inFlight[vm] ?? 0),
+    0,
+  );
+}
+
+function services({ state, tenure }: Sources): unknown {
+  const targets = tenure.targets.targets();
+  const rows = state.rules.services.map((service) => {
+    const serving = targets.filter((target) => {
+      const vm = state.vms[target.vm];
+      return target.service === service.name &&
+        target.condition === "serving" &&
+        vm?.phase === "serving" && vm.pool === service.pool;
+    });
+    const usage = tenure.leases.records().map((record) =>
+      record.usage[service.name]
+    );
+    return {
+      name: service.name,
+      pool: service.pool,
+      targetsServing: serving.length,
+      slots: serving.reduce((sum, target) => sum + target.slots, 0),
+      inFlight: usage.reduce((sum, use) => sum + (use?.inFlight ?? 0), 0),
+      queued: usage.reduce((sum, use) => sum + (use?.queued ?? 0), 0),
+    };
+  });
+  return { services: rows };
+}
+
+function requests(state: State, phase: string | undefined): unknown {
+  const all = [
+    ...Object.values(state.ledger.open),
+    ...Object.values(state.ledger.closed),
+  ];
+  const attempts = all.filter((attempt) =>
+    phase === undefined || attempt.phase === phase
+  );
+  return { attempts };
+}
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -28,7 +28,7 @@
 /** Handles a request of the other end; a fault is sent back as such. */
 export type Handler = (
   params: unknown,
-  connection: Connection,
+  connection?: Connection,
 ) => Promise<Result<unknown, Fault>>;
 
 /** Handlers by method name. */
