--- /dev/null
+++ b/packages/core/src/raft/admission.ts
@@ -0,0 +1,125 @@
+/**
+ * Conditions under which a leader takes commands, membership changes and transfers.
+ *
+ * @module
+ */
+import { type Fault, fault } from "../fault.ts";
+import { Err, Ok, type Result } from "../result.ts";
+import {
+  changed,
+  memberOf,
+  type Membership,
+  type MembershipChange,
+  type ReplicaId,
+} from "./member.ts";
+import type { Leadership, Replica } from "./replica.ts";
+
+/** A learner that lags behind the commit index by no more has caught up. */
+const MAX_LEARNER_LAG = 64;
+
+/** The fault of a request that only the leader takes. */
+export function notLeader({ leader, tuning }: Replica): Fault {
+  if (leader === undefined) {
+    return fault("no_leader", "No leader is known", {
+      outcome: "not run",
+      retryAfterMs: tuning.electionMs,
+    });
+  }
+  return fault("not_leader", `Replica "${leader}" is the leader`, {
+    outcome: "not run",
+    leader,
+  });
+}
+
+function leadershipOf(replica: Replica): Result<Leadership, Fault> {
+  const { leadership, tuning } = replica;
+  if (leadership === undefined) {
+    return Err(notLeader(replica));
+  }
+  if (leadership.transfer !== undefined) {
+    return Err(
+      fault("no_leader", "A leadership transfer is under way", {
+        outcome: "not run",
+        retryAfterMs: tuning.heartbeatMs,
+      }),
+    );
+  }
+  return Ok(leadership);
+}
+
+/** Refuses commands at a replica that does not lead, and when too much awaits its commit. */
+export function checkProposal(
+  replica: Replica,
+  commands: readonly string[],
+): Result<Leadership, Fault> {
+  const { maxUncommittedSize, heartbeatMs } = replica.tuning;
+  const size = commands.reduce((sum, data) => sum + data.length, 0);
+  return leadershipOf(replica).andThen((leadership) => {
+    const waiting = leadership.uncommittedSize;
+    if (waiting === 0 || waiting + size <= maxUncommittedSize) {
+      return Ok(leadership);
+    }
+    return Err(
+      fault("overloaded", "Too many commands await their commit", {
+        outcome: "not run",
+        retryAfterMs: heartbeatMs,
+      }),
+    );
+  });
+}
+
+/**
+ * Allows one change at a time, and none before an entry of the leader's own term is committed (Ongaro, "bug in
+ * single-server membership changes", raft-dev, 2015).
+ */
+export function checkChange(
+  replica: Replica,
+  change: MembershipChange,
+): Result<Membership, Fault> {
+  return leadershipOf(replica).andThen((leadership) => {
+    const { commit, log, tuning } = replica;
+    if (Math.max(leadership.firstIndex, log.membershipIndex) > commit) {
+      return Err(
+        fault("conflict", "Another membership change is under way", {
+          outcome: "not run",
+          retryAfterMs: tuning.heartbeatMs,
+        }),
+      );
+    }
+    if (change.kind === "promote" && !hasCaughtUp(replica, change.replica)) {
+      return Err(
+        fault("conflict", `Replica "${change.replica}" has not caught up`, {
+          outcome: "not run",
+          retryAfterMs: tuning.electionMs,
+        }),
+      );
+    }
+    return changed(log.membership, change);
+  });
+}
+
+function hasCaughtUp(replica: Replica, id: ReplicaId): boolean {
+  const progress = replica.leadership?.progress.get(id);
+  if (progress === undefined) {
+    return memberOf(replica.log.membership, id) !== undefined ||
+      id === replica.id;
+  }
+  const silentMs = replica.now - progress.contactAt;
+  return progress.mode === "replicate" &&
+    silentMs < replica.tuning.electionMs &&
+    progress.match + MAX_LEARNER_LAG >= replica.commit;
+}
+
+/** Allows a transfer to another voter. */
+export function checkTransfer(
+  replica: Replica,
+  to: ReplicaId,
+): Result<Leadership, Fault> {
+  return leadershipOf(replica).andThen((leadership) => {
+    const target = memberOf(replica.log.membership, to);
+    if (target?.standing !== "voter" || to === replica.id) {
+      return Err(fault("invalid", `Replica "${to}" is not another voter`));
+    }
+    return Ok(leadership);
+  });
+}
--- /dev/null
+++ b/packages/core/src/raft/election.ts
@@ -0,0 +1,179 @@
+/**
+ * Elections with pre-vote (Ongaro's thesis, sections 3.4 and 9.6).
+ *
+ * @module
+ */
+import { becomeLeader } from "./leader.ts";
+import { type ReplicaId, votersOf } from "./member.ts";
+import type {
+  PreVoteAnswer,
+  PreVoteRequest,
+  VoteAnswer,
+  VoteRequest,
+} from "./message.ts";
+import {
+  becomeFollower,
+  envelope,
+  hasRecentLeader,
+  isQuorum,
+  isVoter,
+  type Replica,
+  resetElectionTimer,
+  send,
+  setHardState,
+} from "./replica.ts";
+
+/** Starts an election when the leader was silent for too long. */
+export function tickElection(replica: Replica): void {
+  if (!isVoter(replica)) {
+    return;
+  }
+  const alone = votersOf(replica.log.membership).length === 1;
+  const idle = replica.role === "follower";
+  if ((alone && idle) || replica.now >= replica.electionAt) {
+    startPreVote(replica);
+  }
+}
+
+/** Asks the voters whether an election could be won. */
+function startPreVote(replica: Replica): void {
+  replica.role = "pre_candidate";
+  openBallot(replica);
+  replica.granted.add(replica.id);
+  if (isQuorum(replica, (id) => replica.granted.has(id))) {
+    startElection(replica, { transfer: false });
+    return;
+  }
+  const ballot = lastPosition(replica);
+  const term = replica.hardState.term + 1;
+  for (const to of otherVoters(replica)) {
+    send(replica, {
+      kind: "pre_vote",
+      ...envelope(replica, to),
+      ...ballot,
+      term,
+    });
+  }
+}
+
+/** Starts an election in a new term. The own vote counts once it is synced. */
+export function startElection(
+  replica: Replica,
+  { transfer }: { transfer: boolean },
+): void {
+  const term = replica.hardState.term + 1;
+  setHardState(replica, { term, vote: replica.id });
+  replica.role = "candidate";
+  openBallot(replica);
+  const ballot = lastPosition(replica);
+  for (const to of otherVoters(replica)) {
+    send(replica, {
+      kind: "vote",
+      ...envelope(replica, to),
+      ...ballot,
+      transfer,
+    });
+  }
+}
+
+function openBallot(replica: Replica): void {
+  replica.leader = undefined;
+  replica.granted = new Set();
+  replica.refused = new Set();
+  resetElectionTimer(replica);
+}
+
+function lastPosition(
+  replica: Replica,
+): { lastIndex: number; lastTerm: number } {
+  const { index, term } = replica.log.last;
+  return { lastIndex: index, lastTerm: term };
+}
+
+function otherVoters(replica: Replica): ReplicaId[] {
+  return votersOf(replica.log.membership).filter((id) => id !== replica.id);
+}
+
+/** Answers whether a vote would be granted; changes nothing. */
+export function handlePreVote(replica: Replica, request: PreVoteRequest): void {
+  const granted = request.term > replica.hardState.term &&
+    !hasRecentLeader(replica) && isUpToDate(replica, request);
+  const answer = envelope(replica, request.from);
+  const term = granted ? request.term : answer.term;
+  send(replica, { kind: "pre_vote_answer", ...answer, term, granted });
+}
+
+/** Counts an answer to the own pre-vote. */
+export function handlePreVoteAnswer(
+  replica: Replica,
+  answer: PreVoteAnswer,
+): void {
+  if (replica.role !== "pre_candidate") {
+    return;
+  }
+  if (answer.granted && answer.term !== replica.hardState.term + 1) {
+    return;
+  }
+  count(replica, answer);
+  if (isQuorum(replica, (id) => replica.granted.has(id))) {
+    startElection(replica, { transfer: false });
+  } else if (isQuorum(replica, (id) => replica.refused.has(id))) {
+    becomeFollower(replica, { term: replica.hardState.term });
+  }
+}
+
+/** Grants at most one vote in a term, to a candidate whose log is up to date. */
+export function handleVote(replica: Replica, request: VoteRequest): void {
+  const { vote, term } = replica.hardState;
+  const free = vote === undefined && replica.leader === undefined;
+  const granted = (free || vote === request.from) &&
+    isUpToDate(replica, request);
+  if (granted && free) {
+    setHardState(replica, { term, vote: request.from });
+    resetElectionTimer(replica);
+  }
+  send(replica, {
+    kind: "vote_answer",
+    ...envelope(replica, request.from),
+    granted,
+  });
+}
+
+function isUpToDate(
+  replica: Replica,
+  { lastIndex, lastTerm }: { lastIndex: number; lastTerm: number },
+): boolean {
+  return replica.log.isCoveredBy({ index: lastIndex, term: lastTerm });
+}
+
+/** Counts an answer to the own election. */
+export function handleVoteAnswer(replica: Replica, answer: VoteAnswer): void {
+  if (replica.role === "candidate") {
+    count(replica, answer);
+    settleElection(replica);
+  }
+}
+
+/** Counts the own vote after it was synced. */
+export function countOwnVote(replica: Replica): void {
+  if (replica.role === "candidate") {
+    replica.granted.add(replica.id);
+    settleElection(replica);
+  }
+}
+
+function count(
+  replica: Replica,
+  { from, granted }: { from: ReplicaId; granted: boolean },
+): void {
+  const side = granted ? replica.granted : replica.refused;
+  side.add(from);
+}
+
+function settleElection(replica: Replica): void {
+  if (isQuorum(replica, (id) => replica.granted.has(id))) {
+    becomeLeader(replica);
+  } else if (isQuorum(replica, (id) => replica.refused.has(id))) {
+    becomeFollower(replica, { term: replica.hardState.term });
+  }
+}
--- /dev/null
+++ b/packages/core/src/raft/follower.ts
@@ -0,0 +1,158 @@
+/**
+ * The follower: appends, heartbeats and snapshots of the leader (Ongaro's thesis, sections 3.5 and 5).
+ *
+ * @module
+ */
+import type { AppendRequest, Heartbeat, SnapshotRequest } from "./message.ts";
+import type { LogEntry, Snapshot } from "./record.ts";
+import {
+  commitTo,
+  envelope,
+  heardLeader,
+  markUnsaved,
+  type PartialSnapshot,
+  type Replica,
+  send,
+} from "./replica.ts";
+
+/** Appends the entries of the leader where the logs match. */
+export function handleAppend(replica: Replica, request: AppendRequest): void {
+  heardLeader(replica, request.from);
+  const { previousIndex, previousTerm, entries, commit } = request;
+  const { log } = replica;
+  if (previousIndex < replica.commit) {
+    accept(replica, request, replica.commit);
+    return;
+  }
+  if (!log.has({ index: previousIndex, term: previousTerm })) {
+    reject(replica, request);
+    return;
+  }
+  entries.forEach((entry) => adopt(replica, entry));
+  const match = previousIndex + entries.length;
+  commitTo(replica, Math.min(commit, match));
+  accept(replica, request, match);
+}
+
+/** Adds an entry, in place of one of another term. */
+function adopt(replica: Replica, entry: LogEntry): void {
+  const { log } = replica;
+  if (log.has(entry)) {
+    return;
+  }
+  if (entry.index <= log.last.index) {
+    log.truncate(entry.index);
+  }
+  log.append(entry);
+  markUnsaved(replica, entry.index);
+}
+
+function accept(
+  replica: Replica,
+  { from }: AppendRequest,
+  index: number,
+): void {
+  send(replica, {
+    kind: "append_answer",
+    ...envelope(replica, from),
+    accepted: true,
+    index,
+    hintIndex: 0,
+    hintTerm: 0,
+  });
+}
+
+function reject(
+  replica: Replica,
+  { from, previousIndex, previousTerm }: AppendRequest,
+): void {
+  const hint = replica.log.lastWithTermAtMost(previousIndex, previousTerm);
+  send(replica, {
+    kind: "append_answer",
+    ...envelope(replica, from),
+    accepted: false,
+    index: previousIndex,
+    hintIndex: hint.index,
+    hintTerm: hint.term,
+  });
+}
+
+export function handleHeartbeat(replica: Replica, request: Heartbeat): void {
+  heardLeader(replica, request.from);
+  commitTo(replica, request.commit);
+  send(replica, {
+    kind: "heartbeat_answer",
+    ...envelope(replica, request.from),
+    round: request.round,
+  });
+}
+
+/** Collects the chunks of a snapshot and installs it when it is whole. */
+export function handleSnapshot(
+  replica: Replica,
+  request: SnapshotRequest,
+): void {
+  heardLeader(replica, request.from);
+  const { head, chunk, last } = request;
+  if (replica.log.has(head)) {
+    commitTo(replica, head.index);
+  }
+  if (head.index <= replica.commit) {
+    replica.partial = undefined;
+    answerChunk(replica, request, { offset: 0, installed: true });
+    return;
+  }
+  const partial = partialOf(replica, request);
+  if (partial.offset === request.offset) {
+    partial.chunks.push(chunk);
+    partial.offset += chunk.length;
+    if (last) {
+      install(replica, { ...head, data: partial.chunks.join("") });
+      answerChunk(replica, request, { offset: 0, installed: true });
+      return;
+    }
+  }
+  answerChunk(replica, request, { offset: partial.offset, installed: false });
+}
+
+function partialOf(
+  replica: Replica,
+  { term, head }: SnapshotRequest,
+): PartialSnapshot {
+  const { partial } = replica;
+  if (partial?.leaderTerm === term && partial.index === head.index) {
+    return partial;
+  }
+  const fresh = {
+    leaderTerm: term,
+    index: head.index,
+    chunks: [],
+    offset: 0,
+  };
+  replica.partial = fresh;
+  return fresh;
+}
+
+function answerChunk(
+  replica: Replica,
+  { from, head }: SnapshotRequest,
+  state: { offset: number; installed: boolean },
+): void {
+  send(replica, {
+    kind: "snapshot_answer",
+    ...envelope(replica, from),
+    index: head.index,
+    ...state,
+  });
+}
+
+/** Replaces the log, which does not hold the snapshot's last entry. */
+function install(replica: Replica, snapshot: Snapshot): void {
+  replica.log.install(snapshot);
+  replica.partial = undefined;
+  replica.commit = snapshot.index;
+  replica.applied = snapshot.index;
+  replica.stable = snapshot.index;
+  replica.outbox.installed = snapshot;
+  replica.outbox.unsavedFrom = undefined;
+}
--- /dev/null
+++ b/packages/core/src/raft/leader.ts
@@ -0,0 +1,264 @@
+/**
+ * The leader: replication, commitment, check-quorum and leadership transfer (Ongaro's thesis, sections 3.5, 3.6, 3.10
+ * and 6.2).
+ *
+ * @module
+ */
+import { memberOf, type ReplicaId, votersOf } from "./member.ts";
+import type {
+  AppendAnswer,
+  HeartbeatAnswer,
+  SnapshotAnswer,
+} from "./message.ts";
+import { Progress } from "./progress.ts";
+import { ReadQueue } from "./reads.ts";
+import { type LogEntry, sizeOf } from "./record.ts";
+import {
+  becomeFollower,
+  commitTo,
+  envelope,
+  isQuorum,
+  isVoter,
+  type Leadership,
+  markUnsaved,
+  type Replica,
+  send,
+} from "./replica.ts";
+import { flushReads, sendHeartbeat } from "./replication.ts";
+
+/** Takes over the term and appends its no-op. */
+export function becomeLeader(replica: Replica): void {
+  replica.role = "leader";
+  replica.leader = replica.id;
+  const { last } = replica.log;
+  replica.leadership = {
+    progress: new Map(),
+    reads: new ReadQueue(),
+    firstIndex: last.index + 1,
+    transfer: undefined,
+    uncommittedSize: 0,
+  };
+  followMembership(replica);
+  appendAsLeader(replica, { kind: "noop", ...nextPosition(replica) });
+}
+
+/** Index and term of the next entry of the leader. */
+export function nextPosition(
+  replica: Replica,
+): { index: number; term: number } {
+  return {
+    index: replica.log.last.index + 1,
+    term: replica.hardState.term,
+  };
+}
+
+/** Appends an entry to the own log; it is sent when the driver takes the output. */
+export function appendAsLeader(replica: Replica, entry: LogEntry): void {
+  replica.log.append(entry);
+  markUnsaved(replica, entry.index);
+  if (replica.leadership !== undefined) {
+    replica.leadership.uncommittedSize += sizeOf(entry);
+  }
+  if (entry.kind === "membership") {
+    followMembership(replica);
+  }
+}
+
+/** Keeps a progress for every other member. */
+function followMembership(replica: Replica): void {
+  const { log, leadership, id } = replica;
+  if (leadership === undefined) {
+    return;
+  }
+  for (const { replica: other } of log.membership.members) {
+    if (other !== id && !leadership.progress.has(other)) {
+      const start = { next: log.last.index + 1, now: replica.now };
+      leadership.progress.set(other, new Progress(other, start));
+    }
+  }
+  for (const other of leadership.progress.keys()) {
+    if (memberOf(log.membership, other) === undefined) {
+      leadership.progress.delete(other);
+    }
+  }
+}
+
+/** Sends heartbeats that are due, and steps down without a quorum. */
+export function tickLeader(replica: Replica, leadership: Leadership): void {
+  if (!hasRecentQuorum(replica, leadership)) {
+    becomeFollower(replica, { term: replica.hardState.term });
+    return;
+  }
+  const { transfer } = leadership;
+  if (transfer !== undefined && replica.now >= transfer.deadline) {
+    leadership.transfer = undefined;
+  }
+  for (const progress of leadership.progress.values()) {
+    if (replica.now - progress.sentAt >= replica.tuning.heartbeatMs) {
+      sendHeartbeat(replica, progress);
+    }
+    pauseSilent(replica, progress);
+  }
+}
+
+/** A replica that stays silent is probed by heartbeats alone, so that nothing piles up on its link. */
+function pauseSilent(replica: Replica, progress: Progress): void {
+  const silentMs = replica.now - progress.contactAt;
+  if (progress.mode !== "probe" && silentMs >= replica.tuning.electionMs) {
+    progress.probe(progress.match + 1);
+    progress.probing = true;
+  }
+}
+
+function hasRecentQuorum(replica: Replica, leadership: Leadership): boolean {
+  const { electionMs } = replica.tuning;
+  return isQuorum(replica, (id) => {
+    const progress = leadership.progress.get(id);
+    return id === replica.id ||
+      (progress !== undefined && replica.now - progress.contactAt < electionMs);
+  });
+}
+
+export function handleAppendAnswer(
+  replica: Replica,
+  answer: AppendAnswer,
+): void {
+  const progress = contact(replica, answer.from);
+  if (progress === undefined) {
+    return;
+  }
+  if (answer.accepted) {
+    progress.accepted(answer.index);
+    advanceCommit(replica);
+    continueTransfer(replica);
+  } else {
+    handleRejection(replica, progress, answer);
+  }
+}
+
+function handleRejection(
+  replica: Replica,
+  progress: Progress,
+  { index, hintIndex, hintTerm }: AppendAnswer,
+): void {
+  const stale = progress.mode === "replicate"
+    ? index <= progress.match
+    : progress.mode === "snapshot" || index !== progress.next - 1;
+  if (!stale) {
+    const agreed = replica.log.lastWithTermAtMost(hintIndex, hintTerm);
+    progress.probe(Math.min(index, agreed.index + 1));
+  }
+}
+
+export function handleHeartbeatAnswer(
+  replica: Replica,
+  answer: HeartbeatAnswer,
+): void {
+  const progress = contact(replica, answer.from);
+  if (progress === undefined) {
+    return;
+  }
+  progress.round = Math.max(progress.round, answer.round);
+  progress.probing = false;
+  progress.verify = progress.mode === "replicate" &&
+    progress.match < progress.next - 1;
+  flushReads(replica);
+}
+
+export function handleSnapshotAnswer(
+  replica: Replica,
+  answer: SnapshotAnswer,
+): void {
+  const progress = contact(replica, answer.from);
+  const transmission = progress?.transmission;
+  if (
+    progress === undefined || transmission === undefined ||
+    transmission.snapshot.index !== answer.index
+  ) {
+    return;
+  }
+  if (answer.installed) {
+    progress.match = Math.max(progress.match, answer.index);
+    progress.probe(progress.match + 1);
+    advanceCommit(replica);
+  } else if (answer.offset !== transmission.offset) {
+    transmission.offset = answer.offset;
+    transmission.sentAt = Number.NEGATIVE_INFINITY;
+  }
+}
+
+function contact(replica: Replica, from: ReplicaId): Progress | undefined {
+  const progress = replica.leadership?.progress.get(from);
+  if (progress !== undefined) {
+    progress.contactAt = replica.now;
+  }
+  return progress;
+}
+
+/** Commits the highest entry of the own term that a majority of the voters holds. */
+export function advanceCommit(replica: Replica): void {
+  const { leadership, log } = replica;
+  if (leadership === undefined) {
+    return;
+  }
+  const index = quorumMatch(replica, leadership);
+  if (index > replica.commit && log.termAt(index) === replica.hardState.term) {
+    settleSize(replica, leadership, index);
+    commitTo(replica, index);
+    flushReads(replica);
+    leaveIfRemoved(replica, leadership);
+  }
+}
+
+/** Takes the entries up to an index out of the uncommitted size. */
+function settleSize(
+  replica: Replica,
+  leadership: Leadership,
+  index: number,
+): void {
+  const from = Math.max(replica.commit + 1, leadership.firstIndex);
+  for (const entry of replica.log.slice(from, index - from + 1)) {
+    leadership.uncommittedSize -= sizeOf(entry);
+  }
+}
+
+/** The highest index that a majority of the voters has synced. */
+function quorumMatch(replica: Replica, leadership: Leadership): number {
+  const matches = votersOf(replica.log.membership).map((id) =>
+    id === replica.id ? replica.stable : leadership.progress.get(id)?.match ?? 0
+  );
+  matches.sort((a, b) => b - a);
+  return matches[Math.floor(matches.length / 2)] ?? 0;
+}
+
+/** A leader whose removal is committed hands over and steps down. */
+function leaveIfRemoved(replica: Replica, leadership: Leadership): void {
+  if (isVoter(replica) || replica.commit < replica.log.membershipIndex) {
+    return;
+  }
+  const voters = [...leadership.progress.values()].filter((progress) =>
+    memberOf(replica.log.membership, progress.replica)?.standing === "voter"
+  );
+  voters.sort((a, b) => b.match - a.match);
+  const heir = voters[0];
+  if (heir !== undefined) {
+    sendHeartbeat(replica, heir);
+    send(replica, {
+      kind: "timeout_now",
+      ...envelope(replica, heir.replica),
+    });
+  }
+  becomeFollower(replica, { term: replica.hardState.term });
+}
+
+/** Tells the target of a transfer to start its election once it holds the whole log. */
+export function continueTransfer(replica: Replica): void {
+  const transfer = replica.leadership?.transfer;
+  if (transfer === undefined) {
+    return;
+  }
+  const progress = replica.leadership?.progress.get(transfer.to);
+  if (progress?.match === replica.log.last.index) {
+    send(replica, { kind: "timeout_now", ...envelope(replica, transfer.to) });
+  }
+}
--- /dev/null
+++ b/packages/core/src/raft/log.ts
@@ -0,0 +1,185 @@
+/**
+ * The replicated log in memory: entries after a base that a snapshot covers.
+ *
+ * @module
+ */
+import type { Membership } from "./member.ts";
+import { emptyMembership } from "./member.ts";
+import type { LogEntry, Snapshot, Stored } from "./record.ts";
+import { sizeOf } from "./record.ts";
+
+/** Index and term of an entry. */
+export interface Position {
+  index: number;
+  term: number;
+}
+
+interface MembershipRecord {
+  index: number;
+  membership: Membership;
+}
+
+/** Entries, the snapshot below them, and the membership that they result in. */
+export class Log {
+  #base: Position;
+  #entries: LogEntry[] = [];
+  #size = 0;
+  #snapshot: Snapshot | undefined;
+  /** Oldest first; the last one is in force. */
+  #memberships: MembershipRecord[];
+
+  constructor(stored: Stored) {
+    const { snapshot } = stored;
+    this.#snapshot = snapshot;
+    this.#base = { index: snapshot?.index ?? 0, term: snapshot?.term ?? 0 };
+    this.#memberships = [{
+      index: this.#base.index,
+      membership: snapshot?.membership ?? emptyMembership(),
+    }];
+    stored.entries.forEach((entry) => this.#push(entry));
+  }
+
+  /** Position before the first entry. */
+  get base(): Position {
+    return this.#base;
+  }
+
+  get last(): Position {
+    const entry = this.#entries.at(-1);
+    return entry === undefined
+      ? this.#base
+      : { index: entry.index, term: entry.term };
+  }
+
+  /** Number of entries in memory. */
+  get length(): number {
+    return this.#entries.length;
+  }
+
+  /** Size of the entries in memory, in UTF-16 code units. */
+  get size(): number {
+    return this.#size;
+  }
+
+  get snapshot(): Snapshot | undefined {
+    return this.#snapshot;
+  }
+
+  /** The membership in force: the newest in the log, committed or not. */
+  get membership(): Membership {
+    return this.#memberships.at(-1)?.membership ?? emptyMembership();
+  }
+
+  /** Index of the entry that brought the membership in force. */
+  get membershipIndex(): number {
+    return this.#memberships.at(-1)?.index ?? 0;
+  }
+
+  /** The membership in force after the entry at an index. */
+  membershipAt(index: number): Membership {
+    const record = this.#memberships.findLast((known) => known.index <= index);
+    return record?.membership ?? emptyMembership();
+  }
+
+  /** Term of the entry at an index, or undefined where it is compacted or missing. */
+  termAt(index: number): number | undefined {
+    if (index === this.#base.index) {
+      return this.#base.term;
+    }
+    return this.#entries[index - this.#base.index - 1]?.term;
+  }
+
+  has(position: Position): boolean {
+    return this.termAt(position.index) === position.term;
+  }
+
+  /** Whether a log that ends at a position is at least as up to date as this one. */
+  isCoveredBy(position: Position): boolean {
+    const { last } = this;
+    return position.term > last.term ||
+      (position.term === last.term && position.index >= last.index);
+  }
+
+  /** Entries from an index on, up to a count. */
+  slice(from: number, count?: number): LogEntry[] {
+    const start = Math.max(0, from - this.#base.index - 1);
+    const end = count === undefined ? undefined : start + count;
+    return this.#entries.slice(start, end);
+  }
+
+  /** Entries from an index on, at least one, up to a total size. */
+  batch(from: number, maxSize: number): LogEntry[] {
+    const entries: LogEntry[] = [];
+    let size = 0;
+    for (let i = from - this.#base.index - 1; i < this.#entries.length; i++) {
+      const entry = this.#entries[i]!;
+      size += sizeOf(entry);
+      if (entries.length > 0 && size > maxSize) {
+        break;
+      }
+      entries.push(entry);
+    }
+    return entries;
+  }
+
+  append(entry: LogEntry): void {
+    this.#push(entry);
+  }
+
+  /** Removes the entries from an index on. */
+  truncate(from: number): void {
+    const removed = this.#entries.splice(from - this.#base.index - 1);
+    for (const entry of removed) {
+      this.#size -= sizeOf(entry);
+    }
+    while ((this.#memberships.at(-1)?.index ?? 0) >= from) {
+      this.#memberships.pop();
+    }
+  }
+
+  /** The last index, not after a given one, whose term is not above a given one. */
+  lastWithTermAtMost(index: number, term: number): Position {
+    let i = Math.min(index, this.last.index);
+    while (i > this.#base.index && (this.termAt(i) ?? 0) > term) {
+      i--;
+    }
+    return { index: i, term: this.termAt(i) ?? 0 };
+  }
+
+  /** Adopts a snapshot of this log and drops the entries before `keepFrom`. */
+  compact(snapshot: Snapshot, keepFrom: number): void {
+    this.#snapshot = snapshot;
+    const index = Math.max(this.#base.index, keepFrom - 1);
+    const term = this.termAt(index) ?? snapshot.term;
+    const removed = this.#entries.splice(0, index - this.#base.index);
+    for (const entry of removed) {
+      this.#size -= sizeOf(entry);
+    }
+    this.#base = { index, term };
+    this.#dropMembershipsBefore(index);
+  }
+
+  /** Replaces the whole log by a snapshot. */
+  install(snapshot: Snapshot): void {
+    this.#snapshot = snapshot;
+    this.#base = { index: snapshot.index, term: snapshot.term };
+    this.#entries = [];
+    this.#size = 0;
+    const { index, membership } = snapshot;
+    this.#memberships = [{ index, membership }];
+  }
+
+  #push(entry: LogEntry): void {
+    this.#entries.push(entry);
+    this.#size += sizeOf(entry);
+    if (entry.kind === "membership") {
+      const { index, membership } = entry;
+      this.#memberships.push({ index, membership });
+    }
+  }
+
+  #dropMembershipsBefore(index: number): void {
+    const keep = this.#memberships.findLastIndex((m) => m.index <= index);
+    this.#memberships.splice(0, Math.max(0, keep));
+  }
+}
--- /dev/null
+++ b/packages/core/src/raft/message.ts
@@ -0,0 +1,131 @@
+/**
+ * Messages between replicas (Ongaro and Ousterhout 2014; pre-vote, read rounds and leadership transfer after Ongaro's
+ * thesis). They cross links as JSON.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { ReplicaId } from "./member.ts";
+import { LogEntry, SnapshotHead } from "./record.ts";
+
+const envelope = {
+  from: ReplicaId,
+  to: ReplicaId,
+  term: z.number().int(),
+};
+
+const Ballot = {
+  ...envelope,
+  lastIndex: z.number().int(),
+  lastTerm: z.number().int(),
+};
+
+/** Asks whether an election could be won, without a new term. `term` is the term that would follow. */
+export const PreVoteRequest = z.object({
+  kind: z.literal("pre_vote"),
+  ...Ballot,
+});
+export type PreVoteRequest = z.infer<typeof PreVoteRequest>;
+
+export const PreVoteAnswer = z.object({
+  kind: z.literal("pre_vote_answer"),
+  ...envelope,
+  granted: z.boolean(),
+});
+export type PreVoteAnswer = z.infer<typeof PreVoteAnswer>;
+
+export const VoteRequest = z.object({
+  kind: z.literal("vote"),
+  ...Ballot,
+  /** Set when the leader itself asked for the election. */
+  transfer: z.boolean(),
+});
+export type VoteRequest = z.infer<typeof VoteRequest>;
+
+export const VoteAnswer = z.object({
+  kind: z.literal("vote_answer"),
+  ...envelope,
+  granted: z.boolean(),
+});
+export type VoteAnswer = z.infer<typeof VoteAnswer>;
+
+export const AppendRequest = z.object({
+  kind: z.literal("append"),
+  ...envelope,
+  previousIndex: z.number().int(),
+  previousTerm: z.number().int(),
+  entries: z.array(LogEntry),
+  commit: z.number().int(),
+});
+export type AppendRequest = z.infer<typeof AppendRequest>;
+
+export const AppendAnswer = z.object({
+  kind: z.literal("append_answer"),
+  ...envelope,
+  accepted: z.boolean(),
+  /** The last matching index, or the previous index that was rejected. */
+  index: z.number().int(),
+  /** For a rejection: the last index at which both logs may still agree, and its term. */
+  hintIndex: z.number().int(),
+  hintTerm: z.number().int(),
+});
+export type AppendAnswer = z.infer<typeof AppendAnswer>;
+
+export const Heartbeat = z.object({
+  kind: z.literal("heartbeat"),
+  ...envelope,
+  commit: z.number().int(),
+  /** Number of the latest read round. */
+  round: z.number().int(),
+});
+export type Heartbeat = z.infer<typeof Heartbeat>;
+
+export const HeartbeatAnswer = z.object({
+  kind: z.literal("heartbeat_answer"),
+  ...envelope,
+  round: z.number().int(),
+});
+export type HeartbeatAnswer = z.infer<typeof HeartbeatAnswer>;
+
+/** One chunk of a snapshot. */
+export const SnapshotRequest = z.object({
+  kind: z.literal("snapshot"),
+  ...envelope,
+  head: SnapshotHead,
+  offset: z.number().int(),
+  chunk: z.string(),
+  last: z.boolean(),
+});
+export type SnapshotRequest = z.infer<typeof SnapshotRequest>;
+
+export const SnapshotAnswer = z.object({
+  kind: z.literal("snapshot_answer"),
+  ...envelope,
+  index: z.number().int(),
+  /** The offset that the follower needs next. */
+  offset: z.number().int(),
+  installed: z.boolean(),
+});
+export type SnapshotAnswer = z.infer<typeof SnapshotAnswer>;
+
+/** Tells a voter to start an election at once. */
+export const TimeoutNow = z.object({
+  kind: z.literal("timeout_now"),
+  ...envelope,
+});
+export type TimeoutNow = z.infer<typeof TimeoutNow>;
+
+export const RaftMessage = z.discriminatedUnion("kind", [
+  PreVoteRequest,
+  PreVoteAnswer,
+  VoteRequest,
+  VoteAnswer,
+  AppendRequest,
+  AppendAnswer,
+  Heartbeat,
+  HeartbeatAnswer,
+  SnapshotRequest,
+  SnapshotAnswer,
+  TimeoutNow,
+]);
+export type RaftMessage = z.infer<typeof RaftMessage>;
--- /dev/null
+++ b/packages/core/src/raft/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Raft consensus without input or output.
+ *
+ * @module
+ */
+export * from "./member.ts";
+export * from "./message.ts";
+export type { RaftSetup } from "./open.ts";
+export type { RaftOutput, RaftWrite } from "./output.ts";
+export * from "./raft.ts";
+export * from "./record.ts";
+export { DEFAULT_TUNING, type Role, type Tuning } from "./replica.ts";
--- /dev/null
+++ b/packages/core/src/raft/open.ts
@@ -0,0 +1,56 @@
+/**
+ * Opens a replica from its stored state.
+ *
+ * @module
+ */
+import { Log } from "./log.ts";
+import type { ReplicaId } from "./member.ts";
+import type { Stored } from "./record.ts";
+import {
+  DEFAULT_TUNING,
+  emptyOutbox,
+  type Replica,
+  resetElectionTimer,
+  type Tuning,
+} from "./replica.ts";
+
+/** What a replica starts from. */
+export interface RaftSetup {
+  replica: ReplicaId;
+  stored: Stored;
+  /** A number from 0 to 1, without 1. */
+  random: () => number;
+  tuning?: Partial<Tuning>;
+}
+
+/** A follower without a leader, with the stored term, vote and log. */
+export function openReplica(
+  { replica: id, stored, random, tuning }: RaftSetup,
+  now: number,
+): Replica {
+  const log = new Log(stored);
+  const replica: Replica = {
+    id,
+    tuning: { ...DEFAULT_TUNING, ...tuning },
+    random,
+    log,
+    now,
+    role: "follower",
+    hardState: stored.hardState,
+    leader: undefined,
+    leaderAt: Number.NEGATIVE_INFINITY,
+    electionAt: now,
+    granted: new Set(),
+    refused: new Set(),
+    leadership: undefined,
+    commit: log.base.index,
+    stable: log.last.index,
+    applied: log.base.index,
+    partial: undefined,
+    outbox: emptyOutbox(),
+    pending: [],
+    outputs: 0,
+  };
+  resetElectionTimer(replica);
+  return replica;
+}
--- /dev/null
+++ b/packages/core/src/raft/output.ts
@@ -0,0 +1,99 @@
+/**
+ * The output of a replica: what its driver stores, sends and applies.
+ *
+ * @module
+ */
+import type { RaftMessage } from "./message.ts";
+import type { HardState, LogEntry, Snapshot } from "./record.ts";
+import { emptyOutbox, type Replica } from "./replica.ts";
+import { replicate } from "./replication.ts";
+
+/** Entries handed out to be applied at once. */
+const MAX_COMMITTED_ENTRIES = 1_024;
+
+/** What is to be stored, in this order: the snapshot, the hard state and the entries. */
+export interface RaftWrite {
+  hardState?: HardState;
+  /** A snapshot of the leader that replaces the whole log and state machine. */
+  installed?: Snapshot;
+  /** Entries without gaps; they replace all stored entries from the first one's index on. */
+  entries: LogEntry[];
+}
+
+export interface RaftOutput {
+  /** To be given to `persisted` once the write, and all writes before it, are synced. */
+  id: number;
+  write: RaftWrite;
+  /** To be sent at once. */
+  messages: RaftMessage[];
+  /** To be sent only after the write, and all writes before it, are synced. */
+  answers: RaftMessage[];
+  /** Entries to be applied in order, after an installed snapshot was restored. */
+  committed: LogEntry[];
+  /** Reads that may be served once the entries up to `index` are applied. */
+  reads: { context: string; index: number }[];
+  /** Reads that this replica cannot serve any more because it stepped down. */
+  lostReads: string[];
+}
+
+/** Whether there is anything to take. */
+export function hasOutput(replica: Replica): boolean {
+  const { outbox, leadership } = replica;
+  if (leadership !== undefined) {
+    replicate(replica, leadership);
+  }
+  return outbox.messages.length > 0 || outbox.answers.length > 0 ||
+    outbox.hardStateChanged || outbox.installed !== undefined ||
+    outbox.unsavedFrom !== undefined || outbox.reads.length > 0 ||
+    outbox.lostReads.length > 0 || replica.applied < replica.commit;
+}
+
+/** Empties the outbox into an output. */
+export function takeOutput(replica: Replica): RaftOutput {
+  if (replica.leadership !== undefined) {
+    replicate(replica, replica.leadership);
+  }
+  const { outbox } = replica;
+  replica.outbox = emptyOutbox();
+  replica.outputs += 1;
+  const write = writeOf(replica, outbox);
+  notePending(replica);
+  const committed = replica.log.slice(
+    replica.applied + 1,
+    Math.min(MAX_COMMITTED_ENTRIES, replica.commit - replica.applied),
+  );
+  replica.applied += committed.length;
+  const { messages, answers, reads, lostReads } = outbox;
+  return {
+    id: replica.outputs,
+    write,
+    messages,
+    answers,
+    committed,
+    reads,
+    lostReads,
+  };
+}
+
+function writeOf(replica: Replica, outbox: Replica["outbox"]): RaftWrite {
+  const { unsavedFrom, installed, hardStateChanged } = outbox;
+  const entries = unsavedFrom === undefined
+    ? []
+    : replica.log.slice(unsavedFrom);
+  return {
+    ...(hardStateChanged && { hardState: replica.hardState }),
+    ...(installed !== undefined && { installed }),
+    entries,
+  };
+}
+
+function notePending(replica: Replica): void {
+  const { hardState, log } = replica;
+  replica.pending.push({
+    id: replica.outputs,
+    lastIndex: log.last.index,
+    lastTerm: log.last.term,
+    term: hardState.term,
+    vote: hardState.vote,
+  });
+}
--- /dev/null
+++ b/packages/core/src/raft/progress.ts
@@ -0,0 +1,122 @@
+/**
+ * What a leader knows about one other replica, and how much it may send to it.
+ *
+ * @module
+ */
+import type { ReplicaId } from "./member.ts";
+import type { Snapshot } from "./record.ts";
+
+/**
+ * - `probe`: one append at a time until the logs are known to match.
+ * - `replicate`: appends are pipelined.
+ * - `snapshot`: a snapshot is sent in chunks.
+ */
+export type ProgressMode = "probe" | "replicate" | "snapshot";
+
+interface Flight {
+  lastIndex: number;
+  size: number;
+}
+
+interface Transmission {
+  snapshot: Snapshot;
+  offset: number;
+  sentAt: number;
+}
+
+/** Bounds of what may be under way to one replica. */
+const MAX_IN_FLIGHT_MESSAGES = 64;
+const MAX_IN_FLIGHT_SIZE = 1_048_576;
+
+/** Replication state of one replica, held by the leader. */
+export class Progress {
+  readonly replica: ReplicaId;
+  mode: ProgressMode = "probe";
+  /** Highest index known to be synced there. */
+  match = 0;
+  /** Next index to send. */
+  next: number;
+  /** When the replica last answered in this term, in milliseconds. */
+  contactAt: number;
+  /** When anything was last sent, in milliseconds. */
+  sentAt: number;
+  /** Whether a probe awaits its answer. */
+  probing = false;
+  /** Highest commit index that was sent. */
+  sentCommit = 0;
+  /** Whether an empty append shall check that nothing was lost. */
+  verify = false;
+  /** Highest read round that the replica confirmed. */
+  round = 0;
+  transmission: Transmission | undefined;
+  #flights: Flight[] = [];
+  #flightSize = 0;
+
+  constructor(replica: ReplicaId, start: { next: number; now: number }) {
+    this.replica = replica;
+    this.next = start.next;
+    this.contactAt = start.now;
+    this.sentAt = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Whether another append may be sent. */
+  get open(): boolean {
+    if (this.mode === "probe") {
+      return !this.probing;
+    }
+    return this.mode === "replicate" &&
+      this.#flights.length < MAX_IN_FLIGHT_MESSAGES &&
+      this.#flightSize < MAX_IN_FLIGHT_SIZE;
+  }
+
+  /** Records an append that is under way. */
+  sent(lastIndex: number, size: number): void {
+    if (this.mode === "probe") {
+      this.probing = true;
+      return;
+    }
+    this.next = lastIndex + 1;
+    this.#flights.push({ lastIndex, size });
+    this.#flightSize += size;
+  }
+
+  /** Records that the replica holds the log up to an index. */
+  accepted(index: number): void {
+    this.match = Math.max(this.match, index);
+    this.next = Math.max(this.next, this.match + 1);
+    this.probing = false;
+    if (this.mode === "probe") {
+      this.mode = "replicate";
+    }
+    this.#land();
+  }
+
+  /** Goes back to probing from an index. */
+  probe(next: number): void {
+    this.mode = "probe";
+    this.probing = false;
+    this.next = Math.max(next, this.match + 1);
+    this.transmission = undefined;
+    this.#flights = [];
+    this.#flightSize = 0;
+  }
+
+  /** Starts to send a snapshot. */
+  transmit(snapshot: Snapshot): void {
+    this.probe(this.next);
+    this.mode = "snapshot";
+    this.transmission = {
+      snapshot,
+      offset: 0,
+      sentAt: Number.NEGATIVE_INFINITY,
+    };
+  }
+
+  #land(): void {
+    while (
+      this.#flights[0] !== undefined && this.#flights[0].lastIndex <= this.match
+    ) {
+      this.#flightSize -= this.#flights.shift()!.size;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/raft/raft.ts
@@ -0,0 +1,228 @@
+/**
+ * Raft (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014; Ongaro's thesis, 2014) as a
+ * state machine without input or output. The driver feeds it events, takes its output, stores, sends and applies.
+ *
+ * @module
+ */
+import { type Fault, fault } from "../fault.ts";
+import { Err, Ok, type Result } from "../result.ts";
+import { countOwnVote, tickElection } from "./election.ts";
+import {
+  advanceCommit,
+  appendAsLeader,
+  continueTransfer,
+  nextPosition,
+  tickLeader,
+} from "./leader.ts";
+import type { Membership, MembershipChange, ReplicaId } from "./member.ts";
+import {
+  checkChange,
+  checkProposal,
+  checkTransfer,
+  notLeader,
+} from "./admission.ts";
+import type { RaftMessage } from "./message.ts";
+import { openReplica, type RaftSetup } from "./open.ts";
+import { hasOutput, type RaftOutput, takeOutput } from "./output.ts";
+import { receive } from "./receive.ts";
+import type { Snapshot } from "./record.ts";
+import type { ProgressMode } from "./progress.ts";
+import type { Replica, Role } from "./replica.ts";
+import { flushReads } from "./replication.ts";
+
+/** What is known about the group from one replica. */
+export interface RaftStatus {
+  replica: ReplicaId;
+  role: Role;
+  term: number;
+  leader: ReplicaId | undefined;
+  commit: number;
+  applied: number;
+  lastIndex: number;
+  /** Index of the snapshot below the log. */
+  snapshotIndex: number;
+}
+
+/** Progress of another replica, as the leader sees it. */
+export interface ReplicaProgress {
+  replica: ReplicaId;
+  mode: ProgressMode;
+  match: number;
+  /** How long the replica has been silent, in milliseconds. */
+  silentMs: number;
+}
+
+/** Where proposed commands were appended: one index each, from `first` on. */
+export interface Proposal {
+  first: number;
+  term: number;
+}
+
+/** One replica of a Raft group. */
+export class Raft {
+  readonly #replica: Replica;
+
+  constructor(setup: RaftSetup, now: number) {
+    this.#replica = openReplica(setup, now);
+  }
+
+  get status(): RaftStatus {
+    const { id, role, hardState, leader, commit, applied, log } = this.#replica;
+    return {
+      replica: id,
+      role,
+      term: hardState.term,
+      leader,
+      commit,
+      applied,
+      lastIndex: log.last.index,
+      snapshotIndex: log.snapshot?.index ?? 0,
+    };
+  }
+
+  /** The membership in force, committed or not. */
+  get membership(): Membership {
+    return this.#replica.log.membership;
+  }
+
+  /** Progress of the other replicas; empty unless this one leads. */
+  get progress(): ReplicaProgress[] {
+    const { leadership, now } = this.#replica;
+    const all = leadership?.progress.values() ?? [];
+    return [...all].map(({ replica, mode, match, contactAt }) => ({
+      replica,
+      mode,
+      match,
+      silentMs: now - contactAt,
+    }));
+  }
+
+  /** Advances time; to be called several times within a heartbeat. */
+  tick(now: number): void {
+    const replica = this.#at(now);
+    if (replica.leadership !== undefined) {
+      tickLeader(replica, replica.leadership);
+    } else {
+      tickElection(replica);
+    }
+  }
+
+  /** Handles a message of another replica. */
+  receive(message: RaftMessage, now: number): void {
+    receive(this.#at(now), message);
+  }
+
+  /** Appends commands at the leader. They are committed when `take` returns them, under the same term. */
+  propose(commands: readonly string[], now: number): Result<Proposal, Fault> {
+    const replica = this.#at(now);
+    return checkProposal(replica, commands).map(() => {
+      const { index: first, term } = nextPosition(replica);
+      commands.forEach((data, i) => {
+        const index = first + i;
+        appendAsLeader(replica, { kind: "command", index, term, data });
+      });
+      return { first, term };
+    });
+  }
+
+  /**
+   * Asks for a linearizable read at the leader. The output lists the context with an index once the leadership is
+   * confirmed, or among the lost reads when the leader stepped down.
+   */
+  readIndex(context: string, now: number): Result<void, Fault> {
+    const replica = this.#at(now);
+    if (replica.leadership === undefined) {
+      return Err(notLeader(replica));
+    }
+    replica.leadership.reads.add(context);
+    flushReads(replica);
+    return Ok.EMPTY;
+  }
+
+  /** Starts a membership change at the leader. Only one may be under way. */
+  changeMembership(
+    change: MembershipChange,
+    now: number,
+  ): Result<Proposal, Fault> {
+    const replica = this.#at(now);
+    return checkChange(replica, change).map((membership) => {
+      const position = nextPosition(replica);
+      const entry = { kind: "membership", ...position, membership } as const;
+      appendAsLeader(replica, entry);
+      return { first: position.index, term: position.term };
+    });
+  }
+
+  /** Hands the leadership to another voter. Proposals are refused until it took over or the attempt timed out. */
+  transferLeadership(to: ReplicaId, now: number): Result<void, Fault> {
+    const replica = this.#at(now);
+    return checkTransfer(replica, to).map((leadership) => {
+      const deadline = now + replica.tuning.electionMs;
+      leadership.transfer = { to, deadline };
+      continueTransfer(replica);
+    });
+  }
+
+  /** Whether the log has outgrown its bounds, so that the driver should call `compact`. */
+  get compactionDue(): boolean {
+    const { log, tuning, applied } = this.#replica;
+    const outgrown = log.length > tuning.maxLogEntries ||
+      log.size > tuning.maxLogSize;
+    return outgrown && applied > (log.snapshot?.index ?? 0);
+  }
+
+  /**
+   * Replaces the log up to an applied entry by the state after it. The driver stores the returned snapshot in its own
+   * time; the stored log must keep the entries after the snapshot.
+   */
+  compact(index: number, data: string): Result<Snapshot, Fault> {
+    const { log, applied, stable, tuning } = this.#replica;
+    const term = log.termAt(index);
+    const floor = log.snapshot?.index ?? 0;
+    const ceiling = Math.min(applied, stable);
+    if (term === undefined || index <= floor || index > ceiling) {
+      return Err(
+        fault(
+          "conflict",
+          `Log cannot be compacted at ${index}; it must be above ${floor} and at most ${ceiling}`,
+        ),
+      );
+    }
+    const membership = log.membershipAt(index);
+    const snapshot = { index, term, membership, data };
+    log.compact(snapshot, index + 1 - tuning.trailingEntries);
+    return Ok(snapshot);
+  }
+
+  /** Whether `take` would return anything. */
+  get hasOutput(): boolean {
+    return hasOutput(this.#replica);
+  }
+
+  /** Takes what is to be stored, sent and applied. */
+  take(): RaftOutput {
+    return takeOutput(this.#replica);
+  }
+
+  /** Reports that the writes of an output, and of all outputs before it, are synced. */
+  persisted(id: number, now: number): void {
+    const replica = this.#at(now);
+    const done = replica.pending.filter((write) => write.id <= id);
+    replica.pending = replica.pending.filter((write) => write.id > id);
+    for (const write of done) {
+      if (replica.log.termAt(write.lastIndex) === write.lastTerm) {
+        replica.stable = Math.max(replica.stable, write.lastIndex);
+      }
+      const { term } = replica.hardState;
+      if (write.term === term && write.vote === replica.id) {
+        countOwnVote(replica);
+      }
+    }
+    advanceCommit(replica);
+  }
+
+  #at(now: number): Replica {
+    this.#replica.now = now;
+    return this.#replica;
+  }
+}
--- /dev/null
+++ b/packages/core/src/raft/receive.ts
@@ -0,0 +1,108 @@
+/**
+ * Handling of messages by their term (Ongaro's thesis, sections 3.3 and 9.6).
+ *
+ * @module
+ */
+import {
+  handlePreVote,
+  handlePreVoteAnswer,
+  handleVote,
+  handleVoteAnswer,
+  startElection,
+} from "./election.ts";
+import { handleAppend, handleHeartbeat, handleSnapshot } from "./follower.ts";
+import {
+  handleAppendAnswer,
+  handleHeartbeatAnswer,
+  handleSnapshotAnswer,
+} from "./leader.ts";
+import type { RaftMessage } from "./message.ts";
+import {
+  becomeFollower,
+  envelope,
+  hasRecentLeader,
+  isVoter,
+  type Replica,
+  send,
+} from "./replica.ts";
+
+/** Handles one message. */
+export function receive(replica: Replica, message: RaftMessage): void {
+  const { term } = replica.hardState;
+  if (message.to !== replica.id || isDisturbance(replica, message)) {
+    return;
+  }
+  if (message.term < term) {
+    refuseOldTerm(replica, message);
+    return;
+  }
+  if (message.term > term && !isHypothetical(message)) {
+    const leader = isFromLeader(message) ? message.from : undefined;
+    becomeFollower(replica, { term: message.term, leader });
+  }
+  dispatch(replica, message);
+}
+
+/** A replica that still hears its leader ignores elections that the leader did not ask for. */
+function isDisturbance(replica: Replica, message: RaftMessage): boolean {
+  return message.kind === "vote" && !message.transfer &&
+    message.term > replica.hardState.term && hasRecentLeader(replica);
+}
+
+/** Pre-votes carry a term that nobody has entered yet. */
+function isHypothetical(message: RaftMessage): boolean {
+  return message.kind === "pre_vote" ||
+    (message.kind === "pre_vote_answer" && message.granted);
+}
+
+function isFromLeader(message: RaftMessage): boolean {
+  return message.kind === "append" || message.kind === "heartbeat" ||
+    message.kind === "snapshot";
+}
+
+/** Tells a deposed leader, or a candidate behind the term, about the current term. */
+function refuseOldTerm(replica: Replica, message: RaftMessage): void {
+  if (isFromLeader(message)) {
+    send(replica, {
+      kind: "heartbeat_answer",
+      ...envelope(replica, message.from),
+      round: 0,
+    });
+  } else if (message.kind === "pre_vote") {
+    handlePreVote(replica, message);
+  }
+}
+
+function dispatch(replica: Replica, message: RaftMessage): void {
+  switch (message.kind) {
+    case "pre_vote":
+      return handlePreVote(replica, message);
+    case "pre_vote_answer":
+      return handlePreVoteAnswer(replica, message);
+    case "vote":
+      return handleVote(replica, message);
+    case "vote_answer":
+      return handleVoteAnswer(replica, message);
+    case "append":
+      return handleAppend(replica, message);
+    case "append_answer":
+      return handleAppendAnswer(replica, message);
+    case "heartbeat":
+      return handleHeartbeat(replica, message);
+    case "heartbeat_answer":
+      return handleHeartbeatAnswer(replica, message);
+    case "snapshot":
+      return handleSnapshot(replica, message);
+    case "snapshot_answer":
+      return handleSnapshotAnswer(replica, message);
+    case "timeout_now":
+      return handleTimeoutNow(replica);
+  }
+}
+
+/** Starts an election on the leader's behalf, without a pre-vote. */
+function handleTimeoutNow(replica: Replica): void {
+  if (isVoter(replica) && replica.role === "follower") {
+    startElection(replica, { transfer: true });
+  }
+}
--- /dev/null
+++ b/packages/core/src/raft/replica.ts
@@ -0,0 +1,218 @@
+/**
+ * The state of one replica and the transitions that all roles share.
+ *
+ * @module
+ */
+import type { Log } from "./log.ts";
+import { memberOf, type ReplicaId, votersOf } from "./member.ts";
+import type { RaftMessage } from "./message.ts";
+import type { Progress } from "./progress.ts";
+import type { ReadQueue } from "./reads.ts";
+import type { HardState, Snapshot } from "./record.ts";
+
+/** Times and bounds of the group; the same on all replicas. */
+export interface Tuning {
+  /** Longest silence of a leader towards a follower. */
+  heartbeatMs: number;
+  /** Shortest time without a leader before an election; the longest is twice as much. */
+  electionMs: number;
+  /** Bound of the log in memory and on disk before a compaction is due. */
+  maxLogEntries: number;
+  maxLogSize: number;
+  /** Entries kept after a compaction for followers that are slightly behind. */
+  trailingEntries: number;
+  /** Bound of the entries that are proposed and not yet committed. */
+  maxUncommittedSize: number;
+}
+
+export const DEFAULT_TUNING: Tuning = {
+  heartbeatMs: 250,
+  electionMs: 1_000,
+  maxLogEntries: 4_096,
+  maxLogSize: 4_194_304,
+  trailingEntries: 256,
+  maxUncommittedSize: 4_194_304,
+};
+
+export type Role = "follower" | "pre_candidate" | "candidate" | "leader";
+
+/** What a leader holds besides the common state. */
+export interface Leadership {
+  progress: Map<ReplicaId, Progress>;
+  reads: ReadQueue;
+  /** Index of the no-op that started the term. */
+  firstIndex: number;
+  transfer: { to: ReplicaId; deadline: number } | undefined;
+  /** Size of the entries of this term that are not committed. */
+  uncommittedSize: number;
+}
+
+/** A snapshot of which some chunks have arrived. */
+export interface PartialSnapshot {
+  /** Two leaders may serialize the same state differently, so chunks are not mixed across terms. */
+  leaderTerm: number;
+  index: number;
+  chunks: string[];
+  offset: number;
+}
+
+/** What the driver has yet to take. */
+export interface Outbox {
+  messages: RaftMessage[];
+  answers: RaftMessage[];
+  hardStateChanged: boolean;
+  installed: Snapshot | undefined;
+  /** Index of the first entry to be stored, if any. */
+  unsavedFrom: number | undefined;
+  reads: { context: string; index: number }[];
+  lostReads: string[];
+}
+
+/** A batch of writes that the driver has not yet reported as synced. */
+export interface PendingWrite {
+  id: number;
+  lastIndex: number;
+  lastTerm: number;
+  term: number;
+  vote: ReplicaId | undefined;
+}
+
+/** The whole state of one replica. */
+export interface Replica {
+  readonly id: ReplicaId;
+  readonly tuning: Tuning;
+  /** A number from 0 to 1, without 1. */
+  readonly random: () => number;
+  readonly log: Log;
+  now: number;
+  role: Role;
+  hardState: HardState;
+  leader: ReplicaId | undefined;
+  /** When the leader was last heard. */
+  leaderAt: number;
+  /** When the next election starts. */
+  electionAt: number;
+  /** Voters that granted and refused in the current election. */
+  granted: Set<ReplicaId>;
+  refused: Set<ReplicaId>;
+  leadership: Leadership | undefined;
+  commit: number;
+  /** Last index that is synced on this replica. */
+  stable: number;
+  /** Last index handed out to be applied. */
+  applied: number;
+  partial: PartialSnapshot | undefined;
+  outbox: Outbox;
+  pending: PendingWrite[];
+  /** Number of outputs taken. */
+  outputs: number;
+}
+
+export function emptyOutbox(): Outbox {
+  return {
+    messages: [],
+    answers: [],
+    hardStateChanged: false,
+    installed: undefined,
+    unsavedFrom: undefined,
+    reads: [],
+    lostReads: [],
+  };
+}
+
+/** The kinds of message that a replica may send before its own writes are synced. */
+const IMMEDIATE_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
+  "pre_vote",
+  "pre_vote_answer",
+  "append",
+  "heartbeat",
+  "snapshot",
+  "timeout_now",
+]);
+
+/** Queues a message; answers and vote requests wait until the writes before them are synced. */
+export function send(replica: Replica, message: RaftMessage): void {
+  const { messages, answers } = replica.outbox;
+  const queue = IMMEDIATE_KINDS.has(message.kind) ? messages : answers;
+  queue.push(message);
+}
+
+/** The fields that all messages of a replica share. */
+export function envelope(
+  replica: Replica,
+  to: ReplicaId,
+): { from: ReplicaId; to: ReplicaId; term: number } {
+  return { from: replica.id, to, term: replica.hardState.term };
+}
+
+export function setHardState(replica: Replica, hardState: HardState): void {
+  replica.hardState = hardState;
+  replica.outbox.hardStateChanged = true;
+}
+
+/** Marks the entries from an index on as not yet stored. */
+export function markUnsaved(replica: Replica, from: number): void {
+  const { outbox } = replica;
+  outbox.unsavedFrom = Math.min(outbox.unsavedFrom ?? from, from);
+  replica.stable = Math.min(replica.stable, from - 1);
+}
+
+/** Raises the commit index; it never falls. */
+export function commitTo(replica: Replica, index: number): void {
+  const bounded = Math.min(index, replica.log.last.index);
+  replica.commit = Math.max(replica.commit, bounded);
+}
+
+export function resetElectionTimer(replica: Replica): void {
+  const { electionMs } = replica.tuning;
+  replica.electionAt = replica.now + electionMs * (1 + replica.random());
+}
+
+/** Becomes a follower, in a new term if it is higher. */
+export function becomeFollower(
+  replica: Replica,
+  next: { term: number; leader?: ReplicaId },
+): void {
+  if (next.term > replica.hardState.term) {
+    setHardState(replica, { term: next.term });
+  }
+  const lost = replica.leadership?.reads.drain() ?? [];
+  replica.outbox.lostReads.push(...lost);
+  replica.leadership = undefined;
+  replica.role = "follower";
+  replica.leader = next.leader;
+  resetElectionTimer(replica);
+}
+
+/** Records that the leader of the current term was heard. */
+export function heardLeader(replica: Replica, leader: ReplicaId): void {
+  if (replica.role !== "follower") {
+    becomeFollower(replica, { term: replica.hardState.term, leader });
+  }
+  replica.leader = leader;
+  replica.leaderAt = replica.now;
+  resetElectionTimer(replica);
+}
+
+/** Whether a leader was heard so recently that no election is due (check-quorum, thesis section 6.4.1). */
+export function hasRecentLeader(replica: Replica): boolean {
+  if (replica.role === "leader") {
+    return true;
+  }
+  return replica.leader !== undefined &&
+    replica.now - replica.leaderAt < replica.tuning.electionMs;
+}
+
+export function isVoter(replica: Replica): boolean {
+  const { id, log } = replica;
+  return memberOf(log.membership, id)?.standing === "voter";
+}
+
+/** Whether a set of replicas holds a majority of the voters. */
+export function isQuorum(
+  replica: Replica,
+  has: (id: ReplicaId) => boolean,
+): boolean {
+  const voters = votersOf(replica.log.membership);
+  return voters.filter(has).length > voters.length / 2;
+}
--- /dev/null
+++ b/packages/core/src/raft/replication.ts
@@ -0,0 +1,135 @@
+/**
+ * What a leader sends: appends, heartbeats, snapshot chunks and read rounds.
+ *
+ * @module
+ */
+import type { Progress } from "./progress.ts";
+import { sizeOf } from "./record.ts";
+import {
+  envelope,
+  isQuorum,
+  type Leadership,
+  type Replica,
+  send,
+} from "./replica.ts";
+
+/** Size of the entries in one append; a larger single entry travels alone. */
+const MAX_APPEND_SIZE = 65_536;
+
+/** Length of a snapshot chunk in UTF-16 code units, below 256 KB as UTF-8 in JSON. */
+export const SNAPSHOT_CHUNK_LENGTH = 65_536;
+
+/** Sends to every other replica what it may receive now. */
+export function replicate(replica: Replica, leadership: Leadership): void {
+  for (const progress of leadership.progress.values()) {
+    replicateTo(replica, progress);
+  }
+}
+
+function replicateTo(replica: Replica, progress: Progress): void {
+  const { log } = replica;
+  const compacted = progress.next - 1 < log.base.index;
+  if (compacted && progress.mode !== "snapshot" && !progress.probing) {
+    progress.transmit(log.snapshot!);
+  }
+  if (progress.mode === "snapshot") {
+    sendChunk(replica, progress);
+    return;
+  }
+  while (progress.open && progress.next <= log.last.index) {
+    sendAppend(replica, progress);
+  }
+  if (progress.open && needsEmptyAppend(replica, progress)) {
+    sendAppend(replica, progress);
+  }
+}
+
+/** An append without entries carries a new commit index or checks the end of the log. */
+function needsEmptyAppend(replica: Replica, progress: Progress): boolean {
+  const probes = progress.mode === "probe";
+  return probes || progress.verify || progress.sentCommit < replica.commit;
+}
+
+function sendAppend(replica: Replica, progress: Progress): void {
+  const { log } = replica;
+  const previousIndex = progress.next - 1;
+  const previousTerm = log.termAt(previousIndex) ?? 0;
+  const entries = log.batch(progress.next, MAX_APPEND_SIZE);
+  send(replica, {
+    kind: "append",
+    ...envelope(replica, progress.replica),
+    previousIndex,
+    previousTerm,
+    entries,
+    commit: replica.commit,
+  });
+  progress.sentAt = replica.now;
+  progress.sentCommit = replica.commit;
+  progress.verify = false;
+  if (entries.length > 0 || progress.mode === "probe") {
+    const size = entries.reduce((sum, entry) => sum + sizeOf(entry), 0);
+    progress.sent(previousIndex + entries.length, size);
+  }
+}
+
+/** Sends the chunk that the follower needs next, again if its answer is overdue. */
+function sendChunk(replica: Replica, progress: Progress): void {
+  const transmission = progress.transmission!;
+  const waitedMs = replica.now - transmission.sentAt;
+  if (waitedMs < replica.tuning.electionMs) {
+    return;
+  }
+  const { snapshot, offset } = transmission;
+  const { data, index, term, membership } = snapshot;
+  const end = Math.min(data.length, offset + SNAPSHOT_CHUNK_LENGTH);
+  send(replica, {
+    kind: "snapshot",
+    ...envelope(replica, progress.replica),
+    head: { index, term, membership },
+    offset,
+    chunk: data.slice(offset, end),
+    last: end === data.length,
+  });
+  transmission.sentAt = replica.now;
+  progress.sentAt = replica.now;
+}
+
+export function sendHeartbeat(replica: Replica, progress: Progress): void {
+  send(replica, {
+    kind: "heartbeat",
+    ...envelope(replica, progress.replica),
+    commit: Math.min(progress.match, replica.commit),
+    round: replica.leadership?.reads.round ?? 0,
+  });
+  progress.sentAt = replica.now;
+}
+
+/** Serves the reads whose round is confirmed and starts the next round. */
+export function flushReads(replica: Replica): void {
+  const { leadership } = replica;
+  if (leadership === undefined || replica.commit < leadership.firstIndex) {
+    return;
+  }
+  const { reads } = leadership;
+  let progressing = true;
+  while (progressing) {
+    const confirmed = reads.open && isConfirmed(replica, leadership);
+    if (confirmed) {
+      replica.outbox.reads.push(...reads.confirm());
+    }
+    const started = reads.start(replica.commit);
+    if (started) {
+      leadership.progress.forEach((p) => sendHeartbeat(replica, p));
+    }
+    progressing = started;
+  }
+}
+
+function isConfirmed(replica: Replica, leadership: Leadership): boolean {
+  const { round } = leadership.reads;
+  return isQuorum(
+    replica,
+    (id) =>
+      id === replica.id || (leadership.progress.get(id)?.round ?? 0) >= round,
+  );
+}
--- /dev/null
+++ b/packages/core/test/raft_group.ts
@@ -0,0 +1,181 @@
+/**
+ * A group of replicas that exchange messages without loss or delay, for tests of single behaviours.
+ *
+ * @module
+ */
+import {
+  bootstrap,
+  emptyStored,
+  type LogEntry,
+  type Member,
+  type MembershipChange,
+  Raft,
+  type RaftMessage,
+  type RaftOutput,
+  type Stored,
+  type Tuning,
+} from "@quetzalcove/core";
+
+/** One replica with its storage and the commands it applied. */
+export interface Node {
+  raft: Raft;
+  stored: Stored;
+  applied: string[];
+  reads: { context: string; index: number }[];
+  lostReads: string[];
+}
+
+export function memberNamed(entry: string): Omit<Member, "standing"> {
+  return {
+    replica: `${entry}#0001`,
+    entry,
+    zone: `zone-${entry}`,
+    address: "127.0.0.1:7000",
+  };
+}
+
+export function idOf(entry: string): string {
+  return memberNamed(entry).replica;
+}
+
+/** Stores an output's write the way a driver must. */
+export function store(stored: Stored, { write }: RaftOutput): void {
+  if (write.installed !== undefined) {
+    stored.snapshot = write.installed;
+    stored.entries = [];
+  }
+  if (write.hardState !== undefined) {
+    stored.hardState = write.hardState;
+  }
+  const first = write.entries[0]?.index;
+  if (first !== undefined) {
+    stored.entries = stored.entries.filter((entry) => entry.index < first);
+    stored.entries.push(...write.entries);
+  }
+}
+
+export class Group {
+  now = 0;
+  readonly nodes = new Map<string, Node>();
+  /** Messages for which this returns true are lost. */
+  lost: (message: RaftMessage) => boolean = () => false;
+  readonly sent: RaftMessage[] = [];
+  readonly #tuning: Partial<Tuning>;
+
+  constructor(first: string, tuning: Partial<Tuning> = {}) {
+    this.#tuning = tuning;
+    this.start(first, bootstrap(memberNamed(first)));
+  }
+
+  /** A group whose first replica leads and whose others are voters. */
+  static of(entries: string[], tuning: Partial<Tuning> = {}): Group {
+    const [first = "", ...others] = entries;
+    const group = new Group(first, tuning);
+    group.advance(10);
+    for (const entry of others) {
+      group.start(entry, emptyStored());
+      group.change(first, { kind: "add", member: memberNamed(entry) });
+      group.change(first, { kind: "promote", replica: idOf(entry) });
+    }
+    return group;
+  }
+
+  start(entry: string, stored: Stored): void {
+    const replica = idOf(entry);
+    // Later replicas time out first, so that elections neither split nor go to the most complete log by chance.
+    const patience = 1 / (2 + this.nodes.size);
+    const raft = new Raft(
+      { replica, stored, random: () => patience, tuning: this.#tuning },
+      this.now,
+    );
+    this.nodes.set(entry, {
+      raft,
+      stored,
+      applied: [],
+      reads: [],
+      lostReads: [],
+    });
+  }
+
+  node(entry: string): Node {
+    return this.nodes.get(entry)!;
+  }
+
+  /** Starts a replica again from what it stored. */
+  restart(entry: string): void {
+    const { stored } = this.node(entry);
+    this.start(entry, structuredClone(stored));
+  }
+
+  change(entry: string, change: MembershipChange): void {
+    this.node(entry).raft.changeMembership(change, this.now).unwrap();
+    this.settle();
+  }
+
+  propose(entry: string, ...commands: string[]): void {
+    this.node(entry).raft.propose(commands, this.now).unwrap();
+    this.settle();
+  }
+
+  /** Lets time pass in steps of 10 ms. */
+  advance(ms: number): void {
+    const end = this.now + ms;
+    while (this.now < end) {
+      this.now += 10;
+      this.nodes.forEach(({ raft }) => raft.tick(this.now));
+      this.settle();
+    }
+  }
+
+  /** Exchanges messages until none is left. */
+  settle(): void {
+    let busy = true;
+    while (busy) {
+      busy = false;
+      for (const node of this.nodes.values()) {
+        busy = this.#drain(node) || busy;
+      }
+    }
+  }
+
+  get leaders(): string[] {
+    return [...this.nodes].filter(([, { raft }]) =>
+      raft.status.role === "leader"
+    ).map(([entry]) => entry);
+  }
+
+  #drain(node: Node): boolean {
+    if (!node.raft.hasOutput) {
+      return false;
+    }
+    const output = node.raft.take();
+    store(node.stored, output);
+    node.raft.persisted(output.id, this.now);
+    this.#apply(node, output);
+    [...output.messages, ...output.answers].forEach((m) => this.#deliver(m));
+    return true;
+  }
+
+  #apply(node: Node, { write, committed, reads, lostReads }: RaftOutput): void {
+    if (write.installed !== undefined) {
+      node.applied = JSON.parse(write.installed.data);
+    }
+    const isCommand = (entry: LogEntry) => entry.kind === "command";
+    node.applied.push(...committed.filter(isCommand).map((e) => e.data));
+    node.reads.push(...reads);
+    node.lostReads.push(...lostReads);
+  }
+
+  #deliver(message: RaftMessage): void {
+    this.sent.push(message);
+    if (this.lost(message)) {
+      return;
+    }
+    for (const { raft } of this.nodes.values()) {
+      if (raft.status.replica === message.to) {
+        const copy = JSON.parse(JSON.stringify(message));
+        raft.receive(copy, this.now);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/test/raft_test.ts
@@ -0,0 +1,285 @@
+import { RaftMessage } from "@quetzalcove/core";
+import { describe, expect, test } from "vitest";
+import { Group, idOf, memberNamed } from "./raft_group.ts";
+
+const THREE = ["e1", "e2", "e3"];
+
+function isolate(group: Group, entry: string): void {
+  const id = idOf(entry);
+  group.lost = ({ from, to }) => from === id || to === id;
+}
+
+describe("a single voter", () => {
+  test("leads at its first tick and commits once its write is synced", () => {
+    const group = new Group("e1");
+    group.node("e1").raft.tick(0);
+    const election = group.node("e1").raft.take();
+    expect(group.node("e1").raft.status.role).toBe("candidate");
+    group.node("e1").raft.persisted(election.id, 0);
+    expect(group.node("e1").raft.status.role).toBe("leader");
+    group.settle();
+    group.propose("e1", "a", "b");
+    expect(group.node("e1").applied).toEqual(["a", "b"]);
+  });
+
+  test("keeps its log over a restart", () => {
+    const group = Group.of(["e1"]);
+    group.propose("e1", "a");
+    group.restart("e1");
+    group.advance(10);
+    expect(group.node("e1").applied).toEqual(["a"]);
+  });
+
+  test("cannot be removed", () => {
+    const group = Group.of(["e1"]);
+    const change = { kind: "remove", replica: idOf("e1") } as const;
+    const result = group.node("e1").raft.changeMembership(change, group.now);
+    expect(result.val).toMatchObject({ kind: "conflict" });
+  });
+});
+
+describe("an empty replica", () => {
+  test("never starts an election", () => {
+    const group = new Group("e1");
+    group.start("e2", { hardState: { term: 0 }, entries: [] });
+    group.lost = () => true;
+    group.advance(20_000);
+    expect(group.sent.filter(({ from }) => from === idOf("e2"))).toEqual([]);
+  });
+});
+
+describe("elections", () => {
+  test("replace a silent leader, which steps down by itself", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e1");
+    group.advance(3_000);
+    expect(group.leaders).toHaveLength(1);
+    expect(group.leaders).not.toContain("e1");
+    expect(group.node("e1").raft.status.role).not.toBe("leader");
+  });
+
+  test("leave the term of an isolated replica unchanged", () => {
+    const group = Group.of(THREE);
+    const { term } = group.node("e3").raft.status;
+    isolate(group, "e3");
+    group.advance(60_000);
+    group.lost = () => false;
+    group.advance(3_000);
+    expect(group.leaders).toEqual(["e1"]);
+    expect(group.node("e3").raft.status).toMatchObject({
+      term,
+      leader: idOf("e1"),
+    });
+  });
+
+  test("refuse a candidate whose log is behind", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    group.propose("e1", "a");
+    group.lost = ({ from, to }) => from === idOf("e1") || to === idOf("e1");
+    group.advance(6_000);
+    expect(group.leaders).toEqual(["e2"]);
+    group.lost = () => false;
+    group.advance(3_000);
+    expect(group.node("e3").applied).toEqual(["a"]);
+  });
+});
+
+describe("replication", () => {
+  test("overwrites what a deposed leader did not commit", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e1");
+    group.propose("e1", "lost-1", "lost-2");
+    group.advance(3_000);
+    const [leader = ""] = group.leaders;
+    group.propose(leader, "kept");
+    group.lost = () => false;
+    group.advance(3_000);
+    for (const entry of THREE) {
+      expect(group.node(entry).applied).toEqual(["kept"]);
+    }
+  });
+
+  test("refuses commands at a follower and names the leader", () => {
+    const group = Group.of(THREE);
+    const result = group.node("e2").raft.propose(["a"], group.now);
+    expect(result.val).toMatchObject({
+      kind: "not_leader",
+      leader: idOf("e1"),
+      outcome: "not run",
+    });
+  });
+
+  test("refuses commands beyond the bound of what awaits its commit", () => {
+    const group = Group.of(THREE, { maxUncommittedSize: 1_000 });
+    isolate(group, "e1");
+    group.propose("e1", "x".repeat(2_000));
+    const { raft } = group.node("e1");
+    expect(raft.propose(["y"], group.now).val).toMatchObject({
+      kind: "overloaded",
+      outcome: "not run",
+    });
+    group.lost = () => false;
+    group.advance(500);
+    expect(raft.propose(["y"], group.now).ok).toBe(true);
+  });
+
+  test("bounds what is under way to a replica that does not answer", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    group.sent.length = 0;
+    for (let i = 0; i < 500; i++) {
+      group.propose("e1", "x".repeat(10_000));
+    }
+    group.advance(2_000);
+    const appends = group.sent.filter(({ kind, to }) =>
+      kind === "append" && to === idOf("e3")
+    );
+    const size = JSON.stringify(appends).length;
+    expect(size).toBeLessThan(1_500_000);
+  });
+
+  test("sends messages that fit their schema", () => {
+    const group = Group.of(THREE);
+    group.propose("e1", "a");
+    for (const message of group.sent) {
+      expect(RaftMessage.parse(message)).toEqual(message);
+    }
+  });
+});
+
+describe("snapshots", () => {
+  const tuning = { trailingEntries: 4 };
+
+  function compacted(): Group {
+    const group = Group.of(THREE, tuning);
+    isolate(group, "e3");
+    for (let i = 0; i < 300; i++) {
+      group.propose("e1", `${i}-${"x".repeat(1_000)}`);
+    }
+    const { raft, applied } = group.node("e1");
+    const data = JSON.stringify(applied);
+    raft.compact(raft.status.applied, data).unwrap();
+    return group;
+  }
+
+  test("bring a returning replica up to date in bounded chunks", () => {
+    const group = compacted();
+    group.lost = () => false;
+    group.advance(3_000);
+    expect(group.node("e3").applied).toEqual(group.node("e1").applied);
+    const chunks = group.sent.filter(({ kind }) => kind === "snapshot");
+    expect(chunks.length).toBeGreaterThan(3);
+    for (const chunk of chunks) {
+      expect(Buffer.byteLength(JSON.stringify(chunk))).toBeLessThan(262_144);
+    }
+    group.propose("e1", "after");
+    expect(group.node("e3").applied.at(-1)).toBe("after");
+  });
+
+  test("go on where a lost chunk left off", () => {
+    const group = compacted();
+    let chunks = 0;
+    group.lost = ({ kind }) => kind === "snapshot" && ++chunks === 3;
+    group.advance(5_000);
+    expect(group.node("e3").applied).toEqual(group.node("e1").applied);
+  });
+
+  test("are not taken above what is applied", () => {
+    const group = Group.of(["e1"]);
+    const { raft } = group.node("e1");
+    const result = raft.compact(raft.status.applied + 1, "[]");
+    expect(result.val).toMatchObject({ kind: "conflict" });
+  });
+});
+
+describe("membership", () => {
+  test("promotes a learner only when it has caught up", () => {
+    const group = Group.of(THREE);
+    const { raft } = group.node("e1");
+    group.change("e1", { kind: "add", member: memberNamed("e4") });
+    const promote = { kind: "promote", replica: idOf("e4") } as const;
+    expect(raft.changeMembership(promote, group.now).val).toMatchObject({
+      kind: "conflict",
+      outcome: "not run",
+    });
+    group.start("e4", { hardState: { term: 0 }, entries: [] });
+    group.advance(1_000);
+    group.change("e1", promote);
+    expect(raft.membership.members.map((m) => m.standing)).toEqual(
+      Array(4).fill("voter"),
+    );
+  });
+
+  test("allows one change at a time", () => {
+    const group = Group.of(THREE);
+    const { raft } = group.node("e1");
+    group.lost = () => true;
+    group.change("e1", { kind: "add", member: memberNamed("e4") });
+    const next = { kind: "remove", replica: idOf("e3") } as const;
+    expect(raft.changeMembership(next, group.now).val).toMatchObject({
+      kind: "conflict",
+    });
+  });
+
+  test("a removed replica does not disturb the others", () => {
+    const group = Group.of(THREE);
+    group.change("e1", { kind: "remove", replica: idOf("e3") });
+    const { term } = group.node("e1").raft.status;
+    group.advance(20_000);
+    expect(group.leaders).toEqual(["e1"]);
+    expect(group.node("e1").raft.status.term).toBe(term);
+  });
+
+  test("a leader that removes itself hands over", () => {
+    const group = Group.of(THREE);
+    group.change("e1", { kind: "remove", replica: idOf("e1") });
+    group.advance(100);
+    expect(group.leaders).toHaveLength(1);
+    expect(group.leaders).not.toContain("e1");
+  });
+});
+
+describe("leadership transfer", () => {
+  test("moves the leadership at once and keeps the commands", () => {
+    const group = Group.of(THREE);
+    group.propose("e1", "a");
+    group.node("e1").raft.transferLeadership(idOf("e2"), group.now).unwrap();
+    group.settle();
+    expect(group.leaders).toEqual(["e2"]);
+    group.propose("e2", "b");
+    expect(group.node("e2").applied).toEqual(["a", "b"]);
+  });
+
+  test("to a silent voter ends after an election timeout", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e2");
+    const { raft } = group.node("e1");
+    raft.transferLeadership(idOf("e2"), group.now).unwrap();
+    expect(raft.propose(["a"], group.now).ok).toBe(false);
+    group.advance(1_500);
+    expect(raft.propose(["a"], group.now).ok).toBe(true);
+  });
+});
+
+describe("read index", () => {
+  test("answers with the commit index after a round of heartbeats", () => {
+    const group = Group.of(THREE);
+    group.propose("e1", "a");
+    const { raft, reads } = group.node("e1");
+    raft.readIndex("r1", group.now).unwrap();
+    expect(reads).toEqual([]);
+    group.settle();
+    expect(reads).toEqual([{ context: "r1", index: raft.status.commit }]);
+  });
+
+  test("is lost with the leadership", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e1");
+    const { raft, reads, lostReads } = group.node("e1");
+    raft.readIndex("r1", group.now).unwrap();
+    group.advance(2_000);
+    expect(reads).toEqual([]);
+    expect(lostReads).toEqual(["r1"]);
+  });
+});
