--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./machine.ts";
 export * from "./membership/mod.ts";
 export * from "./names.ts";
+export * from "./raft/mod.ts";
 export * from "./result.ts";
 export * from "./rules.ts";
 export * from "./schema_keys.ts";
