--- a/packages/core/src/membership/lease_table.ts
+++ b/packages/core/src/membership/lease_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Force } from "../admin_api.ts";
 import type { Renewal } from "./renewal.ts";
 
 /** Durations in milliseconds. */
@@ -28,12 +29,6 @@
   stopping: boolean;
 }
 
-/** Whether a revision is in force, and the entries that it waits for. */
-export interface Force {
-  inForce: boolean;
-  waiting: string[];
-}
-
 export class LeaseTable {
   readonly #terms: LeaseTerms;
   /** Leases granted by an earlier leader have surely run out at this time. */
@@ -75,7 +70,7 @@
   }
 
   /** Whether each process that may hold a lease runs the revision or a later one. */
-  force(revision: number, now: number): Force {
+  force(revision: number, now: number): Omit<Force, "revision"> {
     const waiting = this.records()
       .filter((record) =>
         this.isLive(record, now) && record.revision < revision
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -6,15 +6,16 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   type Command,
+  ConfigurationChange,
+  Err,
   type Fault,
   fault,
-  Inventory,
   Ok,
   parse,
   parseJson,
   type Result,
-  Rules,
   type Settings,
+  Settlement,
   validate,
   VmReason,
 } from "@quetzalcove/core";
@@ -48,18 +49,13 @@
   transfer: (entry: string) => Promise<Result<unknown, Fault>>;
 }
 
-const Change = z.strictObject({
-  change: z.string().min(1).max(128),
-  base: z.number().int().nonnegative(),
-  inventory: Inventory,
-  rules: Rules,
-});
 const DrainOrder = z.strictObject({ reason: VmReason.default("operator") });
-const Settlement = z.strictObject({ key: z.string(), outcome: z.enum(["ran", "not run"]) });
 const EntryName = z.strictObject({ entry: z.string() });
 const ReplicaName = z.strictObject({ replica: z.string() });
 const VmRows = z.object({
-  vms: z.array(z.looseObject({ name: z.string(), phase: z.string(), reason: z.string() })),
+  vms: z.array(
+    z.looseObject({ name: z.string(), phase: z.string(), reason: z.string() }),
+  ),
 });
 
 /** Longest wait for the leader, in milliseconds. */
@@ -72,7 +68,9 @@
   readonly #parts: AdminParts;
   readonly #router = findMyWay({
     defaultRoute: (request, response) => {
-      const reply = problemReply(fault("not_found", `No route for ${request.method} ${request.url}`));
+      const reply = problemReply(
+        fault("not_found", `No route for ${request.method} ${request.url}`),
+      );
       writeReply(request as IncomingMessage, response as ServerResponse, reply);
     },
   });
@@ -96,10 +94,16 @@
     this.#get("/v1/services", () => this.#read({ what: "services" }));
     this.#get("/v1/replicas", () => this.#read({ what: "replicas" }));
     this.#get("/v1/force", (_, query) => {
-      return this.#read({ what: "force", revision: Number(query.get("revision") ?? 0) });
+      return this.#read({
+        what: "force",
+        revision: Number(query.get("revision") ?? 0),
+      });
     });
     this.#get("/v1/requests", (_, query) => {
-      return this.#read({ what: "requests", phase: query.get("phase") ?? undefined });
+      return this.#read({
+        what: "requests",
+        phase: query.get("phase") ?? undefined,
+      });
     });
     this.#get("/v1/traces/:id", async (params) => {
       return Ok({ spans: await this.#parts.findTrace(params["id"] ?? "") });
@@ -107,29 +111,63 @@
   }
 
   #registerChanges(): void {
-    this.#post("/v1/configuration", Change, (change) => this.#configure(change));
+    this.#post(
+      "/v1/configuration",
+      Change,
+      (change) => this.#configure(change),
+    );
     this.#post("/v1/vms/:name/drain", DrainOrder, (order, params) => {
-      return this.#changePhase(params["name"] ?? "", ["serving"], "draining", order.reason);
+      return this.#changePhase(
+        params["name"] ?? "",
+        ["serving"],
+        "draining",
+        order.reason,
+      );
     });
     this.#post("/v1/vms/:name/resume", DrainOrder, (_, params) => {
-      return this.#changePhase(params["name"] ?? "", ["draining", "drained"], "serving", "none");
+      return this.#changePhase(
+        params["name"] ?? "",
+        ["draining", "drained"],
+        "serving",
+        "none",
+      );
     });
     this.#post("/v1/requests/settle", Settlement, (settlement) => {
       return this.#propose({ kind: "ledger.settle", ...settlement, at: 0 });
     });
     const { replicas } = this.#parts;
     this.#post("/v1/init", z.object({}), () => replicas.init());
-    this.#post("/v1/replicas/add", EntryName, ({ entry }) => replicas.add(entry));
-    this.#post("/v1/replicas/remove", ReplicaName, ({ replica }) => replicas.remove(replica));
-    this.#post("/v1/replicas/transfer", EntryName, ({ entry }) => replicas.transfer(entry));
+    this.#post(
+      "/v1/replicas/add",
+      EntryName,
+      ({ entry }) => replicas.add(entry),
+    );
+    this.#post(
+      "/v1/replicas/remove",
+      ReplicaName,
+      ({ replica }) => replicas.remove(replica),
+    );
+    this.#post(
+      "/v1/replicas/transfer",
+      EntryName,
+      ({ entry }) => replicas.transfer(entry),
+    );
   }
 
   #registerChecks(): void {
     this.#router.get("/healthz", (request, response) => {
-      writeReply(request as IncomingMessage, response as ServerResponse, this.#parts.health());
+      writeReply(
+        request as IncomingMessage,
+        response as ServerResponse,
+        this.#parts.health(),
+      );
     });
     this.#router.get("/readyz", (request, response) => {
-      writeReply(request as IncomingMessage, response as ServerResponse, this.#parts.ready());
+      writeReply(
+        request as IncomingMessage,
+        response as ServerResponse,
+        this.#parts.ready(),
+      );
     });
     this.#router.get("/metrics", (_request, response) => {
       response.setHeader("content-type", "text/plain; version=0.0.4");
@@ -137,11 +175,18 @@
     });
   }
 
-  #get(route: string, answer: (params: Params, query: URLSearchParams) => Answer): void {
+  #get(
+    route: string,
+    answer: (params: Params, query: URLSearchParams) => Answer,
+  ): void {
     this.#router.get(route, async (request, response, params) => {
       const query = new URL(request.url ?? "/", "http://admin").searchParams;
       const result = await answer(params, query);
-      writeReply(request as IncomingMessage, response as ServerResponse, replyOf(result));
+      writeReply(
+        request as IncomingMessage,
+        response as ServerResponse,
+        replyOf(result),
+      );
     });
   }
 
@@ -153,7 +198,11 @@
     this.#router.post(route, async (request, response, params) => {
       const body = await this.#body(request as IncomingMessage, schema);
       const result = body.ok ? await answer(body.val, params) : body;
-      writeReply(request as IncomingMessage, response as ServerResponse, replyOf(result));
+      writeReply(
+        request as IncomingMessage,
+        response as ServerResponse,
+        replyOf(result),
+      );
     });
   }
 
@@ -161,9 +210,14 @@
     request: IncomingMessage,
     schema: T,
   ): Promise<Result<z.output<T>, Fault>> {
-    const bytes = await readBody(request, this.#parts.settings.limits.maxAdminBytes);
+    const bytes = await readBody(
+      request,
+      this.#parts.settings.limits.maxAdminBytes,
+    );
     return bytes
-      .andThen((read) => parseJson(read.length === 0 ? "{}" : read.toString("utf8"), "body"))
+      .andThen((read) =>
+        parseJson(read.length === 0 ? "{}" : read.toString("utf8"), "body")
+      )
       .andThen((value) => parse(schema, value, "body"));
   }
 
@@ -178,12 +232,19 @@
   async #status(): Answer {
     const { cluster, entry, zone } = this.#parts.settings;
     const status = await this.#read({ what: "status" });
-    return status.map((value) => ({ cluster, entry, zone, ...(value as object) }));
+    return status.map((value) => ({
+      cluster,
+      entry,
+      zone,
+      ...(value as object),
+    }));
   }
 
-  async #configure(change: z.output<typeof Change>): Answer {
+  async #configure(change: ConfigurationChange): Answer {
     const valid = validate(change.inventory, change.rules);
-    return valid.err ? valid : await this.#propose({ kind: "configure", ...change, at: 0 });
+    return valid.err
+      ? valid
+      : await this.#propose({ kind: "configure", ...change, at: 0 });
   }
 
   async #changePhase(
@@ -192,19 +253,33 @@
     to: "draining" | "serving",
     reason: VmReason,
   ): Answer {
-    const rows = (await this.#read({ what: "vms" })).andThen((rows) => parse(VmRows, rows, "vms"));
+    const rows = (await this.#read({ what: "vms" })).andThen((rows) =>
+      parse(VmRows, rows, "vms")
+    );
     if (rows.err) {
       return rows;
     }
     const vm = rows.val.vms.find((row) => row.name === name);
     if (vm === undefined) {
-      return refused(fault("not_found", `VM "${name}" is in no inventory`));
+      return Err(fault("not_found", `VM "${name}" is in no inventory`));
     }
     if (!from.includes(vm.phase)) {
-      return refused(fault("conflict", `VM "${name}" is ${vm.phase}; this needs ${from.join(" or ")}`));
+      return Err(
+        fault(
+          "conflict",
+          `VM "${name}" is ${vm.phase}; this needs ${from.join(" or ")}`,
+        ),
+      );
     }
     const phase = vm.phase as "serving" | "draining" | "drained";
-    return await this.#propose({ kind: "vm.phase", vm: name, from: phase, to, reason, at: 0 });
+    return await this.#propose({
+      kind: "vm.phase",
+      vm: name,
+      from: phase,
+      to,
+      reason,
+      at: 0,
+    });
   }
 }
 
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -12,7 +12,10 @@
 const REPLAYED_HEADER = "x-quetzalcove-replayed";
 
 /** The reply that carries a target's answer. */
-export function answerReply(answer: WholeAnswer, trace: string | undefined): HttpReply {
+export function answerReply(
+  answer: WholeAnswer,
+  trace: string | undefined,
+): HttpReply {
   return {
     status: answer.status,
     headers: {
@@ -26,7 +29,10 @@
 }
 
 /** What the ledger keeps of an answer; the body only up to the configured size. */
-export function storedAnswer(answer: WholeAnswer, bounds: Settings["ledger"]): Answer {
+export function storedAnswer(
+  answer: WholeAnswer,
+  bounds: Settings["ledger"],
+): Answer {
   const whole = answer.body.length <= bounds.maxStoredAnswerBytes;
   return {
     status: answer.status,
@@ -44,7 +50,10 @@
 export function replayReply(answer: Answer): HttpReply {
   if (answer.body === undefined && answer.bytes > 0) {
     const body = Buffer.from(
-      JSON.stringify({ title: "done", detail: `The answer of ${answer.bytes} bytes is not kept` }),
+      JSON.stringify({
+        title: "done",
+        detail: `The answer of ${answer.bytes} bytes is not kept`,
+      }),
     );
     return {
       status: 410,
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -43,11 +43,16 @@
   parent: Context,
 ): Promise<AttemptEnd> {
   return parts.tracing.within("target", parent, async (context, span) => {
-    const target = parts.membership.targets().find((known) => known.target === job.target);
+    const target = parts.membership.targets().find((known) =>
+      known.target === job.target
+    );
     if (target === undefined) {
       return gone(job.target);
     }
-    span.setAttributes({ "quetzalcove.target": target.target, "quetzalcove.vm": target.vm });
+    span.setAttributes({
+      "quetzalcove.target": target.target,
+      "quetzalcove.vm": target.vm,
+    });
     const end = endOf(await send(parts, { ...job, target }, context));
     note(span, end);
     return end;
@@ -55,8 +60,10 @@
 }
 
 function gone(target: string): AttemptEnd {
-  const cause = fault("no_target", `Target "${target}" is gone`, { outcome: "not run" });
-  return { completion: "unsent", result: Err({ sent: false, fault: cause }) };
+  const cause = fault("no_target", `Target "${target}" is gone`, {
+    outcome: "not run",
+  });
+  return { completion: "reroute", result: Err({ sent: false, fault: cause }) };
 }
 
 async function send(
@@ -94,10 +101,18 @@
   treatment: Treatment,
 ): Result<void, Fault> {
   if (!membership.hasLease()) {
-    return Err(fault("no_lease", "The lease of this entry ran out", { outcome: "not run" }));
+    return Err(
+      fault("no_lease", "The lease of this entry ran out", {
+        outcome: "not run",
+      }),
+    );
   }
   if (!membership.view.admits(target.vm, treatment.service)) {
-    return Err(fault("no_target", `VM "${target.vm}" takes no new work`, { outcome: "not run" }));
+    return Err(
+      fault("no_target", `VM "${target.vm}" takes no new work`, {
+        outcome: "not run",
+      }),
+    );
   }
   return Ok.EMPTY;
 }
@@ -111,16 +126,24 @@
   }
   const { kind } = result.val.fault;
   const own = kind === "no_lease" || kind === "no_target";
-  return { completion: own ? "unsent" : "unreachable", result };
+  return { completion: own ? "reroute" : "unreachable", result };
 }
 
 /** A target that refuses says so with the outcome header; the request did not run there. */
 function endOfAnswer(answer: WholeAnswer): AttemptEnd {
   if (answer.status === 503 && answer.headers[OUTCOME_HEADER] === "not run") {
-    const cause = fault("overloaded", "The target refused the request", { outcome: "not run" });
-    return { completion: "refused", result: Err({ sent: false, fault: cause }) };
+    const cause = fault("overloaded", "The target refused the request", {
+      outcome: "not run",
+    });
+    return {
+      completion: "refused",
+      result: Err({ sent: false, fault: cause }),
+    };
   }
-  return { completion: answer.status >= 500 ? "failed" : "ok", result: Ok(answer) };
+  return {
+    completion: answer.status >= 500 ? "failed" : "ok",
+    result: Ok(answer),
+  };
 }
 
 function note(span: Span, end: AttemptEnd): void {
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { Completion, Dispatch, Router, Submission } from "@quetzalcove/core";
+import type {
+  Completion,
+  Dispatch,
+  Router,
+  Submission,
+} from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
 import type { Component } from "../lifecycle.ts";
 
@@ -45,7 +50,9 @@
 
   /** Reports how an attempt ended. */
   complete(id: string, completion: Completion): void {
-    this.#deliver(this.#router.complete(id, completion, this.#clock.monotonic()));
+    this.#deliver(
+      this.#router.complete(id, completion, this.#clock.monotonic()),
+    );
   }
 
   /** Takes a request back whose caller is gone. */
@@ -79,7 +86,10 @@
     const at = this.#router.nextWakeup();
     if (Number.isFinite(at)) {
       const delayMs = Math.max(1, Math.ceil(at - this.#clock.monotonic()));
-      this.#timer = setTimeout(() => this.drive((router, now) => router.expire(now)), delayMs);
+      this.#timer = setTimeout(
+        () => this.drive((router, now) => router.expire(now)),
+        delayMs,
+      );
     }
   }
 }
--- a/packages/daemon/src/entry/front.ts
+++ b/packages/daemon/src/entry/front.ts
@@ -48,7 +48,11 @@
   readonly #parts: FrontParts;
   readonly #router = findMyWay({
     defaultRoute: (request, response) => {
-      writeReply(request as IncomingMessage, response as ServerResponse, problemReply(noRoute()));
+      writeReply(
+        request as IncomingMessage,
+        response as ServerResponse,
+        problemReply(noRoute()),
+      );
     },
   });
   #bufferedBytes = 0;
@@ -57,15 +61,26 @@
   constructor(parts: FrontParts) {
     this.#parts = parts;
     this.#router.get(`${SYSTEM_PREFIX}healthz`, (request, response) => {
-      writeReply(request as IncomingMessage, response as ServerResponse, this.health());
+      writeReply(
+        request as IncomingMessage,
+        response as ServerResponse,
+        this.health(),
+      );
     });
     this.#router.post(`${SYSTEM_PREFIX}announce`, (request, response) => {
-      void this.#announce(request as IncomingMessage, response as ServerResponse);
+      void this.#announce(
+        request as IncomingMessage,
+        response as ServerResponse,
+      );
     });
     for (const route of ["/:service", "/:service/*"]) {
       this.#router.all(route, (request, response, params) => {
         const service = params["service"] ?? "";
-        void this.#serve(request as IncomingMessage, response as ServerResponse, service);
+        void this.#serve(
+          request as IncomingMessage,
+          response as ServerResponse,
+          service,
+        );
       });
     }
   }
@@ -84,7 +99,11 @@
   health(): HttpReply {
     return this.#parts.membership.mayServe()
       ? jsonReply({ serving: true })
-      : problemReply(fault("no_lease", "This entry takes no new work", { outcome: "not run" }));
+      : problemReply(
+        fault("no_lease", "This entry takes no new work", {
+          outcome: "not run",
+        }),
+      );
   }
 
   async #serve(
@@ -96,7 +115,10 @@
     const startedAt = clock.monotonic();
     const parent = extractContext(request.headers);
     const { span, context } = tracing.span("entry", parent, SpanKind.SERVER);
-    span.setAttributes({ "quetzalcove.service": service, "http.request.method": request.method });
+    span.setAttributes({
+      "quetzalcove.service": service,
+      "http.request.method": request.method,
+    });
     this.#inProgress += 1;
     const incoming = await this.#read(request, response, service);
     const reply = incoming.ok
@@ -106,9 +128,13 @@
     this.#inProgress -= 1;
     span.setAttribute("http.response.status_code", reply.status);
     span.end();
-    metrics.observe("quetzalcove_request_seconds", clock.monotonic() - startedAt, {
-      status: String(reply.status),
-    });
+    metrics.observe(
+      "quetzalcove_request_seconds",
+      clock.monotonic() - startedAt,
+      {
+        status: String(reply.status),
+      },
+    );
     writeReply(request, response, reply);
   }
 
@@ -119,10 +145,15 @@
   ): Promise<Result<IncomingRequest, Fault>> {
     const { forward } = this.#parts.settings;
     if (this.#bufferedBytes >= forward.maxBufferedBytes) {
-      return Err(fault("overloaded", "Too many bytes wait here", { outcome: "not run" }));
+      return Err(
+        fault("overloaded", "Too many bytes wait here", { outcome: "not run" }),
+      );
     }
     const rule = this.#parts.membership.view.service(service);
-    const body = await readBody(request, rule?.maxRequestBytes ?? forward.maxRequestBytes);
+    const body = await readBody(
+      request,
+      rule?.maxRequestBytes ?? forward.maxRequestBytes,
+    );
     if (body.err) {
       return body;
     }
@@ -140,7 +171,10 @@
     });
   }
 
-  async #announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #announce(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const body = await readBody(request, MAX_ANNOUNCEMENT_BYTES);
     const announcement = body
       .andThen((bytes) => parseJson(bytes.toString("utf8"), "announcement"))
@@ -154,16 +188,28 @@
   /** Leaving is acknowledged only when the leader holds it, so that the target may rely on the answer. */
   async #accept(announcement: Announcement): Promise<HttpReply> {
     const { membership, clock, settings } = this.#parts;
-    const changed = membership.registry.announce(announcement, clock.monotonic());
+    const changed = membership.registry.announce(
+      announcement,
+      clock.monotonic(),
+    );
     const version = membership.registry.version;
     if (changed) {
-      await this.#report(version, announcement.condition === "leaving" ? LEAVING_ROUNDS : 0);
+      await this.#report(
+        version,
+        announcement.condition === "leaving" ? LEAVING_ROUNDS : 0,
+      );
     }
-    if (announcement.condition === "leaving" && !membership.hasReported(version)) {
+    if (
+      announcement.condition === "leaving" && !membership.hasReported(version)
+    ) {
       return problemReply(
-        fault("no_leader", "The leader does not know yet that this target is leaving", {
-          retryAfterMs: settings.targets.announceEveryMs,
-        }),
+        fault(
+          "no_leader",
+          "The leader does not know yet that this target is leaving",
+          {
+            retryAfterMs: settings.targets.announceEveryMs,
+          },
+        ),
       );
     }
     return jsonReply({ announceEveryMs: settings.targets.announceEveryMs });
@@ -172,7 +218,11 @@
   async #report(version: number, rounds: number): Promise<void> {
     const { membership } = this.#parts;
     const first = membership.renew();
-    for (let round = 0; round < rounds && !membership.hasReported(version); round++) {
+    for (
+      let round = 0;
+      round < rounds && !membership.hasReported(version);
+      round++
+    ) {
       await (round === 0 ? first : membership.renew());
     }
   }
--- a/packages/daemon/src/entry/ledger_client.ts
+++ b/packages/daemon/src/entry/ledger_client.ts
@@ -53,28 +53,47 @@
   /** Records the answer of an attempt. */
   finish(claim: Claim, answer: Answer): Promise<Result<LedgerOutput, Fault>> {
     const { key, attempt } = claim;
-    return this.#propose({ kind: "ledger.finish", key, attempt, answer, at: 0 }, RECORD_MS);
+    return this.#propose(
+      { kind: "ledger.finish", key, attempt, answer, at: 0 },
+      RECORD_MS,
+    );
   }
 
   /** Gives back an attempt that surely did not run. */
   release(claim: Claim): Promise<Result<LedgerOutput, Fault>> {
     const { key, attempt } = claim;
-    return this.#propose({ kind: "ledger.release", key, attempt, at: 0 }, GIVE_BACK_MS);
+    return this.#propose(
+      { kind: "ledger.release", key, attempt, at: 0 },
+      GIVE_BACK_MS,
+    );
   }
 
   /** Records that the outcome of an attempt is unknown. */
   lose(claim: Claim): Promise<Result<LedgerOutput, Fault>> {
     const { key, attempt } = claim;
-    return this.#propose({ kind: "ledger.lose", key, attempt, at: 0 }, RECORD_MS);
+    return this.#propose(
+      { kind: "ledger.lose", key, attempt, at: 0 },
+      RECORD_MS,
+    );
   }
 
   /** What the ledger holds for a key. */
-  async holding(key: string, timeoutMs: number): Promise<Result<z.infer<typeof Holding>, Fault>> {
-    const answer = await this.#leader.call("read", { what: "holding", key }, timeoutMs);
+  async holding(
+    key: string,
+    timeoutMs: number,
+  ): Promise<Result<z.infer<typeof Holding>, Fault>> {
+    const answer = await this.#leader.call(
+      "read",
+      { what: "holding", key },
+      timeoutMs,
+    );
     return answer.andThen((value) => parse(Holding, value, "holding"));
   }
 
-  async #propose(command: LedgerCommand, timeoutMs: number): Promise<Result<LedgerOutput, Fault>> {
+  async #propose(
+    command: LedgerCommand,
+    timeoutMs: number,
+  ): Promise<Result<LedgerOutput, Fault>> {
     const answer = await this.#leader.call("propose", command, timeoutMs);
     if (answer.err) {
       return answer;
--- a/packages/daemon/src/entry/request.ts
+++ b/packages/daemon/src/entry/request.ts
@@ -51,17 +51,29 @@
   request: IncomingRequest,
   service: Service,
 ): Result<Treatment, Fault> {
-  const priority = Priority.safeParse(request.headers[PRIORITY_HEADER] ?? service.priority);
+  const priority = Priority.safeParse(
+    request.headers[PRIORITY_HEADER] ?? service.priority,
+  );
   if (!priority.success) {
     return Err(invalidHeader(PRIORITY_HEADER, "urgent, live or overnight"));
   }
   const asked = Number(request.headers[DEADLINE_HEADER] ?? service.deadlineMs);
   if (!DurationMs.safeParse(asked).success || asked === 0) {
-    return Err(invalidHeader(DEADLINE_HEADER, "a whole number of milliseconds above 0"));
+    return Err(
+      invalidHeader(DEADLINE_HEADER, "a whole number of milliseconds above 0"),
+    );
   }
   const key = request.headers[KEY_HEADER];
-  if (Array.isArray(key) || (key !== undefined && (key === "" || key.length > MAX_KEY_LENGTH))) {
-    return Err(invalidHeader(KEY_HEADER, `one value of 1 to ${MAX_KEY_LENGTH} characters`));
+  if (
+    Array.isArray(key) ||
+    (key !== undefined && (key === "" || key.length > MAX_KEY_LENGTH))
+  ) {
+    return Err(
+      invalidHeader(
+        KEY_HEADER,
+        `one value of 1 to ${MAX_KEY_LENGTH} characters`,
+      ),
+    );
   }
   const repeatable = (service.repeatable as string[]).includes(request.method);
   return Ok({
@@ -69,7 +81,9 @@
     priority: priority.data,
     deadlineMs: Math.min(asked, service.deadlineMs),
     repeatable,
-    key: repeatable || key === undefined ? undefined : `${callerOf(request)}/${key}`,
+    key: repeatable || key === undefined
+      ? undefined
+      : `${callerOf(request)}/${key}`,
   });
 }
 
--- a/packages/daemon/src/entry/request_path.ts
+++ b/packages/daemon/src/entry/request_path.ts
@@ -22,7 +22,12 @@
 import { type AttemptEnd, type AttemptParts, runAttempt } from "./attempt.ts";
 import type { Dispatcher, Turn } from "./dispatcher.ts";
 import type { Claim, LedgerClient } from "./ledger_client.ts";
-import { digestOf, type IncomingRequest, type Treatment, treatmentOf } from "./request.ts";
+import {
+  digestOf,
+  type IncomingRequest,
+  type Treatment,
+  treatmentOf,
+} from "./request.ts";
 import type { Usage } from "./usage.ts";
 
 /** What the request path needs. */
@@ -110,9 +115,13 @@
   /** A request that still waits when its caller goes away is taken back; it did not run. */
   #watchCaller({ request }: Journey): void {
     const { dispatcher } = this.#parts;
-    request.callerGone.addEventListener("abort", () => dispatcher.cancel(request.id), {
-      once: true,
-    });
+    request.callerGone.addEventListener(
+      "abort",
+      () => dispatcher.cancel(request.id),
+      {
+        once: true,
+      },
+    );
   }
 
   #claimOf(request: IncomingRequest, treatment: Treatment): Claim | undefined {
@@ -140,9 +149,16 @@
   }
 
   /** Takes the attempt in the ledger before the request is sent. */
-  async #attemptOnce(journey: Journey, claim: Claim, target: string): Promise<HttpReply> {
+  async #attemptOnce(
+    journey: Journey,
+    claim: Claim,
+    target: string,
+  ): Promise<HttpReply> {
     const { tracing, ledger, dispatcher, clock } = this.#parts;
-    const timeoutMs = Math.min(LEDGER_TIMEOUT_MS, journey.deadline - clock.monotonic());
+    const timeoutMs = Math.min(
+      LEDGER_TIMEOUT_MS,
+      journey.deadline - clock.monotonic(),
+    );
     const begun = await tracing.within(
       "ledger",
       journey.context,
@@ -162,7 +178,11 @@
     }
     void this.#giveBack(claim);
     // An earlier request under the same key may have run; only this one surely did not.
-    return problemReply({ ...cause, outcome: "unknown", retryAfterMs: RUNNING_RETRY_MS });
+    return problemReply({
+      ...cause,
+      outcome: "unknown",
+      retryAfterMs: RUNNING_RETRY_MS,
+    });
   }
 
   async #giveBack(claim: Claim): Promise<void> {
@@ -180,7 +200,11 @@
     const { dispatcher } = this.#parts;
     const { request, treatment } = journey;
     const next = dispatcher.next(request.id);
-    const running = runAttempt(this.#parts, { request, treatment, target }, journey.context);
+    const running = runAttempt(
+      this.#parts,
+      { request, treatment, target },
+      journey.context,
+    );
     const first = await Promise.race([running, next]);
     if ("kind" in first) {
       void running.then((end) => this.#settleLate(journey, end));
@@ -189,7 +213,11 @@
     return await this.#settle(journey, first, next);
   }
 
-  async #settle(journey: Journey, end: AttemptEnd, next: Promise<Turn>): Promise<HttpReply> {
+  async #settle(
+    journey: Journey,
+    end: AttemptEnd,
+    next: Promise<Turn>,
+  ): Promise<HttpReply> {
     const { dispatcher } = this.#parts;
     const { id } = journey.request;
     if (end.completion === "ok") {
@@ -219,7 +247,10 @@
     if (end.result.ok) {
       const answer = end.result.val;
       if (claim !== undefined) {
-        await this.#record(claim, storedAnswer(answer, this.#parts.settings.ledger));
+        await this.#record(
+          claim,
+          storedAnswer(answer, this.#parts.settings.ledger),
+        );
       }
       return answerReply(answer, traceIdOf(journey.context));
     }
@@ -231,12 +262,17 @@
       void this.#parts.ledger.lose(claim);
     }
     const outcome: Outcome = "unknown";
-    return problemReply({ ...cause, outcome, ...(treatment.repeatable && { retryAfterMs: 0 }) });
+    return problemReply({
+      ...cause,
+      outcome,
+      ...(treatment.repeatable && { retryAfterMs: 0 }),
+    });
   }
 
   /** The answer is the truth, so it goes out even when the ledger could not record it. */
   async #record(claim: Claim, answer: Answer): Promise<void> {
-    const recorded: Result<LedgerOutput, Fault> = await this.#parts.ledger.finish(claim, answer);
+    const recorded: Result<LedgerOutput, Fault> = await this.#parts.ledger
+      .finish(claim, answer);
     if (recorded.err) {
       this.#parts.log.error("ledger.finish_failed", {
         key: claim.key,
@@ -253,7 +289,10 @@
       return;
     }
     if (end.result.ok) {
-      await this.#record(journey.claim, storedAnswer(end.result.val, this.#parts.settings.ledger));
+      await this.#record(
+        journey.claim,
+        storedAnswer(end.result.val, this.#parts.settings.ledger),
+      );
     } else if (end.result.val.sent) {
       await this.#parts.ledger.lose(journey.claim);
     } else {
@@ -262,8 +301,12 @@
   }
 
   #timedOut(journey: Journey, turn: Turn): HttpReply {
-    const cause = turn.kind === "timeout" ? turn.fault : fault("timeout", "No answer in time");
-    const outcome: Outcome = journey.claim === undefined ? "unknown" : "running";
+    const cause = turn.kind === "timeout"
+      ? turn.fault
+      : fault("timeout", "No answer in time");
+    const outcome: Outcome = journey.claim === undefined
+      ? "unknown"
+      : "running";
     return problemReply({ ...cause, outcome, retryAfterMs: RUNNING_RETRY_MS });
   }
 
@@ -279,17 +322,25 @@
     if (cause.kind !== "overloaded" && cause.kind !== "expired") {
       await this.#giveBack(claim);
     }
-    const holding = await this.#parts.ledger.holding(claim.key, LEDGER_TIMEOUT_MS);
+    const holding = await this.#parts.ledger.holding(
+      claim.key,
+      LEDGER_TIMEOUT_MS,
+    );
     if (holding.err) {
       return problemReply({ ...cause, outcome: "unknown" });
     }
     const { phase } = holding.val;
-    return problemReply({ ...cause, outcome: phase === "none" ? "not run" : phase });
+    return problemReply({
+      ...cause,
+      outcome: phase === "none" ? "not run" : phase,
+    });
   }
 }
 
 function refusalOf(turn: Exclude<Turn, { kind: "send" }>): Fault {
-  return turn.kind === "fail" ? fault("no_target", "No target took the request") : turn.fault;
+  return turn.kind === "fail"
+    ? fault("no_target", "No target took the request")
+    : turn.fault;
 }
 
 function heldReply(output: LedgerOutput): HttpReply {
@@ -305,10 +356,14 @@
     );
   }
   return problemReply(
-    fault("unknown_outcome", "A request with this key may have run; it is not run again", {
-      outcome: "unknown",
-      remedy: "The operator settles it with: quetzalcove settle",
-    }),
+    fault(
+      "unknown_outcome",
+      "A request with this key may have run; it is not run again",
+      {
+        outcome: "unknown",
+        remedy: "The operator settles it with: quetzalcove settle",
+      },
+    ),
   );
 }
 
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -10,12 +10,23 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type Address, Err, type Fault, fault, Ok, type Result, type Settings } from "@quetzalcove/core";
+import {
+  type Address,
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  type Result,
+  type Settings,
+} from "@quetzalcove/core";
 import type { Component } from "./lifecycle.ts";
 import { hostAndPort } from "./net.ts";
 import type { HttpReply } from "./problem.ts";
 
-export type Listener = (request: IncomingMessage, response: ServerResponse) => void;
+export type Listener = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
 
 /** What an HTTP server needs. */
 export interface HttpListener {
@@ -92,11 +103,15 @@
 }
 
 function tooLarge(maxBytes: number): Fault {
-  return fault("too_large", `The body is longer than ${maxBytes} bytes`, { outcome: "not run" });
+  return fault("too_large", `The body is longer than ${maxBytes} bytes`, {
+    outcome: "not run",
+  });
 }
 
 function truncated(): Fault {
-  return fault("invalid", "The body ended before its declared length", { outcome: "not run" });
+  return fault("invalid", "The body ended before its declared length", {
+    outcome: "not run",
+  });
 }
 
 /** Writes a reply. The connection is closed after a body that was not read to its end. */
--- a/packages/daemon/src/problem.ts
+++ b/packages/daemon/src/problem.ts
@@ -46,7 +46,10 @@
   const body = Buffer.from(`${JSON.stringify(value)}\n`);
   return {
     status,
-    headers: { "content-type": "application/json", "content-length": String(body.length) },
+    headers: {
+      "content-type": "application/json",
+      "content-length": String(body.length),
+    },
     body,
   };
 }
