--- /dev/null
+++ b/bench/src/scenarios.ts
@@ -0,0 +1,9 @@
+/**
+ * The registry of scenarios. Each scenario lives in its own module and is listed here once.
+ *
+ * @module
+ */
+import type { Scenario } from "./scenario.ts";
+
+/** Every scenario that the command knows, in the order in which `all` runs them. */
+export const SCENARIOS: readonly Scenario[] = [];
