--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./machine.ts";
 export * from "./names.ts";
 export * from "./result.ts";
+export * from "./routing/mod.ts";
 export * from "./rules.ts";
 export * from "./state.ts";
 export * from "./validate.ts";
--- /dev/null
+++ b/packages/core/src/routing/mod.ts
@@ -0,0 +1,23 @@
+/**
+ * Routing: the decisions of one entry about targets, slots, queues, deadlines, retries and ejection, and the
+ * leader's allotment of slots to entries.
+ *
+ * @module
+ */
+export type { Admission, Load } from "./admission.ts";
+export type { Allowance } from "./allowances.ts";
+export type { HeldDescription, PoolDescription } from "./description.ts";
+export { Router, type RouterSetup } from "./router.ts";
+export {
+  type SlotAccount,
+  SlotLedger,
+  type SlotLedgerSetup,
+} from "./slot_ledger.ts";
+export { SlotGrant, SlotNeed, SlotReport } from "./slot_report.ts";
+export type {
+  Completion,
+  Dispatch,
+  Route,
+  RoutedService,
+  Submission,
+} from "./submission.ts";
--- /dev/null
+++ b/packages/core/src/routing/refusals.ts
@@ -0,0 +1,95 @@
+/**
+ * The faults with which the router refuses or gives up, each with the time after which to come back.
+ *
+ * @module
+ */
+import { type Fault, fault } from "../fault.ts";
+import type { Pool } from "./pool.ts";
+import type { Dispatch } from "./submission.ts";
+import type { Pending } from "./waiting_line.ts";
+
+const NO_TARGET_RETRY_MS = 2_000;
+const NO_LEASE_RETRY_MS = 1_000;
+const MIN_RETRY_AFTER_MS = 1_000;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+/** Share by which times to come back are spread. */
+const RETRY_AFTER_SPREAD = 0.5;
+
+/** The present time and a source of random numbers in [0, 1). */
+export interface Moment {
+  now: number;
+  random: () => number;
+}
+
+/** The final answer to a request that waited: refused when it surely did not run, else the earlier failure. */
+export function giveUp(pending: Pending, fault: Fault): Dispatch {
+  const { id, mayHaveRun } = pending;
+  return mayHaveRun === undefined
+    ? { kind: "refuse", id, fault }
+    : { kind: "fail", id, completion: mayHaveRun, mayHaveRun: true };
+}
+
+/** The fault for a service that no rule names. */
+export function unknownService(name: string): Fault {
+  return fault("unknown_service", `Service "${name}" does not exist`, {
+    outcome: "not run",
+  });
+}
+
+/** The fault for an entry whose lease has ended. */
+export function noLease(): Fault {
+  return fault("no_lease", "This entry has no lease from the leader", {
+    outcome: "not run",
+    retryAfterMs: NO_LEASE_RETRY_MS,
+  });
+}
+
+/** The fault for a service without a serving target. */
+export function noTarget(name: string): Fault {
+  return fault("no_target", `Service "${name}" has no serving target`, {
+    outcome: "not run",
+    retryAfterMs: NO_TARGET_RETRY_MS,
+  });
+}
+
+/** The fault for a request that the present load leaves no room for. */
+export function overloaded(pool: Pool, moment: Moment): Fault {
+  return fault(
+    "overloaded",
+    `Service "${pool.service.name}" has no free slot and ${pool.line.length} requests wait`,
+    { outcome: "not run", retryAfterMs: retryAfterMs(pool, moment) },
+  );
+}
+
+/** The fault for a request that cannot be answered by its deadline. */
+export function tooLate(pool: Pool, deadline: number, moment: Moment): Fault {
+  const leftMs = Math.max(0, Math.round(deadline - moment.now));
+  return fault(
+    "expired",
+    `Service "${pool.service.name}" cannot answer within the ${leftMs} ms left of the deadline`,
+    { outcome: "not run", retryAfterMs: retryAfterMs(pool, moment) },
+  );
+}
+
+/** The fault for a request whose target did not answer by the deadline. */
+export function timedOut(service: string, target: string): Fault {
+  return fault(
+    "timeout",
+    `Target "${target}" of service "${service}" did not answer by the deadline`,
+    { outcome: "unknown" },
+  );
+}
+
+/**
+ * When the queue has probably drained, stretched by how far the offered load is above the capacity and spread so
+ * that the callers do not come back together.
+ */
+function retryAfterMs(pool: Pool, { now, random }: Moment): number {
+  const slots = Math.max(1, pool.slots);
+  const drainMs = (pool.line.length + 1) * pool.run.meanMs / slots;
+  const excess = Math.max(1, pool.liveNeed(now) / slots);
+  const base = Math.max(MIN_RETRY_AFTER_MS, drainMs) * excess;
+  const spread = 1 + RETRY_AFTER_SPREAD * random();
+  return Math.round(Math.min(MAX_RETRY_AFTER_MS, base * spread));
+}
