--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./names.ts";
 export * from "./raft/mod.ts";
 export * from "./result.ts";
+export * from "./routing/mod.ts";
 export * from "./rules.ts";
 export * from "./schema_keys.ts";
 export * from "./settings.ts";
