--- a/packages/core/src/membership/mod.ts
+++ b/packages/core/src/membership/mod.ts
@@ -8,6 +8,7 @@
 export * from "./lease_table.ts";
 export * from "./registry.ts";
 export * from "./renewal.ts";
+export * from "./routes.ts";
 export * from "./target_copy.ts";
 export * from "./target_table.ts";
 export * from "./view.ts";
--- a/packages/core/src/membership/renewal.ts
+++ b/packages/core/src/membership/renewal.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { Announcement } from "../announcement.ts";
 import { Name } from "../names.ts";
+import { SlotGrant, SlotReport } from "../routing/mod.ts";
 import { deltaOf } from "./delta_map.ts";
 import { ViewDelta } from "./view.ts";
 
@@ -38,8 +39,10 @@
       failed: z.number().int(),
     }),
   ),
-  /** Consecutive failures of targets as this entry saw them. */
+  /** Targets that this entry has ejected. */
   unhealthy: z.array(z.string()),
+  /** Slots that the entry holds and needs. */
+  slots: SlotReport,
 });
 export type Renewal = z.infer<typeof Renewal>;
 
@@ -52,6 +55,8 @@
   targets: deltaOf(Announcement),
   /** Whether every entry that holds a lease has reported its targets to this leader. */
   targetsComplete: z.boolean(),
+  /** Slots granted to the entry; absent when its report was out of order. */
+  slots: SlotGrant.optional(),
   /** Version of the entry's announcements that the leader holds. */
   announcedVersion: z.number().int(),
 });
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -44,7 +44,6 @@
 /** Operations on the replicas; each answers a JSON value. */
 export interface ReplicaOperations {
   init: () => Promise<Result<unknown, Fault>>;
-  add: (entry: string) => Promise<Result<unknown, Fault>>;
   remove: (replica: string) => Promise<Result<unknown, Fault>>;
   transfer: (entry: string) => Promise<Result<unknown, Fault>>;
 }
@@ -113,7 +112,7 @@
   #registerChanges(): void {
     this.#post(
       "/v1/configuration",
-      Change,
+      ConfigurationChange,
       (change) => this.#configure(change),
     );
     this.#post("/v1/vms/:name/drain", DrainOrder, (order, params) => {
@@ -137,11 +136,6 @@
     });
     const { replicas } = this.#parts;
     this.#post("/v1/init", z.object({}), () => replicas.init());
-    this.#post(
-      "/v1/replicas/add",
-      EntryName,
-      ({ entry }) => replicas.add(entry),
-    );
     this.#post(
       "/v1/replicas/remove",
       ReplicaName,
--- a/packages/daemon/src/consensus/formation.ts
+++ b/packages/daemon/src/consensus/formation.ts
@@ -35,6 +35,9 @@
 const Applicant = Member.omit({ standing: true });
 const Description = z.object({ replica: z.string(), isFormed: z.boolean() });
 
+const ReplicaName = z.object({ replica: z.string() });
+const EntryName = z.object({ entry: z.string() });
+
 /** Interval of steps towards the configured replicas, in milliseconds. */
 const STEP_MS = 500;
 const CALL_MS = 1_000;
@@ -63,6 +66,8 @@
       ["join", (params) => Promise.resolve(this.#join(params))],
       ["describe_replica", () => Promise.resolve(Ok(this.#describe()))],
       ["init", () => this.init()],
+      ["remove_replica", (params) => Promise.resolve(this.#remove(params))],
+      ["transfer", (params) => Promise.resolve(this.#transfer(params))],
     ]);
   }
 
@@ -157,6 +162,18 @@
     log.debug("replica.join", { ok: answer.ok });
   }
 
+  #remove(params: unknown): Result<unknown, Fault> {
+    return parse(ReplicaName, params, "remove").andThen(({ replica }) => {
+      return this.#parts.replica.changeMembership({ kind: "remove", replica });
+    });
+  }
+
+  #transfer(params: unknown): Result<unknown, Fault> {
+    return parse(EntryName, params, "transfer").andThen(({ entry }) => {
+      return this.#parts.replica.transfer(entry);
+    });
+  }
+
   #join(params: unknown): Result<unknown, Fault> {
     const { replica, settings, log } = this.#parts;
     const { isLeader, leader } = replica.leadership();
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -17,6 +17,7 @@
 import { OUTCOME_HEADER } from "../problem.ts";
 import type { Failure, Forwarder, WholeAnswer } from "./forwarder.ts";
 import { singleHeaders } from "./headers.ts";
+import type { InFlight } from "./in_flight.ts";
 import type { MembershipTask } from "./membership_task.ts";
 import type { IncomingRequest, Treatment } from "./request.ts";
 
@@ -25,6 +26,7 @@
   membership: MembershipTask;
   forwarder: Forwarder;
   tracing: Tracing;
+  inFlight: InFlight;
 }
 
 /** The end of an attempt: what to tell the router, and the answer or the failure. */
@@ -53,7 +55,9 @@
       "quetzalcove.target": target.target,
       "quetzalcove.vm": target.vm,
     });
+    const leave = parts.inFlight.enter(target.vm);
     const end = endOf(await send(parts, { ...job, target }, context));
+    leave();
     note(span, end);
     return end;
   });
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import type {
-  Completion,
-  Dispatch,
-  Router,
-  Submission,
+import {
+  type Completion,
+  type Dispatch,
+  fault,
+  type Router,
+  type Submission,
 } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
 import type { Component } from "../lifecycle.ts";
@@ -19,12 +20,17 @@
   readonly name = "dispatcher";
   readonly #router: Router;
   readonly #clock: Clock;
+  readonly #afterDecision: () => void;
   readonly #waiting = new Map<string, (turn: Turn) => void>();
+  /** Requests whose attempt is under way. */
+  readonly #sent = new Set<string>();
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(router: Router, clock: Clock) {
+  /** `afterDecision` is called after each event that the router decided on. */
+  constructor(router: Router, clock: Clock, afterDecision: () => void) {
     this.#router = router;
     this.#clock = clock;
+    this.#afterDecision = afterDecision;
   }
 
   start(): Promise<void> {
@@ -48,16 +54,28 @@
     return new Promise((resolve) => this.#waiting.set(id, resolve));
   }
 
-  /** Reports how an attempt ended. */
-  complete(id: string, completion: Completion): void {
-    this.#deliver(
-      this.#router.complete(id, completion, this.#clock.monotonic()),
+  /** Reports how an attempt ended. Returns whether another decision on the request follows or was delivered. */
+  complete(id: string, completion: Completion): boolean {
+    this.#sent.delete(id);
+    const decisions = this.#router.complete(
+      id,
+      completion,
+      this.#clock.monotonic(),
     );
+    this.#deliver(decisions);
+    return decisions.some((decision) => decision.id === id);
   }
 
-  /** Takes a request back whose caller is gone. */
+  /** Takes a request back whose caller is gone. One that still waits ends here; one that was sent goes on. */
   cancel(id: string): void {
-    this.#deliver(this.#router.cancel(id, this.#clock.monotonic()));
+    const decisions = this.#router.cancel(id, this.#clock.monotonic());
+    if (!this.#sent.has(id)) {
+      const cause = fault("expired", "The caller went away", {
+        outcome: "not run",
+      });
+      this.#deliver([{ kind: "refuse", id, fault: cause }]);
+    }
+    this.#deliver(decisions);
   }
 
   /** Stops waiting for decisions on a request. */
@@ -72,12 +90,16 @@
 
   #deliver(decisions: readonly Dispatch[]): void {
     for (const decision of decisions) {
+      if (decision.kind === "send") {
+        this.#sent.add(decision.id);
+      }
       if (decision.kind !== "queue") {
         const resolve = this.#waiting.get(decision.id);
         this.#waiting.delete(decision.id);
         resolve?.(decision);
       }
     }
+    this.#afterDecision();
     this.#schedule();
   }
 
--- a/packages/daemon/src/entry/front.ts
+++ b/packages/daemon/src/entry/front.ts
@@ -97,7 +97,7 @@
 
   /** Tells the balancer whether this entry takes new work. */
   health(): HttpReply {
-    return this.#parts.membership.mayServe()
+    return this.#parts.membership.isHealthy()
       ? jsonReply({ serving: true })
       : problemReply(
         fault("no_lease", "This entry takes no new work", {
--- a/packages/daemon/src/entry/membership_task.ts
+++ b/packages/daemon/src/entry/membership_task.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  type Allowance,
   type Announcement,
   EntryLease,
   type Fault,
@@ -22,7 +23,10 @@
 import type { LeaderClient } from "./leader_client.ts";
 
 /** What an entry reports with each renewal. */
-export type Report = Pick<Renewal, "inFlight" | "usage" | "unhealthy">;
+export type Report = Pick<
+  Renewal,
+  "inFlight" | "usage" | "unhealthy" | "slots"
+>;
 
 /** What the membership task needs. */
 export interface MembershipParts {
@@ -30,10 +34,14 @@
   leader: LeaderClient;
   clock: Clock;
   log: Log;
+  /** Start of this process, as wall-clock time in milliseconds. */
+  incarnation: number;
   /** Collects the report of the requests in progress. */
-  report: (view: View) => Report;
+  report: (view: View, term: number) => Report;
   /** Called after the view or the table of targets changed. */
   onChange: () => void;
+  /** Called with the slots that a grant brought. */
+  onAllowance: (allowance: Allowance) => void;
 }
 
 /** Share of the lease after which a renewal without an answer is given up. */
@@ -51,12 +59,13 @@
   #acknowledged = 0;
   #renewal: Promise<void> | undefined;
   #again = false;
+  #noticed = false;
   #stopping = false;
 
   constructor(parts: MembershipParts) {
     this.#parts = parts;
     this.registry = new Registry(parts.settings.targets.expireMs);
-    this.#incarnation = Math.floor(parts.clock.wall());
+    this.#incarnation = parts.incarnation;
     this.#ticker = ticker(
       "renewals",
       parts.settings.lease.renewEveryMs,
@@ -94,6 +103,16 @@
     await this.#parts.leader.call("give_back", params, this.#timeoutMs());
   }
 
+  /** Whether the balancer may send callers here. */
+  isHealthy(): boolean {
+    return !this.#noticed && this.mayServe();
+  }
+
+  /** Fails the health check from now on, so that the balancer sends callers elsewhere. */
+  beginNotice(): void {
+    this.#noticed = true;
+  }
+
   /** Takes no more new work. */
   beginStop(): void {
     this.#stopping = true;
@@ -160,7 +179,7 @@
       tableVersion: this.#copy.version,
       announced: this.registry.since(this.#acknowledged),
       stopping: this.#stopping,
-      ...report(this.view),
+      ...report(this.view, this.#copy.term),
     };
   }
 
@@ -182,6 +201,7 @@
       return;
     }
     this.lease.extend(sentAt, grant.leaseMs);
+    this.#allow(grant, sentAt);
     if (this.registry.version > grant.announcedVersion) {
       this.#again = true;
     }
@@ -194,6 +214,14 @@
     }
   }
 
+  #allow(grant: Grant, sentAt: number): void {
+    if (grant.slots === undefined) {
+      this.#again = true;
+      return;
+    }
+    this.#parts.onAllowance({ ...grant.slots, until: sentAt + grant.leaseMs });
+  }
+
   #refused(answer: Result<unknown, Fault>): void {
     if (answer.ok) {
       return;
--- a/packages/daemon/src/entry/request_path.ts
+++ b/packages/daemon/src/entry/request_path.ts
@@ -224,23 +224,15 @@
       dispatcher.complete(id, "ok");
       return await this.#answer(journey, end);
     }
-    const turn = await this.#nextTurn(id, end, next);
-    if (turn.kind === "send") {
+    const turn = dispatcher.complete(id, end.completion)
+      ? await next
+      : undefined;
+    if (turn?.kind === "send") {
       return await this.#attempt(journey, turn.target);
     }
     return await this.#answer(journey, end);
   }
 
-  #nextTurn(id: string, end: AttemptEnd, next: Promise<Turn>): Promise<Turn> {
-    this.#parts.dispatcher.complete(id, end.completion);
-    const none = Promise.resolve().then((): Turn => ({
-      kind: "fail",
-      id,
-      completion: end.completion,
-    }));
-    return Promise.race([next, none]);
-  }
-
   /** Turns the end of the last attempt into the reply and records it. */
   async #answer(journey: Journey, end: AttemptEnd): Promise<HttpReply> {
     const { claim, treatment } = journey;
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -80,12 +80,7 @@
     }
     if (this.#tenure?.term !== term) {
       const { settings, clock, log } = this.#parts;
-      this.#tenure = new Tenure(
-        settings.entry,
-        term,
-        settings.lease,
-        clock.monotonic(),
-      );
+      this.#tenure = new Tenure(settings, term, clock.monotonic());
       log.info("leader.elected", { term });
     }
     this.#announceNews();
@@ -131,8 +126,7 @@
   #giveBack(params: unknown): Promise<Result<unknown, Fault>> {
     return Promise.resolve(
       parse(GiveBack, params, "give_back").map(({ entry, incarnation }) => {
-        this.#tenure?.targets.drop(entry, incarnation);
-        this.#tenure?.leases.giveBack(entry, incarnation);
+        this.#tenure?.giveBack(entry, incarnation);
         this.#announceNews();
         return {};
       }),
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Announcement,
+  attemptOf,
   type State,
   type VmRecord,
 } from "@quetzalcove/core";
@@ -20,6 +21,7 @@
   z.object({ what: z.literal("services") }),
   z.object({ what: z.literal("requests"), phase: z.string().optional() }),
   z.object({ what: z.literal("replicas") }),
+  z.object({ what: z.literal("holding"), key: z.string() }),
 ]);
 export type Query = z.infer<typeof Query>;
 
@@ -52,6 +54,10 @@
       return requests(sources.state, query.phase);
     case "replicas":
       return { replicas: sources.replicas };
+    case "holding":
+      return {
+        phase: attemptOf(sources.state.ledger, query.key)?.phase ?? "none",
+      };
   }
 }
 
--- a/packages/daemon/src/leader/tenure.ts
+++ b/packages/daemon/src/leader/tenure.ts
@@ -6,8 +6,10 @@
 import {
   type Grant,
   LeaseTable,
-  type LeaseTerms,
   type Renewal,
+  routesOf,
+  type Settings,
+  SlotLedger,
   type State,
   TargetTable,
   viewSince,
@@ -17,14 +19,22 @@
   readonly term: number;
   readonly leases: LeaseTable;
   readonly targets = new TargetTable();
-  readonly #terms: LeaseTerms;
-  readonly #entry: string;
+  readonly slots: SlotLedger;
+  readonly #settings: Settings;
+  #routedRevision = -1;
+  #routedTable = -1;
 
-  constructor(entry: string, term: number, terms: LeaseTerms, now: number) {
+  constructor(settings: Settings, term: number, now: number) {
+    const { durationMs, driftMarginMs } = settings.lease;
     this.term = term;
-    this.#entry = entry;
-    this.#terms = terms;
-    this.leases = new LeaseTable(terms, now);
+    this.#settings = settings;
+    this.leases = new LeaseTable(settings.lease, now);
+    this.slots = new SlotLedger({
+      epoch: term,
+      leaseMs: durationMs,
+      marginMs: driftMarginMs,
+      entries: entryNames(settings),
+    }, now);
   }
 
   /** Takes in an entry's report and grants its lease. */
@@ -47,18 +57,46 @@
       },
       now,
     );
+    this.#route(state, now);
     const known = renewal.tableTerm === this.term ? renewal.tableVersion : 0;
     return {
       term: this.term,
-      leader: this.#entry,
-      leaseMs: this.#terms.durationMs,
+      leader: this.#settings.entry,
+      leaseMs: this.#settings.lease.durationMs,
       view: viewSince(state, renewal.revision),
       targets: this.targets.since(known),
       targetsComplete: !this.leases.inherits(now),
       announcedVersion,
+      slots: this.slots.report(renewal.slots, now),
     };
   }
 
+  /** Takes an entry's lease and slots back when it stops. */
+  giveBack(entry: string, incarnation: number): void {
+    this.targets.drop(entry, incarnation);
+    this.leases.giveBack(entry, incarnation);
+    this.slots.release(entry, incarnation);
+  }
+
+  #route(state: State, now: number): void {
+    if (
+      this.#routedRevision === state.revision &&
+      this.#routedTable === this.targets.version
+    ) {
+      return;
+    }
+    this.#routedRevision = state.revision;
+    this.#routedTable = this.targets.version;
+    const services = new Map(
+      state.rules.services.map((service) => [service.name, service]),
+    );
+    const routes = routesOf(this.targets.targets(), {
+      service: (name) => services.get(name),
+      vm: (name) => state.vms[name],
+    });
+    this.slots.setTargets(routes, now);
+  }
+
   /** Drops the targets of entries whose lease has run out and forgets processes that surely ended. */
   expire(longestRequestMs: number, now: number): void {
     for (const record of this.leases.expired(now)) {
@@ -67,3 +105,8 @@
     this.leases.forget(longestRequestMs, now);
   }
 }
+
+function entryNames(settings: Settings): string[] {
+  const peers = settings.peers.map((peer) => peer.entry);
+  return peers.length === 0 ? [settings.entry] : peers;
+}
--- a/packages/daemon/src/link/link.ts
+++ b/packages/daemon/src/link/link.ts
@@ -30,6 +30,8 @@
   bounds: ConnectionBounds;
   now: () => number;
   log: Log;
+  /** Names this daemon and its cluster to the peer. */
+  hello: { cluster: string; entry: string };
 }
 
 /** Waits between attempts to connect, in milliseconds. */
@@ -115,6 +117,7 @@
     };
     this.#connection = connection;
     log.info("link.open", { peer });
+    void connection.request("hello", this.#target.hello, bounds.idleMs);
   }
 
   #retryLater(): void {
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,1 +1,7 @@
-export {};
+/**
+ * The daemon of quetzalcove.
+ *
+ * @module
+ */
+export { Daemon } from "./daemon.ts";
+export { main } from "./main.ts";
