--- /dev/null
+++ b/packages/cli/bin/quetzalcove.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "@quetzalcove/cli/main";
--- /dev/null
+++ b/packages/cli/src/admin_client.ts
@@ -0,0 +1,225 @@
+/**
+ * A client of the administration API that knows several addresses.
+ *
+ * @module
+ */
+import { fault, Ok, parse, Problem, type Result } from "@quetzalcove/core";
+import { Agent, request } from "undici";
+import type { z } from "zod";
+import { because, fail, type Failure, isLocal } from "./failure.ts";
+
+/** A call of the administration API. */
+export interface Call<T extends z.ZodType> {
+  method: "GET" | "POST";
+  path: string;
+  body?: unknown;
+  /** Schema of the answer. */
+  answer: T;
+  /** Whether the call may be sent again after its answer was lost. GET calls always may. */
+  idempotent?: boolean;
+  /** What the operator can do when it is not known whether the call was carried out. */
+  whenUncertain?: string;
+}
+
+/** How long a connection may take to open. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** How long a call may take once its connection is open. */
+const CALL_TIMEOUT_MS = 5_000;
+
+/** The largest answer that is read. */
+const MAX_ANSWER_BYTES = 67_108_864;
+
+/** What became of a call at one address. */
+type Attempt =
+  | { kind: "answered"; status: number; text: string }
+  | { kind: "not sent"; reason: string }
+  | { kind: "lost"; reason: string };
+
+export class AdminClient {
+  readonly addresses: readonly string[];
+  readonly #agent: Agent;
+
+  constructor(addresses: readonly string[]) {
+    this.addresses = addresses;
+    this.#agent = new Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      maxResponseSize: MAX_ANSWER_BYTES,
+      // A connection that is kept could have gone silent, so each call opens its own.
+      pipelining: 0,
+    });
+  }
+
+  /**
+   * Calls the first address that answers. The next address is tried when the connection was surely not made, when
+   * the answer says that the call was not carried out there, or when the call is idempotent.
+   */
+  async call<T extends z.ZodType>(
+    call: Call<T>,
+  ): Promise<Result<z.output<T>, Failure>> {
+    const repeatable = call.method === "GET" || call.idempotent === true;
+    const reasons: string[] = [];
+    let refusal: Result<z.output<T>, Failure> | undefined;
+    let lost = false;
+    for (const address of this.addresses) {
+      const attempt = await this.#attempt(address, call);
+      if (attempt.kind === "answered") {
+        const result = readAnswer(address, attempt, call);
+        if (!mayAskElsewhere(result, repeatable)) {
+          return result;
+        }
+        refusal = result;
+        continue;
+      }
+      reasons.push(`${address}: ${attempt.reason}`);
+      lost ||= attempt.kind === "lost" && call.method !== "GET";
+      if (lost && !repeatable) {
+        break;
+      }
+    }
+    if (lost) {
+      return uncertain(reasons, call.whenUncertain);
+    }
+    return refusal ?? unreachable(reasons);
+  }
+
+  async #attempt<T extends z.ZodType>(
+    address: string,
+    call: Call<T>,
+  ): Promise<Attempt> {
+    try {
+      const answer = await request(`http://${address}${call.path}`, {
+        method: call.method,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(CONNECT_TIMEOUT_MS + CALL_TIMEOUT_MS),
+        headers: { "content-type": "application/json" },
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+      });
+      const text = await answer.body.text();
+      return { kind: "answered", status: answer.statusCode, text };
+    } catch (error) {
+      return describeError(error as NodeJS.ErrnoException);
+    }
+  }
+
+  /** Ends every connection. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
+
+function describeError(error: NodeJS.ErrnoException): Attempt {
+  const code = error.code ?? error.name;
+  const reason = REASONS[code] ?? String(code);
+  const notSent = error.syscall === "connect" ||
+    code === "UND_ERR_CONNECT_TIMEOUT";
+  return { kind: notSent ? "not sent" : "lost", reason };
+}
+
+const REASONS: Record<string, string> = {
+  ECONNREFUSED: "connection refused",
+  ECONNRESET: "connection reset",
+  EHOSTUNREACH: "no route to host",
+  ENETUNREACH: "no route to network",
+  ETIMEDOUT: "timed out",
+  TimeoutError: "no answer in time",
+  "23": "no answer in time",
+  UND_ERR_CONNECT_TIMEOUT: "no connection in time",
+  UND_ERR_SOCKET: "connection closed before the answer was whole",
+  UND_ERR_RES_EXCEEDED_MAX_SIZE: "the answer is too large",
+};
+
+function uncertain(
+  reasons: readonly string[],
+  remedy: string | undefined,
+): Result<never, Failure> {
+  return fail(
+    "uncertain",
+    fault("unknown_outcome", `The answer was lost (${reasons.join("; ")})`, {
+      outcome: "unknown",
+      remedy,
+    }),
+  );
+}
+
+function unreachable(reasons: readonly string[]): Result<never, Failure> {
+  return fail(
+    "unreachable",
+    fault("unreachable", `No daemon answered (${reasons.join("; ")})`, {
+      outcome: "not run",
+      remedy: "Check --admin, and that quetzalcoved runs at these addresses",
+    }),
+  );
+}
+
+function mayAskElsewhere<T>(
+  result: Result<T, Failure>,
+  repeatable: boolean,
+): boolean {
+  if (result.ok) {
+    return false;
+  }
+  const { kind, outcome } = result.val.fault;
+  if (outcome === "unknown") {
+    return repeatable;
+  }
+  return isLocal(kind) && (repeatable || outcome === "not run");
+}
+
+const OK_STATUS = 200;
+const FIRST_ERROR_STATUS = 300;
+
+function readAnswer<T extends z.ZodType>(
+  address: string,
+  attempt: Extract<Attempt, { kind: "answered" }>,
+  call: Call<T>,
+): Result<z.output<T>, Failure> {
+  const { status, text } = attempt;
+  const value = decode(text);
+  // A change whose answer cannot be read may have been made.
+  const reason = call.method === "GET" ? "unreachable" : "uncertain";
+  if (status >= OK_STATUS && status < FIRST_ERROR_STATUS) {
+    return because(reason, parse(call.answer, value, `Answer of ${address}`));
+  }
+  const problem = Problem.safeParse(value);
+  if (problem.success) {
+    const cause = problem.data.fault;
+    const known = cause.outcome !== "unknown";
+    return fail(known ? "refused" : "uncertain", cause);
+  }
+  return fail(
+    reason,
+    fault("broken_answer", `${address} answered ${status} without a fault`, {
+      remedy: "Check that this is the admin address of a quetzalcoved",
+    }),
+  );
+}
+
+function decode(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads a comma-separated list of addresses. */
+export function parseAddresses(
+  text: string,
+): Result<string[], Failure> {
+  const addresses = text.split(",").map((part) => part.trim()).filter((part) =>
+    part !== ""
+  );
+  const wrong = addresses.find((address) => !ADMIN_ADDRESS.test(address));
+  if (wrong === undefined && addresses.length > 0) {
+    return Ok([...new Set(addresses)]);
+  }
+  return fail(
+    "usage",
+    fault("invalid", `"${wrong ?? text}" is not an address`, {
+      remedy: "Write host:port, for example 127.10.1.1:8081",
+    }),
+  );
+}
+
+const ADMIN_ADDRESS = /^([a-z0-9.-]+|\[[0-9a-f:]+\]):\d{1,5}$/i;
--- /dev/null
+++ b/packages/cli/src/arguments.ts
@@ -0,0 +1,115 @@
+/**
+ * Prepares a command line for `cac` and reads the options that it found.
+ *
+ * `cac` turns option values that look like numbers into numbers and lets a flag swallow the word after it, so a
+ * change id `007` or a key `0123` would be altered. Here each flag is written as `--flag=true` and each value gets
+ * a mark in front, which {@link unmark} takes off again.
+ *
+ * @module
+ */
+import { Err, nearest, Ok, type Result } from "@quetzalcove/core";
+import type { Option, Options } from "./command.ts";
+import { type Failure, usage } from "./failure.ts";
+
+const MARK = ":";
+
+/** Takes the mark off a value; it is the `type` of every option that has a value. */
+export function unmark(value: unknown): string {
+  return String(value).slice(MARK.length);
+}
+
+/** The long name of an option, for example `base` of `--base <version>`. */
+export function nameOf(option: Option): string {
+  return /--([a-z-]+)/.exec(option.flags)?.[1] ?? option.flags;
+}
+
+function takesValue(option: Option): boolean {
+  return option.flags.includes("<");
+}
+
+const SHORT_NAMES: Record<string, string> = { h: "help", v: "version" };
+
+/** Writes each option in the one form that `cac` does not alter. */
+export function normalize(
+  words: readonly string[],
+  options: readonly Option[],
+): Result<string[], Failure> {
+  const known = new Map(options.map((option) => [nameOf(option), option]));
+  const seen = new Set<string>();
+  const normal: string[] = [];
+  for (let index = 0; index < words.length; index++) {
+    const word = words[index] ?? "";
+    if (!word.startsWith("-") || word === "-") {
+      normal.push(word);
+      continue;
+    }
+    if (word === "--") {
+      return Ok([...normal, ...words.slice(index + 1)]);
+    }
+    const { name, value } = split(word);
+    const option = known.get(name);
+    if (option === undefined) {
+      return Err(unknownOption(word, known.keys()));
+    }
+    if (seen.has(name)) {
+      return Err(usage(`Option --${name} is given twice`));
+    }
+    seen.add(name);
+    if (!takesValue(option)) {
+      if (value !== undefined) {
+        return Err(usage(`Option --${name} takes no value`));
+      }
+      normal.push(`--${name}=true`);
+      continue;
+    }
+    const text = value ?? words[++index];
+    if (text === undefined || text === "") {
+      return Err(usage(`Option ${option.flags} needs a value`));
+    }
+    normal.push(`--${name}=${MARK}${text}`);
+  }
+  return Ok(normal);
+}
+
+function split(word: string): { name: string; value?: string } {
+  const [, dashes, name = "", value] = /^(--?)([^=]*)(?:=(.*))?$/s.exec(word) ??
+    [];
+  return { name: dashes === "-" ? SHORT_NAMES[name] ?? name : name, value };
+}
+
+function unknownOption(word: string, known: Iterable<string>): Failure {
+  const { name } = split(word);
+  const hint = nearest(name, known).replace('"', '"--');
+  return usage(`Unknown option ${word.split("=")[0]}${hint}`);
+}
+
+/** Reads the options that `cac` parsed. */
+export function readOptions(parsed: Record<string, unknown>): Options {
+  const text = (name: string): string | undefined => {
+    const value = parsed[camelCase(name)];
+    return Array.isArray(value) ? String(value[0]) : undefined;
+  };
+  return {
+    flag: (name) => parsed[camelCase(name)] === true,
+    text,
+    count: (name) => readCount(name, text(name)),
+  };
+}
+
+function readCount(
+  name: string,
+  text: string | undefined,
+): Result<number | undefined, Failure> {
+  if (text === undefined) {
+    return Ok(undefined);
+  }
+  const value = Number(text);
+  if (/^\d+$/.test(text) && Number.isSafeInteger(value)) {
+    return Ok(value);
+  }
+  return Err(usage(`Option --${name} needs a whole number, not "${text}"`));
+}
+
+function camelCase(name: string): string {
+  return name.replace(/-([a-z])/g, (_, letter: string) => letter.toUpperCase());
+}
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,210 @@
+/**
+ * `quetzalcove apply`: puts an inventory and rules in force.
+ *
+ * @module
+ */
+import {
+  AcceptedChange,
+  ConfigurationView,
+  Err,
+  Ok,
+  type Result,
+  validate,
+} from "@quetzalcove/core";
+import type { AdminClient } from "../admin_client.ts";
+import type { Command, Invocation, Outcome } from "../command.ts";
+import {
+  describeDifference,
+  type Difference,
+  difference,
+} from "../difference.ts";
+import { because, type Failure, usage } from "../failure.ts";
+import { formatCount } from "../format.ts";
+import { readInventory, readRules } from "../input_files.ts";
+import { waitForForce } from "../force.ts";
+
+export const APPLY: Command = {
+  name: "apply",
+  parameters: "",
+  summary: "Put an inventory, rules or both in force",
+  details: `
+The files are checked here first, then accepted or refused as a whole by the system. A
+file that is not given stays as it is in force. The change builds on a version; if
+another operator was faster, it is refused and nothing changes.
+
+The change has an id. If the answer is lost, the command sends the same change again,
+and so can you with --change: the system applies one id once and repeats its answer.
+
+"accepted" means that the change survives failures; "in force" that every entry which
+takes requests uses it. --wait waits for the second.`,
+  options: [
+    { flags: "--inventory <file>", summary: "The inventory, JSON" },
+    { flags: "--rules <file>", summary: "The rules, JSON" },
+    {
+      flags: "--base <version>",
+      summary: "Version that the change builds on (default: the newest one)",
+    },
+    {
+      flags: "--change <id>",
+      summary: "Id of the change (default: a new random one)",
+    },
+    {
+      flags: "--wait",
+      summary: "Wait until the change is in force everywhere",
+    },
+    { flags: "--dry-run", summary: "Check and show what would change" },
+  ],
+  examples: [
+    "apply --inventory inventory.json --rules rules.json --wait",
+    "apply --rules rules.json --dry-run",
+    "apply --inventory inventory.json --base 12 --change ticket-4711",
+  ],
+  run,
+};
+
+async function run(invocation: Invocation): Promise<Outcome> {
+  const { options } = invocation;
+  const connected = invocation.connect();
+  const base = options.count("base");
+  if (connected.err) {
+    return connected;
+  }
+  if (base.err) {
+    return base;
+  }
+  const client = connected.val;
+  const plan = await prepare(invocation, { client, base: base.val });
+  if (plan.err) {
+    return plan;
+  }
+  if (options.flag("dry-run")) {
+    return Ok(describePlan(plan.val));
+  }
+  const accepted = await send(invocation, { client, plan: plan.val });
+  if (accepted.err) {
+    return Err(withChangeId(accepted.val, plan.val.change));
+  }
+  return await finish(invocation, {
+    client,
+    plan: plan.val,
+    accepted: accepted.val,
+  });
+}
+
+/** A change that is ready to be sent. */
+interface Plan {
+  change: string;
+  base: number;
+  current: ConfigurationView;
+  next: Pick<ConfigurationView, "inventory" | "rules">;
+}
+
+async function prepare(
+  invocation: Invocation,
+  target: { client: AdminClient; base: number | undefined },
+): Promise<Result<Plan, Failure>> {
+  const { options, runtime } = invocation;
+  const inventoryPath = options.text("inventory");
+  const rulesPath = options.text("rules");
+  if (inventoryPath === undefined && rulesPath === undefined) {
+    return Err(usage("Give --inventory, --rules or both"));
+  }
+  const inventory = inventoryPath === undefined
+    ? undefined
+    : await readInventory(runtime, inventoryPath);
+  if (inventory?.err) {
+    return inventory;
+  }
+  const rules = rulesPath === undefined
+    ? undefined
+    : await readRules(runtime, rulesPath);
+  if (rules?.err) {
+    return rules;
+  }
+  const read = await target.client.call({
+    method: "GET",
+    path: "/v1/configuration",
+    answer: ConfigurationView,
+  });
+  return read.andThen((current) => {
+    const next = {
+      inventory: inventory?.val ?? current.inventory,
+      rules: rules?.val ?? current.rules,
+    };
+    return because("input", validate(next.inventory, next.rules)).map(() => ({
+      change: options.text("change") ?? runtime.newId(),
+      base: target.base ?? current.version,
+      current,
+      next,
+    }));
+  });
+}
+
+function describePlan(plan: Plan): { text: string; data: unknown } {
+  const changes: Difference[] = difference(plan.current, plan.next);
+  const head = changes.length === 0
+    ? `Nothing would change in version ${plan.base}.\n`
+    : `${formatCount(changes.length, "change")} to version ${plan.base}:\n`;
+  return {
+    text: head + changes.map(describeDifference).join(""),
+    data: { base: plan.base, changes },
+  };
+}
+
+/** Pause between two sendings of one change. */
+const RESEND_PAUSE_MS = 500;
+
+/** Sends the change, and sends it again under the same id while its answer is lost. */
+async function send(
+  invocation: Invocation,
+  target: { client: AdminClient; plan: Plan },
+): Promise<Result<AcceptedChange, Failure>> {
+  const { runtime, timeoutMs } = invocation;
+  const { change, base, next } = target.plan;
+  const deadline = runtime.now() + timeoutMs;
+  for (;;) {
+    const result = await target.client.call({
+      method: "POST",
+      path: "/v1/configuration",
+      body: { change, base, ...next },
+      answer: AcceptedChange,
+      idempotent: true,
+    });
+    const lost = result.err && result.val.reason === "uncertain";
+    if (!lost || runtime.now() + RESEND_PAUSE_MS >= deadline) {
+      return result;
+    }
+    await runtime.sleep(RESEND_PAUSE_MS);
+  }
+}
+
+function withChangeId(failure: Failure, change: string): Failure {
+  if (failure.reason !== "uncertain") {
+    return failure;
+  }
+  const remedy = `Apply the same files again with --change ${change}; ` +
+    "the system applies one id once";
+  return { ...failure, fault: { ...failure.fault, remedy } };
+}
+
+async function finish(
+  invocation: Invocation,
+  target: { client: AdminClient; plan: Plan; accepted: AcceptedChange },
+): Promise<Outcome> {
+  const { change } = target.plan;
+  const { version, revision } = target.accepted;
+  const head = `Accepted as version ${version} (change ${change})\n`;
+  if (!invocation.options.flag("wait")) {
+    const data = { change, version, revision };
+    return Ok({ text: head, data });
+  }
+  const waited = await waitForForce(invocation, {
+    client: target.client,
+    revision,
+    what: `Version ${version} (change ${change})`,
+  });
+  return waited.map((elapsedMs) => ({
+    text: `${head}In force on every entry\n`,
+    data: { change, version, revision, inForce: true, elapsedMs },
+  }));
+}
--- /dev/null
+++ b/packages/cli/src/commands/replicas.ts
@@ -0,0 +1,112 @@
+/**
+ * `quetzalcove replicas`: the daemons that hold the replicated state.
+ *
+ * @module
+ */
+import { Err, Replicas } from "@quetzalcove/core";
+import { z } from "zod";
+import type { Command, Invocation, Outcome } from "../command.ts";
+import { usage } from "../failure.ts";
+import { byName, formatTable } from "../format.ts";
+
+export const REPLICAS: Command = {
+  name: "replicas",
+  parameters: "[action] [name]",
+  usage: "[add <entry> | remove <replica> | transfer <entry>]",
+  summary: "List replicas; add, remove or hand leadership over",
+  details: `
+Without an action it lists replicas. "add" lets an entry with a data folder join,
+"remove" takes a replica out for good, and "transfer" makes an entry's replica the leader.
+
+An added replica is a learner until it has caught up; only then does it count towards a
+majority. Replace a lost disk by add, wait until it has caught up, then remove the old
+replica by its id.`,
+  options: [],
+  examples: [
+    "replicas",
+    "replicas add entry-b2",
+    "replicas remove 5f0c2a8e",
+    "replicas transfer entry-a1",
+  ],
+  run,
+};
+
+/** The member of the body that holds the name, by action. */
+const ACTIONS = {
+  add: "entry",
+  remove: "replica",
+  transfer: "entry",
+} as const;
+
+const COLUMNS = [
+  { heading: "REPLICA" },
+  { heading: "ENTRY" },
+  { heading: "ZONE" },
+  { heading: "ROLE" },
+  { heading: "STORED UP TO", numeric: true },
+  { heading: "CAUGHT UP" },
+];
+
+async function run(invocation: Invocation): Promise<Outcome> {
+  const [action, name] = invocation.args;
+  if (action === undefined) {
+    return await list(invocation);
+  }
+  if (!Object.hasOwn(ACTIONS, action)) {
+    return Err(usage(`The action is add, remove or transfer, not "${action}"`));
+  }
+  if (name === undefined) {
+    return Err(usage(`replicas ${action} needs a name`));
+  }
+  return await change(invocation, {
+    action: action as keyof typeof ACTIONS,
+    name,
+  });
+}
+
+async function list(invocation: Invocation): Promise<Outcome> {
+  const connected = invocation.connect();
+  if (connected.err) {
+    return connected;
+  }
+  const found = await connected.val.call({
+    method: "GET",
+    path: "/v1/replicas",
+    answer: Replicas,
+  });
+  return found.map((data) => {
+    const rows = data.replicas
+      .toSorted((a, b) => byName(a.entry, b.entry))
+      .map((replica) => [
+        replica.replica,
+        replica.entry,
+        replica.zone,
+        replica.role,
+        replica.matched,
+        replica.caughtUp ? "yes" : "no",
+      ]);
+    return { text: formatTable(COLUMNS, rows), data };
+  });
+}
+
+async function change(
+  invocation: Invocation,
+  order: { action: keyof typeof ACTIONS; name: string },
+): Promise<Outcome> {
+  const { action, name } = order;
+  const connected = invocation.connect();
+  if (connected.err) {
+    return connected;
+  }
+  const changed = await connected.val.call({
+    method: "POST",
+    path: `/v1/replicas/${action}`,
+    body: { [ACTIONS[action]]: name },
+    answer: z.unknown(),
+    whenUncertain: "quetzalcove replicas shows whether it was done",
+  });
+  return changed.map((data) => ({
+    text: `Accepted: replicas ${action} ${name}\n`,
+    data: data ?? {},
+  }));
+}
--- /dev/null
+++ b/packages/cli/src/commands/services.ts
@@ -0,0 +1,62 @@
+/**
+ * `quetzalcove services`: capacity, load and budget of every service.
+ *
+ * @module
+ */
+import { Services } from "@quetzalcove/core";
+import type { Command, Invocation, Outcome } from "../command.ts";
+import { byName, formatTable } from "../format.ts";
+
+export const SERVICES: Command = {
+  name: "services",
+  parameters: "",
+  summary: "List services with targets, load and budget left",
+  details: `
+"budget left" is what remains of the availability budget in its window: 100% is all of
+it, 0% or less means that it is spent.`,
+  options: [],
+  examples: ["services", "services --json"],
+  run,
+};
+
+const COLUMNS = [
+  { heading: "SERVICE" },
+  { heading: "POOL" },
+  { heading: "TARGETS", numeric: true },
+  { heading: "SLOTS", numeric: true },
+  { heading: "IN FLIGHT", numeric: true },
+  { heading: "QUEUED", numeric: true },
+  { heading: "BUDGET LEFT", numeric: true },
+];
+
+const PERCENT = 100;
+
+async function run(invocation: Invocation): Promise<Outcome> {
+  const connected = invocation.connect();
+  if (connected.err) {
+    return connected;
+  }
+  const found = await connected.val.call({
+    method: "GET",
+    path: "/v1/services",
+    answer: Services,
+  });
+  return found.map((data) => {
+    const rows = data.services
+      .toSorted((a, b) => byName(a.name, b.name))
+      .map((service) => [
+        service.name,
+        service.pool,
+        service.targetsServing,
+        service.slots,
+        service.inFlight,
+        service.queued,
+        describeBudget(service.budgetLeft),
+      ]);
+    return { text: formatTable(COLUMNS, rows), data };
+  });
+}
+
+function describeBudget(left: number | undefined): string {
+  return left === undefined ? "-" : `${(left * PERCENT).toFixed(1)}%`;
+}
--- /dev/null
+++ b/packages/cli/src/commands/trace.ts
@@ -0,0 +1,83 @@
+/**
+ * `quetzalcove trace`: the hops of one request.
+ *
+ * @module
+ */
+import { type SpanView, Trace } from "@quetzalcove/core";
+import type { Command, Invocation, Outcome } from "../command.ts";
+import { formatTable } from "../format.ts";
+
+export const TRACE: Command = {
+  name: "trace",
+  parameters: "<id>",
+  summary: "Show the hops of one request with their times",
+  details: `
+The id is the trace id of the answer's traceparent header. Daemons keep the latest
+spans in memory only.`,
+  options: [],
+  examples: ["trace 4bf92f3577b34da6a3ce929d0e0e4736"],
+  run,
+};
+
+const COLUMNS = [
+  { heading: "AT", numeric: true },
+  { heading: "TOOK", numeric: true },
+  { heading: "ENTRY" },
+  { heading: "SPAN" },
+  { heading: "ATTRIBUTES" },
+];
+
+async function run(invocation: Invocation): Promise<Outcome> {
+  const id = invocation.args[0] ?? "";
+  const connected = invocation.connect();
+  if (connected.err) {
+    return connected;
+  }
+  const found = await connected.val.call({
+    method: "GET",
+    path: `/v1/traces/${encodeURIComponent(id)}`,
+    answer: Trace,
+  });
+  return found.map((data) => ({ text: describeSpans(data.spans), data }));
+}
+
+function describeSpans(spans: readonly SpanView[]): string {
+  if (spans.length === 0) {
+    return "No spans are kept for this id\n";
+  }
+  const sorted = spans.toSorted((a, b) => a.startMs - b.startMs);
+  const start = sorted[0]?.startMs ?? 0;
+  const byId = new Map(sorted.map((span) => [span.id, span]));
+  const rows = sorted.map((span) => [
+    `${(span.startMs - start).toFixed(1)} ms`,
+    `${span.durationMs.toFixed(1)} ms`,
+    span.entry,
+    "  ".repeat(depthOf(span, byId)) + span.name,
+    describeAttributes(span.attributes),
+  ]);
+  return formatTable(COLUMNS, rows);
+}
+
+/** How deep a span lies; a broken chain of parents cannot make it endless. */
+const MAX_DEPTH = 16;
+
+function depthOf(
+  span: SpanView,
+  byId: Map<string | undefined, SpanView>,
+): number {
+  let depth = 0;
+  let parent = span.parent ? byId.get(span.parent) : undefined;
+  while (parent !== undefined && depth < MAX_DEPTH) {
+    depth += 1;
+    parent = parent.parent ? byId.get(parent.parent) : undefined;
+  }
+  return depth;
+}
+
+function describeAttributes(attributes: Record<string, unknown>): string {
+  return Object.entries(attributes)
+    .map(([key, value]) =>
+      `${key}=${typeof value === "string" ? value : JSON.stringify(value)}`
+    )
+    .join(" ");
+}
--- /dev/null
+++ b/packages/cli/src/commands/waves.ts
@@ -0,0 +1,88 @@
+/**
+ * `quetzalcove waves`: maintenance waves, and why VMs are held back.
+ *
+ * @module
+ */
+import { type WaveHold, Waves } from "@quetzalcove/core";
+import type { Command, Invocation, Outcome } from "../command.ts";
+import { byName, formatDuration, formatTable } from "../format.ts";
+
+export const WAVES: Command = {
+  name: "waves",
+  parameters: "",
+  summary:
+    "Show the maintenance wave that is out and, with --why, what holds VMs back",
+  details: `
+A wave takes VMs of one failure domain, drains and reboots them, and ends when they are
+healthy again. --why names for each VM held back the rule, the service and the figure
+that decided, with its limit.`,
+  options: [{ flags: "--why", summary: "Name what holds each VM back" }],
+  examples: ["waves", "waves --why"],
+  run,
+};
+
+async function run(invocation: Invocation): Promise<Outcome> {
+  const { options, runtime } = invocation;
+  const why = options.flag("why");
+  const connected = invocation.connect();
+  if (connected.err) {
+    return connected;
+  }
+  const found = await connected.val.call({
+    method: "GET",
+    path: why ? "/v1/waves?why=1" : "/v1/waves",
+    answer: Waves,
+  });
+  return found.map((data) => ({
+    text: describeWaves(data, runtime.now()) +
+      (why ? `\n${describeHolds(data.holds)}` : ""),
+    data,
+  }));
+}
+
+const WAVE_COLUMNS = [
+  { heading: "WAVE", numeric: true },
+  { heading: "DOMAIN" },
+  { heading: "CANARY" },
+  { heading: "SINCE" },
+  { heading: "VMS" },
+];
+
+const HOLD_COLUMNS = [
+  { heading: "VM" },
+  { heading: "RULE" },
+  { heading: "SERVICE" },
+  { heading: "FIGURE", numeric: true },
+  { heading: "LIMIT", numeric: true },
+  { heading: "MESSAGE" },
+];
+
+/** Writes the waves for a person. */
+export function describeWaves(found: Waves, now: number): string {
+  if (found.waves.length === 0) {
+    return "No maintenance wave is out\n";
+  }
+  const rows = found.waves.map((wave) => [
+    wave.id,
+    wave.domain,
+    wave.canary ? "yes" : "no",
+    `${formatDuration(Math.max(0, now - wave.startedAt))} ago`,
+    wave.vms.toSorted(byName).join(", "),
+  ]);
+  return formatTable(WAVE_COLUMNS, rows);
+}
+
+function describeHolds(holds: readonly WaveHold[]): string {
+  if (holds.length === 0) {
+    return "Nothing holds a VM back\n";
+  }
+  const rows = holds.map((hold) => [
+    hold.vm ?? "all",
+    hold.rule,
+    hold.service ?? "-",
+    hold.figure ?? "-",
+    hold.limit ?? "-",
+    hold.message,
+  ]);
+  return formatTable(HOLD_COLUMNS, rows);
+}
--- /dev/null
+++ b/packages/cli/src/failure.ts
@@ -0,0 +1,100 @@
+/**
+ * Why a command failed, and the exit code that says so.
+ *
+ * @module
+ */
+import {
+  Err,
+  type Fault,
+  fault,
+  type FaultKind,
+  type Result,
+} from "@quetzalcove/core";
+import { formatDuration } from "./format.ts";
+
+/** Exit codes of the command-line tool. */
+export const EXIT_CODES = {
+  ok: 0,
+  refused: 1,
+  usage: 2,
+  input: 3,
+  unreachable: 4,
+  timeout: 5,
+  uncertain: 6,
+} as const;
+
+/** What each exit code means, as the help prints it. */
+export const EXIT_MEANINGS: Record<keyof typeof EXIT_CODES, string> = {
+  ok: "done",
+  refused: "refused by the system; nothing was changed",
+  usage: "wrong command, argument or option",
+  input: "an input file cannot be read or is invalid",
+  unreachable: "no usable answer from any address; nothing was changed",
+  timeout: "timed out while waiting; what was accepted stays accepted",
+  uncertain: "the answer was lost; the change may have been made",
+};
+
+export type FailureReason = Exclude<keyof typeof EXIT_CODES, "ok">;
+
+/** A fault with the reason that selects the exit code. */
+export interface Failure {
+  reason: FailureReason;
+  fault: Fault;
+}
+
+/** A failed result. */
+export function fail(
+  reason: FailureReason,
+  cause: Fault,
+): Result<never, Failure> {
+  return Err({ reason, fault: cause });
+}
+
+/** A failure of a wrong command line. */
+export function usage(message: string, remedy?: string): Failure {
+  return { reason: "usage", fault: fault("invalid", message, { remedy }) };
+}
+
+/** Adds the reason to the fault of a result. */
+export function because<T>(
+  reason: FailureReason,
+  result: Result<T, Fault>,
+): Result<T, Failure> {
+  return result.mapErr((cause) => ({ reason, fault: cause }));
+}
+
+/** How many causes of one fault are printed. */
+const MAX_PRINTED_CAUSES = 20;
+
+/** Writes a failure for a person. */
+export function describeFailure(failure: Failure): string {
+  const { message, causes = [], remedy, retryAfterMs } = failure.fault;
+  const lines = [`quetzalcove: ${message}`];
+  if (causes.length > 1) {
+    for (const cause of causes.slice(0, MAX_PRINTED_CAUSES)) {
+      lines.push(`  ${cause.path}: ${cause.message}`);
+    }
+  }
+  if (causes.length > MAX_PRINTED_CAUSES) {
+    lines.push(`  ... and ${causes.length - MAX_PRINTED_CAUSES} more`);
+  }
+  if (remedy !== undefined) {
+    lines.push(`  Remedy: ${remedy}`);
+  }
+  if (retryAfterMs !== undefined) {
+    lines.push(`  Try again in ${formatDuration(retryAfterMs)}`);
+  }
+  return `${lines.join("\n")}\n`;
+}
+
+/** Whether a fault says that another address may answer. */
+export function isLocal(kind: FaultKind): boolean {
+  return LOCAL_KINDS.includes(kind);
+}
+
+const LOCAL_KINDS: readonly FaultKind[] = [
+  "no_leader",
+  "not_leader",
+  "no_lease",
+  "stopping",
+];
--- /dev/null
+++ b/packages/cli/src/reference.ts
@@ -0,0 +1,52 @@
+/**
+ * The generated reference: JSON Schemas of the three kinds of file, and the page that lists their keys.
+ *
+ * @module
+ */
+import { Inventory, Rules, Settings } from "@quetzalcove/core";
+import { z } from "zod";
+import { describeKeys } from "./reference_page.ts";
+
+/** A generated file; its path starts at the root of the repository. */
+export interface GeneratedFile {
+  path: string;
+  text: string;
+}
+
+const SCHEMAS = [
+  {
+    path: "packages/daemon/settings.schema.json",
+    title: "Settings of one daemon",
+    intro:
+      "One JSON file for each `quetzalcoved`. A change needs a restart of that daemon.",
+    schema: Settings,
+  },
+  {
+    path: "packages/core/inventory.schema.json",
+    title: "Inventory",
+    intro:
+      "The machines. Made by `quetzalcove import`, put in force by `quetzalcove apply`.",
+    schema: Inventory,
+  },
+  {
+    path: "packages/core/rules.schema.json",
+    title: "Rules",
+    intro:
+      "Services, budgets, maintenance and quotas. Put in force by `quetzalcove apply`.",
+    schema: Rules,
+  },
+] as const;
+
+/** Generates every schema and `docs/CONFIGURATION.md`. */
+export function generateReference(): GeneratedFile[] {
+  const documents = SCHEMAS.map(({ path, title, intro, schema }) => {
+    const json = z.toJSONSchema(schema, { io: "input" });
+    return { path, title, intro, json: { title, ...json } };
+  });
+  const files = documents.map(({ path, json }) => ({
+    path,
+    text: `${JSON.stringify(json, null, 2)}\n`,
+  }));
+  const page = { path: "docs/CONFIGURATION.md", text: describeKeys(documents) };
+  return [...files, page];
+}
--- /dev/null
+++ b/packages/cli/src/reference_page.ts
@@ -0,0 +1,167 @@
+/**
+ * Writes the keys of JSON Schemas as a Markdown page.
+ *
+ * @module
+ */
+import type { z } from "zod";
+
+type JsonSchema = z.core.JSONSchema.BaseSchema;
+
+/** One kind of file. */
+export interface Document {
+  path: string;
+  title: string;
+  intro: string;
+  json: JsonSchema;
+}
+
+/** One key of a file. */
+interface Key {
+  path: string;
+  unit: string;
+  fallback: string;
+  meaning: string;
+}
+
+const HEADINGS: Key = {
+  path: "Key",
+  unit: "Value",
+  fallback: "Default",
+  meaning: "Meaning",
+};
+
+/** Writes one page with a table of keys for each document. */
+export function describeKeys(documents: readonly Document[]): string {
+  const sections = documents.map(({ path, title, intro, json }) =>
+    [
+      `## ${title}`,
+      intro,
+      `JSON Schema:\n[${path}](../${path})`,
+      table(keysOf(json, "")),
+    ].join("\n\n")
+  );
+  return `${[INTRO, ...sections].join("\n\n")}\n`;
+}
+
+const INTRO = `# Configuration
+
+Generated from the schemas by \`npm run schemas\`; edit the schemas, not this
+page.
+
+All files are JSON. Unknown keys are refused, and the refusal names the nearest
+known key. \`quetzalcove config check FILE...\` checks files without a daemon. A
+key written \`peers[].entry\` stands in each item of the list \`peers\`.
+
+Units stand at the end of a key: \`Ms\` milliseconds, \`Bytes\` bytes, \`Gb\`
+gigabytes (2^30 bytes), \`Share\` a share from 0 to 1. An IP address and port is
+written \`127.0.1.1:8080\` or \`[::1]:8080\`.
+
+Addresses, zones and peers of a daemon come from its settings alone; nothing is
+discovered.`;
+
+function table(keys: readonly Key[]): string {
+  const rows = [HEADINGS, ...keys].map((key) => [
+    key === HEADINGS ? key.path : `\`${key.path}\``,
+    key.unit,
+    key.fallback,
+    key.meaning,
+  ]);
+  const widths = [0, 1, 2, 3].map((column) =>
+    Math.max(...rows.map((row) => row[column]?.length ?? 0))
+  );
+  const write = (row: readonly string[]): string =>
+    `| ${row.map((cell, i) => cell.padEnd(widths[i] ?? 0)).join(" | ")} |`;
+  const [head = [], ...body] = rows;
+  const rule = widths.map((width) => "-".repeat(width));
+  return [write(head), write(rule), ...body.map(write)].join("\n");
+}
+
+function keysOf(schema: JsonSchema, prefix: string): Key[] {
+  const required = schema.required ?? [];
+  return Object.entries(schema.properties ?? {}).flatMap(([name, value]) => {
+    const member = value as JsonSchema;
+    const path = prefix === "" ? name : `${prefix}.${name}`;
+    const items = member.items as JsonSchema | undefined;
+    if (member.type === "object") {
+      return keysOf(member, path);
+    }
+    const key = describeKey(member, {
+      path,
+      name,
+      required: required.includes(name),
+    });
+    return items?.type === "object"
+      ? [key, ...keysOf(items, `${path}[]`)]
+      : [key];
+  });
+}
+
+function describeKey(
+  schema: JsonSchema,
+  place: { path: string; name: string; required: boolean },
+): Key {
+  return {
+    path: place.path,
+    unit: unitOf(schema, place.name),
+    fallback: place.required ? "required" : defaultOf(schema, place.name),
+    meaning: schema.description ?? "",
+  };
+}
+
+const UNITS: readonly (readonly [string, string])[] = [
+  ["Ms", "milliseconds"],
+  ["Bytes", "bytes"],
+  ["Gb", "gigabytes"],
+  ["Share", "share, 0 to 1"],
+];
+
+function unitOf(schema: JsonSchema, name: string): string {
+  const unit = UNITS.find(([suffix]) => name.endsWith(suffix))?.[1];
+  if (unit !== undefined) {
+    return unit;
+  }
+  if (schema.enum !== undefined) {
+    return schema.enum.map((value) => `\`${value}\``).join(", ");
+  }
+  if (schema.type === "array") {
+    return "list";
+  }
+  if (schema.type === "boolean") {
+    return "`true` or `false`";
+  }
+  if (schema.type === "string") {
+    return describeText(schema);
+  }
+  return schema.type === "integer" ? "whole number" : "number";
+}
+
+function describeText(schema: JsonSchema): string {
+  const pattern = schema.pattern ?? "";
+  if (pattern.startsWith("^[a-z0-9]")) {
+    return "name";
+  }
+  if (pattern.includes("\\d{1,5}$")) {
+    return "IP address and port";
+  }
+  if (pattern.includes("[0-5]\\d")) {
+    return "time of day, `hh:mm`";
+  }
+  return schema.format === "uri" ? "URL" : "text";
+}
+
+const LONG_UNITS: readonly (readonly [string, number])[] = [
+  ["d", 86_400_000],
+  ["h", 3_600_000],
+  ["min", 60_000],
+];
+
+function defaultOf(schema: JsonSchema, name: string): string {
+  const value = schema.default;
+  if (value === undefined) {
+    return "none";
+  }
+  const long = name.endsWith("Ms") &&
+    LONG_UNITS.find(([, size]) => Number(value) >= size);
+  const hint = long ? ` (${Number(value) / long[1]} ${long[0]})` : "";
+  return `\`${JSON.stringify(value)}\`${hint}`;
+}
--- /dev/null
+++ b/packages/cli/src/register.ts
@@ -0,0 +1,172 @@
+/**
+ * Reads an asset register in CSV into an inventory.
+ *
+ * @module
+ */
+import {
+  Err,
+  type Fault,
+  fault,
+  type Finding,
+  type Inventory,
+  Ok,
+  parse as parseValue,
+  type Result,
+  Vm,
+} from "@quetzalcove/core";
+import { byName } from "./format.ts";
+import { type Cell, readRows, type Row, wherever } from "./register_rows.ts";
+
+/** Reads a register; the fault names the file, line and column of every finding. */
+export function parseRegister(
+  text: string,
+  fileName: string,
+): Result<Inventory, Fault> {
+  return readRows(text, fileName).andThen((rows) => {
+    const findings: Finding[] = [];
+    const vms = rows.flatMap((row) => readVm(row, findings));
+    findings.push(
+      ...repeatedVms(rows),
+      ...contradictions(rows, "rack", "zone"),
+      ...contradictions(rows, "zone", "region"),
+    );
+    return findings.length === 0
+      ? Ok(inventoryOf(rows, vms))
+      : Err(invalidRegister(findings));
+  });
+}
+
+function invalidRegister(findings: readonly Finding[]): Fault {
+  const [first] = findings;
+  const more = findings.length > 1 ? ` (and ${findings.length - 1} more)` : "";
+  return fault("invalid", `${first?.path}: ${first?.message}${more}`, {
+    path: first?.path,
+    causes: [...findings],
+    remedy: "Correct the register and import it again",
+  });
+}
+
+function inventoryOf(rows: readonly Row[], vms: Vm[]): Inventory {
+  const racks = new Map(rows.map((row) => [row.rack.text, row.zone.text]));
+  const zones = new Map(rows.map((row) => [row.zone.text, row.region.text]));
+  const pools = new Set(rows.map((row) => row.pool.text));
+  return {
+    zones: [...zones]
+      .map(([name, region]) => ({ name, region }))
+      .sort((a, b) => byName(a.name, b.name)),
+    racks: [...racks]
+      .map(([name, zone]) => ({ name, zone }))
+      .sort((a, b) => byName(a.name, b.name)),
+    pools: [...pools].sort(byName).map((name) => ({ name })),
+    vms: vms.sort((a, b) => byName(a.name, b.name)),
+  };
+}
+
+/** The column of the register that holds each key of a VM. */
+const COLUMN_OF: Record<string, keyof Row> = {
+  name: "vm",
+  rack: "rack",
+  pool: "pool",
+  cores: "cores",
+  memoryGb: "memory_gb",
+  accelerators: "accelerators",
+  agent: "agent",
+};
+
+function readVm(row: Row, findings: Finding[]): Vm[] {
+  const required: Cell[] = [row.vm, row.rack, row.zone, row.region, row.pool];
+  const empty = required.filter((cell) => cell.text === "");
+  for (const cell of empty) {
+    findings.push(wherever(cell, "is empty; fill it in or remove the line"));
+  }
+  const vm = parseValue(Vm, {
+    name: row.vm.text,
+    rack: row.rack.text,
+    pool: row.pool.text,
+    cores: number(row.cores),
+    memoryGb: number(row.memory_gb),
+    accelerators: number(row.accelerators, 0),
+    agent: row.agent.text === "" ? undefined : row.agent.text,
+  }, row.vm.text);
+  if (vm.err) {
+    for (const cause of vm.val.causes ?? []) {
+      const cell = row[COLUMN_OF[cause.path] ?? "vm"];
+      if (!empty.includes(cell)) {
+        findings.push(wherever(cell, `"${cell.text}": ${cause.message}`));
+      }
+    }
+    return [];
+  }
+  return [vm.val];
+}
+
+/** The number in a cell; text that is no number stays text, so that the schema refuses it. */
+function number(cell: Cell, whenEmpty?: number): unknown {
+  if (cell.text === "") {
+    return whenEmpty ?? cell.text;
+  }
+  return /^\d+(\.\d+)?$/.test(cell.text) ? Number(cell.text) : cell.text;
+}
+
+function repeatedVms(rows: readonly Row[]): Finding[] {
+  const first = new Map<string, Cell>();
+  const findings: Finding[] = [];
+  for (const { vm } of rows) {
+    const earlier = first.get(vm.text);
+    if (earlier === undefined) {
+      first.set(vm.text, vm);
+    } else if (vm.text !== "") {
+      findings.push(
+        wherever(
+          vm,
+          `VM "${vm.text}" is listed twice, first on line ${earlier.line}; remove one line`,
+        ),
+      );
+    }
+  }
+  return findings;
+}
+
+/** A rack lies in one zone, and a zone in one region. */
+function contradictions(
+  rows: readonly Row[],
+  inner: "rack" | "zone",
+  outer: "zone" | "region",
+): Finding[] {
+  const first = new Map<string, Cell>();
+  const findings: Finding[] = [];
+  for (const row of rows) {
+    const name = row[inner].text;
+    const cell = row[outer];
+    const earlier = first.get(name);
+    if (earlier === undefined) {
+      first.set(name, cell);
+    } else if (earlier.text !== cell.text) {
+      findings.push(
+        wherever(
+          cell,
+          `${inner} "${name}" is in ${outer} "${cell.text}" here, but in "${earlier.text}" on line ${earlier.line}; ` +
+            `give the ${inner} one ${outer}`,
+        ),
+      );
+    }
+  }
+  return findings;
+}
+
+/** Keeps only the VMs of some zones, and the racks, pools and zones that they need. */
+export function selectZones(
+  inventory: Inventory,
+  zones: readonly string[],
+): Inventory {
+  const racks = inventory.racks.filter((rack) => zones.includes(rack.zone));
+  const rackNames = new Set(racks.map((rack) => rack.name));
+  const vms = inventory.vms.filter((vm) => rackNames.has(vm.rack));
+  const pools = new Set(vms.map((vm) => vm.pool));
+  return {
+    zones: inventory.zones.filter((zone) => zones.includes(zone.name)),
+    racks,
+    pools: inventory.pools.filter((pool) => pools.has(pool.name)),
+    vms,
+  };
+}
--- /dev/null
+++ b/packages/cli/src/runtime.ts
@@ -0,0 +1,79 @@
+/**
+ * What a command needs from the process that runs it. Tests pass their own.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { readFile, writeFile } from "node:fs/promises";
+import process from "node:process";
+import { setTimeout as wait } from "node:timers/promises";
+import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
+
+/** Files, output, time and random names. */
+export interface Runtime {
+  environment: Readonly<Record<string, string | undefined>>;
+  /** Whether standard output is a terminal. */
+  interactive: boolean;
+  print(text: string): void;
+  printError(text: string): void;
+  readText(path: string): Promise<Result<string, Fault>>;
+  writeText(path: string, text: string): Promise<Result<void, Fault>>;
+  /** Wall-clock time in milliseconds. */
+  now(): number;
+  sleep(ms: number): Promise<void>;
+  newId(): string;
+}
+
+/** The runtime of the current process. */
+export function processRuntime(): Runtime {
+  return {
+    environment: process.env,
+    interactive: process.stdout.isTTY === true,
+    print: (text) => void process.stdout.write(text),
+    printError: (text) => void process.stderr.write(text),
+    readText,
+    writeText,
+    now: () => Date.now(),
+    sleep: async (ms) => {
+      await wait(ms);
+    },
+    newId: randomUUID,
+  };
+}
+
+async function readText(path: string): Promise<Result<string, Fault>> {
+  try {
+    return Ok(await readFile(path, "utf8"));
+  } catch (error) {
+    return Err(describeFileError("read", path, error));
+  }
+}
+
+async function writeText(
+  path: string,
+  text: string,
+): Promise<Result<void, Fault>> {
+  try {
+    await writeFile(path, text);
+    return Ok.EMPTY;
+  } catch (error) {
+    return Err(describeFileError("write", path, error));
+  }
+}
+
+const FILE_ERRORS: Record<string, string> = {
+  EACCES: "permission denied",
+  EISDIR: "it is a folder",
+  ENOENT: "no such file or folder",
+  ENOSPC: "no space is left",
+};
+
+function describeFileError(
+  action: "read" | "write",
+  path: string,
+  error: unknown,
+): Fault {
+  const code = (error as NodeJS.ErrnoException).code ?? "unknown error";
+  const reason = FILE_ERRORS[code] ?? code;
+  return fault("invalid", `Cannot ${action} ${path}: ${reason}`, { path });
+}
--- a/packages/core/src/admin_api.ts
+++ b/packages/core/src/admin_api.ts
@@ -81,12 +81,12 @@
 export type AcceptedChange = z.infer<typeof AcceptedChange>;
 
 /** Body of `GET /v1/force`: whether each entry that may serve has reached a revision. */
-export const Force = z.object({
+export const ForceView = z.object({
   revision: z.number().int(),
   inForce: z.boolean(),
   waiting: z.array(z.string()),
 });
-export type Force = z.infer<typeof Force>;
+export type ForceView = z.infer<typeof ForceView>;
 
 /** One VM with what is known about its place and its targets. */
 export const VmView = VmRecord.extend({
@@ -164,11 +164,15 @@
 });
 export type WaveHold = z.infer<typeof WaveHold>;
 
-/** One maintenance wave, running or ended. */
-export const WaveView = z.looseObject({
-  id: z.string(),
-  phase: z.string(),
+/** A maintenance wave that is out. */
+export const WaveView = z.object({
+  id: z.number().int(),
+  /** The rack or zone that the wave stays inside. */
+  domain: z.string(),
+  canary: z.boolean(),
   vms: z.array(z.string()),
+  /** Wall-clock time of its start, in milliseconds. */
+  startedAt: z.number(),
 });
 export type WaveView = z.infer<typeof WaveView>;
 
@@ -194,3 +198,31 @@
 /** Body of `GET /v1/traces/:id`. */
 export const Trace = z.object({ spans: z.array(SpanView) });
 export type Trace = z.infer<typeof Trace>;
+
+/** A job with its state, as a list shows it. */
+export const JobView = z.object({
+  id: z.string(),
+  team: z.string(),
+  pool: z.string().optional(),
+  priority: z.string().optional(),
+  state: z.string(),
+  vm: z.string().optional(),
+  reason: z.string().optional(),
+});
+export type JobView = z.infer<typeof JobView>;
+
+/** Body of `GET /v1/jobs`. */
+export const JobViews = z.object({ jobs: z.array(JobView) });
+export type JobViews = z.infer<typeof JobViews>;
+
+/** What a submission or a cancellation made of one job. */
+export const JobAnswer = z.object({
+  id: z.string(),
+  state: z.string(),
+  reason: z.string().optional(),
+});
+export type JobAnswer = z.infer<typeof JobAnswer>;
+
+/** Answer to `POST /v1/jobs` and `POST /v1/jobs/cancel`. */
+export const JobAnswers = z.object({ jobs: z.array(JobAnswer) });
+export type JobAnswers = z.infer<typeof JobAnswers>;
