--- /dev/null
+++ b/packages/daemon/src/storage/format.ts
@@ -0,0 +1,164 @@
+/**
+ * Formatting of a data folder: which cluster and which replica it belongs to.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+import { mkdir, readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { z } from "zod";
+import {
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  parse,
+  ReplicaId,
+  type Result,
+  type Stored,
+} from "@quetzalcove/core";
+import {
+  attempt,
+  codeOf,
+  removeFile,
+  storageFault,
+  writeDurably,
+} from "./files.ts";
+import { lockFolder } from "./lock.ts";
+import { createSegment, segmentNumber } from "./segment.ts";
+
+const FORMAT_FILE = "format.json";
+const FORMAT_VERSION = 1;
+const SUFFIX_BYTES = 4;
+
+export const FolderFormat = z.strictObject({
+  version: z.literal(FORMAT_VERSION),
+  /** Id of the cluster, created by `init`. */
+  cluster: z.string().min(1),
+  replica: ReplicaId,
+});
+export type FolderFormat = z.infer<typeof FolderFormat>;
+
+/** Creates a cluster id, or the id of a replica that starts from an empty folder. */
+export function newClusterId(): string {
+  return randomBytes(8).toString("hex");
+}
+
+/** Creates the id of a replica that starts from an empty folder. */
+export function newReplicaId(entry: string): ReplicaId {
+  return `${entry}#${randomBytes(SUFFIX_BYTES).toString("hex")}`;
+}
+
+/** Reads the format of a folder; undefined means that it was never formatted. */
+export async function readFormat(
+  folder: string,
+): Promise<Result<FolderFormat | undefined, Fault>> {
+  const text = await attempt(
+    "Reading the folder format",
+    () => readIfPresent(join(folder, FORMAT_FILE)),
+  );
+  return text.andThen((present) =>
+    present === undefined ? Ok(undefined) : parseFormat(folder, present)
+  );
+}
+
+function parseFormat(
+  folder: string,
+  text: string,
+): Result<FolderFormat, Fault> {
+  const what = `Format of data folder "${folder}"`;
+  try {
+    return parse(FolderFormat, JSON.parse(text), what)
+      .mapErr(({ message }) => storageFault(message));
+  } catch {
+    return Err(storageFault(`${what} is not JSON`));
+  }
+}
+
+async function readIfPresent(path: string): Promise<string | undefined> {
+  try {
+    return await readFile(path, "utf8");
+  } catch (error) {
+    if (codeOf(error) === "ENOENT") {
+      return undefined;
+    }
+    throw error;
+  }
+}
+
+/** What a folder is formatted for. */
+export interface Formatting {
+  cluster: string;
+  replica: ReplicaId;
+  stored: Pick<Stored, "hardState" | "entries">;
+}
+
+/** Formats an empty folder for a replica; refuses one that is formatted already. */
+export async function formatFolder(
+  folder: string,
+  formatting: Formatting,
+): Promise<Result<FolderFormat, Fault>> {
+  const created = await attempt(
+    "Creating the data folder",
+    () => mkdir(folder, { recursive: true }),
+  );
+  if (created.err) {
+    return created;
+  }
+  const lock = await lockFolder(folder);
+  if (lock.err) {
+    return lock;
+  }
+  const result = await formatLocked(folder, formatting);
+  await lock.val.release();
+  return result;
+}
+
+async function formatLocked(
+  folder: string,
+  { cluster, replica, stored }: Formatting,
+): Promise<Result<FolderFormat, Fault>> {
+  const known = await readFormat(folder);
+  if (known.err) {
+    return known;
+  }
+  if (known.val !== undefined) {
+    return Err(alreadyFormatted(folder, known.val));
+  }
+  const format: FolderFormat = { version: FORMAT_VERSION, cluster, replica };
+  return attempt("Formatting the data folder", async () => {
+    await removeLeftovers(folder);
+    const base = { index: 0, term: 0 };
+    const { hardState, entries } = stored;
+    const handle = await createSegment(
+      folder,
+      { kind: "start", number: 1, base, reset: false, hardState },
+      entries,
+    );
+    await handle.close();
+    await writeDurably(join(folder, FORMAT_FILE), encode(format));
+    return format;
+  });
+}
+
+/** The format file is written last: without it, log files are from an attempt that a crash cut off. */
+async function removeLeftovers(folder: string): Promise<void> {
+  const names = await readdir(folder);
+  for (const name of names.filter((n) => segmentNumber(n) !== undefined)) {
+    await removeFile(join(folder, name));
+  }
+}
+
+function encode(format: FolderFormat): Buffer {
+  return Buffer.from(JSON.stringify(format, undefined, 2) + "\n");
+}
+
+function alreadyFormatted(
+  folder: string,
+  { cluster, replica }: FolderFormat,
+): Fault {
+  return fault(
+    "conflict",
+    `Data folder "${folder}" already belongs to replica "${replica}" of cluster "${cluster}"`,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/storage/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * The data folder of a replica.
+ *
+ * @module
+ */
+export {
+  type FolderFormat,
+  formatFolder,
+  type Formatting,
+  newClusterId,
+  newReplicaId,
+  readFormat,
+} from "./format.ts";
+export { type OpenedStorage, openStorage } from "./opening.ts";
+export { Storage } from "./storage.ts";
