--- a/packages/core/src/membership/lease_table.ts
+++ b/packages/core/src/membership/lease_table.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Force } from "../admin_api.ts";
+import type { ForceView } from "../admin_api.ts";
 import type { Renewal } from "./renewal.ts";
 
 /** Durations in milliseconds. */
@@ -70,7 +70,7 @@
   }
 
   /** Whether each process that may hold a lease runs the revision or a later one. */
-  force(revision: number, now: number): Omit<Force, "revision"> {
+  force(revision: number, now: number): Omit<ForceView, "revision"> {
     const waiting = this.records()
       .filter((record) =>
         this.isLive(record, now) && record.revision < revision
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -69,6 +69,7 @@
     inForceRevision: tenure.leases.revisionInForce(state.revision, now),
     leader: leadership.leader ?? null,
     term: leadership.term,
+    requests: tenure.requests,
     entries: tenure.leases.records().map((record) => ({
       entry: record.entry,
       zone: record.zone,
--- a/packages/daemon/src/leader/tenure.ts
+++ b/packages/daemon/src/leader/tenure.ts
@@ -20,6 +20,8 @@
   readonly leases: LeaseTable;
   readonly targets = new TargetTable();
   readonly slots: SlotLedger;
+  /** Requests that ended during this tenure, by outcome. */
+  readonly requests = { finished: 0, refused: 0, failed: 0 };
   readonly #settings: Settings;
   #routedRevision = -1;
   #routedTable = -1;
@@ -57,6 +59,7 @@
       },
       now,
     );
+    this.#countRequests(renewal);
     this.#route(state, now);
     const known = renewal.tableTerm === this.term ? renewal.tableVersion : 0;
     return {
@@ -78,6 +81,14 @@
     this.slots.release(entry, incarnation);
   }
 
+  #countRequests(renewal: Renewal): void {
+    for (const use of Object.values(renewal.usage)) {
+      this.requests.finished += use.finished;
+      this.requests.refused += use.refused;
+      this.requests.failed += use.failed;
+    }
+  }
+
   #route(state: State, now: number): void {
     if (
       this.#routedRevision === state.revision &&
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -42,7 +42,7 @@
   readonly #socket: Socket;
   readonly #bounds: ConnectionBounds;
   readonly #client: JSONRPCClient;
-  readonly #server = new JSONRPCServer();
+  readonly #server = new JSONRPCServer({ errorListener: () => {} });
   readonly #timers: NodeJS.Timeout[] = [];
   #pending: Buffer[] = [];
   #pendingBytes = 0;
--- a/packages/daemon/src/replica_folder.ts
+++ b/packages/daemon/src/replica_folder.ts
@@ -13,7 +13,8 @@
   type Stored,
 } from "@quetzalcove/core";
 import { formatFolder, newReplicaId, readFormat } from "./storage/format.ts";
-import { openStorage, type Storage } from "./storage/storage.ts";
+import { openStorage } from "./storage/opening.ts";
+import type { Storage } from "./storage/storage.ts";
 
 /** An open data folder. */
 export interface ReplicaFolder {
