--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -2,8 +2,8 @@
  * Prepares a command line for `cac` and reads the options that it found.
  *
  * `cac` turns option values that look like numbers into numbers and lets a flag swallow the word after it, so a
- * change id `007` or a key `0123` would be altered. Here each flag is written as `--flag=true` and each value gets
- * a mark in front, which {@link unmark} takes off again.
+ * change id `007` or a key `0123` would be altered. Here each flag is written as `--flag=true`, and each value and
+ * argument gets a mark in front, which {@link unmark} takes off again.
  *
  * @module
  */
@@ -13,9 +13,9 @@
 
 const MARK = ":";
 
-/** Takes the mark off a value; it is the `type` of every option that has a value. */
-export function unmark(value: unknown): string {
-  return String(value).slice(MARK.length);
+/** Takes the mark off an argument or a value. */
+export function unmark(text: string): string {
+  return text.slice(MARK.length);
 }
 
 /** The long name of an option, for example `base` of `--base <version>`. */
@@ -29,7 +29,7 @@
 
 const SHORT_NAMES: Record<string, string> = { h: "help", v: "version" };
 
-/** Writes each option in the one form that `cac` does not alter. */
+/** Writes the words after the command in the one form that `cac` does not alter. */
 export function normalize(
   words: readonly string[],
   options: readonly Option[],
@@ -40,11 +40,12 @@
   for (let index = 0; index < words.length; index++) {
     const word = words[index] ?? "";
     if (!word.startsWith("-") || word === "-") {
-      normal.push(word);
+      normal.push(MARK + word);
       continue;
     }
     if (word === "--") {
-      return Ok([...normal, ...words.slice(index + 1)]);
+      const rest = words.slice(index + 1).map((argument) => MARK + argument);
+      return Ok([...normal, ...rest]);
     }
     const { name, value } = split(word);
     const option = known.get(name);
@@ -87,10 +88,11 @@
 export function readOptions(parsed: Record<string, unknown>): Options {
   const text = (name: string): string | undefined => {
     const value = parsed[camelCase(name)];
-    return Array.isArray(value) ? String(value[0]) : undefined;
+    return typeof value === "string" ? unmark(value) : undefined;
   };
   return {
-    flag: (name) => parsed[camelCase(name)] === true,
+    // `cac` leaves the word "true" where the name has a hyphen; a value would have a mark.
+    flag: (name) => ["true", true].includes(parsed[camelCase(name)] as string),
     text,
     count: (name) => readCount(name, text(name)),
   };
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Err, Ok } from "@quetzalcove/core";
+import { Err, type Fault, type Finding, Ok } from "@quetzalcove/core";
 import type { Command, Invocation, Outcome } from "../command.ts";
 import { crossCheck } from "../cross_check.ts";
 import { type Failure, usage } from "../failure.ts";
@@ -69,7 +69,7 @@
     fault.causes?.map((cause) => ({
       path: `${fileOf(fault.message)}: ${cause.path}`,
       message: cause.message,
-    })) ?? [{ path: fault.path ?? "$", message: fault.message }]
+    })) ?? [withoutPath(fault)]
   );
   const message = `${others.length + 1} files are invalid`;
   return {
@@ -83,6 +83,12 @@
   return message.split(" is invalid: ")[0] ?? message;
 }
 
+/** A fault that starts with its path, as a finding at that path. */
+function withoutPath(fault: Fault): Finding {
+  const path = fault.path ?? "$";
+  return { path, message: fault.message.replace(`${path}: `, "") };
+}
+
 function describe(file: InputFile): string {
   switch (file.kind) {
     case "settings":
--- a/packages/cli/src/commands/mod.ts
+++ b/packages/cli/src/commands/mod.ts
@@ -7,6 +7,7 @@
 import { APPLY } from "./apply.ts";
 import { CONFIG } from "./config.ts";
 import { DRAIN, RESUME } from "./drain.ts";
+import { EXPORT } from "./export.ts";
 import { IMPORT } from "./import.ts";
 import { INIT } from "./init.ts";
 import { JOBS } from "./jobs.ts";
@@ -24,6 +25,7 @@
   CONFIG,
   INIT,
   APPLY,
+  EXPORT,
   STATUS,
   WATCH,
   VMS,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -70,12 +70,14 @@
   command: Command,
 ): Result<Line, Failure> {
   const options = [...command.options, ...GLOBAL_OPTIONS];
-  return normalize(words, options).andThen((normal) => {
+  return normalize(words.slice(1), options).andThen((normal) => {
     const cli = declare(command, options);
     try {
-      const parsed = cli.parse(["", "", ...normal], { run: false });
+      const parsed = cli.parse(["", "", command.name, ...normal], {
+        run: false,
+      });
       const line = {
-        args: parsed.args.map(String),
+        args: parsed.args.map((argument) => unmark(String(argument))),
         options: readOptions(parsed.options),
       };
       if (!line.options.flag("help")) {
@@ -96,14 +98,13 @@
     .command(`${command.name} ${command.parameters}`, command.summary)
     .action(() => {});
   for (const option of options) {
-    const type = option.flags.includes("<") ? { type: [unmark] } : {};
-    declared.option(option.flags, nameOf(option), type);
+    declared.option(option.flags, nameOf(option));
   }
   return cli;
 }
 
 function sentence(message: string): string {
-  const text = message.replaceAll("`", '"');
+  const text = message.replaceAll("`:", '"').replaceAll("`", '"');
   return text.slice(0, 1).toUpperCase() + text.slice(1);
 }
 
--- /dev/null
+++ b/packages/cli/test/fake_admin.ts
@@ -0,0 +1,232 @@
+/**
+ * An admin API on the loopback address, over the real state machine. It can lose answers and refuse calls.
+ *
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  apply,
+  type Command,
+  emptyState,
+  type Fault,
+  fault,
+  type State,
+  statusOf,
+} from "@quetzalcove/core";
+
+/** What becomes of the next call of a path. */
+export type Trouble = "lose answer" | "garble" | Fault;
+
+export class FakeAdmin {
+  readonly state: State = emptyState();
+  /** Every call that arrived, as `POST /v1/configuration`. */
+  readonly calls: string[] = [];
+  readonly troubles = new Map<string, Trouble[]>();
+  /** Answers of GET paths that the state machine does not know. */
+  readonly answers = new Map<string, unknown>();
+  /** Entries that have not reached the newest revision. */
+  waiting: string[] = [];
+  /** Whether a waiting entry never comes up to date. */
+  stuck = false;
+  now = 0;
+  started = false;
+  readonly #server: Server;
+
+  constructor() {
+    this.#server = createServer((request, response) => {
+      void this.#serve(request).then(({ status, body }) => {
+        const trouble = this.#nextTrouble(request);
+        if (trouble === "lose answer") {
+          response.destroy();
+        } else {
+          response.writeHead(status, { "content-type": "application/json" });
+          response.end(trouble === "garble" ? "{" : JSON.stringify(body));
+        }
+      });
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>((done) =>
+      this.#server.listen(0, "127.0.0.1", done)
+    );
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  async close(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((done) => this.#server.close(done));
+  }
+
+  #nextTrouble(request: IncomingMessage): Trouble | undefined {
+    return this.troubles.get(nameOf(request))?.shift();
+  }
+
+  async #serve(request: IncomingMessage): Promise<Answer> {
+    const name = nameOf(request);
+    this.calls.push(name);
+    const trouble = this.troubles.get(name)?.[0];
+    if (typeof trouble === "object") {
+      return problem(trouble);
+    }
+    const body = request.method === "POST" ? await readJson(request) : {};
+    const query = new URL(request.url ?? "", "http://x").searchParams;
+    return this.#answer(name, { body, query });
+  }
+
+  #answer(
+    name: string,
+    { body, query }: { body: Json; query: URLSearchParams },
+  ): Answer {
+    const at = this.now;
+    const vm = /^POST \/v1\/vms\/([^/]+)\/(drain|resume)$/.exec(name);
+    if (vm !== null) {
+      return this.#changeVm(vm[1] ?? "", vm[2] === "drain");
+    }
+    switch (name) {
+      case "POST /v1/init":
+        return this.#init();
+      case "GET /v1/configuration":
+        return ok({ ...this.state });
+      case "POST /v1/configuration":
+        return this.#apply({ kind: "configure", ...body, at } as Command);
+      case "GET /v1/force":
+        return this.#force(Number(query.get("revision")));
+      case "GET /v1/vms":
+        return ok({ vms: this.#vms(), unknownTargets: [] });
+      case "GET /v1/status":
+        return ok(this.#status());
+      case "GET /v1/requests":
+        return ok({
+          attempts: Object.values(this.state.ledger.attempts)
+            .filter((attempt) => attempt.phase === query.get("phase")),
+        });
+      case "POST /v1/requests/settle":
+        return this.#apply({ kind: "ledger.settle", ...body, at } as Command);
+      default:
+        return this.answers.has(name)
+          ? ok(this.answers.get(name))
+          : problem(fault("not_found", `No resource ${name}`));
+    }
+  }
+
+  #init(): Answer {
+    if (this.started) {
+      return problem(fault("conflict", "The cluster was started before"));
+    }
+    this.started = true;
+    return ok({});
+  }
+
+  #apply(command: Command): Answer {
+    const result = apply(this.state, command);
+    return result.ok ? ok(result.val) : problem(result.val);
+  }
+
+  #changeVm(vm: string, drain: boolean): Answer {
+    const from = this.state.vms[vm]?.phase ?? "serving";
+    return this.#apply({
+      kind: "vm.phase",
+      vm,
+      from: drain ? "serving" : from,
+      to: drain ? "draining" : "serving",
+      reason: "operator",
+      at: this.now,
+    });
+  }
+
+  /** Each question brings one waiting entry up to date, unless they are stuck. */
+  #force(revision: number): Answer {
+    const waiting = [...this.waiting];
+    if (!this.stuck) {
+      this.waiting.shift();
+    }
+    return ok({ revision, inForce: waiting.length === 0, waiting });
+  }
+
+  #vms(): unknown[] {
+    const { inventory, vms } = this.state;
+    const zones = new Map(inventory.racks.map((r) => [r.name, r.zone]));
+    return inventory.vms.map((vm) => ({
+      ...vms[vm.name],
+      zone: zones.get(vm.rack),
+      rack: vm.rack,
+      desiredPool: vm.pool,
+      announced: false,
+      inFlight: 0,
+      targets: [],
+    }));
+  }
+
+  #status(): unknown {
+    const { version, revision } = this.state;
+    const attempts = Object.values(this.state.ledger.attempts);
+    return {
+      cluster: "accra",
+      entry: "entry-a1",
+      zone: "accra-a",
+      version,
+      revision,
+      inForceRevision: revision,
+      leader: "entry-b1",
+      term: 3,
+      entries: [
+        entry("entry-b1", { leaseMs: 2_150, revision }),
+        entry("entry-a1", { leaseMs: 2_400, revision }),
+        entry("entry-c1", { leaseMs: -61_000, revision: 0 }),
+      ],
+      counts: {
+        vms: this.state.inventory.vms.length,
+        targets: 0,
+        attemptsRunning: 0,
+        attemptsUnknown: attempts.filter((a) => a.phase === "unknown").length,
+      },
+      requests: { done: 120, "not run": 3 },
+    };
+  }
+}
+
+interface Answer {
+  status: number;
+  body: unknown;
+}
+
+type Json = Record<string, unknown>;
+
+function nameOf(request: IncomingMessage): string {
+  const { pathname } = new URL(request.url ?? "", "http://x");
+  return `${request.method} ${decodeURIComponent(pathname)}`;
+}
+
+async function readJson(request: IncomingMessage): Promise<Json> {
+  let text = "";
+  for await (const part of request) {
+    text += part;
+  }
+  return JSON.parse(text) as Json;
+}
+
+function entry(
+  name: string,
+  { leaseMs, revision }: { leaseMs: number; revision: number },
+): unknown {
+  const zone = name.replace(/entry-(.)\d/, "accra-$1");
+  return { entry: name, zone, incarnation: 1, leaseMs, revision };
+}
+
+function ok(body: unknown): Answer {
+  return { status: 200, body };
+}
+
+function problem(cause: Fault): Answer {
+  const status = statusOf(cause.kind);
+  const body = {
+    type: `urn:quetzalcove:fault:${cause.kind}`,
+    title: cause.kind,
+    status,
+    detail: cause.message,
+    fault: cause,
+  };
+  return { status, body };
+}
--- /dev/null
+++ b/packages/cli/test/session.ts
@@ -0,0 +1,101 @@
+/**
+ * Runs command lines against fake admin servers and keeps a transcript of the whole session.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { Err, fault, Ok } from "@quetzalcove/core";
+import { run, type Runtime } from "@quetzalcove/cli";
+import { FakeAdmin } from "./fake_admin.ts";
+
+const ROOT = new URL("../../../", import.meta.url);
+
+export class Session {
+  readonly servers: FakeAdmin[] = [];
+  readonly files = new Map<string, string>();
+  transcript = "";
+  stdout = "";
+  stderr = "";
+  now = 1_700_000_000_000;
+  readonly #names = new Map<string, string>();
+  #ids = 0;
+
+  /** Starts a server; the transcript shows its address as `name`. */
+  async start(name: string): Promise<FakeAdmin> {
+    const server = new FakeAdmin();
+    server.now = this.now;
+    this.servers.push(server);
+    this.#names.set(await server.listen(), name);
+    return server;
+  }
+
+  /** The address of a started server. */
+  addressOf(name: string): string {
+    const found = [...this.#names].find(([, known]) => known === name);
+    return found?.[0] ?? name;
+  }
+
+  /** Runs a command line; server names among its words become addresses. */
+  async run(...words: string[]): Promise<number> {
+    this.stdout = "";
+    this.stderr = "";
+    const actual = words.map((word) =>
+      word.split(",").map((part) => this.addressOf(part)).join(",")
+    );
+    const exit = await run(actual, this.#runtime());
+    const shown = words.map((word) => /[\s"]/.test(word) ? `'${word}'` : word);
+    const output = this.stdout + this.stderr.replace(/^(?=.)/gm, "! ");
+    this.transcript += this.#renamed(
+      `$ quetzalcove ${shown.join(" ")}\n${output}exit ${exit}\n\n`,
+    );
+    return exit;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.servers.map((server) => server.close()));
+  }
+
+  #renamed(text: string): string {
+    let renamed = text;
+    for (const [address, name] of this.#names) {
+      renamed = renamed.replaceAll(address, name);
+    }
+    return renamed;
+  }
+
+  #runtime(): Runtime {
+    return {
+      environment: {},
+      interactive: false,
+      print: (text) => void (this.stdout += text),
+      printError: (text) => void (this.stderr += text),
+      readText: (path) => Promise.resolve(this.#read(path)),
+      writeText: (path, text) => {
+        this.files.set(path, text);
+        return Promise.resolve(Ok.EMPTY);
+      },
+      now: () => this.now,
+      sleep: (ms) => {
+        this.now += ms;
+        return Promise.resolve();
+      },
+      newId: () => `change-${++this.#ids}`,
+    };
+  }
+
+  #read(
+    path: string,
+  ): ReturnType<Runtime["readText"]> extends Promise<infer R> ? R
+    : never {
+    const text = this.files.get(path);
+    if (text !== undefined) {
+      return Ok(text);
+    }
+    if (path.startsWith("examples/")) {
+      return Ok(readFileSync(new URL(path, ROOT), "utf8"));
+    }
+    return Err(fault("invalid", `Cannot read ${path}: no such file or folder`, {
+      path,
+    }));
+  }
+}
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -49,7 +49,8 @@
         `The change builds on version ${command.base}, but version ${state.version} is in force`,
         {
           version: state.version,
-          remedy: "Read the current version, merge, and apply again",
+          remedy:
+            "Read the newest version with quetzalcove export, merge, and apply again",
         },
       ),
     );
