Serve requests from end to end as separate processes

Cause: nothing could be run. Ruled out: waiting a full lease and the longest request after each change of leader before a drain may end (the demonstration's drain did not end within 30 s); the wait now ends once every configured entry has renewed.

--- a/packages/core/src/membership/lease_table.ts
+++ b/packages/core/src/membership/lease_table.ts
@@ -33,15 +33,24 @@
   readonly #terms: LeaseTerms;
   /** Leases granted by an earlier leader have surely run out at this time. */
   readonly #inheritedUntil: number;
+  /** Entries that have not renewed at this leader yet. */
+  readonly #silent: Set<string>;
   readonly #records = new Map<string, LeaseRecord>();
 
-  constructor(terms: LeaseTerms, startedAt: number) {
+  /** `entries` are all entries that may hold a lease of an earlier leader. */
+  constructor(
+    terms: LeaseTerms,
+    entries: readonly string[],
+    startedAt: number,
+  ) {
     this.#terms = terms;
+    this.#silent = new Set(entries);
     this.#inheritedUntil = startedAt + terms.durationMs + terms.driftMarginMs;
   }
 
   /** Records a grant. */
   grant(record: Omit<LeaseRecord, "grantedAt">, now: number): void {
+    this.#silent.delete(record.entry);
     this.#records.set(keyOf(record), { ...record, grantedAt: now });
   }
 
@@ -99,23 +108,34 @@
 
   /**
    * Whether no request can be in progress on a VM that left `serving` at the given revision. A process whose lease ran
-   * out may still finish requests, each at most `longestRequestMs` old; so may one that only an earlier leader knew.
+   * out may still finish requests, each at most `longestRequestMs` old; so may one that only an earlier leader knew. A
+   * process whose entry was started again has ended, since both would need the same addresses.
    */
   isIdle(
     vm: { name: string; revision: number },
     longestRequestMs: number,
     now: number,
   ): boolean {
-    if (now < this.#inheritedUntil + longestRequestMs) {
+    if (
+      this.#silent.size > 0 && now < this.#inheritedUntil + longestRequestMs
+    ) {
       return false;
     }
     return this.records().every((record) => {
-      if (!this.isLive(record, now)) {
-        return now >=
-          record.grantedAt + this.#terms.durationMs + longestRequestMs;
+      if (this.isLive(record, now)) {
+        return record.revision >= vm.revision &&
+          (record.inFlight[vm.name] ?? 0) === 0;
       }
-      return record.revision >= vm.revision &&
-        (record.inFlight[vm.name] ?? 0) === 0;
+      const lastEnd = record.grantedAt + this.#terms.durationMs +
+        longestRequestMs;
+      return this.#isSuperseded(record) || now >= lastEnd;
+    });
+  }
+
+  #isSuperseded(record: LeaseRecord): boolean {
+    return this.records().some((other) => {
+      return other.entry === record.entry &&
+        other.incarnation > record.incarnation;
     });
   }
 
--- a/packages/daemon/src/leader/tenure.ts
+++ b/packages/daemon/src/leader/tenure.ts
@@ -30,7 +30,7 @@
     const { durationMs, driftMarginMs } = settings.lease;
     this.term = term;
     this.#settings = settings;
-    this.leases = new LeaseTable(settings.lease, now);
+    this.leases = new LeaseTable(settings.lease, entryNames(settings), now);
     this.slots = new SlotLedger({
       epoch: term,
       leaseMs: durationMs,
--- /dev/null
+++ b/packages/emulator/src/demo.ts
@@ -0,0 +1,268 @@
+/**
+ * The demonstration: an example deployment as separate processes, load through every entry, a drained VM, and a
+ * summary.
+ *
+ * @module
+ */
+import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import {
+  Inventory,
+  Rules,
+  Settings,
+  type Status,
+  type Trace,
+  type Vms,
+} from "@quetzalcove/core";
+import { Behaviour } from "./behaviour.ts";
+import {
+  callAdmin,
+  Child,
+  eventually,
+  logFileOf,
+  logFolder,
+} from "./children.ts";
+import { Fleet } from "./fleet.ts";
+import { type LoadReport, runLoad } from "./load.ts";
+
+/** What the demonstration runs. */
+export interface DemoPlan {
+  example: "accra" | "bern";
+  requests: number;
+  seed: number;
+}
+
+interface Deployment {
+  settings: Settings[];
+  inventory: Inventory;
+  rules: Rules;
+  folder: string;
+}
+
+const WAIT_MS = 30_000;
+const LOAD_WIDTH = 24;
+const RUN_MS = 5;
+const NETWORKS = { accra: "127.20", bern: "127.21" } as const;
+const DAEMON = fileURLToPath(import.meta.resolve("@quetzalcove/daemon/bin"));
+
+/** Runs the demonstration and prints its summary. Returns whether everything went as expected. */
+export async function runDemo(plan: DemoPlan): Promise<boolean> {
+  const deployment = readDeployment(plan.example);
+  const daemons = startDaemons(deployment);
+  let finished = false;
+  const fleet = new Fleet({
+    inventory: deployment.inventory,
+    rules: deployment.rules,
+    entries: deployment.settings.map((settings) => settings.listen.service),
+    network: NETWORKS[plan.example],
+    usual: Behaviour.parse({ runMs: RUN_MS }),
+    record: () => {},
+    startedAt: Date.now(),
+  });
+  const lost = Promise.race(daemons.map(async (daemon) => {
+    const { code } = await daemon.ended;
+    if (finished) {
+      return false;
+    }
+    say(
+      `Entry "${daemon.name}" ended with code ${code}; see its log in ${deployment.folder}`,
+    );
+    return false;
+  }));
+  try {
+    return await Promise.race([runSteps(plan, deployment, fleet), lost]);
+  } finally {
+    finished = true;
+    await fleet.stop();
+    await Promise.all(daemons.map((daemon) => daemon.stop()));
+  }
+}
+
+function readDeployment(example: string): Deployment {
+  const source = resolve("examples", example);
+  const folder = mkdtempSync(join(tmpdir(), `quetzalcove-${example}-`));
+  const files = readdirSync(join(source, "settings")).filter((file) =>
+    file.endsWith(".json")
+  );
+  const settings = files.sort().map((file) => {
+    const read = Settings.parse(
+      JSON.parse(readFileSync(join(source, "settings", file), "utf8")),
+    );
+    return {
+      ...read,
+      ...(read.dataFolder !== undefined &&
+        { dataFolder: join(folder, "data", read.entry) }),
+      traces: { ...read.traces, folder: join(folder, "traces") },
+      stop: { ...read.stop, noticeMs: 0 },
+    };
+  });
+  return {
+    settings,
+    inventory: Inventory.parse(
+      JSON.parse(readFileSync(join(source, "inventory.json"), "utf8")),
+    ),
+    rules: Rules.parse(
+      JSON.parse(readFileSync(join(source, "rules.json"), "utf8")),
+    ),
+    folder,
+  };
+}
+
+function startDaemons({ settings, folder }: Deployment): Child[] {
+  const logs = logFolder(join(folder, "logs"));
+  return settings.map((one) => {
+    const file = join(folder, `${one.entry}.json`);
+    writeFileSync(file, JSON.stringify(one, null, 2));
+    return new Child(
+      one.entry,
+      [DAEMON, "--settings", file],
+      logFileOf(logs, one.entry),
+    );
+  });
+}
+
+async function runSteps(
+  plan: DemoPlan,
+  deployment: Deployment,
+  fleet: Fleet,
+): Promise<boolean> {
+  const { settings, inventory, rules } = deployment;
+  const admin = settings[0]?.listen.admin ?? "";
+  say(`Starting ${settings.length} entries of the example "${plan.example}"`);
+  const formed = await eventually(() => form(admin, settings), WAIT_MS);
+  const change = { change: `demo-${Date.now()}`, base: 0, inventory, rules };
+  const accepted = await callAdmin<{ revision: number }>(
+    admin,
+    "/v1/configuration",
+    change,
+  );
+  await fleet.start();
+  const targets = fleet.targets().length;
+  const ready = await eventually(
+    () => allTargetsKnown(admin, targets),
+    WAIT_MS,
+  );
+  if (!formed || accepted?.status !== 200 || !ready) {
+    say(
+      `Not ready: formed=${formed} accepted=${accepted?.status} targets=${ready}`,
+    );
+    return false;
+  }
+  const load = await runLoad({
+    entries: settings.map((one) => one.listen.service),
+    services: rules.services.map((service) => service.name),
+    requests: plan.requests,
+    width: LOAD_WIDTH,
+    seed: plan.seed,
+  });
+  const vm = inventory.vms[0]?.name ?? "";
+  const drained = await drain(admin, vm);
+  const spans = await spansOf(admin, load.trace);
+  await summarize({ admin, deployment, load, vm, drained, spans, targets });
+  const done = load.outcomes["done"] ?? 0;
+  return drained && load.mismatched === 0 && done === load.requests;
+}
+
+/** Starts the cluster once, then waits until every configured replica has caught up. */
+async function form(
+  admin: string,
+  settings: readonly Settings[],
+): Promise<boolean> {
+  await callAdmin(admin, "/v1/init", {});
+  const wanted = settings.filter((one) => one.dataFolder !== undefined).length;
+  const answer = await callAdmin<
+    { replicas?: { role: string; caughtUp: boolean }[] }
+  >(
+    admin,
+    "/v1/replicas",
+  );
+  const voters = (answer?.value.replicas ?? []).filter((r) =>
+    r.role !== "learner" && r.caughtUp
+  );
+  return voters.length === wanted;
+}
+
+async function allTargetsKnown(
+  admin: string,
+  targets: number,
+): Promise<boolean> {
+  const status = await callAdmin<Status>(admin, "/v1/status");
+  const value = status?.value;
+  return value?.counts?.targets === targets &&
+    value.inForceRevision === value.revision;
+}
+
+async function drain(admin: string, vm: string): Promise<boolean> {
+  await callAdmin(admin, `/v1/vms/${vm}/drain`, {});
+  return await eventually(async () => {
+    const vms = await callAdmin<Vms>(admin, "/v1/vms");
+    return vms?.value.vms?.some((one) =>
+      one.name === vm && one.phase === "drained"
+    ) ?? false;
+  }, WAIT_MS);
+}
+
+async function spansOf(
+  admin: string,
+  trace: string | undefined,
+): Promise<string[]> {
+  const answer = await callAdmin<Trace>(admin, `/v1/traces/${trace ?? "none"}`);
+  return (answer?.value.spans ?? []).map((span) => {
+    return `${span.name} ${span.durationMs.toFixed(1)} ms`;
+  });
+}
+
+interface Summary {
+  admin: string;
+  deployment: Deployment;
+  load: LoadReport;
+  vm: string;
+  drained: boolean;
+  spans: string[];
+  targets: number;
+}
+
+async function summarize(summary: Summary): Promise<void> {
+  const { admin, deployment, load, vm, drained, spans, targets } = summary;
+  const status = (await callAdmin<Status>(admin, "/v1/status"))?.value;
+  const outcomes = Object.entries(load.outcomes).map(([name, count]) =>
+    `${count} ${name}`
+  );
+  say("");
+  say("Summary");
+  say(
+    `  entries      ${status?.entries.length ?? 0}, led by ${
+      status?.leader ?? "none"
+    }`,
+  );
+  say(
+    `  VMs          ${
+      status?.counts.vms ?? 0
+    }, targets that announced themselves: ${targets}`,
+  );
+  say(
+    `  requests     ${load.requests}: ${
+      outcomes.join(", ")
+    }; answers of others: ${load.mismatched}`,
+  );
+  say(
+    `  latency      p50 ${load.p50Ms.toFixed(1)} ms, p99 ${
+      load.p99Ms.toFixed(1)
+    } ms`,
+  );
+  say(
+    `  drained VM   ${vm}: ${
+      drained ? "drained, no request cut off" : "not drained in time"
+    }`,
+  );
+  say(`  one trace    ${load.trace ?? "none"}: ${spans.join(", ")}`);
+  say(`  traces       ${join(deployment.folder, "traces")}`);
+  say(`  logs         ${join(deployment.folder, "logs")}`);
+}
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
--- a/packages/emulator/src/main.ts
+++ b/packages/emulator/src/main.ts
@@ -8,6 +8,7 @@
 import { Inventory, Rules } from "@quetzalcove/core";
 import { cac } from "cac";
 import { Behaviour } from "./behaviour.ts";
+import { runDemo } from "./demo.ts";
 import { Fleet } from "./fleet.ts";
 import { runLoad } from "./load.ts";
 
@@ -60,11 +61,33 @@
     .option("--width <count>", "Requests in progress at once", { default: 16 })
     .option("--seed <number>", "Seed of the choices", { default: 1 })
     .action(sendLoad);
+  cli.command(
+    "demo",
+    "Run an example deployment, load it, drain a VM and print a summary",
+  )
+    .option("--example <name>", "accra or bern", { default: "accra" })
+    .option("--requests <count>", "Requests in all", { default: 3_000 })
+    .option("--seed <number>", "Seed of the choices", { default: 1 })
+    .action(demonstrate);
   cli.help();
   cli.parse(argv, { run: false });
   await cli.runMatchedCommand();
 }
 
+async function demonstrate(
+  flags: { example: string; requests: number; seed: number },
+): Promise<void> {
+  if (flags.example !== "accra" && flags.example !== "bern") {
+    process.stderr.write(
+      `Example "${flags.example}" does not exist; use accra or bern\n`,
+    );
+    process.exitCode = 2;
+    return;
+  }
+  const { example, requests, seed } = flags;
+  process.exitCode = await runDemo({ example, requests, seed }) ? 0 : 1;
+}
+
 async function runTargets(flags: FleetFlags): Promise<void> {
   const { record } = flags;
   const fleet = new Fleet({
