Test bad input, help and the generated reference; say 'uncertain' whenever a change may have been made

A golden file of every help text and every refusal was read as a newcomer would: repeated headlines, '127.0.0.256:1' that passed as an address, and a JSON watch that ended in another layout were mended, each after a check that failed.

A call that timed out inside the system, followed by 'no leader' from the next address, was reported as refused with nothing changed (test 'stays uncertain when a later address did nothing' failed: expected 6, received 1). An uncertain answer now outlives later refusals, and a POST that ends in timeout, internal or storage counts as uncertain unless the fault says 'not run'.

--- a/packages/cli/src/admin_client.ts
+++ b/packages/cli/src/admin_client.ts
@@ -6,7 +6,7 @@
 import { fault, Ok, parse, Problem, type Result } from "@quetzalcove/core";
 import { Agent, request } from "undici";
 import type { z } from "zod";
-import { because, fail, type Failure, isLocal } from "./failure.ts";
+import { because, fail, type Failure, isLocal, mayHaveRun } from "./failure.ts";
 
 /** A call of the administration API. */
 export interface Call<T extends z.ZodType> {
@@ -68,7 +68,8 @@
         if (!mayAskElsewhere(result, repeatable)) {
           return result;
         }
-        refusal = result;
+        // A later refusal does not undo what an earlier address may have done.
+        refusal = isUncertain(refusal) ? refusal : result;
         continue;
       }
       reasons.push(`${address}: ${attempt.reason}`);
@@ -152,6 +153,10 @@
   );
 }
 
+function isUncertain<T>(result: Result<T, Failure> | undefined): boolean {
+  return result?.err === true && result.val.reason === "uncertain";
+}
+
 function mayAskElsewhere<T>(
   result: Result<T, Failure>,
   repeatable: boolean,
@@ -159,10 +164,10 @@
   if (result.ok) {
     return false;
   }
-  const { kind, outcome } = result.val.fault;
-  if (outcome === "unknown") {
+  if (result.val.reason === "uncertain") {
     return repeatable;
   }
+  const { kind, outcome } = result.val.fault;
   return isLocal(kind) && (repeatable || outcome === "not run");
 }
 
@@ -184,8 +189,8 @@
   const problem = Problem.safeParse(value);
   if (problem.success) {
     const cause = problem.data.fault;
-    const known = cause.outcome !== "unknown";
-    return fail(known ? "refused" : "uncertain", cause);
+    const open = call.method === "POST" && mayHaveRun(cause);
+    return fail(open ? "uncertain" : "refused", cause);
   }
   return fail(
     reason,
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -14,10 +14,10 @@
   summary: string;
 }
 
-/** What a command reports: text for people, data for `--json`. */
+/** What a command reports: text for people, data for `--json`; without data the text serves both. */
 export interface Report {
   text: string;
-  data: unknown;
+  data?: unknown;
 }
 
 export type Outcome = Result<Report, Failure>;
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -86,7 +86,11 @@
 /** A fault that starts with its path, as a finding at that path. */
 function withoutPath(fault: Fault): Finding {
   const path = fault.path ?? "$";
-  return { path, message: fault.message.replace(`${path}: `, "") };
+  const start = `${path}: `;
+  const message = fault.message.startsWith(start)
+    ? fault.message.slice(start.length)
+    : fault.message;
+  return { path, message };
 }
 
 function describe(file: InputFile): string {
--- a/packages/cli/src/commands/requests.ts
+++ b/packages/cli/src/commands/requests.ts
@@ -19,7 +19,7 @@
 export const REQUESTS: Command = {
   name: "requests",
   parameters: "",
-  summary: "List requests that must not be repeated and whose outcome is open",
+  summary: "List requests that must not be repeated, by outcome",
   details: `
 "unknown" means that the entry was lost while the request may have run. Ask the
 service's own records, then use "quetzalcove settle".`,
--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -60,12 +60,12 @@
       ? `${JSON.stringify(dataOf(seen))}\n`
       : textOf(seen, runtime.now());
     if (view === views) {
-      return Ok({ text: text.trimEnd() + "\n", data: dataOf(seen) });
+      return Ok({ text });
     }
-    runtime.print(runtime.interactive ? CLEAR + text : `${text}\n`);
+    runtime.print(runtime.interactive ? CLEAR + text : text);
     await runtime.sleep((every.val ?? DEFAULT_PAUSE_S) * SECOND_MS);
   }
-  return Ok({ text: "", data: {} });
+  return Ok({ text: "" });
 }
 
 /** One view. */
--- a/packages/cli/src/commands/waves.ts
+++ b/packages/cli/src/commands/waves.ts
@@ -10,8 +10,7 @@
 export const WAVES: Command = {
   name: "waves",
   parameters: "",
-  summary:
-    "Show the maintenance wave that is out and, with --why, what holds VMs back",
+  summary: "Show maintenance waves and, with --why, what holds VMs back",
   details: `
 A wave takes VMs of one failure domain, drains and reboots them, and ends when they are
 healthy again. --why names for each VM held back the rule, the service and the figure
--- a/packages/cli/src/cross_check.ts
+++ b/packages/cli/src/cross_check.ts
@@ -38,7 +38,7 @@
     ...knownZones(settings, inventories),
   ];
   if (findings.length > 0) {
-    return fail("input", invalid("Files", findings));
+    return fail("input", invalid("The set of files", findings));
   }
   const inventory = inventories[0]?.inventory;
   const rulesInForce = rules[0]?.rules;
@@ -61,7 +61,7 @@
 ): Finding[] {
   return files.slice(1).map(({ path }) => ({
     path,
-    message: `is a second ${kind}, after ${
+    message: `is a second file of kind ${kind}, after ${
       files[0]?.path
     }; check one at a time`,
   }));
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -69,7 +69,7 @@
 /** Writes a failure for a person. */
 export function describeFailure(failure: Failure): string {
   const { message, causes = [], remedy, retryAfterMs } = failure.fault;
-  const lines = [`quetzalcove: ${message}`];
+  const lines = [`quetzalcove: ${headline(message, causes)}`];
   if (causes.length > 1) {
     for (const cause of causes.slice(0, MAX_PRINTED_CAUSES)) {
       lines.push(`  ${cause.path}: ${cause.message}`);
@@ -87,11 +87,33 @@
   return `${lines.join("\n")}\n`;
 }
 
+/** The message without its first cause, when all causes follow. */
+function headline(message: string, causes: Fault["causes"] = []): string {
+  const [first, second] = causes;
+  const repeated = `${first?.path}: ${first?.message}`;
+  const start = second === undefined ? -1 : message.indexOf(repeated);
+  return start > 0 ? message.slice(0, start).trimEnd() : message;
+}
+
 /** Whether a fault says that another address may answer. */
 export function isLocal(kind: FaultKind): boolean {
   return LOCAL_KINDS.includes(kind);
 }
 
+/** Whether a change that ended in this fault may have been made all the same. */
+export function mayHaveRun(cause: Fault): boolean {
+  return cause.outcome === "unknown" ||
+    cause.outcome !== "not run" && OPEN_KINDS.includes(cause.kind);
+}
+
+const OPEN_KINDS: readonly FaultKind[] = [
+  "timeout",
+  "internal",
+  "storage",
+  "unknown_outcome",
+  "unreachable",
+];
+
 const LOCAL_KINDS: readonly FaultKind[] = [
   "no_leader",
   "not_leader",
--- a/packages/cli/src/help.ts
+++ b/packages/cli/src/help.ts
@@ -25,7 +25,7 @@
 /** The help of the whole tool. */
 export function describeTool(commands: readonly Command[]): string {
   const rows = commands.map((command) =>
-    [signature(command), command.summary] as const
+    [shortSignature(command), command.summary] as const
   );
   const codes = Object.entries(EXIT_CODES).map(([reason, code]) =>
     [
@@ -66,6 +66,12 @@
   return sections.join("\n");
 }
 
+/** The signature, without parameters that may be left out. */
+function shortSignature(command: Command): string {
+  const optional = command.parameters.startsWith("[");
+  return optional ? command.name : signature(command);
+}
+
 function signature(command: Command): string {
   return `${command.name} ${command.usage ?? command.parameters}`.trim();
 }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -139,7 +139,8 @@
       return reportFailure(outcome.val, runtime, json);
     }
     const { text, data } = outcome.val;
-    runtime.print(json ? `${JSON.stringify(data, null, 2)}\n` : text);
+    const asJson = json && data !== undefined;
+    runtime.print(asJson ? `${JSON.stringify(data, null, 2)}\n` : text);
     return EXIT_CODES.ok;
   } finally {
     await client?.close();
--- a/packages/cli/src/reference_page.ts
+++ b/packages/cli/src/reference_page.ts
@@ -140,7 +140,7 @@
   if (pattern.startsWith("^[a-z0-9]")) {
     return "name";
   }
-  if (pattern.includes("\\d{1,5}$")) {
+  if (pattern.includes("[0-9a-f:]+")) {
     return "IP address and port";
   }
   if (pattern.includes("[0-5]\\d")) {
--- a/packages/cli/src/register.ts
+++ b/packages/cli/src/register.ts
@@ -6,8 +6,8 @@
 import {
   Err,
   type Fault,
-  fault,
   type Finding,
+  invalid,
   type Inventory,
   Ok,
   parse as parseValue,
@@ -30,19 +30,10 @@
       ...contradictions(rows, "rack", "zone"),
       ...contradictions(rows, "zone", "region"),
     );
-    return findings.length === 0
-      ? Ok(inventoryOf(rows, vms))
-      : Err(invalidRegister(findings));
-  });
-}
-
-function invalidRegister(findings: readonly Finding[]): Fault {
-  const [first] = findings;
-  const more = findings.length > 1 ? ` (and ${findings.length - 1} more)` : "";
-  return fault("invalid", `${first?.path}: ${first?.message}${more}`, {
-    path: first?.path,
-    causes: [...findings],
-    remedy: "Correct the register and import it again",
+    return findings.length === 0 ? Ok(inventoryOf(rows, vms)) : Err({
+      ...invalid(fileName, findings),
+      remedy: "Correct the register and import it again",
+    });
   });
 }
 
--- a/packages/cli/test/session.ts
+++ b/packages/cli/test/session.ts
@@ -51,6 +51,12 @@
     return exit;
   }
 
+  /** Adds a file, and its text to the transcript. */
+  write(path: string, text: string): void {
+    this.files.set(path, text);
+    this.transcript += `== ${path}\n${text.trimEnd()}\n\n`;
+  }
+
   async close(): Promise<void> {
     await Promise.all(this.servers.map((server) => server.close()));
   }
--- a/packages/cli/test/session_test.ts
+++ b/packages/cli/test/session_test.ts
@@ -261,6 +261,30 @@
     expect(await session.run("drain", "acc-w07", ...ADMIN)).toBe(6);
   });
 
+  it("stays uncertain when a later address did nothing", async () => {
+    const other = await session.start("entry-b1:8081");
+    const path = "POST /v1/configuration";
+    const open = fault("timeout", "The leader did not answer");
+    const closed = fault("no_leader", "No leader is known", {
+      outcome: "not run",
+    });
+    server.troubles.set(path, Array.from({ length: 9 }, () => open));
+    other.troubles.set(path, Array.from({ length: 9 }, () => closed));
+    const both = ["--admin", "entry-a1:8081,entry-b1:8081"];
+    const line = ["apply", ...FILES, "--timeout", "2", ...both];
+    expect(await session.run(...line)).toBe(6);
+  });
+
+  it("reports a call that timed out inside as uncertain, or as refused", async () => {
+    const cause = fault("timeout", "The leader did not answer");
+    server.troubles.set("POST /v1/vms/acc-w07/drain", [
+      cause,
+      { ...cause, outcome: "not run" },
+    ]);
+    expect(await session.run("drain", "acc-w07", ...ADMIN)).toBe(6);
+    expect(await session.run("drain", "acc-w07", ...ADMIN)).toBe(1);
+  });
+
   it("refuses init at two addresses", async () => {
     const exit = await session.run(
       "init",
@@ -272,6 +296,28 @@
   });
 });
 
+describe("watch", () => {
+  it("writes one line of JSON for each view, also while no daemon answers", async () => {
+    const gone = await session.start("entry-b1:8081");
+    await gone.close();
+    session.servers.pop();
+    server.answers.set("GET /v1/waves", { waves: [] });
+    await session.run("watch", "--json", "--count", "2", ...ADMIN);
+    const there = session.stdout.trimEnd().split("\n");
+    const back = ["--admin", "entry-b1:8081"];
+    await session.run("watch", "--json", "--count", "2", ...back);
+    const away = session.stdout.trimEnd().split("\n");
+    expect(there.map((line) => Object.keys(JSON.parse(line)))).toEqual([
+      ["status", "vms", "waves"],
+      ["status", "vms", "waves"],
+    ]);
+    expect(away.map((line) => Object.keys(JSON.parse(line)))).toEqual([
+      ["failure"],
+      ["failure"],
+    ]);
+  });
+});
+
 describe("apply --wait", () => {
   it("says that the change is accepted when the wait times out", async () => {
     server.waiting = ["entry-b1", "entry-c1"];
--- a/packages/core/src/names.ts
+++ b/packages/core/src/names.ts
@@ -12,9 +12,13 @@
 );
 export type Name = z.infer<typeof Name>;
 
+const OCTET = "(25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+const PORT =
+  "(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[0-5]?\\d{1,4})";
+
 /** An IP address and a port, for example `127.0.1.1:8080` or `[::1]:8080`. */
 export const Address = z.string().regex(
-  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
+  new RegExp(`^(${OCTET}(\\.${OCTET}){3}|\\[[0-9a-f:]+\\]):${PORT}$`),
   "must be an IP address and a port, for example 127.0.1.1:8080",
 );
 export type Address = z.infer<typeof Address>;
--- a/packages/core/src/validate.ts
+++ b/packages/core/src/validate.ts
@@ -61,7 +61,7 @@
   if (issue.input === undefined && MISSING_CODES.includes(issue.code)) {
     return [{ path, message: "is required, but missing" }];
   }
-  return [{ path, message: issue.message }];
+  return [{ path, message: issue.message.replace(/^Invalid input: /, "") }];
 }
 
 /** Writes a path of keys and indices as `vms[3].rack`; `$` is the whole value. */
