--- a/packages/core/src/membership/lease_table.ts
+++ b/packages/core/src/membership/lease_table.ts
@@ -5,6 +5,9 @@
  * @module
  */
 
+import type { ForceView } from "../admin_api.ts";
+import type { Renewal } from "./renewal.ts";
+
 /** Durations in milliseconds. */
 export interface LeaseTerms {
   durationMs: number;
@@ -19,16 +22,13 @@
   incarnation: number;
   revision: number;
   grantedAt: number;
-  inFlight: Record<string, number>;
+  /** Requests in progress on VMs that are not serving. */
+  inFlight: Renewal["inFlight"];
+  usage: Renewal["usage"];
+  unhealthy: Renewal["unhealthy"];
   stopping: boolean;
 }
 
-/** Whether a revision is in force, and the entries that it waits for. */
-export interface Force {
-  inForce: boolean;
-  waiting: string[];
-}
-
 export class LeaseTable {
   readonly #terms: LeaseTerms;
   /** Leases granted by an earlier leader have surely run out at this time. */
@@ -60,12 +60,17 @@
   }
 
   isLive(record: LeaseRecord, now: number): boolean {
-    return now <
-      record.grantedAt + this.#terms.durationMs + this.#terms.driftMarginMs;
+    return this.remainingMs(record, now) > 0;
+  }
+
+  /** Time left until the lease has surely run out, in milliseconds; negative after that. */
+  remainingMs(record: LeaseRecord, now: number): number {
+    return record.grantedAt + this.#terms.durationMs +
+      this.#terms.driftMarginMs - now;
   }
 
   /** Whether each process that may hold a lease runs the revision or a later one. */
-  force(revision: number, now: number): Force {
+  force(revision: number, now: number): Omit<ForceView, "revision"> {
     const waiting = this.records()
       .filter((record) =>
         this.isLive(record, now) && record.revision < revision
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -28,7 +28,7 @@
 /** Handles a request of the other end; a fault is sent back as such. */
 export type Handler = (
   params: unknown,
-  connection: Connection,
+  connection?: Connection,
 ) => Promise<Result<unknown, Fault>>;
 
 /** Handlers by method name. */
@@ -42,7 +42,7 @@
   readonly #socket: Socket;
   readonly #bounds: ConnectionBounds;
   readonly #client: JSONRPCClient;
-  readonly #server = new JSONRPCServer();
+  readonly #server = new JSONRPCServer({ errorListener: () => {} });
   readonly #timers: NodeJS.Timeout[] = [];
   #pending: Buffer[] = [];
   #pendingBytes = 0;
