Fit the command-line tool to the daemon's admin API, and drop settings that nothing reads

Reading the daemon's code next to the schemas: 'drain' takes a reason from a list, not free text; VMs that left the inventory have no rack, zone or desired pool; replicas join by themselves; spans are named 'span'; a lost leadership leaves a change open, so it counts as uncertain. Seven settings had no reader (election maximum, append and chunk sizes, reconnect waits, retry share, kept spans) and are gone.

An admin body of 4 MiB could never cross a link whose messages end at 1 MiB: the connection would be closed and the change never commit. The default message is now 4 MiB, the default admin body 1 MiB, and settings whose bodies would not fit are refused.

--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -19,14 +19,8 @@
   details: `
 Requests in progress run to their end. "quetzalcove vms" shows when the VM is drained.
 It stays out of service until "quetzalcove resume".`,
-  options: [
-    {
-      flags: "--reason <text>",
-      summary: "Why, for the log and other operators",
-    },
-    WAIT,
-  ],
-  examples: ["drain acc-w07", 'drain acc-w07 --reason "fan noise" --wait'],
+  options: [WAIT],
+  examples: ["drain acc-w07 --wait"],
   run: (invocation) => change(invocation, "drain"),
 };
 
@@ -47,7 +41,6 @@
 ): Promise<Outcome> {
   const { args, options } = invocation;
   const vm = args[0] ?? "";
-  const reason = options.text("reason");
   const connected = invocation.connect();
   if (connected.err) {
     return connected;
@@ -56,7 +49,7 @@
   const changed = await client.call({
     method: "POST",
     path: `/v1/vms/${encodeURIComponent(vm)}/${action}`,
-    body: reason === undefined ? {} : { reason },
+    body: {},
     answer: ChangedRevision,
     whenUncertain: `quetzalcove vms --name ${vm} shows the phase of the VM`,
   });
--- a/packages/cli/src/commands/init.ts
+++ b/packages/cli/src/commands/init.ts
@@ -3,20 +3,18 @@
  *
  * @module
  */
-import { Err } from "@quetzalcove/core";
 import { z } from "zod";
 import type { Command, Invocation, Outcome } from "../command.ts";
-import { usage } from "../failure.ts";
 
 export const INIT: Command = {
   name: "init",
   parameters: "",
   summary: "Start a new cluster, once in its life",
   details: `
-Run it once, at one daemon that has a data folder, after the daemons have started. A
-cluster that was started refuses a second init. A daemon with an empty folder never
-starts a cluster by itself; a lost disk is replaced by "quetzalcove replicas", not by
-init.`,
+Run it once, after most of the replicas have started; any daemon passes it on to the
+first replica by name. A cluster that was started refuses a second init. A daemon with an
+empty folder never starts a cluster by itself: it asks to join. A single process without
+peers needs no init.`,
   options: [],
   examples: ["init --admin 127.10.1.1:8081"],
   run,
@@ -27,20 +25,15 @@
   if (connected.err) {
     return connected;
   }
-  const client = connected.val;
-  // A second address could start a second cluster after the first answer was lost.
-  if (client.addresses.length > 1) {
-    return Err(usage("init needs exactly one admin address", "Give --admin"));
-  }
-  const started = await client.call({
+  const started = await connected.val.call({
     method: "POST",
     path: "/v1/init",
     body: {},
     answer: z.unknown(),
-    whenUncertain: "quetzalcove status at the same address shows it",
+    whenUncertain: "quetzalcove status answers once the cluster is started",
   });
   return started.map((data) => ({
-    text: `The cluster is started at ${client.addresses[0]}\n`,
+    text: "The cluster is started\n",
     data: data ?? {},
   }));
 }
--- a/packages/cli/src/commands/replicas.ts
+++ b/packages/cli/src/commands/replicas.ts
@@ -12,20 +12,20 @@
 export const REPLICAS: Command = {
   name: "replicas",
   parameters: "[action] [name]",
-  usage: "[add <entry> | remove <replica> | transfer <entry>]",
-  summary: "List replicas; add, remove or hand leadership over",
+  usage: "[remove <replica> | transfer <entry>]",
+  summary: "List replicas; remove one or hand leadership over",
   details: `
-Without an action it lists replicas. "add" lets an entry with a data folder join,
-"remove" takes a replica out for good, and "transfer" makes an entry's replica the leader.
+Without an action it lists replicas. "remove" takes a replica out for good, and
+"transfer" makes an entry's replica the leader.
 
-An added replica is a learner until it has caught up; only then does it count towards a
-majority. Replace a lost disk by add, wait until it has caught up, then remove the old
-replica by its id.`,
+A daemon that is configured as a replica and has an empty data folder joins by itself. It
+is a learner until it has caught up; only then does it count towards a majority and take
+the place of the replica that its entry had before. So a lost disk needs no command:
+start the daemon with an empty folder and watch "caught up".`,
   options: [],
   examples: [
     "replicas",
-    "replicas add entry-b2",
-    "replicas remove 5f0c2a8e",
+    "replicas remove entry-b2#5f0c2a8e",
     "replicas transfer entry-a1",
   ],
   run,
@@ -33,7 +33,6 @@
 
 /** The member of the body that holds the name, by action. */
 const ACTIONS = {
-  add: "entry",
   remove: "replica",
   transfer: "entry",
 } as const;
@@ -53,7 +52,7 @@
     return await list(invocation);
   }
   if (!Object.hasOwn(ACTIONS, action)) {
-    return Err(usage(`The action is add, remove or transfer, not "${action}"`));
+    return Err(usage(`The action is remove or transfer, not "${action}"`));
   }
   if (name === undefined) {
     return Err(usage(`replicas ${action} needs a name`));
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -91,7 +91,8 @@
 }
 
 function describeLease(entry: EntryStatus): string {
+  const stopping = entry.stopping ? " (stopping)" : "";
   return entry.leaseMs > 0
-    ? formatDuration(entry.leaseMs)
+    ? formatDuration(entry.leaseMs) + stopping
     : `ended ${formatDuration(-entry.leaseMs)} ago`;
 }
--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -12,8 +12,8 @@
   parameters: "<id>",
   summary: "Show the hops of one request with their times",
   details: `
-The id is the trace id of the answer's traceparent header. Daemons keep the latest
-spans in memory only.`,
+The id stands in the header x-quetzalcove-trace of the answer. Daemons keep only the
+latest spans in memory; the trace files and the OTLP receiver have them all.`,
   options: [],
   examples: ["trace 4bf92f3577b34da6a3ce929d0e0e4736"],
   run,
@@ -47,7 +47,7 @@
   }
   const sorted = spans.toSorted((a, b) => a.startMs - b.startMs);
   const start = sorted[0]?.startMs ?? 0;
-  const byId = new Map(sorted.map((span) => [span.id, span]));
+  const byId = new Map(sorted.map((span) => [span.span, span]));
   const rows = sorted.map((span) => [
     `${(span.startMs - start).toFixed(1)} ms`,
     `${span.durationMs.toFixed(1)} ms`,
@@ -63,7 +63,7 @@
 
 function depthOf(
   span: SpanView,
-  byId: Map<string | undefined, SpanView>,
+  byId: ReadonlyMap<string, SpanView>,
 ): number {
   let depth = 0;
   let parent = span.parent ? byId.get(span.parent) : undefined;
--- a/packages/cli/src/commands/vms.ts
+++ b/packages/cli/src/commands/vms.ts
@@ -14,8 +14,9 @@
   summary: "List VMs with zone, rack, pool, phase and work",
   details: `
 Phases: serving, draining (no new work), drained, rebooting, returning, failed. A pool
-written as "intake -> charts" is a move that has not happened yet. Targets that announce
-themselves on a VM which the inventory does not list get no work and are listed below.`,
+written as "intake -> charts" is a move that has not happened yet, "intake -> none" a VM
+that the newest inventory no longer lists. Targets that announce themselves on a VM which
+is in no inventory get no work and are listed below.`,
   options: [
     { flags: "--name <vm>", summary: "Only this VM" },
     { flags: "--pool <pool>", summary: "Only VMs of this pool" },
@@ -42,7 +43,7 @@
       .filter((vm) =>
         matches(vm.name, options.text("name")) &&
         matches(vm.pool, options.text("pool")) &&
-        matches(vm.zone, options.text("zone")) &&
+        matches(vm.zone ?? "-", options.text("zone")) &&
         matches(vm.phase, options.text("phase"))
       )
       .sort((a, b) => byName(a.name, b.name));
@@ -77,8 +78,8 @@
 function describeVms(found: Vms, now: number): string {
   const rows = found.vms.map((vm) => [
     vm.name,
-    vm.zone,
-    vm.rack,
+    vm.zone ?? "-",
+    vm.rack ?? "-",
     describePool(vm),
     vm.phase,
     vm.reason === "none" ? "" : vm.reason,
@@ -102,7 +103,7 @@
 function describePool(vm: VmView): string {
   return vm.pool === vm.desiredPool
     ? vm.pool
-    : `${vm.pool} -> ${vm.desiredPool}`;
+    : `${vm.pool} -> ${vm.desiredPool ?? "none"}`;
 }
 
 /** Counts the VMs in each phase, and names those that are not serving. */
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -112,6 +112,8 @@
   "storage",
   "unknown_outcome",
   "unreachable",
+  "no_leader",
+  "not_leader",
 ];
 
 const LOCAL_KINDS: readonly FaultKind[] = [
--- a/packages/core/src/admin_api.ts
+++ b/packages/core/src/admin_api.ts
@@ -30,6 +30,8 @@
   /** What remains of its lease in milliseconds; negative when it has run out. */
   leaseMs: z.number(),
   revision: z.number().int(),
+  /** Whether it is in a planned stop. */
+  stopping: z.boolean().default(false),
 });
 export type EntryStatus = z.infer<typeof EntryStatus>;
 
@@ -90,9 +92,10 @@
 
 /** One VM with what is known about its place and its targets. */
 export const VmView = VmRecord.extend({
-  zone: z.string(),
-  rack: z.string(),
-  desiredPool: z.string(),
+  /** Absent once the VM has left the inventory; so are rack and desired pool. */
+  zone: z.string().nullable(),
+  rack: z.string().nullable(),
+  desiredPool: z.string().nullable(),
   announced: z.boolean(),
   inFlight: z.number().int(),
   targets: z.array(Announcement),
@@ -185,10 +188,10 @@
 
 /** One hop of a traced request. */
 export const SpanView = z.object({
+  span: z.string(),
+  parent: z.string().nullish(),
   name: z.string(),
   entry: z.string(),
-  id: z.string().optional(),
-  parent: z.string().nullish(),
   startMs: z.number(),
   durationMs: z.number(),
   attributes: z.record(z.string(), z.unknown()).default({}),
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -48,20 +48,11 @@
     "Interval of the leader's heartbeats.",
   ),
   electionMinMs: DurationMs.default(600).describe(
-    "Shortest time without a leader before an election.",
-  ),
-  electionMaxMs: DurationMs.default(1_200).describe(
-    "Longest time without a leader before an election.",
+    "Shortest time without a leader before an election; the longest is twice as long.",
   ),
   snapshotEveryEntries: Count.default(2_000).describe(
     "Log entries between two snapshots.",
   ),
-  maxAppendBytes: Bytes.default(262_144).describe(
-    "Most bytes of log entries in one message.",
-  ),
-  snapshotChunkBytes: Bytes.default(262_144).describe(
-    "Bytes of a snapshot in one message.",
-  ),
 });
 
 const Link = z.strictObject({
@@ -74,16 +65,10 @@
   callTimeoutMs: DurationMs.default(2_000).describe(
     "Deadline of a call between daemons.",
   ),
-  reconnectMinMs: DurationMs.default(100).describe(
-    "First wait before a new connection; it doubles with each failure.",
-  ),
-  reconnectMaxMs: DurationMs.default(1_000).describe(
-    "Longest wait before a new connection.",
-  ),
-  maxQueuedBytes: Bytes.default(4_194_304).describe(
+  maxQueuedBytes: Bytes.default(8_388_608).describe(
     "Most bytes that wait to be sent to one peer.",
   ),
-  maxMessageBytes: Bytes.default(1_048_576).describe(
+  maxMessageBytes: Bytes.default(4_194_304).describe(
     "Largest message that is read.",
   ),
 });
@@ -104,9 +89,6 @@
   keepAliveMs: DurationMs.default(4_000).describe(
     "How long an idle connection to a target stays open.",
   ),
-  retryShare: Share.default(0.1).describe(
-    "Most retries as a share of first attempts.",
-  ),
   maxRequestBytes: Bytes.default(16_777_216).describe(
     "Largest request body; a service may set less.",
   ),
@@ -132,7 +114,7 @@
     "Least severe events that are written.",
   ),
   file: z.string().min(1).optional().describe(
-    "File for the log; standard output when absent.",
+    "File for the log; standard error when absent.",
   ),
 });
 
@@ -144,9 +126,6 @@
     "OTLP/HTTP receiver of spans; none are sent when absent.",
   ),
   sampleShare: Share.default(1).describe("Share of requests that are traced."),
-  maxKeptSpans: Count.default(2_000).describe(
-    "Spans kept in memory for the command `trace`.",
-  ),
 });
 
 const Limits = z.strictObject({
@@ -165,7 +144,7 @@
   keepAliveMs: DurationMs.default(65_000).describe(
     "How long an idle connection of a caller stays open.",
   ),
-  maxAdminBytes: Bytes.default(4_194_304).describe(
+  maxAdminBytes: Bytes.default(1_048_576).describe(
     "Largest body of a request to the administration API.",
   ),
 });
--- a/packages/core/src/settings_check.ts
+++ b/packages/core/src/settings_check.ts
@@ -45,51 +45,37 @@
       path: "targets.expireMs",
       value: targets.expireMs,
     }),
-    ...atMost(
-      "raft.electionMinMs",
-      raft.electionMinMs + 1,
-      { path: "raft.electionMaxMs", value: raft.electionMaxMs },
-    ),
-    ...atMost("link.reconnectMinMs", link.reconnectMinMs, {
-      path: "link.reconnectMaxMs",
-      value: link.reconnectMaxMs,
-    }),
     ...positive("lease.driftMarginMs", lease.driftMarginMs),
     ...positive("link.callTimeoutMs", link.callTimeoutMs),
     ...positive("forward.connectTimeoutMs", settings.forward.connectTimeoutMs),
   ];
 }
 
-/** Bytes become longer in base64, by a third. */
-const BASE64_GROWTH = 4 / 3;
+/** A text becomes longer as a value inside JSON: its quotes are escaped, bytes are in base64. */
+const JSON_GROWTH = 2;
 
 /** Room in a message for what surrounds its payload. */
 const ENVELOPE_BYTES = 4_096;
 
 function sizes(settings: Settings): Finding[] {
-  const { link, raft, ledger } = settings;
+  const { link, limits, ledger } = settings;
   const message = { path: "link.maxMessageBytes", value: link.maxMessageBytes };
   return [
     ...atMost("link.maxMessageBytes", link.maxMessageBytes, {
       path: "link.maxQueuedBytes",
       value: link.maxQueuedBytes,
     }),
-    ...atMost(
-      "raft.snapshotChunkBytes",
-      encoded(raft.snapshotChunkBytes),
-      message,
-    ),
-    ...atMost("raft.maxAppendBytes", encoded(raft.maxAppendBytes), message),
+    ...atMost("limits.maxAdminBytes", inMessage(limits.maxAdminBytes), message),
     ...atMost(
       "ledger.maxStoredAnswerBytes",
-      encoded(ledger.maxStoredAnswerBytes),
+      inMessage(ledger.maxStoredAnswerBytes),
       message,
     ),
   ];
 }
 
-function encoded(bytes: number): number {
-  return Math.ceil(bytes * BASE64_GROWTH) + ENVELOPE_BYTES;
+function inMessage(bytes: number): number {
+  return bytes * JSON_GROWTH + ENVELOPE_BYTES;
 }
 
 /** A value and where it stands. */
