--- a/packages/core/src/rules.ts
+++ b/packages/core/src/rules.ts
@@ -46,6 +46,14 @@
 });
 export type Service = z.infer<typeof Service>;
 
+/** An attempt may go on this many times the deadline of its service, so that its outcome can still be recorded. */
+const ATTEMPT_DEADLINE_FACTOR = 2;
+
+/** How long an attempt at a target may go on, in milliseconds; after that its connection is closed. */
+export function longestAttemptMs(service: Service): number {
+  return service.deadlineMs * ATTEMPT_DEADLINE_FACTOR;
+}
+
 /** A daily period in UTC in which maintenance may run; it wraps over midnight when `to` is before `from`. */
 export const MaintenanceWindow = z.strictObject({
   from: z.string().regex(
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -10,6 +10,7 @@
   Err,
   type Fault,
   fault,
+  longestAttemptMs,
   Ok,
   type Result,
 } from "@quetzalcove/core";
@@ -35,9 +36,6 @@
   result: Result<WholeAnswer, Failure>;
 }
 
-/** An attempt may go on this many times its deadline, so that its outcome can still be recorded. */
-export const ATTEMPT_DEADLINE_FACTOR = 2;
-
 /** Sends a request to a target and reads the answer. */
 export function runAttempt(
   parts: AttemptParts,
@@ -82,9 +80,11 @@
   const headers = singleHeaders(request.headers);
   injectContext(context, headers);
   headers["x-quetzalcove-request"] = request.id;
-  const limitMs = treatment.deadlineMs * ATTEMPT_DEADLINE_FACTOR;
   const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(), limitMs);
+  const timer = setTimeout(
+    () => abort.abort(),
+    longestAttemptMs(treatment.service),
+  );
   const result = await forwarder.send(target, {
     method: request.method,
     path: request.path,
--- a/packages/daemon/src/leader/conductor.ts
+++ b/packages/daemon/src/leader/conductor.ts
@@ -4,7 +4,13 @@
  *
  * @module
  */
-import type { Command, LeaseTable, State, VmRecord } from "@quetzalcove/core";
+import {
+  type Command,
+  type LeaseTable,
+  longestAttemptMs,
+  type State,
+  type VmRecord,
+} from "@quetzalcove/core";
 
 /** What the leader knows at one moment. */
 export interface Situation {
@@ -31,7 +37,7 @@
 export function longestRequestMs(state: State): number {
   return Math.max(
     0,
-    ...state.rules.services.map((service) => service.deadlineMs),
+    ...state.rules.services.map(longestAttemptMs),
   );
 }
 
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./announcer.ts";
 export * from "./behaviour.ts";
+export * from "./children.ts";
 export * from "./fleet.ts";
 export * from "./load.ts";
 export * from "./target.ts";
--- /dev/null
+++ b/test/answers_test.ts
@@ -0,0 +1,169 @@
+import { connect } from "node:net";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import type { Fleet, Run } from "@quetzalcove/emulator";
+import { Cluster } from "./harness/cluster.ts";
+import { call, fleetOf, inventoryOf, rulesOf } from "./harness/site.ts";
+
+describe("an answer", () => {
+  const site = {
+    inventory: inventoryOf(4),
+    rules: rulesOf({ maxAnswerBytes: 10_000, maxRequestBytes: 1_000 }),
+  };
+  const cluster = new Cluster({ entries: 2, replicas: 1 });
+  const runs: Run[] = [];
+  let fleet: Fleet;
+
+  beforeAll(async () => {
+    await cluster.start();
+    await cluster.configure("e1", { change: "first", base: 0, ...site });
+    fleet = fleetOf(site, cluster.services(), runs);
+    await fleet.start();
+    await cluster.until("slots", async () => {
+      const seen = await Promise.all(cluster.names.map((name) => {
+        return call({
+          entry: cluster.service(name),
+          service: "intake",
+          path: "/ready",
+        });
+      }));
+      return seen.every((one) => one?.status === 200);
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+    await cluster.stop();
+  });
+
+  const entry = cluster.service("e1");
+
+  it("is whole and the caller's own when many come late and out of order", async () => {
+    const calls = Array.from({ length: 400 }, (_, index) => {
+      const emulate = {
+        runMs: (index * 7) % 60,
+        padding: (index * 37) % 5_000,
+      };
+      const at = cluster.service(index % 2 === 0 ? "e1" : "e2");
+      return call({
+        entry: at,
+        service: "intake",
+        path: `/reports/${index}`,
+        emulate,
+      });
+    });
+    const seen = await Promise.all(calls);
+    const done = seen.filter((one) => one?.outcome === "done");
+    expect(done.length).toBeGreaterThan(0);
+    expect(done.filter((one) => !one?.own)).toEqual([]);
+    expect(
+      seen.filter((one) =>
+        one?.outcome !== "done" && one?.outcome !== "not run"
+      ),
+    ).toEqual([]);
+  });
+
+  it.each(
+    [
+      ["cut short", { failure: "short" }],
+      ["without a declared end", { failure: "undeclared" }],
+      ["longer than the rules allow", { padding: 20_000 }],
+      ["never sent", { failure: "silent" }],
+    ] as const,
+  )("is never passed on in part when it is %s", async (_name, emulate) => {
+    const order = {
+      entry,
+      service: "intake",
+      path: "/reports/partial",
+      body: "x",
+      emulate,
+    };
+    const seen = await call({ ...order, deadlineMs: 1_500 });
+    expect(seen?.own).toBe(false);
+    expect(seen?.outcome).toBe("unknown");
+    expect([502, 504]).toContain(seen?.status);
+  });
+
+  it("does not meet the next request after a caller went away", async () => {
+    const gone = connect({
+      host: entry.split(":")[0],
+      port: Number(entry.split(":")[1]),
+    });
+    gone.write(
+      'GET /intake/gone HTTP/1.1\r\nhost: x\r\nx-emulate: {"runMs":300}\r\n\r\n',
+    );
+    await cluster.until(
+      "the run",
+      () => runs.some((run) => run.path === "/gone"),
+    );
+    gone.destroy();
+    const seen = await Promise.all(Array.from({ length: 40 }, (_, index) => {
+      return call({ entry, service: "intake", path: `/next/${index}` });
+    }));
+    const done = seen.filter((one) => one?.outcome === "done");
+    expect(done.length).toBeGreaterThan(0);
+    expect(done.filter((one) => !one?.own)).toEqual([]);
+  });
+
+  it.each([
+    ["an unknown service", "/nobody/x", {}, 404],
+    ["no service", "/", {}, 404],
+    [
+      "an unknown priority",
+      "/intake/x",
+      { "x-quetzalcove-priority": "soon" },
+      400,
+    ],
+    [
+      "a deadline of no time",
+      "/intake/x",
+      { "x-quetzalcove-deadline-ms": "0" },
+      400,
+    ],
+    ["an empty key", "/intake/x", { "idempotency-key": "" }, 400],
+  ])(
+    "names the fault of a request with %s",
+    async (_name, path, headers, status) => {
+      const answer = await fetch(`http://${entry}${path}`, {
+        headers: headers as HeadersInit,
+      });
+      expect(answer.status).toBe(status);
+      expect(answer.headers.get("content-type")).toBe(
+        "application/problem+json",
+      );
+      expect(answer.headers.get("x-quetzalcove-outcome")).toBe("not run");
+    },
+  );
+
+  it("refuses a body that is longer than the rules allow", async () => {
+    const body = "x".repeat(2_000);
+    const seen = await call({ entry, service: "intake", path: "/long", body });
+    expect(seen).toMatchObject({ status: 413, outcome: "not run" });
+    expect(runs.some((run) => run.path === "/long")).toBe(false);
+  });
+
+  it("does not forward a request that ends before its declared length", async () => {
+    const host = entry.split(":")[0];
+    const socket = connect({ host, port: Number(entry.split(":")[1]) });
+    socket.end(
+      "POST /intake/truncated HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nshort",
+    );
+    await new Promise((resolve) => socket.once("close", resolve).resume());
+    await call({ entry, service: "intake", path: "/after" });
+    expect(runs.some((run) => run.path === "/truncated")).toBe(false);
+  });
+
+  it("refuses a request whose length is declared in two ways", async () => {
+    const host = entry.split(":")[0];
+    const socket = connect({ host, port: Number(entry.split(":")[1]) });
+    socket.write(
+      "POST /intake/smuggled HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n" +
+        "transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /intake/hidden HTTP/1.1\r\nhost: x\r\n\r\n",
+    );
+    const answer = await new Promise<string>((resolve) =>
+      socket.once("data", (b) => resolve(`${b}`))
+    );
+    socket.destroy();
+    expect(answer).toMatch(/^HTTP\/1\.1 400 /);
+    expect(runs.some((run) => /smuggled|hidden/.test(run.path))).toBe(false);
+  });
+});
--- /dev/null
+++ b/test/at_most_once_test.ts
@@ -0,0 +1,189 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import type { Fleet, Run } from "@quetzalcove/emulator";
+import { callAdmin } from "@quetzalcove/emulator";
+import { Cluster } from "./harness/cluster.ts";
+import {
+  call,
+  fleetOf,
+  inventoryOf,
+  rulesOf,
+  runsOf,
+  type Seen,
+} from "./harness/site.ts";
+
+describe("a request that must not be repeated", () => {
+  const site = { inventory: inventoryOf(4), rules: rulesOf() };
+  const cluster = new Cluster({ entries: 4, replicas: 3 });
+  const runs: Run[] = [];
+  let fleet: Fleet;
+
+  beforeAll(async () => {
+    await cluster.start();
+    await cluster.configure("e1", { change: "first", base: 0, ...site });
+    fleet = fleetOf(site, cluster.services(), runs);
+    await fleet.start();
+    await cluster.until(
+      "targets",
+      async () => (await cluster.status("e1"))?.counts.targets === 4,
+    );
+    await cluster.until("slots", async () => {
+      const seen = await Promise.all(cluster.names.map((name) => {
+        return call({
+          entry: cluster.service(name),
+          service: "intake",
+          path: "/ready",
+        });
+      }));
+      return seen.every((one) => one?.status === 200);
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+    await cluster.stop();
+  });
+
+  const submit = (
+    entry: string,
+    key: string,
+    more: object = {},
+  ): Promise<Seen | undefined> => {
+    const path = `/reports/${key}`;
+    return call({
+      entry: cluster.service(entry),
+      service: "intake",
+      path,
+      key,
+      ...more,
+    });
+  };
+
+  it("runs once, and a resend through another entry gets the first answer", async () => {
+    const first = await submit("e1", "once");
+    const second = await submit("e2", "once");
+    expect({ first, second, runs: runsOf(runs, "once") }).toMatchInlineSnapshot(
+      `
+      {
+        "first": {
+          "outcome": "done",
+          "own": true,
+          "replayed": false,
+          "retryAfter": false,
+          "status": 200,
+        },
+        "runs": 1,
+        "second": {
+          "outcome": "done",
+          "own": true,
+          "replayed": true,
+          "retryAfter": false,
+          "status": 200,
+        },
+      }
+    `,
+    );
+  });
+
+  it("runs once when it is sent through all entries at the same time", async () => {
+    const seen = await Promise.all(cluster.names.map((name) => {
+      return submit(name, "race", { emulate: { runMs: 200 } });
+    }));
+    const outcomes = seen.map((one) => one?.outcome).sort();
+    expect({ outcomes, runs: runsOf(runs, "race") }).toMatchInlineSnapshot(`
+      {
+        "outcomes": [
+          "done",
+          "running",
+          "running",
+          "running",
+        ],
+        "runs": 1,
+      }
+    `);
+  });
+
+  it("refuses another request under the same key", async () => {
+    await submit("e1", "reused");
+    const other = await submit("e2", "reused", { body: "another estimate" });
+    expect(other).toMatchObject({ status: 422, outcome: "not run" });
+    expect(runsOf(runs, "reused")).toBe(1);
+  });
+
+  it("is unknown, not run again, when the target breaks off its answer", async () => {
+    const first = await submit("e1", "broken", {
+      emulate: { failure: "short" },
+    });
+    expect(first).toMatchObject({
+      status: 502,
+      outcome: "unknown",
+      own: false,
+    });
+    await cluster.until("the ledger knows", async () => {
+      return (await submit("e2", "broken"))?.outcome === "unknown";
+    });
+    expect(runsOf(runs, "broken")).toBe(1);
+  });
+
+  it("tells the truth after its deadline, and records the late answer", async () => {
+    const late = { emulate: { runMs: 700 }, deadlineMs: 200 };
+    const first = await submit("e1", "late", late);
+    expect(first).toMatchObject({
+      status: 504,
+      outcome: "running",
+      retryAfter: true,
+    });
+    await cluster.until("the late answer", async () => {
+      return (await submit("e2", "late", late))?.outcome === "done";
+    });
+    expect(runsOf(runs, "late")).toBe(1);
+  });
+
+  it("is unknown after its entry was killed, until the operator settles it", async () => {
+    const lost = submit("e4", "orphan", { emulate: { runMs: 2_000 } });
+    await cluster.until("the run", () => runsOf(runs, "orphan") === 1);
+    await cluster.kill("e4");
+    expect(await lost).toBeUndefined();
+    expect((await submit("e1", "orphan"))?.outcome).toMatch(/running|unknown/);
+    await cluster.until("fencing", async () => {
+      return (await submit("e1", "orphan"))?.outcome === "unknown";
+    });
+    const key = "anonymous/orphan";
+    const listed = await callAdmin<{ attempts: { key: string }[] }>(
+      cluster.admin("e1"),
+      "/v1/requests?phase=unknown",
+    );
+    expect(listed?.value.attempts.map((attempt) => attempt.key)).toContain(key);
+    const settle = { key, outcome: "ran" };
+    expect(
+      (await callAdmin(cluster.admin("e2"), "/v1/requests/settle", settle))
+        ?.status,
+    ).toBe(200);
+    expect(await submit("e3", "orphan")).toMatchObject({
+      status: 204,
+      outcome: "done",
+    });
+    expect(runsOf(runs, "orphan")).toBe(1);
+  });
+
+  it("is answered once while the leader is killed", async () => {
+    cluster.startDaemon("e4");
+    const leader = await cluster.leader();
+    const others = cluster.names.filter((name) => name !== leader);
+    const keys = Array.from({ length: 60 }, (_, index) => `failover-${index}`);
+    const killed = cluster.kill(leader);
+    const seen = await Promise.all(keys.map(async (key, index) => {
+      const entry = others[index % others.length] ?? "";
+      let answer = await submit(entry, key);
+      await cluster.until(`an answer for ${key}`, async () => {
+        answer = answer?.outcome === "done" ? answer : await submit(entry, key);
+        return answer?.outcome === "done" || answer?.outcome === "unknown";
+      });
+      return { key, outcome: answer?.outcome, runs: runsOf(runs, key) };
+    }));
+    await killed;
+    cluster.startDaemon(leader);
+    expect(seen.filter((one) => one.runs > 1)).toEqual([]);
+    expect(seen.filter((one) => one.outcome === "done" && one.runs !== 1))
+      .toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/harness/cluster.ts
@@ -0,0 +1,287 @@
+/**
+ * A cluster of real daemons on loopback addresses, with a relay on every link.
+ *
+ * @module
+ */
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import type {
+  Inventory,
+  Rules,
+  Settings,
+  Status,
+  Vms,
+} from "@quetzalcove/core";
+import { callAdmin, Child, eventually, logFileOf } from "@quetzalcove/emulator";
+import { Relay } from "./relay.ts";
+
+/** What a cluster is made of. */
+export interface ClusterPlan {
+  entries: number;
+  replicas: number;
+  /** Changes to the settings of every daemon. */
+  settings?: Partial<Settings>;
+}
+
+const DAEMON = fileURLToPath(
+  new URL("../../packages/daemon/bin/quetzalcoved.js", import.meta.url),
+);
+const PORTS = {
+  service: 8080,
+  admin: 8081,
+  link: 8082,
+  relay: 20_000,
+} as const;
+const FIRST_NETWORK = 30;
+const NETWORKS = 97;
+const ZONES = ["zone-a", "zone-b", "zone-c"] as const;
+
+/** Longest wait for anything that a test waits for, in milliseconds. */
+export const PATIENCE_MS = 45_000;
+
+/** First two numbers of loopback addresses that no other test process uses. */
+export function network(kind: "daemons" | "targets"): string {
+  const offset = kind === "daemons" ? 0 : NETWORKS;
+  return `127.${FIRST_NETWORK + offset + (process.pid % NETWORKS)}`;
+}
+
+const third = Math.floor(process.pid / NETWORKS) % 250;
+let started = 0;
+
+export class Cluster {
+  readonly folder = mkdtempSync(join(tmpdir(), "quetzalcove-test-"));
+  readonly #plan: ClusterPlan;
+  readonly #host: number;
+  readonly #children = new Map<string, Child>();
+  readonly #relays = new Map<string, Relay>();
+
+  constructor(plan: ClusterPlan) {
+    this.#plan = plan;
+    this.#host = (started * 10) % 240 + 1;
+    started += 1;
+  }
+
+  /** Names of the entries. */
+  get names(): string[] {
+    return Array.from(
+      { length: this.#plan.entries },
+      (_, index) => `e${index + 1}`,
+    );
+  }
+
+  service(name: string): string {
+    return `${this.#hostOf(name)}:${PORTS.service}`;
+  }
+
+  admin(name: string): string {
+    return `${this.#hostOf(name)}:${PORTS.admin}`;
+  }
+
+  services(): string[] {
+    return this.names.map((name) => this.service(name));
+  }
+
+  /** The relay through which one daemon calls another. */
+  relay(from: string, to: string): Relay {
+    const relay = this.#relays.get(`${from}>${to}`);
+    if (relay === undefined) {
+      throw new Error(`No relay from "${from}" to "${to}"`);
+    }
+    return relay;
+  }
+
+  /** Relays between one daemon and all others, in both directions. */
+  relaysOf(name: string): Relay[] {
+    const others = this.names.filter((other) => other !== name);
+    return others.flatMap((
+      other,
+    ) => [this.relay(name, other), this.relay(other, name)]);
+  }
+
+  /** Starts all daemons and the cluster, and waits until every replica votes and every entry has a lease. */
+  async start(): Promise<void> {
+    await this.#startRelays();
+    this.names.forEach((name) => this.startDaemon(name));
+    await this.until("formed", async () => {
+      await callAdmin(this.admin("e1"), "/v1/init", {});
+      return await this.#isFormed();
+    });
+    await this.until("leases", () => this.#allServe());
+  }
+
+  async stop(): Promise<void> {
+    for (const child of this.#children.values()) {
+      child.signal("SIGCONT");
+      child.signal("SIGKILL");
+    }
+    await Promise.all([...this.#children.values()].map((child) => child.ended));
+    await Promise.all([...this.#relays.values()].map((relay) => relay.stop()));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  startDaemon(name: string): void {
+    const file = join(this.folder, `${name}.json`);
+    writeFileSync(file, JSON.stringify(this.#settingsOf(name), null, 2));
+    const command = [DAEMON, "--settings", file];
+    this.#children.set(name, new Child(name, command, this.#logOf(name)));
+  }
+
+  /** Sends a signal to a daemon. */
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#children.get(name)?.signal(signal);
+  }
+
+  /** Kills a daemon and waits until it is gone. */
+  async kill(name: string): Promise<void> {
+    this.signal(name, "SIGCONT");
+    this.signal(name, "SIGKILL");
+    await this.#children.get(name)?.ended;
+  }
+
+  /** Asks a daemon to stop; resolves with its exit code. */
+  async terminate(name: string): Promise<number | null> {
+    const ending = await this.#children.get(name)?.stop();
+    return ending?.code ?? null;
+  }
+
+  /** Removes the data folder of a daemon, as a lost disk does. */
+  loseDisk(name: string): void {
+    rmSync(join(this.folder, "data", name), { recursive: true, force: true });
+  }
+
+  log(name: string): string {
+    return readFileSync(this.#logOf(name), "utf8");
+  }
+
+  /** Status as one daemon tells it. */
+  async status(name: string): Promise<Status | undefined> {
+    const answer = await callAdmin<Status>(this.admin(name), "/v1/status");
+    return answer?.status === 200 ? answer.value : undefined;
+  }
+
+  /** The entry that leads, as any of the given daemons tells it. */
+  async leader(from: readonly string[] = this.names): Promise<string> {
+    let leader: string | null | undefined;
+    await this.until("a leader", async () => {
+      for (const name of from) {
+        leader ??= (await this.status(name))?.leader;
+      }
+      return leader !== undefined && leader !== null;
+    });
+    return leader ?? "";
+  }
+
+  /** Sends a change and returns status and answer; undefined when no answer came. */
+  configure(
+    name: string,
+    change: {
+      change: string;
+      base: number;
+      inventory: Inventory;
+      rules: Rules;
+    },
+  ): ReturnType<typeof callAdmin<{ version: number; revision: number }>> {
+    return callAdmin(this.admin(name), "/v1/configuration", change);
+  }
+
+  async vms(name: string): Promise<Vms["vms"]> {
+    const answer = await callAdmin<Vms>(this.admin(name), "/v1/vms");
+    return answer?.status === 200 ? answer.value.vms : [];
+  }
+
+  /** Waits for a condition; fails with the name of what was awaited. */
+  async until(
+    what: string,
+    check: () => Promise<boolean> | boolean,
+  ): Promise<void> {
+    if (!await eventually(check, PATIENCE_MS)) {
+      throw new Error(`Waited ${PATIENCE_MS} ms in vain for: ${what}`);
+    }
+  }
+
+  async #startRelays(): Promise<void> {
+    let port = PORTS.relay;
+    for (const from of this.names) {
+      for (const to of this.names.filter((name) => name !== from)) {
+        const relay = new Relay(
+          { host: this.#hostOf(to), port },
+          { host: this.#hostOf(to), port: PORTS.link },
+        );
+        this.#relays.set(`${from}>${to}`, relay);
+        await relay.start();
+        port += 1;
+      }
+    }
+  }
+
+  async #isFormed(): Promise<boolean> {
+    const answer = await callAdmin<
+      { replicas?: { role: string; caughtUp: boolean }[] }
+    >(
+      this.admin("e1"),
+      "/v1/replicas",
+    );
+    const voters = (answer?.value.replicas ?? [])
+      .filter((replica) => replica.role !== "learner" && replica.caughtUp);
+    return voters.length === this.#plan.replicas;
+  }
+
+  async #allServe(): Promise<boolean> {
+    const healthy = await Promise.all(this.names.map(async (name) => {
+      return (await callAdmin(this.admin(name), "/healthz"))?.status === 200;
+    }));
+    return healthy.every(Boolean);
+  }
+
+  #hostOf(name: string): string {
+    return `${network("daemons")}.${third}.${
+      this.#host + Number(name.slice(1)) - 1
+    }`;
+  }
+
+  #logOf(name: string): string {
+    return logFileOf(this.folder, name);
+  }
+
+  #settingsOf(name: string): unknown {
+    const index = this.names.indexOf(name);
+    const isReplica = index < this.#plan.replicas;
+    return {
+      cluster: "test",
+      entry: name,
+      zone: zoneOf(index),
+      listen: {
+        service: this.service(name),
+        admin: this.admin(name),
+        link: `${this.#hostOf(name)}:${PORTS.link}`,
+      },
+      peers: this.names.map((peer, at) => ({
+        entry: peer,
+        zone: zoneOf(at),
+        link: peer === name
+          ? `${this.#hostOf(peer)}:${PORTS.link}`
+          : this.#relayAddress(name, peer),
+        admin: this.admin(peer),
+        replica: at < this.#plan.replicas,
+      })),
+      ...(isReplica && { dataFolder: join(this.folder, "data", name) }),
+      ...this.#plan.settings,
+    };
+  }
+
+  #relayAddress(from: string, to: string): string {
+    const pairs = this.names.flatMap((a) =>
+      this.names.filter((b) => b !== a).map((b) => `${a}>${b}`)
+    );
+    return `${this.#hostOf(to)}:${
+      PORTS.relay + pairs.indexOf(`${from}>${to}`)
+    }`;
+  }
+}
+
+function zoneOf(index: number): string {
+  return ZONES[index % ZONES.length] ?? ZONES[0];
+}
--- /dev/null
+++ b/test/harness/site.ts
@@ -0,0 +1,123 @@
+/**
+ * A small site: an inventory and rules with two services, and calls of their callers.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Inventory, Rules } from "@quetzalcove/core";
+import {
+  Behaviour,
+  DIGEST_HEADER,
+  digestOf,
+  Fleet,
+  type Run,
+} from "@quetzalcove/emulator";
+import { request } from "undici";
+import { network } from "./cluster.ts";
+
+/** An inventory of VMs that take turns between two pools, in racks over three zones. */
+export function inventoryOf(vms: number): Inventory {
+  const zones = ["zone-a", "zone-b", "zone-c"];
+  const racks = zones.map((zone, index) => ({ name: `rack-${index}`, zone }));
+  return Inventory.parse({
+    zones: zones.map((name) => ({ name, region: "region" })),
+    racks,
+    pools: [{ name: "intake" }, { name: "charts" }],
+    vms: Array.from({ length: vms }, (_, index) => ({
+      name: `vm-${index + 1}`,
+      rack: racks[index % racks.length]?.name,
+      pool: index % 2 === 0 ? "intake" : "charts",
+      cores: 32,
+      memoryGb: 128,
+    })),
+  });
+}
+
+/** Rules with a service for each pool. */
+export function rulesOf(changes: Record<string, unknown> = {}): Rules {
+  return Rules.parse({
+    services: [
+      { name: "intake", pool: "intake", deadlineMs: 3_000, ...changes },
+      { name: "charts", pool: "charts", deadlineMs: 3_000, ...changes },
+    ],
+  });
+}
+
+/** Targets for an inventory; each run is appended to `runs`. */
+export function fleetOf(
+  site: { inventory: Inventory; rules: Rules },
+  entries: readonly string[],
+  runs: Run[],
+): Fleet {
+  return new Fleet({
+    ...site,
+    entries,
+    network: network("targets"),
+    usual: Behaviour.parse({ runMs: 10 }),
+    record: (run) => runs.push(run),
+    startedAt: Date.now(),
+  });
+}
+
+/** What a caller saw. */
+export interface Seen {
+  status: number;
+  outcome: string;
+  /** Whether the answer is whole and is the answer to this request. */
+  own: boolean;
+  replayed: boolean;
+  retryAfter: boolean;
+}
+
+/** One request of a caller. */
+export interface Call {
+  entry: string;
+  service: string;
+  path: string;
+  key?: string;
+  body?: string;
+  emulate?: Partial<Behaviour>;
+  deadlineMs?: number;
+}
+
+/** Sends one request; undefined when the connection was lost before an answer. */
+export async function call(order: Call): Promise<Seen | undefined> {
+  const submits = order.key !== undefined || order.body !== undefined;
+  const body = Buffer.from(submits ? order.body ?? order.path : "");
+  const headers: Record<string, string> = {};
+  if (order.key !== undefined) {
+    headers["idempotency-key"] = order.key;
+  }
+  if (order.emulate !== undefined) {
+    headers["x-emulate"] = JSON.stringify(order.emulate);
+  }
+  if (order.deadlineMs !== undefined) {
+    headers["x-quetzalcove-deadline-ms"] = String(order.deadlineMs);
+  }
+  try {
+    const answer = await request(
+      `http://${order.entry}/${order.service}${order.path}`,
+      {
+        method: submits ? "POST" : "GET",
+        body: submits ? body : null,
+        headers,
+      },
+    );
+    const text = await answer.body.text();
+    const digest = String(answer.headers[DIGEST_HEADER]);
+    return {
+      status: answer.statusCode,
+      outcome: String(answer.headers["x-quetzalcove-outcome"] ?? "none"),
+      own: digest === digestOf(order.path, body) && text.includes(digest),
+      replayed: answer.headers["x-quetzalcove-replayed"] === "true",
+      retryAfter: answer.headers["retry-after"] !== undefined,
+    };
+  } catch {
+    return undefined;
+  }
+}
+
+/** Runs of a key at all targets. */
+export function runsOf(runs: readonly Run[], key: string): number {
+  return runs.filter((run) => run.key === key).length;
+}
