Show each part of a watch by itself, and name the remedy when no replica leads

Against the running daemon the watch showed nothing but 'No route for GET /v1/waves'; now a refused part leaves the others in view.

--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Err, Ok, type Result, Status, Vms, Waves } from "@quetzalcove/core";
+import type { z } from "zod";
 import type { AdminClient } from "../admin_client.ts";
 import type { Command, Invocation, Outcome } from "../command.ts";
 import { describeFailure, type Failure, usage } from "../failure.ts";
@@ -60,7 +61,7 @@
       ? `${JSON.stringify(dataOf(seen))}\n`
       : textOf(seen, runtime.now());
     if (view === views) {
-      return Ok({ text });
+      return Ok({ text: `${text.trimEnd()}\n` });
     }
     runtime.print(runtime.interactive ? CLEAR + text : text);
     await runtime.sleep((every.val ?? DEFAULT_PAUSE_S) * SECOND_MS);
@@ -68,54 +69,43 @@
   return Ok({ text: "" });
 }
 
-/** One view. */
+/** One view; a part that is refused does not hide the others. */
 interface View {
-  status: Status;
-  vms: Vms;
-  waves: Waves;
+  status: Result<Status, Failure>;
+  vms: Result<Vms, Failure>;
+  waves: Result<Waves, Failure>;
 }
 
-async function look(client: AdminClient): Promise<Result<View, Failure>> {
-  const status = await client.call({
-    method: "GET",
-    path: "/v1/status",
-    answer: Status,
-  });
-  if (status.err) {
-    return status;
-  }
-  const vms = await client.call({
-    method: "GET",
-    path: "/v1/vms",
-    answer: Vms,
-  });
-  if (vms.err) {
-    return vms;
-  }
-  const waves = await client.call({
-    method: "GET",
-    path: "/v1/waves?why=1",
-    answer: Waves,
-  });
-  return waves.map((found) => ({
-    status: status.val,
-    vms: vms.val,
-    waves: found,
-  }));
+async function look(client: AdminClient): Promise<View> {
+  const get = <T extends z.ZodType>(
+    path: string,
+    answer: T,
+  ): Promise<Result<z.output<T>, Failure>> =>
+    client.call({ method: "GET", path, answer });
+  const [status, vms, waves] = await Promise.all([
+    get("/v1/status", Status),
+    get("/v1/vms", Vms),
+    get("/v1/waves?why=1", Waves),
+  ]);
+  return { status, vms, waves };
 }
 
-function dataOf(seen: Result<View, Failure>): unknown {
-  return seen.ok ? seen.val : { failure: seen.val };
+function dataOf(view: View): unknown {
+  const parts = Object.entries(view).map(([name, part]) => [
+    name,
+    part.ok ? part.val : { failure: part.val },
+  ]);
+  return Object.fromEntries(parts);
 }
 
-function textOf(seen: Result<View, Failure>, now: number): string {
-  if (seen.err) {
-    return describeFailure(seen.val);
+function textOf({ status, vms, waves }: View, now: number): string {
+  if (status.err) {
+    return `${describeFailure(status.val)}\n`;
   }
-  const { status, vms, waves } = seen.val;
-  return [
-    describeStatus(status),
-    describePhases(vms),
-    describeWaves(waves, now),
-  ].join("\n");
+  const parts = [
+    describeStatus(status.val),
+    vms.ok ? describePhases(vms.val) : describeFailure(vms.val),
+    waves.ok ? describeWaves(waves.val, now) : describeFailure(waves.val),
+  ];
+  return `${parts.join("\n")}\n`;
 }
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -66,9 +66,18 @@
 /** How many causes of one fault are printed. */
 const MAX_PRINTED_CAUSES = 20;
 
+/** Remedies of faults that name none themselves. */
+const REMEDIES: Partial<Record<FaultKind, string>> = {
+  no_leader:
+    "Try again shortly; quetzalcove init starts a new cluster, and without a majority of replicas no change is accepted",
+  not_leader:
+    "Try again shortly; quetzalcove init starts a new cluster that never ran",
+};
+
 /** Writes a failure for a person. */
 export function describeFailure(failure: Failure): string {
-  const { message, causes = [], remedy, retryAfterMs } = failure.fault;
+  const { kind, message, causes = [], retryAfterMs } = failure.fault;
+  const remedy = failure.fault.remedy ?? REMEDIES[kind];
   const lines = [`quetzalcove: ${headline(message, causes)}`];
   if (causes.length > 1) {
     for (const cause of causes.slice(0, MAX_PRINTED_CAUSES)) {
