--- a/packages/cli/test/reference_test.ts
+++ b/packages/cli/test/reference_test.ts
@@ -1,5 +1,6 @@
 import { readdirSync, readFileSync } from "node:fs";
 import {
+  FAULT_STATUS,
   type Inventory,
   Inventory as InventorySchema,
 } from "@quetzalcove/core";
@@ -29,6 +30,25 @@
   });
 });
 
+describe("docs/PROTOCOLS.md", () => {
+  it("lists every kind of fault with its status", () => {
+    const rows = readFile("docs/PROTOCOLS.md")
+      .matchAll(/^\| `([a-z_]+)`\s+\| (\d{3})\s+\|/gm);
+    const listed = [...rows].map(([, kind, status]) => [kind, Number(status)]);
+    expect(Object.fromEntries(listed)).toEqual(FAULT_STATUS);
+  });
+
+  it("names only settings that exist", () => {
+    const page = readFile("docs/PROTOCOLS.md");
+    const known = readFile("docs/CONFIGURATION.md");
+    const named = page.matchAll(
+      /`((?:listen|link|targets|ledger|lease|traces|stop|limits)\.\w+)`/g,
+    );
+    const unknown = [...named].filter(([quoted]) => !known.includes(quoted));
+    expect(unknown).toEqual([]);
+  });
+});
+
 describe.each(["accra", "bern"])("the example %s", (name) => {
   const folder = `examples/${name}`;
   let session: Session;
