--- a/packages/cli/src/admin_client.ts
+++ b/packages/cli/src/admin_client.ts
@@ -6,7 +6,13 @@
 import { fault, Ok, parse, Problem, type Result } from "@quetzalcove/core";
 import { Agent, request } from "undici";
 import type { z } from "zod";
-import { because, fail, type Failure, isLocal, mayHaveRun } from "./failure.ts";
+import {
+  fail,
+  type Failure,
+  isLocal,
+  mayHaveRun,
+  withReason,
+} from "./failure.ts";
 
 /** A call of the administration API. */
 export interface Call<T extends z.ZodType> {
@@ -65,7 +71,7 @@
       const attempt = await this.#attempt(address, call);
       if (attempt.kind === "answered") {
         const result = readAnswer(address, attempt, call);
-        if (!mayAskElsewhere(result, repeatable)) {
+        if (!mayTryNext(result, repeatable)) {
           return result;
         }
         // A later refusal does not undo what an earlier address may have done.
@@ -157,7 +163,7 @@
   return result?.err === true && result.val.reason === "uncertain";
 }
 
-function mayAskElsewhere<T>(
+function mayTryNext<T>(
   result: Result<T, Failure>,
   repeatable: boolean,
 ): boolean {
@@ -184,7 +190,10 @@
   // A change whose answer cannot be read may have been made.
   const reason = call.method === "GET" ? "unreachable" : "uncertain";
   if (status >= OK_STATUS && status < FIRST_ERROR_STATUS) {
-    return because(reason, parse(call.answer, value, `Answer of ${address}`));
+    return withReason(
+      reason,
+      parse(call.answer, value, `Answer of ${address}`),
+    );
   }
   const problem = Problem.safeParse(value);
   if (problem.success) {
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -18,7 +18,7 @@
   type Difference,
   difference,
 } from "../difference.ts";
-import { because, type Failure, usage } from "../failure.ts";
+import { type Failure, usage, withReason } from "../failure.ts";
 import { formatCount } from "../format.ts";
 import { readInventory, readRules } from "../input_files.ts";
 import { waitForForce } from "../wait.ts";
@@ -131,12 +131,14 @@
       inventory: inventory?.val ?? current.inventory,
       rules: rules?.val ?? current.rules,
     };
-    return because("input", validate(next.inventory, next.rules)).map(() => ({
-      change: options.text("change") ?? runtime.newId(),
-      base: target.base ?? current.version,
-      current,
-      next,
-    }));
+    return withReason("input", validate(next.inventory, next.rules)).map(
+      () => ({
+        change: options.text("change") ?? runtime.newId(),
+        base: target.base ?? current.version,
+        current,
+        next,
+      }),
+    );
   });
 }
 
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -46,7 +46,7 @@
   }
   const [first, ...others] = failures;
   if (first !== undefined) {
-    return Err(together(first, others));
+    return Err(combine(first, others));
   }
   return crossCheck(files).andThen((warnings) =>
     Ok({
@@ -61,7 +61,7 @@
 }
 
 /** Reports the failures of several files as one. */
-function together(first: Failure, others: readonly Failure[]): Failure {
+function combine(first: Failure, others: readonly Failure[]): Failure {
   if (others.length === 0) {
     return first;
   }
--- a/packages/cli/src/commands/export.ts
+++ b/packages/cli/src/commands/export.ts
@@ -5,7 +5,7 @@
  */
 import { ConfigurationView, Err, Ok } from "@quetzalcove/core";
 import type { Command, Invocation, Outcome } from "../command.ts";
-import { because, usage } from "../failure.ts";
+import { usage, withReason } from "../failure.ts";
 import { writeInventory } from "../inventory_text.ts";
 
 export const EXPORT: Command = {
@@ -52,7 +52,7 @@
     if (path === undefined) {
       continue;
     }
-    const written = because("input", await runtime.writeText(path, text));
+    const written = withReason("input", await runtime.writeText(path, text));
     if (written.err) {
       return written;
     }
--- a/packages/cli/src/commands/import.ts
+++ b/packages/cli/src/commands/import.ts
@@ -11,7 +11,7 @@
   type Result,
 } from "@quetzalcove/core";
 import type { Command, Invocation, Outcome } from "../command.ts";
-import { because, type Failure, usage } from "../failure.ts";
+import { type Failure, usage, withReason } from "../failure.ts";
 import { formatCount } from "../format.ts";
 import { readRegister } from "../input_files.ts";
 import { writeInventory } from "../inventory_text.ts";
@@ -65,7 +65,7 @@
     zones: inventory.zones.length,
     pools: inventory.pools.length,
   };
-  return because("input", written).map(() => ({
+  return withReason("input", written).map(() => ({
     text: `Wrote ${out}: ${formatCount(counts.vms, "VM")}, ${
       formatCount(counts.racks, "rack")
     }, ${formatCount(counts.zones, "zone")}, ${
--- a/packages/cli/src/commands/jobs.ts
+++ b/packages/cli/src/commands/jobs.ts
@@ -5,7 +5,7 @@
  */
 import { Err, JobAnswers, JobViews, parseJson } from "@quetzalcove/core";
 import type { Command, Invocation, Outcome } from "../command.ts";
-import { because, usage } from "../failure.ts";
+import { usage, withReason } from "../failure.ts";
 import { formatTable } from "../format.ts";
 
 export const JOBS: Command = {
@@ -93,7 +93,7 @@
   path: string,
 ): Promise<Outcome> {
   const text = await invocation.runtime.readText(path);
-  const read = because("input", text.andThen((t) => parseJson(t, path)));
+  const read = withReason("input", text.andThen((t) => parseJson(t, path)));
   if (read.err) {
     return read;
   }
--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -56,7 +56,7 @@
   }
   const views = count.val ?? Infinity;
   for (let view = 1; view <= views; view++) {
-    const seen = await look(connected.val);
+    const seen = await readView(connected.val);
     const text = json
       ? `${JSON.stringify(dataOf(seen))}\n`
       : textOf(seen, runtime.now());
@@ -76,7 +76,7 @@
   waves: Result<Waves, Failure>;
 }
 
-async function look(client: AdminClient): Promise<View> {
+async function readView(client: AdminClient): Promise<View> {
   const get = <T extends z.ZodType>(
     path: string,
     answer: T,
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -56,7 +56,7 @@
 }
 
 /** Adds the reason to the fault of a result. */
-export function because<T>(
+export function withReason<T>(
   reason: FailureReason,
   result: Result<T, Fault>,
 ): Result<T, Failure> {
--- a/packages/cli/src/input_files.ts
+++ b/packages/cli/src/input_files.ts
@@ -15,7 +15,7 @@
   type Settings,
 } from "@quetzalcove/core";
 import type { z } from "zod";
-import { because, fail, type Failure } from "./failure.ts";
+import { fail, type Failure, withReason } from "./failure.ts";
 import { parseRegister } from "./register.ts";
 import type { Runtime } from "./runtime.ts";
 
@@ -31,7 +31,10 @@
   path: string,
 ): Promise<Result<Inventory, Failure>> {
   const text = await runtime.readText(path);
-  return because("input", text.andThen((t) => parseJsonAs(Inventory, t, path)));
+  return withReason(
+    "input",
+    text.andThen((t) => parseJsonAs(Inventory, t, path)),
+  );
 }
 
 /** Reads rules. */
@@ -40,7 +43,7 @@
   path: string,
 ): Promise<Result<Rules, Failure>> {
   const text = await runtime.readText(path);
-  return because("input", text.andThen((t) => parseJsonAs(Rules, t, path)));
+  return withReason("input", text.andThen((t) => parseJsonAs(Rules, t, path)));
 }
 
 /** Reads an asset register. */
@@ -49,7 +52,7 @@
   path: string,
 ): Promise<Result<Inventory, Failure>> {
   const text = await runtime.readText(path);
-  return because("input", text.andThen((t) => parseRegister(t, path)));
+  return withReason("input", text.andThen((t) => parseRegister(t, path)));
 }
 
 /** Reads a file of any kind; the keys of a JSON file tell its kind. */
@@ -68,7 +71,7 @@
   if (text.err) {
     return fail("input", text.val);
   }
-  return because("input", readJson(text.val, path));
+  return withReason("input", readJson(text.val, path));
 }
 
 function readJson(text: string, path: string): Result<InputFile, Fault> {
--- a/packages/cli/src/register.ts
+++ b/packages/cli/src/register.ts
@@ -15,7 +15,7 @@
   Vm,
 } from "@quetzalcove/core";
 import { byName } from "./format.ts";
-import { type Cell, readRows, type Row, wherever } from "./register_rows.ts";
+import { type Cell, findingAt, readRows, type Row } from "./register_rows.ts";
 
 /** Reads a register; the fault names the file, line and column of every finding. */
 export function parseRegister(
@@ -68,7 +68,7 @@
   const required: Cell[] = [row.vm, row.rack, row.zone, row.region, row.pool];
   const empty = required.filter((cell) => cell.text === "");
   for (const cell of empty) {
-    findings.push(wherever(cell, "is empty; fill it in or remove the line"));
+    findings.push(findingAt(cell, "is empty; fill it in or remove the line"));
   }
   const vm = parseValue(Vm, {
     name: row.vm.text,
@@ -83,7 +83,7 @@
     for (const cause of vm.val.causes ?? []) {
       const cell = row[COLUMN_OF[cause.path] ?? "vm"];
       if (!empty.includes(cell)) {
-        findings.push(wherever(cell, `"${cell.text}": ${cause.message}`));
+        findings.push(findingAt(cell, `"${cell.text}": ${cause.message}`));
       }
     }
     return [];
@@ -108,7 +108,7 @@
       first.set(vm.text, vm);
     } else if (vm.text !== "") {
       findings.push(
-        wherever(
+        findingAt(
           vm,
           `VM "${vm.text}" is listed twice, first on line ${earlier.line}; remove one line`,
         ),
@@ -134,7 +134,7 @@
       first.set(name, cell);
     } else if (earlier.text !== cell.text) {
       findings.push(
-        wherever(
+        findingAt(
           cell,
           `${inner} "${name}" is in ${outer} "${cell.text}" here, but in "${earlier.text}" on line ${earlier.line}; ` +
             `give the ${inner} one ${outer}`,
--- a/packages/cli/src/register_rows.ts
+++ b/packages/cli/src/register_rows.ts
@@ -43,7 +43,7 @@
 export type Row = Record<ColumnName, Cell>;
 
 /** A finding at a cell. */
-export function wherever(cell: Cell, message: string): Finding {
+export function findingAt(cell: Cell, message: string): Finding {
   const place = `${cell.file}:${cell.line}, column ${cell.position}`;
   return { path: `${place} (${cell.column})`, message };
 }
