--- a/packages/cli/src/commands/waves.ts
+++ b/packages/cli/src/commands/waves.ts
@@ -48,7 +48,7 @@
 ];
 
 const HOLD_COLUMNS = [
-  { heading: "VM" },
+  { heading: "HELD" },
   { heading: "RULE" },
   { heading: "SERVICE" },
   { heading: "FIGURE", numeric: true },
@@ -76,7 +76,7 @@
     return "Nothing holds a VM back\n";
   }
   const rows = holds.map((hold) => [
-    hold.vm ?? "all",
+    hold.vm ?? hold.domain ?? "all",
     hold.rule,
     hold.service ?? "-",
     hold.figure ?? "-",
--- a/packages/cli/test/session_test.ts
+++ b/packages/cli/test/session_test.ts
@@ -98,6 +98,14 @@
           limit: 40,
           message: "Without this VM and the worst zone 36 of 40 slots remain",
         },
+        {
+          domain: "accra-c-r1",
+          rule: "capacity",
+          service: "intake",
+          figure: 40.5,
+          limit: 44,
+          message: "Without this rack 40.5 slots remain, 44 are needed",
+        },
         { rule: "window", message: "The next window opens at 08:00 UTC" },
       ],
     });
--- a/packages/core/src/admin_api.ts
+++ b/packages/core/src/admin_api.ts
@@ -159,6 +159,8 @@
 /** Why a VM, or every VM, is held back from maintenance. */
 export const WaveHold = z.object({
   vm: z.string().optional(),
+  /** The rack or zone that is held back as a whole. */
+  domain: z.string().optional(),
   rule: z.string(),
   service: z.string().optional(),
   figure: z.number().optional(),
