--- a/packages/core/src/raft/admission.ts
+++ b/packages/core/src/raft/admission.ts
@@ -11,8 +11,9 @@
   type Membership,
   type MembershipChange,
   type ReplicaId,
+  votersOf,
 } from "./member.ts";
-import type { Leadership, Replica } from "./replica.ts";
+import { isInContact, type Leadership, type Replica } from "./replica.ts";
 
 /** A learner that lags behind the commit index by no more has caught up. */
 const MAX_LEARNER_LAG = 64;
@@ -94,19 +95,39 @@
         }),
       );
     }
-    return changed(log.membership, change);
+    return changed(log.membership, change).andThen((membership) =>
+      hasMajorityInContact(replica, membership)
+        ? Ok(membership)
+        : Err(lostMajority(change))
+    );
   });
 }
 
+/** Whether the change would leave a majority of the voters in contact, so that it can be committed. */
+function hasMajorityInContact(
+  replica: Replica,
+  membership: Membership,
+): boolean {
+  const voters = votersOf(membership);
+  const inContact = voters.filter((id) => isInContact(replica, id));
+  return inContact.length > voters.length / 2;
+}
+
+function lostMajority({ kind }: MembershipChange): Fault {
+  return fault(
+    "conflict",
+    `Change "${kind}" would leave no majority of the voters in contact`,
+    { outcome: "not run", remedy: "Replace the silent voters first" },
+  );
+}
+
 function hasCaughtUp(replica: Replica, id: ReplicaId): boolean {
   const progress = replica.leadership?.progress.get(id);
   if (progress === undefined) {
-    return memberOf(replica.log.membership, id) !== undefined ||
-      id === replica.id;
+    // Refused by the change itself, which names the reason.
+    return true;
   }
-  const silentMs = replica.now - progress.contactAt;
-  return progress.mode === "replicate" &&
-    silentMs < replica.tuning.electionMs &&
+  return progress.mode === "replicate" && isInContact(replica, id) &&
     progress.match + MAX_LEARNER_LAG >= replica.commit;
 }
 
--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -17,6 +17,7 @@
   becomeFollower,
   commitTo,
   envelope,
+  isInContact,
   isQuorum,
   isVoter,
   type Leadership,
@@ -34,6 +35,7 @@
   replica.leadership = {
     progress: new Map(),
     reads: new ReadQueue(),
+    startedAt: replica.now,
     firstIndex: last.index + 1,
     transfer: undefined,
     uncommittedSize: 0,
@@ -72,8 +74,8 @@
   }
   for (const { replica: other } of log.membership.members) {
     if (other !== id && !leadership.progress.has(other)) {
-      const start = { next: log.last.index + 1, now: replica.now };
-      leadership.progress.set(other, new Progress(other, start));
+      const progress = new Progress(other, log.last.index + 1);
+      leadership.progress.set(other, progress);
     }
   }
   for (const other of leadership.progress.keys()) {
@@ -85,7 +87,11 @@
 
 /** Sends heartbeats that are due, and steps down without a quorum. */
 export function tickLeader(replica: Replica, leadership: Leadership): void {
-  if (!hasRecentQuorum(replica, leadership)) {
+  const startedMs = replica.now - leadership.startedAt;
+  if (
+    startedMs >= replica.tuning.electionMs &&
+    !isQuorum(replica, (id) => isInContact(replica, id))
+  ) {
     becomeFollower(replica, { term: replica.hardState.term });
     return;
   }
@@ -103,22 +109,12 @@
 
 /** A replica that stays silent is probed by heartbeats alone, so that nothing piles up on its link. */
 function pauseSilent(replica: Replica, progress: Progress): void {
-  const silentMs = replica.now - progress.contactAt;
-  if (progress.mode !== "probe" && silentMs >= replica.tuning.electionMs) {
+  if (progress.mode !== "probe" && !isInContact(replica, progress.replica)) {
     progress.probe(progress.match + 1);
     progress.probing = true;
   }
 }
 
-function hasRecentQuorum(replica: Replica, leadership: Leadership): boolean {
-  const { electionMs } = replica.tuning;
-  return isQuorum(replica, (id) => {
-    const progress = leadership.progress.get(id);
-    return id === replica.id ||
-      (progress !== undefined && replica.now - progress.contactAt < electionMs);
-  });
-}
-
 export function handleAppendAnswer(
   replica: Replica,
   answer: AppendAnswer,
--- a/packages/core/src/raft/open.ts
+++ b/packages/core/src/raft/open.ts
@@ -5,7 +5,7 @@
  */
 import { Log } from "./log.ts";
 import type { ReplicaId } from "./member.ts";
-import type { Stored } from "./record.ts";
+import type { HardState, Stored } from "./record.ts";
 import {
   DEFAULT_TUNING,
   emptyOutbox,
@@ -36,7 +36,7 @@
     log,
     now,
     role: "follower",
-    hardState: stored.hardState,
+    hardState: hardStateOf(stored, log),
     leader: undefined,
     leaderAt: Number.NEGATIVE_INFINITY,
     electionAt: now,
@@ -54,3 +54,9 @@
   resetElectionTimer(replica);
   return replica;
 }
+
+/** A crash between an installed snapshot and its hard state can leave a log that is ahead of the stored term. */
+function hardStateOf({ hardState }: Stored, log: Log): HardState {
+  const { term } = log.last;
+  return term > hardState.term ? { term } : hardState;
+}
--- a/packages/core/src/raft/progress.ts
+++ b/packages/core/src/raft/progress.ts
@@ -37,9 +37,9 @@
   /** Next index to send. */
   next: number;
   /** When the replica last answered in this term, in milliseconds. */
-  contactAt: number;
+  contactAt = Number.NEGATIVE_INFINITY;
   /** When anything was last sent, in milliseconds. */
-  sentAt: number;
+  sentAt = Number.NEGATIVE_INFINITY;
   /** Whether a probe awaits its answer. */
   probing = false;
   /** Highest commit index that was sent. */
@@ -52,11 +52,9 @@
   #flights: Flight[] = [];
   #flightSize = 0;
 
-  constructor(replica: ReplicaId, start: { next: number; now: number }) {
+  constructor(replica: ReplicaId, next: number) {
     this.replica = replica;
-    this.next = start.next;
-    this.contactAt = start.now;
-    this.sentAt = Number.NEGATIVE_INFINITY;
+    this.next = next;
   }
 
   /** Whether another append may be sent. */
--- a/packages/core/src/raft/raft.ts
+++ b/packages/core/src/raft/raft.ts
@@ -48,7 +48,7 @@
   replica: ReplicaId;
   mode: ProgressMode;
   match: number;
-  /** How long the replica has been silent, in milliseconds. */
+  /** How long the replica has been silent, in milliseconds; infinite before its first answer in this term. */
   silentMs: number;
 }
 
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -23,6 +23,10 @@
   trailingEntries: number;
   /** Bound of the entries that are proposed and not yet committed. */
   maxUncommittedSize: number;
+  /** Size of the entries in one append; a larger single entry travels alone. */
+  maxAppendSize: number;
+  /** Length of a snapshot chunk in UTF-16 code units. */
+  snapshotChunkLength: number;
 }
 
 export const DEFAULT_TUNING: Tuning = {
@@ -32,6 +36,8 @@
   maxLogSize: 4_194_304,
   trailingEntries: 256,
   maxUncommittedSize: 4_194_304,
+  maxAppendSize: 65_536,
+  snapshotChunkLength: 65_536, // below 256 KB as UTF-8 in JSON
 };
 
 export type Role = "follower" | "pre_candidate" | "candidate" | "leader";
@@ -40,6 +46,7 @@
 export interface Leadership {
   progress: Map<ReplicaId, Progress>;
   reads: ReadQueue;
+  startedAt: number;
   /** Index of the no-op that started the term. */
   firstIndex: number;
   transfer: { to: ReplicaId; deadline: number } | undefined;
@@ -216,3 +223,13 @@
   const voters = votersOf(replica.log.membership);
   return voters.filter(has).length > voters.length / 2;
 }
+
+/** Whether the leader has heard from a replica within an election timeout. */
+export function isInContact(replica: Replica, id: ReplicaId): boolean {
+  if (id === replica.id) {
+    return true;
+  }
+  const progress = replica.leadership?.progress.get(id);
+  return progress !== undefined &&
+    replica.now - progress.contactAt < replica.tuning.electionMs;
+}
--- a/packages/core/src/raft/replication.ts
+++ b/packages/core/src/raft/replication.ts
@@ -13,12 +13,6 @@
   send,
 } from "./replica.ts";
 
-/** Size of the entries in one append; a larger single entry travels alone. */
-const MAX_APPEND_SIZE = 65_536;
-
-/** Length of a snapshot chunk in UTF-16 code units, below 256 KB as UTF-8 in JSON. */
-export const SNAPSHOT_CHUNK_LENGTH = 65_536;
-
 /** Sends to every other replica what it may receive now. */
 export function replicate(replica: Replica, leadership: Leadership): void {
   for (const progress of leadership.progress.values()) {
@@ -54,7 +48,8 @@
   const { log } = replica;
   const previousIndex = progress.next - 1;
   const previousTerm = log.termAt(previousIndex) ?? 0;
-  const entries = log.batch(progress.next, MAX_APPEND_SIZE);
+  const { maxAppendSize } = replica.tuning;
+  const entries = log.batch(progress.next, maxAppendSize);
   send(replica, {
     kind: "append",
     ...envelope(replica, progress.replica),
@@ -81,7 +76,8 @@
   }
   const { snapshot, offset } = transmission;
   const { data, index, term, membership } = snapshot;
-  const end = Math.min(data.length, offset + SNAPSHOT_CHUNK_LENGTH);
+  const { snapshotChunkLength } = replica.tuning;
+  const end = Math.min(data.length, offset + snapshotChunkLength);
   send(replica, {
     kind: "snapshot",
     ...envelope(replica, progress.replica),
--- /dev/null
+++ b/packages/core/test/raft_checker.ts
@@ -0,0 +1,190 @@
+/**
+ * Checks of the safety properties of Raft (Ongaro's thesis, figure 3.2) and of linearizability, over everything that
+ * a simulated group stores, applies and answers.
+ *
+ * @module
+ */
+import type { LogEntry, RaftMessage, Stored } from "@quetzalcove/core";
+
+/** A violated property. */
+export class Violation extends Error {}
+
+function demand(holds: boolean, property: string): asserts holds {
+  if (!holds) {
+    throw new Violation(property);
+  }
+}
+
+interface KnownEntry {
+  entry: LogEntry;
+  previousTerm: number;
+}
+
+interface Operation {
+  kind: "write" | "read";
+  /** The highest count that an operation had returned when this one began. */
+  floor: number;
+}
+
+/** Observes all replicas of one group. */
+export class Checker {
+  /** Entries of the state machine by index, as the first replica applied them. */
+  readonly applied: LogEntry[] = [];
+  readonly #leaders = new Map<number, string>();
+  readonly #votes = new Map<string, string>();
+  readonly #entries = new Map<string, KnownEntry>();
+  readonly #operations = new Map<string, Operation>();
+  /** Number of commands up to each applied index. */
+  readonly #counts: number[] = [];
+  readonly #positions = new Map<string, number>();
+  #highest = 0;
+  completed = 0;
+
+  /** Log matching: an index and a term determine the entry and the term of the one before. */
+  appended(entry: LogEntry, previousTerm: number): void {
+    const key = `${entry.index}/${entry.term}`;
+    const known = this.#entries.get(key);
+    if (known === undefined) {
+      this.#entries.set(key, { entry, previousTerm });
+      return;
+    }
+    demand(isSame(known.entry, entry), `log matching: entry ${key} differs`);
+    demand(
+      known.previousTerm === previousTerm,
+      `log matching: entry ${key} follows different terms`,
+    );
+  }
+
+  /** Election safety, and leader completeness over all that was applied in earlier terms. */
+  leads(replica: string, term: number, log: Stored): void {
+    const known = this.#leaders.get(term);
+    if (known === replica) {
+      return;
+    }
+    demand(
+      known === undefined,
+      `election safety: ${known} and ${replica} lead term ${term}`,
+    );
+    this.#leaders.set(term, replica);
+    const base = log.snapshot?.index ?? 0;
+    for (const entry of this.applied) {
+      const held = log.entries[entry.index - base - 1];
+      demand(
+        entry.index <= base || entry.term >= term || held?.term === entry.term,
+        `leader completeness: ${replica} leads term ${term} without entry ${entry.index}`,
+      );
+    }
+  }
+
+  /** At most one vote of a replica in a term, also across crashes. */
+  sent(message: RaftMessage): void {
+    const isVote = message.kind === "vote_answer" && message.granted;
+    if (!isVote && message.kind !== "vote") {
+      return;
+    }
+    const candidate = isVote ? message.to : message.from;
+    const key = `${message.from}/${message.term}`;
+    const known = this.#votes.get(key) ?? candidate;
+    demand(known === candidate, `vote: ${key} went to ${known}, ${candidate}`);
+    this.#votes.set(key, candidate);
+  }
+
+  /** State machine safety: every replica applies the same entries in the same order. */
+  apply(replica: string, entry: LogEntry, previousIndex: number): void {
+    demand(
+      entry.index === previousIndex + 1,
+      `state machine: ${replica} applies ${entry.index} after ${previousIndex}`,
+    );
+    const known = this.applied[entry.index - 1];
+    if (known !== undefined) {
+      demand(
+        isSame(known, entry),
+        `state machine safety: ${replica} applies another entry ${entry.index}`,
+      );
+      return;
+    }
+    this.#applyFirst(entry);
+  }
+
+  #applyFirst(entry: LogEntry): void {
+    demand(
+      entry.index === this.applied.length + 1,
+      `state machine: entry ${entry.index} is applied before those below it`,
+    );
+    this.applied.push(entry);
+    const count = (this.#counts.at(-1) ?? 0) +
+      (entry.kind === "command" ? 1 : 0);
+    this.#counts.push(count);
+    if (entry.kind === "command") {
+      this.#wrote(entry.data, count);
+    }
+  }
+
+  /** An entry is committed only when a majority of the voters has it on disk. */
+  durable(entry: LogEntry, disks: readonly Stored[]): void {
+    const holders = disks.filter((disk) => holds(disk, entry)).length;
+    demand(
+      holders > disks.length / 2,
+      `commit: entry ${entry.index} is on the disks of ${holders} of ${disks.length} voters`,
+    );
+  }
+
+  /** A snapshot holds exactly the commands up to its index. */
+  restored(replica: string, index: number, count: number): void {
+    demand(
+      this.countAt(index) === count,
+      `snapshot: ${replica} restores ${count} commands at ${index}`,
+    );
+  }
+
+  countAt(index: number): number {
+    return index === 0 ? 0 : this.#counts[index - 1] ?? Number.NaN;
+  }
+
+  began(id: string, kind: Operation["kind"]): void {
+    this.#operations.set(id, { kind, floor: this.#highest });
+  }
+
+  /** Linearizability of writes: a write takes its place after all that had returned before it began. */
+  #wrote(id: string, position: number): void {
+    const operation = this.#operations.get(id);
+    demand(operation?.kind === "write", `write ${id} was never proposed`);
+    demand(!this.#positions.has(id), `write ${id} is applied twice`);
+    this.#positions.set(id, position);
+    demand(
+      position > operation.floor,
+      `linearizability: write ${id} takes place ${position} after ${operation.floor} was seen`,
+    );
+  }
+
+  /** A write was answered by the replica that proposed it. */
+  acknowledged(id: string): void {
+    const position = this.#positions.get(id);
+    demand(position !== undefined, `write ${id} is acknowledged, not applied`);
+    this.#returned(position);
+  }
+
+  /** Linearizability of reads: a read sees all that had returned before it began. */
+  read(id: string, count: number): void {
+    const floor = this.#operations.get(id)?.floor ?? Number.NaN;
+    demand(
+      count >= floor,
+      `linearizability: read ${id} returns ${count} after ${floor} was seen`,
+    );
+    this.#returned(count);
+  }
+
+  #returned(count: number): void {
+    this.completed += 1;
+    this.#highest = Math.max(this.#highest, count);
+  }
+}
+
+function holds(disk: Stored, { index, term }: LogEntry): boolean {
+  const base = disk.snapshot?.index ?? 0;
+  return index <= base || disk.entries[index - base - 1]?.term === term;
+}
+
+function isSame(a: LogEntry, b: LogEntry): boolean {
+  return a === b || JSON.stringify(a) === JSON.stringify(b);
+}
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -211,6 +211,33 @@
     );
   });
 
+  test("refuses a removal that would leave no majority in contact", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    group.advance(1_500);
+    const { raft } = group.node("e1");
+    const healthy = { kind: "remove", replica: idOf("e2") } as const;
+    expect(raft.changeMembership(healthy, group.now).val).toMatchObject({
+      kind: "conflict",
+      outcome: "not run",
+    });
+    const silent = { kind: "remove", replica: idOf("e3") } as const;
+    expect(raft.changeMembership(silent, group.now).ok).toBe(true);
+  });
+
+  test("a new leader counts only the voters that answered it", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    group.advance(1_500);
+    group.node("e1").raft.transferLeadership(idOf("e2"), group.now).unwrap();
+    group.settle();
+    const change = { kind: "remove", replica: idOf("e1") } as const;
+    const { raft } = group.node("e2");
+    expect(raft.changeMembership(change, group.now).val).toMatchObject({
+      kind: "conflict",
+    });
+  });
+
   test("allows one change at a time", () => {
     const group = Group.of(THREE);
     const { raft } = group.node("e1");
