--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -3,4 +3,6 @@
  *
  * @module
  */
+export { Daemon } from "./daemon.ts";
+export { main } from "./main.ts";
 export * from "./storage/mod.ts";
--- /dev/null
+++ b/packages/emulator/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Emulated targets and load from outside.
+ *
+ * @module
+ */
+export * from "./announcer.ts";
+export * from "./behaviour.ts";
+export * from "./fleet.ts";
+export * from "./load.ts";
+export * from "./target.ts";
