Bound what a compaction keeps by size, and tell only of compactions that would be taken

A follower whose applied index was ahead of its synced one said that a compaction was due and refused it, so a driver serialized its state in vain each time.

--- a/packages/core/src/raft/log.ts
+++ b/packages/core/src/raft/log.ts
@@ -146,19 +146,40 @@
     return { index: i, term: this.termAt(i) ?? 0 };
   }
 
-  /** Adopts a snapshot of this log and drops the entries before `keepFrom`. */
-  compact(snapshot: Snapshot, keepFrom: number): void {
-    this.#snapshot = snapshot;
-    const index = Math.max(this.#base.index, keepFrom - 1);
+  /** Adopts a snapshot of this log and drops the entries that it covers, but for some trailing ones. */
+  compact(
+    snapshot: Snapshot,
+    trailing: { entries: number; size: number },
+  ): void {
+    const index = this.#trailingBase(snapshot.index, trailing);
     const term = this.termAt(index) ?? snapshot.term;
     const removed = this.#entries.splice(0, index - this.#base.index);
     for (const entry of removed) {
       this.#size -= sizeOf(entry);
     }
+    this.#snapshot = snapshot;
     this.#base = { index, term };
     this.#dropMembershipsBefore(index);
   }
 
+  /** Index before the trailing entries that a compaction keeps. */
+  #trailingBase(
+    index: number,
+    { entries, size }: { entries: number; size: number },
+  ): number {
+    const floor = Math.max(this.#base.index, index - entries);
+    let kept = 0;
+    let base = index;
+    while (base > floor) {
+      kept += sizeOf(this.#entries[base - this.#base.index - 1]!);
+      if (kept > size) {
+        break;
+      }
+      base -= 1;
+    }
+    return base;
+  }
+
   /** Replaces the whole log by a snapshot. */
   install(snapshot: Snapshot): void {
     this.#snapshot = snapshot;
--- a/packages/core/src/raft/raft.ts
+++ b/packages/core/src/raft/raft.ts
@@ -30,6 +30,9 @@
 import type { Replica, Role } from "./replica.ts";
 import { flushReads } from "./replication.ts";
 
+/** Share of the log's size bound that may be kept behind a snapshot. */
+const TRAILING_SHARE = 0.25;
+
 /** What is known about the group from one replica. */
 export interface RaftStatus {
   replica: ReplicaId;
@@ -163,12 +166,13 @@
     });
   }
 
-  /** Whether the log has outgrown its bounds, so that the driver should call `compact`. */
+  /** Whether the log has outgrown its bounds and may be compacted at the applied index. */
   get compactionDue(): boolean {
-    const { log, tuning, applied } = this.#replica;
+    const { log, tuning, applied, stable } = this.#replica;
     const outgrown = log.length > tuning.maxLogEntries ||
       log.size > tuning.maxLogSize;
-    return outgrown && applied > (log.snapshot?.index ?? 0);
+    return outgrown && applied > (log.snapshot?.index ?? 0) &&
+      applied <= stable;
   }
 
   /**
@@ -190,7 +194,10 @@
     }
     const membership = log.membershipAt(index);
     const snapshot = { index, term, membership, data };
-    log.compact(snapshot, index + 1 - tuning.trailingEntries);
+    log.compact(snapshot, {
+      entries: tuning.trailingEntries,
+      size: tuning.maxLogSize * TRAILING_SHARE,
+    });
     return Ok(snapshot);
   }
 
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -185,6 +185,47 @@
     expect(group.node("e3").applied).toEqual(group.node("e1").applied);
   });
 
+  test("free most of the log, also when its entries are large", () => {
+    const group = new Group("e1", { maxLogSize: 10_000 });
+    group.advance(10);
+    const { raft, applied } = group.node("e1");
+    let compactions = 0;
+    for (let i = 0; i < 20; i++) {
+      group.propose("e1", "x".repeat(2_000));
+      if (raft.compactionDue) {
+        raft.compact(raft.status.applied, JSON.stringify(applied)).unwrap();
+        compactions += 1;
+      }
+    }
+    expect(compactions).toBeGreaterThan(0);
+    expect(compactions).toBeLessThanOrEqual(20 / 3);
+  });
+
+  test("are not due before they would be taken", () => {
+    const { raft } = new Group("e2", { maxLogEntries: 2 }).node("e2");
+    const entries = [2, 3, 4].map((index) => ({
+      kind: "command" as const,
+      index,
+      term: 2,
+      data: "x",
+    }));
+    raft.receive({
+      kind: "append",
+      from: idOf("e1"),
+      to: idOf("e2"),
+      term: 2,
+      previousIndex: 1,
+      previousTerm: 1,
+      entries,
+      commit: 4,
+    }, 0);
+    const output = raft.take();
+    expect(raft.status.applied).toBe(4);
+    expect(raft.compactionDue).toBe(false);
+    raft.persisted(output.id, 0);
+    expect(raft.compactionDue).toBe(true);
+  });
+
   test("are not taken above what is applied", () => {
     const group = Group.of(["e1"]);
     const { raft } = group.node("e1");
