--- /dev/null
+++ b/packages/core/test/raft_disk.ts
@@ -0,0 +1,57 @@
+/**
+ * What a simulated replica has on disk, by the rules of the daemon's storage.
+ *
+ * @module
+ */
+import type {
+  Membership,
+  RaftOutput,
+  Snapshot,
+  Stored,
+} from "@quetzalcove/core";
+
+/** Term of the stored entry at an index; not a number where there is none. */
+export function termAt({ snapshot, entries }: Stored, index: number): number {
+  const base = snapshot?.index ?? 0;
+  return index === base
+    ? snapshot?.term ?? 0
+    : entries[index - base - 1]?.term ?? Number.NaN;
+}
+
+/** The newest stored membership. */
+export function membershipOf({ snapshot, entries }: Stored): Membership {
+  const entry = entries.findLast(({ kind }) => kind === "membership");
+  return entry?.kind === "membership"
+    ? entry.membership
+    : snapshot?.membership ?? { members: [] };
+}
+
+/** Replaces the snapshot and keeps the entries after it if the log holds its last one. */
+export function adoptSnapshot(stored: Stored, snapshot: Snapshot): void {
+  if (snapshot.index <= (stored.snapshot?.index ?? 0)) {
+    return;
+  }
+  const held = termAt(stored, snapshot.index) === snapshot.term;
+  stored.entries = held
+    ? stored.entries.filter(({ index }) => index > snapshot.index)
+    : [];
+  stored.snapshot = snapshot;
+}
+
+/** Stores a write; entries replace all from the first one's index on. */
+export function writeTo(stored: Stored, { write }: RaftOutput): void {
+  const { installed, hardState, entries } = write;
+  if (installed !== undefined) {
+    stored.snapshot = installed;
+    stored.entries = [];
+  }
+  stored.hardState = hardState ?? stored.hardState;
+  const base = stored.snapshot?.index ?? 0;
+  for (const entry of entries.filter(({ index }) => index > base)) {
+    if (entry.index > base + stored.entries.length + 1) {
+      throw new Error(`Write leaves a gap before entry ${entry.index}`);
+    }
+    stored.entries.length = entry.index - base - 1;
+    stored.entries.push(entry);
+  }
+}
--- /dev/null
+++ b/packages/core/test/raft_node.ts
@@ -0,0 +1,260 @@
+/**
+ * One simulated replica: a process that can crash, and a disk that can be lost.
+ *
+ * @module
+ */
+import {
+  type LogEntry,
+  type Membership,
+  Raft,
+  type RaftMessage,
+  type RaftOutput,
+  type Snapshot,
+  type Stored,
+  type Tuning,
+  votersOf,
+} from "@quetzalcove/core";
+import type { Checker } from "./raft_checker.ts";
+import { adoptSnapshot, membershipOf, termAt, writeTo } from "./raft_disk.ts";
+
+/** Small bounds, so that short runs reach compaction, chunks and split appends. */
+const TUNING: Partial<Tuning> = {
+  heartbeatMs: 100,
+  electionMs: 400,
+  trailingEntries: 2,
+  maxAppendSize: 100,
+  snapshotChunkLength: 24,
+};
+
+/** What the replicas of a group share. */
+export interface Surroundings {
+  checker: Checker;
+  now: () => number;
+  /** A number from 0 to 1, without 1. */
+  random: () => number;
+  send: (messages: readonly RaftMessage[]) => void;
+  /** Disks of all replicas, the lost ones included. */
+  disks: () => ReadonlyMap<string, Stored>;
+  /** Takes the read indices that a leader confirmed. */
+  confirmed: (reads: RaftOutput["reads"]) => void;
+}
+
+interface Machine {
+  index: number;
+  commands: string[];
+}
+
+export class SimulatedNode {
+  readonly id: string;
+  readonly entry: string;
+  /** Undefined while the process is down. */
+  raft: Raft | undefined;
+  /** What is synced. */
+  readonly disk: Stored;
+  machine: Machine = { index: 0, commands: [] };
+  /** A stalled disk syncs nothing. */
+  stalled = false;
+  /** A frozen process does nothing. */
+  frozen = false;
+  lost = false;
+  readonly #around: Surroundings;
+  /** What is written, synced or not. */
+  #cache: Stored;
+  #unsynced: RaftOutput[] = [];
+  /** Writes of clients that await their commit here, by index. */
+  readonly #proposals = new Map<number, { id: string; term: number }>();
+  /** Reads that await an index here. */
+  #reads: { id: string; index: number }[] = [];
+
+  constructor(
+    name: { id: string; entry: string },
+    disk: Stored,
+    around: Surroundings,
+  ) {
+    this.id = name.id;
+    this.entry = name.entry;
+    this.disk = disk;
+    this.#cache = structuredClone(disk);
+    this.#around = around;
+    this.restart();
+  }
+
+  get membership(): Membership {
+    return this.raft?.membership ?? membershipOf(this.disk);
+  }
+
+  get isLeader(): boolean {
+    return this.raft?.status.role === "leader";
+  }
+
+  restart(): void {
+    if (this.raft !== undefined || this.lost) {
+      return;
+    }
+    const { now, random } = this.#around;
+    this.#cache = structuredClone(this.disk);
+    this.machine = machineOf(this.disk.snapshot);
+    const stored = structuredClone(this.disk);
+    const setup = { replica: this.id, stored, random, tuning: TUNING };
+    this.raft = new Raft(setup, now());
+  }
+
+  /** Ends the process; any prefix of the unsynced writes may have reached the disk. */
+  crash(kept: number): void {
+    const count = kept % (this.#unsynced.length + 1);
+    this.#unsynced.slice(0, count).forEach((o) => writeTo(this.disk, o));
+    const installed = this.#unsynced[count]?.write.installed;
+    if (installed !== undefined && kept % 2 === 1) {
+      adoptSnapshot(this.disk, installed);
+    }
+    this.raft = undefined;
+    this.#unsynced = [];
+    this.#proposals.clear();
+    this.#reads = [];
+  }
+
+  tick(): void {
+    if (!this.frozen) {
+      this.raft?.tick(this.#around.now());
+      this.pump();
+    }
+  }
+
+  receive(message: RaftMessage): void {
+    if (!this.frozen) {
+      this.raft?.receive(message, this.#around.now());
+      this.pump();
+    }
+  }
+
+  /** Proposes the writes of a client. */
+  write(ids: readonly string[]): void {
+    ids.forEach((id) => this.#around.checker.began(id, "write"));
+    const proposal = this.raft?.propose(ids, this.#around.now());
+    if (proposal?.ok) {
+      const { first, term } = proposal.val;
+      ids.forEach((id, i) => this.#proposals.set(first + i, { id, term }));
+      this.pump();
+    }
+  }
+
+  /** Asks for a read index. */
+  read(id: string): void {
+    this.#around.checker.began(id, "read");
+    this.raft?.readIndex(id, this.#around.now());
+    this.pump();
+  }
+
+  /** Serves a read once everything up to its index is applied. */
+  serve(read: { id: string; index: number }): void {
+    if (this.raft !== undefined) {
+      this.#reads.push(read);
+      this.#serveReady();
+    }
+  }
+
+  /** Compacts the log; the snapshot reaches the disk, or a crash comes first. */
+  compact(kept: boolean): void {
+    const { index, commands } = this.machine;
+    const snapshot = this.raft?.compact(index, JSON.stringify(commands));
+    if (snapshot?.ok && kept) {
+      adoptSnapshot(this.disk, snapshot.val);
+      adoptSnapshot(this.#cache, snapshot.val);
+    }
+  }
+
+  /** Syncs the oldest writes; only then their answers leave. */
+  sync(count: number): void {
+    if (this.stalled || this.frozen) {
+      return;
+    }
+    for (const output of this.#unsynced.splice(0, count)) {
+      writeTo(this.disk, output);
+      this.#send(output.answers);
+      this.raft?.persisted(output.id, this.#around.now());
+    }
+    this.pump();
+  }
+
+  /** Takes all output: sends, writes without sync, applies. */
+  pump(): void {
+    while (this.raft?.hasOutput) {
+      const output = this.raft.take();
+      this.#note(output);
+      writeTo(this.#cache, output);
+      this.#unsynced.push(output);
+      if (this.isLeader) {
+        const { term } = this.raft.status;
+        this.#around.checker.leads(this.id, term, this.#cache);
+      }
+      this.#send(output.messages);
+      this.#apply(output);
+      this.#serveReady();
+      this.#around.confirmed(output.reads);
+    }
+  }
+
+  #send(messages: readonly RaftMessage[]): void {
+    messages.forEach((message) => this.#around.checker.sent(message));
+    this.#around.send(messages);
+  }
+
+  #note({ write }: RaftOutput): void {
+    let previous = write.installed?.term;
+    for (const entry of write.entries) {
+      previous ??= termAt(this.#cache, entry.index - 1);
+      this.#around.checker.appended(entry, previous);
+      previous = entry.term;
+    }
+  }
+
+  #apply({ write, committed }: RaftOutput): void {
+    const { checker } = this.#around;
+    if (write.installed !== undefined) {
+      this.machine = machineOf(write.installed);
+      const { index, commands } = this.machine;
+      checker.restored(this.id, index, commands.length);
+    }
+    for (const entry of committed) {
+      this.#checkDurable(entry);
+      checker.apply(this.id, entry, this.machine.index);
+      this.machine.index = entry.index;
+      if (entry.kind === "command") {
+        this.machine.commands.push(entry.data);
+      }
+      this.#acknowledge(entry);
+    }
+  }
+
+  #checkDurable(entry: LogEntry): void {
+    const { checker, disks } = this.#around;
+    if (this.isLeader && entry.index > checker.applied.length) {
+      const known = disks();
+      const voters = votersOf(this.membership);
+      checker.durable(entry, voters.flatMap((id) => known.get(id) ?? []));
+    }
+  }
+
+  #acknowledge({ index, term }: LogEntry): void {
+    const proposal = this.#proposals.get(index);
+    this.#proposals.delete(index);
+    if (proposal?.term === term) {
+      this.#around.checker.acknowledged(proposal.id);
+    }
+  }
+
+  #serveReady(): void {
+    const { index, commands } = this.machine;
+    const ready = this.#reads.filter((read) => read.index <= index);
+    this.#reads = this.#reads.filter((read) => read.index > index);
+    for (const { id } of ready) {
+      this.#around.checker.read(id, commands.length);
+    }
+  }
+}
+
+function machineOf(snapshot: Snapshot | undefined): Machine {
+  return snapshot === undefined
+    ? { index: 0, commands: [] }
+    : { index: snapshot.index, commands: JSON.parse(snapshot.data) };
+}
