--- a/packages/core/src/raft/admission.ts
+++ b/packages/core/src/raft/admission.ts
@@ -53,11 +53,11 @@
   replica: Replica,
   commands: readonly string[],
 ): Result<Leadership, Fault> {
-  const { maxUncommittedSize, heartbeatMs } = replica.tuning;
+  const { maxUnsettledSize, heartbeatMs } = replica.tuning;
   const size = commands.reduce((sum, data) => sum + data.length, 0);
   return leadershipOf(replica).andThen((leadership) => {
-    const waiting = leadership.uncommittedSize;
-    if (waiting === 0 || waiting + size <= maxUncommittedSize) {
+    const waiting = leadership.unsettledSize;
+    if (waiting === 0 || waiting + size <= maxUnsettledSize) {
       return Ok(leadership);
     }
     return Err(
--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -38,7 +38,8 @@
     startedAt: replica.now,
     firstIndex: last.index + 1,
     transfer: undefined,
-    uncommittedSize: 0,
+    settled: last.index,
+    unsettledSize: 0,
   };
   followMembership(replica);
   appendAsLeader(replica, { kind: "noop", ...nextPosition(replica) });
@@ -59,7 +60,7 @@
   replica.log.append(entry);
   markUnsaved(replica, entry.index);
   if (replica.leadership !== undefined) {
-    replica.leadership.uncommittedSize += sizeOf(entry);
+    replica.leadership.unsettledSize += sizeOf(entry);
   }
   if (entry.kind === "membership") {
     followMembership(replica);
@@ -199,23 +200,24 @@
   }
   const index = quorumMatch(replica, leadership);
   if (index > replica.commit && log.termAt(index) === replica.hardState.term) {
-    settleSize(replica, leadership, index);
     commitTo(replica, index);
     flushReads(replica);
     leaveIfRemoved(replica, leadership);
   }
+  settleSize(replica, leadership);
 }
 
-/** Takes the entries up to an index out of the uncommitted size. */
-function settleSize(
-  replica: Replica,
-  leadership: Leadership,
-  index: number,
-): void {
-  const from = Math.max(replica.commit + 1, leadership.firstIndex);
-  for (const entry of replica.log.slice(from, index - from + 1)) {
-    leadership.uncommittedSize -= sizeOf(entry);
+/** Takes the entries that are both committed and synced here out of the unsettled size. */
+function settleSize(replica: Replica, leadership: Leadership): void {
+  const settled = Math.min(replica.commit, replica.stable);
+  const count = settled - leadership.settled;
+  if (count <= 0) {
+    return;
+  }
+  for (const entry of replica.log.slice(leadership.settled + 1, count)) {
+    leadership.unsettledSize -= sizeOf(entry);
   }
+  leadership.settled = settled;
 }
 
 /** The highest index that a majority of the voters has synced. */
--- a/packages/core/src/raft/log.ts
+++ b/packages/core/src/raft/log.ts
@@ -103,7 +103,7 @@
   /** Entries from an index on, up to a count. */
   slice(from: number, count?: number): LogEntry[] {
     const start = Math.max(0, from - this.#base.index - 1);
-    const end = count === undefined ? undefined : start + count;
+    const end = count === undefined ? undefined : start + Math.max(0, count);
     return this.#entries.slice(start, end);
   }
 
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -21,8 +21,8 @@
   maxLogSize: number;
   /** Entries kept after a compaction for followers that are slightly behind. */
   trailingEntries: number;
-  /** Bound of the entries that are proposed and not yet committed. */
-  maxUncommittedSize: number;
+  /** Bound of the entries that are proposed and not yet committed and synced at the leader. */
+  maxUnsettledSize: number;
   /** Size of the entries in one append; a larger single entry travels alone. */
   maxAppendSize: number;
   /** Length of a snapshot chunk in UTF-16 code units. */
@@ -35,7 +35,7 @@
   maxLogEntries: 4_096,
   maxLogSize: 4_194_304,
   trailingEntries: 256,
-  maxUncommittedSize: 4_194_304,
+  maxUnsettledSize: 4_194_304,
   maxAppendSize: 65_536,
   snapshotChunkLength: 65_536, // below 256 KB as UTF-8 in JSON
 };
@@ -50,8 +50,10 @@
   /** Index of the no-op that started the term. */
   firstIndex: number;
   transfer: { to: ReplicaId; deadline: number } | undefined;
-  /** Size of the entries of this term that are not committed. */
-  uncommittedSize: number;
+  /** Last index that was committed and synced here, or that precedes the term. */
+  settled: number;
+  /** Size of the entries after the settled index. */
+  unsettledSize: number;
 }
 
 /** A snapshot of which some chunks have arrived. */
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -1,4 +1,4 @@
-import { RaftMessage } from "@quetzalcove/core";
+import { RaftMessage, type RaftOutput } from "@quetzalcove/core";
 import { describe, expect, test } from "vitest";
 import { Group, idOf, memberNamed } from "./raft_group.ts";
 
@@ -9,6 +9,25 @@
   group.lost = ({ from, to }) => from === id || to === id;
 }
 
+/** A follower's answer to the appends of an output. */
+function acceptance(
+  { write, messages }: RaftOutput,
+  from: string,
+): RaftMessage {
+  const { term } = messages[0]!;
+  const index = write.entries.at(-1)!.index;
+  return {
+    kind: "append_answer",
+    from,
+    to: idOf("e1"),
+    term,
+    accepted: true,
+    index,
+    hintIndex: 0,
+    hintTerm: 0,
+  };
+}
+
 describe("a single voter", () => {
   test("leads at its first tick and commits once its write is synced", () => {
     const group = new Group("e1");
@@ -111,7 +130,7 @@
   });
 
   test("refuses commands beyond the bound of what awaits its commit", () => {
-    const group = Group.of(THREE, { maxUncommittedSize: 1_000 });
+    const group = Group.of(THREE, { maxUnsettledSize: 1_000 });
     isolate(group, "e1");
     group.propose("e1", "x".repeat(2_000));
     const { raft } = group.node("e1");
@@ -124,6 +143,22 @@
     expect(raft.propose(["y"], group.now).ok).toBe(true);
   });
 
+  test("refuses commands while its own disk lags too far behind", () => {
+    const group = Group.of(THREE, { maxUnsettledSize: 1_000 });
+    const { raft } = group.node("e1");
+    raft.propose(["x".repeat(2_000)], group.now).unwrap();
+    const output = raft.take();
+    for (const from of [idOf("e2"), idOf("e3")]) {
+      raft.receive(acceptance(output, from), group.now);
+    }
+    expect(raft.status.commit).toBe(raft.status.lastIndex);
+    expect(raft.propose(["y"], group.now).val).toMatchObject({
+      kind: "overloaded",
+    });
+    raft.persisted(output.id, group.now);
+    expect(raft.propose(["y"], group.now).ok).toBe(true);
+  });
+
   test("bounds what is under way to a replica that does not answer", () => {
     const group = Group.of(THREE);
     isolate(group, "e3");
