Check at each commit that no voter without the entry could be elected

The checker now looks ahead: among the synced logs, no voter that lacks a committed entry may be electable. A new action delivers only a few messages.

--- a/packages/core/test/raft_checker.ts
+++ b/packages/core/test/raft_checker.ts
@@ -26,6 +26,12 @@
   floor: number;
 }
 
+/** A voter's disk, and whether it was lost. */
+export interface Voter {
+  disk: Stored;
+  lost: boolean;
+}
+
 /** Observes all replicas of one group. */
 export class Checker {
   /** Entries of the state machine by index, as the first replica applied them. */
@@ -126,13 +132,22 @@
     }
   }
 
-  /** An entry is committed only when a majority of the voters has it on disk. */
-  durable(entry: LogEntry, disks: readonly Stored[]): void {
-    const holders = disks.filter((disk) => holds(disk, entry)).length;
+  /** An entry is committed only when a majority has it on disk, and when no voter without it could be elected. */
+  durable(entry: LogEntry, voters: readonly Voter[]): void {
+    const majority = Math.floor(voters.length / 2) + 1;
+    const holders = voters.filter(({ disk }) => holds(disk, entry)).length;
     demand(
-      holders > disks.length / 2,
-      `commit: entry ${entry.index} is on the disks of ${holders} of ${disks.length} voters`,
+      holders >= majority,
+      `commit: entry ${entry.index} is on the disks of ${holders} of ${voters.length} voters`,
     );
+    const present = voters.filter(({ lost }) => !lost);
+    for (const { disk } of present.filter((v) => !holds(v.disk, entry))) {
+      const supporters = present.filter((v) => isUpToDate(disk, v.disk));
+      demand(
+        supporters.length < majority,
+        `commit: a voter without entry ${entry.index} could be elected`,
+      );
+    }
   }
 
   /** A snapshot holds exactly the commands up to its index. */
@@ -190,3 +205,17 @@
 function isSame(a: LogEntry, b: LogEntry): boolean {
   return a === b || JSON.stringify(a) === JSON.stringify(b);
 }
+
+/** Whether a voter with the second log would vote for a candidate with the first. */
+function isUpToDate(candidate: Stored, voter: Stored): boolean {
+  const own = lastOf(candidate);
+  const other = lastOf(voter);
+  return own.term > other.term ||
+    (own.term === other.term && own.index >= other.index);
+}
+
+function lastOf(
+  { snapshot, entries }: Stored,
+): { index: number; term: number } {
+  return entries.at(-1) ?? snapshot ?? { index: 0, term: 0 };
+}
--- a/packages/core/test/raft_fuzz_test.ts
+++ b/packages/core/test/raft_fuzz_test.ts
@@ -20,6 +20,11 @@
   seed: fc.integer(),
   lossPercent: fc.constantFrom(0, 5, 20),
 });
+const deliver = fc.record({
+  kind: kind("deliver"),
+  count: fc.integer({ min: 1, max: 8 }),
+  seed: fc.integer(),
+});
 const write = fc.record({
   kind: kind("write"),
   node,
@@ -30,6 +35,7 @@
 
 const action: fc.Arbitrary<Action> = fc.oneof(
   { arbitrary: run, weight: 14 },
+  { arbitrary: deliver, weight: 8 },
   { arbitrary: write, weight: 10 },
   { arbitrary: fc.record({ kind: kind("read"), node, via: node }), weight: 5 },
   { arbitrary: crash, weight: 4 },
--- a/packages/core/test/raft_network.ts
+++ b/packages/core/test/raft_network.ts
@@ -46,6 +46,9 @@
 
   /** Takes a message to be delivered now, if its lot is not another one. */
   take(lot: Lot, lossPercent: number): RaftMessage | undefined {
+    if (this.size === 0) {
+      return undefined;
+    }
     const position = lossPercent === 0 ? 0 : lot(this.#messages.length);
     const [message] = this.#messages.splice(position, 1);
     if (message === undefined || this.#isCut(message)) {
--- a/packages/core/test/raft_node.ts
+++ b/packages/core/test/raft_node.ts
@@ -14,7 +14,7 @@
   type Tuning,
   votersOf,
 } from "@quetzalcove/core";
-import type { Checker } from "./raft_checker.ts";
+import type { Checker, Voter } from "./raft_checker.ts";
 import { adoptSnapshot, membershipOf, termAt, writeTo } from "./raft_disk.ts";
 
 /** Small bounds, so that short runs reach compaction, chunks and split appends. */
@@ -33,8 +33,8 @@
   /** A number from 0 to 1, without 1. */
   random: () => number;
   send: (messages: readonly RaftMessage[]) => void;
-  /** Disks of all replicas, the lost ones included. */
-  disks: () => ReadonlyMap<string, Stored>;
+  /** The replicas of these ids. */
+  disks: (ids: readonly string[]) => Voter[];
   /** Takes the read indices that a leader confirmed. */
   confirmed: (reads: RaftOutput["reads"]) => void;
 }
@@ -229,9 +229,7 @@
   #checkDurable(entry: LogEntry): void {
     const { checker, disks } = this.#around;
     if (this.isLeader && entry.index > checker.applied.length) {
-      const known = disks();
-      const voters = votersOf(this.membership);
-      checker.durable(entry, voters.flatMap((id) => known.get(id) ?? []));
+      checker.durable(entry, disks(votersOf(this.membership)));
     }
   }
 
--- a/packages/core/test/raft_simulation.ts
+++ b/packages/core/test/raft_simulation.ts
@@ -29,6 +29,7 @@
 /** One step of a run; numbers select among what is there at the time. */
 export type Action =
   | { kind: "run"; steps: number; seed: number; lossPercent: number }
+  | { kind: "deliver"; count: number; seed: number }
   | { kind: "write"; node: number; count: number }
   | { kind: "read"; node: number; via: number }
   | { kind: "crash"; node: number; kept: number }
@@ -72,6 +73,10 @@
       case "run":
         this.#seed(action.seed);
         return this.#run(action);
+      case "deliver":
+        this.#seed(action.seed);
+        this.#nodes.forEach((node) => node.sync(action.count));
+        return this.#deliver({ count: action.count, lossPercent: 1 });
       case "repair":
         return this.#repair();
       case "heal":
@@ -180,7 +185,7 @@
       now: () => this.#now,
       random: () => this.#lot(1_000) / 1_000,
       send: (messages) => this.#network.send(messages),
-      disks: () => new Map(this.#nodes.map((node) => [node.id, node.disk])),
+      disks: (ids) => this.#nodes.filter((node) => ids.includes(node.id)),
       confirmed: (reads) =>
         reads.forEach(({ context, index }) => this.#forward(context, index)),
     };
@@ -265,14 +270,15 @@
       this.#nodes.forEach((node) => node.tick());
       for (let round = 0; round < ROUNDS_IN_STEP; round++) {
         this.#nodes.forEach((node) => node.sync(1 + this.#lot(3)));
-        this.#deliver(lossPercent);
+        this.#deliver({ count: this.#network.size, lossPercent });
       }
     }
   }
 
-  /** Delivers as many messages as are under way. */
-  #deliver(lossPercent: number): void {
-    for (let left = this.#network.size; left > 0; left--) {
+  #deliver(
+    { count, lossPercent }: { count: number; lossPercent: number },
+  ): void {
+    for (let left = count; left > 0; left--) {
       const message = this.#network.take(this.#lot, lossPercent);
       const to = this.#nodes.find(({ id }) => id === message?.to);
       if (message !== undefined) {
