--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -17,6 +17,7 @@
   becomeFollower,
   commitTo,
   envelope,
+  isInContact,
   isQuorum,
   isVoter,
   type Leadership,
@@ -34,9 +35,11 @@
   replica.leadership = {
     progress: new Map(),
     reads: new ReadQueue(),
+    startedAt: replica.now,
     firstIndex: last.index + 1,
     transfer: undefined,
-    uncommittedSize: 0,
+    settled: last.index,
+    unsettledSize: 0,
   };
   followMembership(replica);
   appendAsLeader(replica, { kind: "noop", ...nextPosition(replica) });
@@ -57,7 +60,7 @@
   replica.log.append(entry);
   markUnsaved(replica, entry.index);
   if (replica.leadership !== undefined) {
-    replica.leadership.uncommittedSize += sizeOf(entry);
+    replica.leadership.unsettledSize += sizeOf(entry);
   }
   if (entry.kind === "membership") {
     followMembership(replica);
@@ -72,8 +75,8 @@
   }
   for (const { replica: other } of log.membership.members) {
     if (other !== id && !leadership.progress.has(other)) {
-      const start = { next: log.last.index + 1, now: replica.now };
-      leadership.progress.set(other, new Progress(other, start));
+      const progress = new Progress(other, log.last.index + 1);
+      leadership.progress.set(other, progress);
     }
   }
   for (const other of leadership.progress.keys()) {
@@ -85,7 +88,11 @@
 
 /** Sends heartbeats that are due, and steps down without a quorum. */
 export function tickLeader(replica: Replica, leadership: Leadership): void {
-  if (!hasRecentQuorum(replica, leadership)) {
+  const startedMs = replica.now - leadership.startedAt;
+  if (
+    startedMs >= replica.tuning.electionMs &&
+    !isQuorum(replica, (id) => isInContact(replica, id))
+  ) {
     becomeFollower(replica, { term: replica.hardState.term });
     return;
   }
@@ -103,22 +110,12 @@
 
 /** A replica that stays silent is probed by heartbeats alone, so that nothing piles up on its link. */
 function pauseSilent(replica: Replica, progress: Progress): void {
-  const silentMs = replica.now - progress.contactAt;
-  if (progress.mode !== "probe" && silentMs >= replica.tuning.electionMs) {
+  if (progress.mode !== "probe" && !isInContact(replica, progress.replica)) {
     progress.probe(progress.match + 1);
     progress.probing = true;
   }
 }
 
-function hasRecentQuorum(replica: Replica, leadership: Leadership): boolean {
-  const { electionMs } = replica.tuning;
-  return isQuorum(replica, (id) => {
-    const progress = leadership.progress.get(id);
-    return id === replica.id ||
-      (progress !== undefined && replica.now - progress.contactAt < electionMs);
-  });
-}
-
 export function handleAppendAnswer(
   replica: Replica,
   answer: AppendAnswer,
@@ -203,23 +200,24 @@
   }
   const index = quorumMatch(replica, leadership);
   if (index > replica.commit && log.termAt(index) === replica.hardState.term) {
-    settleSize(replica, leadership, index);
     commitTo(replica, index);
     flushReads(replica);
     leaveIfRemoved(replica, leadership);
   }
+  settleSize(replica, leadership);
 }
 
-/** Takes the entries up to an index out of the uncommitted size. */
-function settleSize(
-  replica: Replica,
-  leadership: Leadership,
-  index: number,
-): void {
-  const from = Math.max(replica.commit + 1, leadership.firstIndex);
-  for (const entry of replica.log.slice(from, index - from + 1)) {
-    leadership.uncommittedSize -= sizeOf(entry);
+/** Takes the entries that are both committed and synced here out of the unsettled size. */
+function settleSize(replica: Replica, leadership: Leadership): void {
+  const settled = Math.min(replica.commit, replica.stable);
+  const count = settled - leadership.settled;
+  if (count <= 0) {
+    return;
+  }
+  for (const entry of replica.log.slice(leadership.settled + 1, count)) {
+    leadership.unsettledSize -= sizeOf(entry);
   }
+  leadership.settled = settled;
 }
 
 /** The highest index that a majority of the voters has synced. */
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -21,8 +21,12 @@
   maxLogSize: number;
   /** Entries kept after a compaction for followers that are slightly behind. */
   trailingEntries: number;
-  /** Bound of the entries that are proposed and not yet committed. */
-  maxUncommittedSize: number;
+  /** Bound of the entries that are proposed and not yet committed and synced at the leader. */
+  maxUnsettledSize: number;
+  /** Size of the entries in one append; a larger single entry travels alone. */
+  maxAppendSize: number;
+  /** Length of a snapshot chunk in UTF-16 code units. */
+  snapshotChunkLength: number;
 }
 
 export const DEFAULT_TUNING: Tuning = {
@@ -31,7 +35,9 @@
   maxLogEntries: 4_096,
   maxLogSize: 4_194_304,
   trailingEntries: 256,
-  maxUncommittedSize: 4_194_304,
+  maxUnsettledSize: 4_194_304,
+  maxAppendSize: 65_536,
+  snapshotChunkLength: 65_536, // below 256 KB as UTF-8 in JSON
 };
 
 export type Role = "follower" | "pre_candidate" | "candidate" | "leader";
@@ -40,11 +46,14 @@
 export interface Leadership {
   progress: Map<ReplicaId, Progress>;
   reads: ReadQueue;
+  startedAt: number;
   /** Index of the no-op that started the term. */
   firstIndex: number;
   transfer: { to: ReplicaId; deadline: number } | undefined;
-  /** Size of the entries of this term that are not committed. */
-  uncommittedSize: number;
+  /** Last index that was committed and synced here, or that precedes the term. */
+  settled: number;
+  /** Size of the entries after the settled index. */
+  unsettledSize: number;
 }
 
 /** A snapshot of which some chunks have arrived. */
@@ -216,3 +225,13 @@
   const voters = votersOf(replica.log.membership);
   return voters.filter(has).length > voters.length / 2;
 }
+
+/** Whether the leader has heard from a replica within an election timeout. */
+export function isInContact(replica: Replica, id: ReplicaId): boolean {
+  if (id === replica.id) {
+    return true;
+  }
+  const progress = replica.leadership?.progress.get(id);
+  return progress !== undefined &&
+    replica.now - progress.contactAt < replica.tuning.electionMs;
+}
--- /dev/null
+++ b/packages/core/test/raft_fuzz_test.ts
@@ -0,0 +1,90 @@
+import fc from "fast-check";
+import process from "node:process";
+import { describe, expect, test } from "vitest";
+import { type Action, Simulation } from "./raft_simulation.ts";
+
+/** Length of the whole run in seconds; `RAFT_FUZZ_SECONDS=300 RAFT_FUZZ_SEED=1` makes a long one. */
+const SECONDS = Number(process.env["RAFT_FUZZ_SECONDS"] ?? 16);
+const SEED = Number(process.env["RAFT_FUZZ_SEED"] ?? 20_140_619);
+const RUNS = process.env["RAFT_FUZZ_SECONDS"] === undefined ? 400 : 1_000_000;
+
+const node = fc.nat({ max: 15 });
+
+function kind<K extends Action["kind"]>(name: K): fc.Arbitrary<K> {
+  return fc.constant(name);
+}
+
+const run = fc.record({
+  kind: kind("run"),
+  steps: fc.integer({ min: 1, max: 30 }),
+  seed: fc.integer(),
+  lossPercent: fc.constantFrom(0, 5, 20),
+});
+const deliver = fc.record({
+  kind: kind("deliver"),
+  count: fc.integer({ min: 1, max: 8 }),
+  seed: fc.integer(),
+});
+const write = fc.record({
+  kind: kind("write"),
+  node,
+  count: fc.integer({ min: 1, max: 4 }),
+});
+const crash = fc.record({ kind: kind("crash"), node, kept: fc.nat(9) });
+const compact = fc.record({ kind: kind("compact"), node, kept: fc.boolean() });
+
+const action: fc.Arbitrary<Action> = fc.oneof(
+  { arbitrary: run, weight: 14 },
+  { arbitrary: deliver, weight: 8 },
+  { arbitrary: write, weight: 10 },
+  { arbitrary: fc.record({ kind: kind("read"), node, via: node }), weight: 5 },
+  { arbitrary: crash, weight: 4 },
+  { arbitrary: fc.record({ kind: kind("restart"), node }), weight: 6 },
+  { arbitrary: fc.record({ kind: kind("lose_disk"), node }), weight: 1 },
+  { arbitrary: fc.record({ kind: kind("repair") }), weight: 4 },
+  { arbitrary: fc.record({ kind: kind("remove"), node }), weight: 1 },
+  { arbitrary: fc.record({ kind: kind("transfer"), node }), weight: 2 },
+  { arbitrary: fc.record({ kind: kind("isolate"), node }), weight: 3 },
+  {
+    arbitrary: fc.record({ kind: kind("partition"), mask: fc.nat(255) }),
+    weight: 2,
+  },
+  {
+    arbitrary: fc.record({ kind: kind("cut_one_way"), node, to: node }),
+    weight: 1,
+  },
+  { arbitrary: fc.record({ kind: kind("heal") }), weight: 6 },
+  { arbitrary: compact, weight: 3 },
+  { arbitrary: fc.record({ kind: kind("stall"), node }), weight: 1 },
+  { arbitrary: fc.record({ kind: kind("freeze"), node }), weight: 1 },
+);
+
+const actions = fc.array(action, {
+  minLength: 20,
+  maxLength: 150,
+  size: "max",
+});
+
+describe.each([3, 5])("a group of %i replicas under faults", (size) => {
+  test("keeps the safety properties of Raft and answers linearizably", () => {
+    const totals = { runs: 0, entries: 0, answers: 0, terms: 0 };
+    const property = fc.property(fc.integer(), actions, (seed, steps) => {
+      const simulation = new Simulation(size, seed);
+      steps.forEach((step) => simulation.perform(step));
+      simulation.finish();
+      const { applied, completed, terms } = simulation.checker;
+      totals.runs += 1;
+      totals.entries += applied.length;
+      totals.answers += completed;
+      totals.terms += terms;
+    });
+    fc.assert(property, {
+      seed: SEED + size,
+      numRuns: RUNS,
+      interruptAfterTimeLimit: SECONDS * 500,
+    });
+    const text = JSON.stringify({ size, seed: SEED, ...totals });
+    process.stdout.write(`raft fuzz: ${text}\n`);
+    expect(totals.answers).toBeGreaterThan(totals.runs);
+  }, SECONDS * 1_000 + 60_000);
+});
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -1,4 +1,4 @@
-import { RaftMessage } from "@quetzalcove/core";
+import { RaftMessage, type RaftOutput } from "@quetzalcove/core";
 import { describe, expect, test } from "vitest";
 import { Group, idOf, memberNamed } from "./raft_group.ts";
 
@@ -9,6 +9,25 @@
   group.lost = ({ from, to }) => from === id || to === id;
 }
 
+/** A follower's answer to the appends of an output. */
+function acceptance(
+  { write, messages }: RaftOutput,
+  from: string,
+): RaftMessage {
+  const { term } = messages[0]!;
+  const index = write.entries.at(-1)!.index;
+  return {
+    kind: "append_answer",
+    from,
+    to: idOf("e1"),
+    term,
+    accepted: true,
+    index,
+    hintIndex: 0,
+    hintTerm: 0,
+  };
+}
+
 describe("a single voter", () => {
   test("leads at its first tick and commits once its write is synced", () => {
     const group = new Group("e1");
@@ -111,7 +130,7 @@
   });
 
   test("refuses commands beyond the bound of what awaits its commit", () => {
-    const group = Group.of(THREE, { maxUncommittedSize: 1_000 });
+    const group = Group.of(THREE, { maxUnsettledSize: 1_000 });
     isolate(group, "e1");
     group.propose("e1", "x".repeat(2_000));
     const { raft } = group.node("e1");
@@ -124,6 +143,22 @@
     expect(raft.propose(["y"], group.now).ok).toBe(true);
   });
 
+  test("refuses commands while its own disk lags too far behind", () => {
+    const group = Group.of(THREE, { maxUnsettledSize: 1_000 });
+    const { raft } = group.node("e1");
+    raft.propose(["x".repeat(2_000)], group.now).unwrap();
+    const output = raft.take();
+    for (const from of [idOf("e2"), idOf("e3")]) {
+      raft.receive(acceptance(output, from), group.now);
+    }
+    expect(raft.status.commit).toBe(raft.status.lastIndex);
+    expect(raft.propose(["y"], group.now).val).toMatchObject({
+      kind: "overloaded",
+    });
+    raft.persisted(output.id, group.now);
+    expect(raft.propose(["y"], group.now).ok).toBe(true);
+  });
+
   test("bounds what is under way to a replica that does not answer", () => {
     const group = Group.of(THREE);
     isolate(group, "e3");
@@ -185,6 +220,47 @@
     expect(group.node("e3").applied).toEqual(group.node("e1").applied);
   });
 
+  test("free most of the log, also when its entries are large", () => {
+    const group = new Group("e1", { maxLogSize: 10_000 });
+    group.advance(10);
+    const { raft, applied } = group.node("e1");
+    let compactions = 0;
+    for (let i = 0; i < 20; i++) {
+      group.propose("e1", "x".repeat(2_000));
+      if (raft.compactionDue) {
+        raft.compact(raft.status.applied, JSON.stringify(applied)).unwrap();
+        compactions += 1;
+      }
+    }
+    expect(compactions).toBeGreaterThan(0);
+    expect(compactions).toBeLessThanOrEqual(20 / 3);
+  });
+
+  test("are not due before they would be taken", () => {
+    const { raft } = new Group("e2", { maxLogEntries: 2 }).node("e2");
+    const entries = [2, 3, 4].map((index) => ({
+      kind: "command" as const,
+      index,
+      term: 2,
+      data: "x",
+    }));
+    raft.receive({
+      kind: "append",
+      from: idOf("e1"),
+      to: idOf("e2"),
+      term: 2,
+      previousIndex: 1,
+      previousTerm: 1,
+      entries,
+      commit: 4,
+    }, 0);
+    const output = raft.take();
+    expect(raft.status.applied).toBe(4);
+    expect(raft.compactionDue).toBe(false);
+    raft.persisted(output.id, 0);
+    expect(raft.compactionDue).toBe(true);
+  });
+
   test("are not taken above what is applied", () => {
     const group = Group.of(["e1"]);
     const { raft } = group.node("e1");
@@ -211,6 +287,33 @@
     );
   });
 
+  test("refuses a removal that would leave no majority in contact", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    group.advance(1_500);
+    const { raft } = group.node("e1");
+    const healthy = { kind: "remove", replica: idOf("e2") } as const;
+    expect(raft.changeMembership(healthy, group.now).val).toMatchObject({
+      kind: "conflict",
+      outcome: "not run",
+    });
+    const silent = { kind: "remove", replica: idOf("e3") } as const;
+    expect(raft.changeMembership(silent, group.now).ok).toBe(true);
+  });
+
+  test("a new leader counts only the voters that answered it", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    group.advance(1_500);
+    group.node("e1").raft.transferLeadership(idOf("e2"), group.now).unwrap();
+    group.settle();
+    const change = { kind: "remove", replica: idOf("e1") } as const;
+    const { raft } = group.node("e2");
+    expect(raft.changeMembership(change, group.now).val).toMatchObject({
+      kind: "conflict",
+    });
+  });
+
   test("allows one change at a time", () => {
     const group = Group.of(THREE);
     const { raft } = group.node("e1");
