Decide planned stops and maintenance waves from the replicated state

Cause: the leader needs one decision function for budgets, drains, moves, removals and waves that a new leader can continue. All that survives a leader is in state.rollout, state.accounts and the VM records; commands are guarded by phase, wave id and round. A VM that leaves the inventory now keeps its record until vm.remove follows its drain; before, applying the configuration dropped it at once with work in flight. maintainedAt is set by the confirmed reboot of a wave only.

--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -77,19 +77,12 @@
   };
 }
 
-/** Adds records of new VMs. A VM that left the inventory keeps its record until it is drained. */
+/** Adds records of new VMs. A VM that left the inventory keeps its record until `vm.remove` follows its drain. */
 function reconcileVms(state: State, at: number): void {
-  const listed = new Set(state.inventory.vms.map((vm) => vm.name));
   for (const vm of state.inventory.vms) {
     state.vms[vm.name] ??= newRecord(vm, state.revision, at);
     delete state.removed[vm.name];
   }
-  for (const name of Object.keys(state.vms)) {
-    if (!listed.has(name)) {
-      delete state.vms[name];
-      state.removed[name] = state.revision;
-    }
-  }
 }
 
 function newRecord(
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -113,14 +113,12 @@
       ),
     );
   }
-  const maintained = command.from === "returning" && command.to === "serving";
   return Ok({
     ...record,
     phase: command.to,
     reason: command.to === "serving" ? "none" : command.reason,
     since: command.at,
     revision,
-    maintainedAt: maintained ? command.at : record.maintainedAt,
   });
 }
 
--- a/packages/core/src/machine.ts
+++ b/packages/core/src/machine.ts
@@ -8,11 +8,23 @@
 import { applyConfiguration, ConfigureCommand } from "./configuration.ts";
 import { type Fault, Fault as FaultShape } from "./fault.ts";
 import { applyFleet, FleetCommand } from "./fleet.ts";
+import { applyBudget, BudgetCommand } from "./maintenance/budget.ts";
+import {
+  applyRollout,
+  notePhase,
+  RolloutCommand,
+} from "./maintenance/rollout.ts";
 import { applyLedger, LedgerCommand, LedgerOutput } from "./ledger.ts";
 import { Ok, type Result } from "./result.ts";
 import type { State } from "./state.ts";
 
-export const Command = z.union([ConfigureCommand, FleetCommand, LedgerCommand]);
+export const Command = z.union([
+  ConfigureCommand,
+  FleetCommand,
+  LedgerCommand,
+  RolloutCommand,
+  BudgetCommand,
+]);
 export type Command = z.infer<typeof Command>;
 
 /** What applying a command reports to the one who proposed it. */
@@ -42,6 +54,16 @@
     case "vm.phase":
     case "vm.move":
       return changeVm(state, command);
+    case "round.open":
+    case "wave.start":
+    case "wave.end":
+    case "wave.resume":
+    case "reboot.refused":
+    case "vm.remove":
+    case "vm.want":
+      return applyRollout(state, command).map(changed);
+    case "budget.account":
+      return account(state, command);
     default:
       return applyLedger(state.ledger, command);
   }
@@ -49,11 +71,27 @@
 
 function changeVm(state: State, command: FleetCommand): Result<Output, Fault> {
   const revision = state.revision + 1;
-  return applyFleet(state.vms[command.vm], command, revision).andThen(
+  const before = state.vms[command.vm];
+  return applyFleet(before, command, revision).andThen(
     (record) => {
       state.revision = revision;
       state.vms[command.vm] = record;
-      return Ok({ kind: "changed", revision } as const);
+      notePhase(state.rollout, before ?? record, record);
+      return Ok(changed(revision));
     },
   );
 }
+
+function account(state: State, command: BudgetCommand): Result<Output, Fault> {
+  const { services } = state.rules;
+  applyBudget(
+    state.accounts,
+    command,
+    (name) => services.find((s) => s.name === name)?.budget.windowMs,
+  );
+  return Ok(changed(state.revision));
+}
+
+function changed(revision: number): Output {
+  return { kind: "changed", revision };
+}
--- /dev/null
+++ b/packages/core/src/maintenance/pass.ts
@@ -0,0 +1,87 @@
+/**
+ * What the steps of one decision pass share.
+ *
+ * @module
+ */
+import type { VmPhase, VmReason, VmRecord } from "../fleet.ts";
+import type { Command } from "../machine.ts";
+import type { Maintenance } from "../rules.ts";
+import type { State } from "../state.ts";
+import { Capacity } from "./capacity.ts";
+import type {
+  Action,
+  Condition,
+  Decision,
+  Hold,
+  Observation,
+} from "./observation.ts";
+
+/** The most holds that one pass reports. */
+const MAX_HOLDS = 256;
+
+/** The inputs of a pass and the decision that it builds. */
+export class Pass {
+  readonly state: State;
+  readonly observation: Observation;
+  readonly now: number;
+  readonly capacity: Capacity;
+  readonly listed: ReadonlyMap<string, State["inventory"]["vms"][number]>;
+  readonly #commands: Command[] = [];
+  readonly #actions: Action[] = [];
+  readonly #holds: Hold[] = [];
+
+  constructor(state: State, observation: Observation, now: number) {
+    this.state = state;
+    this.observation = observation;
+    this.now = now;
+    this.capacity = new Capacity(state, observation, now);
+    this.listed = new Map(state.inventory.vms.map((vm) => [vm.name, vm]));
+  }
+
+  get rules(): Maintenance {
+    return this.state.rules.maintenance;
+  }
+
+  get decision(): Decision {
+    return {
+      commands: this.#commands,
+      actions: this.#actions,
+      holds: this.#holds,
+    };
+  }
+
+  condition(vm: string): Condition | undefined {
+    return this.observation.conditions.get(vm);
+  }
+
+  /** Whether a VM has answered without a break for this long. */
+  liveFor(vm: string, durationMs: number): boolean {
+    const condition = this.condition(vm);
+    return condition?.live === true && this.now - condition.since >= durationMs;
+  }
+
+  propose(command: Command): void {
+    this.#commands.push(command);
+  }
+
+  act(action: Action): void {
+    this.#actions.push(action);
+  }
+
+  hold(hold: Hold): void {
+    if (this.#holds.length < MAX_HOLDS) {
+      this.#holds.push(hold);
+    }
+  }
+
+  changePhase(record: VmRecord, to: VmPhase, reason: VmReason): void {
+    this.propose({
+      kind: "vm.phase",
+      vm: record.name,
+      from: record.phase,
+      to,
+      reason,
+      at: this.now,
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/maintenance/rollout.ts
@@ -0,0 +1,361 @@
+/**
+ * The replicated record of maintenance rounds and waves. A round takes every VM once; a wave is the group of VMs
+ * that are out at one time. The record and the VM records suffice for a new leader to continue a wave.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { type Fault, fault } from "../fault.ts";
+import type { VmRecord } from "../fleet.ts";
+import { Name } from "../names.ts";
+import { Err, Ok, type Result } from "../result.ts";
+import type { State } from "../state.ts";
+
+export const Wave = z.object({
+  id: z.number().int(),
+  /** The rack or zone that the wave stays inside. */
+  domain: Name,
+  canary: z.boolean(),
+  vms: z.array(Name),
+  startedAt: z.number(),
+});
+export type Wave = z.infer<typeof Wave>;
+
+/** A count of events of a VM and the time of the last one. */
+export const Tally = z.object({ count: z.number().int(), at: z.number() });
+export type Tally = z.infer<typeof Tally>;
+
+/** Recent failures of a VM, and the wave that ran at the last one; 0 for none. */
+export const Failures = Tally.extend({ wave: z.number().int() });
+export type Failures = z.infer<typeof Failures>;
+
+export const Rollout = z.object({
+  /** Number of the current round; 0 before the first. */
+  round: z.number().int(),
+  startedAt: z.number(),
+  /** The round number of the rules that was last acted on. */
+  requested: z.number().int(),
+  /** Id of the last wave. */
+  lastWave: z.number().int(),
+  wave: Wave.nullable(),
+  /** Waves that passed since the round started or a wave stopped. */
+  passed: z.number().int(),
+  /** Waves that stopped in a row. */
+  stops: z.number().int(),
+  stoppedAt: z.number(),
+  /** VMs that failed in the waves that stopped. */
+  suspects: z.array(Name),
+  /** Drains put off, by VM, in this round. */
+  postponed: z.record(z.string(), Tally),
+  /** Reboots that agents refused, by VM, in this round. */
+  refused: z.record(z.string(), Tally),
+  /** Recent failures by VM. */
+  failures: z.record(z.string(), Failures),
+  /** VMs that an operator wants out of service, with the time of the wish. */
+  wanted: z.record(z.string(), z.number()),
+});
+export type Rollout = z.infer<typeof Rollout>;
+
+export const RolloutCommand = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("round.open"),
+    round: z.number().int(),
+    requested: z.number().int(),
+    at: z.number(),
+  }),
+  z.object({
+    kind: z.literal("wave.start"),
+    id: z.number().int(),
+    domain: Name,
+    canary: z.boolean(),
+    vms: z.array(Name).min(1),
+    at: z.number(),
+  }),
+  z.object({
+    kind: z.literal("wave.end"),
+    id: z.number().int(),
+    outcome: z.enum(["passed", "postponed", "stopped"]),
+    /** Whether more than one VM failed, which rules out chance. */
+    correlated: z.boolean(),
+    failed: z.array(Name),
+    at: z.number(),
+  }),
+  /** Ends a pause. */
+  z.object({ kind: z.literal("wave.resume"), at: z.number() }),
+  /** An agent refused a reboot: it did not take place. */
+  z.object({
+    kind: z.literal("reboot.refused"),
+    vm: Name,
+    operation: z.string(),
+    at: z.number(),
+  }),
+  /** Ends the record of a VM that left the inventory. */
+  z.object({ kind: z.literal("vm.remove"), vm: Name, at: z.number() }),
+  /** The operator wants a VM out of service, or back. */
+  z.object({
+    kind: z.literal("vm.want"),
+    vm: Name,
+    out: z.boolean(),
+    at: z.number(),
+  }),
+]);
+export type RolloutCommand = z.infer<typeof RolloutCommand>;
+
+/** A failure counts as repeated when the one before it is at most this old. */
+export const FAILURE_MEMORY_MS = 86_400_000;
+
+/** No round, in force before the first. */
+export function emptyRollout(): Rollout {
+  return {
+    round: 0,
+    startedAt: 0,
+    requested: 0,
+    lastWave: 0,
+    wave: null,
+    passed: 0,
+    stops: 0,
+    stoppedAt: 0,
+    suspects: [],
+    postponed: {},
+    refused: {},
+    failures: {},
+    wanted: {},
+  };
+}
+
+/** The id of the reboot of a VM in the current round; the agent runs it at most once. */
+export function rebootOperation(rollout: Rollout, vm: string): string {
+  const attempt = rollout.refused[vm]?.count ?? 0;
+  return `reboot/${rollout.round}-${rollout.startedAt}/${vm}/${attempt}`;
+}
+
+/** The part of the state that a rollout command changes. */
+export type RolloutTarget = Pick<
+  State,
+  "rollout" | "vms" | "revision" | "inventory" | "removed"
+>;
+
+/** Applies a rollout command in place; one that fails changes nothing. Returns the new revision. */
+export function applyRollout(
+  target: RolloutTarget,
+  command: RolloutCommand,
+): Result<number, Fault> {
+  switch (command.kind) {
+    case "round.open":
+      return openRound(target, command);
+    case "wave.start":
+      return startWave(target, command);
+    case "wave.end":
+      return endWave(target, command);
+    case "wave.resume":
+      return resume(target);
+    case "reboot.refused":
+      return refuse(target, command);
+    case "vm.remove":
+      return remove(target, command);
+    case "vm.want":
+      return want(target, command);
+  }
+}
+
+type Of<K extends RolloutCommand["kind"]> = Extract<
+  RolloutCommand,
+  { kind: K }
+>;
+
+function openRound(
+  target: RolloutTarget,
+  command: Of<"round.open">,
+): Result<number, Fault> {
+  const { rollout } = target;
+  if (command.round !== rollout.round + 1 || rollout.wave !== null) {
+    return conflict(
+      `Round ${command.round} cannot follow round ${rollout.round} now`,
+    );
+  }
+  rollout.round = command.round;
+  rollout.startedAt = latest(target, command.at);
+  rollout.requested = command.requested;
+  rollout.passed = 0;
+  rollout.postponed = {};
+  rollout.refused = {};
+  return Ok(target.revision);
+}
+
+/** A start later than every maintenance so far, also when the clock of a new leader is behind. */
+function latest(target: RolloutTarget, at: number): number {
+  const ends = Object.values(target.vms).map((vm) => vm.maintainedAt + 1);
+  return ends.reduce((a, b) => Math.max(a, b), at);
+}
+
+function startWave(
+  target: RolloutTarget,
+  command: Of<"wave.start">,
+): Result<number, Fault> {
+  const { rollout, vms } = target;
+  if (rollout.wave !== null || command.id !== rollout.lastWave + 1) {
+    return conflict(
+      `Wave ${command.id} cannot follow wave ${rollout.lastWave} now`,
+    );
+  }
+  const unfit = command.vms.find((name) => !mayJoin(vms[name], rollout));
+  if (unfit !== undefined) {
+    return conflict(
+      `VM "${unfit}" is not serving or was already maintained in round ${rollout.round}`,
+    );
+  }
+  target.revision += 1;
+  for (const name of command.vms) {
+    Object.assign(vms[name] ?? {}, {
+      phase: "draining",
+      reason: "wave",
+      since: command.at,
+      revision: target.revision,
+    });
+  }
+  const { id, domain, canary, at } = command;
+  rollout.wave = { id, domain, canary, vms: command.vms, startedAt: at };
+  rollout.lastWave = id;
+  return Ok(target.revision);
+}
+
+function mayJoin(record: VmRecord | undefined, rollout: Rollout): boolean {
+  return record?.phase === "serving" && isDue(record, rollout);
+}
+
+/** Whether a VM still has to be maintained in the current round. */
+export function isDue(record: VmRecord, rollout: Rollout): boolean {
+  return rollout.round > 0 && record.maintainedAt < rollout.startedAt;
+}
+
+function endWave(
+  target: RolloutTarget,
+  command: Of<"wave.end">,
+): Result<number, Fault> {
+  const { rollout } = target;
+  if (rollout.wave?.id !== command.id) {
+    return conflict(`Wave ${command.id} is not running`);
+  }
+  rollout.wave = null;
+  if (command.outcome === "passed") {
+    rollout.passed += 1;
+    rollout.stops = 0;
+  } else if (command.outcome === "stopped") {
+    rollout.passed = 0;
+    rollout.stops += command.correlated ? STOPS_UNTIL_HEALTHY : 1;
+    rollout.stoppedAt = command.at;
+    rollout.suspects = [...new Set([...rollout.suspects, ...command.failed])];
+  }
+  return Ok(target.revision);
+}
+
+/** Waves stopped in a row after which no further canary is tried before health returns. */
+export const STOPS_UNTIL_HEALTHY = 2;
+
+function resume(target: RolloutTarget): Result<number, Fault> {
+  target.rollout.stops = 0;
+  target.rollout.suspects = [];
+  return Ok(target.revision);
+}
+
+function refuse(
+  target: RolloutTarget,
+  command: Of<"reboot.refused">,
+): Result<number, Fault> {
+  const { rollout, vms } = target;
+  const record = vms[command.vm];
+  const expected = rebootOperation(rollout, command.vm);
+  if (record?.phase !== "rebooting" || command.operation !== expected) {
+    return conflict(
+      `VM "${command.vm}" does not wait for operation "${command.operation}"`,
+    );
+  }
+  rollout.refused[command.vm] = next(rollout.refused[command.vm], command.at);
+  return Ok(target.revision);
+}
+
+function remove(
+  target: RolloutTarget,
+  command: Of<"vm.remove">,
+): Result<number, Fault> {
+  const record = target.vms[command.vm];
+  const listed = target.inventory.vms.some((vm) => vm.name === command.vm);
+  const stopped = record?.phase === "drained" || record?.phase === "failed";
+  if (listed || !stopped) {
+    return conflict(`VM "${command.vm}" is listed, unknown or not yet drained`);
+  }
+  target.revision += 1;
+  delete target.vms[command.vm];
+  target.removed[command.vm] = target.revision;
+  forgetVm(target.rollout, command.vm);
+  return Ok(target.revision);
+}
+
+function want(
+  target: RolloutTarget,
+  command: Of<"vm.want">,
+): Result<number, Fault> {
+  if (target.vms[command.vm] === undefined) {
+    return Err(fault("not_found", `VM "${command.vm}" is in no inventory`));
+  }
+  if (command.out) {
+    target.rollout.wanted[command.vm] ??= command.at;
+  } else {
+    delete target.rollout.wanted[command.vm];
+  }
+  return Ok(target.revision);
+}
+
+/**
+ * Records what a change of phase means for the rollout: a maintenance, a failure, or a drain that was put off. A
+ * maintenance counts from the confirmed reboot and never before the start of its round.
+ */
+export function notePhase(
+  rollout: Rollout,
+  before: VmRecord,
+  after: VmRecord,
+): void {
+  if (after.phase === "failed") {
+    noteFailure(rollout, after);
+  }
+  const rebooted = before.phase === "rebooting" && after.phase === "returning";
+  if (rebooted && before.reason === "wave") {
+    after.maintainedAt = Math.max(after.since, rollout.startedAt);
+    delete rollout.postponed[after.name];
+  }
+  const putOff = after.phase === "serving" && before.reason !== "operator" &&
+    (before.phase === "draining" || before.phase === "drained") &&
+    before.pool === after.pool;
+  if (putOff) {
+    rollout.postponed[after.name] = next(
+      rollout.postponed[after.name],
+      after.since,
+    );
+  }
+}
+
+function noteFailure(rollout: Rollout, record: VmRecord): void {
+  const known = rollout.failures[record.name];
+  const recent = known !== undefined &&
+    record.since - known.at <= FAILURE_MEMORY_MS;
+  rollout.failures[record.name] = {
+    ...next(recent ? known : undefined, record.since),
+    wave: rollout.wave?.id ?? 0,
+  };
+}
+
+/** Forgets a VM that no longer exists. */
+export function forgetVm(rollout: Rollout, vm: string): void {
+  delete rollout.postponed[vm];
+  delete rollout.refused[vm];
+  delete rollout.failures[vm];
+  delete rollout.wanted[vm];
+}
+
+function next(tally: Tally | undefined, at: number): Tally {
+  return { count: (tally?.count ?? 0) + 1, at };
+}
+
+function conflict(message: string): Result<never, Fault> {
+  return Err(fault("conflict", message));
+}
--- /dev/null
+++ b/packages/core/src/maintenance/window.ts
@@ -0,0 +1,36 @@
+/**
+ * Daily maintenance windows in UTC.
+ *
+ * @module
+ */
+import type { MaintenanceWindow } from "../rules.ts";
+
+const MINUTE_MS = 60_000;
+const DAY_MS = 86_400_000;
+
+/** How long maintenance may still run from now: 0 outside every window, infinite without windows. */
+export function remainingMs(
+  windows: readonly MaintenanceWindow[],
+  now: number,
+): number {
+  if (windows.length === 0) {
+    return Number.POSITIVE_INFINITY;
+  }
+  return Math.max(...windows.map((window) => remainingOf(window, now)));
+}
+
+function remainingOf(window: MaintenanceWindow, now: number): number {
+  const from = timeOfDayMs(window.from);
+  const length = modulo(timeOfDayMs(window.to) - from, DAY_MS) || DAY_MS;
+  const elapsed = modulo(now - from, DAY_MS);
+  return elapsed < length ? length - elapsed : 0;
+}
+
+function timeOfDayMs(text: string): number {
+  const [hours = 0, minutes = 0] = text.split(":").map(Number);
+  return (hours * 60 + minutes) * MINUTE_MS;
+}
+
+function modulo(value: number, divisor: number): number {
+  return ((value % divisor) + divisor) % divisor;
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./inventory.ts";
 export * from "./ledger.ts";
 export * from "./machine.ts";
+export * from "./maintenance/mod.ts";
 export * from "./names.ts";
 export * from "./result.ts";
 export * from "./rules.ts";
--- a/packages/core/src/rules.ts
+++ b/packages/core/src/rules.ts
@@ -62,8 +62,14 @@
   /** Empty means at any time. */
   windows: z.array(MaintenanceWindow).default([]),
   weights: Weights.prefault({}),
+  /** Raising this number starts a new round at once. */
+  round: z.number().int().nonnegative().default(0),
   /** The failure domain that a wave stays inside. */
   domain: z.enum(["rack", "zone"]).default("rack"),
+  /** The largest further loss that the services must survive while a wave is out. */
+  survives: z.enum(["vm", "rack", "zone"]).default("zone"),
+  /** Time within which a lost VM is replaced; what stays must carry the need of this time. */
+  repairMs: DurationMs.default(86_400_000),
   /** VMs in the first wave of a round. */
   canary: z.number().int().positive().default(1),
   /** How long a wave's VMs must stay healthy before the next wave. */
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -7,6 +7,8 @@
 import { VmRecord } from "./fleet.ts";
 import { emptyInventory, Inventory } from "./inventory.ts";
 import { emptyLedger, Ledger } from "./ledger.ts";
+import { Accounts, emptyAccounts } from "./maintenance/budget.ts";
+import { emptyRollout, Rollout } from "./maintenance/rollout.ts";
 import { emptyRules, Rules } from "./rules.ts";
 
 /** The recorded result of a configuration change, kept so that a resend gets the first answer. */
@@ -30,6 +32,10 @@
   /** VMs that left the inventory, with the revision at which they left. */
   removed: z.record(z.string(), z.number().int()),
   ledger: Ledger,
+  /** Maintenance rounds and waves. */
+  rollout: Rollout,
+  /** Availability budgets. */
+  accounts: Accounts,
   /** Recent changes, oldest first. */
   changes: z.array(Change),
 });
@@ -45,6 +51,8 @@
     vms: {},
     removed: {},
     ledger: emptyLedger(),
+    rollout: emptyRollout(),
+    accounts: emptyAccounts(),
     changes: [],
   };
 }
