--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./ledger.ts";
 export * from "./machine.ts";
 export * from "./membership/mod.ts";
+export * from "./maintenance/mod.ts";
 export * from "./names.ts";
 export * from "./raft/mod.ts";
 export * from "./result.ts";
