Settle a request the same way twice

A call of the leader is repeated after a lost answer, but the second settlement found the attempt settled and was refused with a conflict. It is recorded again now. The command names the attempt that the operator meant, so that a late repeat cannot settle a later attempt of the same key, and a late begin of a settled attempt is refused.

--- a/packages/core/src/ledger.ts
+++ b/packages/core/src/ledger.ts
@@ -79,6 +79,8 @@
   z.object({
     kind: z.literal("ledger.settle"),
     key: z.string(),
+    /** The attempt that is meant, so that a repeat cannot settle a later one. */
+    attempt: z.string().optional(),
     outcome: z.enum(["ran", "not run"]),
     at: z.number(),
   }),
@@ -105,11 +107,13 @@
   fenced: z.record(z.string(), z.number().int()),
   /** Attempts that were released before their `begin` arrived, with the time of the release. */
   released: z.record(z.string(), z.number()),
+  /** Keys that the operator opened and that were not used since, with the time of the settlement. */
+  opened: z.record(z.string(), z.number()),
 });
 export type Ledger = z.infer<typeof Ledger>;
 
 export function emptyLedger(): Ledger {
-  return { open: {}, closed: {}, fenced: {}, released: {} };
+  return { open: {}, closed: {}, fenced: {}, released: {}, opened: {} };
 }
 
 /** Applies a command to the ledger in place. */
@@ -135,10 +139,12 @@
   }
 }
 
+const SETTLED_HEADER = "x-quetzalcove-settled";
+
 /** The answer of an attempt that the operator settled as having run. */
 const SETTLED_ANSWER: Answer = {
   status: 204,
-  headers: { "x-quetzalcove-settled": "ran" },
+  headers: { [SETTLED_HEADER]: "ran" },
   bytes: 0,
 };
 
@@ -176,6 +182,7 @@
   if (known === undefined) {
     const { kind: _kind, ...attempt } = command;
     ledger.open[command.key] = { ...attempt, phase: "running" };
+    delete ledger.opened[command.key];
     return Ok({ kind: "granted" });
   }
   return repeatedBegin(known, command);
@@ -301,7 +308,12 @@
   command: Of<"ledger.settle">,
 ): Result<LedgerOutput, Fault> {
   const known = attemptOf(ledger, command.key);
-  if (known === undefined) {
+  if (isSettled(ledger, command, known)) {
+    return Ok({ kind: "recorded", count: 0 });
+  }
+  if (
+    known === undefined || known.attempt !== (command.attempt ?? known.attempt)
+  ) {
     return Err(fault("not_found", `No attempt holds key "${command.key}"`));
   }
   if (known.phase !== "unknown") {
@@ -314,12 +326,30 @@
   }
   if (command.outcome === "not run") {
     delete ledger.open[command.key];
+    ledger.opened[command.key] = command.at;
+    // A begin of this attempt may still be on its way.
+    ledger.released[known.attempt] = command.at;
   } else {
     close(ledger, known, { answer: SETTLED_ANSWER, at: command.at });
   }
   return Ok({ kind: "recorded", count: 1 });
 }
 
+/** Whether the same settlement was recorded before; its answer may have been lost. */
+function isSettled(
+  ledger: Ledger,
+  command: Of<"ledger.settle">,
+  known: Attempt | undefined,
+): boolean {
+  if (command.outcome === "ran") {
+    const isSame = known?.attempt === (command.attempt ?? known?.attempt);
+    return isSame && known?.answer?.headers[SETTLED_HEADER] === "ran";
+  }
+  return command.attempt === undefined
+    ? ledger.opened[command.key] !== undefined
+    : ledger.released[command.attempt] !== undefined;
+}
+
 function prune(
   ledger: Ledger,
   command: Of<"ledger.prune">,
@@ -332,10 +362,15 @@
     delete ledger.closed[key];
     count += 1;
   }
-  for (const [attempt, at] of Object.entries(ledger.released)) {
-    if (at < command.before) {
-      delete ledger.released[attempt];
+  pruneTimes(ledger.released, command.before);
+  pruneTimes(ledger.opened, command.before);
+  return Ok({ kind: "recorded", count });
+}
+
+function pruneTimes(times: Record<string, number>, before: number): void {
+  for (const [name, at] of Object.entries(times)) {
+    if (at < before) {
+      delete times[name];
     }
   }
-  return Ok({ kind: "recorded", count });
 }
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -22,6 +22,7 @@
 import findMyWay from "find-my-way";
 import { z } from "zod";
 import type { LeaderClient } from "../entry/leader_client.ts";
+import { Holding } from "../entry/ledger_client.ts";
 import { readBody, writeReply } from "../http_server.ts";
 import type { Query } from "../leader/queries.ts";
 import type { Metrics } from "../observe/metrics.ts";
@@ -132,7 +133,7 @@
       );
     });
     this.#post("/v1/requests/settle", Settlement, (settlement) => {
-      return this.#propose({ kind: "ledger.settle", ...settlement, at: 0 });
+      return this.#settle(settlement);
     });
     const { replicas } = this.#parts;
     this.#post("/v1/init", z.object({}), () => replicas.init());
@@ -241,6 +242,21 @@
       : await this.#propose({ kind: "configure", ...change, at: 0 });
   }
 
+  /** Names the attempt that is meant, since the command may be sent twice. */
+  async #settle(settlement: Settlement): Answer {
+    const { key } = settlement;
+    const holding = (await this.#read({ what: "holding", key }))
+      .andThen((value) => parse(Holding, value, "holding"));
+    if (holding.err) {
+      return holding;
+    }
+    const { attempt } = holding.val;
+    const named = attempt === undefined
+      ? settlement
+      : { ...settlement, attempt };
+    return await this.#propose({ kind: "ledger.settle", ...named, at: 0 });
+  }
+
   async #changePhase(
     name: string,
     from: readonly string[],
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -54,10 +54,10 @@
       return requests(sources.state, query.phase);
     case "replicas":
       return { replicas: sources.replicas };
-    case "holding":
-      return {
-        phase: attemptOf(sources.state.ledger, query.key)?.phase ?? "none",
-      };
+    case "holding": {
+      const held = attemptOf(sources.state.ledger, query.key);
+      return { phase: held?.phase ?? "none", attempt: held?.attempt };
+    }
   }
 }
 
