Say not run of a call only when no try can have taken effect

The last fault of a call was returned although an earlier try had timed out and may have been applied. It says unknown now. A call at the leader in the same process had no deadline; a leader that is cut off cannot commit, so such a call hung until it stepped down.

--- a/packages/daemon/src/entry/leader_client.ts
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -5,6 +5,7 @@
  */
 import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
+import { within } from "../deadline.ts";
 import type { Handlers } from "../link/connection.ts";
 import type { Link } from "../link/link.ts";
 
@@ -41,7 +42,7 @@
 
   /**
    * Calls an idempotent method at the leader, again at another replica while the answer is `not_leader`, `no_leader` or
-   * `timeout`, until the timeout in milliseconds.
+   * `timeout`, until the timeout in milliseconds. Says "not run" only when no try can have taken effect.
    */
   async call(
     method: string,
@@ -50,15 +51,15 @@
   ): Promise<Result<unknown, Fault>> {
     const { clock } = this.#routes;
     const deadline = clock.monotonic() + timeoutMs;
-    let last: Result<unknown, Fault> = Err(
-      fault("no_leader", "No replica is known"),
-    );
+    let last: Result<unknown, Fault> = Err(notSent("No replica is known"));
+    let inDoubt = false;
     for (let left = timeoutMs; left > 0; left = deadline - clock.monotonic()) {
       const candidate = this.#leader ?? this.#nextCandidate();
       last = await this.#callAt(candidate, method, params, left);
       if (last.ok || !isAboutLeadership(last.val)) {
         return last;
       }
+      inDoubt ||= last.val.outcome !== "not run";
       const hint = last.val.kind === "not_leader" ? last.val.leader : undefined;
       this.#leader = hint === candidate ? undefined : hint;
       if (this.#leader === undefined) {
@@ -67,7 +68,9 @@
         );
       }
     }
-    return last;
+    return inDoubt
+      ? last.mapErr((found) => ({ ...found, outcome: "unknown" as const }))
+      : last;
   }
 
   async #callAt(
@@ -77,7 +80,7 @@
     leftMs: number,
   ): Promise<Result<unknown, Fault>> {
     if (candidate === undefined) {
-      return Err(fault("no_leader", "No replica is known"));
+      return Err(notSent("No replica is known"));
     }
     const result = await this.#send(candidate, method, params, leftMs);
     if (result.ok) {
@@ -96,11 +99,11 @@
       const handler = this.#routes.local?.get(method);
       return handler === undefined
         ? Promise.resolve(Err(fault("internal", `No method "${method}"`)))
-        : handler(params);
+        : answeredWithin(leftMs, method, handler(params));
     }
     const link = this.#routes.links.get(candidate);
     return link === undefined
-      ? Promise.resolve(Err(fault("no_leader", `No link to "${candidate}"`)))
+      ? Promise.resolve(Err(notSent(`No link to "${candidate}"`)))
       : link.request(method, params, leftMs);
   }
 
@@ -115,6 +118,20 @@
     found.kind === "timeout";
 }
 
+function notSent(message: string): Fault {
+  return fault("no_leader", message, { outcome: "not run" });
+}
+
+/** The leader in this process cannot commit while it is cut off, so a call of it has a deadline as well. */
+async function answeredWithin(
+  limitMs: number,
+  method: string,
+  answer: Promise<Result<unknown, Fault>>,
+): Promise<Result<unknown, Fault>> {
+  return await within(limitMs, answer) ??
+    Err(fault("timeout", `Call of ${method} here got no answer in time`));
+}
+
 function wait(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
