Ask the ledger before not run is said of a request with a key

Found by not_run_test.ts against real processes: - A request with a key that this entry refused without a lease, for an unknown service, an invalid header or a full buffer was called not run although an earlier request under its key had run. - A request that the ledger granted and every target refused was never given back, so its key stayed running until its entry ended. - The caller waited up to 30 s for the ledger to take an attempt back, or 10 s to record an answer; both have ended at the deadline or after 500 ms now and go on in the background until the ledger has them. - A request whose grant came after its deadline, as after a freeze, was sent. - The key of the ledger joined caller and key with a slash, so that two pairs could make one key. Both parts are encoded now. - Released attempts were forgotten only when a closed one was due.

--- a/packages/daemon/src/entry/front.ts
+++ b/packages/daemon/src/entry/front.ts
@@ -123,7 +123,10 @@
     const incoming = await this.#read(request, response, service);
     const reply = incoming.ok
       ? await this.#parts.path.serve(incoming.val, context)
-      : problemReply(incoming.val);
+      : await this.#parts.path.refuse(
+        { headers: request.headers, method: request.method ?? "GET", service },
+        incoming.val,
+      );
     this.#bufferedBytes -= incoming.ok ? incoming.val.body.length : 0;
     this.#inProgress -= 1;
     span.setAttribute("http.response.status_code", reply.status);
--- a/packages/daemon/src/entry/ledger_client.ts
+++ b/packages/daemon/src/entry/ledger_client.ts
@@ -30,13 +30,14 @@
 /** What the ledger holds for a key. */
 export const Holding = z.object({
   phase: z.enum(["none", "running", "done", "unknown"]),
+  attempt: z.string().optional(),
 });
 
 /** How long an entry keeps trying to give an attempt back, in milliseconds. */
-const GIVE_BACK_MS = 30_000;
+const GIVE_BACK_MS = 300_000;
 
-/** How long an entry waits for the ledger to record an answer, in milliseconds. */
-const RECORD_MS = 10_000;
+/** How long an entry keeps trying to record how an attempt ended, in milliseconds. */
+const RECORD_MS = 300_000;
 
 export class LedgerClient {
   readonly #leader: LeaderClient;
--- a/packages/daemon/src/entry/request.ts
+++ b/packages/daemon/src/entry/request.ts
@@ -63,11 +63,7 @@
       invalidHeader(DEADLINE_HEADER, "a whole number of milliseconds above 0"),
     );
   }
-  const key = request.headers[KEY_HEADER];
-  if (
-    Array.isArray(key) ||
-    (key !== undefined && (key === "" || key.length > MAX_KEY_LENGTH))
-  ) {
+  if (!isKey(request.headers[KEY_HEADER])) {
     return Err(
       invalidHeader(
         KEY_HEADER,
@@ -75,18 +71,45 @@
       ),
     );
   }
-  const repeatable = (service.repeatable as string[]).includes(request.method);
   return Ok({
     service,
     priority: priority.data,
     deadlineMs: Math.min(asked, service.deadlineMs),
-    repeatable,
-    key: repeatable || key === undefined
-      ? undefined
-      : `${callerOf(request)}/${key}`,
+    repeatable: isRepeatable(request, service),
+    key: keyOf(request, service),
   });
 }
 
+/** The part of a request that names its key. */
+export type Keyed = Pick<IncomingRequest, "headers" | "method">;
+
+/** The key of a request in the ledger; undefined when it may be repeated or names no valid key. */
+export function keyOf(
+  request: Keyed,
+  service: Service | undefined,
+): string | undefined {
+  const key = request.headers[KEY_HEADER];
+  const hasKey = typeof key === "string" && isKey(key);
+  return hasKey && !isRepeatable(request, service)
+    ? ledgerKeyOf(callerOf(request), key)
+    : undefined;
+}
+
+function isKey(key: string | string[] | undefined): boolean {
+  return key === undefined ||
+    (typeof key === "string" && key !== "" && key.length <= MAX_KEY_LENGTH);
+}
+
+function isRepeatable(request: Keyed, service: Service | undefined): boolean {
+  const methods: readonly string[] = service?.repeatable ?? [];
+  return methods.includes(request.method);
+}
+
+/** The key of the ledger. Both parts are encoded, so that no other pair makes the same key. */
+export function ledgerKeyOf(caller: string, key: string): string {
+  return `${encodeURIComponent(caller)}/${encodeURIComponent(key)}`;
+}
+
 /** Digest of everything that makes two requests the same. */
 export function digestOf(request: IncomingRequest): string {
   return createHash("sha256")
@@ -95,7 +118,7 @@
     .digest("hex");
 }
 
-function callerOf(request: IncomingRequest): string {
+function callerOf(request: Keyed): string {
   const caller = request.headers[CALLER_HEADER];
   return typeof caller === "string" && caller !== "" ? caller : "anonymous";
 }
--- a/packages/daemon/src/entry/request_path.ts
+++ b/packages/daemon/src/entry/request_path.ts
@@ -15,6 +15,7 @@
   type Settings,
 } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
+import { within } from "../deadline.ts";
 import type { Log } from "../observe/log.ts";
 import { traceIdOf } from "../observe/tracing.ts";
 import { type HttpReply, problemReply } from "../problem.ts";
@@ -22,9 +23,12 @@
 import { type AttemptEnd, type AttemptParts, runAttempt } from "./attempt.ts";
 import type { Dispatcher, Turn } from "./dispatcher.ts";
 import type { Claim, LedgerClient } from "./ledger_client.ts";
+import { refusedReply } from "./refusal.ts";
 import {
   digestOf,
   type IncomingRequest,
+  type Keyed,
+  keyOf,
   type Treatment,
   treatmentOf,
 } from "./request.ts";
@@ -45,6 +49,8 @@
   request: IncomingRequest;
   treatment: Treatment;
   claim: Claim | undefined;
+  /** Whether the ledger granted the claim to this journey. */
+  begun: boolean;
   /** Monotonic time by which the caller needs the answer. */
   deadline: number;
   context: Context;
@@ -57,6 +63,9 @@
 /** Longest wait for the ledger before a request is refused, in milliseconds. */
 const LEDGER_TIMEOUT_MS = 2_000;
 
+/** How long a refusal waits for the ledger to take an attempt back, in milliseconds. */
+const GIVE_BACK_TIMEOUT_MS = 500;
+
 export class RequestPath {
   readonly #parts: RequestParts;
 
@@ -68,19 +77,28 @@
   async serve(request: IncomingRequest, context: Context): Promise<HttpReply> {
     const { membership } = this.#parts;
     if (!membership.mayServe()) {
-      return problemReply(noLease());
+      return await this.refuse(request, noLease());
     }
     const service = membership.view.service(request.service);
     if (service === undefined) {
-      return problemReply(unknownService(request.service));
+      return await this.refuse(request, unknownService(request.service));
     }
     const treatment = treatmentOf(request, service);
     if (treatment.err) {
-      return problemReply(treatment.val);
+      return await this.refuse(request, treatment.val);
     }
     return await this.#admit(request, treatment.val, context);
   }
 
+  /** Refuses a request before it is admitted. */
+  refuse(
+    request: Keyed & { service: string },
+    cause: Fault,
+  ): Promise<HttpReply> {
+    const service = this.#parts.membership.view.service(request.service);
+    return refusedReply(this.#parts, cause, keyOf(request, service));
+  }
+
   async #admit(
     request: IncomingRequest,
     treatment: Treatment,
@@ -92,6 +110,7 @@
       request,
       treatment,
       claim: this.#claimOf(request, treatment),
+      begun: false,
       deadline,
       context,
     };
@@ -165,12 +184,26 @@
       () => ledger.begin(claim, timeoutMs),
     );
     if (begun.ok && begun.val.kind === "granted") {
-      return await this.#attempt(journey, target);
+      journey.begun = true;
+      return await this.#attemptInTime(journey, target);
     }
     dispatcher.complete(journey.request.id, "unsent");
     return begun.ok ? heldReply(begun.val) : this.#notBegun(claim, begun.val);
   }
 
+  /** The process may have been frozen while the ledger was asked. */
+  async #attemptInTime(journey: Journey, target: string): Promise<HttpReply> {
+    const { clock, dispatcher } = this.#parts;
+    if (clock.monotonic() < journey.deadline) {
+      return await this.#attempt(journey, target);
+    }
+    dispatcher.complete(journey.request.id, "unsent");
+    return await this.#refuse(
+      journey,
+      fault("expired", "The deadline passed before the request was sent"),
+    );
+  }
+
   /** The attempt may have been granted with its answer lost, so it is given back in the background. */
   #notBegun(claim: Claim, cause: Fault): HttpReply {
     if (cause.kind === "key_reused") {
@@ -239,10 +272,8 @@
     if (end.result.ok) {
       const answer = end.result.val;
       if (claim !== undefined) {
-        await this.#record(
-          claim,
-          storedAnswer(answer, this.#parts.settings.ledger),
-        );
+        const stored = storedAnswer(answer, this.#parts.settings.ledger);
+        await within(this.#left(journey), this.#record(claim, stored));
       }
       return answerReply(answer, traceIdOf(journey.context));
     }
@@ -261,7 +292,11 @@
     });
   }
 
-  /** The answer is the truth, so it goes out even when the ledger could not record it. */
+  #left({ deadline }: Journey): number {
+    return deadline - this.#parts.clock.monotonic();
+  }
+
+  /** The answer is the truth, so it goes out at the deadline even when the ledger has not recorded it yet. */
   async #record(claim: Claim, answer: Answer): Promise<void> {
     const recorded: Result<LedgerOutput, Fault> = await this.#parts.ledger
       .finish(claim, answer);
@@ -302,30 +337,13 @@
     return problemReply({ ...cause, outcome, retryAfterMs: RUNNING_RETRY_MS });
   }
 
-  /**
-   * Refuses a request that did not run. With a key, an earlier request may have run, so the ledger is asked before
-   * "not run" is said.
-   */
+  /** Refuses a request that did not run; an attempt that the ledger granted is given back first. */
   async #refuse(journey: Journey, cause: Fault): Promise<HttpReply> {
-    const { claim } = journey;
-    if (claim === undefined) {
-      return problemReply({ ...cause, outcome: "not run" });
-    }
-    if (cause.kind !== "overloaded" && cause.kind !== "expired") {
-      await this.#giveBack(claim);
-    }
-    const holding = await this.#parts.ledger.holding(
-      claim.key,
-      LEDGER_TIMEOUT_MS,
-    );
-    if (holding.err) {
-      return problemReply({ ...cause, outcome: "unknown" });
+    const { claim, begun } = journey;
+    if (claim !== undefined && begun) {
+      await within(GIVE_BACK_TIMEOUT_MS, this.#giveBack(claim));
     }
-    const { phase } = holding.val;
-    return problemReply({
-      ...cause,
-      outcome: phase === "none" ? "not run" : phase,
-    });
+    return await refusedReply(this.#parts, cause, claim?.key);
   }
 }
 
--- a/packages/daemon/src/leader/conductor.ts
+++ b/packages/daemon/src/leader/conductor.ts
@@ -116,8 +116,9 @@
 
 function prunes({ state, retentionMs, at }: Situation): Command[] {
   const before = at - retentionMs;
-  const [oldest] = Object.values(state.ledger.closed);
-  return oldest !== undefined && oldest.at < before
+  const { closed, released } = state.ledger;
+  const oldest = [Object.values(closed)[0]?.at, Object.values(released)[0]];
+  return oldest.some((since) => since !== undefined && since < before)
     ? [{ kind: "ledger.prune", before }]
     : [];
 }
--- /dev/null
+++ b/test/harness/history.ts
@@ -0,0 +1,100 @@
+/**
+ * Recorded histories of configuration changes and a check whether they are linearizable.
+ *
+ * The object is a counter of versions with compare-and-set, so its states come in one known order. For such an object
+ * the general search (Wing and Gong, 1993) becomes a single pass: each step and each observation is placed at the
+ * earliest time that its interval and the order of the versions allow.
+ *
+ * @module
+ */
+
+/** One operation from its first sending to its last answer. */
+export interface Operation {
+  operator: string;
+  /** `change` moves from a version to the next one; `see` only observes a version. */
+  kind: "change" | "see";
+  /** The version after an accepted change, or the version seen; undefined when no answer came. */
+  version: number | undefined;
+  /** The version that a change builds on. */
+  base?: number;
+  startedAt: number;
+  endedAt: number;
+}
+
+/** What contradicts linearizability; undefined when the history is linearizable. `first` is the version before it. */
+export function contradiction(
+  history: readonly Operation[],
+  first: number,
+): string | undefined {
+  const changes = new Map<number, Operation>();
+  for (const operation of history.filter((one) => one.kind === "change")) {
+    const { version } = operation;
+    if (version !== undefined && changes.has(version)) {
+      return `version ${version} was accepted twice`;
+    }
+    if (version !== undefined && version !== (operation.base ?? -1) + 1) {
+      return `version ${version} does not follow its base ${operation.base}`;
+    }
+    if (version !== undefined) {
+      changes.set(version, operation);
+    }
+  }
+  return misplaced(history, changes, first);
+}
+
+function misplaced(
+  history: readonly Operation[],
+  changes: ReadonlyMap<number, Operation>,
+  first: number,
+): string | undefined {
+  const seen = groupSeen(history);
+  const last = Math.max(first, ...changes.keys(), ...seen.keys());
+  let time = -Infinity;
+  for (let version = first; version <= last; version += 1) {
+    if (version > first) {
+      const change = changes.get(version) ?? unanswered(history, version);
+      if (change === undefined) {
+        return `version ${version} was made by no change`;
+      }
+      time = Math.max(time, change.startedAt);
+      if (time > change.endedAt) {
+        return `version ${version} came after its change had been answered`;
+      }
+    }
+    const observations = seen.get(version) ?? [];
+    const early = observations.find(({ endedAt }) => endedAt < time);
+    if (early !== undefined) {
+      return `${early.operator} saw version ${version} before it was made`;
+    }
+    time = Math.max(time, ...observations.map((one) => one.startedAt));
+  }
+  return undefined;
+}
+
+/** Observations by version. */
+function groupSeen(
+  history: readonly Operation[],
+): Map<number, Operation[]> {
+  const seen = new Map<number, Operation[]>();
+  for (const operation of history) {
+    if (operation.kind === "see" && operation.version !== undefined) {
+      const same = seen.get(operation.version) ?? [];
+      seen.set(operation.version, [...same, operation]);
+    }
+  }
+  return seen;
+}
+
+/** A change without an answer may have made a version at any time after it began. */
+function unanswered(
+  history: readonly Operation[],
+  version: number,
+): Operation | undefined {
+  const candidates = history.filter((one) =>
+    one.kind === "change" && one.version === undefined &&
+    one.base === version - 1
+  );
+  const startedAt = Math.min(...candidates.map((one) => one.startedAt));
+  const [some] = candidates;
+  return some && { ...some, startedAt, endedAt: Infinity };
+}
--- /dev/null
+++ b/test/harness/scene.ts
@@ -0,0 +1,218 @@
+/**
+ * A running cluster with an inventory, rules and targets, and what was sent to it.
+ *
+ * @module
+ */
+import type {
+  Announcement,
+  Inventory,
+  Rules,
+  Settings,
+} from "@quetzalcove/core";
+import {
+  Announcer,
+  Behaviour,
+  callAdmin,
+  type Run,
+  Target,
+} from "@quetzalcove/emulator";
+import { Cluster, network } from "./cluster.ts";
+import { type Call, call, inventoryOf, rulesOf, type Seen } from "./site.ts";
+
+/** What a scene is made of. */
+export interface ScenePlan {
+  entries: number;
+  replicas: number;
+  vms: number;
+  /** Changes to the rules of both services. */
+  rules?: Record<string, unknown>;
+  settings?: Partial<Settings>;
+  /** Whether each VM has a target of every service, for moves between pools. */
+  allServices?: boolean;
+  /** Usual run time of a request, in milliseconds. */
+  runMs?: number;
+}
+
+/** One delivery of a request with the runs that the targets had recorded when its answer came. */
+export interface Delivery {
+  order: Call;
+  seen: Seen | undefined;
+  runsBefore: number;
+  runs: number;
+  startedAt: number;
+  endedAt: number;
+}
+
+const TARGET_PORT = 9_000;
+const SLOTS = 8;
+const CONNECTIONS = 128;
+
+export class Scene {
+  readonly cluster: Cluster;
+  readonly site: { inventory: Inventory; rules: Rules };
+  readonly runs: Run[] = [];
+  readonly deliveries: Delivery[] = [];
+  readonly #plan: ScenePlan;
+  readonly #targets = new Map<string, Target>();
+  readonly #announcers = new Map<string, Announcer>();
+
+  constructor(plan: ScenePlan) {
+    this.#plan = plan;
+    this.site = {
+      inventory: inventoryOf(plan.vms),
+      rules: rulesOf(plan.rules),
+    };
+    this.cluster = new Cluster({
+      entries: plan.entries,
+      replicas: plan.replicas,
+      ...(plan.settings !== undefined && { settings: plan.settings }),
+    });
+  }
+
+  /** Starts everything and waits until each entry serves a request of each service. */
+  async start(): Promise<void> {
+    await this.cluster.start();
+    await this.cluster.configure("e1", {
+      change: "first",
+      base: 0,
+      ...this.site,
+    });
+    const all = this.#announcements();
+    await Promise.all(all.map((announcement, index) => {
+      return this.#startTarget(announcement, index);
+    }));
+    await this.cluster.until(
+      "targets",
+      async () =>
+        (await this.cluster.status("e1"))?.counts.targets === all.length,
+    );
+    await this.serves(this.cluster.names);
+  }
+
+  async stop(): Promise<void> {
+    this.#announcers.forEach((announcer) => announcer.stop());
+    await this.cluster.stop();
+    this.#targets.forEach((target) => target.kill());
+  }
+
+  /** Waits until entries serve a request of each service. */
+  async serves(entries: readonly string[]): Promise<void> {
+    await this.cluster.until(`service at ${entries.join(", ")}`, async () => {
+      const seen = await Promise.all(entries.flatMap((name) => {
+        const entry = this.cluster.service(name);
+        return ["intake", "charts"].map((service) =>
+          call({ entry, service, path: "/ready" })
+        );
+      }));
+      return seen.every((one) => one?.status === 200);
+    });
+  }
+
+  /** Sends a request through an entry and records the delivery. */
+  async send(
+    entry: string,
+    order: Omit<Call, "entry">,
+  ): Promise<Seen | undefined> {
+    const startedAt = performance.now();
+    const runsBefore = this.ran(order);
+    const sent = { ...order, entry: this.cluster.service(entry) };
+    const seen = await call(sent);
+    this.deliveries.push({
+      order: sent,
+      seen,
+      runsBefore,
+      runs: this.ran(order),
+      startedAt,
+      endedAt: performance.now(),
+    });
+    return seen;
+  }
+
+  /** Runs of a request at all targets, by its key or else by its path. */
+  ran(order: Pick<Call, "key" | "path">): number {
+    return this.runs.filter((run) =>
+      order.key === undefined ? run.path === order.path : run.key === order.key
+    ).length;
+  }
+
+  target(name: string): Target {
+    const target = this.#targets.get(name);
+    if (target === undefined) {
+      throw new Error(`No target "${name}"`);
+    }
+    return target;
+  }
+
+  targets(): Target[] {
+    return [...this.#targets.values()];
+  }
+
+  /** Lets a target say that it leaves; resolves when an entry confirmed it. */
+  leave(target: string): Promise<void> {
+    return this.#announcers.get(target)?.leave() ?? Promise.resolve();
+  }
+
+  /** Orders a change of one VM and waits for a phase. */
+  async phase(
+    vm: string,
+    order: "drain" | "resume",
+    at: string,
+  ): Promise<void> {
+    const wanted = order === "drain" ? "drained" : "serving";
+    await this.cluster.until(`${vm} ${wanted}`, async () => {
+      const row = (await this.cluster.vms(at)).find((one) => one.name === vm);
+      if (row?.phase !== wanted) {
+        await callAdmin(this.cluster.admin(at), `/v1/vms/${vm}/${order}`, {});
+      }
+      return row?.phase === wanted;
+    });
+  }
+
+  async #startTarget(announcement: Announcement, index: number): Promise<void> {
+    const target = new Target({
+      announcement,
+      usual: Behaviour.parse({ runMs: this.#plan.runMs ?? 10 }),
+      record: (run) => this.runs.push(run),
+    });
+    await target.start();
+    const entries = this.cluster.services();
+    const announcer = new Announcer(announcement, entries, index);
+    announcer.start();
+    this.#targets.set(announcement.target, target);
+    this.#announcers.set(announcement.target, announcer);
+  }
+
+  #announcements(): Announcement[] {
+    const { inventory, rules } = this.site;
+    return inventory.vms.flatMap((vm, index) => {
+      return rules.services
+        .filter((service) =>
+          this.#plan.allServices === true || service.pool === vm.pool
+        )
+        .map((service, port) => ({
+          target: `${vm.name}/${service.name}`,
+          vm: vm.name,
+          service: service.name,
+          address: `${network("targets")}.1.${index + 1}:${TARGET_PORT + port}`,
+          slots: SLOTS,
+          connections: CONNECTIONS,
+          condition: "serving",
+          incarnation: 1,
+          sequence: 0,
+        }));
+    });
+  }
+}
+
+/** Deliveries whose answer the targets' own record contradicts. */
+export function lies(deliveries: readonly Delivery[]): Delivery[] {
+  return deliveries.filter(({ order, seen, runs, runsBefore }) => {
+    if (seen === undefined) {
+      return false;
+    }
+    if (seen.outcome === "not run") {
+      return runs > 0 && (order.key !== undefined || runs > runsBefore);
+    }
+    return seen.outcome === "done" && seen.status < 500 && runs === 0;
+  });
+}
--- /dev/null
+++ b/test/history_test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from "vitest";
+import { contradiction, type Operation } from "./harness/history.ts";
+
+function change(
+  base: number,
+  span: [number, number],
+  version?: number,
+): Operation {
+  return {
+    operator: "a",
+    kind: "change",
+    base,
+    version,
+    startedAt: span[0],
+    endedAt: span[1],
+  };
+}
+
+function see(version: number, span: [number, number]): Operation {
+  return {
+    operator: "b",
+    kind: "see",
+    version,
+    startedAt: span[0],
+    endedAt: span[1],
+  };
+}
+
+describe("the check of histories", () => {
+  it.each<[string, Operation[]]>([
+    ["changes that overlap", [change(0, [0, 9], 1), change(1, [1, 5], 2)]],
+    ["a change whose answer was lost", [
+      change(0, [0, 1]),
+      change(1, [2, 3], 2),
+    ]],
+    ["an old version seen while the change is under way", [
+      change(0, [0, 9], 1),
+      see(1, [1, 2]),
+      see(0, [1, 3]),
+    ]],
+  ])("accepts %s", (_name, history) => {
+    expect(contradiction(history, 0)).toBeUndefined();
+  });
+
+  it.each<[string, Operation[]]>([
+    ["a version that was accepted twice", [
+      change(0, [0, 1], 1),
+      change(0, [2, 3], 1),
+    ]],
+    ["a gap", [change(0, [0, 1], 1), change(2, [2, 3], 3)]],
+    ["a lost change", [change(0, [0, 1], 1), see(0, [2, 3])]],
+    ["a view that goes back", [
+      change(0, [0, 9], 1),
+      see(1, [1, 2]),
+      see(0, [3, 4]),
+    ]],
+    ["changes against their order in time", [
+      change(1, [0, 1], 2),
+      change(0, [2, 3], 1),
+    ]],
+  ])("refuses %s", (_name, history) => {
+    expect(contradiction(history, 0)).toBeDefined();
+  });
+});
--- /dev/null
+++ b/test/not_run_test.ts
@@ -0,0 +1,176 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { request } from "undici";
+import { lies, Scene } from "./harness/scene.ts";
+import type { Seen } from "./harness/site.ts";
+
+describe("the word not run", () => {
+  const scene = new Scene({ entries: 4, replicas: 3, vms: 4 });
+  const { cluster } = scene;
+
+  beforeAll(() => scene.start());
+  afterAll(() => scene.stop());
+
+  const submit = (
+    entry: string,
+    key: string,
+    more: object = {},
+  ): Promise<Seen | undefined> => {
+    return scene.send(entry, {
+      service: "intake",
+      path: `/reports/${key}`,
+      key,
+      ...more,
+    });
+  };
+
+  /** Fills every slot of the targets of intake from outside; the returned promise ends when they are free. */
+  const occupy = async (runMs: number): Promise<() => Promise<unknown>> => {
+    const targets = scene.targets().filter((one) =>
+      one.announcement.service === "intake"
+    );
+    const held = targets.flatMap(({ announcement }) =>
+      Array.from({ length: announcement.slots }, async (_, index) => {
+        let status = 0;
+        while (status !== 200) {
+          const answer = await request(
+            `http://${announcement.address}/held/${index}`,
+            { headers: { "x-emulate": JSON.stringify({ runMs }) } },
+          );
+          await answer.body.dump();
+          status = answer.statusCode;
+        }
+      })
+    );
+    await cluster.until(
+      "full targets",
+      () => targets.every((one) => one.atWork === one.announcement.slots),
+    );
+    return () => Promise.all(held);
+  };
+
+  it("is true of every request that is refused under overload", async () => {
+    const sent = Array.from({ length: 400 }, (_, index) => {
+      const entry = cluster.names[index % cluster.names.length] ?? "";
+      const order = { emulate: { runMs: 120 }, deadlineMs: 400 };
+      return index % 2 === 0
+        ? submit(entry, `overload-${index}`, order)
+        : scene.send(entry, {
+          service: "intake",
+          path: `/overload/${index}`,
+          ...order,
+        });
+    });
+    const outcomes = (await Promise.all(sent)).map((one) => one?.outcome);
+    expect(outcomes).toContain("not run");
+    expect(outcomes).toContain("done");
+    await cluster.until(
+      "idle targets",
+      () => scene.targets().every((one) => one.atWork === 0),
+    );
+    expect(lies(scene.deliveries)).toEqual([]);
+    const refused = scene.deliveries.filter((one) =>
+      one.seen?.outcome === "not run"
+    );
+    expect(refused.filter((one) => scene.ran(one.order) > 0)).toEqual([]);
+  });
+
+  it("is true of a request that every target refused, and its key stays free", async () => {
+    const held = await occupy(1_500);
+    const first = await submit("e1", "refused", { deadlineMs: 800 });
+    expect(first?.outcome).toBe("not run");
+    expect(scene.ran({ key: "refused", path: "" })).toBe(0);
+    await held();
+    await cluster.until(
+      "the run",
+      async () => (await submit("e2", "refused"))?.outcome === "done",
+    );
+    expect(scene.ran({ key: "refused", path: "" })).toBe(1);
+  });
+
+  it("is not said of a request that ran before, when its repeat is refused under overload", async () => {
+    await cluster.until(
+      "the run",
+      async () =>
+        (await submit("e1", "earlier", { emulate: { failure: "short" } }))
+          ?.outcome === "unknown",
+    );
+    const held = await occupy(1_500);
+    const seen = await submit("e2", "earlier", { deadlineMs: 300 });
+    expect(seen?.outcome).not.toBe("not run");
+    await held();
+  });
+
+  it("is not said of a request that ran before, when its repeat is refused for its service", async () => {
+    const order = { service: "gone", path: "/reports/earlier", key: "earlier" };
+    const seen = await scene.send("e3", order);
+    expect(seen).toMatchObject({ status: 404 });
+    expect(seen?.outcome).not.toBe("not run");
+  });
+
+  it("is not said of a request that ran before, by an entry that is cut off", async () => {
+    cluster.relaysOf("e4").forEach((relay) => relay.silence());
+    await cluster.until("the end of the lease", async () => {
+      const answer = await scene.send("e4", {
+        service: "intake",
+        path: "/probe",
+      });
+      return answer?.status === 503;
+    });
+    const seen = await submit("e4", "earlier");
+    expect(seen).toMatchObject({ status: 503, outcome: "unknown" });
+    expect(
+      (await scene.send("e4", { service: "intake", path: "/fresh" }))?.outcome,
+    )
+      .toBe("not run");
+    expect(scene.ran({ path: "/fresh" })).toBe(0);
+    cluster.relaysOf("e4").forEach((relay) => relay.heal());
+    await scene.serves(["e4"]);
+  });
+
+  it("is never said of a request whose answer was lost", async () => {
+    const failures = ["short", "undeclared", "silent"] as const;
+    const seen = await Promise.all(failures.flatMap((failure) => {
+      const order = { emulate: { failure }, deadlineMs: 500 };
+      return [
+        submit("e1", `lost-${failure}`, order),
+        scene.send("e2", {
+          service: "intake",
+          path: `/lost/${failure}`,
+          ...order,
+        }),
+      ];
+    }));
+    expect(seen.filter((one) => one?.outcome === "not run")).toEqual([]);
+    expect(lies(scene.deliveries)).toEqual([]);
+  });
+
+  it("is true of requests whose entry was killed and that are sent again", async () => {
+    const keys = Array.from({ length: 40 }, (_, index) => `killed-${index}`);
+    const order = { emulate: { runMs: 60 } };
+    const first = keys.map(async (key) => {
+      let seen = await submit("e4", key, order);
+      while (seen?.outcome === "not run") {
+        seen = await submit("e4", key, order);
+      }
+      return seen;
+    });
+    await cluster.until(
+      "some runs",
+      () => keys.filter((key) => scene.ran({ key, path: "" }) > 0).length > 4,
+    );
+    await cluster.kill("e4");
+    expect(await Promise.all(first)).toContain(undefined);
+    const last = await Promise.all(keys.map(async (key, index) => {
+      const entry = ["e1", "e2", "e3"][index % 3] ?? "";
+      let seen: Seen | undefined;
+      await cluster.until(`an end of ${key}`, async () => {
+        seen = await submit(entry, key, order);
+        return seen?.outcome === "done" || seen?.outcome === "unknown";
+      });
+      return seen?.outcome;
+    }));
+    expect(last).toContain("unknown");
+    expect(keys.filter((key) => scene.ran({ key, path: "" }) > 1)).toEqual([]);
+    expect(lies(scene.deliveries)).toEqual([]);
+  });
+});
