--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -58,6 +58,7 @@
   #formation: Formation | undefined;
   #entry: Entry | undefined;
   #stopping: Promise<void> | undefined;
+  #isStarted = false;
   /** Called when the daemon cannot go on; the process must exit. */
   onFailure: (cause: Fault) => void = () => {};
 
@@ -89,6 +90,7 @@
         fault("internal", `Daemon did not start: ${messageOf(error)}`),
       );
     }
+    this.#isStarted = true;
     await this.#initWhenAlone();
     this.log.info("daemon.started", {
       zone: this.#settings.zone,
@@ -340,6 +342,15 @@
   }
 
   async #stop(): Promise<void> {
+    if (this.#isStarted) {
+      await this.#finishWork();
+    }
+    await this.#lifecycle.stop();
+    this.log.info("daemon.stopped");
+  }
+
+  /** Lets callers go elsewhere and requests end, then hands the leadership over. */
+  async #finishWork(): Promise<void> {
     const { noticeMs, graceMs } = this.#settings.stop;
     this.log.info("daemon.stopping", { noticeMs });
     this.#entry?.membership.beginNotice();
@@ -347,8 +358,6 @@
     this.#entry?.membership.beginStop();
     await until(() => this.#entry?.front.inProgress === 0, graceMs);
     await this.#handOver();
-    await this.#lifecycle.stop();
-    this.log.info("daemon.stopped");
   }
 
   async #handOver(): Promise<void> {
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -119,7 +119,9 @@
     }
     await Promise.all([...this.#children.values()].map((child) => child.ended));
     await Promise.all([...this.#relays.values()].map((relay) => relay.stop()));
-    rmSync(this.folder, { recursive: true, force: true });
+    if (!process.env["KEEP"]) {
+      rmSync(this.folder, { recursive: true, force: true });
+    }
   }
 
   startDaemon(name: string): void {
@@ -147,6 +149,11 @@
     return ending?.code ?? null;
   }
 
+  /** Waits until a daemon ends by itself; resolves with its exit code. */
+  async exitCode(name: string): Promise<number | null> {
+    return (await this.#children.get(name)?.ended)?.code ?? null;
+  }
+
   /** Removes the data folder of a daemon, as a lost disk does. */
   loseDisk(name: string): void {
     rmSync(join(this.folder, "data", name), { recursive: true, force: true });
