--- a/test/harness/operators.ts
+++ b/test/harness/operators.ts
@@ -37,13 +37,16 @@
   readonly history: Operation[] = [];
   readonly accepted: Accepted = new Map();
   readonly #office: Office;
+  readonly #pauseMs: number;
   /** Keeps the ids of changes apart from those of other groups. */
   readonly #group = groups += 1;
   #stopped = false;
   #working: Promise<void>[] = [];
 
-  constructor(office: Office) {
+  /** `pauseMs` is the time between two changes of one operator. */
+  constructor(office: Office, pauseMs = 0) {
     this.#office = office;
+    this.#pauseMs = pauseMs;
   }
 
   start(operators: number): void {
@@ -74,6 +77,7 @@
       if (base !== undefined) {
         await this.#change(operator, { turn, base });
       }
+      await new Promise((resolve) => setTimeout(resolve, this.#pauseMs));
     }
   }
 
--- /dev/null
+++ b/test/links_test.ts
@@ -0,0 +1,181 @@
+import { connect, createServer, type Socket } from "node:net";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { callAdmin } from "@quetzalcove/emulator";
+import { Connection } from "../packages/daemon/src/link/connection.ts";
+import { Scene } from "./harness/scene.ts";
+
+/** The target of the system: a silent connection is found within this time. */
+const FOUND_MS = 3_000;
+/** Deadline of a call at the leader through the administration API, with a share for the machine. */
+const CALL_MS = 5_000 * 1.2;
+
+describe("links between daemons", () => {
+  const scene = new Scene({ entries: 4, replicas: 3, vms: 4 });
+  const { cluster } = scene;
+
+  beforeAll(() => scene.start());
+  afterAll(() => scene.stop());
+
+  /** Times at which links of a daemon to a peer were closed or opened, since a moment. */
+  const events = (
+    name: string,
+    { event, peer, since }: { event: string; peer: string; since: number },
+  ): number[] =>
+    cluster.log(name).split("\n")
+      .filter((line) => line.includes(`event=${event} peer=${peer}`))
+      .map((line) => Date.parse(/time=(\S+)/.exec(line)?.[1] ?? ""))
+      .filter((time) => time >= since);
+
+  it("are replaced when their connections go silent for good while new ones work", async () => {
+    const pairs = cluster.names.flatMap((from) =>
+      cluster.names.filter((to) => to !== from).map((to) => ({ from, to }))
+    );
+    const since = Date.now();
+    pairs.forEach(({ from, to }) => cluster.relay(from, to).loseConnections());
+    await cluster.until(
+      "new links",
+      () =>
+        pairs.every(({ from, to }) =>
+          events(from, { event: "link.open", peer: to, since }).length > 0
+        ),
+    );
+    const found = pairs.map(({ from, to }) =>
+      Math.min(...events(from, { event: "link.closed", peer: to, since })) -
+      since
+    );
+    expect(Math.max(...found)).toBeLessThan(FOUND_MS);
+    await scene.serves(cluster.names);
+  });
+
+  it("end every call at its deadline although nothing is heard of the others", async () => {
+    const leader = await cluster.leader();
+    const names = [leader, cluster.names.find((name) => name !== leader) ?? ""];
+    cluster.names.flatMap((name) => cluster.relaysOf(name))
+      .forEach((relay) => relay.silence());
+    const calls = names.flatMap((name) =>
+      [
+        "/v1/status",
+        "/v1/vms",
+        "/v1/requests",
+        "/v1/replicas",
+      ].map((path) => ({ name, path }))
+    );
+    const startedAt = performance.now();
+    const answers = await Promise.all(calls.map(async ({ name, path }) => {
+      const answer = await callAdmin(cluster.admin(name), path);
+      return { status: answer?.status, tookMs: performance.now() - startedAt };
+    }));
+    expect(answers.map((one) => one.status).filter((status) => status === 200))
+      .toEqual([]);
+    expect(Math.max(...answers.map((one) => one.tookMs))).toBeLessThan(CALL_MS);
+    const deadlineMs = 800;
+    const sentAt = performance.now();
+    const seen = await Promise.all(
+      names.map((name) =>
+        scene.send(name, {
+          service: "intake",
+          path: "/dark",
+          key: `dark-${name}`,
+          deadlineMs,
+        })
+      ),
+    );
+    expect(seen.every((one) => one !== undefined && one.status >= 500)).toBe(
+      true,
+    );
+    expect(performance.now() - sentAt).toBeLessThan(FOUND_MS);
+    cluster.names.flatMap((name) => cluster.relaysOf(name))
+      .forEach((relay) => relay.heal());
+    await scene.serves(cluster.names);
+  });
+});
+
+describe("a connection to a peer that never reads", () => {
+  const bounds = {
+    heartbeatMs: 60_000,
+    idleMs: 600_000,
+    maxMessageBytes: 100_000,
+    maxQueuedBytes: 200_000,
+  };
+  const MESSAGE_BYTES = 20_000;
+  const text = "x".repeat(MESSAGE_BYTES);
+
+  /** A connection whose peer sends what the test says and reads nothing. */
+  const pair = async (
+    handlers: ConstructorParameters<typeof Connection>[1],
+  ): Promise<
+    { socket: Socket; peer: Socket; connection: Connection; end: () => void }
+  > => {
+    let accept: (socket: Socket) => void = () => {};
+    const accepted = new Promise<Socket>((resolve) => accept = resolve);
+    const server = createServer((socket) => accept(socket));
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const address = server.address();
+    const port = typeof address === "object" ? address?.port ?? 0 : 0;
+    const peer = connect({ host: "127.0.0.1", port });
+    peer.pause();
+    peer.on("error", () => {});
+    const socket = await accepted;
+    const connection = new Connection(
+      socket,
+      handlers,
+      bounds,
+      () => performance.now(),
+    );
+    const end = (): void => {
+      connection.close("test ends");
+      peer.destroy();
+      server.close();
+    };
+    return { socket, peer, connection, end };
+  };
+
+  it("queues no more than its bound of notices and calls", async () => {
+    const { socket, connection, end } = await pair(new Map());
+    let most = 0;
+    for (let number = 0; number < 2_000; number += 1) {
+      connection.notify("news", { text });
+      most = Math.max(most, socket.writableLength);
+    }
+    const refused = await Promise.all(
+      Array.from(
+        { length: 50 },
+        () => connection.request("renew", { text }, 50),
+      ),
+    );
+    most = Math.max(most, socket.writableLength);
+    expect(refused.filter((one) => one.ok)).toEqual([]);
+    expect(most).toBeLessThan(bounds.maxQueuedBytes + 2 * MESSAGE_BYTES);
+    end();
+  });
+
+  it("is closed when it asks for more answers than it takes", async () => {
+    const answer = (): Promise<never> =>
+      Promise.resolve({ ok: true, err: false, val: { text } } as never);
+    const { peer, connection, end } = await pair(new Map([["read", answer]]));
+    const closed = new Promise<string>((resolve) =>
+      connection.onClose = resolve
+    );
+    for (let id = 0; id < 2_000; id += 1) {
+      peer.write(
+        `${
+          JSON.stringify({ jsonrpc: "2.0", id, method: "read", params: {} })
+        }\n`,
+      );
+    }
+    expect(await closed).toBe("answer could not be sent");
+    end();
+  });
+
+  it("is closed when its message is too long", async () => {
+    const { peer, connection, end } = await pair(new Map());
+    const closed = new Promise<string>((resolve) =>
+      connection.onClose = resolve
+    );
+    peer.write("x".repeat(bounds.maxMessageBytes * 2));
+    expect(await closed).toMatch(/longer than 100000 bytes/);
+    end();
+  });
+});
--- /dev/null
+++ b/test/planned_stop_test.ts
@@ -0,0 +1,122 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { callAdmin } from "@quetzalcove/emulator";
+import { lies, Scene } from "./harness/scene.ts";
+
+const CALLERS = 16;
+const HEALTH_EVERY_MS = 100;
+
+describe("a planned stop under load", () => {
+  const scene = new Scene({
+    entries: 4,
+    replicas: 3,
+    vms: 8,
+    runMs: 20,
+    settings: { stop: { noticeMs: 1_000, graceMs: 10_000 } },
+  });
+  const { cluster } = scene;
+  let healthy: string[] = [];
+  let stopped = false;
+  let working: Promise<void>[] = [];
+
+  beforeAll(async () => {
+    await scene.start();
+    healthy = cluster.names;
+    working = [
+      balance(),
+      ...Array.from({ length: CALLERS }, (_, index) => call(index)),
+    ];
+  });
+
+  afterAll(async () => {
+    stopped = true;
+    await Promise.all(working);
+    await scene.stop();
+  });
+
+  /** The balancer: callers avoid entries whose health check fails. */
+  const balance = async (): Promise<void> => {
+    while (!stopped) {
+      const answers = await Promise.all(
+        cluster.names.map((name) => callAdmin(cluster.admin(name), "/healthz")),
+      );
+      healthy = cluster.names.filter((_, index) =>
+        answers[index]?.status === 200
+      );
+      await new Promise((resolve) => setTimeout(resolve, HEALTH_EVERY_MS));
+    }
+  };
+
+  const call = async (caller: number): Promise<void> => {
+    for (let number = 0; !stopped; number += 1) {
+      const entry = healthy[(caller + number) % healthy.length] ?? "e1";
+      const name = `${caller}-${number}`;
+      const order = { service: "intake", path: `/reports/${name}` };
+      await scene.send(
+        entry,
+        caller % 2 === 0 ? order : { ...order, key: name },
+      );
+    }
+  };
+
+  /** Deliveries that were broken, cut short or untrue, as texts. */
+  const broken = (): string[] => {
+    const cut = scene.deliveries.filter(({ seen }) =>
+      seen === undefined || seen.outcome === "unknown" ||
+      (seen.outcome === "done" && !seen.own)
+    );
+    return [...cut, ...lies(scene.deliveries)].map((one) =>
+      JSON.stringify(one)
+    );
+  };
+
+  const answered = (count: number): Promise<void> => {
+    const wanted = scene.deliveries.length + count;
+    return cluster.until(
+      `${count} answers`,
+      () => scene.deliveries.length >= wanted,
+    );
+  };
+
+  it("of a VM cuts off no request", async () => {
+    await answered(200);
+    await scene.phase("vm-1", "drain", "e1");
+    const runs = scene.runs.filter((run) => run.vm === "vm-1").length;
+    expect(scene.target("vm-1/intake").atWork).toBe(0);
+    await answered(200);
+    expect(scene.runs.filter((run) => run.vm === "vm-1").length).toBe(runs);
+    await scene.phase("vm-1", "resume", "e1");
+    await cluster.until(
+      "runs at vm-1",
+      () => scene.runs.filter((run) => run.vm === "vm-1").length > runs,
+    );
+    expect(broken()).toEqual([]);
+  });
+
+  it("of each entry in turn cuts off no request", async () => {
+    for (const name of cluster.names) {
+      expect(await cluster.terminate(name)).toBe(0);
+      expect(cluster.log(name)).toContain("event=daemon.stopped");
+      await answered(100);
+      cluster.startDaemon(name);
+      await cluster.until(`${name} serves`, () => healthy.includes(name));
+    }
+    expect(broken()).toEqual([]);
+  });
+
+  it("of the leader hands the leadership over before it ends", async () => {
+    const leader = await cluster.leader();
+    const term = (await cluster.status(leader))?.term ?? 0;
+    expect(await cluster.terminate(leader)).toBe(0);
+    expect(cluster.log(leader)).toMatch(
+      /event=raft.role role=follower[^\n]*\n(.*\n)*.*event=daemon.stopped/,
+    );
+    const others = cluster.names.filter((name) => name !== leader);
+    const next = await cluster.leader(others);
+    expect(next).not.toBe(leader);
+    expect((await cluster.status(next))?.term).toBe(term + 1);
+    await answered(100);
+    cluster.startDaemon(leader);
+    await cluster.until(`${leader} serves`, () => healthy.includes(leader));
+    expect(broken()).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/pools_test.ts
@@ -0,0 +1,107 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { type Office, Operators } from "./harness/operators.ts";
+import { contradiction } from "./harness/history.ts";
+import { overlaps, PoolWatch, withPools } from "./harness/pools.ts";
+import { Scene } from "./harness/scene.ts";
+
+const RUN_MS = 60;
+/** Timers of the targets may end this much early, in milliseconds. */
+const TIMER_MS = 2;
+
+describe("a VM that moves between pools", () => {
+  const scene = new Scene({
+    entries: 4,
+    replicas: 3,
+    vms: 6,
+    allServices: true,
+    runMs: RUN_MS,
+  });
+  const { cluster } = scene;
+  const watch = new PoolWatch(cluster);
+  let stopped = false;
+  let callers: Promise<void>[] = [];
+
+  beforeAll(async () => {
+    await scene.start();
+    watch.start();
+    callers = cluster.names.flatMap((name) =>
+      ["intake", "charts"].map((service) => call(name, service))
+    );
+  });
+
+  afterAll(async () => {
+    stopped = true;
+    await Promise.all(callers);
+    await watch.stop();
+    await scene.stop();
+  });
+
+  const call = async (entry: string, service: string): Promise<void> => {
+    for (let number = 0; !stopped; number += 1) {
+      await scene.send(entry, {
+        service,
+        path: `/${entry}/${service}/${number}`,
+      });
+    }
+  };
+
+  /** Two VMs swap their pools with each change; the operators do not agree on which. */
+  const office: Office = {
+    cluster,
+    next: (operator, turn) => ({
+      ...scene.site,
+      inventory: withPools(
+        scene.site.inventory,
+        (_, index) =>
+          (index + (index === operator * 2 ? turn : 0)) % 2 === 0
+            ? "intake"
+            : "charts",
+      ),
+    }),
+    entries: () => cluster.names,
+  };
+
+  const moved = (count: number): Promise<void> => {
+    const wanted = watch.moves + count;
+    return cluster.until(`${count} moves`, () => watch.moves >= wanted);
+  };
+
+  it("is in exactly one pool at every moment, although operators race and processes fail", async () => {
+    const operators = new Operators(office, 1_000);
+    operators.start(2);
+    await moved(2);
+    const leader = await cluster.leader();
+    await cluster.kill(leader);
+    await moved(1);
+    cluster.startDaemon(leader);
+    cluster.signal("e4", "SIGSTOP");
+    await moved(1);
+    cluster.signal("e4", "SIGCONT");
+    await moved(2);
+    await operators.stop();
+    expect(watch.faults).toEqual([]);
+    expect(contradiction(operators.history, 1)).toBeUndefined();
+  });
+
+  it("runs nothing of a pool before its drain from the other one ended", async () => {
+    const last = await cluster.status("e1");
+    await cluster.until("every VM in its pool", async () => {
+      const rows = await cluster.vms("e1");
+      return rows.length > 0 &&
+        rows.every((row) =>
+          row.pool === row.desiredPool && row.phase === "serving"
+        );
+    });
+    const rows = await cluster.vms("e1");
+    const since = scene.runs.length;
+    await cluster.until("later runs", () => scene.runs.length > since + 100);
+    const pools = new Map(rows.map((row) => [row.name, row.pool]));
+    const strays = scene.runs.slice(since).filter((run) =>
+      pools.get(run.vm) !== run.service
+    );
+    expect(strays).toEqual([]);
+    expect(overlaps(scene.runs, RUN_MS - TIMER_MS)).toEqual([]);
+    expect(last?.version).toBeGreaterThan(1);
+    expect(watch.faults).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/torture/faults.ts
@@ -0,0 +1,57 @@
+/**
+ * Brings a fault about in a running cluster, and ends it.
+ *
+ * @module
+ */
+import type { Cluster } from "../harness/cluster.ts";
+import type { Step } from "./schedule.ts";
+
+/** Begins a fault at an entry; the returned function ends it. */
+export async function begin(
+  cluster: Cluster,
+  step: Step,
+  { entry, isReplica }: { entry: string; isReplica: boolean },
+): Promise<() => void> {
+  const relays = cluster.relaysOf(entry);
+  const restart = (): void => cluster.startDaemon(entry);
+  const heal = (): void => relays.forEach((relay) => relay.heal());
+  switch (step.kind) {
+    case "kill":
+      await cluster.kill(entry);
+      return restart;
+    case "terminate": {
+      const code = await cluster.terminate(entry);
+      if (code !== 0) {
+        throw new Error(`Planned stop of ${entry} ended with code ${code}`);
+      }
+      return restart;
+    }
+    case "lose disk":
+      await cluster.kill(entry);
+      if (isReplica) {
+        cluster.loseDisk(entry);
+      }
+      return restart;
+    case "stop":
+      cluster.signal(entry, "SIGSTOP");
+      return () => cluster.signal(entry, "SIGCONT");
+    case "cut":
+      relays.forEach((relay) => relay.cut());
+      return heal;
+    case "silence":
+      relays.forEach((relay) => relay.silence());
+      return heal;
+    case "silence out":
+      cluster.names.filter((name) => name !== entry).forEach((other) => {
+        cluster.relay(entry, other).silence({ out: "silent" });
+        cluster.relay(other, entry).silence({ back: "silent" });
+      });
+      return heal;
+    case "delay":
+      relays.forEach((relay) => relay.delay(step.delayMs));
+      return () => relays.forEach((relay) => relay.delay(0));
+    case "lose connections":
+      relays.forEach((relay) => relay.loseConnections());
+      return () => {};
+  }
+}
--- /dev/null
+++ b/test/torture/schedule.ts
@@ -0,0 +1,55 @@
+/**
+ * The random faults of a long run. The schedule depends on the seed alone; a name that a fault needs at run time, as
+ * the leader's, is looked up when its turn comes.
+ *
+ * @module
+ */
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+export const FAULT_KINDS = [
+  "kill",
+  "stop",
+  "cut",
+  "silence",
+  "silence out",
+  "delay",
+  "lose connections",
+  "lose disk",
+  "terminate",
+] as const;
+export type FaultKind = typeof FAULT_KINDS[number];
+
+/** One fault and how much work is done while it lasts. */
+export interface Step {
+  kind: FaultKind;
+  /** Number of an entry; the leader when undefined. */
+  entry: number | undefined;
+  /** Requests that are answered before the fault ends. */
+  requests: number;
+  /** Delay of each chunk, for `delay`, in milliseconds. */
+  delayMs: number;
+}
+
+/** A source of random whole numbers from 0 to `below` - 1. */
+export type Pick = (below: number) => number;
+
+export function pickOf(seed: number): Pick {
+  const random = xoroshiro128plus(seed);
+  return (below) => uniformInt(random, 0, below - 1);
+}
+
+const LEADER_SHARE = 3;
+const MIN_REQUESTS = 50;
+const MAX_REQUESTS = 600;
+const MAX_DELAY_MS = 300;
+
+/** The next fault. */
+export function nextStep(pick: Pick, entries: number): Step {
+  return {
+    kind: FAULT_KINDS[pick(FAULT_KINDS.length)] ?? "kill",
+    entry: pick(LEADER_SHARE) === 0 ? undefined : pick(entries),
+    requests: MIN_REQUESTS + pick(MAX_REQUESTS - MIN_REQUESTS),
+    delayMs: 1 + pick(MAX_DELAY_MS),
+  };
+}
