--- a/test/harness/site.ts
+++ b/test/harness/site.ts
@@ -78,6 +78,8 @@
   body?: string;
   emulate?: Partial<Behaviour>;
   deadlineMs?: number;
+  /** How long the caller waits before it goes away, in milliseconds. */
+  patienceMs?: number;
 }
 
 /** Sends one request; undefined when the connection was lost before an answer. */
@@ -101,6 +103,8 @@
         method: submits ? "POST" : "GET",
         body: submits ? body : null,
         headers,
+        ...(order.patienceMs !== undefined &&
+          { signal: AbortSignal.timeout(order.patienceMs) }),
       },
     );
     const text = await answer.body.text();
--- a/test/torture/callers.ts
+++ b/test/torture/callers.ts
@@ -12,6 +12,7 @@
 const KEYED_SHARE = 2;
 const MAX_RUN_MS = 80;
 const DEADLINE_MS = 1_500;
+const PATIENCE_MS = 2_000;
 const MAX_TRIES = 40;
 
 /** What came of all requests. */
@@ -60,6 +61,7 @@
           { failure: FAILURES[this.#pick(FAILURES.length)] ?? "short" }),
       },
       deadlineMs: DEADLINE_MS,
+      patienceMs: PATIENCE_MS,
     };
     for (let tries = 0; tries < MAX_TRIES && !this.#stopped; tries += 1) {
       const { names } = this.#scene.cluster;
