--- a/packages/daemon/src/entry/request_path.ts
+++ b/packages/daemon/src/entry/request_path.ts
@@ -51,6 +51,8 @@
   claim: Claim | undefined;
   /** Whether the ledger granted the claim to this journey. */
   begun: boolean;
+  /** Whether an attempt was sent; a later one that is refused does not undo that. */
+  mayHaveRun: boolean;
   /** Monotonic time by which the caller needs the answer. */
   deadline: number;
   context: Context;
@@ -111,6 +113,7 @@
       treatment,
       claim: this.#claimOf(request, treatment),
       begun: false,
+      mayHaveRun: false,
       deadline,
       context,
     };
@@ -253,6 +256,7 @@
   ): Promise<HttpReply> {
     const { dispatcher } = this.#parts;
     const { id } = journey.request;
+    journey.mayHaveRun ||= end.result.ok || end.result.val.sent;
     if (end.completion === "ok") {
       dispatcher.complete(id, "ok");
       return await this.#answer(journey, end);
@@ -277,9 +281,9 @@
       }
       return answerReply(answer, traceIdOf(journey.context));
     }
-    const { sent, fault: cause } = end.result.val;
-    if (!sent) {
-      return await this.#refuse(journey, { ...cause, outcome: "not run" });
+    const { fault: cause } = end.result.val;
+    if (!journey.mayHaveRun) {
+      return await this.#refuse(journey, cause);
     }
     if (claim !== undefined) {
       void this.#parts.ledger.lose(claim);
--- a/test/not_run_test.ts
+++ b/test/not_run_test.ts
@@ -24,12 +24,18 @@
   };
 
   /** Fills every slot of the targets of intake from outside; the returned promise ends when they are free. */
-  const occupy = async (runMs: number): Promise<() => Promise<unknown>> => {
+  const occupy = async (
+    runMs: number,
+    freeAtFirst = 0,
+  ): Promise<() => Promise<unknown>> => {
     const targets = scene.targets().filter((one) =>
       one.announcement.service === "intake"
     );
-    const held = targets.flatMap(({ announcement }) =>
-      Array.from({ length: announcement.slots }, async (_, index) => {
+    const slotsAt = (index: number): number =>
+      (targets[index]?.announcement.slots ?? 0) -
+      (index === 0 ? freeAtFirst : 0);
+    const held = targets.flatMap(({ announcement }, at) =>
+      Array.from({ length: slotsAt(at) }, async (_, index) => {
         let status = 0;
         while (status !== 200) {
           const answer = await request(
@@ -43,7 +49,7 @@
     );
     await cluster.until(
       "full targets",
-      () => targets.every((one) => one.atWork === one.announcement.slots),
+      () => targets.every((one, at) => one.atWork === slotsAt(at)),
     );
     return () => Promise.all(held);
   };
@@ -87,6 +93,24 @@
     expect(scene.ran({ key: "refused", path: "" })).toBe(1);
   });
 
+  it("is not said of a request that ran and broke, when the entry's second try of it was refused", async () => {
+    const held = await occupy(2_000, 1);
+    for (let number = 0; number < 30; number += 1) {
+      await scene.send("e1", {
+        service: "intake",
+        path: `/second/${number}`,
+        emulate: { failure: "short", runMs: 1 },
+        deadlineMs: 500,
+      });
+    }
+    await held();
+    const second = scene.deliveries.filter((one) =>
+      one.order.path.startsWith("/second/")
+    );
+    expect(second.filter((one) => one.runs > 0).length).toBeGreaterThan(0);
+    expect(lies(second)).toEqual([]);
+  });
+
   it("is not said of a request that ran before, when its repeat is refused under overload", async () => {
     await cluster.until(
       "the run",
