Decide planned stops and waves at the leader, with platform agents

Cause: drains, moves and removals went through a first sketch that knew no budgets, waves or agents. The leader now observes the fleet and proposes what the maintenance decisions return; an operator's drain is a wish that is idempotent. Ruled out: proposing phase changes from the admin API, which answered 'conflict' to a resend whose first try took effect.

--- a/packages/core/src/membership/lease_table.ts
+++ b/packages/core/src/membership/lease_table.ts
@@ -26,6 +26,7 @@
   inFlight: Renewal["inFlight"];
   usage: Renewal["usage"];
   unhealthy: Renewal["unhealthy"];
+  slots: Renewal["slots"];
   stopping: boolean;
 }
 
--- a/packages/core/src/membership/renewal.ts
+++ b/packages/core/src/membership/renewal.ts
@@ -28,7 +28,7 @@
   inFlight: z.record(z.string(), z.number().int()),
   /** Whether the entry is in a planned stop. */
   stopping: z.boolean(),
-  /** Use of each service since the previous renewal. */
+  /** Use of each service; finished, refused and failed count from the start of the process. */
   usage: z.record(
     z.string(),
     z.object({
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -15,6 +15,7 @@
 export * from "./membership/mod.ts";
 export * from "./maintenance/mod.ts";
 export * from "./names.ts";
+export * from "./platform.ts";
 export * from "./raft/mod.ts";
 export * from "./result.ts";
 export * from "./routing/mod.ts";
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -7,7 +7,6 @@
 import {
   type Command,
   ConfigurationChange,
-  Err,
   type Fault,
   fault,
   Ok,
@@ -17,7 +16,6 @@
   type Settings,
   Settlement,
   validate,
-  VmReason,
 } from "@quetzalcove/core";
 import findMyWay from "find-my-way";
 import { z } from "zod";
@@ -48,14 +46,9 @@
   transfer: (entry: string) => Promise<Result<unknown, Fault>>;
 }
 
-const DrainOrder = z.strictObject({ reason: VmReason.default("operator") });
+const Nothing = z.strictObject({});
 const EntryName = z.strictObject({ entry: z.string() });
 const ReplicaName = z.strictObject({ replica: z.string() });
-const VmRows = z.object({
-  vms: z.array(
-    z.looseObject({ name: z.string(), phase: z.string(), reason: z.string() }),
-  ),
-});
 
 /** Longest wait for the leader, in milliseconds. */
 const LEADER_TIMEOUT_MS = 5_000;
@@ -115,21 +108,11 @@
       ConfigurationChange,
       (change) => this.#configure(change),
     );
-    this.#post("/v1/vms/:name/drain", DrainOrder, (order, params) => {
-      return this.#changePhase(
-        params["name"] ?? "",
-        ["serving"],
-        "draining",
-        order.reason,
-      );
+    this.#post("/v1/vms/:name/drain", Nothing, (_, params) => {
+      return this.#want(params["name"] ?? "", true);
     });
-    this.#post("/v1/vms/:name/resume", DrainOrder, (_, params) => {
-      return this.#changePhase(
-        params["name"] ?? "",
-        ["draining", "drained"],
-        "serving",
-        "none",
-      );
+    this.#post("/v1/vms/:name/resume", Nothing, (_, params) => {
+      return this.#want(params["name"] ?? "", false);
     });
     this.#post("/v1/requests/settle", Settlement, (settlement) => {
       return this.#propose({ kind: "ledger.settle", ...settlement, at: 0 });
@@ -241,39 +224,9 @@
       : await this.#propose({ kind: "configure", ...change, at: 0 });
   }
 
-  async #changePhase(
-    name: string,
-    from: readonly string[],
-    to: "draining" | "serving",
-    reason: VmReason,
-  ): Answer {
-    const rows = (await this.#read({ what: "vms" })).andThen((rows) =>
-      parse(VmRows, rows, "vms")
-    );
-    if (rows.err) {
-      return rows;
-    }
-    const vm = rows.val.vms.find((row) => row.name === name);
-    if (vm === undefined) {
-      return Err(fault("not_found", `VM "${name}" is in no inventory`));
-    }
-    if (!from.includes(vm.phase)) {
-      return Err(
-        fault(
-          "conflict",
-          `VM "${name}" is ${vm.phase}; this needs ${from.join(" or ")}`,
-        ),
-      );
-    }
-    const phase = vm.phase as "serving" | "draining" | "drained";
-    return await this.#propose({
-      kind: "vm.phase",
-      vm: name,
-      from: phase,
-      to,
-      reason,
-      at: 0,
-    });
+  /** Orders a VM out of service or back; the leader starts the stop when it is safe. */
+  #want(vm: string, out: boolean): Answer {
+    return this.#propose({ kind: "vm.want", vm, out, at: 0 });
   }
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -32,6 +32,7 @@
 import { type Log, messageOf, openLog } from "./observe/log.ts";
 import { Metrics } from "./observe/metrics.ts";
 import { type SpanRecord, Tracing } from "./observe/tracing.ts";
+import { PlatformAgents } from "./platform/agents.ts";
 import { jsonReply, problemReply } from "./problem.ts";
 import { openReplicaFolder, type ReplicaFolder } from "./replica_folder.ts";
 
@@ -175,7 +176,9 @@
       send: (entry, message) => this.#links.get(entry)?.notify("raft", message),
       onStorageFailure: (cause) => this.onFailure(cause),
     });
+    const agents = new PlatformAgents(this.log);
     const leader = new Leader({
+      agents,
       settings: this.#settings,
       consensus: replica,
       clock: this.#clock,
@@ -203,7 +206,7 @@
     for (const [method, handler] of this.#formation.handlers()) {
       this.#handlers.set(method, handler);
     }
-    return [replica, leader, this.#formation];
+    return [replica, agents, leader, this.#formation];
   }
 
   #leaderClient(): LeaderClient {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -124,7 +124,7 @@
     const now = this.#parts.clock.monotonic();
     return {
       inFlight,
-      usage: this.#usage.take(),
+      usage: this.#usage.read(),
       unhealthy: this.#ejected(now),
       slots: this.#router.report(term, now),
     };
--- a/packages/daemon/src/entry/usage.ts
+++ b/packages/daemon/src/entry/usage.ts
@@ -13,7 +13,7 @@
 
 export class Usage {
   readonly #metrics: Metrics;
-  #uses = new Map<string, ServiceUse>();
+  readonly #uses = new Map<string, ServiceUse>();
 
   constructor(metrics: Metrics) {
     this.#metrics = metrics;
@@ -31,14 +31,11 @@
     this.#metrics.count("quetzalcove_requests_total", { service, outcome });
   }
 
-  /** The use since the last call. */
-  take(): Record<string, ServiceUse> {
-    const taken: Record<string, ServiceUse> = {};
-    for (const [service, use] of this.#uses) {
-      taken[service] = { ...use };
-      Object.assign(use, { finished: 0, refused: 0, failed: 0 });
-    }
-    return taken;
+  /** The use of each service; ends of requests count from the start of the process. */
+  read(): Record<string, ServiceUse> {
+    return Object.fromEntries(
+      [...this.#uses].map(([service, use]) => [service, { ...use }]),
+    );
   }
 
   #of(service: string): ServiceUse {
--- a/packages/daemon/src/leader/conductor.ts
+++ b/packages/daemon/src/leader/conductor.ts
@@ -1,6 +1,5 @@
 /**
- * The commands that the leader proposes on its own: fencing of lost entries, ends of drains, moves between pools and
- * pruning of the ledger.
+ * The commands by which the leader keeps the ledger: fencing of lost entries and pruning.
  *
  * @module
  */
@@ -9,7 +8,6 @@
   type LeaseTable,
   longestAttemptMs,
   type State,
-  type VmRecord,
 } from "@quetzalcove/core";
 
 /** What the leader knows at one moment. */
@@ -27,8 +25,6 @@
 export function dueCommands(situation: Situation): Command[] {
   return [
     ...fences(situation),
-    ...drainEnds(situation),
-    ...moves(situation),
     ...prunes(situation),
   ];
 }
@@ -62,58 +58,6 @@
   return [...lost.values()];
 }
 
-function drainEnds({ state, leases, now, at }: Situation): Command[] {
-  const longest = longestRequestMs(state);
-  return Object.values(state.vms)
-    .filter((vm) => vm.phase === "draining" && leases.isIdle(vm, longest, now))
-    .map((vm) => phaseCommand(vm, "drained", at));
-}
-
-function moves({ state, at }: Situation): Command[] {
-  const commands: Command[] = [];
-  for (const { name, pool } of state.inventory.vms) {
-    const record = state.vms[name];
-    if (record === undefined) {
-      continue;
-    }
-    if (record.pool !== pool && record.phase === "serving") {
-      commands.push({
-        ...phaseCommand(record, "draining", at),
-        reason: "move",
-      });
-    } else if (record.pool !== pool && record.phase === "drained") {
-      commands.push({
-        kind: "vm.move",
-        vm: name,
-        from: record.pool,
-        to: pool,
-        at,
-      });
-    } else if (
-      record.pool === pool && record.phase === "drained" &&
-      record.reason === "move"
-    ) {
-      commands.push(phaseCommand(record, "serving", at));
-    }
-  }
-  return commands;
-}
-
-function phaseCommand(
-  vm: VmRecord,
-  to: VmRecord["phase"],
-  at: number,
-): Extract<Command, { kind: "vm.phase" }> {
-  return {
-    kind: "vm.phase",
-    vm: vm.name,
-    from: vm.phase,
-    to,
-    reason: vm.reason,
-    at,
-  };
-}
-
 function prunes({ state, retentionMs, at }: Situation): Command[] {
   const before = at - retentionMs;
   const [oldest] = Object.values(state.ledger.closed);
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -5,22 +5,27 @@
  */
 import {
   Command,
+  decideMaintenance,
   Err,
   type Fault,
   fault,
+  type Hold,
   Ok,
   parse,
   Renewal,
   type Result,
   type Settings,
+  type State,
 } from "@quetzalcove/core";
 import { z } from "zod";
 import type { Clock } from "../clock.ts";
 import type { Consensus } from "../consensus/consensus.ts";
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
-import type { Log } from "../observe/log.ts";
+import type { Fields, Log } from "../observe/log.ts";
+import type { PlatformAgents } from "../platform/agents.ts";
 import { dueCommands, longestRequestMs } from "./conductor.ts";
+import { Observer } from "./observer.ts";
 import { answerQuery, Query } from "./queries.ts";
 import { Tenure } from "./tenure.ts";
 
@@ -30,36 +35,45 @@
   consensus: Consensus;
   clock: Clock;
   log: Log;
+  agents: PlatformAgents;
   /** Tells all entries that a renewal would bring news. */
   announceNews: () => void;
 }
 
 const GiveBack = z.object({ entry: z.string(), incarnation: z.number().int() });
 
-/** Interval of the leader's own decisions, in milliseconds. */
+/** Interval of fencing and pruning, in milliseconds. */
 const TICK_MS = 200;
 
+/** Interval of decisions on planned stops and waves, in milliseconds. */
+const MAINTENANCE_MS = 500;
+
 export class Leader implements Component {
   readonly name = "leader";
   readonly #parts: LeaderParts;
-  readonly #ticker: Component;
+  readonly #tickers: Component[];
   #tenure: Tenure | undefined;
+  #observer: Observer | undefined;
+  #holds: readonly Hold[] = [];
   #newsRevision = 0;
   #newsTable = 0;
 
   constructor(parts: LeaderParts) {
     this.#parts = parts;
-    this.#ticker = ticker("leader decisions", TICK_MS, () => this.#decide());
+    this.#tickers = [
+      ticker("ledger upkeep", TICK_MS, () => this.#keepLedger()),
+      ticker("maintenance", MAINTENANCE_MS, () => this.#maintain()),
+    ];
     parts.consensus.onChange(() => this.#follow());
   }
 
-  start(): Promise<void> {
+  async start(): Promise<void> {
     this.#follow();
-    return this.#ticker.start();
+    await Promise.all(this.#tickers.map((each) => each.start()));
   }
 
-  stop(): Promise<void> {
-    return this.#ticker.stop();
+  async stop(): Promise<void> {
+    await Promise.all(this.#tickers.map((each) => each.stop()));
   }
 
   /** The methods that entries call at the leader. */
@@ -81,6 +95,7 @@
     if (this.#tenure?.term !== term) {
       const { settings, clock, log } = this.#parts;
       this.#tenure = new Tenure(settings, term, clock.monotonic());
+      this.#observer = new Observer(clock.wall());
       log.info("leader.elected", { term });
     }
     this.#announceNews();
@@ -163,7 +178,9 @@
         tenure,
         leadership: consensus.leadership(),
         replicas: consensus.replicas(),
+        holds: this.#holds,
         now: clock.monotonic(),
+        at: clock.wall(),
       });
     });
   }
@@ -193,34 +210,68 @@
     );
   }
 
-  async #decide(): Promise<void> {
-    const { consensus, clock, settings, log } = this.#parts;
+  async #keepLedger(): Promise<void> {
+    const { consensus, clock, settings } = this.#parts;
     const tenure = this.#tenure;
     if (tenure === undefined) {
       return;
     }
     const now = clock.monotonic();
     tenure.expire(longestRequestMs(consensus.state), now);
-    const commands = dueCommands({
+    await this.#proposeAll(dueCommands({
       state: consensus.state,
       leases: tenure.leases,
       retentionMs: settings.ledger.retentionMs,
       now,
       at: clock.wall(),
-    });
+    }));
+  }
+
+  /** Decides on planned stops and waves, after a quorum confirmed that this replica still leads. */
+  async #maintain(): Promise<void> {
+    const confirmed = await this.#confirmed();
+    const observer = this.#observer;
+    if (confirmed.err || observer === undefined) {
+      return;
+    }
+    const { consensus, clock, agents } = this.#parts;
+    const { state } = consensus;
+    const moment = { now: clock.monotonic(), at: clock.wall() };
+    const observation = observer.observe(state, confirmed.val, agents, moment);
+    const decision = decideMaintenance(state, observation, { now: moment.at });
+    this.#holds = decision.holds;
+    for (const action of decision.actions) {
+      agents.order(agentOf(state, action.vm), action, confirmed.val.term);
+    }
+    await this.#proposeAll(decision.commands);
+  }
+
+  async #proposeAll(commands: readonly Command[]): Promise<void> {
+    const { consensus, log } = this.#parts;
     const results = await Promise.all(
       commands.map((command) => consensus.propose(command)),
     );
     results.forEach((result, index) => {
       log.info("leader.decided", {
-        command: commands[index]?.kind,
-        vm: vmOf(commands[index]),
+        ...summaryOf(commands[index]),
         fault: result.err ? result.val.kind : undefined,
       });
     });
   }
 }
 
-function vmOf(command: Command | undefined): string | undefined {
-  return command !== undefined && "vm" in command ? command.vm : undefined;
+function agentOf(state: State, vm: string): string | undefined {
+  return state.inventory.vms.find((listed) => listed.name === vm)?.agent;
+}
+
+function summaryOf(command: Command | undefined): Fields {
+  if (command === undefined) {
+    return {};
+  }
+  return {
+    command: command.kind,
+    vm: "vm" in command ? command.vm : undefined,
+    to: "to" in command ? command.to : undefined,
+    reason: "reason" in command ? String(command.reason) : undefined,
+  };
 }
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -6,6 +6,8 @@
 import {
   type Announcement,
   attemptOf,
+  type Hold,
+  spendingOf,
   type State,
   type VmRecord,
 } from "@quetzalcove/core";
@@ -21,6 +23,7 @@
   z.object({ what: z.literal("services") }),
   z.object({ what: z.literal("requests"), phase: z.string().optional() }),
   z.object({ what: z.literal("replicas") }),
+  z.object({ what: z.literal("waves") }),
   z.object({ what: z.literal("holding"), key: z.string() }),
 ]);
 export type Query = z.infer<typeof Query>;
@@ -31,7 +34,12 @@
   tenure: Tenure;
   leadership: Leadership;
   replicas: ReplicaStatus[];
+  /** Why stops and waves do not go on, from the last decision. */
+  holds: readonly Hold[];
+  /** Monotonic time. */
   now: number;
+  /** Wall-clock time. */
+  at: number;
 }
 
 /** Answers one query. */
@@ -54,6 +62,8 @@
       return requests(sources.state, query.phase);
     case "replicas":
       return { replicas: sources.replicas };
+    case "waves":
+      return waves(sources);
     case "holding":
       return {
         phase: attemptOf(sources.state.ledger, query.key)?.phase ?? "none",
@@ -69,7 +79,7 @@
     inForceRevision: tenure.leases.revisionInForce(state.revision, now),
     leader: leadership.leader ?? null,
     term: leadership.term,
-    requests: tenure.requests,
+    requests: tenure.requestsByOutcome(),
     entries: tenure.leases.records().map((record) => ({
       entry: record.entry,
       zone: record.zone,
@@ -134,7 +144,7 @@
   );
 }
 
-function services({ state, tenure }: Sources): unknown {
+function services({ state, tenure, at }: Sources): unknown {
   const targets = tenure.targets.targets();
   const rows = state.rules.services.map((service) => {
     const serving = targets.filter((target) => {
@@ -153,11 +163,21 @@
       slots: serving.reduce((sum, target) => sum + target.slots, 0),
       inFlight: usage.reduce((sum, use) => sum + (use?.inFlight ?? 0), 0),
       queued: usage.reduce((sum, use) => sum + (use?.queued ?? 0), 0),
+      budgetLeft:
+        spendingOf(state.accounts.services[service.name], service.budget, at)
+          .left,
     };
   });
   return { services: rows };
 }
 
+function waves({ state, holds }: Sources): unknown {
+  const { wave, round, startedAt, stops } = state.rollout;
+  const due =
+    Object.values(state.vms).filter((vm) => vm.maintainedAt < startedAt).length;
+  return { round, due, stops, waves: wave === null ? [] : [wave], holds };
+}
+
 function requests(state: State, phase: string | undefined): unknown {
   const all = [
     ...Object.values(state.ledger.open),
--- a/packages/daemon/src/leader/tenure.ts
+++ b/packages/daemon/src/leader/tenure.ts
@@ -20,8 +20,6 @@
   readonly leases: LeaseTable;
   readonly targets = new TargetTable();
   readonly slots: SlotLedger;
-  /** Requests that ended during this tenure, by outcome. */
-  readonly requests = { finished: 0, refused: 0, failed: 0 };
   readonly #settings: Settings;
   #routedRevision = -1;
   #routedTable = -1;
@@ -55,11 +53,11 @@
         inFlight: renewal.inFlight,
         usage: renewal.usage,
         unhealthy: renewal.unhealthy,
+        slots: renewal.slots,
         stopping: renewal.stopping,
       },
       now,
     );
-    this.#countRequests(renewal);
     this.#route(state, now);
     const known = renewal.tableTerm === this.term ? renewal.tableVersion : 0;
     return {
@@ -81,12 +79,19 @@
     this.slots.release(entry, incarnation);
   }
 
-  #countRequests(renewal: Renewal): void {
-    for (const use of Object.values(renewal.usage)) {
-      this.requests.finished += use.finished;
-      this.requests.refused += use.refused;
-      this.requests.failed += use.failed;
+  /** Requests that ended at the entries that are known, since their start. */
+  requestsByOutcome(): Record<"finished" | "refused" | "failed", number> {
+    const sum = { finished: 0, refused: 0, failed: 0 };
+    for (
+      const use of this.leases.records().flatMap((record) =>
+        Object.values(record.usage)
+      )
+    ) {
+      sum.finished += use.finished;
+      sum.refused += use.refused;
+      sum.failed += use.failed;
     }
+    return sum;
   }
 
   #route(state: State, now: number): void {
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./agent.ts";
 export * from "./announcer.ts";
 export * from "./behaviour.ts";
 export * from "./children.ts";
