--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -84,6 +84,7 @@
     this.#get("/v1/configuration", () => this.#read({ what: "configuration" }));
     this.#get("/v1/vms", () => this.#read({ what: "vms" }));
     this.#get("/v1/services", () => this.#read({ what: "services" }));
+    this.#get("/v1/waves", () => this.#read({ what: "waves" }));
     this.#get("/v1/replicas", () => this.#read({ what: "replicas" }));
     this.#get("/v1/force", (_, query) => {
       return this.#read({
--- /dev/null
+++ b/test/wave_test.ts
@@ -0,0 +1,116 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import type { Fleet, Run } from "@quetzalcove/emulator";
+import { callAdmin } from "@quetzalcove/emulator";
+import { Inventory } from "@quetzalcove/core";
+import { Cluster, network } from "./harness/cluster.ts";
+import {
+  call,
+  fleetOf,
+  inventoryOf,
+  rulesOf,
+  type Seen,
+} from "./harness/site.ts";
+
+const VMS = 8;
+
+describe("a maintenance round", () => {
+  const plain = inventoryOf(VMS);
+  const inventory = Inventory.parse({
+    ...plain,
+    vms: plain.vms.map((vm, index) => ({
+      ...vm,
+      agent: `${network("targets")}.251.${index + 1}:9100`,
+    })),
+  });
+  const rules = rulesOf({ budget: { unservedShare: 0.05 } });
+  rules.maintenance = {
+    ...rules.maintenance,
+    enabled: true,
+    bakeMs: 500,
+    survives: "vm",
+    domain: "rack",
+  };
+  const cluster = new Cluster({ entries: 4, replicas: 3 });
+  const runs: Run[] = [];
+  const seen: (Seen | undefined)[] = [];
+  let fleet: Fleet;
+
+  beforeAll(async () => {
+    await cluster.start();
+    await cluster.configure("e4", {
+      change: "first",
+      base: 0,
+      inventory,
+      rules,
+    });
+    fleet = fleetOf({ inventory, rules }, cluster.services(), runs);
+    await fleet.start();
+    await cluster.until("targets", async () => {
+      return (await cluster.status("e4"))?.counts.targets === VMS;
+    });
+    await cluster.until("slots", async () => {
+      const entry = cluster.service("e4");
+      return (await call({ entry, service: "intake", path: "/ready" }))
+        ?.status === 200;
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+    await cluster.stop();
+  });
+
+  it("reboots every VM once and cuts off no request, also when the leader is lost in a wave", async () => {
+    let isOver = false;
+    const pools = new Map<string, Set<string>>();
+    const caller = async (number: number): Promise<void> => {
+      for (let turn = 0; !isOver; turn++) {
+        const service = turn % 2 === 0 ? "intake" : "charts";
+        const entry = cluster.service("e4");
+        const order = { entry, service, path: `/load/${number}/${turn}` };
+        seen.push(await call({ ...order, emulate: { runMs: 100 } }));
+      }
+    };
+    const operator = async (): Promise<void> => {
+      while (!isOver) {
+        for (const vm of await cluster.vms("e4")) {
+          pools.set(vm.name, (pools.get(vm.name) ?? new Set()).add(vm.pool));
+        }
+      }
+    };
+    const activity = [
+      operator(),
+      ...Array.from({ length: 4 }, (_, number) => caller(number)),
+    ];
+    await cluster.until("the first wave", async () => {
+      const waves = await callAdmin<{ waves: unknown[] }>(
+        cluster.admin("e4"),
+        "/v1/waves",
+      );
+      return (waves?.value.waves?.length ?? 0) > 0;
+    });
+    const leader = await cluster.leader(["e4"]);
+    await cluster.kill(leader);
+    cluster.startDaemon(leader);
+    await cluster.until("every VM maintained", async () => {
+      const vms = await cluster.vms("e4");
+      return vms.length === VMS &&
+        vms.every((vm) => vm.maintainedAt > 0 && vm.phase === "serving");
+    });
+    isOver = true;
+    await Promise.all(activity);
+    expect(inventory.vms.map((vm) => fleet.rebootsOf(vm.name))).toEqual(
+      Array(VMS).fill(1),
+    );
+    expect(seen.length).toBeGreaterThan(0);
+    expect(
+      seen.filter((one) =>
+        one?.outcome !== "done" && one?.outcome !== "not run"
+      ),
+    ).toEqual([]);
+    expect(seen.filter((one) => one?.outcome === "done" && !one.own)).toEqual(
+      [],
+    );
+    expect([...pools.values()].every((pool) => pool.size === 1)).toBe(true);
+  });
+});
