--- /dev/null
+++ b/bench/src/routing/leased_sharing.ts
@@ -0,0 +1,136 @@
+/**
+ * Sharing by leases: the leader grants slots to entries with each renewal, in proportion to their need.
+ *
+ * @module
+ */
+import { RenewalPace, type Route, SlotLedger } from "@quetzalcove/core";
+import {
+  entriesOf,
+  type FleetSetup,
+  type SimulatedEntry,
+} from "./router_fleet.ts";
+import { type Sharing, VIEW_DELAY_MS } from "./strategy.ts";
+import { routes, type World } from "./world.ts";
+
+const EPOCH = 1;
+const LEASE_MS = 3_000;
+const MARGIN_MS = 300;
+
+/** What may vary. */
+export interface LeasedSetup extends FleetSetup {
+  /** Share of the slots that the leader keeps for entries with waiting requests. */
+  reserveShare?: number;
+}
+
+/** Starts a world whose slots are leased by the leader. */
+export function leased(world: World, setup: LeasedSetup): Sharing {
+  const entries = entriesOf(world, setup);
+  const ledger = new SlotLedger({
+    epoch: EPOCH,
+    leaseMs: LEASE_MS,
+    marginMs: MARGIN_MS,
+    entries: entries.map((entry) => `entry-${entry.index}`),
+    reserveShare: setup.reserveShare,
+  }, world.now);
+  ledger.setTargets(routes(), world.now);
+  const renewals = entries.map((entry) =>
+    new Renewals(entry, { world, ledger })
+  );
+  renewals.forEach((renewal) => renewal.start());
+  return {
+    arrive: (request, index) => {
+      entries[index]?.submit(request, (ending) => {
+        world.answer(request, ending);
+      });
+    },
+    loseEntry: (index) => entries[index]?.lose(),
+    setTargets: (table) => announce(world, { table, entries, ledger }),
+    messages: () => renewals.reduce((sum, { sent }) => sum + 2 * sent, 0),
+  };
+}
+
+function announce(
+  world: World,
+  { table, entries, ledger }: {
+    table: readonly Route[];
+    entries: readonly SimulatedEntry[];
+    ledger: SlotLedger;
+  },
+): void {
+  ledger.setTargets(table, world.now);
+  for (const entry of entries) {
+    const delayMs = world.random.between(0, VIEW_DELAY_MS);
+    world.events.after(delayMs, () => entry.setTargets(table));
+  }
+}
+
+/** The lease renewals of one entry. */
+class Renewals {
+  sent = 0;
+  readonly #entry: SimulatedEntry;
+  readonly #world: World;
+  readonly #ledger: SlotLedger;
+  readonly #pace: RenewalPace;
+  #pending = false;
+  #scheduledAt = Number.POSITIVE_INFINITY;
+
+  constructor(
+    entry: SimulatedEntry,
+    { world, ledger }: { world: World; ledger: SlotLedger },
+  ) {
+    this.#entry = entry;
+    this.#world = world;
+    this.#ledger = ledger;
+    this.#pace = new RenewalPace(world.random.uniform);
+  }
+
+  start(): void {
+    this.#entry.onDecision = () => this.#schedule();
+    const delayMs = this.#world.random.between(0, 100);
+    this.#world.events.after(delayMs, () => this.#renew());
+  }
+
+  #schedule(): void {
+    const dueAt = Math.max(this.#world.now, this.#pace.dueAt(this.#short()));
+    if (this.#pending || dueAt >= this.#scheduledAt) {
+      return;
+    }
+    this.#scheduledAt = dueAt;
+    this.#world.events.at(dueAt, () => {
+      if (this.#scheduledAt === dueAt && !this.#pending) {
+        this.#renew();
+      }
+    });
+  }
+
+  #renew(): void {
+    if (this.#entry.isLost) {
+      return;
+    }
+    this.#pending = true;
+    this.sent += 1;
+    const sentAt = this.#world.now;
+    this.#pace.sent(this.#short(), sentAt);
+    const report = this.#entry.router.report(EPOCH, sentAt);
+    this.#world.send(() => {
+      const grant = this.#ledger.report(report, this.#world.now);
+      this.#world.send(() => {
+        this.#pending = false;
+        this.#scheduledAt = Number.POSITIVE_INFINITY;
+        const allowance = grant && { ...grant, until: sentAt + LEASE_MS };
+        const { now } = this.#world;
+        this.#entry.act(
+          allowance === undefined
+            ? []
+            : this.#entry.router.setAllowance(allowance, now),
+        );
+        this.#pace.answered(this.#short());
+        this.#schedule();
+      });
+    });
+  }
+
+  #short(): boolean {
+    return this.#entry.router.isShort();
+  }
+}
--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
+import { scenario as routing } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [];
+export const SCENARIOS: readonly Scenario[] = [routing];
--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -10,10 +10,10 @@
 import type { Submission } from "./submission.ts";
 
 /** Live requests that may wait for each slot held. */
-const LIVE_WAITING_PER_SLOT = 2;
+const LIVE_WAITING_PER_SLOT = 3;
 
 /** A live request gives up after waiting this many mean run times. */
-const LIVE_PATIENCE_RUNS = 4;
+const LIVE_PATIENCE_RUNS = 6;
 
 /** The least time that a request waits before it gives up, unless its deadline is earlier. */
 const MIN_PATIENCE_MS = 100;
--- a/packages/core/src/routing/pool.ts
+++ b/packages/core/src/routing/pool.ts
@@ -17,6 +17,12 @@
 /** How often waiting overnight work is looked at, since the slots that live work leaves grow with time. */
 const OVERNIGHT_CHECK_MS = 250;
 
+/** Samples that the service's mean counts for in the mean of a target. */
+const TARGET_PRIOR_SAMPLES = 16;
+
+/** Samples after which older ones fade from the mean of a service. */
+const SERVICE_SAMPLES = 256;
+
 /** Fraction of the slots, as a divisor, that overnight work near its deadline may take ahead of live work. */
 const OVERNIGHT_RESERVE_DIVISOR = 8;
 
@@ -46,7 +52,9 @@
 
   constructor(service: RoutedService) {
     this.service = service;
-    this.run = new RunTime(service.expectedRunMs);
+    this.run = new RunTime(service.expectedRunMs, {
+      maxSamples: SERVICE_SAMPLES,
+    });
   }
 
   /** Takes a target in, or its new description. */
@@ -61,7 +69,7 @@
         allowance,
         inFlight: 0,
         health: new Health(),
-        run: new RunTime(this.run.meanMs),
+        run: new RunTime(this.run.meanMs, { weight: TARGET_PRIOR_SAMPLES }),
         usedAt: now,
       });
       return;
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -35,7 +35,7 @@
   tooLate,
   unknownService,
 } from "./refusals.ts";
-import { anyFree, choose, type Match, nextMatch } from "./selection.ts";
+import { choose, type Match, nextMatch } from "./selection.ts";
 import type { SlotReport } from "./slot_report.ts";
 import type {
   Completion,
@@ -234,10 +234,10 @@
     };
   }
 
-  /** Whether requests wait that an early renewal could serve. */
-  isShort(now: number): boolean {
+  /** Whether requests wait for a service of which this entry holds no slot, so that it should renew early. */
+  isShort(): boolean {
     for (const pool of this.#pools.values()) {
-      if (pool.line.urgentAndLive > 0 && !anyFree(pool, now)) {
+      if (pool.line.urgentAndLive > 0 && pool.slots === 0) {
         return true;
       }
     }
--- a/packages/core/src/routing/run_time.ts
+++ b/packages/core/src/routing/run_time.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-/** Weight of one observation once enough have been seen. */
-const MIN_WEIGHT = 1 / 32;
+/** Samples after which older ones fade. */
+const MAX_SAMPLES = 32;
 
 /** Time in which the longest observed run loses half of its height. */
 const LONGEST_HALF_LIFE_MS = 30_000;
@@ -13,30 +13,39 @@
 /** Assumed run time before anything is declared or observed. */
 const INITIAL_RUN_MS = 50;
 
+/** How much observations count. */
+export interface RunTimeWeights {
+  /** Samples that the expected run time counts for. */
+  weight?: number;
+  /** Samples after which older ones fade. */
+  maxSamples?: number;
+}
+
 /** Exponentially weighted mean and decaying maximum of run times. */
 export class RunTime {
   #meanMs: number;
-  #samples = 1;
+  #samples: number;
+  readonly #maxSamples: number;
   #longestMs = 0;
   #longestAt = 0;
 
-  constructor(expectedMs: number = INITIAL_RUN_MS) {
+  constructor(
+    expectedMs: number = INITIAL_RUN_MS,
+    { weight = 1, maxSamples = MAX_SAMPLES }: RunTimeWeights = {},
+  ) {
     this.#meanMs = expectedMs;
+    this.#samples = weight;
+    this.#maxSamples = maxSamples;
   }
 
   get meanMs(): number {
     return this.#meanMs;
   }
 
-  get samples(): number {
-    return this.#samples - 1;
-  }
-
   /** Adds one run. */
   observe(runMs: number, now: number): void {
-    this.#samples += 1;
-    const weight = Math.max(1 / this.#samples, MIN_WEIGHT);
-    this.#meanMs += (runMs - this.#meanMs) * weight;
+    this.#samples = Math.min(this.#samples + 1, this.#maxSamples);
+    this.#meanMs += (runMs - this.#meanMs) / this.#samples;
     this.#longestMs = Math.max(runMs, this.longestMs(now));
     this.#longestAt = now;
   }
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -17,7 +17,7 @@
 const SLOW_FACTOR = 3;
 
 /** After this long without use, what is known about a target's run time is halved. */
-const RELAX_AFTER_MS = 10_000;
+const RELAX_AFTER_MS = 5_000;
 
 /** Mean run times before its latest start at which overnight work goes ahead of live work. */
 const OVERNIGHT_MARGIN_RUNS = 4;
--- a/packages/core/src/routing/slot_ledger.ts
+++ b/packages/core/src/routing/slot_ledger.ts
@@ -6,6 +6,7 @@
  */
 import { SlotHolder } from "./slot_holder.ts";
 import {
+  cell,
   divide,
   type EntryNeed,
   type SlotMatrix,
@@ -145,14 +146,15 @@
     const quiet = this.isQuiet(now);
     for (const route of this.#routes) {
       const { target, service } = route;
-      const free = this.#free(route, { holder, now });
+      const { free, unplanned } = this.#room(route, { holder, now });
       const room = quiet ? Math.min(free, holder.confirmed(target)) : free;
-      const planned = this.#plans.get(service)?.get(holder.key)?.get(target);
-      const slots = Math.min(planned ?? 0, room);
+      const plan = this.#plans.get(service);
+      const planned = plan === undefined ? 0 : cell(plan, holder.key, target);
+      const slots = Math.min(planned, room);
       if (slots > 0) {
         wanted.set(target, slots);
       }
-      const limit = Math.min(room, this.#perEntry(route));
+      const limit = Math.min(room, unplanned, this.#perEntry(route));
       spare.set(target, Math.max(0, limit - slots));
     }
     this.#lendReserve(holder, { wanted, spare });
@@ -182,18 +184,22 @@
     }
   }
 
-  /** Slots of a target that no other holder may use. */
-  #free(
+  /** Slots of a target that no other holder may use, and those that are not meant for another either. */
+  #room(
     route: Route,
     { holder, now }: { holder: SlotHolder; now: number },
-  ): number {
+  ): { free: number; unplanned: number } {
+    const plan: SlotMatrix = this.#plans.get(route.service) ?? new Map();
     let free = this.#usable(route, now);
+    let unplanned = free;
     for (const other of this.#holders.values()) {
       if (other !== holder) {
-        free -= other.held(route.target);
+        const held = other.held(route.target);
+        free -= held;
+        unplanned -= Math.max(held, cell(plan, other.key, route.target));
       }
     }
-    return Math.max(0, free);
+    return { free: Math.max(0, free), unplanned: Math.max(0, unplanned) };
   }
 
   #usable(route: Route, now: number): number {
@@ -245,6 +251,7 @@
       entry: holder.key,
       live: holder.needs[service]?.live ?? 0,
       overnight: holder.needs[service]?.overnight ?? 0,
+      waiting: holder.needs[service]?.waiting ?? 0,
     }));
   }
 
--- a/packages/core/src/routing/slot_plan.ts
+++ b/packages/core/src/routing/slot_plan.ts
@@ -12,6 +12,7 @@
   entry: string;
   live: number;
   overnight: number;
+  waiting: number;
 }
 
 /** A target and the slots of it that may be used now. */
@@ -57,9 +58,28 @@
     quotas.set(entry, near ? now : Math.round(share));
   }
   settle(quotas, ideal, total);
+  relieve(quotas, needs);
   return quotas;
 }
 
+/** With fewer slots than entries, passes a slot from an entry without waiting requests to one that has some. */
+function relieve(
+  quotas: Map<string, number>,
+  needs: readonly EntryNeed[],
+): void {
+  const donors = needs.filter((need) => need.waiting === 0);
+  for (const { entry, waiting } of needs) {
+    if (waiting === 0 || (quotas.get(entry) ?? 0) > 0) {
+      continue;
+    }
+    const donor = donors.find((need) => (quotas.get(need.entry) ?? 0) > 0);
+    if (donor !== undefined) {
+      quotas.set(donor.entry, (quotas.get(donor.entry) ?? 0) - 1);
+      quotas.set(entry, 1);
+    }
+  }
+}
+
 /** Shares by need plus its square root (square-root staffing, Halfin and Whitt, 1981); overnight takes the rest. */
 function idealShares(
   needs: readonly EntryNeed[],
