--- /dev/null
+++ b/bench/src/routing/capacity_change.ts
@@ -0,0 +1,116 @@
+/**
+ * Admission while targets leave a pool and return: the limit from the slots held, against a limit by queueing delay
+ * with and without the proportional raise and the floor.
+ *
+ * @module
+ */
+import { atLeast, type Outcome, type Run } from "../scenario.ts";
+import type { Sharing, Strategy } from "./strategy.ts";
+import { mean } from "./loads.ts";
+import { queueingAdmission } from "./queueing_admission.ts";
+import { leasedStrategy } from "./strategies.ts";
+import { runTrial, type Trial } from "./trial.ts";
+import { routes, type World } from "./world.ts";
+
+const LEAVE_AT_MS = 6_000;
+const RETURN_AT_MS = 11_000;
+const END_MS = 17_000;
+const LOADS = [0.7, 1, 1.5] as const;
+const SEEDS = 5;
+const CHANGED_SERVICE = "service-3";
+const LEAVING = 5;
+
+/** Runs each admission through a loss and a return of capacity. */
+export function benchCapacityChange(run: Run): Outcome {
+  const seeds = run.quick ? 1 : SEEDS;
+  const results = LOADS.flatMap((load) =>
+    admissions().map((strategy) => ({
+      load,
+      name: strategy.name,
+      trials: Array.from({ length: seeds }, (_, index) =>
+        runTrial(strategy, {
+          seed: run.seed + index,
+          load,
+          warmUpMs: RETURN_AT_MS,
+          durationMs: END_MS - RETURN_AT_MS,
+          script,
+        })),
+    }))
+  );
+  return {
+    tables: [{
+      name:
+        "admission after 5 of 7 targets of one service return, over the 6 s that follow",
+      columns: [
+        "load",
+        "limit",
+        "goodput of the service",
+        "goodput",
+        "live p50 ms",
+        "live p99 ms",
+        "refused %",
+        "ok in each second",
+      ],
+      rows: results.map(({ load, name, trials }) => [
+        load,
+        name,
+        mean(trials, serviceGoodput),
+        mean(trials, ({ measures }) => measures.goodput),
+        mean(trials, ({ measures }) => measures.liveMs(50)),
+        mean(trials, ({ measures }) => measures.liveMs(99)),
+        mean(
+          trials,
+          ({ measures: m }) => 100 * m.endings.refused / m.offered,
+        ),
+        bySecond(trials),
+      ]),
+    }],
+    checks: LOADS.map((load) => {
+      const own = results.filter((result) => result.load === load);
+      const goodputs = own.map(({ trials }) => mean(trials, serviceGoodput));
+      const [used = 0, ...others] = goodputs;
+      return atLeast(
+        `returning capacity at ${load}: goodput over the best other limit`,
+        used / Math.max(...others),
+        1,
+      );
+    }),
+  };
+}
+
+function admissions(): Strategy[] {
+  return [
+    leasedStrategy("from slots held"),
+    leasedStrategy("by delay", { admission: () => queueingAdmission(false) }),
+    leasedStrategy("by delay, proportional raise and floor", {
+      admission: () => queueingAdmission(true),
+    }),
+  ];
+}
+
+function script(world: World, sharing: Sharing): void {
+  let left = LEAVING;
+  const table = routes().map((route) => {
+    const leaves = route.service === CHANGED_SERVICE && left > 0;
+    left -= leaves ? 1 : 0;
+    return leaves ? { ...route, state: "leaving" as const } : route;
+  });
+  world.events.at(LEAVE_AT_MS, () => sharing.setTargets(table));
+  world.events.at(RETURN_AT_MS, () => sharing.setTargets(routes()));
+}
+
+function serviceGoodput({ measures }: Trial): number {
+  const answered = measures.okByService.get(CHANGED_SERVICE) ?? 0;
+  return answered * 1_000 / (measures.until - measures.from);
+}
+
+function bySecond(trials: readonly Trial[]): string {
+  const seconds: number[] = [];
+  for (let at = RETURN_AT_MS; at < END_MS; at += 1_000) {
+    const second = at / 1_000;
+    seconds.push(
+      Math.round(mean(trials, (t) => t.measures.okBySecond[second] ?? 0)),
+    );
+  }
+  return seconds.join(" ");
+}
--- a/bench/src/routing/measures.ts
+++ b/bench/src/routing/measures.ts
@@ -22,9 +22,12 @@
 }
 
 const STEPS_PER_MS = 100;
+
+/** A refusal within this time was made when the request arrived. */
+const AT_ONCE_MS = 5;
 const SLICE_MS = 1_000;
 
-/** Counts and latencies of one run, from the end of its warm-up on. */
+/** Counts and latencies of one run, from the end of its warm-up on, but for overnight work from the start. */
 export class Measures {
   readonly from: number;
   readonly until: number;
@@ -48,8 +51,15 @@
     live: 0,
     overnight: 0,
   };
+  /** Requests refused without waiting. */
+  readonly refusedAtOnce: Record<Priority, number> = {
+    urgent: 0,
+    live: 0,
+    overnight: 0,
+  };
   /** Requests answered in time, by the second in which they were sent. */
   readonly okBySecond: number[] = [];
+  readonly okByService = new Map<string, number>();
   readonly #live: Histogram = build({ lowestDiscernibleValue: 1 });
   readonly #refusals: Histogram = build({ lowestDiscernibleValue: 1 });
 
@@ -79,6 +89,9 @@
     const steps = Math.round((now - request.sentAt) * STEPS_PER_MS);
     if (ending === "refused") {
       this.#refusals.recordValue(steps);
+      if (now - request.sentAt < AT_ONCE_MS) {
+        this.refusedAtOnce[request.priority] += 1;
+      }
     }
     if (ending === "ok" && !late) {
       this.#recordAnswer(request, steps);
@@ -104,12 +117,16 @@
     const second = Math.floor(request.sentAt / SLICE_MS);
     this.okBySecond[second] = (this.okBySecond[second] ?? 0) + 1;
     this.okByClass[request.priority] += 1;
+    const answered = this.okByService.get(request.service) ?? 0;
+    this.okByService.set(request.service, answered + 1);
     if (request.priority !== "overnight") {
       this.#live.recordValue(steps);
     }
   }
 
   #counts(request: SimulatedRequest): boolean {
-    return request.sentAt >= this.from && request.sentAt < this.until;
+    const measured = request.sentAt >= this.from &&
+      request.sentAt < this.until;
+    return measured || request.priority === "overnight";
   }
 }
--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -5,13 +5,17 @@
  * @module
  */
 import type { Fault } from "../fault.ts";
-import type { Pool } from "./pool.ts";
+import { overnightMs, type Pool } from "./pool.ts";
 import { type Moment, overloaded, tooLate } from "./refusals.ts";
+import type { Priority } from "../names.ts";
 import type { Submission } from "./submission.ts";
 
 /** Live requests that may wait for each slot held. */
 const LIVE_WAITING_PER_SLOT = 3;
 
+/** Share of the queue that overnight requests may take, so that live ones need not displace them. */
+const OVERNIGHT_QUEUE_SHARE = 0.5;
+
 /** A live request gives up after waiting this many mean run times. */
 const LIVE_PATIENCE_RUNS = 6;
 
@@ -61,11 +65,13 @@
   now: number,
 ): number {
   const { priority, deadline } = submission;
+  if (priority === "overnight") {
+    const slots = Math.max(pool.overnightReserve, pool.overnightSlots(now));
+    const count = pool.line.of(priority).length + 1;
+    return overnightMs(pool, { count, slots, now });
+  }
   const ahead = pool.line.ahead(priority, deadline) + 1;
-  const slots = priority === "overnight"
-    ? Math.max(pool.overnightReserve, pool.overnightSlots(now))
-    : pool.slots;
-  return ahead * pool.run.meanMs / Math.max(1, slots);
+  return ahead * pool.run.meanMs / Math.max(1, pool.slots);
 }
 
 /** Why a request cannot be queued, or undefined when it can. */
@@ -79,15 +85,41 @@
   if (now + waitMs + pool.run.meanMs > deadline) {
     return tooLate(pool, deadline, { now, random });
   }
-  if (pool.line.length >= pool.service.maxQueue) {
-    return overloaded(pool, { now, random });
-  }
-  const load = loadOf(pool);
-  const full = priority === "live" &&
-    load.waiting >= admission.limit(load, now);
+  const full = pool.line.length >= pool.service.maxQueue ||
+    isClassFull(pool, priority, { admission, now });
   return full ? overloaded(pool, { now, random }) : undefined;
 }
 
+function isClassFull(
+  pool: Pool,
+  priority: Priority,
+  { admission, now }: { admission: Admission; now: number },
+): boolean {
+  const load = loadOf(pool);
+  switch (priority) {
+    case "urgent":
+      return false;
+    case "live":
+      return load.waiting >= admission.limit(load, now);
+    case "overnight":
+      return pool.line.of(priority).length >=
+        OVERNIGHT_QUEUE_SHARE * pool.service.maxQueue;
+  }
+}
+
+/** Whether a request that starts now ends in time; overnight work is only taken when even a long run does. */
+export function endsInTime(
+  pool: Pool,
+  { priority, deadline }: Submission,
+  now: number,
+): boolean {
+  const { meanMs } = pool.run;
+  const runMs = priority === "overnight"
+    ? Math.max(meanMs, pool.run.longestMs(now))
+    : meanMs;
+  return now + runMs <= deadline;
+}
+
 /** Time from which it is useless to let a request wait. */
 export function giveUpAt(
   pool: Pool,
--- a/packages/core/src/routing/attempts.ts
+++ b/packages/core/src/routing/attempts.ts
@@ -33,7 +33,6 @@
     pool.overnightInFlight += 1;
   } else {
     pool.liveInFlight += 1;
-    pool.livePeak.observe(pool.liveInFlight, now);
   }
   if (pending.attempt === 1) {
     pool.budget.earn();
@@ -42,13 +41,12 @@
 }
 
 /** Frees the slot of an attempt. */
-export function release(flight: Flight, now: number): void {
+export function release(flight: Flight): void {
   const { pool, held, pending } = flight;
   held.inFlight -= 1;
   if (pending.priority === "overnight") {
     pool.overnightInFlight -= 1;
   } else {
-    pool.livePeak.observe(pool.liveInFlight, now);
     pool.liveInFlight -= 1;
   }
   if (held.inFlight === 0 && held.route.state === "absent") {
--- a/packages/core/src/routing/pool.ts
+++ b/packages/core/src/routing/pool.ts
@@ -5,15 +5,17 @@
  * @module
  */
 import { Health } from "./health.ts";
-import { Peak, Rate } from "./levels.ts";
+import { Rate } from "./rate.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { RunTime } from "./run_time.ts";
 import type { Route, RoutedService } from "./submission.ts";
 import { WaitingLine } from "./waiting_line.ts";
 
-const LIVE_PEAK_HALF_LIFE_MS = 2_000;
 const ARRIVAL_TIME_CONSTANT_MS = 2_000;
 
+/** Slots kept free for live work, in standard deviations of its need. */
+const LIVE_ROOM = 0.5;
+
 /** How often waiting overnight work is looked at, since the slots that live work leaves grow with time. */
 const OVERNIGHT_CHECK_MS = 250;
 
@@ -23,7 +25,7 @@
 /** Samples after which older ones fade from the mean of a service. */
 const SERVICE_SAMPLES = 256;
 
-/** Fraction of the slots, as a divisor, that overnight work near its deadline may take ahead of live work. */
+/** Part of the slots, as a divisor, that overnight work may count on. */
 const OVERNIGHT_RESERVE_DIVISOR = 8;
 
 /** A target and this entry's part of it. */
@@ -43,7 +45,6 @@
   readonly line = new WaitingLine();
   readonly budget = new RetryBudget();
   readonly held = new Map<string, Held>();
-  readonly livePeak = new Peak(LIVE_PEAK_HALF_LIFE_MS);
   readonly arrivals = new Rate(ARRIVAL_TIME_CONSTANT_MS);
   service: RoutedService;
   run: RunTime;
@@ -133,14 +134,25 @@
     return false;
   }
 
-  /** Slots that overnight work near its deadline may take ahead of live work. */
+  /** Slots that overnight work may count on when it is admitted, whatever live work needs. */
   get overnightReserve(): number {
     return Math.max(1, Math.floor(this.slots / OVERNIGHT_RESERVE_DIVISOR));
   }
 
-  /** Slots that live work has left free recently. */
+  /** Slots that overnight work takes ahead of live work now, so that what was admitted ends by its hour. */
+  overnightDue(now: number): number {
+    const queue = this.line.of("overnight");
+    const leftMs = (queue[0]?.deadline ?? Number.POSITIVE_INFINITY) - now;
+    const workMs = overnightMs(this, { count: queue.length, slots: 1, now });
+    const needed = workMs / Math.max(this.run.meanMs, leftMs);
+    return Math.min(Math.round(needed), Math.ceil(this.slots / 2));
+  }
+
+  /** Slots that live work leaves, with room for its fluctuation (square-root staffing). */
   overnightSlots(now: number): number {
-    return Math.max(0, this.slots - Math.ceil(this.livePeak.value(now) - 0.5));
+    const need = this.liveNeed(now);
+    const kept = need + LIVE_ROOM * Math.sqrt(need);
+    return Math.max(0, Math.ceil(this.slots - kept));
   }
 
   /** Mean number of slots that urgent and live callers ask for, by Little's law. */
@@ -148,3 +160,14 @@
     return this.arrivals.perMs(now) * this.run.meanMs;
   }
 }
+
+/** Time in which so many overnight requests end on so many slots, with room for the variation of their runs. */
+export function overnightMs(
+  pool: Pool,
+  { count, slots, now }: { count: number; slots: number; now: number },
+): number {
+  const { meanMs } = pool.run;
+  const runs = count / Math.max(1, slots);
+  const longestMs = Math.max(meanMs, pool.run.longestMs(now));
+  return (runs + 2 * Math.sqrt(runs)) * meanMs + longestMs;
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -9,6 +9,7 @@
 import {
   type Admission,
   capacityAdmission,
+  endsInTime,
   giveUpAt,
   loadOf,
   refusal,
@@ -157,7 +158,7 @@
       return [];
     }
     this.#flights.delete(id);
-    release(flight, now);
+    release(flight);
     learn(flight, completion, now);
     const next = flight.settled
       ? []
@@ -256,7 +257,7 @@
   #refusalOf(pool: Pool, pending: Pending, now: number): Fault | undefined {
     const moment = this.#moment(now);
     const idle = pool.line.length === 0 &&
-      now + pool.run.meanMs <= pending.deadline &&
+      endsInTime(pool, pending, now) &&
       choose(pool, pending, moment) !== undefined;
     return idle
       ? undefined
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -19,9 +19,6 @@
 /** After this long without use, what is known about a target's run time is halved. */
 const RELAX_AFTER_MS = 5_000;
 
-/** Mean run times before its latest start at which overnight work goes ahead of live work. */
-const OVERNIGHT_MARGIN_RUNS = 4;
-
 /** A request and the target that has a slot for it. */
 export interface Match {
   pending: Pending;
@@ -101,16 +98,11 @@
   return undefined;
 }
 
-/** Overnight work that has to start now to end by its hour, within its reserve. */
+/** Overnight work that has to go ahead of live work to end by its hour. */
 function dueOvernight(pool: Pool, now: number): readonly Pending[] {
-  const queue = pool.line.of("overnight");
-  const head = queue[0];
-  const reserve = pool.overnightReserve;
-  if (head === undefined || pool.overnightInFlight >= reserve) {
-    return [];
-  }
-  const runs = queue.length / reserve + OVERNIGHT_MARGIN_RUNS;
-  return head.deadline - now <= runs * pool.run.meanMs ? queue : [];
+  return pool.overnightInFlight < pool.overnightDue(now)
+    ? pool.line.of("overnight")
+    : [];
 }
 
 /** Overnight work, while there are slots that live work has left free lately. */
