Test the router, ejection, the ledger and the limit of slots

The correction of the arrival rate for the time before the first request was found by a test: right after a start the need was underestimated and a third of three failing targets was ejected although the rest could not carry the load. A failing target of two was never ejected under overload; now one always may be.

--- a/packages/core/src/routing/ejection.ts
+++ b/packages/core/src/routing/ejection.ts
@@ -24,7 +24,8 @@
   const slots = rest.reduce((sum, other) => sum + other.allowance, 0);
   const carried = slots >= SPARE_FACTOR * pool.liveNeed(now);
   const total = pool.held.size;
-  const few = total - rest.length <= Math.floor(total / MAX_EJECTED_DIVISOR);
+  const most = Math.max(1, Math.floor(total / MAX_EJECTED_DIVISOR));
+  const few = total - rest.length <= most;
   const spared = verdict === "failing" ? carried || few : carried;
   if (spared) {
     held.health.eject(now);
--- a/packages/core/src/routing/health.ts
+++ b/packages/core/src/routing/health.ts
@@ -58,6 +58,17 @@
     return this.#attempts === 0 ? 0 : this.#failures / this.#attempts;
   }
 
+  /** Share of failures, near zero while little is known. */
+  get suspicion(): number {
+    return this.#failures / (this.#attempts + 1);
+  }
+
+  /** Halves the weight of past attempts, for a target that has not been used for a while. */
+  fade(): void {
+    this.#attempts /= 2;
+    this.#failures /= 2;
+  }
+
   /** The most requests that may be in flight at the target from this entry. */
   limit(now: number): number {
     if (this.#standing === "ejected") {
--- a/packages/core/src/routing/rate.ts
+++ b/packages/core/src/routing/rate.ts
@@ -4,10 +4,14 @@
  * @module
  */
 
-/** An exponentially weighted rate of events. */
+/** Time that the first event counts for. */
+const FIRST_MS = 250;
+
+/** An exponentially weighted rate of events, corrected for the time before the first one. */
 export class Rate {
-  #perMs = 0;
+  #sum = 0;
   #at = 0;
+  #startedAt: number | undefined;
   readonly #timeConstantMs: number;
 
   constructor(timeConstantMs: number) {
@@ -16,13 +20,20 @@
 
   /** Records one event. */
   add(now: number): void {
-    this.#perMs = this.perMs(now) + 1 / this.#timeConstantMs;
+    this.#startedAt ??= now;
+    this.#sum = this.#faded(now) + 1;
     this.#at = now;
   }
 
   /** Events for each millisecond. */
   perMs(now: number): number {
-    const passed = Math.max(0, now - this.#at);
-    return this.#perMs * Math.exp(-passed / this.#timeConstantMs);
+    const seenMs = now - (this.#startedAt ?? now) + FIRST_MS;
+    const weight = 1 - Math.exp(-seenMs / this.#timeConstantMs);
+    return this.#faded(now) / (this.#timeConstantMs * weight);
+  }
+
+  #faded(now: number): number {
+    const passedMs = Math.max(0, now - this.#at);
+    return this.#sum * Math.exp(-passedMs / this.#timeConstantMs);
   }
 }
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -16,7 +16,7 @@
 /** A target this many times slower than the service's mean counts as slow. */
 const SLOW_FACTOR = 3;
 
-/** After this long without use, what is known about a target's run time is halved. */
+/** After this long without use, what is known about a target counts half. */
 const RELAX_AFTER_MS = 5_000;
 
 /** A request and the target that has a slot for it. */
@@ -116,10 +116,11 @@
 function costOf(pool: Pool, held: Held, { now, random }: Moment): number {
   if (now - held.usedAt > RELAX_AFTER_MS) {
     held.run.relax(pool.run.meanMs, 0.5);
+    held.health.fade();
     held.usedAt = now;
   }
   const busy = 1 + held.inFlight / held.allowance;
-  const failing = 1 + FAILURE_PENALTY * held.health.failureShare;
+  const failing = 1 + FAILURE_PENALTY * held.health.suspicion;
   return held.run.meanMs * busy * failing * (1 + JITTER * random());
 }
 
--- /dev/null
+++ b/packages/core/test/routing_ledger_test.ts
@@ -0,0 +1,250 @@
+import { type Route, Router, SlotLedger } from "@quetzalcove/core";
+import { expect, test } from "vitest";
+import { route, submission } from "./routing_fixture.ts";
+
+const LEASE_MS = 3_000;
+const MARGIN_MS = 300;
+const MIN_DRAIN_MS = 1_000;
+
+function ledgerWith(
+  entries: readonly string[],
+  { table, epoch = 1, now = 0 }: {
+    table: readonly Route[];
+    epoch?: number;
+    now?: number;
+  },
+): SlotLedger {
+  const setup = { epoch, leaseMs: LEASE_MS, marginMs: MARGIN_MS, entries };
+  const ledger = new SlotLedger(setup, now);
+  ledger.setTargets(table, now);
+  return ledger;
+}
+
+function routerOf(entry: string, table: readonly Route[]): Router {
+  const router = new Router({ entry, incarnation: 1, random: () => 0.5 });
+  const service = { name: "intake", maxQueue: 64, expectedRunMs: 100 };
+  router.setServices([service], 0);
+  router.setTargets(table, 0);
+  return router;
+}
+
+/** One renewal without delays. */
+function renew(
+  router: Router,
+  ledger: SlotLedger,
+  { now, epoch = 1 }: { now: number; epoch?: number },
+): void {
+  const grant = ledger.report(router.report(epoch, now), now);
+  if (grant !== undefined) {
+    router.setAllowance({ ...grant, until: now + LEASE_MS }, now);
+  }
+}
+
+function slotsOf(router: Router): number {
+  return router.describe(0)[0]?.slots ?? 0;
+}
+
+const TABLE = ["a", "b", "c"].map((target) => route(target));
+
+test("divides every slot among the entries, evenly when they need alike", () => {
+  const routers = ["e1", "e2", "e3"].map((entry) => routerOf(entry, TABLE));
+  const ledger = ledgerWith(["e1", "e2", "e3"], { table: TABLE });
+  for (let now = 0; now < 3_000; now += 500) {
+    routers.forEach((router) => renew(router, ledger, { now }));
+  }
+  expect(routers.map(slotsOf)).toEqual([8, 8, 8]);
+  expect(ledger.describe(3_000)).toMatchInlineSnapshot(`
+    [
+      {
+        "holders": [
+          {
+            "entry": "e1",
+            "incarnation": 1,
+            "slots": 2,
+          },
+          {
+            "entry": "e2",
+            "incarnation": 1,
+            "slots": 2,
+          },
+          {
+            "entry": "e3",
+            "incarnation": 1,
+            "slots": 4,
+          },
+        ],
+        "slots": 8,
+        "target": "a",
+        "usable": 8,
+      },
+      {
+        "holders": [
+          {
+            "entry": "e1",
+            "incarnation": 1,
+            "slots": 3,
+          },
+          {
+            "entry": "e2",
+            "incarnation": 1,
+            "slots": 3,
+          },
+          {
+            "entry": "e3",
+            "incarnation": 1,
+            "slots": 2,
+          },
+        ],
+        "slots": 8,
+        "target": "b",
+        "usable": 8,
+      },
+      {
+        "holders": [
+          {
+            "entry": "e1",
+            "incarnation": 1,
+            "slots": 3,
+          },
+          {
+            "entry": "e2",
+            "incarnation": 1,
+            "slots": 3,
+          },
+          {
+            "entry": "e3",
+            "incarnation": 1,
+            "slots": 2,
+          },
+        ],
+        "slots": 8,
+        "target": "c",
+        "usable": 8,
+      },
+    ]
+  `);
+});
+
+test("moves slots to the entry that needs them, once the others returned them", () => {
+  const [busy, idle] = ["e1", "e2"].map((entry) => routerOf(entry, TABLE));
+  const ledger = ledgerWith(["e1", "e2"], { table: TABLE });
+  if (busy === undefined || idle === undefined) {
+    throw new Error("Two routers are needed");
+  }
+  for (let now = 0; now < 6_000; now += 10) {
+    const deadline = now + 5_000;
+    for (
+      const dispatch of busy.submit(submission(`r${now}`, { deadline }), now)
+    ) {
+      if (dispatch.kind === "send") {
+        busy.complete(dispatch.id, "ok", now);
+      }
+    }
+    if (now % 1_000 === 0) {
+      renew(busy, ledger, { now });
+      renew(idle, ledger, { now: now });
+    }
+  }
+  expect(slotsOf(busy)).toBeGreaterThan(slotsOf(idle));
+  expect(slotsOf(busy) + slotsOf(idle)).toBe(24);
+});
+
+test("grants the slots of a lost entry only after its lease and its runs have surely ended", () => {
+  const [left, lost] = ["e1", "e2"].map((entry) => routerOf(entry, TABLE));
+  const ledger = ledgerWith(["e1", "e2"], { table: TABLE });
+  if (left === undefined || lost === undefined) {
+    throw new Error("Two routers are needed");
+  }
+  for (let now = 0; now <= 2_000; now += 500) {
+    renew(left, ledger, { now });
+    renew(lost, ledger, { now });
+  }
+  expect(slotsOf(left)).toBe(12);
+  const free = 2_000 + LEASE_MS + MARGIN_MS + MIN_DRAIN_MS;
+  renew(left, ledger, { now: free - 1 });
+  expect(slotsOf(left)).toBe(12);
+  renew(left, ledger, { now: free });
+  expect(slotsOf(left)).toBe(24);
+});
+
+test("frees the slots of a planned stop at once", () => {
+  const [left, stopped] = ["e1", "e2"].map((entry) => routerOf(entry, TABLE));
+  const ledger = ledgerWith(["e1", "e2"], { table: TABLE });
+  if (left === undefined || stopped === undefined) {
+    throw new Error("Two routers are needed");
+  }
+  for (let now = 0; now <= 1_000; now += 500) {
+    renew(left, ledger, { now });
+    renew(stopped, ledger, { now });
+  }
+  ledger.release("e2", 1);
+  renew(left, ledger, { now: 1_100 });
+  expect(slotsOf(left)).toBe(24);
+});
+
+test("a new leader grants nothing until every entry reported what it holds", () => {
+  const [first, second] = ["e1", "e2"].map((entry) => routerOf(entry, TABLE));
+  const ledger = ledgerWith(["e1", "e2"], { table: TABLE });
+  if (first === undefined || second === undefined) {
+    throw new Error("Two routers are needed");
+  }
+  renew(first, ledger, { now: 0 });
+  renew(second, ledger, { now: 0 });
+  renew(first, ledger, { now: 500 });
+  const next = ledgerWith(["e1", "e2"], { table: TABLE, epoch: 2, now: 600 });
+  const before = slotsOf(first);
+  renew(first, next, { now: 700, epoch: 2 });
+  expect(slotsOf(first)).toBeLessThanOrEqual(before);
+  expect(next.isQuiet(700)).toBe(true);
+  renew(second, next, { now: 800, epoch: 2 });
+  expect(next.isQuiet(800)).toBe(false);
+  for (let now = 1_000; now < 3_000; now += 500) {
+    renew(first, next, { now, epoch: 2 });
+    renew(second, next, { now, epoch: 2 });
+  }
+  expect([slotsOf(first), slotsOf(second)]).toEqual([12, 12]);
+});
+
+test("a target that joins gets its slots step by step, and one that leaves none", () => {
+  const router = routerOf("e1", TABLE);
+  const ledger = ledgerWith(["e1"], { table: TABLE });
+  renew(router, ledger, { now: 0 });
+  const table = [...TABLE, route("d")];
+  ledger.setTargets(table, 1_000);
+  router.setTargets(table, 1_000);
+  const slots = [1_000, 2_000, 3_000, 4_000].map((now) => {
+    renew(router, ledger, { now });
+    return slotsOf(router);
+  });
+  expect(slots).toEqual([26, 28, 30, 32]);
+  ledger.setTargets([...TABLE, route("d", { state: "leaving" })], 5_000);
+  renew(router, ledger, { now: 5_000 });
+  expect(slotsOf(router)).toBe(24);
+});
+
+test("with fewer slots than entries, an idle entry passes its slot to one with waiting requests", () => {
+  const table = [route("a", { slots: 2 })];
+  const routers = ["e1", "e2", "e3"].map((entry) => routerOf(entry, table));
+  const ledger = ledgerWith(["e1", "e2", "e3"], { table });
+  for (let now = 0; now < 2_000; now += 500) {
+    routers.forEach((router) => renew(router, ledger, { now }));
+  }
+  const starved = routers.find((router) => slotsOf(router) === 0);
+  expect(starved?.submit(submission("r1", { deadline: 9_000 }), 2_000))
+    .toMatchObject([{ kind: "queue" }]);
+  expect(starved?.isShort()).toBe(true);
+  for (let now = 2_100; now < 3_000; now += 250) {
+    routers.forEach((router) => renew(router, ledger, { now }));
+  }
+  expect(starved?.describe(3_000)[0]?.liveInFlight).toBe(1);
+});
+
+test("all entries together stay within the connections of a target", () => {
+  const table = [route("a", { slots: 8, connections: 9 })];
+  const routers = ["e1", "e2", "e3"].map((entry) => routerOf(entry, table));
+  const ledger = ledgerWith(["e1", "e2", "e3"], { table });
+  for (let now = 0; now < 2_000; now += 500) {
+    routers.forEach((router) => renew(router, ledger, { now }));
+  }
+  expect(Math.max(...routers.map(slotsOf))).toBeLessThanOrEqual(3);
+});
--- /dev/null
+++ b/packages/core/test/routing_router_test.ts
@@ -0,0 +1,281 @@
+import { expect, test } from "vitest";
+import { route, routerWith, submission } from "./routing_fixture.ts";
+
+test("sends to a free slot, queues behind it, and sends the next when the slot is free", () => {
+  const router = routerWith({ a: 1 });
+  expect([
+    router.submit(submission("r1"), 0),
+    router.submit(submission("r2"), 1),
+    router.complete("r1", "ok", 90),
+    router.complete("r2", "ok", 180),
+  ]).toMatchInlineSnapshot(`
+    [
+      [
+        {
+          "address": "127.0.0.1:80",
+          "attempt": 1,
+          "id": "r1",
+          "kind": "send",
+          "target": "a",
+        },
+      ],
+      [
+        {
+          "id": "r2",
+          "kind": "queue",
+        },
+      ],
+      [
+        {
+          "address": "127.0.0.1:80",
+          "attempt": 1,
+          "id": "r2",
+          "kind": "send",
+          "target": "a",
+        },
+      ],
+      [],
+    ]
+  `);
+});
+
+test("starts urgent before live, and the earlier deadline first within a class", () => {
+  const router = routerWith({ a: 1 });
+  router.submit(submission("running"), 0);
+  router.submit(submission("live late", { deadline: 4_000 }), 0);
+  router.submit(submission("live early", { deadline: 3_000 }), 0);
+  router.submit(submission("urgent", { priority: "urgent" }), 0);
+  const order: string[] = [];
+  let current = "running";
+  for (let now = 50; order.length < 3; now += 50) {
+    const [next] = router.complete(current, "ok", now);
+    current = next?.id ?? "";
+    order.push(current);
+  }
+  expect(order).toEqual(["urgent", "live early", "live late"]);
+});
+
+test("refuses at once, as not run and with a time to come back, what the queue has no room for", () => {
+  const router = routerWith({ a: 1 });
+  const answers = ["r1", "r2", "r3", "r4", "r5"].map((id) =>
+    router.submit(submission(id), 0).at(-1)
+  );
+  expect(answers.map((answer) => answer?.kind)).toEqual(
+    ["send", "queue", "queue", "queue", "refuse"],
+  );
+  expect(answers.at(-1)).toMatchInlineSnapshot(`
+    {
+      "fault": {
+        "kind": "overloaded",
+        "message": "Service "intake" has no free slot and 3 requests wait",
+        "outcome": "not run",
+        "retryAfterMs": 2660,
+      },
+      "id": "r5",
+      "kind": "refuse",
+    }
+  `);
+});
+
+test("refuses at once what cannot be answered by its deadline", () => {
+  const router = routerWith({ a: 1 });
+  const [refused] = router.submit(submission("r1", { deadline: 50 }), 0);
+  expect(refused).toMatchObject({
+    kind: "refuse",
+    fault: { kind: "expired", outcome: "not run" },
+  });
+});
+
+test("refuses a waiting request as soon as waiting on is useless", () => {
+  const router = routerWith({ a: 1 });
+  router.submit(submission("r1"), 0);
+  router.submit(submission("r2", { deadline: 400 }), 0);
+  const due = router.nextWakeup();
+  expect(due).toBe(300);
+  expect(router.expire(due)).toMatchObject([{ kind: "refuse", id: "r2" }]);
+});
+
+test("a full queue gives the place of the lowest class to a higher one", () => {
+  const router = routerWith({ a: 1 }, { maxQueue: 2 });
+  router.submit(submission("running"), 0);
+  router.submit(
+    submission("night", { priority: "overnight", deadline: 900_000 }),
+    0,
+  );
+  router.submit(submission("live"), 0);
+  expect(router.submit(submission("urgent", { priority: "urgent" }), 0))
+    .toMatchObject([
+      { kind: "refuse", id: "night", fault: { outcome: "not run" } },
+      { kind: "queue", id: "urgent" },
+    ]);
+});
+
+test("a timeout answers the caller and keeps the slot until the attempt ends", () => {
+  const router = routerWith({ a: 1 });
+  router.submit(submission("r1", { deadline: 200 }), 0);
+  expect(router.expire(200)).toMatchObject([
+    { kind: "timeout", id: "r1", fault: { outcome: "unknown" } },
+  ]);
+  expect(router.submit(submission("r2"), 201).at(-1)?.kind).toBe("queue");
+  expect(router.complete("r1", "ok", 300)).toMatchObject([
+    { kind: "send", id: "r2" },
+  ]);
+});
+
+test("a caller that has gone frees its place in the queue but not its slot", () => {
+  const router = routerWith({ a: 1 });
+  router.submit(submission("r1"), 0);
+  router.submit(submission("r2"), 0);
+  expect(router.cancel("r1", 1)).toEqual([]);
+  expect(router.cancel("r2", 1)).toEqual([]);
+  expect(router.complete("r1", "failed", 90)).toEqual([]);
+  expect(router.submit(submission("r3"), 91)[0]?.kind).toBe("send");
+});
+
+test("without a lease nothing starts, and what waits is refused when the lease ends", () => {
+  const router = routerWith({ a: 1 }, { until: 250 });
+  router.submit(submission("r1"), 0);
+  router.submit(submission("r2"), 0);
+  expect(router.mayStart("r1", 249)).toBe(true);
+  expect(router.mayStart("r1", 250)).toBe(false);
+  expect(router.nextWakeup()).toBe(250);
+  expect(router.expire(250)).toMatchObject([
+    { kind: "refuse", id: "r2", fault: { kind: "no_lease" } },
+  ]);
+  expect(router.submit(submission("r3"), 251)).toMatchObject([
+    { kind: "refuse", fault: { kind: "no_lease", outcome: "not run" } },
+  ]);
+});
+
+test("a request whose target began to leave before its first byte goes to another target", () => {
+  const router = routerWith({ a: 1, b: 0 });
+  router.submit(submission("r1"), 0);
+  router.setTargets([route("a", { state: "leaving" }), route("b")], 1);
+  expect(router.mayStart("r1", 1)).toBe(false);
+  expect(router.complete("r1", "reroute", 1)).toMatchObject([
+    { kind: "queue", id: "r1" },
+  ]);
+  const grant = { epoch: 1, sequence: 2, base: 1, slots: { b: 1 } };
+  expect(router.setAllowance({ ...grant, until: 9_000 }, 2)).toMatchObject([
+    { kind: "send", id: "r1", target: "b" },
+  ]);
+});
+
+test.each(["unreachable", "refused"] as const)(
+  "what surely did not run (%s) is tried on another target",
+  (completion) => {
+    const router = routerWith({ a: 1, b: 1 });
+    const [first] = router.submit(submission("r1"), 0);
+    const [second] = router.complete("r1", completion, 10);
+    expect([first, second]).toMatchObject([
+      { kind: "send", attempt: 1 },
+      { kind: "send", attempt: 2 },
+    ]);
+    expect(second).not.toMatchObject({
+      target: (first as { target: string }).target,
+    });
+  },
+);
+
+test("what may have run is tried again only if it is repeatable", () => {
+  const router = routerWith({ a: 1, b: 1 });
+  router.submit(submission("once"), 0);
+  expect(router.complete("once", "failed", 10)).toMatchObject([
+    { kind: "fail", id: "once", mayHaveRun: true },
+  ]);
+  router.submit(submission("again", { repeatable: true }), 20);
+  expect(router.complete("again", "failed", 30)[0]).toMatchObject({
+    kind: "send",
+    attempt: 2,
+  });
+});
+
+test("never says not run of a request of which one attempt may have run", () => {
+  const router = routerWith({ a: 1, b: 1 });
+  router.submit(submission("r1", { repeatable: true }), 0);
+  router.complete("r1", "failed", 10);
+  expect(router.complete("r1", "refused", 20)).toMatchObject([
+    { kind: "fail", id: "r1", mayHaveRun: true },
+  ]);
+});
+
+test("a retry that waits in vain is answered with the failure of its first attempt", () => {
+  const router = routerWith({ a: 1, b: 1 });
+  router.submit(submission("other"), 0);
+  router.submit(submission("r1", { repeatable: true, deadline: 400 }), 0);
+  router.complete("r1", "failed", 10);
+  expect(router.expire(300)).toMatchObject([
+    { kind: "fail", id: "r1", mayHaveRun: true },
+  ]);
+});
+
+test("retries stay within a tenth of the load", () => {
+  const router = routerWith({ a: 8, b: 8, c: 8 });
+  let retries = 0;
+  for (let index = 0; index < 200; index++) {
+    router.submit(submission(`r${index}`), index);
+    const [next] = router.complete(`r${index}`, "refused", index);
+    if (next?.kind === "send") {
+      retries += 1;
+      router.complete(`r${index}`, "ok", index);
+    }
+  }
+  expect(retries).toBeGreaterThan(0);
+  expect(retries).toBeLessThanOrEqual(1 + 200 / 10);
+});
+
+test("overnight work waits while live work needs the slots, and goes ahead to end by its hour", () => {
+  const router = routerWith({ a: 1 });
+  const night = submission("night", {
+    priority: "overnight",
+    deadline: 20_000,
+  });
+  let now = 0;
+  let current = "live0";
+  router.submit(submission(current, { deadline: 5_000 }), now);
+  expect(router.submit(night, now).at(-1)?.kind).toBe("queue");
+  for (let index = 1; current !== "night" && now < 30_000; index++) {
+    router.submit(submission(`live${index}`, { deadline: now + 5_000 }), now);
+    now += 100;
+    const next = router.complete(current, "ok", now).find((d) =>
+      d.kind === "send"
+    );
+    current = next?.id ?? "";
+  }
+  expect(current).toBe("night");
+  expect(now).toBeGreaterThan(15_000);
+  expect(now).toBeLessThan(20_000 - 100);
+});
+
+test("an idle service lets overnight work use every slot", () => {
+  const router = routerWith({ a: 2 });
+  const night = { priority: "overnight", deadline: 60_000 } as const;
+  const kinds = ["n1", "n2"].map((id) =>
+    router.submit(submission(id, night), 0)[0]?.kind
+  );
+  expect(kinds).toEqual(["send", "send"]);
+});
+
+test("ignores grants that are late, out of order or of an earlier leader", () => {
+  const router = routerWith({ a: 1 });
+  const grant = { epoch: 1, sequence: 3, base: 1, slots: { a: 2 } };
+  const slots = (): number | undefined => router.describe(10)[0]?.slots;
+  router.setAllowance({ ...grant, until: 10 }, 10);
+  expect(slots()).toBe(1);
+  router.setAllowance({ ...grant, until: 900 }, 10);
+  expect(slots()).toBe(2);
+  router.setAllowance(
+    { ...grant, sequence: 2, slots: { a: 5 }, until: 900 },
+    10,
+  );
+  expect(slots()).toBe(2);
+  router.report(2, 10);
+  router.setAllowance({
+    ...grant,
+    sequence: 9,
+    base: 3,
+    slots: { a: 5 },
+    until: 900,
+  }, 10);
+  expect(slots()).toBe(2);
+});
--- /dev/null
+++ b/packages/core/test/routing_slots_test.ts
@@ -0,0 +1,306 @@
+import {
+  type Allowance,
+  type Dispatch,
+  Router,
+  SlotLedger,
+  type SlotReport,
+} from "@quetzalcove/core";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { route, submission } from "./routing_fixture.ts";
+
+const LEASE_MS = 3_000;
+const MARGIN_MS = 300;
+const ENTRIES = 3;
+const SLOTS = 4;
+const TABLE = ["a", "b"].map((target) => route(target, { slots: SLOTS }));
+
+/** A lost entry's runs end within this time. */
+const LONGEST_RUN_MS = 900;
+
+type Step =
+  | { kind: "pass"; ms: number }
+  | { kind: "submit"; entry: number; count: number }
+  | { kind: "complete"; pick: number }
+  | { kind: "report"; entry: number }
+  | { kind: "deliver"; pick: number; again: boolean }
+  | { kind: "drop"; pick: number }
+  | { kind: "restart"; entry: number }
+  | { kind: "leader" }
+  | { kind: "target"; state: "serving" | "leaving" };
+
+const entry = fc.nat({ max: ENTRIES - 1 });
+const pick = fc.nat({ max: 50 });
+const STEPS: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("pass" as const),
+      ms: fc.integer({ min: 1, max: 900 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("submit" as const),
+      entry,
+      count: fc.integer({ min: 1, max: 8 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({ kind: fc.constant("complete" as const), pick }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({ kind: fc.constant("report" as const), entry }),
+  },
+  {
+    weight: 9,
+    arbitrary: fc.record({
+      kind: fc.constant("deliver" as const),
+      pick,
+      again: fc.boolean(),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("drop" as const), pick }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("restart" as const), entry }),
+  },
+  { weight: 1, arbitrary: fc.constant({ kind: "leader" as const }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("target" as const),
+      state: fc.constantFrom("serving" as const, "leaving" as const),
+    }),
+  },
+);
+
+type Message =
+  | { to: "leader"; report: SlotReport; sentAt: number; incarnation: number }
+  | { to: number; allowance: Allowance; incarnation: number };
+
+interface Run {
+  id: string;
+  target: string;
+  entry: number;
+  incarnation: number;
+  /** End of the run of a lost entry. */
+  endsAt?: number;
+}
+
+/** Entries, leaders, targets and a network that delays, drops, repeats and reorders. */
+class Fleet {
+  now = 0;
+  epoch = 1;
+  readonly runs = new Map<string, Run>();
+  readonly #messages: Message[] = [];
+  readonly #incarnations = Array.from({ length: ENTRIES }, () => 1);
+  readonly #routers = this.#incarnations.map((_, index) => this.#boot(index));
+  #ledger = this.#lead();
+  #submitted = 0;
+  #state: "serving" | "leaving" = "serving";
+
+  step(step: Step): void {
+    switch (step.kind) {
+      case "pass":
+        this.#pass(step.ms);
+        return;
+      case "submit":
+        this.#submit(step);
+        return;
+      case "complete":
+        this.#complete(step.pick);
+        return;
+      case "report":
+        this.#report(step.entry);
+        return;
+      case "deliver":
+        this.#deliver(step);
+        return;
+      case "drop":
+        this.#messages.splice(
+          step.pick % Math.max(1, this.#messages.length),
+          1,
+        );
+        return;
+      case "restart":
+        this.#restart(step.entry);
+        return;
+      case "leader":
+        this.epoch += 1;
+        this.#ledger = this.#lead();
+        return;
+      case "target":
+        this.#state = step.state;
+        this.#ledger.setTargets(this.#table(), this.now);
+        this.#routers.forEach((router, index) =>
+          this.#act(index, router.setTargets(this.#table(), this.now))
+        );
+    }
+  }
+
+  atWork(target: string): number {
+    return [...this.runs.values()].filter((run) => run.target === target)
+      .length;
+  }
+
+  #table(): typeof TABLE {
+    return TABLE.map((r, index) =>
+      index === 0 ? { ...r, state: this.#state } : r
+    );
+  }
+
+  #boot(index: number): Router {
+    const router = new Router({
+      entry: `e${index}`,
+      incarnation: this.#incarnations[index] ?? 1,
+      random: () => 0.5,
+    });
+    const service = { name: "intake", maxQueue: 64, expectedRunMs: 100 };
+    router.setServices([service], this.now);
+    router.setTargets(TABLE, this.now);
+    return router;
+  }
+
+  #lead(): SlotLedger {
+    const entries = ["e0", "e1", "e2"];
+    const setup = {
+      epoch: this.epoch,
+      leaseMs: LEASE_MS,
+      marginMs: MARGIN_MS,
+      entries,
+    };
+    const ledger = new SlotLedger(setup, this.now);
+    ledger.setTargets(TABLE, this.now);
+    return ledger;
+  }
+
+  #pass(ms: number): void {
+    this.now += ms;
+    for (const run of [...this.runs.values()]) {
+      if (run.endsAt !== undefined && run.endsAt <= this.now) {
+        this.runs.delete(run.id);
+      }
+    }
+    this.#routers.forEach((router, index) =>
+      this.#act(index, router.expire(this.now))
+    );
+  }
+
+  #submit({ entry, count }: { entry: number; count: number }): void {
+    for (let index = 0; index < count; index++) {
+      this.#submitted += 1;
+      const request = submission(`r${this.#submitted}`, {
+        deadline: this.now + 5_000,
+      });
+      this.#act(entry, this.#routers[entry]?.submit(request, this.now) ?? []);
+    }
+  }
+
+  #complete(pick: number): void {
+    const live = [...this.runs.values()].filter((run) =>
+      run.endsAt === undefined
+    );
+    const run = live[pick % Math.max(1, live.length)];
+    if (run !== undefined) {
+      this.runs.delete(run.id);
+      this.#act(
+        run.entry,
+        this.#routers[run.entry]?.complete(run.id, "ok", this.now) ?? [],
+      );
+    }
+  }
+
+  #report(entry: number): void {
+    const report = this.#routers[entry]?.report(this.epoch, this.now);
+    if (report !== undefined) {
+      const incarnation = this.#incarnations[entry] ?? 1;
+      this.#messages.push({
+        to: "leader",
+        report,
+        sentAt: this.now,
+        incarnation,
+      });
+    }
+  }
+
+  #deliver({ pick, again }: { pick: number; again: boolean }): void {
+    const index = pick % Math.max(1, this.#messages.length);
+    const message = this.#messages[index];
+    if (message === undefined) {
+      return;
+    }
+    if (!again) {
+      this.#messages.splice(index, 1);
+    }
+    if (message.to === "leader") {
+      this.#answer(message);
+      return;
+    }
+    const router = this.#routers[message.to];
+    if (
+      router !== undefined &&
+      message.incarnation === this.#incarnations[message.to]
+    ) {
+      this.#act(message.to, router.setAllowance(message.allowance, this.now));
+    }
+  }
+
+  #answer(
+    { report, sentAt, incarnation }: Extract<Message, { to: "leader" }>,
+  ): void {
+    const grant = this.#ledger.report(report, this.now);
+    if (grant !== undefined) {
+      const allowance = { ...grant, until: sentAt + LEASE_MS };
+      this.#messages.push({
+        to: Number(report.entry.slice(1)),
+        allowance,
+        incarnation,
+      });
+    }
+  }
+
+  /** The entry's process ends; what it sent runs on for a while. */
+  #restart(entry: number): void {
+    for (const run of this.runs.values()) {
+      if (run.entry === entry && run.endsAt === undefined) {
+        run.endsAt = this.now + LONGEST_RUN_MS;
+      }
+    }
+    this.#incarnations[entry] = (this.#incarnations[entry] ?? 1) + 1;
+    this.#routers[entry] = this.#boot(entry);
+  }
+
+  #act(entry: number, dispatches: readonly Dispatch[]): void {
+    const incarnation = this.#incarnations[entry] ?? 1;
+    for (const dispatch of dispatches) {
+      if (dispatch.kind === "send") {
+        const { id, target } = dispatch;
+        this.runs.set(id, { id, target, entry, incarnation });
+      }
+    }
+  }
+}
+
+test("never more at work on a target than it has slots", () => {
+  let most = 0;
+  fc.assert(
+    fc.property(fc.array(STEPS, { minLength: 50, maxLength: 400 }), (steps) => {
+      const fleet = new Fleet();
+      for (const step of steps) {
+        fleet.step(step);
+        const atWork = Math.max(...TABLE.map((r) => fleet.atWork(r.target)));
+        most = Math.max(most, atWork);
+        expect(atWork).toBeLessThanOrEqual(SLOTS);
+      }
+    }),
+    { numRuns: 300, seed: 20_260_101 },
+  );
+  expect(most).toBe(SLOTS);
+});
