--- a/bench/src/routing/leased_sharing.ts
+++ b/bench/src/routing/leased_sharing.ts
@@ -29,7 +29,7 @@
     epoch: EPOCH,
     leaseMs: LEASE_MS,
     marginMs: MARGIN_MS,
-    entries: entries.map((entry) => `entry-${entry.index}`),
+    entries: [],
     reserveShare: setup.reserveShare,
   }, world.now);
   ledger.setTargets(routes(), world.now);
--- a/packages/core/src/routing/attempts.ts
+++ b/packages/core/src/routing/attempts.ts
@@ -124,3 +124,14 @@
   }
   return counts;
 }
+
+/** The earliest deadline among the attempts whose callers wait. */
+export function nextDeadline(flights: Iterable<Flight>): number {
+  let earliest = Number.POSITIVE_INFINITY;
+  for (const { settled, pending } of flights) {
+    if (!settled) {
+      earliest = Math.min(earliest, pending.deadline);
+    }
+  }
+  return earliest;
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -21,6 +21,7 @@
   learn,
   learnTimeout,
   mayRetry,
+  nextDeadline,
   noteOutcome,
   release,
   start,
@@ -29,6 +30,7 @@
 import { Pool } from "./pool.ts";
 import {
   giveUp,
+  type Moment,
   noLease,
   noTarget,
   overloaded,
@@ -67,6 +69,7 @@
   #routes: readonly Route[] = [];
   #wakeup = Number.POSITIVE_INFINITY;
   #reports = 0;
+  #startedAt = Number.POSITIVE_INFINITY;
 
   constructor(setup: RouterSetup) {
     this.#setup = setup;
@@ -75,6 +78,7 @@
 
   /** Takes over the services in force; requests that wait for a removed service are refused. */
   setServices(services: readonly RoutedService[], now: number): Dispatch[] {
+    this.#startedAt = Math.min(this.#startedAt, now);
     const dispatches: Dispatch[] = [];
     const names = new Set(services.map((service) => service.name));
     for (const [name, pool] of this.#pools) {
@@ -224,9 +228,11 @@
     this.#allowances.enter(epoch, now);
     this.#spreadAllowances();
     this.#reports += 1;
+    this.#startedAt = Math.min(this.#startedAt, now);
     return {
       entry: this.#setup.entry,
       incarnation: this.#setup.incarnation,
+      ageMs: now - this.#startedAt,
       number: this.#reports,
       epoch,
       applied: this.#allowances.applied,
@@ -250,7 +256,7 @@
     return [...this.#pools.values()].map((pool) => describePool(pool, now));
   }
 
-  #moment(now: number): { now: number; random: () => number } {
+  #moment(now: number): Moment {
     return { now, random: this.#setup.random };
   }
 
@@ -389,11 +395,7 @@
     for (const pool of this.#pools.values()) {
       earliest = Math.min(earliest, pool.nextWakeup(now));
     }
-    for (const { settled, pending } of this.#flights.values()) {
-      if (!settled) {
-        earliest = Math.min(earliest, pending.deadline);
-      }
-    }
+    earliest = Math.min(earliest, nextDeadline(this.#flights.values()));
     const lease = this.#allowances.until;
     return lease > now ? Math.min(earliest, lease) : earliest;
   }
--- a/packages/core/src/routing/slot_ledger.ts
+++ b/packages/core/src/routing/slot_ledger.ts
@@ -97,7 +97,9 @@
     if (report.epoch !== this.#setup.epoch || !holder.take(report, now)) {
       return undefined;
     }
-    this.#silent.delete(report.entry);
+    if (report.ageMs >= this.#settleMs()) {
+      this.#silent.delete(report.entry);
+    }
     if (known === undefined) {
       this.#holders.set(key, holder);
       this.#plannedAt = Number.NEGATIVE_INFINITY;
@@ -133,11 +135,15 @@
 
   /** Whether slots of an earlier leader may still be in use unreported. */
   isQuiet(now: number): boolean {
+    return this.#silent.size > 0 && now < this.#startedAt + this.#settleMs();
+  }
+
+  /** Time after which nothing that an earlier leader or process allowed is at work any more. */
+  #settleMs(): number {
     const { leaseMs, marginMs } = this.#setup;
     const holders = [...this.#holders.values()];
-    const drainMs = Math.max(MIN_DRAIN_MS, ...holders.map(drainMsOf));
-    return this.#silent.size > 0 &&
-      now < this.#startedAt + leaseMs + marginMs + drainMs;
+    return leaseMs + marginMs +
+      Math.max(MIN_DRAIN_MS, ...holders.map(drainMsOf));
   }
 
   #wanted(holder: SlotHolder, now: number): Map<string, number> {
--- a/packages/core/src/routing/slot_report.ts
+++ b/packages/core/src/routing/slot_report.ts
@@ -23,6 +23,8 @@
   entry: z.string(),
   /** Increases with each start of the entry's process. */
   incarnation: z.number().int(),
+  /** Time since the process started, in milliseconds; what ran before that is not in the report. */
+  ageMs: z.number().nonnegative(),
   /** Increases with each report of one incarnation. */
   number: z.number().int(),
   /** Epoch of the leader that the report is sent to, for example its term. */
