--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { commits } from "./commits/commits.ts";
+import { scenario as routing } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [commits];
+export const SCENARIOS: readonly Scenario[] = [commits, routing];
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -153,11 +153,7 @@
   }
 
   #renewWhenShort(): void {
-    const { clock } = this.#parts;
-    if (
-      this.#earlyRenewal === undefined &&
-      this.#router.isShort(clock.monotonic())
-    ) {
+    if (this.#earlyRenewal === undefined && this.#router.isShort()) {
       this.#earlyRenewal = setTimeout(() => {
         this.#earlyRenewal = undefined;
         void this.membership.renew();
