--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Scenario } from "./scenario.ts";
+import { WAVES } from "./waves/scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [];
+export const SCENARIOS: readonly Scenario[] = [WAVES];
--- /dev/null
+++ b/bench/src/waves/scenario.ts
@@ -0,0 +1,221 @@
+/**
+ * Maintenance waves against three baselines, on the same seeds: buffer cost, roll-out time, moves and budgets.
+ *
+ * @module
+ */
+import {
+  atLeast,
+  atMost,
+  type Cell,
+  type Check,
+  type Outcome,
+  type Run,
+  type Scenario,
+  type Table,
+} from "../scenario.ts";
+import { type Figures, measure } from "./measure.ts";
+import {
+  noRule,
+  oneAtATime,
+  type Policy,
+  thirdByZone,
+  waves,
+} from "./policy.ts";
+import { accra, bern, type Shape, twoYears } from "./shape.ts";
+
+const POLICIES: Record<string, Policy> = {
+  waves,
+  "one at a time": oneAtATime,
+  "third by zone": thirdByZone,
+  "no rule": noRule,
+};
+
+const SEEDS = 40;
+const QUICK_SEEDS = 4;
+const LARGE_SEEDS = 8;
+const QUICK_LARGE_SEEDS = 1;
+const LOAD = 0.38;
+const LOADS = [0.3, 0.34, 0.38, 0.42, 0.46, 0.5, 0.54];
+const LARGE_LOAD = 0.7;
+const LIMIT_MS = 3 * 86_400_000;
+
+type Results = Record<string, Figures[]>;
+
+/** The scenario that the bench command runs. */
+export const WAVES: Scenario = {
+  name: "waves",
+  description:
+    "Maintenance waves, budgets and planned stops against three baselines",
+  run,
+};
+
+function run(options: Run): Outcome {
+  const small = options.quick ? QUICK_SEEDS : SEEDS;
+  const large = options.quick ? QUICK_LARGE_SEEDS : LARGE_SEEDS;
+  const results = {
+    accra: runAll(accra(LOAD), options, small),
+    bern: runAll(bern(LOAD), options, small),
+    "two-year": runAll(twoYears(LARGE_LOAD), options, large),
+  };
+  const tables = Object.entries(results).map(([name, result]) =>
+    tableOf(`${name}, load ${name === "two-year" ? LARGE_LOAD : LOAD}`, result)
+  );
+  return {
+    tables: [...tables, sweep(options, small)],
+    checks: checksOf(results),
+  };
+}
+
+function runAll(shape: Shape, options: Run, seeds: number): Results {
+  return Object.fromEntries(
+    Object.entries(POLICIES).map(([name, policy]) => [
+      name,
+      runSeeds(shape, policy, { options, seeds }),
+    ]),
+  );
+}
+
+function runSeeds(
+  shape: Shape,
+  policy: Policy,
+  { options, seeds }: { options: Run; seeds: number },
+): Figures[] {
+  return Array.from({ length: seeds }, (_, i) =>
+    measure(shape, policy, {
+      seed: options.seed * 1_000 + i,
+      limitMs: LIMIT_MS,
+      clock: options.clock,
+    }));
+}
+
+const COLUMNS = [
+  "policy",
+  "complete",
+  "buffer",
+  "roll-out min p50",
+  "roll-out min max",
+  "moves",
+  "runs in breach",
+  "worst spent",
+  "outside window min",
+  "rebooted twice",
+  "pass ms p99.9",
+];
+
+function tableOf(name: string, results: Results): Table {
+  return {
+    name,
+    columns: COLUMNS,
+    rows: Object.entries(results).map(([policy, all]) => rowOf(policy, all)),
+  };
+}
+
+function rowOf(policy: string, all: Figures[]): Cell[] {
+  const complete = all.filter((figures) => figures.complete).length;
+  return [
+    policy,
+    `${complete}/${all.length}`,
+    highest(all, "buffer"),
+    median(all.map((figures) => figures.rolloutMinutes)),
+    highest(all, "rolloutMinutes"),
+    highest(all, "moves"),
+    inBreach(all),
+    highest(all, "spent"),
+    highest(all, "outsideMinutes"),
+    highest(all, "repeated"),
+    highest(all, "passMs"),
+  ];
+}
+
+function sweep(options: Run, seeds: number): Table {
+  const rows = LOADS.map((load): Cell[] => [
+    load,
+    ...Object.values(POLICIES).flatMap((policy): Cell[] => {
+      const all = runSeeds(accra(load), policy, { options, seeds });
+      const complete = all.filter((figures) => figures.complete).length;
+      return [
+        `${complete}/${all.length}`,
+        inBreach(all),
+        highest(all, "spent"),
+      ];
+    }),
+  ]);
+  const columns = Object.keys(POLICIES).flatMap((name) => [
+    `${name}: complete`,
+    "in breach",
+    "worst spent",
+  ]);
+  return {
+    name: "accra, by load at the peak as a share of capacity",
+    columns: ["load", ...columns],
+    rows,
+  };
+}
+
+function checksOf(results: Record<string, Results>): Check[] {
+  const ours = Object.values(results).flatMap((result) =>
+    result["waves"] ?? []
+  );
+  const accraOurs = results["accra"]?.["waves"] ?? [];
+  const accraThird = results["accra"]?.["third by zone"] ?? [];
+  const bernOurs = results["bern"]?.["waves"] ?? [];
+  const bernOne = results["bern"]?.["one at a time"] ?? [];
+  const speedUps = bernOurs.map((figures, i) =>
+    (bernOne[i]?.rolloutMinutes ?? 0) / figures.rolloutMinutes
+  );
+  return [
+    atMost("runs with a budget breach", inBreach(ours), 0),
+    atLeast(
+      "share of runs that maintain every VM",
+      ours.filter((figures) => figures.complete).length / ours.length,
+      1,
+    ),
+    atMost(
+      "accra: buffer over that of a third by zone",
+      highest(accraOurs, "buffer") / highest(accraThird, "buffer"),
+      0.75,
+    ),
+    atMost(
+      "accra: runs in breach more than a third by zone",
+      inBreach(accraOurs) - inBreach(accraThird),
+      0,
+    ),
+    atLeast(
+      "bern: roll-out speed over one at a time, median",
+      median(speedUps),
+      3,
+    ),
+    atMost(
+      "bern: minutes outside the window",
+      highest(bernOurs, "outsideMinutes"),
+      0,
+    ),
+    atMost(
+      "moves for each VM maintained, worst run",
+      highest(ours, "moves"),
+      1.1,
+    ),
+    atMost("VMs rebooted twice in a round", highest(ours, "repeated"), 0),
+    atMost(
+      "decision pass at 1,500 workers, p99.9 ms",
+      highest(results["two-year"]?.["waves"] ?? [], "passMs"),
+      50,
+    ),
+  ];
+}
+
+function inBreach(all: Figures[]): number {
+  return all.filter((figures) => figures.breaches > 0).length;
+}
+
+type Number = { [K in keyof Figures]: Figures[K] extends number ? K : never }[
+  keyof Figures
+];
+
+function highest(all: Figures[], key: Number): number {
+  return Math.max(...all.map((figures) => figures[key]));
+}
+
+function median(values: number[]): number {
+  return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+}
--- a/packages/core/src/maintenance/width.ts
+++ b/packages/core/src/maintenance/width.ts
@@ -1,6 +1,6 @@
 /**
  * How many VMs a wave takes. The weights set a width by a square-root rule; the time that is left in the round can
- * only raise it, and a canary and doubling steps lead up to it.
+ * only raise it, and a canary and growing steps lead up to it.
  *
  * @module
  */
@@ -13,6 +13,10 @@
 /** Share of the longest wave that waves are expected to take. */
 const EXPECTED_SHARE = 0.5;
 
+/** How much wider each wave after the canary may be than the one before. */
+const RAMP = 4;
+const MAX_RAMP_STEPS = 10;
+
 /** What the width depends on. */
 export interface Demand {
   /** VMs in the fleet. */
@@ -31,7 +35,7 @@
   if (rollout.passed === 0) {
     return Math.min(rules.canary, rules.maxWidth);
   }
-  const ramp = rules.canary * 2 ** Math.min(rollout.passed, 20);
+  const ramp = rules.canary * RAMP ** Math.min(rollout.passed, MAX_RAMP_STEPS);
   const wanted = Math.max(
     weighedWidth(rules, demand.fleet),
     pressedWidth(rules, rollout, demand),
