--- a/packages/core/src/maintenance/plan.ts
+++ b/packages/core/src/maintenance/plan.ts
@@ -126,6 +126,8 @@
   domain: string;
   vms: VmRecord[];
   urgent: number;
+  /** Whether fewer waves are left in the domain afterwards. */
+  shortens: boolean;
   slack: number;
   oldest: number;
 }
@@ -204,14 +206,13 @@
   return postponement(pass, record);
 }
 
-/** Takes the VMs of a domain that may stop together, oldest maintenance first, up to the width. */
+/** Takes the VMs of a domain that may stop together, up to the width. */
 function choose(
   pass: Pass,
   domain: string,
   { records, width }: { records: VmRecord[]; width: number },
 ): Group {
   const taken: VmRecord[] = [];
-  const urgentBefore = pass.now - pass.rules.periodMs * (1 - URGENT_SHARE);
   for (const record of inOrder(pass, records)) {
     if (taken.length === width) {
       pass.hold({
@@ -234,30 +235,59 @@
   }
   const slack = pass.capacity.slack();
   taken.forEach((record) => pass.capacity.put(record));
-  const urgent = taken.filter((record) =>
-    record.maintainedAt > 0 && record.maintainedAt < urgentBefore
-  );
+  const left = records.filter((record) => !taken.includes(record));
   return {
     domain,
     vms: taken,
-    urgent: urgent.length,
+    urgent: taken.filter((record) => isUrgent(pass, record)).length,
+    shortens: longest(chains(left)) < longest(chains(records)),
     slack,
     oldest: taken[0]?.maintainedAt ?? Number.POSITIVE_INFINITY,
   };
 }
 
+/**
+ * Urgent VMs first, then those of the pool with the most VMs left in the domain. Since VMs of one pool mostly cannot
+ * stop together, that pool decides how many waves the domain needs (the longest-processing-time rule, Graham, 1969).
+ */
 function inOrder(pass: Pass, records: VmRecord[]): VmRecord[] {
-  const work = (record: VmRecord): number =>
-    pass.condition(record.name)?.inFlight ?? 0;
-  return records.toSorted((a, b) =>
-    a.maintainedAt - b.maintainedAt || work(a) - work(b) ||
-    (a.name < b.name ? -1 : 1)
+  const left = chains(records);
+  const keys = records.map((record) => ({
+    record,
+    urgent: isUrgent(pass, record) ? 0 : 1,
+    chain: -(left.get(record.pool) ?? 0),
+    work: pass.condition(record.name)?.inFlight ?? 0,
+  }));
+  keys.sort((a, b) =>
+    a.urgent - b.urgent || a.chain - b.chain ||
+    a.record.maintainedAt - b.record.maintainedAt || a.work - b.work ||
+    (a.record.name < b.record.name ? -1 : 1)
   );
+  return keys.map(({ record }) => record);
+}
+
+function isUrgent(pass: Pass, record: VmRecord): boolean {
+  const before = pass.now - pass.rules.periodMs * (1 - URGENT_SHARE);
+  return record.maintainedAt > 0 && record.maintainedAt < before;
+}
+
+/** How many VMs each pool has among these. */
+function chains(records: VmRecord[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { pool } of records) {
+    counts.set(pool, (counts.get(pool) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function longest(counts: Map<string, number>): number {
+  return Math.max(0, ...counts.values());
 }
 
-/** Urgent VMs first, then the widest group, the one that leaves most, and the one that waited longest. */
+/** Urgent VMs first, then the widest group, the one that saves a wave, that leaves most, that waited longest. */
 function precedes(a: Group, b: Group): boolean {
   const order = b.urgent - a.urgent || b.vms.length - a.vms.length ||
+    Number(b.shortens) - Number(a.shortens) ||
     b.slack - a.slack || a.oldest - b.oldest;
   return order < 0;
 }
