Count bytes on links, and gauge the process

Cause: the limits of control (processor, memory, bytes a second) could not be read from a running daemon. Ruled out: reading sockets' own counters, which are lost with each connection.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -25,12 +25,13 @@
 import { HttpServer } from "./http_server.ts";
 import { Leader } from "./leader/leader.ts";
 import { type Component, Lifecycle } from "./lifecycle.ts";
-import type { Handler } from "./link/connection.ts";
+import type { ConnectionParts, Handler } from "./link/connection.ts";
 import { Link } from "./link/link.ts";
 import { LinkServer } from "./link/server.ts";
 import { hostAndPort } from "./net.ts";
 import { type Log, messageOf, openLog } from "./observe/log.ts";
 import { Metrics } from "./observe/metrics.ts";
+import { registerProcessGauges } from "./observe/process_gauges.ts";
 import { type SpanRecord, Tracing } from "./observe/tracing.ts";
 import { PlatformAgents } from "./platform/agents.ts";
 import { jsonReply, problemReply } from "./problem.ts";
@@ -67,6 +68,7 @@
     this.#settings = settings;
     this.log = openLog({ ...log, entry });
     this.#tracing = new Tracing({ ...traces, entry, zone });
+    registerProcessGauges(this.#metrics);
     this.#lifecycle = new Lifecycle((component, error) => {
       this.log.error("component.stop_failed", {
         component,
@@ -140,9 +142,7 @@
         peer: peer.entry,
         address: peer.link,
         localHost: hostAndPort(this.#settings.listen.link).host,
-        handlers: this.#handlers,
-        bounds: this.#settings.link,
-        now: () => this.#clock.monotonic(),
+        ...this.#connectionParts(),
         log: this.log,
         hello: { cluster: this.#settings.cluster, entry: this.#settings.entry },
       });
@@ -159,10 +159,23 @@
   #linkServer(): LinkServer {
     return new LinkServer({
       address: this.#settings.listen.link,
+      ...this.#connectionParts(),
+    });
+  }
+
+  #connectionParts(): ConnectionParts {
+    return {
       handlers: this.#handlers,
       bounds: this.#settings.link,
       now: () => this.#clock.monotonic(),
-    });
+      count: (direction, bytes) => {
+        this.#metrics.count(
+          "quetzalcove_link_bytes_total",
+          { direction },
+          bytes,
+        );
+      },
+    };
   }
 
   #replicaComponents(folder: ReplicaFolder): Component[] {
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -38,8 +38,19 @@
 const HEARTBEAT_METHOD = "heartbeat";
 const NEWLINE = 0x0a;
 
+/** What every connection of a daemon shares. */
+export interface ConnectionParts {
+  handlers: Handlers;
+  bounds: ConnectionBounds;
+  /** Monotonic time in milliseconds. */
+  now: () => number;
+  /** Counts bytes that crossed the link. */
+  count: (direction: "sent" | "received", bytes: number) => void;
+}
+
 export class Connection {
   readonly #socket: Socket;
+  readonly #count: ConnectionParts["count"];
   readonly #bounds: ConnectionBounds;
   readonly #client: JSONRPCClient;
   readonly #server = new JSONRPCServer({ errorListener: () => {} });
@@ -53,14 +64,11 @@
   /** Called once when the connection ends. */
   onClose: (reason: string) => void = () => {};
 
-  constructor(
-    socket: Socket,
-    handlers: Handlers,
-    bounds: ConnectionBounds,
-    now: () => number,
-  ) {
+  constructor(socket: Socket, parts: ConnectionParts) {
+    const { handlers, bounds, now, count } = parts;
     this.#socket = socket;
     this.#bounds = bounds;
+    this.#count = count;
     this.#heardAt = now();
     this.#client = new JSONRPCClient((request) => this.#write(request));
     for (const [method, handler] of handlers) {
@@ -70,6 +78,7 @@
     socket.setNoDelay(true);
     socket.on("data", (chunk) => {
       this.#heardAt = now();
+      this.#count("received", chunk.length);
       this.#read(chunk);
     });
     socket.on("error", (error) => this.close(error.message));
@@ -132,7 +141,9 @@
     if (this.#socket.writableLength >= this.#bounds.maxQueuedBytes) {
       return Promise.reject(new Error("Send queue is full"));
     }
-    this.#socket.write(`${JSON.stringify(message)}\n`);
+    const line = Buffer.from(`${JSON.stringify(message)}\n`);
+    this.#count("sent", line.length);
+    this.#socket.write(line);
     return Promise.resolve();
   }
 
--- a/packages/daemon/src/link/link.ts
+++ b/packages/daemon/src/link/link.ts
@@ -14,21 +14,14 @@
 import type { Component } from "../lifecycle.ts";
 import { hostAndPort } from "../net.ts";
 import type { Log } from "../observe/log.ts";
-import {
-  Connection,
-  type ConnectionBounds,
-  type Handlers,
-} from "./connection.ts";
+import { Connection, type ConnectionParts } from "./connection.ts";
 
 /** What a link needs. */
-export interface LinkTarget {
+export interface LinkTarget extends ConnectionParts {
   peer: string;
   address: Address;
   /** The entry's own local address, so that the peer sees the IP number of this daemon. */
   localHost: string;
-  handlers: Handlers;
-  bounds: ConnectionBounds;
-  now: () => number;
   log: Log;
   /** Names this daemon and its cluster to the peer. */
   hello: { cluster: string; entry: string };
@@ -108,8 +101,8 @@
   }
 
   #adopt(socket: Socket): void {
-    const { handlers, bounds, now, log, peer } = this.#target;
-    const connection = new Connection(socket, handlers, bounds, now);
+    const { bounds, log, peer } = this.#target;
+    const connection = new Connection(socket, this.#target);
     connection.peer = peer;
     connection.onClose = (reason) => {
       log.warn("link.closed", { peer, reason });
--- a/packages/daemon/src/link/server.ts
+++ b/packages/daemon/src/link/server.ts
@@ -7,18 +7,11 @@
 import type { Address } from "@quetzalcove/core";
 import type { Component } from "../lifecycle.ts";
 import { hostAndPort } from "../net.ts";
-import {
-  Connection,
-  type ConnectionBounds,
-  type Handlers,
-} from "./connection.ts";
+import { Connection, type ConnectionParts } from "./connection.ts";
 
 /** What a link server needs. */
-export interface LinkListener {
+export interface LinkListener extends ConnectionParts {
   address: Address;
-  handlers: Handlers;
-  bounds: ConnectionBounds;
-  now: () => number;
 }
 
 export class LinkServer implements Component {
@@ -32,9 +25,8 @@
   }
 
   start(): Promise<void> {
-    const { handlers, bounds, now } = this.#listener;
     const server = createServer((socket) => {
-      const connection = new Connection(socket, handlers, bounds, now);
+      const connection = new Connection(socket, this.#listener);
       this.#connections.add(connection);
       connection.onClose = () => this.#connections.delete(connection);
     });
--- /dev/null
+++ b/packages/daemon/src/observe/process_gauges.ts
@@ -0,0 +1,22 @@
+/**
+ * Gauges of the process itself, under the names that Prometheus uses.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { Metrics } from "./metrics.ts";
+
+const US_PER_S = 1_000_000;
+
+/** Registers processor time, memory and start of this process. */
+export function registerProcessGauges(metrics: Metrics): void {
+  metrics.gauge("process_cpu_seconds_total", () => {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / US_PER_S;
+  });
+  metrics.gauge(
+    "process_resident_memory_bytes",
+    () => process.memoryUsage.rss(),
+  );
+  metrics.gauge("nodejs_heap_used_bytes", () => process.memoryUsage().heapUsed);
+}
--- a/test/answers_test.ts
+++ b/test/answers_test.ts
@@ -124,7 +124,7 @@
     "names the fault of a request with %s",
     async (_name, path, headers, status) => {
       const answer = await fetch(`http://${entry}${path}`, {
-        headers: headers as HeadersInit,
+        headers: headers as Record<string, string>,
       });
       expect(answer.status).toBe(status);
       expect(answer.headers.get("content-type")).toBe(
