--- /dev/null
+++ b/bench/src/capacity/pure.ts
@@ -0,0 +1,331 @@
+/**
+ * State, bytes and processor time of the core at several sizes, measured in this process.
+ *
+ * @module
+ */
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import {
+  apply,
+  type Command,
+  decideMaintenance,
+  emptyState,
+  Grant,
+  parse,
+  Registry,
+  Renewal,
+  Router,
+  routesOf,
+  Settings,
+  type State,
+  TargetCopy,
+  View,
+  viewSince,
+} from "@quetzalcove/core";
+import { Observer, PlatformAgents, Tenure } from "@quetzalcove/daemon";
+import type { Sample } from "./fit.ts";
+import { inventoryOf, PLAN, rulesOf, targetsOf } from "./fleet_data.ts";
+
+/** One quantity of one role at several sizes. */
+export interface Series {
+  role: string;
+  quantity: string;
+  unit: string;
+  /** What a unit of size is. */
+  per: string;
+  samples: Sample[];
+}
+
+const REPEATS = 30;
+const BYTES_PER_MB = 1_048_576;
+const US_PER_MS = 1_000;
+const START_AT = 1_800_000_000_000;
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** Heap that a value holds, in MB: measured around its construction, after two collections. */
+function heapOf<T>(make: () => T): { value: T; megabytes: number } {
+  collectGarbage();
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const value = make();
+  collectGarbage();
+  collectGarbage();
+  return {
+    value,
+    megabytes: (process.memoryUsage().heapUsed - before) / BYTES_PER_MB,
+  };
+}
+
+/** Processor time of a step in milliseconds, as the mean of many runs after some to warm up. */
+function cpuMs(step: () => void): number {
+  for (let i = 0; i < REPEATS; i++) {
+    step();
+  }
+  const before = process.cpuUsage();
+  for (let i = 0; i < REPEATS; i++) {
+    step();
+  }
+  const used = process.cpuUsage(before);
+  return (used.user + used.system) / US_PER_MS / REPEATS;
+}
+
+const ignore = (): void => {};
+const SILENT = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+
+function settings(): Settings {
+  return Settings.parse({
+    cluster: "bench",
+    entry: "e1",
+    zone: "zone-0",
+    listen: {
+      service: "127.0.0.1:1",
+      admin: "127.0.0.1:2",
+      link: "127.0.0.1:3",
+    },
+    peers: Array.from({ length: PLAN.entries }, (_, index) => ({
+      entry: `e${index + 1}`,
+      zone: "zone-0",
+      link: `127.0.1.${index + 1}:3`,
+      admin: `127.0.1.${index + 1}:2`,
+      replica: index < PLAN.replicas,
+    })),
+  });
+}
+
+function configuration(vms: number, base: number): Command {
+  return {
+    kind: "configure",
+    change: `change-${base}`,
+    base,
+    inventory: inventoryOf(vms),
+    rules: rulesOf(),
+    at: START_AT,
+  };
+}
+
+function stateOf(vms: number): State {
+  const state = emptyState();
+  apply(state, configuration(vms, 0));
+  return state;
+}
+
+/** Measures every quantity at the given numbers of VMs. */
+export function measurePure(sizes: readonly number[]): Series[] {
+  const found = new Map<string, Series>();
+  const add = (series: Omit<Series, "samples">, sample: Sample): void => {
+    const key = `${series.role}/${series.quantity}/${series.unit}`;
+    const known = found.get(key) ?? { ...series, samples: [] };
+    known.samples.push(sample);
+    found.set(key, known);
+  };
+  for (const size of sizes) {
+    measureEntry(size, add);
+    measureLeader(size, add);
+    measureReplica(size, add);
+  }
+  return [...found.values()];
+}
+
+type Add = (series: Omit<Series, "samples">, sample: Sample) => void;
+
+/** Everything that an entry holds for a fleet. */
+interface EntryState {
+  view: View;
+  copy: TargetCopy;
+  router: Router;
+}
+
+function entryState(
+  state: State,
+  announced: ReturnType<typeof targetsOf>,
+): EntryState {
+  const view = new View();
+  view.apply(JSON.parse(JSON.stringify(viewSince(state, -1))));
+  const copy = new TargetCopy();
+  const set = Object.fromEntries(announced.map((one) => [one.target, one]));
+  copy.apply(
+    1,
+    JSON.parse(JSON.stringify({ from: 0, to: 1, set, deleted: [] })),
+    true,
+  );
+  const router = new Router({
+    entry: "e1",
+    incarnation: 1,
+    random: () => 0.5,
+  });
+  router.setServices(view.rules.services, 0);
+  const lookup = {
+    service: (name: string) => view.service(name),
+    vm: (name: string) => view.vms.get(name),
+  };
+  router.setTargets(routesOf(copy.targets(), lookup), 0);
+  return { view, copy, router };
+}
+
+function measureEntry(size: number, add: Add): void {
+  const state = stateOf(size);
+  const announced = targetsOf(state.inventory);
+  const { value: entry, megabytes } = heapOf(() =>
+    entryState(state, announced)
+  );
+  const series = { role: "entry", per: "VM" };
+  add({ ...series, quantity: "view, table and routes", unit: "MB" }, {
+    size,
+    value: megabytes,
+  });
+  const renewal = renewalOf(entry);
+  const bytes = JSON.stringify(renewal).length;
+  add({ ...series, quantity: "steady renewal", unit: "bytes" }, {
+    size,
+    value: bytes,
+  });
+  const cpu = cpuMs(() => JSON.stringify(renewalOf(entry)));
+  add({ ...series, quantity: "steady renewal", unit: "ms CPU" }, {
+    size,
+    value: cpu,
+  });
+  const full = JSON.stringify(viewSince(state, -1)).length;
+  add({ ...series, quantity: "full view", unit: "bytes" }, {
+    size,
+    value: full,
+  });
+  const own = Math.ceil(size / PLAN.entries);
+  const registry = new Registry(3_000);
+  const announcing = cpuMs(() => {
+    announced.slice(0, own).forEach((one) => registry.announce(one, 0));
+    registry.expire(0);
+  });
+  add({ ...series, quantity: "announcements of its share", unit: "ms CPU" }, {
+    size,
+    value: announcing,
+  });
+}
+
+function renewalOf({ view, copy, router }: EntryState): Renewal {
+  return {
+    entry: "e1",
+    zone: "zone-0",
+    incarnation: 1,
+    revision: view.revision,
+    tableTerm: copy.term,
+    tableVersion: copy.version,
+    announced: { from: 1, to: 1, set: {}, deleted: [] },
+    inFlight: {},
+    usage: Object.fromEntries(view.rules.services.map(({ name }) => [name, {
+      inFlight: 3,
+      queued: 0,
+      finished: 1_000,
+      refused: 1,
+      failed: 1,
+    }])),
+    unhealthy: [],
+    stopping: false,
+    slots: router.report(1, 1_000),
+  };
+}
+
+function measureLeader(size: number, add: Add): void {
+  const state = stateOf(size);
+  const announced = targetsOf(state.inventory);
+  const series = { role: "leader", per: "VM" };
+  const { value: tenure, megabytes } = heapOf(() => tenureOf(state, announced));
+  add({ ...series, quantity: "leases, table and slots", unit: "MB" }, {
+    size,
+    value: megabytes,
+  });
+  const renewal = renewalOf(entryState(state, announced));
+  renewal.tableTerm = 1;
+  renewal.tableVersion = tenure.targets.version;
+  const text = JSON.stringify(renewal);
+  let grant = "";
+  const cpu = cpuMs(() => {
+    const parsed = parse(Renewal, JSON.parse(text), "renewal");
+    grant = parsed.ok
+      ? JSON.stringify(tenure.renew(parsed.val, state, 1_000))
+      : "";
+    parse(Grant, JSON.parse(grant), "grant");
+  });
+  add({ ...series, quantity: "renewal of one entry", unit: "ms CPU" }, {
+    size,
+    value: cpu,
+  });
+  add({ ...series, quantity: "steady grant", unit: "bytes" }, {
+    size,
+    value: grant.length,
+  });
+  const observer = new Observer(START_AT);
+  const agents = new PlatformAgents({
+    debug() {},
+    info() {},
+    warn() {},
+    error() {},
+  });
+  const deciding = cpuMs(() => {
+    const moment = { now: 60_000, at: START_AT + 60_000 };
+    const observation = observer.observe(state, tenure, agents, moment);
+    decideMaintenance(state, observation, { now: moment.at });
+  });
+  add({ ...series, quantity: "maintenance decision", unit: "ms CPU" }, {
+    size,
+    value: deciding,
+  });
+}
+
+function tenureOf(
+  state: State,
+  announced: ReturnType<typeof targetsOf>,
+): Tenure {
+  const tenure = new Tenure(settings(), 1, 0);
+  const share = Math.ceil(announced.length / PLAN.entries);
+  const entry = entryState(state, announced);
+  for (let index = 0; index < PLAN.entries; index++) {
+    const mine = announced.slice(index * share, (index + 1) * share);
+    const set = Object.fromEntries(mine.map((one) => [one.target, one]));
+    const message = renewalOf(entry);
+    tenure.renew(
+      {
+        ...message,
+        entry: `e${index + 1}`,
+        announced: { from: 0, to: 1, set, deleted: [] },
+        slots: { ...message.slots, entry: `e${index + 1}` },
+      },
+      state,
+      1,
+    );
+  }
+  return tenure;
+}
+
+function measureReplica(size: number, add: Add): void {
+  const series = { role: "replica", per: "VM" };
+  const { value: state, megabytes } = heapOf(() => stateOf(size));
+  add({ ...series, quantity: "replicated state", unit: "MB" }, {
+    size,
+    value: megabytes,
+  });
+  const snapshot = JSON.stringify(state);
+  add({ ...series, quantity: "snapshot", unit: "bytes" }, {
+    size,
+    value: snapshot.length,
+  });
+  const writing = cpuMs(() => JSON.stringify(state));
+  add({ ...series, quantity: "writing a snapshot", unit: "ms CPU" }, {
+    size,
+    value: writing,
+  });
+  const change = JSON.stringify(configuration(size, 0));
+  add({ ...series, quantity: "one change", unit: "bytes" }, {
+    size,
+    value: change.length,
+  });
+  const applying = cpuMs(() => {
+    apply(emptyState(), JSON.parse(change) as Command);
+  });
+  add({ ...series, quantity: "applying a change", unit: "ms CPU" }, {
+    size,
+    value: applying,
+  });
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -4,5 +4,8 @@
  * @module
  */
 export { Daemon } from "./daemon.ts";
+export { Observer } from "./leader/observer.ts";
+export { Tenure } from "./leader/tenure.ts";
 export { main } from "./main.ts";
+export { PlatformAgents } from "./platform/agents.ts";
 export * from "./storage/mod.ts";
--- a/packages/emulator/src/demo.ts
+++ b/packages/emulator/src/demo.ts
@@ -4,11 +4,10 @@
  *
  * @module
  */
-import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import process from "node:process";
-import { fileURLToPath } from "node:url";
 import {
   Inventory,
   Rules,
@@ -18,13 +17,8 @@
   type Vms,
 } from "@quetzalcove/core";
 import { Behaviour } from "./behaviour.ts";
-import {
-  callAdmin,
-  Child,
-  eventually,
-  logFileOf,
-  logFolder,
-} from "./children.ts";
+import { callAdmin, eventually } from "./children.ts";
+import { isFormed, startDaemons } from "./deployment.ts";
 import { Fleet } from "./fleet.ts";
 import { type LoadReport, runLoad } from "./load.ts";
 
@@ -46,12 +40,11 @@
 const LOAD_WIDTH = 24;
 const RUN_MS = 5;
 const NETWORKS = { accra: "127.20", bern: "127.21" } as const;
-const DAEMON = fileURLToPath(import.meta.resolve("@quetzalcove/daemon/bin"));
 
 /** Runs the demonstration and prints its summary. Returns whether everything went as expected. */
 export async function runDemo(plan: DemoPlan): Promise<boolean> {
   const deployment = readDeployment(plan.example);
-  const daemons = startDaemons(deployment);
+  const daemons = startDaemons(deployment.settings, deployment.folder);
   let finished = false;
   const fleet = new Fleet({
     inventory: deployment.inventory,
@@ -111,19 +104,6 @@
   };
 }
 
-function startDaemons({ settings, folder }: Deployment): Child[] {
-  const logs = logFolder(join(folder, "logs"));
-  return settings.map((one) => {
-    const file = join(folder, `${one.entry}.json`);
-    writeFileSync(file, JSON.stringify(one, null, 2));
-    return new Child(
-      one.entry,
-      [DAEMON, "--settings", file],
-      logFileOf(logs, one.entry),
-    );
-  });
-}
-
 async function runSteps(
   plan: DemoPlan,
   deployment: Deployment,
@@ -132,7 +112,7 @@
   const { settings, inventory, rules } = deployment;
   const admin = settings[0]?.listen.admin ?? "";
   say(`Starting ${settings.length} entries of the example "${plan.example}"`);
-  const formed = await eventually(() => form(admin, settings), WAIT_MS);
+  const formed = await eventually(() => isFormed(settings), WAIT_MS);
   const change = { change: `demo-${Date.now()}`, base: 0, inventory, rules };
   const accepted = await callAdmin<{ revision: number }>(
     admin,
@@ -166,25 +146,6 @@
   return drained && load.mismatched === 0 && done === load.requests;
 }
 
-/** Starts the cluster once, then waits until every configured replica has caught up. */
-async function form(
-  admin: string,
-  settings: readonly Settings[],
-): Promise<boolean> {
-  await callAdmin(admin, "/v1/init", {});
-  const wanted = settings.filter((one) => one.dataFolder !== undefined).length;
-  const answer = await callAdmin<
-    { replicas?: { role: string; caughtUp: boolean }[] }
-  >(
-    admin,
-    "/v1/replicas",
-  );
-  const voters = (answer?.value.replicas ?? []).filter((r) =>
-    r.role !== "learner" && r.caughtUp
-  );
-  return voters.length === wanted;
-}
-
 async function allTargetsKnown(
   admin: string,
   targets: number,
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./announcer.ts";
 export * from "./behaviour.ts";
 export * from "./children.ts";
+export * from "./deployment.ts";
 export * from "./fleet.ts";
 export * from "./load.ts";
 export * from "./target.ts";
