--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -18,10 +18,10 @@
   type Difference,
   difference,
 } from "../difference.ts";
-import { because, type Failure, usage } from "../failure.ts";
+import { type Failure, usage, withReason } from "../failure.ts";
 import { formatCount } from "../format.ts";
 import { readInventory, readRules } from "../input_files.ts";
-import { waitForForce } from "../force.ts";
+import { waitForForce } from "../wait.ts";
 
 export const APPLY: Command = {
   name: "apply",
@@ -131,12 +131,14 @@
       inventory: inventory?.val ?? current.inventory,
       rules: rules?.val ?? current.rules,
     };
-    return because("input", validate(next.inventory, next.rules)).map(() => ({
-      change: options.text("change") ?? runtime.newId(),
-      base: target.base ?? current.version,
-      current,
-      next,
-    }));
+    return withReason("input", validate(next.inventory, next.rules)).map(
+      () => ({
+        change: options.text("change") ?? runtime.newId(),
+        base: target.base ?? current.version,
+        current,
+        next,
+      }),
+    );
   });
 }
 
@@ -198,8 +200,7 @@
     const data = { change, version, revision };
     return Ok({ text: head, data });
   }
-  const waited = await waitForForce(invocation, {
-    client: target.client,
+  const waited = await waitForForce(invocation, target.client, {
     revision,
     what: `Version ${version} (change ${change})`,
   });
--- a/packages/cli/test/session_test.ts
+++ b/packages/cli/test/session_test.ts
@@ -98,6 +98,14 @@
           limit: 40,
           message: "Without this VM and the worst zone 36 of 40 slots remain",
         },
+        {
+          domain: "accra-c-r1",
+          rule: "capacity",
+          service: "intake",
+          figure: 40.5,
+          limit: 44,
+          message: "Without this rack 40.5 slots remain, 44 are needed",
+        },
         { rule: "window", message: "The next window opens at 08:00 UTC" },
       ],
     });
@@ -105,6 +113,9 @@
     await session.run("drain", "acc-w07", ...ADMIN);
     await session.run("drain", "acc-w99", ...ADMIN);
     await session.run("vms", "--phase", "draining", ...ADMIN);
+    await session.run("drain", "acc-w18", "--wait", ...ADMIN);
+    server.stuck = true;
+    await session.run("drain", "acc-w19", "--wait", "--timeout", "5", ...ADMIN);
     await session.run("services", ...ADMIN);
     await session.run("waves", ...ADMIN);
     await session.run("waves", "--why", ...ADMIN);
@@ -301,6 +312,9 @@
     server.answers.set("GET /v1/waves", { waves: [] });
     await session.run("watch", "--json", "--count", "2", ...ADMIN);
     const there = session.stdout.trimEnd().split("\n");
+    server.answers.delete("GET /v1/waves");
+    await session.run("watch", "--count", "1", ...ADMIN);
+    expect(session.stdout).toContain("No VMs\n\nquetzalcove: No resource GET");
     const back = ["--admin", "entry-b1:8081"];
     await session.run("watch", "--json", "--count", "2", ...back);
     const away = session.stdout.trimEnd().split("\n");
@@ -308,10 +322,20 @@
       ["status", "vms", "waves"],
       ["status", "vms", "waves"],
     ]);
-    expect(away.map((line) => Object.keys(JSON.parse(line)))).toEqual([
-      ["failure"],
-      ["failure"],
+    expect(away.map((line) => JSON.parse(line).status.failure.reason))
+      .toEqual(["unreachable", "unreachable"]);
+  });
+});
+
+describe("a wait", () => {
+  it("goes on while no daemon answers for a moment", async () => {
+    await session.run("apply", ...FILES, ...ADMIN);
+    server.troubles.set("GET /v1/vms", [
+      "lose answer",
+      fault("no_leader", "No leader is known"),
     ]);
+    const exit = await session.run("drain", "acc-w07", "--wait", ...ADMIN);
+    expect(exit).toBe(0);
   });
 });
 
--- a/packages/core/src/rules.ts
+++ b/packages/core/src/rules.ts
@@ -46,6 +46,14 @@
 });
 export type Service = z.infer<typeof Service>;
 
+/** An attempt may go on this many times the deadline of its service, so that its outcome can still be recorded. */
+const ATTEMPT_DEADLINE_FACTOR = 2;
+
+/** How long an attempt at a target may go on, in milliseconds; after that its connection is closed. */
+export function longestAttemptMs(service: Service): number {
+  return service.deadlineMs * ATTEMPT_DEADLINE_FACTOR;
+}
+
 /** A daily period in UTC in which maintenance may run; it wraps over midnight when `to` is before `from`. */
 export const MaintenanceWindow = z.strictObject({
   from: z.string().regex(
@@ -82,9 +90,18 @@
   weights: Weights.prefault({}).describe(
     "How much each measure counts when a wave is planned.",
   ),
+  round: z.number().int().nonnegative().default(0).describe(
+    "Raising this number starts a new round at once.",
+  ),
   domain: z.enum(["rack", "zone"]).default("rack").describe(
     "Failure domain that a wave stays inside.",
   ),
+  survives: z.enum(["vm", "rack", "zone"]).default("zone").describe(
+    "The largest further loss that the services must survive while a wave is out.",
+  ),
+  repairMs: DurationMs.default(86_400_000).describe(
+    "Time within which a lost VM is replaced; what stays must carry the need of this time.",
+  ),
   canary: z.number().int().positive().default(1).describe(
     "VMs in the first wave of a round.",
   ),
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+export * from "./agent.ts";
 export * from "./announcer.ts";
 export * from "./behaviour.ts";
+export * from "./children.ts";
 export * from "./fleet.ts";
 export * from "./load.ts";
 export * from "./target.ts";
