--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -344,6 +344,22 @@
     });
   });
 
+  test("waits until an entry of the leader's own term is committed", () => {
+    const group = Group.of(THREE);
+    const { raft } = group.node("e2");
+    group.lost = ({ kind, from }) => kind === "append" && from === idOf("e2");
+    group.node("e1").raft.transferLeadership(idOf("e2"), group.now).unwrap();
+    group.advance(300);
+    expect(raft.status.role).toBe("leader");
+    const change = { kind: "add", member: memberNamed("e4") } as const;
+    expect(raft.changeMembership(change, group.now).val).toMatchObject({
+      kind: "conflict",
+    });
+    group.lost = () => false;
+    group.advance(500);
+    expect(raft.changeMembership(change, group.now).ok).toBe(true);
+  });
+
   test("allows one change at a time", () => {
     const group = Group.of(THREE);
     const { raft } = group.node("e1");
