--- a/packages/core/src/routing/pool.ts
+++ b/packages/core/src/routing/pool.ts
@@ -171,3 +171,9 @@
   const longestMs = Math.max(meanMs, pool.run.longestMs(now));
   return (runs + 2 * Math.sqrt(runs)) * meanMs + longestMs;
 }
+
+/** Name and address of a target. */
+export function addressOf(held: Held): { target: string; address: string } {
+  const { target, address } = held.route;
+  return { target, address };
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -27,7 +27,7 @@
   start,
 } from "./attempts.ts";
 import { describePool, needsOf, type PoolDescription } from "./description.ts";
-import { Pool } from "./pool.ts";
+import { addressOf, Pool } from "./pool.ts";
 import {
   giveUp,
   type Moment,
@@ -352,8 +352,7 @@
     this.#flights.set(id, start(pool, pending, { held, now }));
     this.#wakeAt(pending.deadline);
     this.#admission.started(loadOf(pool), now - pending.submittedAt, now);
-    const { target, address } = held.route;
-    return { kind: "send", id, target, address, attempt };
+    return { kind: "send", id, attempt, ...addressOf(held) };
   }
 
   #refuseWaiting(pool: Pool, pending: Pending, now: number): Dispatch {
@@ -396,7 +395,7 @@
       earliest = Math.min(earliest, pool.nextWakeup(now));
     }
     earliest = Math.min(earliest, nextDeadline(this.#flights.values()));
-    const lease = this.#allowances.until;
-    return lease > now ? Math.min(earliest, lease) : earliest;
+    const { until } = this.#allowances;
+    return until > now ? Math.min(earliest, until) : earliest;
   }
 }
--- a/packages/core/test/routing_ledger_test.ts
+++ b/packages/core/test/routing_ledger_test.ts
@@ -183,6 +183,17 @@
   expect(slotsOf(left)).toBe(24);
 });
 
+test("a report that was overtaken by a later one changes nothing", () => {
+  const router = routerOf("e1", TABLE);
+  const ledger = ledgerWith(TABLE);
+  renew(router, ledger, { now: 0 });
+  const early = router.report(1, 100);
+  renew(router, ledger, { now: 200 });
+  const before = ledger.describe(300);
+  expect(ledger.report(early, 300)).toBeUndefined();
+  expect(ledger.describe(300)).toEqual(before);
+});
+
 test("a new leader grants nothing until every entry reported what it holds", () => {
   const [first, second] = ["e1", "e2"].map((entry) => routerOf(entry, TABLE));
   const ledger = ledgerWith(TABLE);
--- a/packages/core/test/routing_router_test.ts
+++ b/packages/core/test/routing_router_test.ts
@@ -147,6 +147,25 @@
   ]);
 });
 
+test("a slot that becomes free after the lease ended is not used", () => {
+  const router = routerWith({ a: 1 }, { until: 250 });
+  router.submit(submission("r1"), 0);
+  router.submit(submission("r2"), 0);
+  expect(router.complete("r1", "ok", 251)).toEqual([]);
+});
+
+test("a lease that ended takes its slots with it; what is in flight is reported", () => {
+  const router = routerWith({ a: 3, b: 2 }, { until: 250 });
+  router.submit(submission("r1"), 0);
+  expect(router.report(1, 249)).toMatchObject({
+    applied: { epoch: 1, sequence: 1 },
+    held: {},
+  });
+  const { applied, held } = router.report(1, 250);
+  expect(applied).toEqual({ epoch: 0, sequence: 0 });
+  expect(Object.values(held)).toEqual([1]);
+});
+
 test("a request whose target began to leave before its first byte goes to another target", () => {
   const router = routerWith({ a: 1, b: 0 });
   router.submit(submission("r1"), 0);
