--- a/packages/core/test/routing_router_test.ts
+++ b/packages/core/test/routing_router_test.ts
@@ -275,26 +275,19 @@
   expect(kinds).toEqual(["send", "send"]);
 });
 
-test("ignores grants that are late, out of order or of an earlier leader", () => {
-  const router = routerWith({ a: 1 });
-  const grant = { epoch: 1, sequence: 3, base: 1, slots: { a: 2 } };
-  const slots = (): number | undefined => router.describe(10)[0]?.slots;
-  router.setAllowance({ ...grant, until: 10 }, 10);
-  expect(slots()).toBe(1);
-  router.setAllowance({ ...grant, until: 900 }, 10);
-  expect(slots()).toBe(2);
-  router.setAllowance(
-    { ...grant, sequence: 2, slots: { a: 5 }, until: 900 },
-    10,
-  );
-  expect(slots()).toBe(2);
-  router.report(2, 10);
-  router.setAllowance({
-    ...grant,
-    sequence: 9,
-    base: 3,
-    slots: { a: 5 },
-    until: 900,
-  }, 10);
-  expect(slots()).toBe(2);
+test.each([
+  ["late", { until: 10 }],
+  ["out of order", { sequence: 2, base: 0 }],
+  ["built on a grant that was not applied", { sequence: 5, base: 4 }],
+  ["of an earlier leader", { epoch: 1, base: 0, sequence: 9 }],
+])("ignores a grant that is %s", (_, changes) => {
+  const router = routerWith({});
+  router.setTargets([route("a")], 0);
+  const grant = { epoch: 2, sequence: 3, base: 0, slots: { a: 1 }, until: 900 };
+  router.setAllowance(grant, 5);
+  const next = { ...grant, sequence: 4, base: 3, slots: { a: 2 } };
+  router.setAllowance({ ...next, ...changes }, 10);
+  expect(router.describe(10)[0]?.slots).toBe(1);
+  router.setAllowance(next, 10);
+  expect(router.describe(10)[0]?.slots).toBe(2);
 });
