--- /dev/null
+++ b/packages/cli/src/commands/watch.ts
@@ -0,0 +1,111 @@
+/**
+ * `quetzalcove watch`: shows the status again and again.
+ *
+ * @module
+ */
+import { Err, Ok, type Result, Status, Vms, Waves } from "@quetzalcove/core";
+import type { z } from "zod";
+import type { AdminClient } from "../admin_client.ts";
+import type { Command, Invocation, Outcome } from "../command.ts";
+import { describeFailure, type Failure, usage } from "../failure.ts";
+import { describeStatus } from "./status.ts";
+import { describePhases } from "./vms.ts";
+import { describeWaves } from "./waves.ts";
+
+export const WATCH: Command = {
+  name: "watch",
+  parameters: "",
+  summary: "Show status, VM phases and waves until you stop it",
+  details: `
+On a terminal each view replaces the last one; otherwise views follow one another, and
+with --json each is one line. A daemon that does not answer is shown and asked again.
+Stop it with Ctrl-C.`,
+  options: [
+    {
+      flags: "--every <seconds>",
+      summary: "Pause between two views (default 2)",
+    },
+    { flags: "--count <views>", summary: "Stop after so many views" },
+  ],
+  examples: ["watch", "watch --every 1 --count 60 --json"],
+  run,
+};
+
+const DEFAULT_PAUSE_S = 2;
+const SECOND_MS = 1_000;
+
+/** Moves the cursor to the top left corner and clears the terminal. */
+const CLEAR = "\u001b[H\u001b[2J";
+
+async function run(invocation: Invocation): Promise<Outcome> {
+  const { options, runtime, json } = invocation;
+  const connected = invocation.connect();
+  const every = options.count("every");
+  const count = options.count("count");
+  if (connected.err) {
+    return connected;
+  }
+  if (every.err) {
+    return every;
+  }
+  if (count.err) {
+    return count;
+  }
+  if (every.val === 0 || count.val === 0) {
+    return Err(usage("--every and --count need at least 1"));
+  }
+  const views = count.val ?? Infinity;
+  for (let view = 1; view <= views; view++) {
+    const seen = await readView(connected.val);
+    const text = json
+      ? `${JSON.stringify(dataOf(seen))}\n`
+      : textOf(seen, runtime.now());
+    if (view === views) {
+      return Ok({ text: `${text.trimEnd()}\n` });
+    }
+    runtime.print(runtime.interactive ? CLEAR + text : text);
+    await runtime.sleep((every.val ?? DEFAULT_PAUSE_S) * SECOND_MS);
+  }
+  return Ok({ text: "" });
+}
+
+/** One view; a part that is refused does not hide the others. */
+interface View {
+  status: Result<Status, Failure>;
+  vms: Result<Vms, Failure>;
+  waves: Result<Waves, Failure>;
+}
+
+async function readView(client: AdminClient): Promise<View> {
+  const get = <T extends z.ZodType>(
+    path: string,
+    answer: T,
+  ): Promise<Result<z.output<T>, Failure>> =>
+    client.call({ method: "GET", path, answer });
+  const [status, vms, waves] = await Promise.all([
+    get("/v1/status", Status),
+    get("/v1/vms", Vms),
+    get("/v1/waves?why=1", Waves),
+  ]);
+  return { status, vms, waves };
+}
+
+function dataOf(view: View): unknown {
+  const parts = Object.entries(view).map(([name, part]) => [
+    name,
+    part.ok ? part.val : { failure: part.val },
+  ]);
+  return Object.fromEntries(parts);
+}
+
+function textOf({ status, vms, waves }: View, now: number): string {
+  if (status.err) {
+    return `${describeFailure(status.val)}\n`;
+  }
+  const parts = [
+    describeStatus(status.val),
+    vms.ok ? describePhases(vms.val) : describeFailure(vms.val),
+    waves.ok ? describeWaves(waves.val, now) : describeFailure(waves.val),
+  ];
+  return `${parts.join("\n")}\n`;
+}
--- /dev/null
+++ b/packages/emulator/src/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Emulated targets and load from outside.
+ *
+ * @module
+ */
+export * from "./agent.ts";
+export * from "./announcer.ts";
+export * from "./behaviour.ts";
+export * from "./children.ts";
+export * from "./fleet.ts";
+export * from "./load.ts";
+export * from "./target.ts";
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -11,6 +11,7 @@
       "@quetzalcove/core": source("packages/core/src/mod.ts"),
       "@quetzalcove/daemon": source("packages/daemon/src/mod.ts"),
       "@quetzalcove/cli": source("packages/cli/src/mod.ts"),
+      "@quetzalcove/emulator": source("packages/emulator/src/mod.ts"),
     },
   },
   test: {
