--- a/bench/src/waves/measure.ts
+++ b/bench/src/waves/measure.ts
@@ -10,6 +10,8 @@
 
 /** The figures of one run. */
 export interface Figures {
+  /** Whether the seed has an incident. */
+  incident: boolean;
   /** Whether every VM was maintained before the run ended. */
   complete: boolean;
   /** From the start of the round until the last VM was back, in minutes. */
@@ -70,6 +72,7 @@
   const { state } = model;
   const maintained = Object.values(state.vms).filter((vm) => isDone(state, vm));
   return {
+    incident: model.incident.kind !== "none",
     complete: isOver(state),
     rolloutMinutes: (model.now - start) / MINUTE_MS,
     moves: model.stops / Math.max(1, maintained.length),
