--- a/packages/core/src/maintenance/health.ts
+++ b/packages/core/src/maintenance/health.ts
@@ -18,7 +18,7 @@
 
 /** Marks silent VMs as failed, unless so many are silent that the observation itself is in doubt. */
 export function findFailures(pass: Pass): void {
-  const serving = Object.values(pass.state.vms).filter(inService);
+  const serving = Object.values(pass.state.vms).filter(mustAnswer);
   const silent = serving.filter((record) => isSilent(pass, record));
   const doubtful = silent.length >= MIN_SILENT_VMS &&
     silent.length > serving.length * MAX_SILENT_SHARE;
@@ -37,8 +37,10 @@
   }
 }
 
-function inService(record: VmRecord): boolean {
-  return record.phase === "serving" || record.phase === "draining";
+/** An operator may switch off a VM that is drained for them; any other has to answer until it reboots. */
+function mustAnswer(record: VmRecord): boolean {
+  return record.phase === "serving" || record.phase === "draining" ||
+    record.phase === "drained" && record.reason === "wave";
 }
 
 function isSilent(pass: Pass, record: VmRecord): boolean {
--- a/packages/core/src/maintenance/stop.ts
+++ b/packages/core/src/maintenance/stop.ts
@@ -56,6 +56,9 @@
     };
   }
   const condition = pass.condition(vm);
+  if (condition?.live === false) {
+    return silent(vm);
+  }
   if (condition?.inFlight === undefined) {
     return {
       rule: "in_flight",
@@ -77,6 +80,14 @@
   };
 }
 
+function silent(vm: string): Hold {
+  return {
+    rule: "not_serving",
+    vm,
+    message: `VM "${vm}" does not answer; it may have failed`,
+  };
+}
+
 /** A stop that nobody wants any more. */
 function obsolete(pass: Pass, record: VmRecord): Hold | undefined {
   const listed = pass.listed.get(record.name);
@@ -124,11 +135,13 @@
 
 function startReboot(pass: Pass, record: VmRecord, putOff?: Hold): void {
   const obstacle = putOff ?? shortage(pass, record);
-  if (obstacle === undefined) {
-    pass.changePhase(record, "rebooting", "wave");
-  } else {
+  if (obstacle !== undefined) {
     pass.hold({ ...obstacle, vm: record.name });
     pass.changePhase(record, "serving", "none");
+  } else if (pass.condition(record.name)?.live === true) {
+    pass.changePhase(record, "rebooting", "wave");
+  } else {
+    pass.hold(silent(record.name));
   }
 }
 
