--- a/packages/core/src/machine.ts
+++ b/packages/core/src/machine.ts
@@ -9,15 +9,23 @@
 import { type Fault, Fault as FaultShape } from "./fault.ts";
 import { applyFleet, FleetCommand } from "./fleet.ts";
 import { applyLedger, LedgerCommand, LedgerOutput } from "./ledger.ts";
+import { applyJobs } from "./placement/apply.ts";
+import { JobCommand, JobOutput } from "./placement/job.ts";
 import { Ok, type Result } from "./result.ts";
 import type { State } from "./state.ts";
 
-export const Command = z.union([ConfigureCommand, FleetCommand, LedgerCommand]);
+export const Command = z.union([
+  ConfigureCommand,
+  FleetCommand,
+  LedgerCommand,
+  JobCommand,
+]);
 export type Command = z.infer<typeof Command>;
 
 /** What applying a command reports to the one who proposed it. */
 export const Output = z.union([
   LedgerOutput,
+  JobOutput,
   z.object({
     kind: z.literal("configured"),
     version: z.number().int(),
@@ -42,6 +50,10 @@
     case "vm.phase":
     case "vm.move":
       return changeVm(state, command);
+    case "job.submit":
+    case "job.cancel":
+    case "job.step":
+      return applyJobs(state, command);
     default:
       return applyLedger(state.ledger, command);
   }
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -11,6 +11,7 @@
 export * from "./ledger.ts";
 export * from "./machine.ts";
 export * from "./names.ts";
+export * from "./placement/mod.ts";
 export * from "./result.ts";
 export * from "./rules.ts";
 export * from "./state.ts";
--- /dev/null
+++ b/packages/core/src/placement/absorbing.ts
@@ -0,0 +1,134 @@
+/**
+ * Reads reports and leases: which runs have ended, which have checkpoints, which are surely gone.
+ *
+ * @module
+ */
+import type { Job, JobChange, Run } from "./job.ts";
+import type { JobIndex } from "./job_index.ts";
+import {
+  emptyLease,
+  emptyRunLease,
+  neverSent,
+  provenGone,
+  type RunLease,
+  STALE_MS,
+  type VmLease,
+} from "./lease.ts";
+import type { RunReport } from "./operation.ts";
+
+/** A run that no agent was asked to start within this time is placed again. */
+const UNSENT_MS = 10_000;
+
+/** What is read in one pass. */
+export interface Absorbing {
+  index: JobIndex;
+  leases: Map<string, VmLease>;
+  now: number;
+  at: number;
+  /** Lease bound of runs that this leader has not seen before. */
+  firstBound?: number;
+  changes: JobChange[];
+}
+
+/** Adds a change for each run that ended or has a new checkpoint. */
+export function absorbReports(absorbing: Absorbing): void {
+  for (const [vm, jobs] of absorbing.index.byVm) {
+    const lease = absorbing.leases.get(vm) ?? emptyLease();
+    absorbing.leases.set(vm, lease);
+    const reports = new Map<string, RunReport>();
+    for (const report of lease.report?.runs ?? []) {
+      reports.set(report.run, report);
+    }
+    for (const job of jobs.values()) {
+      if (job.run !== undefined) {
+        const report = reports.get(job.run.id);
+        absorbRun(absorbing, { job, run: job.run, lease, report });
+      }
+    }
+    dropRuns(lease, jobs);
+  }
+}
+
+/** Forgets leases of runs that the VM no longer has. */
+function dropRuns(lease: VmLease, jobs: Map<string, Job>): void {
+  if (lease.runs.size <= jobs.size) {
+    return;
+  }
+  const current = new Set([...jobs.values()].map((job) => job.run?.id));
+  for (const run of lease.runs.keys()) {
+    if (!current.has(run)) {
+      lease.runs.delete(run);
+    }
+  }
+}
+
+interface RunView {
+  job: Job;
+  run: Run;
+  lease: VmLease;
+  report?: RunReport;
+}
+
+function absorbRun(absorbing: Absorbing, view: RunView): void {
+  const { job, run, lease, report } = view;
+  let held = lease.runs.get(run.id);
+  if (held === undefined) {
+    held = emptyRunLease(absorbing.firstBound);
+    lease.runs.set(run.id, held);
+  }
+  if (report?.phase === "ended") {
+    absorbing.changes.push(endOf(job, run, report));
+    return;
+  }
+  held.closed ||= isGone(absorbing, view, held);
+  if (held.closed) {
+    const outcome = neverSent(held) ? "stopped" : "lost";
+    absorbing.changes.push({ type: "end", job: job.id, run: run.id, outcome });
+  } else if (report !== undefined) {
+    held.seenIn = lease.report?.incarnation;
+    noteCheckpoint(absorbing, view);
+  }
+}
+
+function noteCheckpoint(
+  { changes }: Absorbing,
+  { job, run, report }: RunView,
+): void {
+  const checkpoint = report?.checkpoint;
+  if (checkpoint !== undefined && checkpoint !== job.checkpoint) {
+    changes.push({ type: "checkpoint", job: job.id, run: run.id, checkpoint });
+  }
+}
+
+function endOf(job: Job, run: Run, report: RunReport): JobChange {
+  return {
+    type: "end",
+    job: job.id,
+    run: run.id,
+    outcome: report.outcome ?? "stopped",
+    memoryMb: report.peakMb,
+    millicores: report.millicores,
+    runtimeMs: report.runtimeMs,
+    checkpoint: report.checkpoint,
+  };
+}
+
+/** Whether the run has surely ended or can never have started. */
+function isGone(
+  { now, at }: Absorbing,
+  { run, lease, report }: RunView,
+  held: RunLease,
+): boolean {
+  if (neverSent(held)) {
+    const stale = lease.suspect || now - lease.reportedAt > STALE_MS;
+    const late = at - run.at > UNSENT_MS;
+    return run.want !== "run" || stale || late;
+  }
+  if (now > held.bound) {
+    const unanswered = held.seenIn === undefined &&
+      lease.reportedAt < held.sentAt;
+    lease.suspect ||= unanswered;
+    return true;
+  }
+  return report === undefined && provenGone(lease, held);
+}
--- /dev/null
+++ b/packages/core/src/placement/apply.ts
@@ -0,0 +1,305 @@
+/**
+ * Applies job commands to the replicated state. Quotas, pools and phases are checked here as well as in the pass, so
+ * that no order of commands from any leader can break them.
+ *
+ * @module
+ */
+import { type Fault, fault } from "../fault.ts";
+import { Err, Ok, type Result } from "../result.ts";
+import type { State } from "../state.ts";
+import { digestOf } from "./digest.ts";
+import { endRun } from "./ending.ts";
+import { neverFits, poolLimits } from "./feasibility.ts";
+import { emptyHealth } from "./health.ts";
+import {
+  type EndedJob,
+  type Job,
+  type JobChange,
+  type JobCommand,
+  type JobOutput,
+  type JobReply,
+  type Jobs,
+  type Submission,
+} from "./job.ts";
+import { Sizing } from "./learning.ts";
+import { countRun, endJob, touch } from "./record.ts";
+import {
+  addSize,
+  fits,
+  remaining,
+  type Size,
+  sizeOf,
+  zeroSize,
+} from "./size.ts";
+
+type ChangeOf<T extends JobChange["type"]> = Extract<JobChange, { type: T }>;
+
+/** Applies a job command in place. Every command is idempotent. */
+export function applyJobs(
+  state: State,
+  command: JobCommand,
+): Result<JobOutput, Fault> {
+  switch (command.kind) {
+    case "job.submit":
+      return Ok({
+        kind: "jobs",
+        jobs: submit(state, command.jobs, command.at),
+      });
+    case "job.cancel":
+      return Ok({
+        kind: "jobs",
+        jobs: command.jobs.map((id) => cancel(state.jobs, id, command.at)),
+      });
+    case "job.step":
+      return step(state, command);
+  }
+}
+
+function submit(state: State, batch: Submission[], at: number): JobReply[] {
+  const limits = poolLimits(state);
+  const quotas = quotasOf(state);
+  const sizing = new Sizing(state.jobs);
+  return batch.map((submission) => {
+    const known = knownReply(state.jobs, submission);
+    if (known !== undefined) {
+      return known;
+    }
+    const job = newJob(submission, at);
+    state.jobs.active[job.id] = job;
+    touch(state.jobs, job.id);
+    const reason = neverFits(job, { limits, quotas, sizing });
+    if (reason !== undefined) {
+      endJob(state.jobs, job, { end: "refused", reason, at });
+      return { id: job.id, state: "refused", reason };
+    }
+    return { id: job.id, state: "waiting" };
+  });
+}
+
+function newJob(submission: Submission, at: number): Job {
+  return {
+    ...submission,
+    phase: "waiting",
+    submittedAt: at,
+    runs: 0,
+    floorMb: 0,
+    killedMb: 0,
+    failedOn: [],
+    moves: 0,
+  };
+}
+
+function knownReply(jobs: Jobs, submission: Submission): JobReply | undefined {
+  const digest = digestOf(submission);
+  const active = jobs.active[submission.id];
+  if (active !== undefined) {
+    return digestOf(active) === digest
+      ? { id: active.id, state: active.phase }
+      : conflict(submission.id);
+  }
+  const ended = jobs.ended[submission.id];
+  if (ended === undefined) {
+    return undefined;
+  }
+  return ended.digest === digest
+    ? endedReply(submission.id, ended)
+    : conflict(submission.id);
+}
+
+function conflict(id: string): JobReply {
+  return {
+    id,
+    state: "conflict",
+    reason: "Another job was submitted under this id",
+  };
+}
+
+function endedReply(id: string, ended: EndedJob): JobReply {
+  return { id, state: ended.end, reason: ended.reason };
+}
+
+function cancel(jobs: Jobs, id: string, at: number): JobReply {
+  const job = jobs.active[id];
+  if (job === undefined) {
+    const ended = jobs.ended[id];
+    return ended === undefined
+      ? { id, state: "unknown" }
+      : endedReply(id, ended);
+  }
+  if (job.run === undefined) {
+    endJob(jobs, job, { end: "cancelled", at });
+    return { id, state: "cancelled" };
+  }
+  const run = { ...job.run, want: "stop", cause: "cancel" } as const;
+  jobs.active[id] = { ...job, run };
+  touch(jobs, id);
+  return { id, state: "stopping" };
+}
+
+function step(
+  state: State,
+  command: Extract<JobCommand, { kind: "job.step" }>,
+): Result<JobOutput, Fault> {
+  if (command.base !== state.jobs.sequence) {
+    return Err(
+      fault(
+        "conflict",
+        `The step builds on ${command.base}, but ${state.jobs.sequence} steps were applied`,
+      ),
+    );
+  }
+  state.jobs.sequence += 1;
+  const quotas = quotasOf(state);
+  let applied = 0;
+  for (const change of command.changes) {
+    applied += applyChange(state, change, { at: command.at, quotas }) ? 1 : 0;
+  }
+  const skipped = command.changes.length - applied;
+  return Ok({ kind: "stepped", applied, skipped });
+}
+
+interface StepContext {
+  at: number;
+  quotas: Map<string, Size>;
+}
+
+function applyChange(
+  state: State,
+  change: JobChange,
+  context: StepContext,
+): boolean {
+  switch (change.type) {
+    case "place":
+      return place(state, change, context);
+    case "want":
+      return want(state.jobs, change);
+    case "checkpoint":
+      return checkpoint(state.jobs, change);
+    case "end":
+      return endRun(state.jobs, change, context.at);
+    case "refuse":
+      return refuse(state.jobs, change, context.at);
+    case "health":
+      return setHealth(state.jobs, change, context.at);
+    case "prune":
+      return prune(state.jobs, change.before);
+  }
+}
+
+function place(
+  state: State,
+  change: ChangeOf<"place">,
+  context: StepContext,
+): boolean {
+  const job = state.jobs.active[change.job];
+  const vm = state.vms[change.vm];
+  if (job === undefined || job.phase !== "waiting" || vm === undefined) {
+    return false;
+  }
+  if (vm.phase !== "serving" || vm.pool !== job.pool) {
+    return false;
+  }
+  if (change.run !== nextRun(job)) {
+    return false;
+  }
+  const quota = context.quotas.get(job.team);
+  const held = state.jobs.held[job.team] ??= zeroSize();
+  if (quota === undefined || !fits(change.size, remaining(quota, held))) {
+    return false;
+  }
+  addSize(held, change.size);
+  countRun(state.jobs, change.vm, 1);
+  state.jobs.active[job.id] = {
+    ...job,
+    phase: "placed",
+    runs: job.runs + 1,
+    run: {
+      id: change.run,
+      vm: change.vm,
+      size: change.size,
+      at: context.at,
+      want: "run",
+    },
+  };
+  touch(state.jobs, job.id);
+  return true;
+}
+
+/** The id of the job's next run. */
+export function nextRun(job: Job): string {
+  return `${job.id}#${job.runs + 1}`;
+}
+
+/** The quota of each team. */
+export function quotasOf(state: State): Map<string, Size> {
+  return new Map(state.rules.teams.map((team) => [team.name, sizeOf(team)]));
+}
+
+function heldJob(jobs: Jobs, id: string, run: string): Job | undefined {
+  const job = jobs.active[id];
+  return job?.run?.id === run ? job : undefined;
+}
+
+function want(jobs: Jobs, change: ChangeOf<"want">): boolean {
+  const job = heldJob(jobs, change.job, change.run);
+  // A cancellation is final; a stop is not weakened to a checkpoint.
+  if (job?.run === undefined || job.run.want === "stop") {
+    return false;
+  }
+  const run = { ...job.run, want: change.want, cause: change.cause };
+  jobs.active[job.id] = { ...job, run };
+  touch(jobs, job.id);
+  return true;
+}
+
+function checkpoint(jobs: Jobs, change: ChangeOf<"checkpoint">): boolean {
+  const job = heldJob(jobs, change.job, change.run);
+  if (job === undefined) {
+    return false;
+  }
+  jobs.active[job.id] = { ...job, checkpoint: change.checkpoint };
+  touch(jobs, job.id);
+  return true;
+}
+
+function refuse(jobs: Jobs, change: ChangeOf<"refuse">, at: number): boolean {
+  const job = jobs.active[change.job];
+  if (job === undefined || job.phase !== "waiting") {
+    return false;
+  }
+  endJob(jobs, job, { end: "refused", reason: change.reason, at });
+  return true;
+}
+
+function setHealth(
+  jobs: Jobs,
+  change: ChangeOf<"health">,
+  at: number,
+): boolean {
+  const health = jobs.health[change.vm] ?? emptyHealth();
+  jobs.health[change.vm] = { ...health, phase: change.phase, at };
+  if (change.phase === "quarantined") {
+    forgiveJobs(jobs, change.vm);
+  }
+  return true;
+}
+
+/** Failures on a VM that fails everything say nothing about the jobs. */
+function forgiveJobs(jobs: Jobs, vm: string): void {
+  for (const job of Object.values(jobs.active)) {
+    if (job.failedOn.includes(vm)) {
+      const failedOn = job.failedOn.filter((name) => name !== vm);
+      jobs.active[job.id] = { ...job, failedOn };
+      touch(jobs, job.id);
+    }
+  }
+}
+
+function prune(jobs: Jobs, before: number): boolean {
+  for (const [id, ended] of Object.entries(jobs.ended)) {
+    if (ended.at < before) {
+      delete jobs.ended[id];
+    }
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/core/src/placement/choice.ts
@@ -0,0 +1,167 @@
+/**
+ * Chooses the VM for a job: best fit on the scarcest resource, so that large holes stay whole.
+ *
+ * @module
+ */
+import { PRIORITIES, type Priority } from "../names.ts";
+import type { Job } from "./job.ts";
+import { freeFor, type Occupant, type Room } from "./room.ts";
+import { fits, type Size } from "./size.ts";
+
+const MOVE_COST_MS = 60_000;
+const CLASS_COST_MS = 3_600_000;
+/** Share of a throttled run's processors that can be taken from it. */
+const THROTTLE_SHARE = 0.9;
+
+/** A VM for a job and the runs that must leave it first. */
+export interface Choice {
+  room: Room;
+  victims: Occupant[];
+}
+
+/** The rank of a class; 0 is the most important. */
+export function rankOfClass(priority: Priority): number {
+  return PRIORITIES.indexOf(priority);
+}
+
+/** The fullest VM that can hold the job now. */
+export function chooseRoom(
+  rooms: readonly Room[],
+  job: Job,
+  { need, pressing }: { need: Size; pressing: boolean },
+): Room | undefined {
+  let best: Room | undefined;
+  let bestScore = Infinity;
+  for (const room of rooms) {
+    if (!accepts(room, job)) {
+      continue;
+    }
+    const { priority } = job;
+    const free = freeFor(room, { priority, pressing, need });
+    if (!fits(need, free)) {
+      continue;
+    }
+    const score = leftover(room, need);
+    if (score < bestScore) {
+      best = room;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+function leftover(room: Room, need: Size): number {
+  const memory = (room.free.memoryMb - need.memoryMb) / room.limit.memoryMb;
+  const cores = (room.free.millicores - need.millicores) /
+    room.limit.millicores;
+  // VMs with accelerators are kept for jobs that need them.
+  const wasted = need.accelerators === 0 && room.free.accelerators > 0 ? 2 : 0;
+  return memory + cores + wasted;
+}
+
+/** Whether the VM may take a run of the job at all. */
+export function accepts(room: Room, job: Job): boolean {
+  if (!room.open || job.failedOn.includes(room.vm)) {
+    return false;
+  }
+  return !room.probe ||
+    (room.occupants.length === 0 && job.priority !== "urgent");
+}
+
+/**
+ * Chooses the VM where making room for the job costs least. Processors are taken by throttling; memory and
+ * accelerators by ending runs of classes below the job's.
+ */
+export function choosePreemption(
+  rooms: readonly Room[],
+  job: Job,
+  { need, at }: { need: Size; at: number },
+): Choice | undefined {
+  let best: Choice | undefined;
+  let bestCost = Infinity;
+  for (const room of rooms) {
+    if (room.probe || !accepts(room, job) || !coresReachable(room, job, need)) {
+      continue;
+    }
+    const victims = findVictims(room, job, { need, at });
+    const cost = victims === undefined ? Infinity : totalCost(victims, at);
+    if (victims !== undefined && cost < bestCost) {
+      best = { room, victims };
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+function coresReachable(room: Room, job: Job, need: Size): boolean {
+  let cores = room.free.millicores;
+  for (const occupant of room.occupants) {
+    if (isBelow(occupant, job)) {
+      cores += occupant.size.millicores * THROTTLE_SHARE;
+    }
+  }
+  return cores >= need.millicores;
+}
+
+function isBelow(occupant: Occupant, job: Job): boolean {
+  return rankOfClass(occupant.job.priority) > rankOfClass(job.priority);
+}
+
+function findVictims(
+  room: Room,
+  job: Job,
+  { need, at }: { need: Size; at: number },
+): Occupant[] | undefined {
+  let memory = need.memoryMb - room.free.memoryMb;
+  let accelerators = need.accelerators - room.free.accelerators;
+  const victims: Occupant[] = [];
+  if (memory <= 0 && accelerators <= 0) {
+    return victims;
+  }
+  const candidates = room.occupants
+    .filter((occupant) => isBelow(occupant, job) && occupant.run.want === "run")
+    .sort((a, b) => costOf(a, at) - costOf(b, at));
+  for (const candidate of candidates) {
+    const helps = (memory > 0 && candidate.size.memoryMb > 0) ||
+      (accelerators > 0 && candidate.size.accelerators > 0);
+    if (helps) {
+      victims.push(candidate);
+      memory -= candidate.size.memoryMb;
+      accelerators -= candidate.size.accelerators;
+    }
+    if (memory <= 0 && accelerators <= 0) {
+      return spare(victims, { memory, accelerators });
+    }
+  }
+  return undefined;
+}
+
+/** Drops victims that are not needed after all, the most expensive first. */
+function spare(
+  victims: Occupant[],
+  excess: { memory: number; accelerators: number },
+): Occupant[] {
+  let { memory, accelerators } = excess;
+  const kept: Occupant[] = [];
+  for (const victim of victims.toReversed()) {
+    const { memoryMb, accelerators: held } = victim.size;
+    if (memory + memoryMb <= 0 && accelerators + held <= 0) {
+      memory += memoryMb;
+      accelerators += held;
+    } else {
+      kept.push(victim);
+    }
+  }
+  return kept;
+}
+
+function totalCost(victims: readonly Occupant[], at: number): number {
+  return victims.reduce((sum, victim) => sum + costOf(victim, at), 0);
+}
+
+/** What ending a run costs: its class, the work since its start, and earlier moves. */
+function costOf({ job, run }: Occupant, at: number): number {
+  const importance = PRIORITIES.length - rankOfClass(job.priority);
+  return importance * CLASS_COST_MS + Math.min(at - run.at, CLASS_COST_MS) +
+    job.moves * MOVE_COST_MS;
+}
--- /dev/null
+++ b/packages/core/src/placement/dispatch.ts
@@ -0,0 +1,269 @@
+/**
+ * Turns the replicated state into operations for agents: leases to renew, runs to start, checkpoint and stop.
+ *
+ * @module
+ */
+import type { Cause, Job, Run } from "./job.ts";
+import {
+  emptyRunLease,
+  LEASE_MS,
+  noteRenewal,
+  noteStart,
+  RENEW_MS,
+  renewUntil,
+  type RunLease,
+  startDue,
+  URGENT_START_MS,
+  type VmLease,
+  WATCH_MS,
+} from "./lease.ts";
+import type { Operation, RunReport } from "./operation.ts";
+import type { Occupant, Room } from "./room.ts";
+import { addSize, fits, remaining, zeroSize } from "./size.ts";
+import { throttles } from "./throttle.ts";
+
+/** How long a run may take to checkpoint before it is stopped without. */
+const GRACE_MS: Record<Cause, number> = {
+  cancel: 0,
+  urgent: 1_200,
+  pressure: 5_000,
+  live: 10_000,
+  drain: 60_000,
+  unstarted: 0,
+};
+const RETRY_MS = 1_000;
+const CHECKPOINT_INTERVAL_MS = 900_000;
+
+/** What operations are derived from. */
+export interface Dispatch {
+  term: number;
+  now: number;
+  operations: Operation[];
+}
+
+interface Scope {
+  room: Room;
+  lease: VmLease;
+  dispatch: Dispatch;
+}
+
+/** Adds the operations that the VM needs now. */
+export function dispatchVm(
+  room: Room,
+  lease: VmLease,
+  dispatch: Dispatch,
+): void {
+  const scope = { room, lease, dispatch };
+  const busy = room.occupants.some(({ run, report }) =>
+    report === undefined || run.want !== "run"
+  );
+  if (dispatch.now - lease.askedAt >= (busy ? WATCH_MS : RENEW_MS)) {
+    ask(scope);
+  }
+  if (lease.report === undefined) {
+    return;
+  }
+  startRuns(scope);
+  for (const occupant of room.occupants) {
+    steer(scope, occupant);
+  }
+  for (const { run, share } of throttles(room)) {
+    send(scope, run, {
+      key: `throttle:${run}:${share}`,
+      operation: (id) => ({
+        ...header(scope, id),
+        kind: "throttle",
+        run,
+        share,
+      }),
+    });
+  }
+}
+
+function header(
+  { room, lease, dispatch }: Scope,
+  id: string,
+): { id: string; vm: string; term: number; incarnation: number } {
+  return {
+    id,
+    vm: room.vm,
+    term: dispatch.term,
+    incarnation: lease.report?.incarnation ?? 0,
+  };
+}
+
+/** Asks for a report and renews the leases of the runs that go on. */
+function ask(scope: Scope): void {
+  const { room, lease, dispatch } = scope;
+  const { report } = lease;
+  lease.askedAt = dispatch.now;
+  const runs: string[] = [];
+  for (const { run, report: seen } of room.occupants) {
+    const held = lease.runs.get(run.id);
+    if (
+      held !== undefined && seen?.phase === "running" &&
+      renewable(run, held, dispatch.now)
+    ) {
+      runs.push(run.id);
+      noteRenewal(lease, held);
+    }
+  }
+  const known = new Set(room.occupants.map(({ run }) => run.id));
+  const forget = (report?.runs ?? [])
+    .filter((entry) => entry.phase === "ended" && !known.has(entry.run))
+    .map((entry) => entry.run);
+  dispatch.operations.push({
+    ...header(scope, `renew:${room.vm}:${dispatch.term}:${dispatch.now}`),
+    kind: "renew",
+    until: report === undefined ? 0 : renewUntil(report),
+    runs,
+    forget,
+  });
+}
+
+/** A run that leaves keeps its lease only for the grace period of its checkpoint. */
+function renewable(run: Run, held: RunLease, now: number): boolean {
+  if (held.closed || now > held.bound) {
+    return false;
+  }
+  if (run.want === "run") {
+    return true;
+  }
+  const asked = held.operations.get(leaveKey(run.id))?.first ?? now;
+  return run.want === "checkpoint" && now - asked < graceOf(run);
+}
+
+function graceOf(run: Run): number {
+  return run.cause === undefined ? 0 : GRACE_MS[run.cause];
+}
+
+function leaveKey(run: string): string {
+  return `leave:${run}`;
+}
+
+/** Starts placed runs, in order of placement, once the runs that leave have made room. */
+function startRuns(scope: Scope): void {
+  const { room, lease, dispatch } = scope;
+  const taken = zeroSize();
+  const waiting: Occupant[] = [];
+  for (const occupant of room.occupants) {
+    const held = lease.runs.get(occupant.run.id);
+    const sent = held?.seenIn !== undefined || held?.sentTo !== undefined ||
+      occupant.report !== undefined;
+    if (sent) {
+      addSize(taken, occupant.size);
+    }
+    const wanted = occupant.run.want === "run" && occupant.report === undefined;
+    if (wanted && held?.seenIn === undefined) {
+      waiting.push(occupant);
+    }
+  }
+  for (const { job, run, size } of waiting) {
+    const held = lease.runs.get(run.id);
+    if (
+      held === undefined || held.closed || !startDue(lease, held, dispatch.now)
+    ) {
+      continue;
+    }
+    const free = remaining(room.limit, taken);
+    const first = held.sentTo === undefined;
+    // Processors are shared by throttling; memory and accelerators are not.
+    if (
+      first && !fits({ ...size, millicores: 0 }, { ...free, millicores: 0 })
+    ) {
+      continue;
+    }
+    if (first) {
+      addSize(taken, size);
+    }
+    dispatch.operations.push(startOf(scope, job, { run, held }));
+  }
+}
+
+function startOf(
+  scope: Scope,
+  job: Job,
+  { run, held }: { run: Run; held: RunLease },
+): Operation {
+  const lengthMs = job.priority === "urgent" ? URGENT_START_MS : LEASE_MS;
+  const { now } = scope.dispatch;
+  return {
+    ...header(scope, `start:${run.id}`),
+    kind: "start",
+    run: run.id,
+    job: job.id,
+    team: job.team,
+    priority: job.priority,
+    size: run.size,
+    task: job.task,
+    checkpoint: job.checkpoint,
+    until: noteStart(scope.lease, held, { now, lengthMs }),
+  };
+}
+
+/** Sends what a placed run needs: the end that is wanted, or a checkpoint from time to time. */
+function steer(scope: Scope, { run, report }: Occupant): void {
+  const held = scope.lease.runs.get(run.id) ?? emptyRunLease();
+  if (report?.phase === "ended" || scope.lease.runs.get(run.id) === undefined) {
+    return;
+  }
+  if (run.want === "run") {
+    checkpointNow(scope, run, report);
+    return;
+  }
+  const key = leaveKey(run.id);
+  const asked = held.operations.get(key)?.first ?? scope.dispatch.now;
+  const late = scope.dispatch.now - asked >= graceOf(run);
+  const stop = run.want === "stop" || late || report === undefined;
+  send(scope, run.id, {
+    key,
+    operation: () =>
+      stop
+        ? { ...header(scope, `stop:${run.id}`), kind: "stop", run: run.id }
+        : {
+          ...header(scope, `leave:${run.id}`),
+          kind: "checkpoint",
+          run: run.id,
+          stop: true,
+          graceMs: graceOf(run),
+        },
+  });
+}
+
+function checkpointNow(scope: Scope, run: Run, report?: RunReport): void {
+  const count = Math.floor((report?.runtimeMs ?? 0) / CHECKPOINT_INTERVAL_MS);
+  if (count > 0) {
+    const key = `checkpoint:${run.id}:${count}`;
+    const held = scope.lease.runs.get(run.id);
+    if (held?.operations.has(key) === false) {
+      send(scope, run.id, {
+        key,
+        operation: (id) => ({
+          ...header(scope, id),
+          kind: "checkpoint",
+          run: run.id,
+          stop: false,
+          graceMs: CHECKPOINT_INTERVAL_MS,
+        }),
+      });
+    }
+  }
+}
+
+/** Sends an operation on a run unless the same one was sent just before. */
+function send(
+  { lease, dispatch }: Scope,
+  run: string,
+  { key, operation }: { key: string; operation: (id: string) => Operation },
+): void {
+  const held = lease.runs.get(run);
+  const sent = held?.operations.get(key);
+  if (held === undefined || (sent && dispatch.now - sent.last < RETRY_MS)) {
+    return;
+  }
+  held.operations.set(key, {
+    first: sent?.first ?? dispatch.now,
+    last: dispatch.now,
+  });
+  dispatch.operations.push(operation(key));
+}
--- /dev/null
+++ b/packages/core/src/placement/feasibility.ts
@@ -0,0 +1,118 @@
+/**
+ * Finds jobs that can never run, with the reason.
+ *
+ * @module
+ */
+import type { Vm } from "../inventory.ts";
+import type { State } from "../state.ts";
+import type { Job } from "./job.ts";
+import type { Sizing } from "./learning.ts";
+import { fits, formatSize, type Size, sizeOf } from "./size.ts";
+
+/** Share of a VM's memory that runs may take together. */
+const MEMORY_SHARE = 0.95;
+
+/** The sizes of the VMs of each pool that no other VM of the pool exceeds in every resource. */
+export type PoolLimits = Map<string, Size[]>;
+
+/** What a job is checked against. */
+export interface Bounds {
+  limits: PoolLimits;
+  quotas: Map<string, Size>;
+  sizing: Sizing;
+}
+
+/** The share of a VM that jobs may take in a pool. */
+export function jobShare(state: State, pool: string): number {
+  const shared = state.rules.services.some((service) => service.pool === pool);
+  return shared ? 1 - state.rules.jobs.serviceShare : 1;
+}
+
+/** The part of a VM's size that jobs may take. */
+export function usableSize(size: Size, share: number): Size {
+  return {
+    millicores: Math.floor(size.millicores * share),
+    memoryMb: Math.floor(size.memoryMb * share),
+    accelerators: size.accelerators,
+  };
+}
+
+/** What jobs may take of a VM in all. */
+export function jobLimit(vm: Vm, share: number): Size {
+  const size = usableSize(sizeOf(vm), share);
+  size.memoryMb = Math.floor(size.memoryMb * MEMORY_SHARE);
+  return size;
+}
+
+/** Works out the largest VMs of every pool, whatever their phase. */
+export function poolLimits(state: State): PoolLimits {
+  const limits: PoolLimits = new Map();
+  for (const pool of state.inventory.pools) {
+    limits.set(pool.name, []);
+  }
+  const shares = new Map(
+    state.inventory.pools.map((
+      pool,
+    ) => [pool.name, jobShare(state, pool.name)]),
+  );
+  for (const vm of state.inventory.vms) {
+    const pool = state.vms[vm.name]?.pool ?? vm.pool;
+    const size = jobLimit(vm, shares.get(pool) ?? 1);
+    const known = limits.get(pool) ?? [];
+    if (!known.some((other) => fits(size, other))) {
+      limits.set(
+        pool,
+        [...known.filter((other) => !fits(other, size)), size],
+      );
+    }
+  }
+  return limits;
+}
+
+/** The largest amount of each resource that any VM of the pool has. */
+export function largest(sizes: readonly Size[]): Size {
+  return {
+    millicores: Math.max(0, ...sizes.map((size) => size.millicores)),
+    memoryMb: Math.max(0, ...sizes.map((size) => size.memoryMb)),
+    accelerators: Math.max(0, ...sizes.map((size) => size.accelerators)),
+  };
+}
+
+/** Why the job can never run, or undefined when it can. */
+export function neverFits(
+  job: Job,
+  { limits, quotas, sizing }: Bounds,
+): string | undefined {
+  const sizes = limits.get(job.pool);
+  if (sizes === undefined) {
+    return `Pool "${job.pool}" is not in the inventory`;
+  }
+  const quota = quotas.get(job.team);
+  if (quota === undefined) {
+    return `Team "${job.team}" is not in the rules`;
+  }
+  const need = sizing.reserve(job, least(largest(sizes), quota));
+  if (need.accelerators > 0 && largest(sizes).accelerators === 0) {
+    return `Pool "${job.pool}" has no accelerators`;
+  }
+  if (!sizes.some((size) => fits(need, size))) {
+    return `No VM of pool "${job.pool}" can hold ${
+      formatSize(need)
+    }; the largest has ${formatSize(largest(sizes))}`;
+  }
+  if (!fits(need, quota)) {
+    return `The quota of team "${job.team}" is ${
+      formatSize(quota)
+    }, and the job needs ${formatSize(need)}`;
+  }
+  return undefined;
+}
+
+/** The smaller of two sizes in each resource. */
+export function least(a: Size, b: Size): Size {
+  return {
+    millicores: Math.min(a.millicores, b.millicores),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    accelerators: Math.min(a.accelerators, b.accelerators),
+  };
+}
--- /dev/null
+++ b/packages/core/src/placement/health.ts
@@ -0,0 +1,114 @@
+/**
+ * Tells workers that fail everything from jobs that fail everywhere. Failures count against a VM only when they come
+ * from distinct jobs whose kind is not itself failing on other VMs.
+ *
+ * @module
+ */
+import { type Health, type Job, type Jobs, kindKey } from "./job.ts";
+import { emptyEstimate } from "./learning.ts";
+
+const MAX_RECENT = 6;
+/** Failures in a row from distinct jobs after which a VM is quarantined. */
+export const QUARANTINE_FAILURES = 3;
+/** Healthy VMs on which a job must fail before it is stopped as bad. */
+const BAD_JOB_VMS = 3;
+/** Failures after which a job is stopped, whatever the state of its VMs. */
+const MAX_FAILURES = 8;
+const MAX_FAILING_VMS = 8;
+/** Other VMs on which a kind must be failing before its failures stop counting against VMs. */
+const SUSPECT_KIND_VMS = 2;
+const FIRST_PROBE_MS = 60_000;
+const MAX_PROBE_MS = 3_600_000;
+
+/** A VM without any ended run. */
+export function emptyHealth(): Health {
+  return { recent: [], phase: "healthy", strikes: 0, at: 0 };
+}
+
+/** Records that a run was done. */
+export function recordDone(jobs: Jobs, job: Job, vm: string, at: number): void {
+  const estimate = jobs.estimates[kindKey(job)] ??= emptyEstimate();
+  estimate.failing = [];
+  const health = jobs.health[vm] ??= emptyHealth();
+  if (health.phase !== "healthy") {
+    jobs.health[vm] = { ...emptyHealth(), at };
+    return;
+  }
+  push(health, job, true);
+}
+
+/** Records that a run failed by itself. */
+export function recordFailure(
+  jobs: Jobs,
+  job: Job,
+  vm: string,
+  at: number,
+): void {
+  const estimate = jobs.estimates[kindKey(job)] ??= emptyEstimate();
+  if (!estimate.failing.includes(vm)) {
+    estimate.failing = [...estimate.failing, vm].slice(-MAX_FAILING_VMS);
+  }
+  const health = jobs.health[vm] ??= emptyHealth();
+  if (health.phase === "probing") {
+    health.phase = "quarantined";
+    health.strikes += 1;
+    health.at = at;
+    return;
+  }
+  const others = estimate.failing.filter((name) => name !== vm).length;
+  if (others < SUSPECT_KIND_VMS) {
+    push(health, job, false);
+  }
+}
+
+function push(health: Health, job: Job, done: boolean): void {
+  const entry = { job: job.id, kind: kindKey(job), done };
+  health.recent = [...health.recent, entry].slice(-MAX_RECENT);
+}
+
+/** Whether the VM's last runs all failed, with enough distinct jobs to blame the VM. */
+export function failsEverything(jobs: Jobs, health: Health): boolean {
+  const last = health.recent.slice(-QUARANTINE_FAILURES);
+  if (last.length < QUARANTINE_FAILURES || last.some((entry) => entry.done)) {
+    return false;
+  }
+  const distinct = new Set(last.map((entry) => entry.job));
+  if (distinct.size < QUARANTINE_FAILURES) {
+    return false;
+  }
+  const kinds = new Set(last.map((entry) => entry.kind));
+  return kinds.size > 1 ||
+    last.every((entry) => hasSucceeded(jobs, entry.kind));
+}
+
+function hasSucceeded(jobs: Jobs, kind: string): boolean {
+  return (jobs.estimates[kind]?.memoryMb.length ?? 0) > 0;
+}
+
+/** Whether the job failed on enough healthy VMs to be stopped as bad. */
+export function isBadJob(jobs: Jobs, job: Job): boolean {
+  if (job.failedOn.length >= MAX_FAILURES) {
+    return true;
+  }
+  const healthy = job.failedOn.filter((vm) => worksForOthers(jobs, vm, job.id));
+  return healthy.length >= BAD_JOB_VMS;
+}
+
+function worksForOthers(jobs: Jobs, vm: string, job: string): boolean {
+  const health = jobs.health[vm];
+  if (health === undefined) {
+    return true;
+  }
+  if (health.phase !== "healthy") {
+    return false;
+  }
+  const others = health.recent.filter((entry) => entry.job !== job);
+  return others.length === 0 || others.some((entry) => entry.done);
+}
+
+/** Whether a quarantined VM may be tried with one job. */
+export function probeDue(health: Health, at: number): boolean {
+  const waitMs = FIRST_PROBE_MS * 2 ** Math.min(health.strikes, 10);
+  return health.phase === "quarantined" &&
+    at - health.at >= Math.min(waitMs, MAX_PROBE_MS);
+}
--- /dev/null
+++ b/packages/core/src/placement/job.ts
@@ -0,0 +1,253 @@
+/**
+ * Schemas of jobs, their runs under leases, and the commands that change them.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { DurationMs, Name, Priority } from "../names.ts";
+import { Size } from "./size.ts";
+
+/** The id of a job; it starts with a letter so that records keep their order of insertion. */
+export const JobId = z.string().regex(
+  /^[a-zA-Z][a-zA-Z0-9._:-]{0,127}$/,
+  "must be 1 to 128 letters, digits, '.', '_', ':' or '-', and start with a letter",
+);
+export type JobId = z.infer<typeof JobId>;
+
+/** A job as a team submits it. Sizes and run time are the team's guess. */
+export const Submission = z.strictObject({
+  id: JobId,
+  team: Name,
+  kind: Name,
+  pool: Name,
+  priority: Priority.default("live"),
+  cores: z.number().positive().max(10_000),
+  memoryGb: z.number().positive().max(100_000),
+  accelerators: z.number().int().nonnegative().default(0),
+  runtimeMs: DurationMs,
+  /** Wall-clock time by which the job must have ended, in milliseconds. */
+  deadline: z.number().optional(),
+  /** Whether the job may start again after a run was lost. */
+  restartable: z.boolean().default(true),
+  /** What the agent runs; passed on as it is. */
+  task: z.string().max(4_096).default(""),
+});
+export type Submission = z.infer<typeof Submission>;
+
+/** Why a run is told to end before its job is done. */
+export const Cause = z.enum([
+  "cancel",
+  "drain",
+  "pressure",
+  "urgent",
+  "live",
+  "unstarted",
+]);
+export type Cause = z.infer<typeof Cause>;
+
+/** One run of a job on a VM. No second run of the job exists until this one is removed. */
+export const Run = z.object({
+  id: z.string(),
+  vm: Name,
+  size: Size,
+  /** Wall-clock time of the placement, in milliseconds. */
+  at: z.number(),
+  want: z.enum(["run", "checkpoint", "stop"]),
+  cause: Cause.optional(),
+});
+export type Run = z.infer<typeof Run>;
+
+export const Job = Submission.extend({
+  phase: z.enum(["waiting", "placed"]),
+  submittedAt: z.number(),
+  /** Number of runs so far; the next run's id carries it. */
+  runs: z.number().int(),
+  run: Run.optional(),
+  /** Least memory of the next run, learned from runs that were killed. */
+  floorMb: z.number().int(),
+  /** Most memory that a run held when it was killed for memory. */
+  killedMb: z.number().int(),
+  checkpoint: z.string().optional(),
+  /** VMs on which the job failed. */
+  failedOn: z.array(Name),
+  moves: z.number().int(),
+});
+export type Job = z.infer<typeof Job>;
+
+/** How a job ended. `refused` jobs can never run. */
+export const JobEnd = z.enum(["done", "failed", "cancelled", "refused"]);
+export type JobEnd = z.infer<typeof JobEnd>;
+
+/** What is kept of an ended job, so that a resend or a query gets its answer. */
+export const EndedJob = z.object({
+  digest: z.number().int(),
+  team: Name,
+  end: JobEnd,
+  reason: z.string().optional(),
+  at: z.number(),
+});
+export type EndedJob = z.infer<typeof EndedJob>;
+
+/** Recent observations of one team's jobs of one kind. */
+export const Estimate = z.object({
+  memoryMb: z.array(z.number().int()),
+  millicores: z.array(z.number().int()),
+  runtimeMs: z.array(z.number().int()),
+  /** VMs on which jobs of this kind failed since the last one that was done. */
+  failing: z.array(Name),
+});
+export type Estimate = z.infer<typeof Estimate>;
+
+/** Recent ends of runs on one VM and what follows from them. */
+export const Health = z.object({
+  recent: z.array(
+    z.object({ job: z.string(), kind: z.string(), done: z.boolean() }),
+  ),
+  phase: z.enum(["healthy", "quarantined", "probing"]),
+  strikes: z.number().int(),
+  at: z.number(),
+});
+export type Health = z.infer<typeof Health>;
+
+/** How a run ended. */
+export const RunOutcome = z.enum([
+  "done",
+  "failed",
+  "out of memory",
+  "checkpointed",
+  "stopped",
+  "expired",
+  "lost",
+]);
+export type RunOutcome = z.infer<typeof RunOutcome>;
+
+/** The replicated part of placement. */
+export const Jobs = z.object({
+  /** Number of applied steps; a step names the number that it builds on. */
+  sequence: z.number().int(),
+  active: z.record(z.string(), Job),
+  ended: z.record(z.string(), EndedJob),
+  /** What the runs of each team hold. */
+  held: z.record(z.string(), Size),
+  /** Number of runs on each VM that has any. */
+  runsOn: z.record(z.string(), z.number().int()),
+  /** Estimates by `team/kind`. */
+  estimates: z.record(z.string(), Estimate),
+  /** Recent ratios of used to declared memory over all jobs, in percent. */
+  ratios: z.array(z.number().int()),
+  health: z.record(z.string(), Health),
+  /** Ids of recently changed jobs; `from` is the position of the first. */
+  feed: z.object({ from: z.number().int(), ids: z.array(z.string()) }),
+  /** Ended runs whose job had to start again, by cause. */
+  moves: z.record(z.string(), z.number().int()),
+});
+export type Jobs = z.infer<typeof Jobs>;
+
+/** Jobs before the first submission. */
+export function emptyJobs(): Jobs {
+  return {
+    sequence: 0,
+    active: {},
+    ended: {},
+    held: {},
+    runsOn: {},
+    estimates: {},
+    ratios: [],
+    health: {},
+    feed: { from: 0, ids: [] },
+    moves: {},
+  };
+}
+
+/** One change that a placement pass decided. */
+export const JobChange = z.discriminatedUnion("type", [
+  z.object({
+    type: z.literal("place"),
+    job: JobId,
+    run: z.string(),
+    vm: Name,
+    size: Size,
+  }),
+  z.object({
+    type: z.literal("want"),
+    job: JobId,
+    run: z.string(),
+    want: z.enum(["checkpoint", "stop"]),
+    cause: Cause,
+  }),
+  z.object({
+    type: z.literal("checkpoint"),
+    job: JobId,
+    run: z.string(),
+    checkpoint: z.string(),
+  }),
+  z.object({
+    type: z.literal("end"),
+    job: JobId,
+    run: z.string(),
+    outcome: RunOutcome,
+    memoryMb: z.number().int().optional(),
+    millicores: z.number().int().optional(),
+    runtimeMs: z.number().int().optional(),
+    checkpoint: z.string().optional(),
+  }),
+  z.object({ type: z.literal("refuse"), job: JobId, reason: z.string() }),
+  z.object({
+    type: z.literal("health"),
+    vm: Name,
+    phase: z.enum(["healthy", "quarantined", "probing"]),
+  }),
+  z.object({ type: z.literal("prune"), before: z.number() }),
+]);
+export type JobChange = z.infer<typeof JobChange>;
+
+export const JobCommand = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("job.submit"),
+    jobs: z.array(Submission).max(10_000),
+    at: z.number(),
+  }),
+  z.object({
+    kind: z.literal("job.cancel"),
+    jobs: z.array(JobId).max(100_000),
+    at: z.number(),
+  }),
+  z.object({
+    kind: z.literal("job.step"),
+    base: z.number().int(),
+    changes: z.array(JobChange),
+    at: z.number(),
+  }),
+]);
+export type JobCommand = z.infer<typeof JobCommand>;
+
+/** The state of one job as a submission or cancellation reports it. */
+export const JobReply = z.object({
+  id: JobId,
+  state: z.enum([
+    "waiting",
+    "placed",
+    "stopping",
+    "unknown",
+    "conflict",
+    ...JobEnd.options,
+  ]),
+  reason: z.string().optional(),
+});
+export type JobReply = z.infer<typeof JobReply>;
+
+/** What a job command reports back. */
+export const JobOutput = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("jobs"), jobs: z.array(JobReply) }),
+  z.object({
+    kind: z.literal("stepped"),
+    applied: z.number().int(),
+    skipped: z.number().int(),
+  }),
+]);
+export type JobOutput = z.infer<typeof JobOutput>;
+
+/** The key of a job's estimate. */
+export function kindKey(job: { team: string; kind: string }): string {
+  return `${job.team}/${job.kind}`;
+}
--- /dev/null
+++ b/packages/core/src/placement/job_index.ts
@@ -0,0 +1,195 @@
+/**
+ * Index of active jobs by pool, class, team and kind, and of runs by VM. It follows the feed of changed jobs, so a
+ * pass does not read every job.
+ *
+ * @module
+ */
+import type { Priority } from "../names.ts";
+import { type Job, type Jobs, kindKey } from "./job.ts";
+
+/** Waiting jobs of one team and kind, in order; entries whose job has changed since are skipped. */
+export interface Lane {
+  team: string;
+  key: string;
+  items: Job[];
+  live: number;
+}
+
+/** Waiting jobs of one pool and class by `team/kind`. */
+export type Lanes = Map<string, Lane>;
+
+const COMPACT_SLACK = 32;
+
+/** The index of one replicated state. */
+export class JobIndex {
+  /** Runs on each VM, by job id. */
+  readonly byVm = new Map<string, Map<string, Job>>();
+  /** Number of runs of each kind. */
+  readonly runsOfKind = new Map<string, number>();
+  #waiting = new Map<string, Map<Priority, Lanes>>();
+  #known = new Map<string, Job>();
+  #source: Jobs | undefined;
+  #position = 0;
+
+  /** Follows the changes since the last call and returns the ids of changed jobs. */
+  sync(jobs: Jobs): string[] {
+    const end = jobs.feed.from + jobs.feed.ids.length;
+    if (this.#source !== jobs || this.#position < jobs.feed.from) {
+      this.#rebuild(jobs);
+      this.#position = end;
+      return Object.keys(jobs.active);
+    }
+    const changed = jobs.feed.ids.slice(this.#position - jobs.feed.from);
+    this.#position = end;
+    for (const id of changed) {
+      this.#update(id, jobs.active[id]);
+    }
+    return changed;
+  }
+
+  /** Number of waiting jobs. */
+  get waiting(): number {
+    let count = 0;
+    for (const job of this.#known.values()) {
+      count += job.phase === "waiting" ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** The job as the index knows it. */
+  job(id: string): Job | undefined {
+    return this.#known.get(id);
+  }
+
+  /** The waiting jobs of a pool and class. */
+  lanes(pool: string, priority: Priority): Lanes {
+    return this.#waiting.get(pool)?.get(priority) ?? new Map();
+  }
+
+  /** Names of pools that have or had waiting jobs. */
+  pools(): Iterable<string> {
+    return this.#waiting.keys();
+  }
+
+  /** Whether an entry of a lane still waits as it was entered. */
+  isCurrent(job: Job): boolean {
+    return this.#known.get(job.id) === job;
+  }
+
+  #rebuild(jobs: Jobs): void {
+    this.#source = jobs;
+    this.#known.clear();
+    this.#waiting.clear();
+    this.byVm.clear();
+    this.runsOfKind.clear();
+    const active = Object.values(jobs.active);
+    active.sort((a, b) => rankOf(a) - rankOf(b));
+    for (const job of active) {
+      this.#add(job);
+    }
+  }
+
+  #update(id: string, next: Job | undefined): void {
+    const known = this.#known.get(id);
+    if (known === next) {
+      return;
+    }
+    if (known !== undefined) {
+      this.#remove(known);
+    }
+    if (next !== undefined) {
+      this.#add(next);
+    }
+  }
+
+  #add(job: Job): void {
+    this.#known.set(job.id, job);
+    if (job.run === undefined) {
+      const lane = this.#lane(job);
+      insert(lane.items, job);
+      lane.live += 1;
+      return;
+    }
+    const runs = this.byVm.get(job.run.vm) ?? new Map<string, Job>();
+    this.byVm.set(job.run.vm, runs.set(job.id, job));
+    this.#countRun(job, 1);
+  }
+
+  #remove(job: Job): void {
+    this.#known.delete(job.id);
+    if (job.run === undefined) {
+      this.#leave(job);
+      return;
+    }
+    this.byVm.get(job.run.vm)?.delete(job.id);
+    this.#countRun(job, -1);
+  }
+
+  #leave(job: Job): void {
+    const lane = this.#lane(job);
+    lane.live -= 1;
+    if (lane.live === 0) {
+      this.#lanes(job).delete(lane.key);
+    } else if (lane.items.length > 2 * lane.live + COMPACT_SLACK) {
+      lane.items = lane.items.filter((item) => this.isCurrent(item));
+    }
+  }
+
+  #countRun(job: Job, change: number): void {
+    const key = kindKey(job);
+    this.runsOfKind.set(key, (this.runsOfKind.get(key) ?? 0) + change);
+  }
+
+  #lanes(job: Job): Lanes {
+    let classes = this.#waiting.get(job.pool);
+    if (classes === undefined) {
+      classes = new Map();
+      this.#waiting.set(job.pool, classes);
+    }
+    let lanes = classes.get(job.priority);
+    if (lanes === undefined) {
+      lanes = new Map();
+      classes.set(job.priority, lanes);
+    }
+    return lanes;
+  }
+
+  #lane(job: Job): Lane {
+    const lanes = this.#lanes(job);
+    const key = kindKey(job);
+    let lane = lanes.get(key);
+    if (lane === undefined) {
+      lane = { team: job.team, key, items: [], live: 0 };
+      lanes.set(key, lane);
+    }
+    return lane;
+  }
+}
+
+/** The order within a lane: overnight jobs by deadline, others by submission. */
+export function rankOf(job: Job): number {
+  return job.priority === "overnight"
+    ? job.deadline ?? Number.MAX_SAFE_INTEGER
+    : job.submittedAt;
+}
+
+function insert(items: Job[], job: Job): void {
+  const rank = rankOf(job);
+  const last = items.at(-1);
+  if (last === undefined || rankOf(last) <= rank) {
+    items.push(job);
+    return;
+  }
+  let low = 0;
+  let high = items.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    const item = items[middle];
+    if (item !== undefined && rankOf(item) <= rank) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  items.splice(low, 0, job);
+}
--- /dev/null
+++ b/packages/core/src/placement/learning.ts
@@ -0,0 +1,169 @@
+/**
+ * Learns sizes and run times of jobs from what earlier runs used. Reservations take a high quantile of recent peaks,
+ * after "Autopilot: workload autoscaling at Google" (Rzadca et al., EuroSys 2020).
+ *
+ * @module
+ */
+import { type Estimate, type Job, type Jobs, kindKey } from "./job.ts";
+import { type Size, sizeOf } from "./size.ts";
+
+const MAX_SAMPLES = 24;
+const MAX_RATIOS = 64;
+/** Ended runs after which the declared size no longer counts. */
+export const MIN_SAMPLES = 5;
+const MIN_RATIOS = 16;
+const MEMORY_QUANTILE = 0.95;
+const CORES_QUANTILE = 0.75;
+const RUNTIME_QUANTILE = 0.9;
+const MEMORY_MARGIN = 1.15;
+const FEW_SAMPLES_MARGIN = 1.5;
+const CORES_MARGIN = 1.1;
+const MIN_RATIO = 0.5;
+const MAX_RATIO = 3;
+const PERCENT = 100;
+const MIN_MILLICORES = 100;
+const MIN_MEMORY_MB = 64;
+/** Share of the limit from which a killed run counts as having had all of it. */
+const FULL_SHARE = 0.9;
+
+/** What one run used. */
+export interface Usage {
+  memoryMb?: number;
+  millicores?: number;
+  runtimeMs?: number;
+}
+
+/** An estimate without samples. */
+export function emptyEstimate(): Estimate {
+  return { memoryMb: [], millicores: [], runtimeMs: [], failing: [] };
+}
+
+/** The value below which the given share of the samples lies. */
+export function quantile(samples: readonly number[], share: number): number {
+  const sorted = [...samples].sort((a, b) => a - b);
+  const position = Math.ceil(share * sorted.length) - 1;
+  return sorted[Math.max(0, position)] ?? 0;
+}
+
+/** Records what a run that was done used. */
+export function learn(jobs: Jobs, job: Job, usage: Usage): void {
+  const key = kindKey(job);
+  const known = jobs.estimates[key] ?? emptyEstimate();
+  jobs.estimates[key] = {
+    ...known,
+    memoryMb: record(known.memoryMb, usage.memoryMb),
+    millicores: record(known.millicores, usage.millicores),
+    runtimeMs: record(known.runtimeMs, usage.runtimeMs),
+  };
+  if (usage.memoryMb !== undefined) {
+    const declared = sizeOf(job).memoryMb;
+    jobs.ratios.push(Math.round(usage.memoryMb / declared * PERCENT));
+    jobs.ratios.splice(0, jobs.ratios.length - MAX_RATIOS);
+  }
+}
+
+function record(samples: number[], value: number | undefined): number[] {
+  return value === undefined
+    ? samples
+    : [...samples, value].slice(-MAX_SAMPLES);
+}
+
+interface Learned {
+  memoryMb?: number;
+  millicores?: number;
+  runtimeMs?: number;
+}
+
+/** Sizes from the estimates of one state; each estimate is worked out once. */
+export class Sizing {
+  readonly #jobs: Jobs;
+  readonly #learned = new WeakMap<Estimate, Learned>();
+
+  constructor(jobs: Jobs) {
+    this.#jobs = jobs;
+  }
+
+  /** The size to reserve for the job's next run; `limit` is the most that pool and quota could ever give. */
+  reserve(job: Job, limit: Size): Size {
+    const declared = sizeOf(job);
+    const learned = this.#learn(kindKey(job));
+    const memoryMb = this.#memory(job, learned, limit);
+    const millicores = learned.millicores === undefined
+      ? declared.millicores
+      : Math.min(learned.millicores, limit.millicores);
+    return {
+      millicores: Math.max(millicores, MIN_MILLICORES),
+      memoryMb: Math.max(Math.ceil(memoryMb), MIN_MEMORY_MB),
+      accelerators: declared.accelerators,
+    };
+  }
+
+  #memory(job: Job, learned: Learned, limit: Size): number {
+    const guess = learned.memoryMb === undefined
+      ? this.#firstMemory(job, limit)
+      : Math.min(learned.memoryMb, limit.memoryMb);
+    if (job.floorMb <= guess) {
+      return guess;
+    }
+    // A run that was killed below the limit may still fit at the limit.
+    const tried = job.killedMb >= limit.memoryMb * FULL_SHARE;
+    return tried ? job.floorMb : Math.min(job.floorMb, limit.memoryMb);
+  }
+
+  /** Whether enough runs of the kind have ended to trust its sizes. */
+  known(key: string): boolean {
+    const samples = this.#jobs.estimates[key]?.memoryMb.length ?? 0;
+    return samples >= MIN_SAMPLES;
+  }
+
+  /** The expected run time; high enough that most runs end earlier. */
+  runtimeMs(job: Job): number {
+    return this.#learn(kindKey(job)).runtimeMs ?? job.runtimeMs;
+  }
+
+  #learn(key: string): Learned {
+    const estimate = this.#jobs.estimates[key];
+    if (estimate === undefined) {
+      return {};
+    }
+    let learned = this.#learned.get(estimate);
+    if (learned === undefined) {
+      learned = fromSamples(estimate);
+      this.#learned.set(estimate, learned);
+    }
+    return learned;
+  }
+
+  #firstMemory(job: Job, limit: Size): number {
+    const declared = sizeOf(job).memoryMb;
+    const guess = declared * firstRatio(this.#jobs.ratios);
+    if (guess <= limit.memoryMb) {
+      return guess;
+    }
+    return declared <= limit.memoryMb ? limit.memoryMb : declared;
+  }
+}
+
+function firstRatio(ratios: readonly number[]): number {
+  if (ratios.length < MIN_RATIOS) {
+    return 1;
+  }
+  const ratio = quantile(ratios, 0.75) / PERCENT;
+  return Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
+}
+
+function fromSamples(estimate: Estimate): Learned {
+  const count = estimate.memoryMb.length;
+  if (count === 0) {
+    return {};
+  }
+  const memory = count >= MIN_SAMPLES
+    ? quantile(estimate.memoryMb, MEMORY_QUANTILE) * MEMORY_MARGIN
+    : Math.max(...estimate.memoryMb) * FEW_SAMPLES_MARGIN;
+  const cores = quantile(estimate.millicores, CORES_QUANTILE) * CORES_MARGIN;
+  return {
+    memoryMb: Math.ceil(memory),
+    millicores: Math.ceil(cores),
+    runtimeMs: quantile(estimate.runtimeMs, RUNTIME_QUANTILE),
+  };
+}
--- /dev/null
+++ b/packages/core/src/placement/lease.ts
@@ -0,0 +1,160 @@
+/**
+ * Leases of runs. An agent ends a run when its own monotonic clock passes the lease; the leader counts from when the
+ * report with that clock arrived and waits longer by a drift margin, after Gray and Cheriton, "Leases" (SOSP 1989).
+ * The end of a lease is a fixed time on the agent's clock, so a delayed or repeated renewal extends nothing.
+ *
+ * @module
+ */
+import type { AgentReport } from "./operation.ts";
+
+/** Length of a lease. */
+export const LEASE_MS = 10_000;
+/** Length of the first lease of an urgent run, so that an agent that does not answer costs little. */
+export const URGENT_START_MS = 1_500;
+/** Interval at which a lease is renewed. */
+export const RENEW_MS = 3_000;
+/** Interval at which a VM is asked while a run on it starts or leaves. */
+export const WATCH_MS = 250;
+/** A VM that has not reported for this long gets no new work. */
+export const STALE_MS = 7_000;
+/** Relative difference in rate between two clocks. */
+const CLOCK_DRIFT = 0.01;
+const CLOCK_MARGIN_MS = 100;
+/** How long a deposed leader may renew leases after its successor was elected. */
+const LEADER_OVERLAP_MS = 3_000;
+const START_RETRY_MS = 400;
+
+/** What the leader of one term knows about a run on a VM. */
+export interface RunLease {
+  /** Leader's time after which the run has surely ended. */
+  bound: number;
+  /** End of the first lease on the agent's clock, when a start was sent. */
+  until?: number;
+  /** Incarnation to which a start was sent. */
+  sentTo?: number;
+  sentAt: number;
+  /** The run has surely ended, and nothing may be sent for it any more. */
+  closed: boolean;
+  /** Incarnation that reported the run. */
+  seenIn?: number;
+  /** Times at which operations on the run were first and last sent, by operation id. */
+  operations: Map<string, { first: number; last: number }>;
+}
+
+/** The last report of a VM and the leases on it. */
+export interface VmLease {
+  report?: AgentReport;
+  /** Leader's time at which the report arrived. */
+  reportedAt: number;
+  askedAt: number;
+  /** A start was not answered; the VM gets no new work before its next report. */
+  suspect: boolean;
+  runs: Map<string, RunLease>;
+}
+
+/** A VM that has not reported in this term. */
+export function emptyLease(): VmLease {
+  return {
+    reportedAt: -Infinity,
+    askedAt: -Infinity,
+    suspect: false,
+    runs: new Map(),
+  };
+}
+
+/** A run to which this leader has sent nothing yet. */
+export function emptyRunLease(bound = -Infinity): RunLease {
+  return {
+    bound,
+    sentAt: -Infinity,
+    closed: false,
+    operations: new Map(),
+  };
+}
+
+/** Whether no leader can have started the run. */
+export function neverSent(run: RunLease): boolean {
+  return run.bound === -Infinity;
+}
+
+/** The time after which every run that an earlier leader renewed has surely ended. */
+export function takeoverBound(since: number): number {
+  return since + LEADER_OVERLAP_MS + LEASE_MS * (1 + CLOCK_DRIFT) +
+    CLOCK_MARGIN_MS;
+}
+
+/** Accepts a report unless it is older than the known one or answers another term. */
+export function acceptReport(
+  lease: VmLease,
+  report: AgentReport,
+  { now, term }: { now: number; term: number },
+): boolean {
+  const known = lease.report;
+  if (report.term !== term) {
+    return false;
+  }
+  if (known !== undefined && !isNewer(report, known)) {
+    return false;
+  }
+  lease.report = report;
+  lease.reportedAt = now;
+  lease.suspect = false;
+  return true;
+}
+
+function isNewer(report: AgentReport, known: AgentReport): boolean {
+  return report.incarnation > known.incarnation ||
+    (report.incarnation === known.incarnation && report.clock > known.clock);
+}
+
+/** The new end of the leases on the agent's clock, for a renewal that builds on the last report. */
+export function renewUntil(report: AgentReport): number {
+  return report.clock + LEASE_MS;
+}
+
+/** Notes that the run's lease may be extended by a renewal. */
+export function noteRenewal(lease: VmLease, run: RunLease): void {
+  const bound = lease.reportedAt + LEASE_MS * (1 + CLOCK_DRIFT) +
+    CLOCK_MARGIN_MS;
+  run.bound = Math.max(run.bound, bound);
+}
+
+/** Notes that a start is sent; the end of the first lease stays the same for each resend. */
+export function noteStart(
+  lease: VmLease,
+  run: RunLease,
+  { now, lengthMs }: { now: number; lengthMs: number },
+): number {
+  const { report } = lease;
+  const ageMs = now - lease.reportedAt;
+  if (run.until === undefined || run.sentTo !== report?.incarnation) {
+    run.until = (report?.clock ?? 0) + ageMs + lengthMs;
+    run.sentTo = report?.incarnation;
+    const bound = lease.reportedAt +
+      (ageMs + lengthMs) * (1 + CLOCK_DRIFT) + CLOCK_MARGIN_MS;
+    run.bound = Math.max(run.bound, bound);
+  }
+  run.sentAt = now;
+  return run.until;
+}
+
+/** Whether a start may be sent, for the first time or again. */
+export function startDue(lease: VmLease, run: RunLease, now: number): boolean {
+  const { report } = lease;
+  if (report === undefined || now - lease.reportedAt > STALE_MS) {
+    return false;
+  }
+  const first = run.sentTo !== report.incarnation;
+  return first || (now - run.sentAt >= START_RETRY_MS && now < run.bound);
+}
+
+/**
+ * Whether the report proves that a run it does not list has ended and cannot start: an earlier incarnation had it, and
+ * this leader sent no start to the present one. Starts of earlier leaders are refused, since the agent has seen this
+ * term.
+ */
+export function provenGone(lease: VmLease, run: RunLease): boolean {
+  const incarnation = lease.report?.incarnation;
+  return run.seenIn !== undefined && run.seenIn !== incarnation &&
+    run.sentTo !== incarnation;
+}
--- /dev/null
+++ b/packages/core/src/placement/record.ts
@@ -0,0 +1,46 @@
+/**
+ * Records of jobs that change or end.
+ *
+ * @module
+ */
+import { digestOf } from "./digest.ts";
+import type { Job, JobEnd, Jobs } from "./job.ts";
+
+const MAX_FEED = 16_384;
+
+/** Notes that a job changed, so that indexes follow without reading every job. */
+export function touch(jobs: Jobs, id: string): void {
+  const { feed } = jobs;
+  feed.ids.push(id);
+  if (feed.ids.length > 2 * MAX_FEED) {
+    const excess = feed.ids.length - MAX_FEED;
+    feed.ids.splice(0, excess);
+    feed.from += excess;
+  }
+}
+
+/** Ends a job that has no run. */
+export function endJob(
+  jobs: Jobs,
+  job: Job,
+  ending: { end: JobEnd; reason?: string; at: number },
+): void {
+  delete jobs.active[job.id];
+  jobs.ended[job.id] = { digest: digestOf(job), team: job.team, ...ending };
+  touch(jobs, job.id);
+}
+
+/** Number of runs that a VM holds. */
+export function runsOn(jobs: Jobs, vm: string): number {
+  return jobs.runsOn[vm] ?? 0;
+}
+
+/** Counts a run that a VM got or lost. */
+export function countRun(jobs: Jobs, vm: string, change: 1 | -1): void {
+  const count = runsOn(jobs, vm) + change;
+  if (count === 0) {
+    delete jobs.runsOn[vm];
+  } else {
+    jobs.runsOn[vm] = count;
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/throttle.ts
@@ -0,0 +1,52 @@
+/**
+ * Shares the processors of a VM by class when its runs need more than it has.
+ *
+ * @module
+ */
+import { PRIORITIES } from "../names.ts";
+import type { Room } from "./room.ts";
+
+const MIN_SHARE = 0.1;
+/** A share is tightened when it is off by this much. */
+const TIGHTEN_STEP = 0.05;
+/** A share is relaxed only by at least this much, so that it does not swing. */
+const RELAX_STEP = 0.2;
+const FULL = 1;
+
+/** The share of its processors that a run may use from now on. */
+export interface Throttle {
+  run: string;
+  share: number;
+}
+
+/** The throttles that the VM's runs need and do not have. */
+export function throttles(room: Room): Throttle[] {
+  const result: Throttle[] = [];
+  let left = room.limit.millicores;
+  for (const priority of PRIORITIES) {
+    const members = room.occupants.filter(({ job, run }) =>
+      job.priority === priority && run.want === "run"
+    );
+    const need = members.reduce((sum, { size }) => sum + size.millicores, 0);
+    const share = shareOf(left, need);
+    left -= Math.min(need, Math.max(left, 0));
+    for (const { run, report } of members) {
+      if (report?.phase === "running" && mustChange(report.throttle, share)) {
+        result.push({ run: run.id, share });
+      }
+    }
+  }
+  return result;
+}
+
+function shareOf(left: number, need: number): number {
+  const share = need <= left ? FULL : left / need;
+  return Math.round(Math.max(MIN_SHARE, share) * 100) / 100;
+}
+
+function mustChange(present: number, wanted: number): boolean {
+  if (wanted < present) {
+    return present - wanted >= TIGHTEN_STEP;
+  }
+  return wanted - present >= RELAX_STEP || (wanted === FULL && present < FULL);
+}
--- a/packages/core/src/rules.ts
+++ b/packages/core/src/rules.ts
@@ -6,6 +6,7 @@
  */
 import { z } from "zod";
 import { DurationMs, Name, Priority } from "./names.ts";
+import { JobRules } from "./placement/rules.ts";
 
 /** The availability budget of a service: the share of need that may go unserved within a window. */
 export const Budget = z.strictObject({
@@ -92,6 +93,7 @@
   sharing: z.array(z.array(Name).min(2)).default([]),
   maintenance: Maintenance.prefault({}),
   teams: z.array(Team).default([]),
+  jobs: JobRules.prefault({}),
 });
 export type Rules = z.infer<typeof Rules>;
 
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -7,6 +7,7 @@
 import { VmRecord } from "./fleet.ts";
 import { emptyInventory, Inventory } from "./inventory.ts";
 import { emptyLedger, Ledger } from "./ledger.ts";
+import { emptyJobs, Jobs } from "./placement/job.ts";
 import { emptyRules, Rules } from "./rules.ts";
 
 /** The recorded result of a configuration change, kept so that a resend gets the first answer. */
@@ -30,6 +31,7 @@
   /** VMs that left the inventory, with the revision at which they left. */
   removed: z.record(z.string(), z.number().int()),
   ledger: Ledger,
+  jobs: Jobs,
   /** Recent changes, oldest first. */
   changes: z.array(Change),
 });
@@ -45,6 +47,7 @@
     vms: {},
     removed: {},
     ledger: emptyLedger(),
+    jobs: emptyJobs(),
     changes: [],
   };
 }
