--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./names.ts";
 export * from "./placement/mod.ts";
 export * from "./result.ts";
+export * from "./routing/mod.ts";
 export * from "./rules.ts";
 export * from "./state.ts";
 export * from "./validate.ts";
