--- a/packages/core/src/placement/apply.ts
+++ b/packages/core/src/placement/apply.ts
@@ -19,7 +19,7 @@
   type JobOutput,
   type JobReply,
   type Jobs,
-  type Submission,
+  type SubmittedJob,
 } from "./job.ts";
 import { Sizing } from "./learning.ts";
 import { countRun, endJob, touch } from "./record.ts";
@@ -28,7 +28,7 @@
   fits,
   remaining,
   type Size,
-  sizeOf,
+  toSize,
   zeroSize,
 } from "./size.ts";
 
@@ -55,7 +55,7 @@
   }
 }
 
-function submit(state: State, batch: Submission[], at: number): JobReply[] {
+function submit(state: State, batch: SubmittedJob[], at: number): JobReply[] {
   const limits = poolLimits(state);
   const quotas = quotasOf(state);
   const sizing = new Sizing(state.jobs);
@@ -76,7 +76,7 @@
   });
 }
 
-function newJob(submission: Submission, at: number): Job {
+function newJob(submission: SubmittedJob, at: number): Job {
   return {
     ...submission,
     phase: "waiting",
@@ -89,7 +89,10 @@
   };
 }
 
-function knownReply(jobs: Jobs, submission: Submission): JobReply | undefined {
+function knownReply(
+  jobs: Jobs,
+  submission: SubmittedJob,
+): JobReply | undefined {
   const digest = digestOf(submission);
   const active = jobs.active[submission.id];
   if (active !== undefined) {
@@ -232,7 +235,7 @@
 
 /** The quota of each team. */
 export function quotasOf(state: State): Map<string, Size> {
-  return new Map(state.rules.teams.map((team) => [team.name, sizeOf(team)]));
+  return new Map(state.rules.teams.map((team) => [team.name, toSize(team)]));
 }
 
 function heldJob(jobs: Jobs, id: string, run: string): Job | undefined {
--- a/packages/core/src/placement/digest.ts
+++ b/packages/core/src/placement/digest.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type { Submission } from "./job.ts";
+import type { SubmittedJob } from "./job.ts";
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
 /** The FNV-1a hash of the submitted fields. */
-export function digestOf(job: Submission): number {
+export function digestOf(job: SubmittedJob): number {
   const text = JSON.stringify([
     job.team,
     job.kind,
--- a/packages/core/src/placement/feasibility.ts
+++ b/packages/core/src/placement/feasibility.ts
@@ -7,7 +7,7 @@
 import type { State } from "../state.ts";
 import type { Job } from "./job.ts";
 import type { Sizing } from "./learning.ts";
-import { fits, formatSize, type Size, sizeOf } from "./size.ts";
+import { fits, formatSize, type Size, toSize } from "./size.ts";
 
 /** Share of a VM's memory that runs may take together. */
 const MEMORY_SHARE = 0.95;
@@ -39,7 +39,7 @@
 
 /** What jobs may take of a VM in all. */
 export function jobLimit(vm: Vm, share: number): Size {
-  const size = usableSize(sizeOf(vm), share);
+  const size = usableSize(toSize(vm), share);
   size.memoryMb = Math.floor(size.memoryMb * MEMORY_SHARE);
   return size;
 }
--- a/packages/core/src/placement/health.ts
+++ b/packages/core/src/placement/health.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { type Health, type Job, type Jobs, kindKey } from "./job.ts";
+import { type Job, type Jobs, kindKey, type VmHealth } from "./job.ts";
 import { emptyEstimate } from "./learning.ts";
 
 const MAX_RECENT = 6;
@@ -21,7 +21,7 @@
 const MAX_PROBE_MS = 3_600_000;
 
 /** A VM without any ended run. */
-export function emptyHealth(): Health {
+export function emptyHealth(): VmHealth {
   return { recent: [], phase: "healthy", strikes: 0, at: 0 };
 }
 
@@ -61,13 +61,13 @@
   }
 }
 
-function push(health: Health, job: Job, done: boolean): void {
+function push(health: VmHealth, job: Job, done: boolean): void {
   const entry = { job: job.id, kind: kindKey(job), done };
   health.recent = [...health.recent, entry].slice(-MAX_RECENT);
 }
 
 /** Whether the VM's last runs all failed, with enough distinct jobs to blame the VM. */
-export function failsEverything(jobs: Jobs, health: Health): boolean {
+export function failsEverything(jobs: Jobs, health: VmHealth): boolean {
   const last = health.recent.slice(-QUARANTINE_FAILURES);
   if (last.length < QUARANTINE_FAILURES || last.some((entry) => entry.done)) {
     return false;
@@ -107,7 +107,7 @@
 }
 
 /** Whether a quarantined VM may be tried with one job. */
-export function probeDue(health: Health, at: number): boolean {
+export function probeDue(health: VmHealth, at: number): boolean {
   const waitMs = FIRST_PROBE_MS * 2 ** Math.min(health.strikes, 10);
   return health.phase === "quarantined" &&
     at - health.at >= Math.min(waitMs, MAX_PROBE_MS);
--- a/packages/core/src/placement/job.ts
+++ b/packages/core/src/placement/job.ts
@@ -15,7 +15,7 @@
 export type JobId = z.infer<typeof JobId>;
 
 /** A job as a team submits it. Sizes and run time are the team's guess. */
-export const Submission = z.strictObject({
+export const SubmittedJob = z.strictObject({
   id: JobId,
   team: Name,
   kind: Name,
@@ -32,7 +32,7 @@
   /** What the agent runs; passed on as it is. */
   task: z.string().max(4_096).default(""),
 });
-export type Submission = z.infer<typeof Submission>;
+export type SubmittedJob = z.infer<typeof SubmittedJob>;
 
 /** Why a run is told to end before its job is done. */
 export const Cause = z.enum([
@@ -57,7 +57,7 @@
 });
 export type Run = z.infer<typeof Run>;
 
-export const Job = Submission.extend({
+export const Job = SubmittedJob.extend({
   phase: z.enum(["waiting", "placed"]),
   submittedAt: z.number(),
   /** Number of runs so far; the next run's id carries it. */
@@ -99,7 +99,7 @@
 export type Estimate = z.infer<typeof Estimate>;
 
 /** Recent ends of runs on one VM and what follows from them. */
-export const Health = z.object({
+export const VmHealth = z.object({
   recent: z.array(
     z.object({ job: z.string(), kind: z.string(), done: z.boolean() }),
   ),
@@ -107,7 +107,7 @@
   strikes: z.number().int(),
   at: z.number(),
 });
-export type Health = z.infer<typeof Health>;
+export type VmHealth = z.infer<typeof VmHealth>;
 
 /** How a run ended. */
 export const RunOutcome = z.enum([
@@ -135,7 +135,7 @@
   estimates: z.record(z.string(), Estimate),
   /** Recent ratios of used to declared memory over all jobs, in percent. */
   ratios: z.array(z.number().int()),
-  health: z.record(z.string(), Health),
+  health: z.record(z.string(), VmHealth),
   /** Ids of recently changed jobs; `from` is the position of the first. */
   feed: z.object({ from: z.number().int(), ids: z.array(z.string()) }),
   /** Ended runs whose job had to start again, by cause. */
@@ -204,7 +204,7 @@
 export const JobCommand = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("job.submit"),
-    jobs: z.array(Submission).max(10_000),
+    jobs: z.array(SubmittedJob).max(10_000),
     at: z.number(),
   }),
   z.object({
--- a/packages/core/src/placement/learning.ts
+++ b/packages/core/src/placement/learning.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type Estimate, type Job, type Jobs, kindKey } from "./job.ts";
-import { type Size, sizeOf } from "./size.ts";
+import { type Size, toSize } from "./size.ts";
 
 const MAX_SAMPLES = 24;
 const MAX_RATIOS = 64;
@@ -56,7 +56,7 @@
     runtimeMs: record(known.runtimeMs, usage.runtimeMs),
   };
   if (usage.memoryMb !== undefined) {
-    const declared = sizeOf(job).memoryMb;
+    const declared = toSize(job).memoryMb;
     jobs.ratios.push(Math.round(usage.memoryMb / declared * PERCENT));
     jobs.ratios.splice(0, jobs.ratios.length - MAX_RATIOS);
   }
@@ -85,7 +85,7 @@
 
   /** The size to reserve for the job's next run; `limit` is the most that pool and quota could ever give. */
   reserve(job: Job, limit: Size): Size {
-    const declared = sizeOf(job);
+    const declared = toSize(job);
     const learned = this.#learn(kindKey(job));
     const memoryMb = this.#memory(job, learned, limit);
     const millicores = learned.millicores === undefined
@@ -135,7 +135,7 @@
   }
 
   #firstMemory(job: Job, limit: Size): number {
-    const declared = sizeOf(job).memoryMb;
+    const declared = toSize(job).memoryMb;
     const guess = declared * firstRatio(this.#jobs.ratios);
     if (guess <= limit.memoryMb) {
       return guess;
--- a/packages/core/src/placement/mod.ts
+++ b/packages/core/src/placement/mod.ts
@@ -5,10 +5,23 @@
  */
 export { applyJobs } from "./apply.ts";
 export type { Explanation } from "./explain.ts";
-export * from "./job.ts";
-export { LEASE_MS, RENEW_MS, STALE_MS, takeoverBound } from "./lease.ts";
-export * from "./operation.ts";
-export * from "./placement.ts";
+export {
+  Cause,
+  emptyJobs,
+  EndedJob,
+  Job,
+  JobChange,
+  JobCommand,
+  JobEnd,
+  JobId,
+  JobOutput,
+  JobReply,
+  Jobs,
+  RunOutcome,
+  SubmittedJob,
+} from "./job.ts";
+export { AgentReport, Operation, RunReport } from "./operation.ts";
+export { type JobDecision, Placement, type Tick } from "./placement.ts";
 export { runsOn } from "./record.ts";
-export * from "./rules.ts";
-export * from "./size.ts";
+export { JobRules } from "./rules.ts";
+export { Size, toSize } from "./size.ts";
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -41,7 +41,7 @@
 }
 
 /** What a pass decided. */
-export interface Decision {
+export interface JobDecision {
   /** One step to propose; absent when nothing changes. */
   command?: Extract<JobCommand, { kind: "job.step" }>;
   operations: Operation[];
@@ -74,7 +74,7 @@
   }
 
   /** Decides on one pass. The state must hold every entry of earlier terms. */
-  pass(state: State, tick: Tick): Decision {
+  pass(state: State, tick: Tick): JobDecision {
     const takesOver = tick.term !== this.#term;
     if (takesOver) {
       this.#term = tick.term;
--- a/packages/core/src/placement/size.ts
+++ b/packages/core/src/placement/size.ts
@@ -31,7 +31,7 @@
 }
 
 /** Converts operator units to whole units. */
-export function sizeOf(resources: Resources): Size {
+export function toSize(resources: Resources): Size {
   return {
     millicores: Math.ceil(resources.cores * MILLICORES_PER_CORE),
     memoryMb: Math.ceil(resources.memoryGb * MB_PER_GB),
