--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -6,14 +6,13 @@
 import type { Cause, Job, Run } from "./job.ts";
 import {
   emptyRunLease,
-  LEASE_MS,
+  firstLeaseMs,
   noteRenewal,
   noteStart,
   RENEW_MS,
   renewUntil,
   type RunLease,
   startDue,
-  URGENT_START_MS,
   type VmLease,
   WATCH_MS,
 } from "./lease.ts";
@@ -185,7 +184,7 @@
   job: Job,
   { run, held }: { run: Run; held: RunLease },
 ): Operation {
-  const lengthMs = job.priority === "urgent" ? URGENT_START_MS : LEASE_MS;
+  const lengthMs = firstLeaseMs(job.priority, job.runs);
   const { now } = scope.dispatch;
   return {
     ...header(scope, `start:${run.id}`),
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -5,12 +5,13 @@
  *
  * @module
  */
+import type { Priority } from "../names.ts";
 import type { AgentReport } from "./operation.ts";
 
 /** Length of a lease. */
 export const LEASE_MS = 10_000;
-/** Length of the first lease of an urgent run, so that an agent that does not answer costs little. */
-export const URGENT_START_MS = 1_500;
+/** Length of the first lease of an urgent job's first run. */
+const URGENT_START_MS = 1_500;
 /** Interval at which a lease is renewed. */
 export const RENEW_MS = 3_000;
 /** Interval at which a VM is asked while a run on it starts or leaves. */
@@ -119,6 +120,16 @@
   run.bound = Math.max(run.bound, bound);
 }
 
+/**
+ * Length of the first lease of a run. It is short for urgent jobs, so that an agent that does not answer costs little,
+ * and doubles with each run, so that slow links delay a job but do not keep it from running.
+ */
+export function firstLeaseMs(priority: Priority, runs: number): number {
+  return priority === "urgent"
+    ? Math.min(LEASE_MS, URGENT_START_MS * 2 ** (runs - 1))
+    : LEASE_MS;
+}
+
 /** Notes that a start is sent; the end of the first lease stays the same for each resend. */
 export function noteStart(
   lease: VmLease,
--- /dev/null
+++ b/packages/core/test/placement_fleet.ts
@@ -0,0 +1,82 @@
+/**
+ * A small fleet and its jobs for the tests of placement.
+ *
+ * @module
+ */
+import { Inventory, Rules, SubmittedJob } from "@quetzalcove/core";
+import { Cluster, type Setup } from "../../../bench/src/placement/cluster.ts";
+import { seeded } from "../../../bench/src/placement/random.ts";
+import type { Truth } from "../../../bench/src/placement/worker.ts";
+
+/** Two pools of three VMs each in three racks. */
+export function smallInventory(): Inventory {
+  const vms = ["a", "b"].flatMap((pool) =>
+    [1, 2, 3].map((rack) => ({
+      name: `${pool}${rack}`,
+      rack: `rack-${rack}`,
+      pool,
+      cores: 8,
+      memoryGb: 32,
+      accelerators: rack === 1 ? 2 : 0,
+    }))
+  );
+  return Inventory.parse({
+    zones: [{ name: "zone-1", region: "region-1" }],
+    racks: [1, 2, 3].map((rack) => ({ name: `rack-${rack}`, zone: "zone-1" })),
+    pools: [{ name: "a" }, { name: "b" }],
+    vms,
+  });
+}
+
+/** Two teams with quotas. */
+export function smallRules(): Rules {
+  return Rules.parse({
+    teams: [
+      { name: "north", cores: 40, memoryGb: 120, accelerators: 4 },
+      { name: "south", cores: 16, memoryGb: 64, accelerators: 0 },
+    ],
+  });
+}
+
+/** A job with usual values. */
+export function job(
+  id: string,
+  fields: Partial<SubmittedJob> = {},
+): SubmittedJob {
+  return SubmittedJob.parse({
+    id,
+    team: "north",
+    kind: "reduce",
+    pool: "a",
+    cores: 2,
+    memoryGb: 4,
+    runtimeMs: 20_000,
+    ...fields,
+  });
+}
+
+/** A need as declared by {@link job}. */
+export function need(fields: Partial<Truth> = {}): Truth {
+  return {
+    memoryMb: 4_096,
+    millicores: 2_000,
+    workMs: 20_000,
+    bad: false,
+    ...fields,
+  };
+}
+
+/** A small cluster with prompt messages. */
+export function smallCluster(fields: Partial<Setup> = {}): Cluster {
+  return new Cluster({
+    inventory: smallInventory(),
+    rules: smallRules(),
+    truth: () => need(),
+    random: seeded(1),
+    stepMs: 50,
+    tickMs: 500,
+    delayMs: 20,
+    loss: 0,
+    ...fields,
+  });
+}
