--- a/bench/src/placement/cluster.ts
+++ b/bench/src/placement/cluster.ts
@@ -68,6 +68,8 @@
   state: State;
   clock: (now: number) => number;
   since: number;
+  /** True time from which the leader decides. */
+  electedAt: number;
   nextTick: number;
   wake: boolean;
   /** True time at which a deposed leader stops. */
@@ -118,7 +120,7 @@
       rules,
       at: EPOCH_MS,
     });
-    this.elect(0);
+    this.elect();
   }
 
   /** Wall-clock time. */
@@ -151,7 +153,7 @@
   }
 
   /** Elects a new leader; the old one goes on for a while with the state that it knew. */
-  elect(overlapMs: number): void {
+  elect({ overlapMs = 0, gapMs = 0 } = {}): void {
     const old = this.#leaders.at(-1);
     if (old !== undefined) {
       old.until = this.now + overlapMs;
@@ -165,8 +167,9 @@
       policy: this.#setup.policy?.() ?? new Placement(),
       state: this.state,
       clock,
-      since: clock(this.now),
-      nextTick: this.now,
+      since: clock(this.now + gapMs),
+      electedAt: this.now + gapMs,
+      nextTick: this.now + gapMs,
       wake: false,
       until: Infinity,
     });
@@ -190,7 +193,8 @@
     }
     this.#leaders = this.#leaders.filter((leader) => leader.until > this.now);
     for (const leader of this.#leaders) {
-      if (leader.wake || this.now >= leader.nextTick) {
+      const due = leader.wake || this.now >= leader.nextTick;
+      if (due && this.now >= leader.electedAt) {
         this.#pass(leader);
       }
     }
--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
+import { placement } from "./placement/scenario.ts";
 import type { Scenario } from "./scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [];
+export const SCENARIOS: readonly Scenario[] = [placement];
--- a/packages/core/test/placement_fuzz_test.ts
+++ b/packages/core/test/placement_fuzz_test.ts
@@ -74,9 +74,9 @@
     case "cut operations":
       return cluster.cut(vm, { toMs: ms, fromMs: 0 });
     case "elect":
-      return cluster.elect(0);
+      return cluster.elect();
     case "elect with overlap":
-      return cluster.elect(2_500);
+      return cluster.elect({ overlapMs: 2_500 });
     case "drain":
       setPhase(cluster, vm, "draining");
       later.push({ at: at + ms, run: () => setPhase(cluster, vm, "serving") });
