Skip lanes for which nothing changed, and renew leases at once after a takeover

Cause: leases of 10 s ran out in each leader loss (171 expired in 2 minutes of Accra); the lease is 30 s now and a new leader renews with the first report. Passes read every waiting job of every lane; a lane that found no room or no quota is now skipped until either grows.

--- a/bench/src/placement/baselines.ts
+++ b/bench/src/placement/baselines.ts
@@ -57,12 +57,13 @@
     const kept = (decision.command?.changes ?? []).filter(isLifeCycle);
     const changes = [...kept, ...this.#place(state)];
     if (changes.length === 0) {
-      return { operations: decision.operations };
+      return { operations: decision.operations, urgent: false };
     }
     const base = state.jobs.sequence;
     return {
       command: { kind: "job.step", base, changes, at: tick.at },
       operations: decision.operations,
+      urgent: true,
     };
   }
 
--- a/bench/src/placement/cluster.ts
+++ b/bench/src/placement/cluster.ts
@@ -97,7 +97,7 @@
   readonly #cuts = new Map<string, { to: number; from: number }>();
   #messages: { at: number; run: () => void }[] = [];
   #leaders: Leader[] = [];
-  #held = new Map<string, Leader>();
+  #held = new Map<string, { leader: Leader; urgent: boolean }>();
 
   constructor(setup: Setup) {
     this.#setup = setup;
@@ -218,7 +218,10 @@
       since: leader.since,
     };
     const begin = this.#setup.clock?.() ?? 0;
-    const { command, operations } = leader.policy.pass(leader.state, tick);
+    const { command, operations, urgent } = leader.policy.pass(
+      leader.state,
+      tick,
+    );
     this.counts.passMs.push((this.#setup.clock?.() ?? 0) - begin);
     for (const operation of operations) {
       this.#sendOperation(leader, operation);
@@ -226,7 +229,7 @@
     if (command !== undefined) {
       this.#post(() => {
         if (leader.until === Infinity && this.apply(command).ok) {
-          leader.wake = true;
+          leader.wake ||= urgent;
           this.#checkQuotas();
         }
       });
@@ -245,11 +248,11 @@
       const leaves = operation.kind === "stop" ||
         (operation.kind === "checkpoint" && operation.stop);
       if (leaves) {
-        this.#held.set(operation.run, leader);
+        this.#held.set(operation.run, { leader, urgent: operation.urgent });
       }
       const report = worker.handle(operation, this.now);
       if (report !== undefined) {
-        this.#answer(leader, report, operation.kind !== "renew");
+        this.#answer(leader, report, operation.urgent);
       }
     });
   }
@@ -290,13 +293,13 @@
     this.#live.delete(job);
     this.counts.ends[end.outcome] = (this.counts.ends[end.outcome] ?? 0) + 1;
     this.counts.lostMs += end.lostMs;
-    const leader = this.#held.get(end.run);
+    const held = this.#held.get(end.run);
     const worker = this.workers.get(vm);
-    if (leader !== undefined && worker !== undefined) {
+    if (held !== undefined && worker !== undefined) {
       this.#held.delete(end.run);
       this.#post(() => {
         if (worker.up) {
-          this.#answer(leader, worker.report(this.now), true);
+          this.#answer(held.leader, worker.report(this.now), held.urgent);
         }
       });
     }
--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -35,13 +35,9 @@
   for (const [vm, jobs] of absorbing.index.byVm) {
     const lease = absorbing.leases.get(vm) ?? emptyLease();
     absorbing.leases.set(vm, lease);
-    const reports = new Map<string, RunReport>();
-    for (const report of lease.report?.runs ?? []) {
-      reports.set(report.run, report);
-    }
     for (const job of jobs.values()) {
       if (job.run !== undefined) {
-        const report = reports.get(job.run.id);
+        const report = lease.reports.get(job.run.id);
         absorbRun(absorbing, { job, run: job.run, lease, report });
       }
     }
--- a/packages/core/src/placement/choice.ts
+++ b/packages/core/src/placement/choice.ts
@@ -5,8 +5,8 @@
  */
 import { PRIORITIES, type Priority } from "../names.ts";
 import type { Job } from "./job.ts";
-import { freeFor, type Occupant, type Room } from "./room.ts";
-import { fits, type Size } from "./size.ts";
+import { hasRoom, type Occupant, type Room } from "./room.ts";
+import type { Size } from "./size.ts";
 
 const MOVE_COST_MS = 60_000;
 const CLASS_COST_MS = 3_600_000;
@@ -32,13 +32,9 @@
 ): Room | undefined {
   let best: Room | undefined;
   let bestScore = Infinity;
+  const demand = { priority: job.priority, pressing };
   for (const room of rooms) {
-    if (!accepts(room, job)) {
-      continue;
-    }
-    const { priority } = job;
-    const free = freeFor(room, { priority, pressing, need });
-    if (!fits(need, free)) {
+    if (!hasRoom(room, need, demand) || !accepts(room, job)) {
       continue;
     }
     const score = leftover(room, need);
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -54,7 +54,8 @@
 ): void {
   const scope = { room, lease, dispatch };
   const busy = room.occupants.some(({ run, report }) =>
-    report === undefined || run.want !== "run"
+    report === undefined || run.want !== "run" ||
+    lease.runs.get(run.id)?.renewed === false
   );
   if (dispatch.now - lease.askedAt >= (busy ? WATCH_MS : RENEW_MS)) {
     ask(scope);
@@ -79,15 +80,25 @@
   }
 }
 
+interface Header {
+  id: string;
+  vm: string;
+  term: number;
+  incarnation: number;
+  urgent: boolean;
+}
+
 function header(
   { room, lease, dispatch }: Scope,
   id: string,
-): { id: string; vm: string; term: number; incarnation: number } {
+  urgent = false,
+): Header {
   return {
     id,
     vm: room.vm,
     term: dispatch.term,
     incarnation: lease.report?.incarnation ?? 0,
+    urgent,
   };
 }
 
@@ -187,7 +198,7 @@
   const lengthMs = firstLeaseMs(job.priority, job.runs);
   const { now } = scope.dispatch;
   return {
-    ...header(scope, `start:${run.id}`),
+    ...header(scope, `start:${run.id}`, job.priority === "urgent"),
     kind: "start",
     run: run.id,
     job: job.id,
@@ -213,14 +224,19 @@
   const key = leaveKey(run.id);
   const asked = held.operations.get(key)?.first ?? scope.dispatch.now;
   const late = scope.dispatch.now - asked >= graceOf(run);
+  const urgent = run.cause === "urgent";
   const stop = run.want === "stop" || late || report === undefined;
   send(scope, run.id, {
     key,
     operation: () =>
       stop
-        ? { ...header(scope, `stop:${run.id}`), kind: "stop", run: run.id }
+        ? {
+          ...header(scope, `stop:${run.id}`, urgent),
+          kind: "stop",
+          run: run.id,
+        }
         : {
-          ...header(scope, `leave:${run.id}`),
+          ...header(scope, `leave:${run.id}`, urgent),
           kind: "checkpoint",
           run: run.id,
           stop: true,
--- a/packages/core/src/placement/explain.ts
+++ b/packages/core/src/placement/explain.ts
@@ -7,7 +7,7 @@
 import { quotasOf } from "./apply.ts";
 import { accepts, chooseRoom } from "./choice.ts";
 import { isPressing } from "./deadline.ts";
-import { largest, least, type PoolLimits } from "./feasibility.ts";
+import { least, type PoolLimits } from "./feasibility.ts";
 import { MAX_UNKNOWN_RUNS } from "./filling.ts";
 import { type Job, kindKey } from "./job.ts";
 import type { JobIndex } from "./job_index.ts";
@@ -69,7 +69,7 @@
 
 function explainWait(state: State, job: Job, context: ExplainContext): string {
   const quota = quotasOf(state).get(job.team) ?? zeroSize();
-  const limit = largest(context.limits.get(job.pool) ?? []);
+  const limit = context.limits.get(job.pool)?.largest ?? zeroSize();
   const need = context.sizing.reserve(job, least(limit, quota));
   const left = remaining(quota, state.jobs.held[job.team] ?? zeroSize());
   if (!fits(need, left)) {
--- a/packages/core/src/placement/feasibility.ts
+++ b/packages/core/src/placement/feasibility.ts
@@ -12,8 +12,16 @@
 /** Share of a VM's memory that runs may take together. */
 const MEMORY_SHARE = 0.95;
 
-/** The sizes of the VMs of each pool that no other VM of the pool exceeds in every resource. */
-export type PoolLimits = Map<string, Size[]>;
+/** What the VMs of a pool can hold. */
+export interface PoolLimit {
+  /** Sizes of VMs that no other VM of the pool exceeds in every resource. */
+  sizes: Size[];
+  /** The largest amount of each resource that any VM has. */
+  largest: Size;
+}
+
+/** The limits of each pool. */
+export type PoolLimits = Map<string, PoolLimit>;
 
 /** What a job is checked against. */
 export interface Bounds {
@@ -44,28 +52,42 @@
   return size;
 }
 
-/** Works out the largest VMs of every pool, whatever their phase. */
+const remembered = new WeakMap<
+  State["inventory"],
+  { revision: number; limits: PoolLimits }
+>();
+
+/** The largest VMs of every pool, whatever their phase; worked out once for each revision. */
 export function poolLimits(state: State): PoolLimits {
-  const limits: PoolLimits = new Map();
+  const known = remembered.get(state.inventory);
+  if (known?.revision === state.revision) {
+    return known.limits;
+  }
+  const limits = computeLimits(state);
+  remembered.set(state.inventory, { revision: state.revision, limits });
+  return limits;
+}
+
+function computeLimits(state: State): PoolLimits {
+  const sizes = new Map<string, Size[]>();
+  const shares = new Map<string, number>();
   for (const pool of state.inventory.pools) {
-    limits.set(pool.name, []);
+    sizes.set(pool.name, []);
+    shares.set(pool.name, jobShare(state, pool.name));
   }
-  const shares = new Map(
-    state.inventory.pools.map((
-      pool,
-    ) => [pool.name, jobShare(state, pool.name)]),
-  );
   for (const vm of state.inventory.vms) {
     const pool = state.vms[vm.name]?.pool ?? vm.pool;
     const size = jobLimit(vm, shares.get(pool) ?? 1);
-    const known = limits.get(pool) ?? [];
+    const known = sizes.get(pool) ?? [];
     if (!known.some((other) => fits(size, other))) {
-      limits.set(
-        pool,
-        [...known.filter((other) => !fits(other, size)), size],
-      );
+      const smaller = known.filter((other) => !fits(other, size));
+      sizes.set(pool, [...smaller, size]);
     }
   }
+  const limits: PoolLimits = new Map();
+  for (const [pool, list] of sizes) {
+    limits.set(pool, { sizes: list, largest: largest(list) });
+  }
   return limits;
 }
 
@@ -83,22 +105,22 @@
   job: Job,
   { limits, quotas, sizing }: Bounds,
 ): string | undefined {
-  const sizes = limits.get(job.pool);
-  if (sizes === undefined) {
+  const limit = limits.get(job.pool);
+  if (limit === undefined) {
     return `Pool "${job.pool}" is not in the inventory`;
   }
   const quota = quotas.get(job.team);
   if (quota === undefined) {
     return `Team "${job.team}" is not in the rules`;
   }
-  const need = sizing.reserve(job, least(largest(sizes), quota));
-  if (need.accelerators > 0 && largest(sizes).accelerators === 0) {
+  const need = sizing.reserve(job, least(limit.largest, quota));
+  if (need.accelerators > 0 && limit.largest.accelerators === 0) {
     return `Pool "${job.pool}" has no accelerators`;
   }
-  if (!sizes.some((size) => fits(need, size))) {
+  if (!limit.sizes.some((size) => fits(need, size))) {
     return `No VM of pool "${job.pool}" can hold ${
       formatSize(need)
-    }; the largest has ${formatSize(largest(sizes))}`;
+    }; the largest has ${formatSize(limit.largest)}`;
   }
   if (!fits(need, quota)) {
     return `The quota of team "${job.team}" is ${
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -18,12 +18,14 @@
 
 /** Most placements in one pass. */
 export const MAX_PLACEMENTS = 512;
-/** Most placements in one pass that end other runs. */
+/** Most jobs in one pass for which runs to end are looked for. */
 const MAX_PREEMPTIONS = 32;
 /** Entries of a lane that are tried before the lane counts as blocked. */
-const MAX_TRIES = 3;
+const MAX_TRIES = 2;
 /** Runs of a kind at a time while its sizes are unknown. */
 export const MAX_UNKNOWN_RUNS = 6;
+/** How long a lane is left out while nothing changes for it. */
+const LEFT_OUT_MS = 10_000;
 /** How long a live job waits before overnight runs are ended for it. */
 const LIVE_PATIENCE_MS = 5_000;
 
@@ -44,6 +46,16 @@
   pressing: boolean;
 }
 
+/** What the jobs of one pool are placed on. */
+interface PoolContext {
+  rooms: Room[];
+  round: Round;
+  /** The most that any VM of the pool could ever give. */
+  limit: Size;
+  /** The most that is free on any VM now. */
+  most: Size;
+}
+
 const ROUNDS: readonly Round[] = [
   { priority: "urgent", pressing: false },
   { priority: "live", pressing: false },
@@ -82,63 +94,108 @@
     if (lanes.size === 0 || open.length === 0) {
       return;
     }
-    const limit = largest(this.#filling.limits.get(pool) ?? []);
-    const teams = new Turns([...lanes.values()], (team) => this.#share(team));
-    let lane = teams.next();
-    while (lane !== undefined && this.#placements < MAX_PLACEMENTS) {
-      const placed = this.#placeFirst(lane, { rooms: open, round, limit });
+    const limit = this.#filling.limits.get(pool)?.largest ?? zeroSize();
+    // What is free only shrinks within a round, so this bound rejects most jobs of a full pool at once.
+    const most = largest(open.map((room) => room.free));
+    const teams = new Turns(lanes.values(), (team) => this.#share(team));
+    let turn = teams.next();
+    while (turn !== undefined && this.#placements < MAX_PLACEMENTS) {
+      const placed = this.#placeFirst(turn, {
+        rooms: open,
+        round,
+        limit,
+        most,
+      });
       if (!placed) {
-        teams.block(lane);
+        teams.block(turn);
       }
-      lane = teams.next();
+      turn = teams.next();
+    }
+  }
+
+  /** Whether nothing has changed for a lane that was left out before; tells without reading its jobs. */
+  #isBlocked(lane: Lane, { round, most }: PoolContext): boolean {
+    const { at } = this.#filling;
+    if (round.pressing && at < (lane.calmUntil ?? 0)) {
+      return true;
+    }
+    if (round.priority === "urgent") {
+      return false;
     }
+    if (this.#isCapped(lane.key)) {
+      return true;
+    }
+    const { blocked } = lane;
+    if (blocked === undefined || at >= blocked.until) {
+      return false;
+    }
+    const quota = this.#quotas.get(lane.team) ?? zeroSize();
+    const left = remaining(quota, this.#heldBy(lane.team));
+    const hopeless = round.priority === "overnight" &&
+      !fits(blocked.need, most);
+    return hopeless || !fits(blocked.need, left);
   }
 
+  /** Places the next job of the lane; its cursor does not go back within a round. */
   #placeFirst(
-    lane: Lane,
-    context: { rooms: Room[]; round: Round; limit: Size },
+    turn: Turn,
+    context: PoolContext,
   ): boolean {
+    const { items } = turn.lane;
+    if (this.#isBlocked(turn.lane, context)) {
+      return false;
+    }
     let tries = 0;
-    for (const job of lane.items) {
-      if (!this.#waits(job)) {
+    let needed: Size | undefined;
+    for (; turn.cursor < items.length; turn.cursor += 1) {
+      const entry = items[turn.cursor];
+      if (entry === undefined || !entry.current) {
+        continue;
+      }
+      const { job } = entry;
+      if (this.#taken.has(job.id)) {
         continue;
       }
-      if (tries === MAX_TRIES || !this.#inRound(job, context.round)) {
+      if (!this.#inRound(job, context.round)) {
+        turn.lane.calmUntil = this.#filling.at + LEFT_OUT_MS;
         return false;
       }
-      tries += 1;
-      if (this.#place(job, context)) {
+      const attempt = this.#place(job, context);
+      if (attempt.placed) {
         return true;
       }
+      needed = smaller(needed, attempt.need);
+      tries += 1;
+      if (tries === MAX_TRIES) {
+        break;
+      }
+    }
+    if (needed !== undefined) {
+      const until = this.#filling.at + LEFT_OUT_MS;
+      turn.lane.blocked = { need: needed, until };
     }
     return false;
   }
 
-  #waits(job: Job): boolean {
-    return this.#filling.index.isCurrent(job) && !this.#taken.has(job.id);
-  }
-
   #inRound(job: Job, round: Round): boolean {
     return !round.pressing ||
       isPressing(job, this.#filling.sizing, this.#filling.at);
   }
 
-  #place(
-    job: Job,
-    { rooms, round, limit }: { rooms: Room[]; round: Round; limit: Size },
-  ): boolean {
+  #place(job: Job, { rooms, round, limit, most }: PoolContext): Attempt {
     const quota = this.#quotas.get(job.team) ?? zeroSize();
     const need = this.#filling.sizing.reserve(job, least(limit, quota));
-    const held = this.#heldBy(job.team);
-    if (!fits(need, remaining(quota, held)) || this.#isCapped(job)) {
-      return false;
+    if (!fits(need, remaining(quota, this.#heldBy(job.team)))) {
+      return { placed: false, need };
     }
-    const room = chooseRoom(rooms, job, { need, pressing: round.pressing });
+    const room = fits(need, most)
+      ? chooseRoom(rooms, job, { need, pressing: round.pressing })
+      : undefined;
     if (room !== undefined) {
       this.#commit(job, room, need);
-      return true;
+      return { placed: true, need };
     }
-    return this.#preempt(job, rooms, need);
+    return { placed: this.#preempt(job, rooms, need), need };
   }
 
   #preempt(job: Job, rooms: Room[], need: Size): boolean {
@@ -149,11 +206,11 @@
     if (!mayPreempt || this.#preemptions >= MAX_PREEMPTIONS) {
       return false;
     }
+    this.#preemptions += 1;
     const choice = choosePreemption(rooms, job, { need, at });
     if (choice === undefined) {
       return false;
     }
-    this.#preemptions += 1;
     for (const victim of choice.victims) {
       const want = {
         want: "checkpoint",
@@ -192,9 +249,8 @@
       this.#filling.index.runsOfKind.get(key) ?? 0;
   }
 
-  #isCapped(job: Job): boolean {
-    const key = kindKey(job);
-    return job.priority !== "urgent" && !this.#filling.sizing.known(key) &&
+  #isCapped(key: string): boolean {
+    return !this.#filling.sizing.known(key) &&
       this.#runsOf(key) >= MAX_UNKNOWN_RUNS;
   }
 
@@ -228,31 +284,48 @@
   return part === 0 ? 0 : part / whole;
 }
 
+/** What came of trying to place a job. */
+interface Attempt {
+  placed: boolean;
+  need: Size;
+}
+
+function smaller(a: Size | undefined, b: Size | undefined): Size | undefined {
+  return a === undefined || b === undefined ? a ?? b : least(a, b);
+}
+
+/** A lane and the position up to which it was looked at. */
+interface Turn {
+  lane: Lane;
+  cursor: number;
+}
+
 /** Lanes in order of their team's share. */
 class Turns {
-  readonly #teams = new Map<string, Lane[]>();
+  readonly #teams = new Map<string, Turn[]>();
   readonly #share: (team: string) => number;
 
-  constructor(lanes: Lane[], share: (team: string) => number) {
+  constructor(lanes: Iterable<Lane>, share: (team: string) => number) {
     this.#share = share;
     for (const lane of lanes) {
+      const turn = { lane, cursor: 0 };
       const known = this.#teams.get(lane.team);
       if (known === undefined) {
-        this.#teams.set(lane.team, [lane]);
+        this.#teams.set(lane.team, [turn]);
       } else {
-        known.push(lane);
+        known.push(turn);
       }
     }
   }
 
   /** The next lane of the team with the least share. */
-  next(): Lane | undefined {
-    let best: Lane | undefined;
+  next(): Turn | undefined {
+    let best: Turn | undefined;
     let bestShare = Infinity;
-    for (const [team, lanes] of this.#teams) {
+    for (const [team, turns] of this.#teams) {
       const share = this.#share(team);
       if (best === undefined || share < bestShare) {
-        best = lanes[0];
+        best = turns[0];
         bestShare = share;
       }
     }
@@ -260,11 +333,12 @@
   }
 
   /** Leaves the lane out for the rest of the round. */
-  block(lane: Lane): void {
-    const lanes = this.#teams.get(lane.team);
-    lanes?.splice(lanes.indexOf(lane), 1);
-    if (lanes?.length === 0) {
-      this.#teams.delete(lane.team);
+  block(turn: Turn): void {
+    const { team } = turn.lane;
+    const turns = this.#teams.get(team);
+    turns?.splice(turns.indexOf(turn), 1);
+    if (turns?.length === 0) {
+      this.#teams.delete(team);
     }
   }
 }
--- a/packages/core/src/placement/job_index.ts
+++ b/packages/core/src/placement/job_index.ts
@@ -6,19 +6,37 @@
  */
 import type { Priority } from "../names.ts";
 import { type Job, type Jobs, kindKey } from "./job.ts";
+import type { Size } from "./size.ts";
 
-/** Waiting jobs of one team and kind, in order; entries whose job has changed since are skipped. */
+/** A job as it waits; no longer current once the job has changed. */
+export interface Waiting {
+  job: Job;
+  current: boolean;
+}
+
+/** Waiting jobs of one team and kind, in order; entries that are not current are skipped. */
 export interface Lane {
   team: string;
   key: string;
-  items: Job[];
+  items: Waiting[];
   live: number;
+  /** Why the lane was left out last; cleared when a job enters. */
+  blocked?: Block;
+  /** Wall-clock time until which no job of the lane is pressing; cleared likewise. */
+  calmUntil?: number;
+}
+
+/** The least that the first jobs of a lane need, when neither room nor quota was left for them. */
+export interface Block {
+  need: Size;
+  /** Wall-clock time after which the jobs are looked at again. */
+  until: number;
 }
 
 /** Waiting jobs of one pool and class by `team/kind`. */
 export type Lanes = Map<string, Lane>;
 
-const COMPACT_SLACK = 32;
+const COMPACT_SLACK = 8;
 
 /** The index of one replicated state. */
 export class JobIndex {
@@ -28,6 +46,7 @@
   readonly runsOfKind = new Map<string, number>();
   #waiting = new Map<string, Map<Priority, Lanes>>();
   #known = new Map<string, Job>();
+  #entries = new Map<string, Waiting>();
   #source: Jobs | undefined;
   #position = 0;
 
@@ -49,16 +68,7 @@
 
   /** Number of waiting jobs. */
   get waiting(): number {
-    let count = 0;
-    for (const job of this.#known.values()) {
-      count += job.phase === "waiting" ? 1 : 0;
-    }
-    return count;
-  }
-
-  /** The job as the index knows it. */
-  job(id: string): Job | undefined {
-    return this.#known.get(id);
+    return this.#entries.size;
   }
 
   /** The waiting jobs of a pool and class. */
@@ -71,14 +81,10 @@
     return this.#waiting.keys();
   }
 
-  /** Whether an entry of a lane still waits as it was entered. */
-  isCurrent(job: Job): boolean {
-    return this.#known.get(job.id) === job;
-  }
-
   #rebuild(jobs: Jobs): void {
     this.#source = jobs;
     this.#known.clear();
+    this.#entries.clear();
     this.#waiting.clear();
     this.byVm.clear();
     this.runsOfKind.clear();
@@ -106,7 +112,11 @@
     this.#known.set(job.id, job);
     if (job.run === undefined) {
       const lane = this.#lane(job);
-      insert(lane.items, job);
+      const entry = { job, current: true };
+      this.#entries.set(job.id, entry);
+      insert(lane.items, entry);
+      lane.blocked = undefined;
+      lane.calmUntil = undefined;
       lane.live += 1;
       return;
     }
@@ -127,11 +137,16 @@
 
   #leave(job: Job): void {
     const lane = this.#lane(job);
+    const entry = this.#entries.get(job.id);
+    if (entry !== undefined) {
+      entry.current = false;
+      this.#entries.delete(job.id);
+    }
     lane.live -= 1;
     if (lane.live === 0) {
       this.#lanes(job).delete(lane.key);
     } else if (lane.items.length > 2 * lane.live + COMPACT_SLACK) {
-      lane.items = lane.items.filter((item) => this.isCurrent(item));
+      lane.items = lane.items.filter((item) => item.current);
     }
   }
 
@@ -173,11 +188,11 @@
     : job.submittedAt;
 }
 
-function insert(items: Job[], job: Job): void {
-  const rank = rankOf(job);
+function insert(items: Waiting[], entry: Waiting): void {
+  const rank = rankOf(entry.job);
   const last = items.at(-1);
-  if (last === undefined || rankOf(last) <= rank) {
-    items.push(job);
+  if (last === undefined || rankOf(last.job) <= rank) {
+    items.push(entry);
     return;
   }
   let low = 0;
@@ -185,11 +200,11 @@
   while (low < high) {
     const middle = (low + high) >>> 1;
     const item = items[middle];
-    if (item !== undefined && rankOf(item) <= rank) {
+    if (item !== undefined && rankOf(item.job) <= rank) {
       low = middle + 1;
     } else {
       high = middle;
     }
   }
-  items.splice(low, 0, job);
+  items.splice(low, 0, entry);
 }
--- a/packages/core/src/placement/learning.ts
+++ b/packages/core/src/placement/learning.ts
@@ -57,8 +57,8 @@
   };
   if (usage.memoryMb !== undefined) {
     const declared = toSize(job).memoryMb;
-    jobs.ratios.push(Math.round(usage.memoryMb / declared * PERCENT));
-    jobs.ratios.splice(0, jobs.ratios.length - MAX_RATIOS);
+    const ratio = Math.round(usage.memoryMb / declared * PERCENT);
+    jobs.ratios = [...jobs.ratios, ratio].slice(-MAX_RATIOS);
   }
 }
 
@@ -72,12 +72,15 @@
   memoryMb?: number;
   millicores?: number;
   runtimeMs?: number;
+  typicalMs?: number;
 }
 
 /** Sizes from the estimates of one state; each estimate is worked out once. */
 export class Sizing {
   readonly #jobs: Jobs;
   readonly #learned = new WeakMap<Estimate, Learned>();
+  #ratios: readonly number[] = [];
+  #ratio = 1;
 
   constructor(jobs: Jobs) {
     this.#jobs = jobs;
@@ -98,6 +101,11 @@
     };
   }
 
+  /** The median run time; undefined while it is not known. */
+  typicalMs(job: Job): number | undefined {
+    return this.#learn(kindKey(job)).typicalMs;
+  }
+
   #memory(job: Job, learned: Learned, limit: Size): number {
     const guess = learned.memoryMb === undefined
       ? this.#firstMemory(job, limit)
@@ -134,9 +142,18 @@
     return learned;
   }
 
+  #firstRatio(): number {
+    const { ratios } = this.#jobs;
+    if (this.#ratios !== ratios) {
+      this.#ratios = ratios;
+      this.#ratio = firstRatio(ratios);
+    }
+    return this.#ratio;
+  }
+
   #firstMemory(job: Job, limit: Size): number {
     const declared = toSize(job).memoryMb;
-    const guess = declared * firstRatio(this.#jobs.ratios);
+    const guess = declared * this.#firstRatio();
     if (guess <= limit.memoryMb) {
       return guess;
     }
@@ -165,5 +182,6 @@
     memoryMb: Math.ceil(memory),
     millicores: Math.ceil(cores),
     runtimeMs: quantile(estimate.runtimeMs, RUNTIME_QUANTILE),
+    typicalMs: quantile(estimate.runtimeMs, 0.5),
   };
 }
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -6,18 +6,18 @@
  * @module
  */
 import type { Priority } from "../names.ts";
-import type { AgentReport } from "./operation.ts";
+import type { AgentReport, RunReport } from "./operation.ts";
 
-/** Length of a lease. */
-export const LEASE_MS = 10_000;
+/** Length of a lease; runs outlive a leader that is lost for most of it. */
+export const LEASE_MS = 30_000;
 /** Length of the first lease of an urgent job's first run. */
 const URGENT_START_MS = 1_500;
 /** Interval at which a lease is renewed. */
-export const RENEW_MS = 3_000;
+export const RENEW_MS = 5_000;
 /** Interval at which a VM is asked while a run on it starts or leaves. */
 export const WATCH_MS = 250;
 /** A VM that has not reported for this long gets no new work. */
-export const STALE_MS = 7_000;
+export const STALE_MS = 12_000;
 /** Relative difference in rate between two clocks. */
 const CLOCK_DRIFT = 0.01;
 const CLOCK_MARGIN_MS = 100;
@@ -36,6 +36,8 @@
   sentAt: number;
   /** The run has surely ended, and nothing may be sent for it any more. */
   closed: boolean;
+  /** Whether this leader has renewed the lease. */
+  renewed: boolean;
   /** Incarnation that reported the run. */
   seenIn?: number;
   /** Times at which operations on the run were first and last sent, by operation id. */
@@ -51,6 +53,8 @@
   /** A start was not answered; the VM gets no new work before its next report. */
   suspect: boolean;
   runs: Map<string, RunLease>;
+  /** The runs of the last report. */
+  reports: Map<string, RunReport>;
 }
 
 /** A VM that has not reported in this term. */
@@ -60,6 +64,7 @@
     askedAt: -Infinity,
     suspect: false,
     runs: new Map(),
+    reports: new Map(),
   };
 }
 
@@ -69,6 +74,7 @@
     bound,
     sentAt: -Infinity,
     closed: false,
+    renewed: false,
     operations: new Map(),
   };
 }
@@ -98,6 +104,7 @@
     return false;
   }
   lease.report = report;
+  lease.reports = new Map(report.runs.map((run) => [run.run, run]));
   lease.reportedAt = now;
   lease.suspect = false;
   return true;
@@ -118,6 +125,7 @@
   const bound = lease.reportedAt + LEASE_MS * (1 + CLOCK_DRIFT) +
     CLOCK_MARGIN_MS;
   run.bound = Math.max(run.bound, bound);
+  run.renewed = true;
 }
 
 /**
--- a/packages/core/src/placement/leaving.ts
+++ b/packages/core/src/placement/leaving.ts
@@ -48,7 +48,8 @@
     DRAIN_FINISH_SHARE;
   const finishBy = record.since + patienceMs;
   for (const occupant of room.occupants) {
-    const endsAt = occupant.run.at + context.sizing.runtimeMs(occupant.job);
+    const runtimeMs = context.sizing.typicalMs(occupant.job) ?? 0;
+    const endsAt = occupant.run.at + runtimeMs;
     const mayFinish = record.phase === "draining" && context.at < finishBy &&
       Math.max(endsAt, context.at) <= finishBy;
     if (!mayFinish) {
--- a/packages/core/src/placement/operation.ts
+++ b/packages/core/src/placement/operation.ts
@@ -16,6 +16,8 @@
   term: z.number().int(),
   /** The agent's incarnation that the operation is meant for. */
   incarnation: z.number().int(),
+  /** Whether an urgent job waits for the answer. */
+  urgent: z.boolean(),
 });
 
 export const Operation = z.discriminatedUnion("kind", [
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -23,7 +23,7 @@
 } from "./lease.ts";
 import type { AgentReport, Operation } from "./operation.ts";
 import { decideQuarantine } from "./quarantine.ts";
-import { buildRooms, type Rooms } from "./room.ts";
+import { buildRooms, type Rooms, type RoomShape, roomShapes } from "./room.ts";
 import type { Size } from "./size.ts";
 
 const RETAIN_MS = 6 * 3_600_000;
@@ -45,6 +45,8 @@
   /** One step to propose; absent when nothing changes. */
   command?: Extract<JobCommand, { kind: "job.step" }>;
   operations: Operation[];
+  /** Whether to pass again as soon as the command is applied. */
+  urgent: boolean;
 }
 
 /** The placement of one leader. It holds nothing that a new leader would miss. */
@@ -55,6 +57,7 @@
   #sizing: Sizing | undefined;
   #limits: PoolLimits = new Map();
   #quotas = new Map<string, Size>();
+  #shapes: RoomShape[] = [];
   #revision = -1;
   #bounds = "";
   #source: State["jobs"] | undefined;
@@ -89,7 +92,8 @@
     const firstBound = takesOver ? takeoverBound(tick.since) : undefined;
     absorbReports({ index, leases, now, at, firstBound, changes });
     this.#refuse(state, { changed, changes });
-    const rooms = buildRooms(state, { index, leases, now });
+    const shapes = this.#shapes;
+    const rooms = buildRooms(state, { shapes, index, leases, now });
     const operations = this.#dispatch(rooms, tick);
     decideLeaving(state, { rooms, sizing, at, changes });
     decideQuarantine(state, { rooms, at, changes });
@@ -97,9 +101,12 @@
     new Filler({ state, index, rooms, limits, sizing, at, changes }).fill();
     this.#prune(at, changes);
     const base = state.jobs.sequence;
-    return changes.length === 0
-      ? { operations }
-      : { command: { kind: "job.step", base, changes, at }, operations };
+    const urgent = changes.some((change) => isUrgent(state, change));
+    return changes.length === 0 ? { operations, urgent } : {
+      command: { kind: "job.step", base, changes, at },
+      operations,
+      urgent,
+    };
   }
 
   /** Why the job is where it is. */
@@ -110,7 +117,9 @@
     const index = this.#index;
     index.sync(state.jobs);
     const { now, at } = tick;
-    const rooms = buildRooms(state, { index, leases: this.#leases, now });
+    const shapes = roomShapes(state);
+    const leases = this.#leases;
+    const rooms = buildRooms(state, { shapes, index, leases, now });
     const sizing = this.#sizingOf(state);
     const limits = poolLimits(state);
     return explainJob(state, job, { rooms, sizing, limits, index, at });
@@ -150,6 +159,7 @@
     this.#revision = state.revision;
     this.#limits = poolLimits(state);
     this.#quotas = quotasOf(state);
+    this.#shapes = roomShapes(state);
     const bounds = JSON.stringify([[...this.#limits], [...this.#quotas]]);
     const changed = bounds !== this.#bounds;
     this.#bounds = bounds;
@@ -174,3 +184,18 @@
     }
   }
 }
+
+/** Whether an urgent job waits for the change to be applied. */
+function isUrgent(state: State, change: JobChange): boolean {
+  switch (change.type) {
+    case "place":
+      return state.jobs.active[change.job]?.priority === "urgent";
+    case "want":
+      return change.cause === "urgent";
+    case "end":
+      return state.jobs.active[change.job]?.run?.cause === "urgent" ||
+        state.jobs.active[change.job]?.priority === "urgent";
+    default:
+      return false;
+  }
+}
--- a/packages/core/src/placement/room.ts
+++ b/packages/core/src/placement/room.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { Vm } from "../inventory.ts";
 import type { Priority } from "../names.ts";
 import type { State } from "../state.ts";
 import { jobLimit, jobShare, usableSize } from "./feasibility.ts";
@@ -11,14 +10,7 @@
 import type { JobIndex } from "./job_index.ts";
 import { STALE_MS, type VmLease } from "./lease.ts";
 import type { RunReport } from "./operation.ts";
-import {
-  addSize,
-  fits,
-  remaining,
-  type Size,
-  subtractSize,
-  zeroSize,
-} from "./size.ts";
+import { addSize, fits, type Size, subtractSize, zeroSize } from "./size.ts";
 
 /** A run that uses more than it reserved counts with this margin. */
 const GROWTH_MARGIN = 1.25;
@@ -39,12 +31,10 @@
 export interface Room {
   vm: string;
   pool: string;
-  rack: string;
   /** Whether new runs may be placed here. */
   open: boolean;
   /** Whether only one run may be placed, to try whether the VM works again. */
   probe: boolean;
-  reportedAt: number;
   /** What jobs may take in all. */
   limit: Size;
   free: Size;
@@ -53,6 +43,8 @@
   /** What overnight jobs may take in all. */
   overnightLimit: Size;
   occupants: Occupant[];
+  /** Whether a run may use only a part of its processors. */
+  throttled: boolean;
 }
 
 /** The rooms of one pass. */
@@ -61,26 +53,45 @@
   byPool: Map<string, Room[]>;
 }
 
+/** The part of a room that only configuration and moves change. */
+export interface RoomShape {
+  vm: string;
+  pool: string;
+  limit: Size;
+  overnightLimit: Size;
+}
+
 /** What the rooms are worked out from. */
 export interface RoomSource {
+  shapes: readonly RoomShape[];
   index: JobIndex;
   leases: Map<string, VmLease>;
   now: number;
 }
 
-/** Works out the rooms of all VMs of the inventory. */
-export function buildRooms(state: State, source: RoomSource): Rooms {
-  const rooms: Rooms = { byVm: new Map(), byPool: new Map() };
+/** Works out what jobs may take of each VM; valid until the state's revision changes. */
+export function roomShapes(state: State): RoomShape[] {
   const shares = new Map<string, number>();
-  for (const vm of state.inventory.vms) {
+  const overnightShare = 1 - state.rules.jobs.liveShare;
+  return state.inventory.vms.map((vm) => {
     const pool = state.vms[vm.name]?.pool ?? vm.pool;
     const share = shares.get(pool) ?? jobShare(state, pool);
     shares.set(pool, share);
-    const room = buildRoom(state, vm, { pool, share, source });
-    rooms.byVm.set(vm.name, room);
-    const others = rooms.byPool.get(pool);
+    const limit = jobLimit(vm, share);
+    const overnightLimit = usableSize(limit, overnightShare);
+    return { vm: vm.name, pool, limit, overnightLimit };
+  });
+}
+
+/** Works out the rooms of all VMs of the inventory. */
+export function buildRooms(state: State, source: RoomSource): Rooms {
+  const rooms: Rooms = { byVm: new Map(), byPool: new Map() };
+  for (const shape of source.shapes) {
+    const room = buildRoom(state, shape, source);
+    rooms.byVm.set(shape.vm, room);
+    const others = rooms.byPool.get(shape.pool);
     if (others === undefined) {
-      rooms.byPool.set(pool, [room]);
+      rooms.byPool.set(shape.pool, [room]);
     } else {
       others.push(room);
     }
@@ -88,29 +99,24 @@
   return rooms;
 }
 
-function buildRoom(
-  state: State,
-  vm: Vm,
-  { pool, share, source }: { pool: string; share: number; source: RoomSource },
-): Room {
-  const lease = source.leases.get(vm.name);
-  const limit = jobLimit(vm, share);
-  const health = state.jobs.health[vm.name]?.phase ?? "healthy";
+function buildRoom(state: State, shape: RoomShape, source: RoomSource): Room {
+  const { vm, limit } = shape;
+  const lease = source.leases.get(vm);
+  const health = state.jobs.health[vm]?.phase ?? "healthy";
   const fresh = lease !== undefined && !lease.suspect &&
     source.now - lease.reportedAt <= STALE_MS;
-  const serving = state.vms[vm.name]?.phase === "serving";
+  const serving = state.vms[vm]?.phase === "serving";
   const room: Room = {
-    vm: vm.name,
-    pool,
-    rack: vm.rack,
+    vm,
+    pool: shape.pool,
+    limit,
+    overnightLimit: shape.overnightLimit,
     open: serving && fresh && health !== "quarantined",
     probe: health === "probing",
-    reportedAt: lease?.reportedAt ?? -Infinity,
-    limit,
     free: { ...limit },
     overnight: zeroSize(),
-    overnightLimit: usableSize(limit, 1 - state.rules.jobs.liveShare),
     occupants: [],
+    throttled: false,
   };
   occupy(room, source, lease);
   return room;
@@ -125,13 +131,9 @@
   if (jobs === undefined) {
     return;
   }
-  const reports = new Map<string, RunReport>();
-  for (const report of lease?.report?.runs ?? []) {
-    reports.set(report.run, report);
-  }
   for (const job of jobs.values()) {
     if (job.run !== undefined) {
-      const report = reports.get(job.run.id);
+      const report = lease?.reports.get(job.run.id);
       const size = expectedSize(job.run, report);
       addOccupant(room, { job, run: job.run, size, report });
     }
@@ -141,6 +143,7 @@
 /** Adds a run to the room. */
 export function addOccupant(room: Room, occupant: Occupant): void {
   room.occupants.push(occupant);
+  room.throttled ||= (occupant.report?.throttle ?? 1) < 1;
   subtractSize(room.free, occupant.size);
   if (occupant.job.priority === "overnight") {
     addSize(room.overnight, occupant.size);
@@ -158,24 +161,17 @@
   return { ...run.size, memoryMb: Math.max(used, least) };
 }
 
-/** What is free for a job; overnight work leaves a share unless it is pressing or cannot run otherwise. */
-export function freeFor(
+/** Whether the room can hold a job now; overnight work leaves a share unless it is pressing or cannot run otherwise. */
+export function hasRoom(
   room: Room,
-  { priority, pressing, need }: {
-    priority: Priority;
-    pressing: boolean;
-    need: Size;
-  },
-): Size {
-  const whole = priority !== "overnight" || pressing ||
-    !fits(need, room.overnightLimit);
-  if (whole) {
-    return room.free;
+  need: Size,
+  { priority, pressing }: { priority: Priority; pressing: boolean },
+): boolean {
+  if (!fits(need, room.free)) {
+    return false;
   }
-  const left = remaining(room.overnightLimit, room.overnight);
-  return {
-    millicores: Math.min(left.millicores, room.free.millicores),
-    memoryMb: Math.min(left.memoryMb, room.free.memoryMb),
-    accelerators: room.free.accelerators,
-  };
+  const { overnight, overnightLimit } = room;
+  return priority !== "overnight" || pressing || !fits(need, overnightLimit) ||
+    (need.millicores + overnight.millicores <= overnightLimit.millicores &&
+      need.memoryMb + overnight.memoryMb <= overnightLimit.memoryMb);
 }
--- a/packages/core/src/placement/throttle.ts
+++ b/packages/core/src/placement/throttle.ts
@@ -22,6 +22,9 @@
 /** The throttles that the VM's runs need and do not have. */
 export function throttles(room: Room): Throttle[] {
   const result: Throttle[] = [];
+  if (room.free.millicores >= 0 && !room.throttled) {
+    return result;
+  }
   let left = room.limit.millicores;
   for (const priority of PRIORITIES) {
     const members = room.occupants.filter(({ job, run }) =>
