--- a/bench/src/placement/worker.ts
+++ b/bench/src/placement/worker.ts
@@ -71,6 +71,7 @@
   /** Runs that never start again, also after they are forgotten. */
   readonly #tombstones = new Set<string>();
   #term = 0;
+  #sequence = 0;
   #advancedAt = 0;
 
   constructor(
@@ -104,6 +105,7 @@
 
   /** All runs with their lagging usage. */
   report(now: number): AgentReport {
+    this.#sequence += 1;
     const runs = [...this.#ended.values()];
     for (const task of this.tasks.values()) {
       runs.push(this.#describe(task, now));
@@ -112,6 +114,7 @@
       vm: this.vm,
       term: this.#term,
       incarnation: this.incarnation,
+      sequence: this.#sequence,
       clock: this.#clock(now),
       lagMs: SAMPLE_MS,
       runs,
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -108,8 +108,10 @@
   const { report } = lease;
   lease.askedAt = dispatch.now;
   const runs: string[] = [];
-  for (const { run, report: seen } of room.occupants) {
+  let urgent = false;
+  for (const { job, run, report: seen } of room.occupants) {
     const held = lease.runs.get(run.id);
+    urgent ||= job.priority === "urgent" && held?.renewed === false;
     if (
       held !== undefined && seen?.phase === "running" &&
       renewable(run, held, dispatch.now)
@@ -122,8 +124,9 @@
   const forget = (report?.runs ?? [])
     .filter((entry) => entry.phase === "ended" && !known.has(entry.run))
     .map((entry) => entry.run);
+  const id = `renew:${room.vm}:${dispatch.term}:${dispatch.now}`;
   dispatch.operations.push({
-    ...header(scope, `renew:${room.vm}:${dispatch.term}:${dispatch.now}`),
+    ...header(scope, id, urgent),
     kind: "renew",
     until: report === undefined ? 0 : renewUntil(report),
     runs,
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -27,7 +27,7 @@
 /** How long a lane is left out while nothing changes for it. */
 const LEFT_OUT_MS = 10_000;
 /** How long a live job waits before overnight runs are ended for it. */
-const LIVE_PATIENCE_MS = 5_000;
+const LIVE_PATIENCE_MS = 10_000;
 
 /** What the filling of one pass works on. */
 export interface Filling {
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -112,7 +112,8 @@
 
 function isNewer(report: AgentReport, known: AgentReport): boolean {
   return report.incarnation > known.incarnation ||
-    (report.incarnation === known.incarnation && report.clock > known.clock);
+    (report.incarnation === known.incarnation &&
+      report.sequence > known.sequence);
 }
 
 /** The new end of the leases on the agent's clock, for a renewal that builds on the last report. */
--- a/packages/core/src/placement/operation.ts
+++ b/packages/core/src/placement/operation.ts
@@ -79,6 +79,8 @@
   term: z.number().int(),
   /** Increases each time the agent starts. */
   incarnation: z.number().int(),
+  /** Increases with each report of an incarnation. */
+  sequence: z.number().int(),
   /** The agent's monotonic clock when it made the report, in milliseconds. */
   clock: z.number(),
   lagMs: z.number(),
