--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+import { commits } from "./commits/commits.ts";
 import { placement } from "./placement/scenario.ts";
 import type { Scenario } from "./scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [placement];
+export const SCENARIOS: readonly Scenario[] = [commits, placement];
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -8,6 +8,8 @@
 import { emptyInventory, Inventory } from "./inventory.ts";
 import { emptyLedger, Ledger } from "./ledger.ts";
 import { emptyJobs, Jobs } from "./placement/job.ts";
+import { Accounts, emptyAccounts } from "./maintenance/budget.ts";
+import { emptyRollout, Rollout } from "./maintenance/rollout.ts";
 import { emptyRules, Rules } from "./rules.ts";
 
 /** The recorded result of a configuration change, kept so that a resend gets the first answer. */
@@ -31,7 +33,12 @@
   /** VMs that left the inventory, with the revision at which they left. */
   removed: z.record(z.string(), z.number().int()),
   ledger: Ledger,
+  /** Jobs and what is learned from them. */
   jobs: Jobs,
+  /** Maintenance rounds and waves. */
+  rollout: Rollout,
+  /** Availability budgets. */
+  accounts: Accounts,
   /** Recent changes, oldest first. */
   changes: z.array(Change),
 });
@@ -48,6 +55,8 @@
     removed: {},
     ledger: emptyLedger(),
     jobs: emptyJobs(),
+    rollout: emptyRollout(),
+    accounts: emptyAccounts(),
     changes: [],
   };
 }
--- /dev/null
+++ b/packages/core/test/raft_simulation.ts
@@ -0,0 +1,314 @@
+/**
+ * Drives a group of replicas through a message scheduler with faults. Everything follows from the actions and their
+ * seeds.
+ *
+ * @module
+ */
+import {
+  bootstrap,
+  emptyStored,
+  type Membership,
+  type MembershipChange,
+  type Stored,
+  votersOf,
+} from "@quetzalcove/core";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Checker, Violation } from "./raft_checker.ts";
+import { type Lot, Network } from "./raft_network.ts";
+import { SimulatedNode, type Surroundings } from "./raft_node.ts";
+
+const STEP_MS = 40;
+const ROUNDS_IN_STEP = 4;
+const MAX_RECOVERY_STEPS = 400;
+const MAX_LOST_DISKS = 4;
+
+/** Choices of a node from here on name a node; those below mean the leader. */
+const FIRST_NAMED_NODE = 8;
+
+/** One step of a run; numbers select among what is there at the time. */
+export type Action =
+  | { kind: "run"; steps: number; seed: number; lossPercent: number }
+  | { kind: "deliver"; count: number; seed: number }
+  | { kind: "write"; node: number; count: number }
+  | { kind: "read"; node: number; via: number }
+  | { kind: "crash"; node: number; kept: number }
+  | { kind: "restart"; node: number }
+  | { kind: "lose_disk"; node: number }
+  | { kind: "repair" }
+  | { kind: "remove"; node: number }
+  | { kind: "transfer"; node: number }
+  | { kind: "isolate"; node: number }
+  | { kind: "partition"; mask: number }
+  | { kind: "cut_one_way"; node: number; to: number }
+  | { kind: "heal" }
+  | { kind: "compact"; node: number; kept: boolean }
+  | { kind: "stall"; node: number }
+  | { kind: "freeze"; node: number };
+
+/** The group, its network, its operator and its clients. */
+export class Simulation {
+  readonly checker = new Checker();
+  readonly #network = new Network();
+  readonly #nodes: SimulatedNode[] = [];
+  #now = 0;
+  #operations = 0;
+  #lostDisks = 0;
+  #lot: Lot = () => 0;
+
+  constructor(size: number, seed: number) {
+    this.#seed(seed);
+    this.#add("e1", (id) => bootstrap(memberOf(id, "e1")));
+    for (let i = 2; i <= size; i++) {
+      this.#add(`e${i}`, emptyStored);
+    }
+    while (votersOf(this.#membership).length < size) {
+      this.#run({ steps: 5, lossPercent: 0 });
+      this.#repair();
+    }
+  }
+
+  perform(action: Action): void {
+    switch (action.kind) {
+      case "run":
+        this.#seed(action.seed);
+        return this.#run(action);
+      case "deliver":
+        this.#seed(action.seed);
+        this.#nodes.forEach((node) => node.sync(action.count));
+        return this.#deliver({ count: action.count, lossPercent: 1 });
+      case "repair":
+        return this.#repair();
+      case "heal":
+        return this.#heal();
+      case "partition":
+        return this.#network.separate(
+          this.#nodes.map(({ id }) => id),
+          (id) => this.#isInMask(id, action.mask),
+        );
+      default:
+        return this.#performAt(this.#pick(action.node), action);
+    }
+  }
+
+  /** Ends all faults and checks that the group makes progress and that all voters agree. */
+  finish(): void {
+    this.#heal();
+    this.#network.clear();
+    for (const node of this.#nodes) {
+      node.stalled = false;
+      node.restart();
+    }
+    this.#runUntil("leader", () => this.#leader !== undefined);
+    this.#leader?.write([this.#newId("w")]);
+    this.#runUntil("agreement", () => this.#agrees());
+  }
+
+  #performAt(node: SimulatedNode, action: Action): void {
+    switch (action.kind) {
+      case "write":
+        return node.write(
+          Array.from({ length: action.count }, () => this.#newId("w")),
+        );
+      case "read":
+        return node.read(`${this.#newId("r")}:${action.via}`);
+      case "crash":
+        return node.crash(action.kept);
+      case "restart":
+        return this.#pickDown(action.node)?.restart();
+      case "lose_disk":
+        return this.#loseDisk(node);
+      case "remove":
+        return this.#remove(node);
+      case "transfer":
+        this.#leader?.raft?.transferLeadership(node.id, this.#now);
+        return this.#leader?.pump();
+      case "isolate":
+        return this.#network.separate(
+          this.#nodes.map(({ id }) => id),
+          (id) => id === node.id,
+        );
+      case "cut_one_way":
+        return this.#network.cut(node.id, this.#pick(action.to).id);
+      case "compact":
+        return node.compact(action.kept);
+      case "stall":
+        node.stalled = !node.stalled;
+        return;
+      case "freeze":
+        node.frozen = true;
+        return;
+    }
+  }
+
+  get #leader(): SimulatedNode | undefined {
+    const leaders = this.#nodes.filter((node) => node.isLeader);
+    return leaders.sort((a, b) => b.raft!.status.term - a.raft!.status.term)[0];
+  }
+
+  get #membership(): Membership {
+    const running = this.#nodes.find(({ raft }) => raft !== undefined);
+    return (this.#leader ?? running)?.membership ?? { members: [] };
+  }
+
+  #seed(seed: number): void {
+    const generator = xoroshiro128plus(seed);
+    this.#lot = (bound) => uniformInt(generator, 0, bound - 1);
+  }
+
+  #newId(prefix: string): string {
+    this.#operations += 1;
+    return `${prefix}${this.#operations}`;
+  }
+
+  #pick(choice: number): SimulatedNode {
+    const named = this.#nodes[choice % this.#nodes.length]!;
+    return choice < FIRST_NAMED_NODE ? this.#leader ?? named : named;
+  }
+
+  #pickDown(choice: number): SimulatedNode | undefined {
+    const down = this.#nodes.filter(({ raft, lost }) =>
+      raft === undefined && !lost
+    );
+    return down[choice % Math.max(1, down.length)];
+  }
+
+  #isInMask(id: string, mask: number): boolean {
+    const position = this.#nodes.findIndex((node) => node.id === id);
+    return ((mask >> position) & 1) === 1;
+  }
+
+  #add(entry: string, stored: (id: string) => Stored): void {
+    const id = `${entry}#${String(this.#lostDisks).padStart(4, "0")}`;
+    const around: Surroundings = {
+      checker: this.checker,
+      now: () => this.#now,
+      random: () => this.#lot(1_000) / 1_000,
+      send: (messages) => this.#network.send(messages),
+      disks: (ids) => this.#nodes.filter((node) => ids.includes(node.id)),
+      confirmed: (reads) =>
+        reads.forEach(({ context, index }) => this.#forward(context, index)),
+    };
+    this.#nodes.push(new SimulatedNode({ id, entry }, stored(id), around));
+  }
+
+  /** Serves a read at the replica that its client asked. */
+  #forward(id: string, index: number): void {
+    const via = Number(id.split(":")[1]);
+    this.#nodes[via % this.#nodes.length]!.serve({ id, index });
+  }
+
+  /** Loses a disk for good, as long as the others can go on; the entry comes back as a new replica. */
+  #loseDisk(node: SimulatedNode): void {
+    const voters = votersOf(this.#membership);
+    const left = this.#nodes.filter(({ id, lost }) =>
+      id !== node.id && !lost && voters.includes(id)
+    );
+    const canGoOn = !voters.includes(node.id) ||
+      left.length > voters.length / 2;
+    const isSettled = !node.lost && !this.#isChanging();
+    if (!canGoOn || !isSettled || this.#lostDisks === MAX_LOST_DISKS) {
+      return;
+    }
+    node.crash(0);
+    node.lost = true;
+    this.#lostDisks += 1;
+    this.#add(node.entry, emptyStored);
+  }
+
+  /** Whether the replicas whose disks are there know different memberships. */
+  #isChanging(): boolean {
+    const present = this.#nodes.filter(({ lost }) => !lost);
+    const known = present.map((node) => JSON.stringify(node.membership));
+    return new Set(known).size > 1 || this.#leader === undefined;
+  }
+
+  /** The next step towards a membership of all replicas whose disks are there, as an operator would ask for it. */
+  #repair(): void {
+    const { members } = this.#membership;
+    const missing = this.#nodes.find((node) =>
+      !node.lost && !members.some(({ replica }) => replica === node.id)
+    );
+    const learner = members.find(({ standing }) => standing === "learner");
+    const gone = members.find(({ replica }) =>
+      this.#nodes.some((node) => node.lost && node.id === replica)
+    );
+    if (missing !== undefined) {
+      const member = memberOf(missing.id, missing.entry);
+      this.#change({ kind: "add", member });
+    } else if (learner !== undefined) {
+      this.#change({ kind: "promote", replica: learner.replica });
+    } else if (gone !== undefined) {
+      this.#change({ kind: "remove", replica: gone.replica });
+    }
+  }
+
+  /** Removes a replica, unless a lost one still counts: the leader needs an election timeout to notice a loss. */
+  #remove(node: SimulatedNode): void {
+    const voters = votersOf(this.#membership);
+    const isWhole = !this.#nodes.some(({ id, lost }) =>
+      lost && voters.includes(id)
+    );
+    if (voters.length > 2 && isWhole && !this.#isChanging()) {
+      this.#change({ kind: "remove", replica: node.id });
+    }
+  }
+
+  #change(change: MembershipChange): void {
+    this.#leader?.raft?.changeMembership(change, this.#now);
+    this.#leader?.pump();
+  }
+
+  #heal(): void {
+    this.#network.heal();
+    this.#nodes.forEach((node) => node.frozen = false);
+  }
+
+  #run({ steps, lossPercent }: { steps: number; lossPercent: number }): void {
+    for (let step = 0; step < steps; step++) {
+      this.#now += STEP_MS;
+      this.#nodes.forEach((node) => node.tick());
+      for (let round = 0; round < ROUNDS_IN_STEP; round++) {
+        this.#nodes.forEach((node) => node.sync(1 + this.#lot(3)));
+        this.#deliver({ count: this.#network.size, lossPercent });
+      }
+    }
+  }
+
+  #deliver(
+    { count, lossPercent }: { count: number; lossPercent: number },
+  ): void {
+    for (let left = count; left > 0; left--) {
+      const message = this.#network.take(this.#lot, lossPercent);
+      const to = this.#nodes.find(({ id }) => id === message?.to);
+      if (message !== undefined) {
+        to?.receive(message);
+      }
+    }
+  }
+
+  #runUntil(what: string, holds: () => boolean): void {
+    for (let steps = 0; !holds(); steps++) {
+      if (steps === MAX_RECOVERY_STEPS) {
+        throw new Violation(`liveness: no ${what} after all faults ended`);
+      }
+      this.#run({ steps: 1, lossPercent: 0 });
+    }
+  }
+
+  /** Whether every voter applied the whole log of the leader. */
+  #agrees(): boolean {
+    const voters = votersOf(this.#membership);
+    const last = this.#leader?.raft?.status.lastIndex;
+    return this.#nodes.every(({ id, lost, machine }) =>
+      lost || !voters.includes(id) || machine.index === last
+    );
+  }
+}
+
+function memberOf(
+  replica: string,
+  entry: string,
+): { replica: string; entry: string; zone: string; address: string } {
+  return { replica, entry, zone: "z1", address: "127.0.0.1:7000" };
+}
