--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -18,6 +18,7 @@
 
 /** A run that no agent was asked to start within this time is placed again. */
 const UNSENT_MS = 10_000;
+const RECHECK_MS = 1_000;
 
 /** What is read in one pass. */
 export interface Absorbing {
@@ -25,6 +26,8 @@
   leases: Map<string, VmLease>;
   now: number;
   at: number;
+  /** VMs whose runs or reports changed. */
+  touched: ReadonlySet<string>;
   /** Lease bound of runs that this leader has not seen before. */
   firstBound?: number;
   changes: JobChange[];
@@ -32,9 +35,14 @@
 
 /** Adds a change for each run that ended or has a new checkpoint. */
 export function absorbReports(absorbing: Absorbing): void {
-  for (const [vm, jobs] of absorbing.index.byVm) {
-    const lease = absorbing.leases.get(vm) ?? emptyLease();
-    absorbing.leases.set(vm, lease);
+  const { index, leases, touched, now, changes } = absorbing;
+  for (const [vm, jobs] of index.byVm) {
+    const lease = leases.get(vm) ?? emptyLease();
+    leases.set(vm, lease);
+    if (!touched.has(vm) && now < lease.checkAt) {
+      continue;
+    }
+    const before = changes.length;
     for (const job of jobs.values()) {
       if (job.run !== undefined) {
         const report = lease.reports.get(job.run.id);
@@ -42,7 +50,18 @@
       }
     }
     dropRuns(lease, jobs);
+    // What was decided is decided again until it is applied.
+    lease.checkAt = changes.length > before ? now : nextCheck(lease, now);
+  }
+}
+
+/** When the first lease may have run out, or the first run has waited too long to be sent. */
+function nextCheck(lease: VmLease, now: number): number {
+  let next = Infinity;
+  for (const run of lease.runs.values()) {
+    next = Math.min(next, neverSent(run) ? now + RECHECK_MS : run.bound);
   }
+  return next;
 }
 
 /** Forgets leases of runs that the VM no longer has. */
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -47,17 +47,18 @@
 }
 
 /** Adds the operations that the VM needs now. */
-export function dispatchVm(
-  room: Room,
-  lease: VmLease,
-  dispatch: Dispatch,
-): void {
+export function dispatchVm(room: Room, dispatch: Dispatch): void {
+  const { lease } = room;
+  const silentMs = dispatch.now - lease.askedAt;
+  if (!room.fresh && !room.busy && silentMs < RENEW_MS) {
+    return;
+  }
   const scope = { room, lease, dispatch };
-  const busy = room.occupants.some(({ run, report }) =>
+  room.busy = room.occupants.some(({ run, report }) =>
     report === undefined || run.want !== "run" ||
     lease.runs.get(run.id)?.renewed === false
   );
-  if (dispatch.now - lease.askedAt >= (busy ? WATCH_MS : RENEW_MS)) {
+  if (silentMs >= (room.busy ? WATCH_MS : RENEW_MS)) {
     ask(scope);
   }
   if (lease.report === undefined) {
--- a/packages/core/src/placement/job_index.ts
+++ b/packages/core/src/placement/job_index.ts
@@ -44,6 +44,8 @@
   readonly byVm = new Map<string, Map<string, Job>>();
   /** Number of runs of each kind. */
   readonly runsOfKind = new Map<string, number>();
+  /** VMs whose runs changed since the set was last emptied. */
+  readonly touched = new Set<string>();
   #waiting = new Map<string, Map<Priority, Lanes>>();
   #known = new Map<string, Job>();
   #entries = new Map<string, Waiting>();
@@ -122,6 +124,7 @@
     }
     const runs = this.byVm.get(job.run.vm) ?? new Map<string, Job>();
     this.byVm.set(job.run.vm, runs.set(job.id, job));
+    this.touched.add(job.run.vm);
     this.#countRun(job, 1);
   }
 
@@ -132,6 +135,7 @@
       return;
     }
     this.byVm.get(job.run.vm)?.delete(job.id);
+    this.touched.add(job.run.vm);
     this.#countRun(job, -1);
   }
 
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -52,6 +52,8 @@
   askedAt: number;
   /** A start was not answered; the VM gets no new work before its next report. */
   suspect: boolean;
+  /** When the runs must be looked at again, though nothing was reported. */
+  checkAt: number;
   runs: Map<string, RunLease>;
   /** The runs of the last report. */
   reports: Map<string, RunReport>;
@@ -63,6 +65,7 @@
     reportedAt: -Infinity,
     askedAt: -Infinity,
     suspect: false,
+    checkAt: -Infinity,
     runs: new Map(),
     reports: new Map(),
   };
--- a/packages/core/src/placement/leaving.ts
+++ b/packages/core/src/placement/leaving.ts
@@ -31,9 +31,10 @@
       continue;
     }
     const record = state.vms[room.vm];
-    if (record === undefined || record.phase === "serving") {
+    const serves = record === undefined || record.phase === "serving";
+    if (serves && room.fresh) {
       relievePressure(room, context);
-    } else {
+    } else if (!serves) {
       leaveVm(state, room, { record, context });
     }
   }
@@ -53,7 +54,7 @@
     const mayFinish = record.phase === "draining" && context.at < finishBy &&
       Math.max(endsAt, context.at) <= finishBy;
     if (!mayFinish) {
-      askToLeave(occupant, "drain", context);
+      askToLeave(room, occupant, { cause: "drain", context });
     }
   }
 }
@@ -75,7 +76,7 @@
     if (usedMb <= sizeMb * PRESSURE_SHARE) {
       return;
     }
-    askToLeave(candidate, "pressure", context);
+    askToLeave(room, candidate, { cause: "pressure", context });
     usedMb -= candidate.report?.memoryMb ?? 0;
   }
 }
@@ -91,14 +92,15 @@
 }
 
 function askToLeave(
+  room: Room,
   occupant: Occupant,
-  cause: Cause,
-  { changes }: LeavingContext,
+  { cause, context }: { cause: Cause; context: LeavingContext },
 ): void {
   const { run, job } = occupant;
   if (run.want === "run") {
     const want = { want: "checkpoint", cause } as const;
-    changes.push({ type: "want", job: job.id, run: run.id, ...want });
+    context.changes.push({ type: "want", job: job.id, run: run.id, ...want });
     occupant.run = { ...run, ...want };
+    room.planned = true;
   }
 }
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -15,15 +15,10 @@
 import { JobIndex } from "./job_index.ts";
 import { Sizing } from "./learning.ts";
 import { decideLeaving } from "./leaving.ts";
-import {
-  acceptReport,
-  emptyLease,
-  takeoverBound,
-  type VmLease,
-} from "./lease.ts";
+import { acceptReport, takeoverBound, type VmLease } from "./lease.ts";
 import type { AgentReport, Operation } from "./operation.ts";
 import { decideQuarantine } from "./quarantine.ts";
-import { buildRooms, type Rooms, type RoomShape, roomShapes } from "./room.ts";
+import { Rooms, roomShapes } from "./room.ts";
 import type { Size } from "./size.ts";
 
 const RETAIN_MS = 6 * 3_600_000;
@@ -57,7 +52,7 @@
   #sizing: Sizing | undefined;
   #limits: PoolLimits = new Map();
   #quotas = new Map<string, Size>();
-  #shapes: RoomShape[] = [];
+  #rooms = new Rooms([], new Map());
   #revision = -1;
   #bounds = "";
   #source: State["jobs"] | undefined;
@@ -71,42 +66,40 @@
     if (term !== this.#term) {
       return false;
     }
-    const lease = this.#leases.get(report.vm) ?? emptyLease();
-    this.#leases.set(report.vm, lease);
-    return acceptReport(lease, report, { now, term });
+    const lease = this.#leases.get(report.vm);
+    const accepted = lease !== undefined &&
+      acceptReport(lease, report, { now, term });
+    if (accepted) {
+      this.#index.touched.add(report.vm);
+    }
+    return accepted;
   }
 
   /** Decides on one pass. The state must hold every entry of earlier terms. */
   pass(state: State, tick: Tick): JobDecision {
     const takesOver = tick.term !== this.#term;
-    if (takesOver) {
-      this.#term = tick.term;
-      this.#leases = new Map();
-    }
     const { now, at } = tick;
-    const changes: JobChange[] = [];
     const index = this.#index;
     const changed = index.sync(state.jobs);
-    const sizing = this.#sizingOf(state);
+    const boundsChanged = this.#follow(state, takesOver);
+    this.#term = tick.term;
+    const { touched } = index;
     const leases = this.#leases;
+    const rooms = this.#rooms;
+    const sizing = this.#sizingOf(state);
+    const limits = this.#limits;
+    const changes: JobChange[] = [];
     const firstBound = takesOver ? takeoverBound(tick.since) : undefined;
-    absorbReports({ index, leases, now, at, firstBound, changes });
-    this.#refuse(state, { changed, changes });
-    const shapes = this.#shapes;
-    const rooms = buildRooms(state, { shapes, index, leases, now });
-    const operations = this.#dispatch(rooms, tick);
+    absorbReports({ index, leases, now, at, touched, firstBound, changes });
+    rooms.update(state, { index, leases, now, touched });
+    touched.clear();
+    this.#refuse(state, { changed, boundsChanged, changes });
+    const operations = this.#dispatch(tick);
     decideLeaving(state, { rooms, sizing, at, changes });
     decideQuarantine(state, { rooms, at, changes });
-    const limits = this.#limits;
     new Filler({ state, index, rooms, limits, sizing, at, changes }).fill();
     this.#prune(at, changes);
-    const base = state.jobs.sequence;
-    const urgent = changes.some((change) => isUrgent(state, change));
-    return changes.length === 0 ? { operations, urgent } : {
-      command: { kind: "job.step", base, changes, at },
-      operations,
-      urgent,
-    };
+    return decisionOf(state, { changes, operations, at });
   }
 
   /** Why the job is where it is. */
@@ -117,9 +110,9 @@
     const index = this.#index;
     index.sync(state.jobs);
     const { now, at } = tick;
-    const shapes = roomShapes(state);
     const leases = this.#leases;
-    const rooms = buildRooms(state, { shapes, index, leases, now });
+    const rooms = new Rooms(roomShapes(state), leases);
+    rooms.update(state, { index, leases, now, touched: new Set() });
     const sizing = this.#sizingOf(state);
     const limits = poolLimits(state);
     return explainJob(state, job, { rooms, sizing, limits, index, at });
@@ -136,12 +129,18 @@
   /** Refuses waiting jobs that can never run; all are looked at again when VMs or quotas changed. */
   #refuse(
     state: State,
-    { changed, changes }: { changed: string[]; changes: JobChange[] },
+    { changed, boundsChanged, changes }: {
+      changed: string[];
+      boundsChanged: boolean;
+      changes: JobChange[];
+    },
   ): void {
-    const all = this.#boundsChanged(state);
     const sizing = this.#sizingOf(state);
     const bounds = { limits: this.#limits, quotas: this.#quotas, sizing };
-    for (const id of all ? Object.keys(state.jobs.active) : new Set(changed)) {
+    const ids = boundsChanged
+      ? Object.keys(state.jobs.active)
+      : new Set(changed);
+    for (const id of ids) {
       const job = state.jobs.active[id];
       const reason = job?.phase === "waiting"
         ? neverFits(job, bounds)
@@ -152,14 +151,18 @@
     }
   }
 
-  #boundsChanged(state: State): boolean {
-    if (state.revision === this.#revision) {
+  /** Follows configuration, moves and terms; tells whether what jobs may take has changed. */
+  #follow(state: State, takesOver: boolean): boolean {
+    if (takesOver) {
+      this.#leases = new Map();
+    }
+    if (!takesOver && state.revision === this.#revision) {
       return false;
     }
     this.#revision = state.revision;
     this.#limits = poolLimits(state);
     this.#quotas = quotasOf(state);
-    this.#shapes = roomShapes(state);
+    this.#rooms = new Rooms(roomShapes(state), this.#leases);
     const bounds = JSON.stringify([[...this.#limits], [...this.#quotas]]);
     const changed = bounds !== this.#bounds;
     this.#bounds = bounds;
@@ -167,12 +170,10 @@
   }
 
   /** Operations follow from what is committed, so they come before this pass's own decisions. */
-  #dispatch(rooms: Rooms, { term, now }: Tick): Operation[] {
+  #dispatch({ term, now }: Tick): Operation[] {
     const operations: Operation[] = [];
-    for (const room of rooms.byVm.values()) {
-      const lease = this.#leases.get(room.vm) ?? emptyLease();
-      this.#leases.set(room.vm, lease);
-      dispatchVm(room, lease, { term, now, operations });
+    for (const room of this.#rooms.byVm.values()) {
+      dispatchVm(room, { term, now, operations });
     }
     return operations;
   }
@@ -185,6 +186,25 @@
   }
 }
 
+function decisionOf(
+  state: State,
+  { changes, operations, at }: {
+    changes: JobChange[];
+    operations: Operation[];
+    at: number;
+  },
+): JobDecision {
+  if (changes.length === 0) {
+    return { operations, urgent: false };
+  }
+  const base = state.jobs.sequence;
+  return {
+    command: { kind: "job.step", base, changes, at },
+    operations,
+    urgent: changes.some((change) => isUrgent(state, change)),
+  };
+}
+
 /** Whether an urgent job waits for the change to be applied. */
 function isUrgent(state: State, change: JobChange): boolean {
   switch (change.type) {
--- a/packages/core/src/placement/room.ts
+++ b/packages/core/src/placement/room.ts
@@ -8,7 +8,7 @@
 import { jobLimit, jobShare, usableSize } from "./feasibility.ts";
 import type { Job, Run } from "./job.ts";
 import type { JobIndex } from "./job_index.ts";
-import { STALE_MS, type VmLease } from "./lease.ts";
+import { emptyLease, STALE_MS, type VmLease } from "./lease.ts";
 import type { RunReport } from "./operation.ts";
 import { addSize, fits, type Size, subtractSize, zeroSize } from "./size.ts";
 
@@ -27,46 +27,44 @@
   report?: RunReport;
 }
 
+/** The part of a room that only configuration and moves change. */
+export interface RoomShape {
+  readonly vm: string;
+  readonly pool: string;
+  /** What jobs may take in all. */
+  readonly limit: Size;
+  /** What overnight jobs may take in all. */
+  readonly overnightLimit: Size;
+}
+
 /** One VM as the pass sees it. */
-export interface Room {
-  vm: string;
-  pool: string;
+export interface Room extends RoomShape {
+  lease: VmLease;
   /** Whether new runs may be placed here. */
   open: boolean;
   /** Whether only one run may be placed, to try whether the VM works again. */
   probe: boolean;
-  /** What jobs may take in all. */
-  limit: Size;
   free: Size;
   /** What overnight jobs take. */
   overnight: Size;
-  /** What overnight jobs may take in all. */
-  overnightLimit: Size;
   occupants: Occupant[];
   /** Whether a run may use only a part of its processors. */
   throttled: boolean;
-}
-
-/** The rooms of one pass. */
-export interface Rooms {
-  byVm: Map<string, Room>;
-  byPool: Map<string, Room[]>;
-}
-
-/** The part of a room that only configuration and moves change. */
-export interface RoomShape {
-  vm: string;
-  pool: string;
-  limit: Size;
-  overnightLimit: Size;
+  /** Whether runs or report changed since the last pass. */
+  fresh: boolean;
+  /** Whether a decision that is not applied yet changed the room. */
+  planned: boolean;
+  /** Whether a run on the VM starts, leaves or waits for its first renewal. */
+  busy: boolean;
 }
 
 /** What the rooms are worked out from. */
 export interface RoomSource {
-  shapes: readonly RoomShape[];
   index: JobIndex;
   leases: Map<string, VmLease>;
   now: number;
+  /** VMs whose runs or reports changed. */
+  touched: ReadonlySet<string>;
 }
 
 /** Works out what jobs may take of each VM; valid until the state's revision changes. */
@@ -83,65 +81,79 @@
   });
 }
 
-/** Works out the rooms of all VMs of the inventory. */
-export function buildRooms(state: State, source: RoomSource): Rooms {
-  const rooms: Rooms = { byVm: new Map(), byPool: new Map() };
-  for (const shape of source.shapes) {
-    const room = buildRoom(state, shape, source);
-    rooms.byVm.set(shape.vm, room);
-    const others = rooms.byPool.get(shape.pool);
-    if (others === undefined) {
-      rooms.byPool.set(shape.pool, [room]);
-    } else {
+/** The rooms of all VMs of the inventory; only those that changed are worked out again. */
+export class Rooms {
+  readonly byVm = new Map<string, Room>();
+  readonly byPool = new Map<string, Room[]>();
+
+  constructor(shapes: readonly RoomShape[], leases: Map<string, VmLease>) {
+    for (const shape of shapes) {
+      const lease = leases.get(shape.vm) ?? emptyLease();
+      leases.set(shape.vm, lease);
+      const room = emptyRoom(shape, lease);
+      this.byVm.set(shape.vm, room);
+      const others = this.byPool.get(shape.pool) ?? [];
+      this.byPool.set(shape.pool, others);
       others.push(room);
     }
   }
-  return rooms;
+
+  /** Brings the rooms up to date. */
+  update(state: State, source: RoomSource): void {
+    for (const room of this.byVm.values()) {
+      room.fresh = room.planned || source.touched.has(room.vm);
+      if (room.fresh) {
+        occupy(room, source.index);
+      }
+      const { lease } = room;
+      const health = state.jobs.health[room.vm]?.phase ?? "healthy";
+      const reported = !lease.suspect &&
+        source.now - lease.reportedAt <= STALE_MS;
+      room.probe = health === "probing";
+      room.open = reported && health !== "quarantined" &&
+        state.vms[room.vm]?.phase === "serving";
+    }
+  }
 }
 
-function buildRoom(state: State, shape: RoomShape, source: RoomSource): Room {
-  const { vm, limit } = shape;
-  const lease = source.leases.get(vm);
-  const health = state.jobs.health[vm]?.phase ?? "healthy";
-  const fresh = lease !== undefined && !lease.suspect &&
-    source.now - lease.reportedAt <= STALE_MS;
-  const serving = state.vms[vm]?.phase === "serving";
-  const room: Room = {
-    vm,
+function emptyRoom(shape: RoomShape, lease: VmLease): Room {
+  return {
+    vm: shape.vm,
     pool: shape.pool,
-    limit,
+    limit: shape.limit,
     overnightLimit: shape.overnightLimit,
-    open: serving && fresh && health !== "quarantined",
-    probe: health === "probing",
-    free: { ...limit },
+    lease,
+    open: false,
+    probe: false,
+    free: { ...shape.limit },
     overnight: zeroSize(),
     occupants: [],
     throttled: false,
+    fresh: true,
+    planned: true,
+    busy: true,
   };
-  occupy(room, source, lease);
-  return room;
 }
 
-function occupy(
-  room: Room,
-  { index }: RoomSource,
-  lease: VmLease | undefined,
-): void {
-  const jobs = index.byVm.get(room.vm);
-  if (jobs === undefined) {
-    return;
-  }
-  for (const job of jobs.values()) {
+function occupy(room: Room, index: JobIndex): void {
+  room.free = { ...room.limit };
+  room.overnight = zeroSize();
+  room.occupants = [];
+  room.throttled = false;
+  const jobs = index.byVm.get(room.vm)?.values() ?? [];
+  for (const job of jobs) {
     if (job.run !== undefined) {
-      const report = lease?.reports.get(job.run.id);
+      const report = room.lease.reports.get(job.run.id);
       const size = expectedSize(job.run, report);
       addOccupant(room, { job, run: job.run, size, report });
     }
   }
+  room.planned = false;
 }
 
-/** Adds a run to the room. */
+/** Adds a run to the room, for this pass unless it is applied. */
 export function addOccupant(room: Room, occupant: Occupant): void {
+  room.planned = true;
   room.occupants.push(occupant);
   room.throttled ||= (occupant.report?.throttle ?? 1) < 1;
   subtractSize(room.free, occupant.size);
