--- a/bench/src/placement/baselines.ts
+++ b/bench/src/placement/baselines.ts
@@ -63,7 +63,7 @@
     return {
       command: { kind: "job.step", base, changes, at: tick.at },
       operations: decision.operations,
-      urgent: true,
+      urgent: false,
     };
   }
 
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -97,16 +97,13 @@
     const limit = this.#filling.limits.get(pool)?.largest ?? zeroSize();
     // What is free only shrinks within a round, so this bound rejects most jobs of a full pool at once.
     const most = largest(open.map((room) => room.free));
-    const teams = new Turns(lanes.values(), (team) => this.#share(team));
+    const context = { rooms: open, round, limit, most };
+    const candidates = [...lanes.values()]
+      .filter((lane) => !this.#isBlocked(lane, context));
+    const teams = new Turns(candidates, (team) => this.#share(team));
     let turn = teams.next();
     while (turn !== undefined && this.#placements < MAX_PLACEMENTS) {
-      const placed = this.#placeFirst(turn, {
-        rooms: open,
-        round,
-        limit,
-        most,
-      });
-      if (!placed) {
+      if (!this.#placeFirst(turn, context)) {
         teams.block(turn);
       }
       turn = teams.next();
@@ -142,7 +139,7 @@
     context: PoolContext,
   ): boolean {
     const { items } = turn.lane;
-    if (this.#isBlocked(turn.lane, context)) {
+    if (context.round.priority !== "urgent" && this.#isCapped(turn.lane.key)) {
       return false;
     }
     let tries = 0;
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -21,6 +21,8 @@
 import { Rooms, roomShapes } from "./room.ts";
 import type { Size } from "./size.ts";
 
+/** Most waiting jobs in one pass that are checked for whether they can ever run. */
+const MAX_CHECKS = 4_096;
 const RETAIN_MS = 6 * 3_600_000;
 const PRUNE_INTERVAL_MS = 600_000;
 
@@ -56,6 +58,7 @@
   #revision = -1;
   #bounds = "";
   #source: State["jobs"] | undefined;
+  #unchecked: string[] = [];
   #prunedAt = -Infinity;
 
   /** Takes in an agent's report; false when it is older than the known one or from another term. */
@@ -126,7 +129,7 @@
     return this.#sizing;
   }
 
-  /** Refuses waiting jobs that can never run; all are looked at again when VMs or quotas changed. */
+  /** Refuses waiting jobs that can never run; all are looked at again, some in each pass, when VMs or quotas changed. */
   #refuse(
     state: State,
     { changed, boundsChanged, changes }: {
@@ -135,13 +138,14 @@
       changes: JobChange[];
     },
   ): void {
+    const { active } = state.jobs;
+    this.#unchecked = boundsChanged
+      ? Object.keys(active)
+      : [...changed, ...this.#unchecked];
     const sizing = this.#sizingOf(state);
     const bounds = { limits: this.#limits, quotas: this.#quotas, sizing };
-    const ids = boundsChanged
-      ? Object.keys(state.jobs.active)
-      : new Set(changed);
-    for (const id of ids) {
-      const job = state.jobs.active[id];
+    for (const id of this.#unchecked.splice(0, MAX_CHECKS)) {
+      const job = active[id];
       const reason = job?.phase === "waiting"
         ? neverFits(job, bounds)
         : undefined;
