End runs for urgent work that needs more processors than throttling gives

Cause: an urgent job as large as its VM never started, because throttled runs keep a tenth of their processors (found by a test that first failed).

--- a/bench/src/placement/cluster.ts
+++ b/bench/src/placement/cluster.ts
@@ -8,6 +8,7 @@
   apply,
   type Command,
   emptyState,
+  type Explanation,
   type Inventory,
   type JobDecision,
   type JobReply,
@@ -305,6 +306,18 @@
     }
   }
 
+  /** Why a job is where it is, as the present leader sees it. */
+  explain(job: string): Explanation {
+    const leader = this.#leader();
+    const { policy, term, since } = leader;
+    if (!(policy instanceof Placement)) {
+      return { job, state: "unknown", reason: "The policy does not explain" };
+    }
+    const now = leader.clock(this.now);
+    const tick = { now, at: this.at, term, since };
+    return policy.explain(this.state, { job, tick });
+  }
+
   /** Urgent jobs that have not started, with the time since their submission. */
   waitingUrgent(): [string, number][] {
     return [...this.#urgent].map(([job, at]) => [job, this.now - at]);
--- a/packages/core/src/placement/choice.ts
+++ b/packages/core/src/placement/choice.ts
@@ -76,7 +76,7 @@
   let best: Choice | undefined;
   let bestCost = Infinity;
   for (const room of rooms) {
-    if (room.probe || !accepts(room, job) || !coresReachable(room, job, need)) {
+    if (room.probe || !accepts(room, job)) {
       continue;
     }
     const victims = findVictims(room, job, { need, at });
@@ -89,66 +89,80 @@
   return best;
 }
 
-function coresReachable(room: Room, job: Job, need: Size): boolean {
-  let cores = room.free.millicores;
-  for (const occupant of room.occupants) {
-    if (isBelow(occupant, job)) {
-      cores += occupant.size.millicores * THROTTLE_SHARE;
-    }
-  }
-  return cores >= need.millicores;
-}
-
 function isBelow(occupant: Occupant, job: Job): boolean {
   return rankOfClass(occupant.job.priority) > rankOfClass(job.priority);
 }
 
+/** What is still missing of each resource; none when all are zero or less. */
+interface Deficit {
+  millicores: number;
+  memoryMb: number;
+  accelerators: number;
+}
+
+function throttleable(size: Size): number {
+  return Math.floor(size.millicores * THROTTLE_SHARE);
+}
+
+function isCovered(deficit: Deficit): boolean {
+  return deficit.millicores <= 0 && deficit.memoryMb <= 0 &&
+    deficit.accelerators <= 0;
+}
+
+function reduce(deficit: Deficit, { size }: Occupant, sign: 1 | -1): void {
+  // The rest of the victim's processors is already counted as taken by throttling.
+  deficit.millicores -= sign * (size.millicores - throttleable(size));
+  deficit.memoryMb -= sign * size.memoryMb;
+  deficit.accelerators -= sign * size.accelerators;
+}
+
+function helps(deficit: Deficit, { size }: Occupant): boolean {
+  return (deficit.millicores > 0 && size.millicores > 0) ||
+    (deficit.memoryMb > 0 && size.memoryMb > 0) ||
+    (deficit.accelerators > 0 && size.accelerators > 0);
+}
+
 function findVictims(
   room: Room,
   job: Job,
   { need, at }: { need: Size; at: number },
 ): Occupant[] | undefined {
-  let memory = need.memoryMb - room.free.memoryMb;
-  let accelerators = need.accelerators - room.free.accelerators;
-  const victims: Occupant[] = [];
-  if (memory <= 0 && accelerators <= 0) {
-    return victims;
-  }
-  const candidates = room.occupants
-    .filter((occupant) => isBelow(occupant, job) && occupant.run.want === "run")
+  const below = room.occupants.filter((occupant) => isBelow(occupant, job));
+  const reachable = below.reduce(
+    (sum, { size }) => sum + throttleable(size),
+    0,
+  );
+  const deficit = {
+    millicores: need.millicores - room.free.millicores - reachable,
+    memoryMb: need.memoryMb - room.free.memoryMb,
+    accelerators: need.accelerators - room.free.accelerators,
+  };
+  const candidates = below
+    .filter(({ run }) => run.want === "run")
     .sort((a, b) => costOf(a, at) - costOf(b, at));
+  const victims: Occupant[] = [];
   for (const candidate of candidates) {
-    const helps = (memory > 0 && candidate.size.memoryMb > 0) ||
-      (accelerators > 0 && candidate.size.accelerators > 0);
-    if (helps) {
-      victims.push(candidate);
-      memory -= candidate.size.memoryMb;
-      accelerators -= candidate.size.accelerators;
+    if (isCovered(deficit)) {
+      break;
     }
-    if (memory <= 0 && accelerators <= 0) {
-      return spare(victims, { memory, accelerators });
+    if (helps(deficit, candidate)) {
+      victims.push(candidate);
+      reduce(deficit, candidate, 1);
     }
   }
-  return undefined;
+  return isCovered(deficit) ? spare(victims, deficit) : undefined;
 }
 
 /** Drops victims that are not needed after all, the most expensive first. */
-function spare(
-  victims: Occupant[],
-  excess: { memory: number; accelerators: number },
-): Occupant[] {
-  let { memory, accelerators } = excess;
-  const kept: Occupant[] = [];
-  for (const victim of victims.toReversed()) {
-    const { memoryMb, accelerators: held } = victim.size;
-    if (memory + memoryMb <= 0 && accelerators + held <= 0) {
-      memory += memoryMb;
-      accelerators += held;
-    } else {
-      kept.push(victim);
+function spare(victims: Occupant[], deficit: Deficit): Occupant[] {
+  return victims.toReversed().filter((victim) => {
+    reduce(deficit, victim, -1);
+    if (isCovered(deficit)) {
+      return false;
     }
-  }
-  return kept;
+    reduce(deficit, victim, 1);
+    return true;
+  });
 }
 
 function totalCost(victims: readonly Occupant[], at: number): number {
