--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -5,7 +5,14 @@
  */
 import { commits } from "./commits/commits.ts";
 import { placement } from "./placement/scenario.ts";
+import { scenario as routing } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
+import { WAVES } from "./waves/scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [commits, placement];
+export const SCENARIOS: readonly Scenario[] = [
+  commits,
+  placement,
+  routing,
+  WAVES,
+];
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -9,6 +9,7 @@
 import {
   type Admission,
   capacityAdmission,
+  endsInTime,
   giveUpAt,
   loadOf,
   refusal,
@@ -20,6 +21,7 @@
   learn,
   learnTimeout,
   mayRetry,
+  nextDeadline,
   noteOutcome,
   release,
   start,
@@ -28,6 +30,7 @@
 import { Pool } from "./pool.ts";
 import {
   giveUp,
+  type Moment,
   noLease,
   noTarget,
   overloaded,
@@ -35,7 +38,7 @@
   tooLate,
   unknownService,
 } from "./refusals.ts";
-import { anyFree, choose, type Match, nextMatch } from "./selection.ts";
+import { choose, type Match, nextMatch } from "./selection.ts";
 import type { SlotReport } from "./slot_report.ts";
 import type {
   Completion,
@@ -66,6 +69,7 @@
   #routes: readonly Route[] = [];
   #wakeup = Number.POSITIVE_INFINITY;
   #reports = 0;
+  #startedAt = Number.POSITIVE_INFINITY;
 
   constructor(setup: RouterSetup) {
     this.#setup = setup;
@@ -74,6 +78,7 @@
 
   /** Takes over the services in force; requests that wait for a removed service are refused. */
   setServices(services: readonly RoutedService[], now: number): Dispatch[] {
+    this.#startedAt = Math.min(this.#startedAt, now);
     const dispatches: Dispatch[] = [];
     const names = new Set(services.map((service) => service.name));
     for (const [name, pool] of this.#pools) {
@@ -157,7 +162,7 @@
       return [];
     }
     this.#flights.delete(id);
-    release(flight, now);
+    release(flight);
     learn(flight, completion, now);
     const next = flight.settled
       ? []
@@ -223,9 +228,11 @@
     this.#allowances.enter(epoch, now);
     this.#spreadAllowances();
     this.#reports += 1;
+    this.#startedAt = Math.min(this.#startedAt, now);
     return {
       entry: this.#setup.entry,
       incarnation: this.#setup.incarnation,
+      ageMs: now - this.#startedAt,
       number: this.#reports,
       epoch,
       applied: this.#allowances.applied,
@@ -234,10 +241,10 @@
     };
   }
 
-  /** Whether requests wait that an early renewal could serve. */
-  isShort(now: number): boolean {
+  /** Whether requests wait for a service of which this entry holds no slot, so that it should renew early. */
+  isShort(): boolean {
     for (const pool of this.#pools.values()) {
-      if (pool.line.urgentAndLive > 0 && !anyFree(pool, now)) {
+      if (pool.line.urgentAndLive > 0 && pool.slots === 0) {
         return true;
       }
     }
@@ -249,14 +256,14 @@
     return [...this.#pools.values()].map((pool) => describePool(pool, now));
   }
 
-  #moment(now: number): { now: number; random: () => number } {
+  #moment(now: number): Moment {
     return { now, random: this.#setup.random };
   }
 
   #refusalOf(pool: Pool, pending: Pending, now: number): Fault | undefined {
     const moment = this.#moment(now);
     const idle = pool.line.length === 0 &&
-      now + pool.run.meanMs <= pending.deadline &&
+      endsInTime(pool, pending, now) &&
       choose(pool, pending, moment) !== undefined;
     return idle
       ? undefined
@@ -388,11 +395,7 @@
     for (const pool of this.#pools.values()) {
       earliest = Math.min(earliest, pool.nextWakeup(now));
     }
-    for (const { settled, pending } of this.#flights.values()) {
-      if (!settled) {
-        earliest = Math.min(earliest, pending.deadline);
-      }
-    }
+    earliest = Math.min(earliest, nextDeadline(this.#flights.values()));
     const lease = this.#allowances.until;
     return lease > now ? Math.min(earliest, lease) : earliest;
   }
