--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -5,6 +5,7 @@
  */
 import { capacity } from "./capacity/capacity.ts";
 import { commits } from "./commits/commits.ts";
+import { placement } from "./placement/scenario.ts";
 import { scenario as routing } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
@@ -14,5 +15,6 @@
   commits,
   routing,
   WAVES,
+  placement,
   capacity,
 ];
--- /dev/null
+++ b/packages/core/src/placement/mod.ts
@@ -0,0 +1,27 @@
+/**
+ * Placement of jobs on VMs under leases.
+ *
+ * @module
+ */
+export { applyJobs } from "./apply.ts";
+export type { Explanation } from "./explain.ts";
+export {
+  Cause,
+  emptyJobs,
+  EndedJob,
+  Job,
+  JobChange,
+  JobCommand,
+  JobEnd,
+  JobId,
+  JobOutput,
+  JobReply,
+  Jobs,
+  RunOutcome,
+  SubmittedJob,
+} from "./job.ts";
+export { AgentReport, Operation, RunReport } from "./operation.ts";
+export { type JobDecision, Placement, type Tick } from "./placement.ts";
+export { runsOn } from "./record.ts";
+export { JobRules } from "./rules.ts";
+export { Size, toSize } from "./size.ts";
--- a/packages/core/src/rules.ts
+++ b/packages/core/src/rules.ts
@@ -6,6 +6,7 @@
  */
 import { z } from "zod";
 import { DurationMs, Name, Priority } from "./names.ts";
+import { JobRules } from "./placement/rules.ts";
 
 /** The availability budget of a service: the share of need that may go unserved within a window. */
 export const Budget = z.strictObject({
@@ -138,6 +139,7 @@
   ),
   maintenance: Maintenance.prefault({}).describe("Maintenance waves."),
   teams: z.array(Team).default([]).describe("Quotas of teams."),
+  jobs: JobRules.prefault({}).describe("Placement of jobs."),
 });
 export type Rules = z.infer<typeof Rules>;
 
