--- a/bench/src/capacity/pure.ts
+++ b/bench/src/capacity/pure.ts
@@ -257,12 +257,7 @@
     value: grant.length,
   });
   const observer = new Observer(START_AT);
-  const agents = new PlatformAgents({
-    debug() {},
-    info() {},
-    warn() {},
-    error() {},
-  });
+  const agents = new PlatformAgents(SILENT);
   const deciding = cpuMs(() => {
     const moment = { now: 60_000, at: START_AT + 60_000 };
     const observation = observer.observe(state, tenure, agents, moment);
--- a/packages/core/test/maintenance_stop_test.ts
+++ b/packages/core/test/maintenance_stop_test.ts
@@ -43,13 +43,13 @@
     want(world, true);
     world.until(() => phase(world) === "draining");
     world.until(() => world.machine(VM).work.length === 0);
-    const condition = { ...world.observe().conditions.get(VM), inFlight: 0 };
+    const condition = { ...world.observe().conditions.get(VM)!, inFlight: 0 };
     const rule = (change: object): string[] =>
       rulesWith(world, ({ conditions }) => ({
         conditions: new Map(conditions).set(VM, {
           ...condition,
           ...change,
-        } as NonNullable<typeof condition>),
+        }),
       }));
     const before = (world.state.vms[VM]?.revision ?? 0) - 1;
     expect({
