Spend less on control: leadership leases for reads, quieter links, sparse renewals

Cause: nine idle daemons spent 28 KB/s received and 12.6 KB/s sent at the leader, 5.8 KB/s at replicas, 3.8 KB/s at entries. Each renewal asked for a round of its own, links sent heartbeats beside other traffic, and renewals listed services without work. Ruled out: compressing links (a thread-pool hop for each message); leases without the restart rule, since a follower that answered and restarted could vote at once, so a restarted replica now waits an election timeout.

--- a/packages/core/src/raft/open.ts
+++ b/packages/core/src/raft/open.ts
@@ -38,7 +38,8 @@
     role: "follower",
     hardState: hardStateOf(stored, log),
     leader: undefined,
-    leaderAt: Number.NEGATIVE_INFINITY,
+    // It may have answered a leader right before it stopped, so it is loyal for one election timeout.
+    leaderAt: now,
     electionAt: now,
     granted: new Set(),
     refused: new Set(),
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -208,8 +208,7 @@
   if (replica.role === "leader") {
     return true;
   }
-  return replica.leader !== undefined &&
-    replica.now - replica.leaderAt < replica.tuning.electionMs;
+  return replica.now - replica.leaderAt < replica.tuning.electionMs;
 }
 
 export function isVoter(replica: Replica): boolean {
--- a/packages/core/src/routing/description.ts
+++ b/packages/core/src/routing/description.ts
@@ -60,14 +60,17 @@
   };
 }
 
-/** What an entry needs of each service, for the report to the leader. */
+/** What an entry needs of each service that it has work for, for the report to the leader. */
 export function needsOf(
   pools: Iterable<Pool>,
   now: number,
 ): Record<string, SlotNeed> {
   const needs: Record<string, SlotNeed> = {};
   for (const pool of pools) {
-    needs[pool.service.name] = needOf(pool, now);
+    const need = needOf(pool, now);
+    if (need.live + need.overnight + need.waiting + pool.liveInFlight > 0) {
+      needs[pool.service.name] = need;
+    }
   }
   return needs;
 }
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -56,8 +56,8 @@
 });
 
 const Link = z.strictObject({
-  heartbeatMs: DurationMs.default(500).describe(
-    "Interval of heartbeats on each connection.",
+  heartbeatMs: DurationMs.default(700).describe(
+    "Interval of heartbeats on a connection that carries nothing else.",
   ),
   idleMs: DurationMs.default(2_000).describe(
     "Silence after which a connection is closed and replaced.",
--- a/packages/core/test/settings_test.ts
+++ b/packages/core/test/settings_test.ts
@@ -81,7 +81,7 @@
       [
         "lease.renewEveryMs: 1501 must be above 0 and at most half of lease.durationMs (3000)",
         "raft.heartbeatMs: 0 must be above 0 and at most half of raft.electionMinMs (600)",
-        "link.heartbeatMs: 500 must be above 0 and at most half of link.idleMs (999)",
+        "link.heartbeatMs: 700 must be above 0 and at most half of link.idleMs (999)",
         "targets.announceEveryMs: 1000 must be above 0 and at most half of targets.expireMs (1999)",
         "lease.driftMarginMs: must be above 0",
       ]
--- a/packages/daemon/src/consensus/replica_task.ts
+++ b/packages/daemon/src/consensus/replica_task.ts
@@ -53,6 +53,15 @@
   settle: (result: Result<Output, Fault>) => void;
 }
 
+/** A read that waits for a round; a confirmed round began after the read was asked for. */
+interface Barrier {
+  askedAt: number;
+  settle: (result: Result<void, Fault>) => void;
+}
+
+/** Share of the shortest election timeout for which a confirmed round counts. */
+const LEASE_SHARE = 0.5;
+
 /** Share of a heartbeat between two ticks. */
 const TICK_SHARE = 0.25;
 
@@ -65,11 +74,14 @@
   #raft: Raft;
   readonly #ticker: Component;
   readonly #waiters = new Map<number, Waiter>();
-  readonly #barriers = new Map<string, (result: Result<void, Fault>) => void>();
+  readonly #barriers = new Map<string, Barrier>();
   readonly #listeners: (() => void)[] = [];
   #state: State;
   #appliedIndex: number;
   #barrierCount = 0;
+  /** Until then no other replica can be elected. */
+  #leasedUntil = -Infinity;
+  #isTransferring = false;
   #pumpDue = false;
   #stopped = false;
   #wasLeader = false;
@@ -166,7 +178,15 @@
     });
   }
 
+  /**
+   * A round that a quorum confirmed keeps followers from electing another leader for an election timeout, so reads
+   * within part of that time need no round of their own (Ongaro's thesis, section 6.4.1).
+   */
   barrier(): Promise<Result<void, Fault>> {
+    const askedAt = this.#parts.clock.monotonic();
+    if (askedAt < this.#leasedUntil) {
+      return Promise.resolve(Ok.EMPTY);
+    }
     return new Promise((settle) => {
       this.#event((now) => {
         this.#barrierCount += 1;
@@ -175,7 +195,7 @@
         if (asked.err) {
           settle(Err(this.#asNotLeader(asked.val)));
         } else {
-          this.#barriers.set(context, settle);
+          this.#barriers.set(context, { askedAt, settle });
         }
       });
     });
@@ -197,6 +217,8 @@
       return Err(fault("not_found", `Entry "${entry}" holds no replica`));
     }
     let result: Result<void, Fault> = Ok.EMPTY;
+    this.#isTransferring = true;
+    this.#leasedUntil = -Infinity;
     this.#event((now) => {
       result = this.#raft.transferLeadership(member.replica, now);
     });
@@ -306,8 +328,21 @@
   }
 
   #settleBarrier(context: string, result: Result<void, Fault>): void {
-    this.#barriers.get(context)?.(result);
+    const barrier = this.#barriers.get(context);
     this.#barriers.delete(context);
+    barrier?.settle(result);
+    if (barrier !== undefined && result.ok && this.#mayLease()) {
+      const { electionMinMs } = this.#parts.settings.raft;
+      this.#leasedUntil = Math.max(
+        this.#leasedUntil,
+        barrier.askedAt + electionMinMs * LEASE_SHARE,
+      );
+    }
+  }
+
+  /** A successor may be elected at any moment during a transfer, so a leader that began one trusts no lease. */
+  #mayLease(): boolean {
+    return !this.#isTransferring && this.leadership().isLeader;
   }
 
   #followLeadership(): void {
@@ -316,6 +351,8 @@
       return;
     }
     this.#wasLeader = isLeader;
+    this.#leasedUntil = -Infinity;
+    this.#isTransferring = false;
     if (!isLeader) {
       this.#failAll();
     }
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -45,9 +45,12 @@
 /** Interval of fencing and pruning, in milliseconds. */
 const TICK_MS = 200;
 
-/** Interval of decisions on planned stops and waves, in milliseconds. */
+/** Shortest interval of decisions on planned stops and waves, in milliseconds. */
 const MAINTENANCE_MS = 500;
 
+/** Most of the processor that decisions may take, as a share of a core. */
+const MAINTENANCE_SHARE = 0.01;
+
 export class Leader implements Component {
   readonly name = "leader";
   readonly #parts: LeaderParts;
@@ -55,6 +58,7 @@
   #tenure: Tenure | undefined;
   #observer: Observer | undefined;
   #holds: readonly Hold[] = [];
+  #maintainNotBefore = -Infinity;
   #newsRevision = 0;
   #newsTable = 0;
 
@@ -229,16 +233,21 @@
 
   /** Decides on planned stops and waves, after a quorum confirmed that this replica still leads. */
   async #maintain(): Promise<void> {
+    const { consensus, clock, agents } = this.#parts;
+    if (clock.monotonic() < this.#maintainNotBefore) {
+      return;
+    }
     const confirmed = await this.#confirmed();
     const observer = this.#observer;
     if (confirmed.err || observer === undefined) {
       return;
     }
-    const { consensus, clock, agents } = this.#parts;
     const { state } = consensus;
     const moment = { now: clock.monotonic(), at: clock.wall() };
     const observation = observer.observe(state, confirmed.val, agents, moment);
     const decision = decideMaintenance(state, observation, { now: moment.at });
+    const tookMs = clock.monotonic() - moment.now;
+    this.#maintainNotBefore = moment.now + tookMs / MAINTENANCE_SHARE;
     this.#holds = decision.holds;
     for (const action of decision.actions) {
       agents.order(agentOf(state, action.vm), action, confirmed.val.term);
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -54,7 +54,9 @@
   readonly #bounds: ConnectionBounds;
   readonly #client: JSONRPCClient;
   readonly #server = new JSONRPCServer({ errorListener: () => {} });
-  readonly #timers: NodeJS.Timeout[] = [];
+  readonly #heartbeat: NodeJS.Timeout;
+  #idleTimer: NodeJS.Timeout | undefined;
+  #spoke = false;
   #pending: Buffer[] = [];
   #pendingBytes = 0;
   #heardAt: number;
@@ -83,9 +85,8 @@
     });
     socket.on("error", (error) => this.close(error.message));
     socket.on("close", () => this.close("closed by the other end"));
-    this.#timers.push(
-      setInterval(() => this.#beat(now()), bounds.heartbeatMs),
-    );
+    this.#heartbeat = setInterval(() => this.#beat(), bounds.heartbeatMs);
+    this.#watchIdle(now);
   }
 
   get isOpen(): boolean {
@@ -119,19 +120,30 @@
       return;
     }
     this.#closed = true;
-    this.#timers.forEach(clearInterval);
+    clearInterval(this.#heartbeat);
+    clearTimeout(this.#idleTimer);
     this.#socket.destroy();
     this.#pending = [];
     this.#client.rejectAllPendingRequests(`Connection closed: ${reason}`);
     this.onClose(reason);
   }
 
-  #beat(now: number): void {
-    if (now - this.#heardAt > this.#bounds.idleMs) {
+  /** Closes the connection when nothing arrived for the idle timeout, else looks again when that may be so. */
+  #watchIdle(now: () => number): void {
+    const leftMs = this.#heardAt + this.#bounds.idleMs - now();
+    if (leftMs <= 0) {
       this.close(`nothing arrived for ${this.#bounds.idleMs} ms`);
       return;
     }
-    this.notify(HEARTBEAT_METHOD, []);
+    this.#idleTimer = setTimeout(() => this.#watchIdle(now), leftMs);
+  }
+
+  /** Anything that is sent tells the other end that this one lives, so a heartbeat is only sent in silence. */
+  #beat(): void {
+    if (!this.#spoke) {
+      this.notify(HEARTBEAT_METHOD, []);
+    }
+    this.#spoke = false;
   }
 
   #write(message: unknown): Promise<void> {
@@ -143,6 +155,7 @@
     }
     const line = Buffer.from(`${JSON.stringify(message)}\n`);
     this.#count("sent", line.length);
+    this.#spoke = true;
     this.#socket.write(line);
     return Promise.resolve();
   }
