--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -5,6 +5,7 @@
  */
 import { capacity } from "./capacity/capacity.ts";
 import { commits } from "./commits/commits.ts";
+import { live } from "./live/live.ts";
 import { placement } from "./placement/scenario.ts";
 import { scenario as routing } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
@@ -17,4 +18,5 @@
   WAVES,
   placement,
   capacity,
+  live,
 ];
