Give a silent leader up before the deadline of a call

Cause: a call waited for a frozen leader until its link was found silent, 2 s, although another leader was elected after 0.6 to 1.2 s. Ruled out: telling entries of a new leader only by its news, which the call in progress does not see. The test of the silent leader failed first: one try of 5,000 ms and no answer.

--- a/packages/daemon/src/entry/leader_client.ts
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -20,6 +20,9 @@
   clock: Clock;
 }
 
+/** Wait for one replica's answer; a frozen leader is given up about when another one is elected. */
+const TRY_MS = 700;
+
 /** Wait before the next replica is tried, in milliseconds. */
 const RETRY_WAIT_MS = 50;
 
@@ -55,7 +58,12 @@
     let inDoubt = false;
     for (let left = timeoutMs; left > 0; left = deadline - clock.monotonic()) {
       const candidate = this.#leader ?? this.#nextCandidate();
-      last = await this.#callAt(candidate, method, params, left);
+      last = await this.#callAt(
+        candidate,
+        method,
+        params,
+        Math.min(left, TRY_MS),
+      );
       if (last.ok || !isAboutLeadership(last.val)) {
         return last;
       }
--- a/packages/daemon/test/leader_client_test.ts
+++ b/packages/daemon/test/leader_client_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
+import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
 import { LeaderClient } from "../src/entry/leader_client.ts";
 import type { Link } from "../src/link/link.ts";
 
@@ -72,3 +72,47 @@
     expect(result.err && result.val.kind).toBe("timeout");
   });
 });
+
+describe("a leader that does not answer", () => {
+  it("is given up for another replica long before the deadline of the call", async () => {
+    const clock = clockOf();
+    const asked: { entry: string; limitMs: number }[] = [];
+    const linkTo = (entry: string, answers: boolean): Link => {
+      const request = (
+        _: string,
+        __: unknown,
+        limitMs: number,
+      ): Promise<Result<unknown, Fault>> => {
+        asked.push({ entry, limitMs });
+        clock.now += answers ? 1 : limitMs;
+        const silent = Err(fault("timeout", "No answer in time"));
+        return Promise.resolve(answers ? Ok({ from: entry }) : silent);
+      };
+      return { request } as unknown as Link;
+    };
+    const client = new LeaderClient({
+      entry: "e1",
+      local: undefined,
+      links: new Map([["e2", linkTo("e2", true)], ["e3", linkTo("e3", false)]]),
+      clock,
+    });
+    const result = await client.call("propose", {}, 5_000);
+    expect({ answer: result.val, asked }).toMatchInlineSnapshot(`
+      {
+        "answer": {
+          "from": "e2",
+        },
+        "asked": [
+          {
+            "entry": "e3",
+            "limitMs": 700,
+          },
+          {
+            "entry": "e2",
+            "limitMs": 700,
+          },
+        ],
+      }
+    `);
+  });
+});
