--- a/bench/src/routing/faults.ts
+++ b/bench/src/routing/faults.ts
@@ -18,7 +18,10 @@
   "target failing",
 ];
 const LOADS = [0.7, 1, 1.5] as const;
-const SEEDS = 3;
+const SEEDS = 2;
+
+/** The load at which the other ways are compared. */
+const COMPARED_LOAD = 1;
 
 /** The fault comes when the measured period begins. */
 const FAULT_AT_MS = 6_000;
@@ -51,7 +54,7 @@
     ? [LEASED]
     : STRATEGIES.filter((strategy) => strategy.entries !== 1);
   const results = strategies.flatMap((strategy) =>
-    LOADS.flatMap((load) => underFaults(strategy, load, run))
+    loadsOf(strategy).flatMap((load) => underFaults(strategy, load, run))
   );
   return {
     tables: [{
@@ -76,6 +79,10 @@
   };
 }
 
+function loadsOf(strategy: Strategy): readonly number[] {
+  return strategy.name === LEASED.name ? LOADS : [COMPARED_LOAD];
+}
+
 function underFaults(
   strategy: Strategy,
   load: number,
--- a/bench/src/routing/loads.ts
+++ b/bench/src/routing/loads.ts
@@ -13,7 +13,7 @@
 const WARM_UP_MS = 5_000;
 const DURATION_MS = 10_000;
 const QUICK_DURATION_MS = 3_000;
-const SEEDS = 3;
+const SEEDS = 2;
 
 /** How far declared run times are from the truth. */
 const WRONG_FACTOR = 10;
--- a/bench/src/routing/mod.ts
+++ b/bench/src/routing/mod.ts
@@ -4,12 +4,23 @@
  * @module
  */
 import type { Outcome, Run, Scenario } from "../scenario.ts";
+import { benchCapacityChange } from "./capacity_change.ts";
+import { benchCost } from "./cost.ts";
 import { benchFaults } from "./faults.ts";
 import { benchLoads } from "./loads.ts";
+import { benchOvernight } from "./overnight.ts";
+import { benchRegrant } from "./regrant.ts";
 
 /** Runs the routing measurements. */
 export function benchRouting(run: Run): Outcome {
-  const parts = [benchLoads(run), benchFaults(run)];
+  const parts = [
+    benchCost(run),
+    benchLoads(run),
+    benchFaults(run),
+    benchRegrant(run),
+    benchCapacityChange(run),
+    benchOvernight(run),
+  ];
   return {
     tables: parts.flatMap((part) => part.tables),
     checks: parts.flatMap((part) => part.checks),
--- a/bench/src/routing/overnight.ts
+++ b/bench/src/routing/overnight.ts
@@ -10,7 +10,7 @@
 
 const LIVE_LOADS = [0.5, 0.7, 0.9, 3] as const;
 const OVERNIGHT_LOADS = [0, 0.25, 1] as const;
-const SEEDS = 3;
+const SEEDS = 2;
 const WARM_UP_MS = 5_000;
 const DURATION_MS = 15_000;
 const MAX_LATENCY_RATIO = 2;
--- a/bench/src/routing/strategy.ts
+++ b/bench/src/routing/strategy.ts
@@ -12,6 +12,8 @@
 export interface Sharing {
   arrive: (request: SimulatedRequest, entry: number) => void;
   loseEntry: (entry: number) => void;
+  /** Cuts an entry off from the leader, but not from callers and targets. */
+  cutOff?: (entry: number) => void;
   /** Announces a new table of targets to the entries. */
   setTargets: (table: readonly Route[]) => void;
   /** Messages sent between entries, or entries and leader. */
--- a/bench/src/routing/trial.ts
+++ b/bench/src/routing/trial.ts
@@ -45,7 +45,9 @@
 
 /** Position in the table of the target that faults befall. */
 const FAULTY_TARGET = 13;
-const FAULTY_ENTRY = 3;
+
+/** The entry that faults befall. */
+export const FAULTY_ENTRY = 3;
 
 /** Runs a trial. */
 export function runTrial(strategy: Strategy, setup: TrialSetup): Trial {
@@ -99,9 +101,15 @@
   }
 }
 
-function loseEntry(world: World, sharing: Sharing): void {
+/** Loses an entry; the balancer notices later. */
+export function loseEntry(world: World, sharing: Sharing): void {
   world.lost.add(FAULTY_ENTRY);
   sharing.loseEntry(FAULTY_ENTRY);
+  dropFromBalancer(world);
+}
+
+/** Lets the balancer notice that an entry fails its health check. */
+export function dropFromBalancer(world: World): void {
   world.events.after(BALANCER_MS, () => {
     world.balanced.splice(world.balanced.indexOf(FAULTY_ENTRY), 1);
   });
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -8,7 +8,7 @@
 export type { Allowance } from "./allowances.ts";
 export type { HeldDescription, PoolDescription } from "./description.ts";
 export { RenewalPace } from "./renewal_pace.ts";
-export { Router, type RouterSetup } from "./router.ts";
+export { Router } from "./router.ts";
 export {
   type SlotAccount,
   SlotLedger,
@@ -20,5 +20,6 @@
   Dispatch,
   Route,
   RoutedService,
+  RouterSetup,
   Submission,
 } from "./submission.ts";
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -45,19 +45,11 @@
   Dispatch,
   Route,
   RoutedService,
+  RouterSetup,
   Submission,
 } from "./submission.ts";
 import type { Pending } from "./waiting_line.ts";
 
-/** What a router is built with. */
-export interface RouterSetup {
-  entry: string;
-  incarnation: number;
-  /** Random numbers in [0, 1). */
-  random: () => number;
-  admission?: Admission;
-}
-
 /** The routing state of one entry. */
 export class Router {
   readonly #setup: RouterSetup;
--- a/packages/core/src/routing/slot_holder.ts
+++ b/packages/core/src/routing/slot_holder.ts
@@ -13,7 +13,7 @@
 interface SentGrant {
   sequence: number;
   /** The slots allowed once it is applied. */
-  allowed: ReadonlyMap<string, number>;
+  allowed: Map<string, number>;
 }
 
 /** The slots of one entry process. */
@@ -26,6 +26,7 @@
   #applied: SentGrant = { sequence: 0, allowed: new Map() };
   #sent: SentGrant[] = [];
   #inUse = new Map<string, number>();
+  #held = new Map<string, number>();
 
   constructor(entry: string, incarnation: number) {
     this.entry = entry;
@@ -36,11 +37,13 @@
     return `${this.entry}#${this.incarnation}`;
   }
 
-  /** Takes a report in; returns false for one that arrived out of order. */
-  take(report: SlotReport, now: number): boolean {
-    if (report.number <= this.#number) {
-      return false;
-    }
+  /** Whether a later report was taken in before. */
+  isOld(report: SlotReport): boolean {
+    return report.number <= this.#number;
+  }
+
+  /** Takes a report in. */
+  take(report: SlotReport, now: number): void {
     this.#number = report.number;
     this.needs = report.needs;
     this.renewedAt = now;
@@ -52,16 +55,12 @@
         ? this.#applied
         : { sequence: 0, allowed: new Map() });
     this.#sent = this.#sent.filter((grant) => grant.sequence > applied);
-    return true;
+    this.#count();
   }
 
-  /** Slots that the entry may use at a target, whichever of the grants on their way it applies. */
-  held(target: string): number {
-    let slots = this.confirmed(target);
-    for (const { allowed } of this.#sent) {
-      slots = Math.max(slots, allowed.get(target) ?? 0);
-    }
-    return slots;
+  /** Slots that the entry may use at each target, whichever of the grants on their way it applies. */
+  get held(): ReadonlyMap<string, number> {
+    return this.#held;
   }
 
   /** Slots that the entry holds by its last report. */
@@ -70,23 +69,9 @@
     return Math.max(allowed, this.#inUse.get(target) ?? 0);
   }
 
-  /** Targets at which the entry may use slots. */
-  targets(): Set<string> {
-    const targets = new Set([
-      ...this.#applied.allowed.keys(),
-      ...this.#inUse.keys(),
-    ]);
-    for (const { allowed } of this.#sent) {
-      for (const target of allowed.keys()) {
-        targets.add(target);
-      }
-    }
-    return targets;
-  }
-
   /** Makes the grant that turns the applied slots into the wanted ones. */
   grant(
-    wanted: ReadonlyMap<string, number>,
+    wanted: Map<string, number>,
     { epoch, sequence }: { epoch: number; sequence: number },
   ): SlotGrant {
     const newest = this.#sent.at(-1);
@@ -99,19 +84,39 @@
       return { epoch, sequence: base, base, slots };
     }
     this.#sent.push({ sequence, allowed: wanted });
+    this.#count();
     return { epoch, sequence, base, slots };
   }
 
+  #count(): void {
+    this.#held = new Map(this.#applied.allowed);
+    const others = [this.#inUse, ...this.#sent.map(({ allowed }) => allowed)];
+    for (const slots of others) {
+      for (const [target, count] of slots) {
+        const known = this.#held.get(target) ?? 0;
+        this.#held.set(target, Math.max(known, count));
+      }
+    }
+  }
+
   #repeat({ sequence, allowed }: SentGrant, epoch: number): SlotGrant {
     const base = this.#applied.sequence;
     const slots = changes(this.#applied.allowed, allowed);
     return { epoch, sequence, base, slots };
   }
 
-  /** The longest run seen lately, in milliseconds. */
-  get longestRunMs(): number {
-    const runs = Object.values(this.needs).map((need) => need.longestRunMs);
-    return Math.max(0, ...runs);
+  /** The longest run of a service seen lately, in milliseconds. */
+  longestRunMs(service: string): number {
+    return this.needs[service]?.longestRunMs ?? 0;
+  }
+
+  /** Takes the slots of targets back whose runs of this lost entry have surely ended. */
+  takeBack(targets: readonly string[]): void {
+    const all = [this.#inUse, ...this.#sent.map(({ allowed }) => allowed)];
+    for (const slots of [...all, this.#applied.allowed]) {
+      targets.forEach((target) => slots.delete(target));
+    }
+    this.#count();
   }
 }
 
--- a/packages/core/src/routing/slot_ledger.ts
+++ b/packages/core/src/routing/slot_ledger.ts
@@ -16,7 +16,7 @@
 import type { Route } from "./submission.ts";
 
 /** How often the division of slots is computed again. */
-const PLAN_INTERVAL_MS = 200;
+const PLAN_INTERVAL_MS = 500;
 
 /** A target that joined a running fleet starts with this many slots. */
 const FIRST_SLOTS = 2;
@@ -24,7 +24,6 @@
 /** Time for each further slot of a target that joined. */
 const RAMP_STEP_MS = 500;
 
-/** How many times the longest run a lost entry's runs are given to end. */
 const DRAIN_RUNS = 2;
 const MIN_DRAIN_MS = 1_000;
 const MAX_DRAIN_MS = 60_000;
@@ -41,6 +40,8 @@
   entries: readonly string[];
   /** Share of the slots that is kept back for entries with waiting requests. */
   reserveShare?: number;
+  /** How many times the longest run a lost entry's runs are given to end; 0 for no time at all. */
+  drainRuns?: number;
 }
 
 /** Slots of one target, for the status page. */
@@ -56,6 +57,9 @@
   readonly #setup: SlotLedgerSetup;
   readonly #holders = new Map<string, SlotHolder>();
   readonly #plans = new Map<string, SlotMatrix>();
+  /** Slots of each target that any holder may use. */
+  readonly #totals = new Map<string, number>();
+  readonly #services = new Map<string, string>();
   readonly #joinedAt = new Map<string, number>();
   readonly #silent: Set<string>;
   #routes: readonly Route[] = [];
@@ -84,17 +88,25 @@
         this.#joinedAt.set(target, first ? Number.NEGATIVE_INFINITY : now);
       }
     }
+    for (const target of this.#services.keys()) {
+      if (!this.#totals.has(target)) {
+        this.#services.delete(target);
+      }
+    }
+    for (const { target, service } of routes) {
+      this.#services.set(target, service);
+    }
     this.#routes = routes;
     this.#plannedAt = Number.NEGATIVE_INFINITY;
   }
 
   /** Takes an entry's report in and grants it slots. */
   report(report: SlotReport, now: number): SlotGrant | undefined {
-    this.#forgetLapsed(now);
+    this.#takeBack(now);
     const key = `${report.entry}#${report.incarnation}`;
     const known = this.#holders.get(key);
     const holder = known ?? new SlotHolder(report.entry, report.incarnation);
-    if (report.epoch !== this.#setup.epoch || !holder.take(report, now)) {
+    if (report.epoch !== this.#setup.epoch || holder.isOld(report)) {
       return undefined;
     }
     if (report.ageMs >= this.#settleMs()) {
@@ -104,19 +116,20 @@
       this.#holders.set(key, holder);
       this.#plannedAt = Number.NEGATIVE_INFINITY;
     }
-    this.#plan(now);
-    this.#sequence += 1;
-    return holder.grant(this.#wanted(holder, now), {
-      epoch: this.#setup.epoch,
-      sequence: this.#sequence,
-    });
+    this.#count(holder, -1);
+    holder.take(report, now);
+    const grant = this.#grant(holder, now);
+    this.#count(holder, 1);
+    return grant;
   }
 
   /** Frees the slots of an entry process that ended its work and uses none any more. */
   release(entry: string, incarnation: number): void {
     this.#silent.delete(entry);
-    this.#holders.delete(`${entry}#${incarnation}`);
-    this.#plannedAt = Number.NEGATIVE_INFINITY;
+    const holder = this.#holders.get(`${entry}#${incarnation}`);
+    if (holder !== undefined) {
+      this.#remove(holder);
+    }
   }
 
   /** The account of every target, for the status page. */
@@ -126,7 +139,7 @@
       slots: route.slots,
       usable: this.#usable(route, now),
       holders: [...this.#holders.values()].flatMap((holder) => {
-        const slots = holder.held(route.target);
+        const slots = holder.held.get(route.target) ?? 0;
         const { entry, incarnation } = holder;
         return slots === 0 ? [] : [{ entry, incarnation, slots }];
       }),
@@ -141,71 +154,124 @@
   /** Time after which nothing that an earlier leader or process allowed is at work any more. */
   #settleMs(): number {
     const { leaseMs, marginMs } = this.#setup;
-    const holders = [...this.#holders.values()];
-    return leaseMs + marginMs +
-      Math.max(MIN_DRAIN_MS, ...holders.map(drainMsOf));
+    let drainMs = MIN_DRAIN_MS;
+    for (const holder of this.#holders.values()) {
+      for (const service of Object.keys(holder.needs)) {
+        drainMs = Math.max(drainMs, this.#drainMs(holder, service));
+      }
+    }
+    return leaseMs + marginMs + drainMs;
+  }
+
+  /** Time that the runs of a lost entry at a service are given to end. */
+  #drainMs(holder: SlotHolder, service: string): number {
+    const { drainRuns = DRAIN_RUNS } = this.#setup;
+    if (drainRuns === 0) {
+      return 0;
+    }
+    const wantedMs = drainRuns * holder.longestRunMs(service);
+    return Math.min(MAX_DRAIN_MS, Math.max(MIN_DRAIN_MS, wantedMs));
+  }
+
+  /** Grants a holder, whose slots are not in the totals now, its part. */
+  #grant(holder: SlotHolder, now: number): SlotGrant {
+    this.#plan(now);
+    this.#sequence += 1;
+    return holder.grant(this.#wanted(holder, now), {
+      epoch: this.#setup.epoch,
+      sequence: this.#sequence,
+    });
   }
 
   #wanted(holder: SlotHolder, now: number): Map<string, number> {
     const wanted = new Map<string, number>();
-    const spare = new Map<string, number>();
     const quiet = this.isQuiet(now);
     for (const route of this.#routes) {
       const { target, service } = route;
-      const { free, unplanned } = this.#room(route, { holder, now });
+      const free = Math.max(
+        0,
+        this.#usable(route, now) - (this.#totals.get(target) ?? 0),
+      );
       const room = quiet ? Math.min(free, holder.confirmed(target)) : free;
-      const plan = this.#plans.get(service);
-      const planned = plan === undefined ? 0 : cell(plan, holder.key, target);
-      const slots = Math.min(planned, room);
+      const row = this.#plans.get(service)?.get(holder.key);
+      const slots = Math.min(row?.get(target) ?? 0, room);
       if (slots > 0) {
         wanted.set(target, slots);
       }
-      const limit = Math.min(room, unplanned, this.#perEntry(route));
-      spare.set(target, Math.max(0, limit - slots));
     }
-    this.#lendReserve(holder, { wanted, spare });
+    if (!quiet) {
+      this.#lendSpare(holder, wanted, now);
+    }
     return wanted;
   }
 
-  /** Gives an entry with waiting requests slots that nobody holds, one target after the other. */
-  #lendReserve(
+  /** Adds the slots of a holder to the totals, or takes them away. */
+  #count(holder: SlotHolder, sign: 1 | -1): void {
+    for (const [target, slots] of holder.held) {
+      const total = (this.#totals.get(target) ?? 0) + sign * slots;
+      if (total === 0) {
+        this.#totals.delete(target);
+      } else {
+        this.#totals.set(target, total);
+      }
+    }
+  }
+
+  #remove(holder: SlotHolder): void {
+    this.#count(holder, -1);
+    this.#holders.delete(holder.key);
+    this.#plannedAt = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Gives an entry with waiting requests slots that are meant for nobody, one target after the other. */
+  #lendSpare(
     holder: SlotHolder,
-    { wanted, spare }: {
-      wanted: Map<string, number>;
-      spare: Map<string, number>;
-    },
+    wanted: Map<string, number>,
+    now: number,
   ): void {
     for (const [service, need] of Object.entries(holder.needs)) {
-      let waiting = need.waiting;
-      const routes = this.#routes.filter((r) => r.service === service);
-      while (waiting > 0) {
-        const target = mostSpare(routes, spare);
+      if (need.waiting === 0) {
+        continue;
+      }
+      const spare = this.#spare(service, { holder, wanted, now });
+      for (let waiting = need.waiting; waiting > 0; waiting--) {
+        const target = mostSpare(spare);
         if (target === undefined) {
           break;
         }
         wanted.set(target, (wanted.get(target) ?? 0) + 1);
         spare.set(target, (spare.get(target) ?? 0) - 1);
-        waiting -= 1;
       }
     }
   }
 
-  /** Slots of a target that no other holder may use, and those that are not meant for another either. */
-  #room(
-    route: Route,
-    { holder, now }: { holder: SlotHolder; now: number },
-  ): { free: number; unplanned: number } {
-    const plan: SlotMatrix = this.#plans.get(route.service) ?? new Map();
-    let free = this.#usable(route, now);
-    let unplanned = free;
-    for (const other of this.#holders.values()) {
-      if (other !== holder) {
-        const held = other.held(route.target);
-        free -= held;
-        unplanned -= Math.max(held, cell(plan, other.key, route.target));
+  /** Slots of a service that no other entry holds or is meant to hold. */
+  #spare(
+    service: string,
+    { holder, wanted, now }: {
+      holder: SlotHolder;
+      wanted: ReadonlyMap<string, number>;
+      now: number;
+    },
+  ): Map<string, number> {
+    const plan: SlotMatrix = this.#plans.get(service) ?? new Map();
+    const spare = new Map<string, number>();
+    for (const route of this.#routes) {
+      if (route.service !== service) {
+        continue;
       }
+      const { target } = route;
+      let slots = this.#usable(route, now);
+      for (const other of this.#holders.values()) {
+        const held = other.held.get(target) ?? 0;
+        slots -= other === holder
+          ? 0
+          : Math.max(held, cell(plan, other.key, target));
+      }
+      const limit = Math.min(slots, this.#perEntry(route));
+      spare.set(target, limit - (wanted.get(target) ?? 0));
     }
-    return { free: Math.max(0, free), unplanned: Math.max(0, unplanned) };
+    return spare;
   }
 
   #usable(route: Route, now: number): number {
@@ -276,30 +342,31 @@
     return holder.renewedAt + this.#setup.leaseMs + this.#setup.marginMs;
   }
 
-  #forgetLapsed(now: number): void {
-    for (const [key, holder] of this.#holders) {
-      if (now >= this.#leaseEnd(holder) + drainMsOf(holder)) {
-        this.#holders.delete(key);
-        this.#plannedAt = Number.NEGATIVE_INFINITY;
+  /** Takes slots back from entries whose leases and runs have surely ended. */
+  #takeBack(now: number): void {
+    for (const holder of this.#holders.values()) {
+      const lapsedMs = now - this.#leaseEnd(holder);
+      if (lapsedMs < 0) {
+        continue;
+      }
+      const drained = [...holder.held.keys()].filter((target) => {
+        const service = this.#services.get(target) ?? "";
+        return lapsedMs >= this.#drainMs(holder, service);
+      });
+      this.#count(holder, -1);
+      holder.takeBack(drained);
+      this.#count(holder, 1);
+      if (holder.held.size === 0) {
+        this.#remove(holder);
       }
     }
   }
 }
 
-/** Time that the runs of a lost entry are given to end. */
-function drainMsOf(holder: SlotHolder): number {
-  const wantedMs = DRAIN_RUNS * holder.longestRunMs;
-  return Math.min(MAX_DRAIN_MS, Math.max(MIN_DRAIN_MS, wantedMs));
-}
-
-function mostSpare(
-  routes: readonly Route[],
-  spare: ReadonlyMap<string, number>,
-): string | undefined {
+function mostSpare(spare: ReadonlyMap<string, number>): string | undefined {
   let best: string | undefined;
   let most = 0;
-  for (const { target } of routes) {
-    const slots = spare.get(target) ?? 0;
+  for (const [target, slots] of spare) {
     if (slots > most) {
       best = target;
       most = slots;
--- a/packages/core/src/routing/slot_plan.ts
+++ b/packages/core/src/routing/slot_plan.ts
@@ -152,7 +152,10 @@
   const limits = new Map(targets.map((t) => [t.target, t.perEntry]));
   for (const [entry, row] of matrix) {
     for (const [target, slots] of row) {
-      row.set(target, Math.min(slots, limits.get(target) ?? 0));
+      const limit = limits.get(target) ?? 0;
+      if (slots > limit) {
+        row.set(target, limit);
+      }
     }
     let excess = rowSum(matrix, entry) - (quotas.get(entry) ?? 0);
     while (excess > 0) {
@@ -232,8 +235,9 @@
 ): string | undefined {
   let best: string | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
+  const row = matrix.get(entry);
   for (const { target, perEntry } of targets) {
-    const held = cell(matrix, entry, target);
+    const held = row?.get(target) ?? 0;
     const available = free.get(target) ?? 0;
     const score = available / 1_000 - held;
     if (available > 0 && held < perEntry && score > bestScore) {
--- a/packages/core/src/routing/submission.ts
+++ b/packages/core/src/routing/submission.ts
@@ -5,6 +5,7 @@
  */
 import type { Fault } from "../fault.ts";
 import type { Priority } from "../names.ts";
+import type { Admission } from "./admission.ts";
 
 /** A request that asks for a slot at a target. */
 export interface Submission {
@@ -77,3 +78,12 @@
   | { kind: "refuse"; id: string; fault: Fault }
   | { kind: "fail"; id: string; completion: Completion; mayHaveRun: boolean }
   | { kind: "timeout"; id: string; target: string; fault: Fault };
+
+/** What a router is built with. */
+export interface RouterSetup {
+  entry: string;
+  incarnation: number;
+  /** Random numbers in [0, 1). */
+  random: () => number;
+  admission?: Admission;
+}
