--- a/bench/src/routing/leased_sharing.ts
+++ b/bench/src/routing/leased_sharing.ts
@@ -21,8 +21,6 @@
 
 /** What may vary. */
 export interface LeasedSetup extends FleetSetup {
-  /** Share of the slots that the leader keeps for entries with waiting requests. */
-  reserveShare?: number;
   /** How long after its last renewal the leader takes an entry for lost, when it is not the lease. */
   regrantMs?: number;
   /** How many times the longest run a lost entry's runs are given to end. */
@@ -38,7 +36,6 @@
     drainRuns: setup.drainRuns,
     marginMs: MARGIN_MS,
     entries: [],
-    reserveShare: setup.reserveShare,
   }, world.now);
   ledger.setTargets(routes(), world.now);
   const renewals = entries.map((entry) =>
--- a/packages/core/src/routing/slot_ledger.ts
+++ b/packages/core/src/routing/slot_ledger.ts
@@ -14,16 +14,11 @@
 } from "./slot_plan.ts";
 import type { SlotGrant, SlotReport } from "./slot_report.ts";
 import type { Route } from "./submission.ts";
+import { TargetRamp } from "./target_ramp.ts";
 
 /** How often the division of slots is computed again. */
 const PLAN_INTERVAL_MS = 500;
 
-/** A target that joined a running fleet starts with this many slots. */
-const FIRST_SLOTS = 2;
-
-/** Time for each further slot of a target that joined. */
-const RAMP_STEP_MS = 500;
-
 const DRAIN_RUNS = 2;
 const MIN_DRAIN_MS = 1_000;
 const MAX_DRAIN_MS = 60_000;
@@ -38,8 +33,6 @@
   marginMs: number;
   /** Entries that may hold slots granted by an earlier leader. */
   entries: readonly string[];
-  /** Share of the slots that is kept back for entries with waiting requests. */
-  reserveShare?: number;
   /** How many times the longest run a lost entry's runs are given to end; 0 for no time at all. */
   drainRuns?: number;
 }
@@ -60,7 +53,7 @@
   /** Slots of each target that any holder may use. */
   readonly #totals = new Map<string, number>();
   readonly #services = new Map<string, string>();
-  readonly #joinedAt = new Map<string, number>();
+  readonly #ramp = new TargetRamp();
   readonly #silent: Set<string>;
   #routes: readonly Route[] = [];
   readonly #startedAt: number;
@@ -75,19 +68,7 @@
 
   /** Takes over the table of live targets. A target that was not in it before gets its slots step by step. */
   setTargets(routes: readonly Route[], now: number): void {
-    const first = this.#routes.length === 0;
-    const serving = routes.filter((route) => route.state === "serving");
-    const names = new Set(serving.map((route) => route.target));
-    for (const target of this.#joinedAt.keys()) {
-      if (!names.has(target)) {
-        this.#joinedAt.delete(target);
-      }
-    }
-    for (const { target } of serving) {
-      if (!this.#joinedAt.has(target)) {
-        this.#joinedAt.set(target, first ? Number.NEGATIVE_INFINITY : now);
-      }
-    }
+    this.#ramp.update(routes, { now, settled: !this.isQuiet(now) });
     for (const target of this.#services.keys()) {
       if (!this.#totals.has(target)) {
         this.#services.delete(target);
@@ -137,7 +118,7 @@
     return this.#routes.map((route) => ({
       target: route.target,
       slots: route.slots,
-      usable: this.#usable(route, now),
+      usable: this.#ramp.usable(route, now),
       holders: [...this.#holders.values()].flatMap((holder) => {
         const slots = holder.held.get(route.target) ?? 0;
         const { entry, incarnation } = holder;
@@ -190,7 +171,7 @@
       const { target, service } = route;
       const free = Math.max(
         0,
-        this.#usable(route, now) - (this.#totals.get(target) ?? 0),
+        this.#ramp.usable(route, now) - (this.#totals.get(target) ?? 0),
       );
       const room = quiet ? Math.min(free, holder.confirmed(target)) : free;
       const row = this.#plans.get(service)?.get(holder.key);
@@ -261,7 +242,7 @@
         continue;
       }
       const { target } = route;
-      let slots = this.#usable(route, now);
+      let slots = this.#ramp.usable(route, now);
       for (const other of this.#holders.values()) {
         const held = other.held.get(target) ?? 0;
         slots -= other === holder
@@ -274,15 +255,6 @@
     return spare;
   }
 
-  #usable(route: Route, now: number): number {
-    const joinedAt = this.#joinedAt.get(route.target);
-    if (joinedAt === undefined) {
-      return 0;
-    }
-    const steps = Math.floor((now - joinedAt) / RAMP_STEP_MS);
-    return Math.min(route.slots, FIRST_SLOTS + steps);
-  }
-
   /** Most slots of a target for one entry, so that all entries together stay within its connections. */
   #perEntry(route: Route): number {
     const share = route.connections / Math.max(1, this.#holders.size);
@@ -299,7 +271,7 @@
       const targets = services.get(route.service) ?? [];
       targets.push({
         target: route.target,
-        slots: this.#usable(route, now),
+        slots: this.#ramp.usable(route, now),
         perEntry: this.#perEntry(route),
       });
       services.set(route.service, targets);
@@ -312,7 +284,7 @@
     for (const [service, targets] of services) {
       const matrix = this.#plans.get(service) ?? new Map();
       this.#plans.set(service, matrix);
-      divide(matrix, this.#needsOf(service, now), this.#keepBack(targets));
+      divide(matrix, this.#needsOf(service, now), targets);
     }
   }
 
@@ -327,17 +299,6 @@
     }));
   }
 
-  /** Leaves the reserve out of the division, spread over the targets. */
-  #keepBack(targets: TargetSlots[]): TargetSlots[] {
-    const total = targets.reduce((sum, { slots }) => sum + slots, 0);
-    const kept = Math.floor(total * (this.#setup.reserveShare ?? 0));
-    return targets.map((target, index) => {
-      const rounds = Math.ceil((kept - index) / targets.length);
-      const slots = Math.max(0, target.slots - Math.max(0, rounds));
-      return { ...target, slots };
-    });
-  }
-
   #leaseEnd(holder: SlotHolder): number {
     return holder.renewedAt + this.#setup.leaseMs + this.#setup.marginMs;
   }
--- a/packages/core/test/routing_ledger_test.ts
+++ b/packages/core/test/routing_ledger_test.ts
@@ -245,6 +245,14 @@
   expect(slotsOf(router)).toBe(24);
 });
 
+test("targets that a new leader learns of late keep all their slots", () => {
+  const entries = ["e1", "e2"];
+  const ledger = ledgerWith(TABLE.slice(0, 1), { entries, epoch: 2 });
+  ledger.setTargets(TABLE, 500);
+  expect(ledger.describe(500).map((account) => account.usable))
+    .toEqual([8, 8, 8]);
+});
+
 test("with fewer slots than entries, an idle entry passes its slot to one with waiting requests", () => {
   const table = [route("a", { slots: 2 })];
   const routers = ["e1", "e2", "e3"].map((entry) => routerOf(entry, table));
