--- a/packages/core/test/maintenance_stop_test.ts
+++ b/packages/core/test/maintenance_stop_test.ts
@@ -1,4 +1,8 @@
-import { decideMaintenance, type Observation } from "@quetzalcove/core";
+import {
+  type Condition,
+  decideMaintenance,
+  type Observation,
+} from "@quetzalcove/core";
 import { describe, expect, test } from "vitest";
 import { inventory, rules, World } from "./maintenance_world.ts";
 
@@ -43,13 +47,17 @@
     want(world, true);
     world.until(() => phase(world) === "draining");
     world.until(() => world.machine(VM).work.length === 0);
-    const condition = { ...world.observe().conditions.get(VM), inFlight: 0 };
-    const rule = (change: object): string[] =>
+    const condition: Condition = {
+      live: true,
+      since: 0,
+      slots: { a: 8 },
+      inFlight: 0,
+      tasks: 0,
+      platformDrained: false,
+    };
+    const rule = (change: Partial<Condition>): string[] =>
       rulesWith(world, ({ conditions }) => ({
-        conditions: new Map(conditions).set(VM, {
-          ...condition,
-          ...change,
-        } as NonNullable<typeof condition>),
+        conditions: new Map(conditions).set(VM, { ...condition, ...change }),
       }));
     const before = (world.state.vms[VM]?.revision ?? 0) - 1;
     expect({
--- a/packages/core/test/maintenance_wave_test.ts
+++ b/packages/core/test/maintenance_wave_test.ts
@@ -80,6 +80,28 @@
     expect(world.state.rollout.round).toBe(2);
   });
 
+  test("comes back to every VM within the period, also when faults delay it", () => {
+    const periodMs = 4 * HOUR_MS;
+    const world = new World({ rules: rules({ periodMs }) });
+    const last = new Map<string, number>();
+    const gaps: number[] = [];
+    for (let i = 0; i < 20 * 720; i++) {
+      if (i % 1_440 === 100) {
+        world.fail("z1-r0-a", 600_000);
+      }
+      world.step(5_000);
+      for (const vm of Object.values(world.state.vms)) {
+        const known = last.get(vm.name) ?? 0;
+        if (known > 0 && vm.maintainedAt > known) {
+          gaps.push(vm.maintainedAt - known);
+        }
+        last.set(vm.name, vm.maintainedAt);
+      }
+    }
+    expect(gaps.length).toBe(12 * 6);
+    expect(Math.max(...gaps)).toBeLessThanOrEqual(periodMs);
+  });
+
   test("runs only inside a window that is long enough for a wave", () => {
     const hours = { drainTimeoutMs: 600_000, rebootTimeoutMs: 900_000 };
     const windows = [{ from: "01:00", to: "01:30" }];
--- a/packages/core/test/maintenance_world.ts
+++ b/packages/core/test/maintenance_world.ts
@@ -140,6 +140,11 @@
     if (ok && command.kind === "vm.move" && pool !== command.to) {
       this.#assertIdle(command.vm, "moved");
     }
+    const stops = command.kind === "wave.start" ||
+      command.kind === "vm.phase" && command.to === "draining";
+    if (ok && stops) {
+      this.#assertSafe(JSON.stringify(command));
+    }
     if (ok && command.kind === "vm.phase" && command.from === "rebooting") {
       this.#noteMaintenance(command);
     }
@@ -262,6 +267,30 @@
     this.fail(vm, machine.stuck ? 2 * HOUR_MS : 30_000);
   }
 
+  /** What serves must carry the need even without any one zone. */
+  #assertSafe(what: string): void {
+    const vms = Object.values(this.state.vms);
+    for (const pool of ["a", "b"]) {
+      const serving = vms.filter((vm) =>
+        vm.pool === pool && vm.phase === "serving" && this.isLive(vm.name)
+      );
+      for (const zone of ["z0", "z1", "z2"]) {
+        const left = serving.filter((vm) => !vm.name.startsWith(zone));
+        if (left.length * SLOTS < this.need && !this.#isSpare(pool, what)) {
+          throw new Error(`Pool "${pool}" is unsafe without ${zone}: ${what}`);
+        }
+      }
+    }
+  }
+
+  /** Whether no VM that serves this pool is among the names in a command. */
+  #isSpare(pool: string, command: string): boolean {
+    return !Object.values(this.state.vms).some((vm) =>
+      vm.pool === pool && this.isLive(vm.name) &&
+      command.includes(`"${vm.name}"`)
+    );
+  }
+
   #noteMaintenance(command: Extract<Command, { kind: "vm.phase" }>): void {
     const key = `${command.vm} in round ${this.state.rollout.round}`;
     if (command.to === "returning" && this.#maintained.has(key)) {
