--- a/bench/src/waves/scenario.ts
+++ b/bench/src/waves/scenario.ts
@@ -9,6 +9,7 @@
   type Cell,
   type Check,
   type Outcome,
+  type Plot,
   type Run,
   type Scenario,
   type Table,
@@ -75,6 +76,7 @@
   return {
     tables: [...tables, sweep(options)],
     checks: checksOf(results),
+    plots: [plotOf(results)],
   };
 }
 
@@ -178,6 +180,40 @@
   };
 }
 
+/** Buffer against roll-out time, one point for each fleet and policy. */
+function plotOf(results: Record<string, Results>): Plot {
+  const values = Object.entries(results).flatMap(([fleet, result]) =>
+    Object.entries(result).map(([policy, all]) => ({
+      fleet,
+      policy,
+      buffer: highest(all, "buffer"),
+      minutes: median(minutes(all, false)),
+    }))
+  ).filter(({ buffer }) => Number.isFinite(buffer));
+  return {
+    name: "buffer",
+    specification: {
+      data: { values },
+      mark: { type: "point", filled: true, size: 80 },
+      encoding: {
+        x: {
+          field: "minutes",
+          type: "quantitative",
+          scale: { type: "log" },
+          title: "roll-out, minutes, p50 without an incident",
+        },
+        y: {
+          field: "buffer",
+          type: "quantitative",
+          title: "spare capacity over need",
+        },
+        color: { field: "policy", type: "nominal" },
+        shape: { field: "fleet", type: "nominal" },
+      },
+    },
+  };
+}
+
 function checksOf(results: Record<string, Results>): Check[] {
   const ours = Object.values(results).flatMap((result) =>
     result["waves"] ?? []
