--- a/packages/core/src/machine.ts
+++ b/packages/core/src/machine.ts
@@ -15,6 +15,8 @@
   RolloutCommand,
 } from "./maintenance/rollout.ts";
 import { applyLedger, LedgerCommand, LedgerOutput } from "./ledger.ts";
+import { applyJobs } from "./placement/apply.ts";
+import { JobCommand, JobOutput } from "./placement/job.ts";
 import { Ok, type Result } from "./result.ts";
 import type { State } from "./state.ts";
 
@@ -22,6 +24,7 @@
   ConfigureCommand,
   FleetCommand,
   LedgerCommand,
+  JobCommand,
   RolloutCommand,
   BudgetCommand,
 ]);
@@ -30,6 +33,7 @@
 /** What applying a command reports to the one who proposed it. */
 export const Output = z.union([
   LedgerOutput,
+  JobOutput,
   z.object({
     kind: z.literal("configured"),
     version: z.number().int(),
@@ -54,6 +58,10 @@
     case "vm.phase":
     case "vm.move":
       return changeVm(state, command);
+    case "job.submit":
+    case "job.cancel":
+    case "job.step":
+      return applyJobs(state, command);
     case "round.open":
     case "wave.start":
     case "wave.end":
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,16 +3,25 @@
  *
  * @module
  */
+export * from "./admin_api.ts";
 export * from "./announcement.ts";
 export * from "./configuration.ts";
 export * from "./fault.ts";
 export * from "./fleet.ts";
 export * from "./inventory.ts";
+export * from "./json_text.ts";
 export * from "./ledger.ts";
 export * from "./machine.ts";
+export * from "./membership/mod.ts";
 export * from "./maintenance/mod.ts";
 export * from "./names.ts";
+export * from "./placement/mod.ts";
+export * from "./platform.ts";
+export * from "./raft/mod.ts";
 export * from "./result.ts";
+export * from "./routing/mod.ts";
 export * from "./rules.ts";
+export * from "./schema_keys.ts";
+export * from "./settings.ts";
 export * from "./state.ts";
 export * from "./validate.ts";
--- /dev/null
+++ b/packages/core/src/routing/pool.ts
@@ -0,0 +1,179 @@
+/**
+ * What one entry knows about one service: its targets, the slots it holds there, the requests that wait and what
+ * was learned from the requests that ran.
+ *
+ * @module
+ */
+import { Health } from "./health.ts";
+import { Rate } from "./rate.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import { RunTime } from "./run_time.ts";
+import type { Route, RoutedService } from "./submission.ts";
+import { WaitingLine } from "./waiting_line.ts";
+
+const ARRIVAL_TIME_CONSTANT_MS = 2_000;
+
+/** Slots kept free for live work, in standard deviations of its need. */
+const LIVE_ROOM = 0.5;
+
+/** How often waiting overnight work is looked at, since the slots that live work leaves grow with time. */
+const OVERNIGHT_CHECK_MS = 250;
+
+/** Samples that the service's mean counts for in the mean of a target. */
+const TARGET_PRIOR_SAMPLES = 16;
+
+/** Samples after which older ones fade from the mean of a service. */
+const SERVICE_SAMPLES = 256;
+
+/** Part of the slots, as a divisor, that overnight work may count on. */
+const OVERNIGHT_RESERVE_DIVISOR = 8;
+
+/** A target and this entry's part of it. */
+export interface Held {
+  route: Route;
+  /** Slots that this entry may use. */
+  allowance: number;
+  /** Requests of this entry that may be at work on the target. */
+  inFlight: number;
+  health: Health;
+  run: RunTime;
+  usedAt: number;
+}
+
+/** One service at one entry. */
+export class Pool {
+  readonly line = new WaitingLine();
+  readonly budget = new RetryBudget();
+  readonly held = new Map<string, Held>();
+  readonly arrivals = new Rate(ARRIVAL_TIME_CONSTANT_MS);
+  service: RoutedService;
+  run: RunTime;
+  liveInFlight = 0;
+  overnightInFlight = 0;
+
+  constructor(service: RoutedService) {
+    this.service = service;
+    this.run = new RunTime(service.expectedRunMs, {
+      maxSamples: SERVICE_SAMPLES,
+    });
+  }
+
+  /** Takes a target in, or its new description. */
+  put(
+    route: Route,
+    { allowance, now }: { allowance: number; now: number },
+  ): void {
+    const known = this.held.get(route.target);
+    if (known === undefined) {
+      this.held.set(route.target, {
+        route,
+        allowance,
+        inFlight: 0,
+        health: new Health(),
+        run: new RunTime(this.run.meanMs, { weight: TARGET_PRIOR_SAMPLES }),
+        usedAt: now,
+      });
+      return;
+    }
+    const returned = known.route.state === "absent" &&
+      route.state === "serving";
+    known.route = route;
+    if (returned) {
+      known.health.startSlowly();
+    }
+  }
+
+  /** Drops a target; one with requests in flight is kept as absent until they end. */
+  drop(target: string): void {
+    const known = this.held.get(target);
+    if (known !== undefined && known.inFlight > 0) {
+      known.route = { ...known.route, state: "absent" };
+      return;
+    }
+    this.held.delete(target);
+  }
+
+  /** When waiting requests of this service must be looked at again. */
+  nextWakeup(now: number): number {
+    let earliest = this.line.nextGiveUp();
+    if (this.line.length === 0) {
+      return earliest;
+    }
+    if (this.line.of("overnight").length > 0) {
+      earliest = Math.min(earliest, now + OVERNIGHT_CHECK_MS);
+    }
+    for (const { health } of this.held.values()) {
+      if (health.standing === "ejected" && health.probeAt > now) {
+        earliest = Math.min(earliest, health.probeAt);
+      }
+    }
+    return earliest;
+  }
+
+  /** Slots at targets that take part in carrying the load. */
+  get slots(): number {
+    let slots = 0;
+    for (const held of this.held.values()) {
+      if (held.route.state === "serving" && held.health.carries) {
+        slots += held.allowance;
+      }
+    }
+    return slots;
+  }
+
+  get inFlight(): number {
+    return this.liveInFlight + this.overnightInFlight;
+  }
+
+  get hasTargets(): boolean {
+    for (const held of this.held.values()) {
+      if (held.route.state === "serving") {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Slots that overnight work may count on when it is admitted, whatever live work needs. */
+  get overnightReserve(): number {
+    return Math.max(1, Math.floor(this.slots / OVERNIGHT_RESERVE_DIVISOR));
+  }
+
+  /** Slots that overnight work takes ahead of live work now, so that what was admitted ends by its hour. */
+  overnightDue(now: number): number {
+    const queue = this.line.of("overnight");
+    const leftMs = (queue[0]?.deadline ?? Number.POSITIVE_INFINITY) - now;
+    const workMs = overnightMs(this, { count: queue.length, slots: 1, now });
+    const needed = workMs / Math.max(this.run.meanMs, leftMs);
+    return Math.min(Math.round(needed), Math.ceil(this.slots / 2));
+  }
+
+  /** Slots that live work leaves, with room for its fluctuation (square-root staffing). */
+  overnightSlots(now: number): number {
+    const need = this.liveNeed(now);
+    const kept = need + LIVE_ROOM * Math.sqrt(need);
+    return Math.max(0, Math.ceil(this.slots - kept));
+  }
+
+  /** Mean number of slots that urgent and live callers ask for, by Little's law. */
+  liveNeed(now: number): number {
+    return this.arrivals.perMs(now) * this.run.meanMs;
+  }
+}
+
+/** Time in which so many overnight requests end on so many slots, with room for the variation of their runs. */
+export function overnightMs(
+  pool: Pool,
+  { count, slots, now }: { count: number; slots: number; now: number },
+): number {
+  const { meanMs } = pool.run;
+  const runs = count / Math.max(1, slots);
+  const longestMs = Math.max(meanMs, pool.run.longestMs(now));
+  return (runs + 2 * Math.sqrt(runs)) * meanMs + longestMs;
+}
+
+/** Name and address of a target. */
+export function addressOf(held: Held): { target: string; address: string } {
+  const { target, address } = held.route;
+  return { target, address };
+}
--- /dev/null
+++ b/packages/daemon/src/leader/tenure.ts
@@ -0,0 +1,128 @@
+/**
+ * The soft state of one leader during one term: leases of entries and the table of targets.
+ *
+ * @module
+ */
+import {
+  type Grant,
+  LeaseTable,
+  type Renewal,
+  routesOf,
+  type Settings,
+  SlotLedger,
+  type State,
+  TargetTable,
+  viewSince,
+} from "@quetzalcove/core";
+
+export class Tenure {
+  readonly term: number;
+  readonly leases: LeaseTable;
+  readonly targets = new TargetTable();
+  readonly slots: SlotLedger;
+  readonly #settings: Settings;
+  #routedRevision = -1;
+  #routedTable = -1;
+
+  constructor(settings: Settings, term: number, now: number) {
+    const { durationMs, driftMarginMs } = settings.lease;
+    this.term = term;
+    this.#settings = settings;
+    this.leases = new LeaseTable(settings.lease, entryNames(settings), now);
+    this.slots = new SlotLedger({
+      epoch: term,
+      leaseMs: durationMs,
+      marginMs: driftMarginMs,
+      entries: entryNames(settings),
+    }, now);
+  }
+
+  /** Takes in an entry's report and grants its lease. */
+  renew(renewal: Renewal, state: State, now: number): Grant {
+    const announcedVersion = this.targets.report(
+      renewal.entry,
+      renewal.incarnation,
+      renewal.announced,
+    );
+    this.leases.grant(
+      {
+        entry: renewal.entry,
+        zone: renewal.zone,
+        incarnation: renewal.incarnation,
+        revision: renewal.revision,
+        inFlight: renewal.inFlight,
+        usage: renewal.usage,
+        unhealthy: renewal.unhealthy,
+        slots: renewal.slots,
+        stopping: renewal.stopping,
+      },
+      now,
+    );
+    this.#route(state, now);
+    const known = renewal.tableTerm === this.term ? renewal.tableVersion : 0;
+    return {
+      term: this.term,
+      leader: this.#settings.entry,
+      leaseMs: this.#settings.lease.durationMs,
+      view: viewSince(state, renewal.revision),
+      targets: this.targets.since(known),
+      targetsComplete: !this.leases.inherits(now),
+      announcedVersion,
+      slots: this.slots.report(renewal.slots, now),
+    };
+  }
+
+  /** Takes an entry's lease and slots back when it stops. */
+  giveBack(entry: string, incarnation: number): void {
+    this.targets.drop(entry, incarnation);
+    this.leases.giveBack(entry, incarnation);
+    this.slots.release(entry, incarnation);
+  }
+
+  /** Requests that ended at the entries that are known, since their start. */
+  requestsByOutcome(): Record<"finished" | "refused" | "failed", number> {
+    const sum = { finished: 0, refused: 0, failed: 0 };
+    for (
+      const use of this.leases.records().flatMap((record) =>
+        Object.values(record.usage)
+      )
+    ) {
+      sum.finished += use.finished;
+      sum.refused += use.refused;
+      sum.failed += use.failed;
+    }
+    return sum;
+  }
+
+  #route(state: State, now: number): void {
+    if (
+      this.#routedRevision === state.revision &&
+      this.#routedTable === this.targets.version
+    ) {
+      return;
+    }
+    this.#routedRevision = state.revision;
+    this.#routedTable = this.targets.version;
+    const services = new Map(
+      state.rules.services.map((service) => [service.name, service]),
+    );
+    const routes = routesOf(this.targets.targets(), {
+      service: (name) => services.get(name),
+      vm: (name) => state.vms[name],
+    });
+    this.slots.setTargets(routes, now);
+  }
+
+  /** Drops the targets of entries whose lease has run out and forgets processes that surely ended. */
+  expire(longestRequestMs: number, now: number): void {
+    for (const record of this.leases.expired(now)) {
+      this.targets.drop(record.entry, record.incarnation);
+    }
+    this.leases.forget(longestRequestMs, now);
+  }
+}
+
+function entryNames(settings: Settings): string[] {
+  const peers = settings.peers.map((peer) => peer.entry);
+  return peers.length === 0 ? [settings.entry] : peers;
+}
