Keep a VM out until its agent has answered for a reboot

Found by review: an order to reboot that is delayed past the reboot timeout could reach the agent when the VM serves again, and cut off its requests. Now a VM that was given up while it rebooted stays out, and is asked again under the same operation, until its agent confirms or refuses; a late confirmation counts as maintenance. Ruled out: a deadline in the order, since it would depend on the agent's clock.

--- a/packages/core/src/maintenance/decide.ts
+++ b/packages/core/src/maintenance/decide.ts
@@ -12,6 +12,7 @@
 import { Pass } from "./pass.ts";
 import { planWave } from "./plan.ts";
 import { afterDrain, drain, reboot, undrain } from "./stop.ts";
+import { awaitedReboot } from "./rollout.ts";
 import { startTransfers } from "./transfer.ts";
 import { judgeWave, waveObstacle } from "./wave.ts";
 
@@ -45,6 +46,10 @@
   record: VmRecord,
   waveObstacle: Hold | undefined,
 ): void {
+  const operation = awaitedReboot(pass.state.rollout, record);
+  if (operation !== undefined) {
+    return reboot(pass, record, operation);
+  }
   const putOff = record.reason === "wave" ? waveObstacle : undefined;
   switch (record.phase) {
     case "serving":
@@ -53,8 +58,6 @@
       return drain(pass, record, putOff);
     case "drained":
       return afterDrain(pass, record, putOff);
-    case "rebooting":
-      return reboot(pass, record);
     case "returning":
     case "failed":
       return recover(pass, record);
--- a/packages/core/src/maintenance/rollout.ts
+++ b/packages/core/src/maintenance/rollout.ts
@@ -51,6 +51,11 @@
   refused: z.record(z.string(), Tally),
   /** Recent failures by VM. */
   failures: z.record(z.string(), Failures),
+  /**
+   * Reboots without an answer when their VM was given up, by VM. The order may still reach the agent, so the VM stays
+   * out until the agent has answered.
+   */
+  unconfirmed: z.record(z.string(), z.string()),
   /** VMs that an operator wants out of service, with the time of the wish. */
   wanted: z.record(z.string(), z.number()),
 });
@@ -119,6 +124,7 @@
     postponed: {},
     refused: {},
     failures: {},
+    unconfirmed: {},
     wanted: {},
   };
 }
@@ -129,6 +135,21 @@
   return `reboot/${rollout.round}-${rollout.startedAt}/${vm}/${attempt}`;
 }
 
+/** The reboot of a VM that its agent still has to answer, or undefined. */
+export function awaitedReboot(
+  rollout: Rollout,
+  record: VmRecord,
+): string | undefined {
+  switch (record.phase) {
+    case "rebooting":
+      return rebootOperation(rollout, record.name);
+    case "failed":
+      return rollout.unconfirmed[record.name];
+    default:
+      return undefined;
+  }
+}
+
 /** The part of the state that a rollout command changes. */
 export type RolloutTarget = Pick<
   State,
@@ -264,13 +285,24 @@
 ): Result<number, Fault> {
   const { rollout, vms } = target;
   const record = vms[command.vm];
-  const expected = rebootOperation(rollout, command.vm);
-  if (record?.phase !== "rebooting" || command.operation !== expected) {
+  const expected = record && awaitedReboot(rollout, record);
+  if (record === undefined || command.operation !== expected) {
     return conflict(
       `VM "${command.vm}" does not wait for operation "${command.operation}"`,
     );
   }
-  rollout.refused[command.vm] = next(rollout.refused[command.vm], command.at);
+  if (record.phase === "rebooting") {
+    target.revision += 1;
+    record.phase = "failed";
+    record.reason = "failure";
+    record.since = command.at;
+    record.revision = target.revision;
+    noteFailure(rollout, record);
+  }
+  if (command.operation === rebootOperation(rollout, command.vm)) {
+    rollout.refused[command.vm] = next(rollout.refused[command.vm], command.at);
+  }
+  delete rollout.unconfirmed[command.vm];
   return Ok(target.revision);
 }
 
@@ -318,10 +350,11 @@
   if (after.phase === "failed") {
     noteFailure(rollout, after);
   }
-  const rebooted = before.phase === "rebooting" && after.phase === "returning";
-  if (rebooted && before.reason === "wave") {
-    after.maintainedAt = Math.max(after.since, rollout.startedAt);
-    delete rollout.postponed[after.name];
+  if (before.phase === "rebooting" && after.phase === "failed") {
+    rollout.unconfirmed[after.name] = rebootOperation(rollout, after.name);
+  }
+  if (after.phase === "returning" && after.reason === "wave") {
+    noteReboot(rollout, before, after);
   }
   const putOff = after.phase === "serving" && before.reason !== "operator" &&
     (before.phase === "draining" || before.phase === "drained") &&
@@ -334,6 +367,20 @@
   }
 }
 
+/** A reboot that its agent confirmed counts as maintenance if it belongs to this round. */
+function noteReboot(
+  rollout: Rollout,
+  before: VmRecord,
+  after: VmRecord,
+): void {
+  const operation = awaitedReboot(rollout, before);
+  if (operation === rebootOperation(rollout, after.name)) {
+    after.maintainedAt = Math.max(after.since, rollout.startedAt);
+    delete rollout.postponed[after.name];
+  }
+  delete rollout.unconfirmed[after.name];
+}
+
 function noteFailure(rollout: Rollout, record: VmRecord): void {
   const known = rollout.failures[record.name];
   const recent = known !== undefined &&
@@ -349,6 +396,7 @@
   delete rollout.postponed[vm];
   delete rollout.refused[vm];
   delete rollout.failures[vm];
+  delete rollout.unconfirmed[vm];
   delete rollout.wanted[vm];
 }
 
--- a/packages/core/src/maintenance/stop.ts
+++ b/packages/core/src/maintenance/stop.ts
@@ -8,7 +8,6 @@
 import { resume } from "./health.ts";
 import type { Hold } from "./observation.ts";
 import type { Pass } from "./pass.ts";
-import { rebootOperation } from "./rollout.ts";
 
 /** Takes the next step for a VM that is draining. */
 export function drain(pass: Pass, record: VmRecord, putOff?: Hold): void {
@@ -145,27 +144,32 @@
   }
 }
 
-/** Asks for the reboot of a VM until its agent confirms it. */
-export function reboot(pass: Pass, record: VmRecord): void {
-  const operation = rebootOperation(pass.state.rollout, record.name);
+/** Asks for the reboot of a VM until its agent confirms or refuses it. */
+export function reboot(pass: Pass, record: VmRecord, operation: string): void {
   const status = pass.observation.operations.get(operation);
   if (status === "done") {
-    pass.changePhase(record, "returning", record.reason);
-    return;
-  }
-  if (status === "failed") {
-    pass.propose({
-      kind: "reboot.refused",
-      vm: record.name,
-      operation,
-      at: pass.now,
-    });
-    pass.changePhase(record, "failed", "failure");
-    return;
+    pass.changePhase(record, "returning", "wave");
+  } else if (status === "failed") {
+    refused(pass, record, operation);
+  } else {
+    pass.act({ kind: "reboot", vm: record.name, operation });
+    awaitReboot(pass, record);
   }
-  pass.act({ kind: "reboot", vm: record.name, operation });
+}
+
+function refused(pass: Pass, record: VmRecord, operation: string): void {
+  pass.propose({
+    kind: "reboot.refused",
+    vm: record.name,
+    operation,
+    at: pass.now,
+  });
+}
+
+function awaitReboot(pass: Pass, record: VmRecord): void {
   const waited = pass.now - record.since;
-  if (waited >= pass.rules.rebootTimeoutMs) {
+  const limit = pass.rules.rebootTimeoutMs;
+  if (record.phase === "rebooting" && waited >= limit) {
     pass.changePhase(record, "failed", "failure");
     return;
   }
@@ -173,8 +177,10 @@
     rule: "reboot",
     vm: record.name,
     figure: waited,
-    limit: pass.rules.rebootTimeoutMs,
-    message: `VM "${record.name}" has been rebooting for ${waited} ms`,
+    limit,
+    message: record.phase === "rebooting"
+      ? `VM "${record.name}" has been rebooting for ${waited} ms`
+      : `VM "${record.name}" stays out until its agent answers for the reboot that it was asked for`,
   });
 }
 
--- a/packages/core/test/maintenance_fuzz_test.ts
+++ b/packages/core/test/maintenance_fuzz_test.ts
@@ -30,6 +30,11 @@
   fc.record({ kind: fc.constant("remove" as const), vm }),
   fc.record({ kind: fc.constant("want" as const), vm, out: fc.boolean() }),
   fc.record({ kind: fc.constant("stuck" as const), vm, stuck: fc.boolean() }),
+  fc.record({
+    kind: fc.constant("late" as const),
+    vm,
+    seconds: fc.nat(1_500),
+  }),
   fc.record({ kind: fc.constant("slow" as const), ms: fc.nat(30_000) }),
   fc.record({ kind: fc.constant("need" as const), slots: fc.nat(40) }),
 );
@@ -71,6 +76,9 @@
     case "stuck":
       world.machine(event.vm).stuck = event.stuck;
       return;
+    case "late":
+      world.machine(event.vm).orderMs = event.seconds * 1_000;
+      return;
     case "slow":
       world.requestMs = event.ms;
       return;
@@ -86,6 +94,7 @@
   world.need = 0;
   for (const name of VMS) {
     world.machine(name).stuck = false;
+    world.machine(name).orderMs = 0;
     world.propose({ kind: "vm.want", vm: name, out: false, at: world.now });
   }
 }
@@ -95,7 +104,14 @@
   const losses = fc.infiniteStream(fc.double({ min: 0, max: 1, noNaN: true }));
   fc.assert(
     fc.property(history, losses, (events, draws) => {
-      const world = new World({ rules: rules({ bakeMs: 5_000, repairMs: 0 }) });
+      const world = new World({
+        rules: rules({
+          bakeMs: 5_000,
+          repairMs: 0,
+          drainTimeoutMs: 60_000,
+          rebootTimeoutMs: 120_000,
+        }),
+      });
       world.random = () => draws.next().value;
       world.lossShare = 0.2;
       events.forEach((event) => take(world, event));
--- a/packages/core/test/maintenance_wave_test.ts
+++ b/packages/core/test/maintenance_wave_test.ts
@@ -214,6 +214,18 @@
       .toBe(true);
   });
 
+  test("keeps a VM out while an order to reboot it may still be on its way", () => {
+    const world = new World();
+    const vm = "z0-r0-a";
+    world.machine(vm).orderMs = 20 * 60_000;
+    world.until(() => world.state.vms[vm]?.phase === "failed");
+    world.until(() => world.state.vms[vm]?.phase === "serving");
+    expect(world.machine(vm).rebooted.size).toBe(1);
+    world.machine(vm).orderMs = 0;
+    world.until(() => world.isRoundDone());
+    expect(world.machine(vm).rebooted.size).toBe(1);
+  });
+
   test("reports a reboot that the agent refuses and tries it under a new operation", () => {
     const world = new World();
     const vm = "z0-r0-a";
--- a/packages/core/test/maintenance_world.ts
+++ b/packages/core/test/maintenance_world.ts
@@ -32,6 +32,9 @@
   /** Whether the next reboot does not come back by itself. */
   stuck: boolean;
   refuses: boolean;
+  /** How long an order takes to reach the agent. */
+  orderMs: number;
+  orders: { operation: string; at: number }[];
 }
 
 /** Two pools of two VMs in each of three zones; every rack holds one VM of each pool. */
@@ -172,9 +175,11 @@
     }
     for (const action of decision.actions) {
       if (action.kind === "reboot" && !this.#lost()) {
-        this.#reboot(action.vm, action.operation);
+        const { orders, orderMs } = this.machine(action.vm);
+        orders.push({ operation: action.operation, at: this.now + orderMs });
       }
     }
+    this.#deliver();
     this.last = decision;
     return decision;
   }
@@ -246,6 +251,14 @@
     }
   }
 
+  #deliver(): void {
+    for (const [vm, machine] of this.machines) {
+      const due = machine.orders.filter(({ at }) => at <= this.now);
+      machine.orders = machine.orders.filter(({ at }) => at > this.now);
+      due.forEach(({ operation }) => this.#reboot(vm, operation));
+    }
+  }
+
   #reboot(vm: string, operation: string): void {
     const machine = this.machine(vm);
     if (machine.requested.has(operation)) {
@@ -322,6 +335,8 @@
     requested: new Map(),
     stuck: false,
     refuses: false,
+    orderMs: 0,
+    orders: [],
   };
 }
 
