--- a/packages/core/src/machine.ts
+++ b/packages/core/src/machine.ts
@@ -9,11 +9,8 @@
 import { type Fault, Fault as FaultShape } from "./fault.ts";
 import { applyFleet, FleetCommand } from "./fleet.ts";
 import { applyBudget, BudgetCommand } from "./maintenance/budget.ts";
-import {
-  applyRollout,
-  notePhase,
-  RolloutCommand,
-} from "./maintenance/rollout.ts";
+import { notePhase, RolloutCommand } from "./maintenance/rollout.ts";
+import { applyRollout } from "./maintenance/rollout_machine.ts";
 import { applyLedger, LedgerCommand, LedgerOutput } from "./ledger.ts";
 import { applyJobs } from "./placement/apply.ts";
 import { JobCommand, JobOutput } from "./placement/job.ts";
--- a/packages/core/src/maintenance/mod.ts
+++ b/packages/core/src/maintenance/mod.ts
@@ -10,4 +10,5 @@
 export * from "./need.ts";
 export * from "./observation.ts";
 export * from "./rollout.ts";
+export * from "./rollout_machine.ts";
 export * from "./window.ts";
