--- a/packages/core/src/maintenance/plan.ts
+++ b/packages/core/src/maintenance/plan.ts
@@ -249,23 +249,34 @@
 /**
  * Urgent VMs first, then those of the pool with the most VMs left in the domain. Since VMs of one pool mostly cannot
  * stop together, that pool decides how many waves the domain needs (the longest-processing-time rule, Graham, 1969).
+ * When moves weigh more than roll-out time, VMs with little work to relocate go before those of the largest pool.
  */
 function inOrder(pass: Pass, records: VmRecord[]): VmRecord[] {
   const left = chains(records);
-  const keys = records.map((record) => ({
-    record,
-    urgent: isUrgent(pass, record) ? 0 : 1,
-    chain: -(left.get(record.pool) ?? 0),
-    work: pass.condition(record.name)?.inFlight ?? 0,
-  }));
+  const { moves, rollout } = pass.rules.weights;
+  const keys = records.map((record) => {
+    const chain = -(left.get(record.pool) ?? 0);
+    const work = workOn(pass, record);
+    const urgent = isUrgent(pass, record) ? 0 : 1;
+    const ranks = moves > rollout ? [work, chain] : [chain, work];
+    return { record, ranks: [urgent, ...ranks, record.maintainedAt] };
+  });
   keys.sort((a, b) =>
-    a.urgent - b.urgent || a.chain - b.chain ||
-    a.record.maintainedAt - b.record.maintainedAt || a.work - b.work ||
-    (a.record.name < b.record.name ? -1 : 1)
+    compareRanks(a.ranks, b.ranks) || (a.record.name < b.record.name ? -1 : 1)
   );
   return keys.map(({ record }) => record);
 }
 
+function workOn(pass: Pass, record: VmRecord): number {
+  const condition = pass.condition(record.name);
+  return (condition?.inFlight ?? 0) + (condition?.tasks ?? 0);
+}
+
+function compareRanks(a: number[], b: number[]): number {
+  const index = a.findIndex((rank, i) => rank !== b[i]);
+  return (a[index] ?? 0) - (b[index] ?? 0);
+}
+
 function isUrgent(pass: Pass, record: VmRecord): boolean {
   const before = pass.now - pass.rules.periodMs * (1 - URGENT_SHARE);
   return record.maintainedAt > 0 && record.maintainedAt < before;
--- a/packages/core/test/maintenance_wave_test.ts
+++ b/packages/core/test/maintenance_wave_test.ts
@@ -120,6 +120,25 @@
 });
 
 describe("a wave", () => {
+  test("takes the VM with the least work first when moves weigh most", () => {
+    const canary = [0, 5].map((moves) => {
+      const world = new World({ rules: rules({ weights: { moves } }) });
+      world.until(() => world.state.rollout.round === 1);
+      for (const [name, machine] of world.machines) {
+        machine.work = [world.now + HOUR_MS, world.now + HOUR_MS];
+        const vm = world.state.vms[name];
+        const due = name.startsWith("z0") && name !== "z0-r0-a";
+        if (vm !== undefined && !due) {
+          vm.maintainedAt = world.now;
+        }
+      }
+      world.machine("z0-r1-a").work = [];
+      world.until(() => world.state.rollout.wave !== null);
+      return world.state.rollout.wave?.vms;
+    });
+    expect(canary).toEqual([["z0-r0-b"], ["z0-r1-a"]]);
+  });
+
   test("is not started when the worst further loss would leave too little, and says so", () => {
     const world = new World();
     world.need = 25;
