--- a/packages/core/src/maintenance/budget.ts
+++ b/packages/core/src/maintenance/budget.ts
@@ -233,3 +233,13 @@
   }
   return highest;
 }
+
+/** The mean, over the hours of the day that were seen, of their highest need in slots. */
+export function meanPeak(account: Account | undefined): number {
+  const seen = (account?.hours ?? []).filter((hour) => hour !== null);
+  const sum = seen.reduce(
+    (total, h) => total + Math.max(h.today, h.carried),
+    0,
+  );
+  return sum / Math.max(1, seen.length);
+}
--- a/packages/core/src/maintenance/capacity.ts
+++ b/packages/core/src/maintenance/capacity.ts
@@ -5,10 +5,11 @@
  * @module
  */
 import type { VmRecord } from "../fleet.ts";
-import type { Service } from "../rules.ts";
+import type { Maintenance, Service } from "../rules.ts";
 import type { State } from "../state.ts";
-import { expectedPeak, spendingOf } from "./budget.ts";
+import { expectedPeak, meanPeak, spendingOf } from "./budget.ts";
 import type { Hold, Observation } from "./observation.ts";
+import { longestStopMs } from "./width.ts";
 
 /** An estimate that is older is no longer used. */
 export const NEED_MAX_AGE_MS = 300_000;
@@ -24,6 +25,8 @@
   /** The need now, and the highest until a lost VM is replaced. */
   needNow: number;
   need: number;
+  /** Unserved need, in slot milliseconds, that the worst further loss may cause while a wave is out. */
+  risk: number;
 }
 
 /** Where a VM is. */
@@ -50,10 +53,12 @@
   readonly #places: ReadonlyMap<string, Location>;
   readonly #observation: Observation;
   readonly #survives: "vm" | "rack" | "zone";
+  readonly #exposureMs: number;
 
   constructor(state: State, observation: Observation, now: number) {
     this.#observation = observation;
     this.#survives = state.rules.maintenance.survives;
+    this.#exposureMs = longestStopMs(state.rules.maintenance);
     this.#places = locations(state);
     for (const service of state.rules.services) {
       this.#addService(state, service, now);
@@ -86,7 +91,7 @@
       return undefined;
     }
     this.take(record);
-    const short = supplies.find((s) => s.total - worstLoss(s).slots < s.need);
+    const short = supplies.find((s) => this.#isShort(s));
     const hold = short && tooLittle(record.name, short);
     this.put(record);
     return hold;
@@ -117,6 +122,16 @@
     return slack;
   }
 
+  /**
+   * Whether too little would stay: without any further loss for as long as a lost VM is not replaced, or with the worst
+   * further loss until the wave is back.
+   */
+  #isShort(supply: Supply): boolean {
+    const lacking = supply.need - (supply.total - worstLoss(supply).slots);
+    return supply.total < supply.need ||
+      lacking > 0 && lacking * this.#exposureMs > supply.risk;
+  }
+
   #addService(state: State, service: Service, now: number): void {
     const sample = this.#observation.needs.get(service.name);
     const account = state.accounts.services[service.name];
@@ -129,6 +144,10 @@
       domains: new Map(),
       refusal: known ? overspent(service, left) : unknownNeed(service),
       needNow: sample?.slots ?? 0,
+      risk: riskOf(state.rules.maintenance, service, {
+        left,
+        mean: meanPeak(account),
+      }),
       need: Math.max(
         sample?.slots ?? 0,
         expectedPeak(account, now, until) ?? 0,
@@ -157,6 +176,14 @@
   }
 }
 
+function riskOf(
+  { riskShare }: Maintenance,
+  { budget }: Service,
+  { left, mean }: { left: number; mean: number },
+): number {
+  return riskShare * left * budget.unservedShare * budget.windowMs * mean;
+}
+
 /** Whether a VM serves now. */
 export function serves(record: VmRecord, observation: Observation): boolean {
   return record.phase === "serving" &&
--- a/packages/core/src/rules.ts
+++ b/packages/core/src/rules.ts
@@ -100,6 +100,9 @@
   survives: z.enum(["vm", "rack", "zone"]).default("zone").describe(
     "The largest further loss that the services must survive while a wave is out.",
   ),
+  riskShare: z.number().min(0).max(1).default(0).describe(
+    "Share of a service's remaining budget that the worst further loss may spend while a wave is out; 0 leaves no need unserved.",
+  ),
   repairMs: DurationMs.default(86_400_000).describe(
     "Time within which a lost VM is replaced; what stays must carry the need of this time.",
   ),
--- a/packages/core/test/maintenance_wave_test.ts
+++ b/packages/core/test/maintenance_wave_test.ts
@@ -159,6 +159,22 @@
     `);
   });
 
+  test("may leave need unserved within the risk share, but never without a further loss", () => {
+    const cases = [[0, 26], [0.1, 26], [0.5, 26], [1, 35]] as const;
+    const widest = cases.map(([riskShare, need]) => {
+      const weights = { rollout: 9 };
+      const world = new World({ rules: rules({ riskShare, weights }) });
+      world.need = need;
+      let width = 0;
+      for (let i = 0; i < 1_800; i++) {
+        world.step();
+        width = Math.max(width, world.state.rollout.wave?.vms.length ?? 0);
+      }
+      return width;
+    });
+    expect(widest).toEqual([0, 2, 4, 2]);
+  });
+
   test("stops when its canary does not return, tries one more, then waits for health", () => {
     const world = new World({ rules: rules({ bakeMs: 60_000 }) });
     for (const machine of world.machines.values()) {
