--- a/packages/core/test/maintenance_world.ts
+++ b/packages/core/test/maintenance_world.ts
@@ -32,6 +32,9 @@
   /** Whether the next reboot does not come back by itself. */
   stuck: boolean;
   refuses: boolean;
+  /** How long an order takes to reach the agent. */
+  orderMs: number;
+  orders: { operation: string; at: number }[];
 }
 
 /** Two pools of two VMs in each of three zones; every rack holds one VM of each pool. */
@@ -140,6 +143,11 @@
     if (ok && command.kind === "vm.move" && pool !== command.to) {
       this.#assertIdle(command.vm, "moved");
     }
+    const stops = command.kind === "wave.start" ||
+      command.kind === "vm.phase" && command.to === "draining";
+    if (ok && stops) {
+      this.#assertSafe(JSON.stringify(command));
+    }
     if (ok && command.kind === "vm.phase" && command.from === "rebooting") {
       this.#noteMaintenance(command);
     }
@@ -167,9 +175,11 @@
     }
     for (const action of decision.actions) {
       if (action.kind === "reboot" && !this.#lost()) {
-        this.#reboot(action.vm, action.operation);
+        const { orders, orderMs } = this.machine(action.vm);
+        orders.push({ operation: action.operation, at: this.now + orderMs });
       }
     }
+    this.#deliver();
     this.last = decision;
     return decision;
   }
@@ -241,6 +251,14 @@
     }
   }
 
+  #deliver(): void {
+    for (const [vm, machine] of this.machines) {
+      const due = machine.orders.filter(({ at }) => at <= this.now);
+      machine.orders = machine.orders.filter(({ at }) => at > this.now);
+      due.forEach(({ operation }) => this.#reboot(vm, operation));
+    }
+  }
+
   #reboot(vm: string, operation: string): void {
     const machine = this.machine(vm);
     if (machine.requested.has(operation)) {
@@ -262,6 +280,31 @@
     this.fail(vm, machine.stuck ? 2 * HOUR_MS : 30_000);
   }
 
+  /** What serves must carry the need even without any one zone, unless the rules let a further loss spend budget. */
+  #assertSafe(what: string): void {
+    const vms = Object.values(this.state.vms);
+    for (const pool of ["a", "b"]) {
+      const serving = vms.filter((vm) =>
+        vm.pool === pool && vm.phase === "serving" && this.isLive(vm.name)
+      );
+      const strict = this.state.rules.maintenance.riskShare === 0;
+      for (const zone of strict ? ["z0", "z1", "z2"] : ["none"]) {
+        const left = serving.filter((vm) => !vm.name.startsWith(zone));
+        if (left.length * SLOTS < this.need && !this.#isSpare(pool, what)) {
+          throw new Error(`Pool "${pool}" is unsafe without ${zone}: ${what}`);
+        }
+      }
+    }
+  }
+
+  /** Whether no VM that serves this pool is among the names in a command. */
+  #isSpare(pool: string, command: string): boolean {
+    return !Object.values(this.state.vms).some((vm) =>
+      vm.pool === pool && this.isLive(vm.name) &&
+      command.includes(`"${vm.name}"`)
+    );
+  }
+
   #noteMaintenance(command: Extract<Command, { kind: "vm.phase" }>): void {
     const key = `${command.vm} in round ${this.state.rollout.round}`;
     if (command.to === "returning" && this.#maintained.has(key)) {
@@ -293,6 +336,8 @@
     requested: new Map(),
     stuck: false,
     refuses: false,
+    orderMs: 0,
+    orders: [],
   };
 }
 
