Go on after all messages of a full window were lost

The check that follows a heartbeat's answer was held back by the full window. Now it is sent regardless.

The fuzz missed it because 64 messages were never under way: the window is now part of the tuning, and 3 messages in the simulation.

--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -75,7 +75,11 @@
   }
   for (const { replica: other } of log.membership.members) {
     if (other !== id && !leadership.progress.has(other)) {
-      const progress = new Progress(other, log.last.index + 1);
+      const start = {
+        next: log.last.index + 1,
+        window: replica.tuning.window,
+      };
+      const progress = new Progress(other, start);
       leadership.progress.set(other, progress);
     }
   }
--- a/packages/core/src/raft/progress.ts
+++ b/packages/core/src/raft/progress.ts
@@ -24,9 +24,11 @@
   sentAt: number;
 }
 
-/** Bounds of what may be under way to one replica. */
-const MAX_IN_FLIGHT_MESSAGES = 64;
-const MAX_IN_FLIGHT_SIZE = 1_048_576;
+/** Bounds of the appends that may be under way to one replica. */
+export interface Window {
+  messages: number;
+  size: number;
+}
 
 /** Replication state of one replica, held by the leader. */
 export class Progress {
@@ -49,12 +51,14 @@
   /** Highest read round that the replica confirmed. */
   round = 0;
   transmission: Transmission | undefined;
+  readonly #window: Window;
   #flights: Flight[] = [];
   #flightSize = 0;
 
-  constructor(replica: ReplicaId, next: number) {
+  constructor(replica: ReplicaId, start: { next: number; window: Window }) {
     this.replica = replica;
-    this.next = next;
+    this.next = start.next;
+    this.#window = start.window;
   }
 
   /** Whether another append may be sent. */
@@ -63,8 +67,8 @@
       return !this.probing;
     }
     return this.mode === "replicate" &&
-      this.#flights.length < MAX_IN_FLIGHT_MESSAGES &&
-      this.#flightSize < MAX_IN_FLIGHT_SIZE;
+      this.#flights.length < this.#window.messages &&
+      this.#flightSize < this.#window.size;
   }
 
   /** Records an append that is under way. */
@@ -93,6 +97,7 @@
   probe(next: number): void {
     this.mode = "probe";
     this.probing = false;
+    this.verify = false;
     this.next = Math.max(next, this.match + 1);
     this.transmission = undefined;
     this.#flights = [];
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -6,7 +6,7 @@
 import type { Log } from "./log.ts";
 import { memberOf, type ReplicaId, votersOf } from "./member.ts";
 import type { RaftMessage } from "./message.ts";
-import type { Progress } from "./progress.ts";
+import type { Progress, Window } from "./progress.ts";
 import type { ReadQueue } from "./reads.ts";
 import type { HardState, Snapshot } from "./record.ts";
 
@@ -23,6 +23,8 @@
   trailingEntries: number;
   /** Bound of the entries that are proposed and not yet committed and synced at the leader. */
   maxUnsettledSize: number;
+  /** Bounds of the appends that may be under way to one replica. */
+  window: Window;
   /** Size of the entries in one append; a larger single entry travels alone. */
   maxAppendSize: number;
   /** Length of a snapshot chunk in UTF-16 code units. */
@@ -36,6 +38,7 @@
   maxLogSize: 4_194_304,
   trailingEntries: 256,
   maxUnsettledSize: 4_194_304,
+  window: { messages: 64, size: 1_048_576 },
   maxAppendSize: 65_536,
   snapshotChunkLength: 65_536, // below 256 KB as UTF-8 in JSON
 };
--- a/packages/core/src/raft/replication.ts
+++ b/packages/core/src/raft/replication.ts
@@ -33,15 +33,15 @@
   while (progress.open && progress.next <= log.last.index) {
     sendAppend(replica, progress);
   }
-  if (progress.open && needsEmptyAppend(replica, progress)) {
+  // A full window must not hold the check back: nothing else shows that all of it was lost.
+  if (progress.verify || progress.open && isEmptyAppendDue(replica, progress)) {
     sendAppend(replica, progress);
   }
 }
 
-/** An append without entries carries a new commit index or checks the end of the log. */
-function needsEmptyAppend(replica: Replica, progress: Progress): boolean {
-  const probes = progress.mode === "probe";
-  return probes || progress.verify || progress.sentCommit < replica.commit;
+/** An append without entries probes the log or carries a new commit index. */
+function isEmptyAppendDue(replica: Replica, progress: Progress): boolean {
+  return progress.mode === "probe" || progress.sentCommit < replica.commit;
 }
 
 function sendAppend(replica: Replica, progress: Progress): void {
@@ -49,7 +49,7 @@
   const previousIndex = progress.next - 1;
   const previousTerm = log.termAt(previousIndex) ?? 0;
   const { maxAppendSize } = replica.tuning;
-  const entries = log.batch(progress.next, maxAppendSize);
+  const entries = progress.open ? log.batch(progress.next, maxAppendSize) : [];
   send(replica, {
     kind: "append",
     ...envelope(replica, progress.replica),
--- a/packages/core/test/raft_node.ts
+++ b/packages/core/test/raft_node.ts
@@ -22,6 +22,7 @@
   heartbeatMs: 100,
   electionMs: 400,
   trailingEntries: 2,
+  window: { messages: 3, size: 1_000 },
   maxAppendSize: 100,
   snapshotChunkLength: 24,
 };
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -174,6 +174,17 @@
     expect(size).toBeLessThan(1_500_000);
   });
 
+  test("goes on after all messages of a full window were lost", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    for (let i = 0; i < 200; i++) {
+      group.propose("e1", `w${i}`);
+    }
+    group.lost = () => false;
+    group.advance(1_000);
+    expect(group.node("e3").applied).toEqual(group.node("e1").applied);
+  });
+
   test("sends messages that fit their schema", () => {
     const group = Group.of(THREE);
     group.propose("e1", "a");
