Wait for the agent to confirm a drain, and resume drained VMs that do not answer

Found by reading the daemon's observer: it takes a VM as live only while its targets announce themselves. A platform that stops the targets of a drained VM would have made every wave stop for failures, and a rebooted VM that stays drained would never have been told to resume. A stop that is put off, and a move, now go back through returning.

--- a/bench/src/waves/model.ts
+++ b/bench/src/waves/model.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type Action,
   apply,
   type Command,
   type Condition,
@@ -48,6 +49,7 @@
   since: number;
   busyUntil: number;
   operations: Map<string, number>;
+  drains: Set<string>;
 }
 
 /** The fleet at one moment. */
@@ -80,6 +82,7 @@
         since: this.now - DAY_MS,
         busyUntil: 0,
         operations: new Map(),
+        drains: new Set(),
       });
     });
     const { inventory, rules } = shape;
@@ -109,6 +112,15 @@
     }
   }
 
+  /** Gives an order to the agent of a VM. */
+  order({ kind, vm, operation }: Action): void {
+    if (kind === "reboot") {
+      this.reboot(vm, operation);
+    } else {
+      this.#machine(vm).drains.add(operation);
+    }
+  }
+
   /** Asks the agent of a VM for a reboot; asked again under the same id, it does nothing more. */
   reboot(vm: string, operation: string): void {
     const machine = this.#machine(vm);
@@ -304,6 +316,7 @@
     machine: Machine,
     answers: Map<string, OperationStatus>,
   ): void {
+    machine.drains.forEach((operation) => answers.set(operation, "done"));
     for (const [operation, doneAt] of machine.operations) {
       const lost = doneAt > this.now || machine.random() < LOST_ANSWER_SHARE;
       if (!lost) {
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -13,7 +13,7 @@
  * Phases of a VM. Only `serving` VMs receive new work.
  *
  * serving -> draining -> drained -> rebooting -> returning -> serving, or -> failed;
- * a move to another pool happens in `drained`.
+ * a move to another pool happens in `drained`; a stop that is put off goes back through `returning`.
  */
 export const VmPhase = z.enum([
   "serving",
@@ -71,8 +71,8 @@
 
 const NEXT_PHASES: Record<VmPhase, readonly VmPhase[]> = {
   serving: ["draining", "failed"],
-  draining: ["drained", "serving", "failed"],
-  drained: ["rebooting", "serving", "failed"],
+  draining: ["drained", "returning", "serving", "failed"],
+  drained: ["rebooting", "returning", "serving", "failed"],
   rebooting: ["returning", "failed"],
   returning: ["serving", "failed"],
   failed: ["returning", "draining"],
--- a/packages/core/src/maintenance/health.ts
+++ b/packages/core/src/maintenance/health.ts
@@ -44,20 +44,28 @@
 }
 
 function isSilent(pass: Pass, record: VmRecord): boolean {
+  const since = pass.condition(record.name)?.since ?? pass.now;
+  return !answers(pass, record) && pass.now - since >= FAILURE_MS;
+}
+
+/** Whether a VM answers; one that the platform has drained may have no targets left to answer. */
+export function answers(pass: Pass, record: VmRecord): boolean {
   const condition = pass.condition(record.name);
-  return condition?.live === false && pass.now - condition.since >= FAILURE_MS;
+  return condition?.live !== false || condition.platformDrained;
 }
 
 /** Moves a failed or returning VM towards service. */
 export function recover(pass: Pass, record: VmRecord): void {
   const requiredMs = stableMs(pass, record);
-  if (!pass.liveFor(record.name, requiredMs)) {
+  if (pass.condition(record.name)?.platformDrained === true) {
+    resume(pass, record);
+    holdUnstable(pass, record, requiredMs);
+    giveUp(pass, record);
+  } else if (!pass.liveFor(record.name, requiredMs)) {
     holdUnstable(pass, record, requiredMs);
     giveUp(pass, record);
   } else if (record.phase === "failed") {
     pass.changePhase(record, "returning", "failure");
-  } else if (pass.condition(record.name)?.platformDrained === true) {
-    resume(pass, record);
   } else {
     pass.changePhase(record, "serving", "none");
   }
--- a/packages/core/src/maintenance/rollout.ts
+++ b/packages/core/src/maintenance/rollout.ts
@@ -173,7 +173,8 @@
   if (after.phase === "returning" && after.reason === "wave") {
     noteReboot(rollout, before, after);
   }
-  const putOff = after.phase === "serving" && before.reason !== "operator" &&
+  const back = after.phase === "serving" || after.phase === "returning";
+  const putOff = back && before.reason !== "operator" &&
     (before.phase === "draining" || before.phase === "drained") &&
     before.pool === after.pool;
   if (putOff) {
--- a/packages/core/src/maintenance/stop.ts
+++ b/packages/core/src/maintenance/stop.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { VmRecord } from "../fleet.ts";
-import { resume } from "./health.ts";
+import { answers, resume } from "./health.ts";
 import type { Hold } from "./observation.ts";
 import type { Pass } from "./pass.ts";
 
@@ -14,7 +14,7 @@
   const obstacle = putOff ?? obsolete(pass, record) ?? shortage(pass, record);
   if (obstacle !== undefined) {
     pass.hold({ ...obstacle, vm: record.name });
-    pass.changePhase(record, "serving", "none");
+    putBack(pass, record);
     return;
   }
   if (pass.listed.get(record.name)?.agent !== undefined) {
@@ -32,7 +32,7 @@
   pass.hold(busy);
   const late = pass.now - record.since >= pass.rules.drainTimeoutMs;
   if (late && record.reason !== "operator") {
-    pass.changePhase(record, "serving", "none");
+    putBack(pass, record);
   }
 }
 
@@ -55,7 +55,7 @@
     };
   }
   const condition = pass.condition(vm);
-  if (condition?.live === false) {
+  if (!answers(pass, record)) {
     return silent(vm);
   }
   if (condition?.inFlight === undefined) {
@@ -67,6 +67,14 @@
     };
   }
   const drained = operations.get(drainOperation(record)) === "done";
+  if (!drained && pass.listed.get(vm)?.agent !== undefined) {
+    return {
+      rule: "agent",
+      vm,
+      message:
+        `The platform agent of VM "${vm}" has not confirmed that its jobs are checkpointed`,
+    };
+  }
   const tasks = drained ? 0 : condition.tasks;
   const left = condition.inFlight + tasks;
   return left === 0 ? undefined : {
@@ -79,6 +87,13 @@
   };
 }
 
+/** Puts a VM back into service, at once if its targets answer and the platform has not drained it yet. */
+function putBack(pass: Pass, record: VmRecord): void {
+  const condition = pass.condition(record.name);
+  const ready = condition?.live === true && !condition.platformDrained;
+  pass.changePhase(record, ready ? "serving" : "returning", "none");
+}
+
 function silent(vm: string): Hold {
   return {
     rule: "not_serving",
@@ -128,7 +143,7 @@
   } else if (record.reason === "wave") {
     startReboot(pass, record, putOff);
   } else if (pass.state.rollout.wanted[record.name] === undefined) {
-    pass.changePhase(record, "serving", "none");
+    putBack(pass, record);
   }
 }
 
@@ -136,8 +151,8 @@
   const obstacle = putOff ?? shortage(pass, record);
   if (obstacle !== undefined) {
     pass.hold({ ...obstacle, vm: record.name });
-    pass.changePhase(record, "serving", "none");
-  } else if (pass.condition(record.name)?.live === true) {
+    putBack(pass, record);
+  } else if (answers(pass, record)) {
     pass.changePhase(record, "rebooting", "wave");
   } else {
     pass.hold(silent(record.name));
--- a/packages/core/test/maintenance_wave_test.ts
+++ b/packages/core/test/maintenance_wave_test.ts
@@ -54,6 +54,13 @@
     expect(changed.log).toEqual(alone.log);
   });
 
+  test("passes every wave when the platform stops the targets of a drained VM", () => {
+    const world = new World();
+    world.machines.forEach((machine) => machine.stopsTargets = true);
+    world.until(() => world.isRoundDone());
+    expect(world.log.filter((line) => /failed|stopped/.test(line))).toEqual([]);
+  });
+
   test("asks again under the same operation when an answer is lost", () => {
     const world = new World();
     let calls = 0;
