--- a/packages/core/src/placement/apply.ts
+++ b/packages/core/src/placement/apply.ts
@@ -19,6 +19,7 @@
   type JobOutput,
   type JobReply,
   type Jobs,
+  matchesJob,
   type SubmittedJob,
 } from "./job.ts";
 import { Sizing } from "./learning.ts";
@@ -48,7 +49,8 @@
     case "job.cancel":
       return Ok({
         kind: "jobs",
-        jobs: command.jobs.map((id) => cancel(state.jobs, id, command.at)),
+        jobs: cancelledIds(state.jobs, command)
+          .map((id) => cancel(state.jobs, id, command.at)),
       });
     case "job.step":
       return step(state, command);
@@ -121,6 +123,18 @@
   return { id, state: ended.end, reason: ended.reason };
 }
 
+function cancelledIds(
+  jobs: Jobs,
+  { jobs: named, matching }: Extract<JobCommand, { kind: "job.cancel" }>,
+): string[] {
+  if (matching === undefined) {
+    return named ?? [];
+  }
+  return Object.values(jobs.active)
+    .filter((job) => matchesJob(job, matching))
+    .map((job) => job.id);
+}
+
 function cancel(jobs: Jobs, id: string, at: number): JobReply {
   const job = jobs.active[id];
   if (job === undefined) {
--- a/packages/core/src/placement/job.ts
+++ b/packages/core/src/placement/job.ts
@@ -201,6 +201,24 @@
 ]);
 export type JobChange = z.infer<typeof JobChange>;
 
+/** Most jobs that one cancellation names. */
+export const MAX_CANCELLED = 100_000;
+
+/** A choice of active jobs: those that agree in every given field. */
+export const JobMatch = z.strictObject({
+  team: Name.optional(),
+  kind: Name.optional(),
+  pool: Name.optional(),
+});
+export type JobMatch = z.infer<typeof JobMatch>;
+
+/** Whether a job agrees in every given field. */
+export function matchesJob(job: Job, match: JobMatch): boolean {
+  return (match.team ?? job.team) === job.team &&
+    (match.kind ?? job.kind) === job.kind &&
+    (match.pool ?? job.pool) === job.pool;
+}
+
 export const JobCommand = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("job.submit"),
@@ -209,7 +227,9 @@
   }),
   z.object({
     kind: z.literal("job.cancel"),
-    jobs: z.array(JobId).max(100_000),
+    /** The named jobs, or every active job that matches. */
+    jobs: z.array(JobId).max(MAX_CANCELLED).optional(),
+    matching: JobMatch.optional(),
     at: z.number(),
   }),
   z.object({
--- a/packages/core/src/placement/mod.ts
+++ b/packages/core/src/placement/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./api.ts";
 export { applyJobs } from "./apply.ts";
 export type { Explanation } from "./explain.ts";
 export {
--- a/packages/core/src/placement/room.ts
+++ b/packages/core/src/placement/room.ts
@@ -71,7 +71,7 @@
 export function roomShapes(state: State): RoomShape[] {
   const shares = new Map<string, number>();
   const overnightShare = 1 - state.rules.jobs.liveShare;
-  return state.inventory.vms.map((vm) => {
+  const listed = state.inventory.vms.map((vm) => {
     const pool = state.vms[vm.name]?.pool ?? vm.pool;
     const share = shares.get(pool) ?? jobShare(state, pool);
     shares.set(pool, share);
@@ -79,6 +79,20 @@
     const overnightLimit = usableSize(limit, overnightShare);
     return { vm: vm.name, pool, limit, overnightLimit };
   });
+  return [...listed, ...unlistedShapes(state)];
+}
+
+/** VMs that left the inventory hold nothing new, but their runs still have to leave. */
+function unlistedShapes(state: State): RoomShape[] {
+  const listed = new Set(state.inventory.vms.map((vm) => vm.name));
+  return Object.values(state.vms)
+    .filter((record) => !listed.has(record.name))
+    .map(({ name, pool }) => ({
+      vm: name,
+      pool,
+      limit: zeroSize(),
+      overnightLimit: zeroSize(),
+    }));
 }
 
 /** The rooms of all VMs of the inventory; only those that changed are worked out again. */
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -9,6 +9,9 @@
   ConfigurationChange,
   type Fault,
   fault,
+  JobCancellation,
+  JobFilter,
+  JobSubmission,
   Ok,
   parse,
   parseJson,
@@ -98,6 +101,12 @@
         phase: query.get("phase") ?? undefined,
       });
     });
+    this.#get("/v1/jobs", (_, query) => {
+      return this.#list(query);
+    });
+    this.#get("/v1/jobs/:id", (params) => {
+      return this.#read({ what: "job", id: params["id"] ?? "" });
+    });
     this.#get("/v1/traces/:id", async (params) => {
       return Ok({ spans: await this.#parts.findTrace(params["id"] ?? "") });
     });
@@ -118,6 +127,12 @@
     this.#post("/v1/requests/settle", Settlement, (settlement) => {
       return this.#propose({ kind: "ledger.settle", ...settlement, at: 0 });
     });
+    this.#post("/v1/jobs", JobSubmission, ({ jobs }) => {
+      return this.#propose({ kind: "job.submit", jobs, at: 0 });
+    });
+    this.#post("/v1/jobs/cancel", JobCancellation, (cancellation) => {
+      return this.#propose({ kind: "job.cancel", ...cancellation, at: 0 });
+    });
     const { replicas } = this.#parts;
     this.#post("/v1/init", z.object({}), () => replicas.init());
     this.#post(
@@ -199,6 +214,13 @@
       .andThen((value) => parse(schema, value, "body"));
   }
 
+  async #list(query: URLSearchParams): Answer {
+    const filter = parse(JobFilter, Object.fromEntries(query), "query");
+    return filter.err
+      ? filter
+      : await this.#read({ what: "jobs", ...filter.val });
+  }
+
   #read(query: Query): Answer {
     return this.#parts.leader.call("read", query, LEADER_TIMEOUT_MS);
   }
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -25,6 +25,7 @@
 import type { Fields, Log } from "../observe/log.ts";
 import type { PlatformAgents } from "../platform/agents.ts";
 import { dueCommands, longestRequestMs } from "./conductor.ts";
+import { Placer } from "./placer.ts";
 import { Observer } from "./observer.ts";
 import { answerQuery, Query } from "./queries.ts";
 import { Tenure } from "./tenure.ts";
@@ -52,6 +53,7 @@
   readonly name = "leader";
   readonly #parts: LeaderParts;
   readonly #tickers: Component[];
+  readonly #placer: Placer;
   #tenure: Tenure | undefined;
   #observer: Observer | undefined;
   #holds: readonly Hold[] = [];
@@ -60,7 +62,9 @@
 
   constructor(parts: LeaderParts) {
     this.#parts = parts;
+    this.#placer = new Placer(parts);
     this.#tickers = [
+      this.#placer,
       ticker("ledger upkeep", TICK_MS, () => this.#keepLedger()),
       ticker("maintenance", MAINTENANCE_MS, () => this.#maintain()),
     ];
@@ -159,11 +163,15 @@
     return await this.#stamped(command.val);
   }
 
-  #stamped(command: Command): Promise<Result<unknown, Fault>> {
+  async #stamped(command: Command): Promise<Result<unknown, Fault>> {
     const { consensus, clock } = this.#parts;
-    return consensus.propose(
+    const result = await consensus.propose(
       "at" in command ? { ...command, at: clock.wall() } : command,
     );
+    if (command.kind === "job.submit" || command.kind === "job.cancel") {
+      this.#placer.poke();
+    }
+    return result;
   }
 
   async #read(params: unknown): Promise<Result<unknown, Fault>> {
@@ -179,6 +187,7 @@
         leadership: consensus.leadership(),
         replicas: consensus.replicas(),
         holds: this.#holds,
+        explain: (job) => this.#placer.explain(job),
         now: clock.monotonic(),
         at: clock.wall(),
       });
--- a/packages/daemon/src/leader/observer.ts
+++ b/packages/daemon/src/leader/observer.ts
@@ -9,6 +9,7 @@
   NeedEstimator,
   type Observation,
   type Reading,
+  runsOn,
   type State,
 } from "@quetzalcove/core";
 import type { PlatformAgents } from "../platform/agents.ts";
@@ -100,7 +101,7 @@
         inFlight: tenure.leases.isIdle(record, longest, moment.now)
           ? 0
           : undefined,
-        tasks: 0,
+        tasks: runsOn(state.jobs, record.name),
         platformDrained: agents.isDrained(record.name),
       });
     }
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -6,7 +6,10 @@
 import {
   type Announcement,
   attemptOf,
+  type Explanation,
   type Hold,
+  JobFilter,
+  listJobs,
   spendingOf,
   type State,
   type VmRecord,
@@ -24,6 +27,8 @@
   z.object({ what: z.literal("requests"), phase: z.string().optional() }),
   z.object({ what: z.literal("replicas") }),
   z.object({ what: z.literal("waves") }),
+  JobFilter.extend({ what: z.literal("jobs") }),
+  z.object({ what: z.literal("job"), id: z.string() }),
   z.object({ what: z.literal("holding"), key: z.string() }),
 ]);
 export type Query = z.infer<typeof Query>;
@@ -36,6 +41,8 @@
   replicas: ReplicaStatus[];
   /** Why stops and waves do not go on, from the last decision. */
   holds: readonly Hold[];
+  /** Why a job is where it is. */
+  explain: (job: string) => Explanation;
   /** Monotonic time. */
   now: number;
   /** Wall-clock time. */
@@ -62,6 +69,10 @@
       return requests(sources.state, query.phase);
     case "replicas":
       return { replicas: sources.replicas };
+    case "jobs":
+      return listJobs(sources.state.jobs, query);
+    case "job":
+      return sources.explain(query.id);
     case "waves":
       return waves(sources);
     case "holding":
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./fleet.ts";
 export * from "./load.ts";
 export * from "./target.ts";
+export * from "./task_agent.ts";
--- /dev/null
+++ b/test/jobs_test.ts
@@ -0,0 +1,238 @@
+import { appendFileSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { Inventory, Rules, SubmittedJob } from "@quetzalcove/core";
+import {
+  callAdmin,
+  Child,
+  logFileOf,
+  type TaskEvent,
+} from "@quetzalcove/emulator";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { Cluster, network } from "./harness/cluster.ts";
+
+const AGENT = fileURLToPath(
+  new URL("../packages/emulator/dist/task_agent_main.js", import.meta.url),
+);
+const VMS = 4;
+const PORT = 9200;
+const URGENT_MS = 3_900;
+
+function hostOf(index: number): string {
+  return `${network("targets")}.250.${index + 1}`;
+}
+
+const inventory = Inventory.parse({
+  zones: [{ name: "zone-a", region: "region" }],
+  racks: [{ name: "rack-1", zone: "zone-a" }, {
+    name: "rack-2",
+    zone: "zone-a",
+  }],
+  pools: [{ name: "batch" }],
+  vms: Array.from({ length: VMS }, (_, index) => ({
+    name: `vm-${index + 1}`,
+    rack: `rack-${index % 2 + 1}`,
+    pool: "batch",
+    cores: 4,
+    memoryGb: 8,
+    agent: `${hostOf(index)}:${PORT}`,
+  })),
+});
+const rules = Rules.parse({
+  teams: [{ name: "curves", cores: 32, memoryGb: 64 }],
+});
+
+function job(id: string, runMs: number, fields: object = {}): SubmittedJob {
+  return SubmittedJob.parse({
+    id,
+    team: "curves",
+    kind: "reduce",
+    pool: "batch",
+    cores: 1,
+    memoryGb: 2,
+    runtimeMs: runMs,
+    task: JSON.stringify({ runMs }),
+    ...fields,
+  });
+}
+
+interface Listed {
+  jobs: { id: string; state: string; reason?: string }[];
+}
+
+describe("jobs at real daemons and agents", () => {
+  const cluster = new Cluster({ entries: 4, replicas: 3 });
+  const agents: Child[] = [];
+  const record = join(cluster.folder, "tasks.jsonl");
+
+  function startAgent(index: number): void {
+    const command = [
+      AGENT,
+      `vm-${index + 1}`,
+      hostOf(index),
+      `${PORT}`,
+      record,
+    ];
+    const log = logFileOf(cluster.folder, `agent-${index + 1}`);
+    agents[index] = new Child(`agent-${index + 1}`, command, log);
+  }
+
+  function events(): TaskEvent[] {
+    const lines = readFileSync(record, "utf8").split("\n").filter(Boolean);
+    return lines.map((line) => JSON.parse(line) as TaskEvent);
+  }
+
+  /** Kills an agent; its tasks end with it. */
+  async function killAgent(index: number): Promise<void> {
+    agents[index]?.signal("SIGKILL");
+    await agents[index]?.ended;
+    const vm = `vm-${index + 1}`;
+    for (const { job, run } of liveOn(events(), vm)) {
+      const event: TaskEvent = { event: "ended", vm, job, run, at: Date.now() };
+      appendFileSync(record, `${JSON.stringify(event)}\n`);
+    }
+  }
+
+  async function submit(jobs: SubmittedJob[]): Promise<Listed["jobs"]> {
+    const answer = await callAdmin<Listed>(cluster.admin("e4"), "/v1/jobs", {
+      jobs,
+    });
+    return answer?.value.jobs ?? [];
+  }
+
+  async function stateOf(id: string): Promise<string | undefined> {
+    const path = `/v1/jobs/${id}`;
+    const answer = await callAdmin<{ state: string }>(
+      cluster.admin("e4"),
+      path,
+    );
+    return answer?.value.state;
+  }
+
+  async function untilAll(ids: string[], state: string): Promise<void> {
+    await cluster.until(`${state}: ${ids.join(", ")}`, async () => {
+      const states = await Promise.all(ids.map(stateOf));
+      return states.every((each) => each === state);
+    });
+  }
+
+  beforeAll(async () => {
+    writeFileSync(record, "");
+    await cluster.start();
+    await cluster.configure("e4", {
+      change: "first",
+      base: 0,
+      inventory,
+      rules,
+    });
+    inventory.vms.forEach((_, index) => startAgent(index));
+  });
+
+  afterAll(async () => {
+    agents.forEach((agent) => agent.signal("SIGKILL"));
+    await cluster.stop();
+  });
+
+  it("run to their end, and a job that can never run is refused with the reason", async () => {
+    const replies = await submit([
+      job("a1", 300),
+      job("a2", 300),
+      job("a3", 300, { memoryGb: 100 }),
+    ]);
+    expect(replies).toMatchInlineSnapshot(`
+      [
+        {
+          "id": "a1",
+          "state": "waiting",
+        },
+        {
+          "id": "a2",
+          "state": "waiting",
+        },
+        {
+          "id": "a3",
+          "reason": "No VM of pool "batch" can hold 1.0 cores, 100.0 GB, 0 accelerators; the largest has 4.0 cores, 7.6 GB, 0 accelerators",
+          "state": "refused",
+        },
+      ]
+    `);
+    await untilAll(["a1", "a2"], "done");
+    expect(await submit([job("a1", 300)])).toEqual([{
+      id: "a1",
+      state: "done",
+    }]);
+  });
+
+  it("start within 3.9 s when they are urgent and the pool is full", async () => {
+    const ids = Array.from({ length: 16 }, (_, n) => `o${n}`);
+    await submit(
+      ids.map((id) =>
+        job(id, 600_000, { priority: "overnight", kind: `k-${id}` })
+      ),
+    );
+    await cluster.until(
+      "a full pool",
+      () =>
+        events().filter((e) => e.event === "started" && ids.includes(e.job))
+          .length >= 8,
+    );
+    const before = Date.now();
+    await submit([job("u1", 200, { priority: "urgent", memoryGb: 7 })]);
+    await untilAll(["u1"], "done");
+    const started = events().find((e) =>
+      e.job === "u1" && e.event === "started"
+    );
+    expect((started?.at ?? Infinity) - before).toBeLessThan(URGENT_MS);
+    const cancelled = await callAdmin<Listed>(
+      cluster.admin("e4"),
+      "/v1/jobs/cancel",
+      { matching: { team: "curves" } },
+    );
+    expect(cancelled?.value.jobs.length).toBe(16);
+    await untilAll(ids, "cancelled");
+  });
+
+  it("run once at a time and are all done, though the leader and a VM are lost", async () => {
+    const ids = Array.from({ length: 8 }, (_, n) => `l${n}`);
+    await submit(ids.map((id) => job(id, 4_000)));
+    await cluster.until(
+      "some started",
+      () =>
+        events().filter((e) => e.event === "started" && ids.includes(e.job))
+          .length >= 3,
+    );
+    const leader = await cluster.leader(["e4"]);
+    await cluster.kill(leader);
+    await killAgent(0);
+    startAgent(0);
+    cluster.startDaemon(leader);
+    await untilAll(ids, "done");
+    expect(overlaps(events())).toEqual([]);
+  });
+});
+
+/** Starts on a VM without an end. */
+function liveOn(events: TaskEvent[], vm: string): TaskEvent[] {
+  const ended = new Set(
+    events.filter(({ event }) => event === "ended").map(({ run }) => run),
+  );
+  return events.filter((each) =>
+    each.event === "started" && each.vm === vm && !ended.has(each.run)
+  );
+}
+
+/** Jobs that were started while another run of theirs had not ended. */
+function overlaps(events: TaskEvent[]): string[] {
+  const live = new Set<string>();
+  const twice: string[] = [];
+  for (const { event, job } of events) {
+    if (event === "ended") {
+      live.delete(job);
+    } else if (live.has(job)) {
+      twice.push(job);
+    } else {
+      live.add(job);
+    }
+  }
+  return twice;
+}
