--- a/bench/src/placement/cluster.ts
+++ b/bench/src/placement/cluster.ts
@@ -96,6 +96,7 @@
   readonly #live = new Map<string, string>();
   readonly #urgent = new Map<string, number>();
   readonly #cuts = new Map<string, { to: number; from: number }>();
+  readonly #waiting = new Map<string, { leader: Leader; until: number }>();
   #messages: { at: number; run: () => void }[] = [];
   #leaders: Leader[] = [];
   #held = new Map<string, { leader: Leader; urgent: boolean }>();
@@ -192,6 +193,7 @@
     for (const worker of this.workers.values()) {
       worker.advance(this.now);
     }
+    this.#answerHeld();
     this.#leaders = this.#leaders.filter((leader) => leader.until > this.now);
     for (const leader of this.#leaders) {
       const due = leader.wake || this.now >= leader.nextTick;
@@ -252,12 +254,31 @@
         this.#held.set(operation.run, { leader, urgent: operation.urgent });
       }
       const report = worker.handle(operation, this.now);
+      const waitMs = operation.kind === "renew" ? operation.waitMs : 0;
+      if (waitMs > 0 && worker.up && !worker.hasEnded) {
+        const until = this.now + waitMs;
+        this.#waiting.set(operation.vm, { leader, until });
+        return;
+      }
       if (report !== undefined) {
         this.#answer(leader, report, operation.urgent);
       }
     });
   }
 
+  /** Answers renewals that were held back until a run ended or their time was over. */
+  #answerHeld(): void {
+    for (const [vm, { leader, until }] of this.#waiting) {
+      const worker = this.workers.get(vm);
+      if (worker?.up !== true) {
+        this.#waiting.delete(vm);
+      } else if (worker.hasEnded || until <= this.now) {
+        this.#waiting.delete(vm);
+        this.#answer(leader, worker.report(this.now), false);
+      }
+    }
+  }
+
   #answer(leader: Leader, report: AgentReport, urgent: boolean): void {
     const lost = (this.#cuts.get(report.vm)?.from ?? 0) > this.now ||
       this.#setup.random() < this.#setup.loss;
--- a/bench/src/placement/worker.ts
+++ b/bench/src/placement/worker.ts
@@ -151,6 +151,11 @@
     this.#killForMemory(now);
   }
 
+  /** Whether a run has ended that the leader has not told to forget. */
+  get hasEnded(): boolean {
+    return this.#ended.size > 0;
+  }
+
   get memoryMb(): number {
     let used = 0;
     for (const task of this.tasks.values()) {
--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -18,7 +18,8 @@
 
 /** A run that no agent was asked to start within this time is placed again. */
 const UNSENT_MS = 10_000;
-const RECHECK_MS = 1_000;
+const URGENT_UNSENT_MS = 2_000;
+const RECHECK_MS = 500;
 
 /** What is read in one pass. */
 export interface Absorbing {
@@ -131,12 +132,13 @@
 /** Whether the run has surely ended or can never have started. */
 function isGone(
   { now, at }: Absorbing,
-  { run, lease, report }: RunView,
+  { job, run, lease, report }: RunView,
   held: RunLease,
 ): boolean {
   if (neverSent(held)) {
     const stale = lease.suspect || now - lease.reportedAt > STALE_MS;
-    const late = at - run.at > UNSENT_MS;
+    const patienceMs = job.priority === "urgent" ? URGENT_UNSENT_MS : UNSENT_MS;
+    const late = at - run.at > patienceMs;
     return run.want !== "run" || stale || late;
   }
   if (now > held.bound) {
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -6,6 +6,7 @@
 import type { Cause, Job, Run } from "./job.ts";
 import {
   emptyRunLease,
+  FIRST_ASK_MS,
   firstLeaseMs,
   noteRenewal,
   noteStart,
@@ -14,11 +15,12 @@
   type RunLease,
   startDue,
   type VmLease,
+  WAIT_MS,
   WATCH_MS,
 } from "./lease.ts";
 import type { Operation, RunReport } from "./operation.ts";
 import type { Occupant, Room } from "./room.ts";
-import { addSize, fits, remaining, zeroSize } from "./size.ts";
+import { addSize, remaining, type Size, zeroSize } from "./size.ts";
 import { throttles } from "./throttle.ts";
 
 /** How long a run may take to checkpoint before it is stopped without. */
@@ -49,8 +51,7 @@
 /** Adds the operations that the VM needs now. */
 export function dispatchVm(room: Room, dispatch: Dispatch): void {
   const { lease } = room;
-  const silentMs = dispatch.now - lease.askedAt;
-  if (!room.fresh && !room.busy && silentMs < RENEW_MS) {
+  if (!room.fresh && !room.busy && !askDue(room, dispatch.now)) {
     return;
   }
   const scope = { room, lease, dispatch };
@@ -58,7 +59,7 @@
     report === undefined || run.want !== "run" ||
     lease.runs.get(run.id)?.renewed === false
   );
-  if (silentMs >= (room.busy ? WATCH_MS : RENEW_MS)) {
+  if (askDue(room, dispatch.now)) {
     ask(scope);
   }
   if (lease.report === undefined) {
@@ -81,6 +82,19 @@
   }
 }
 
+/** A VM with runs is asked as soon as it has answered, since its agent holds the answer back. */
+function askDue({ lease, busy, occupants }: Room, now: number): boolean {
+  const silentMs = now - lease.askedAt;
+  if (silentMs >= RENEW_MS) {
+    return true;
+  }
+  if (lease.report === undefined) {
+    return silentMs >= FIRST_ASK_MS;
+  }
+  const answered = occupants.length > 0 && !lease.held;
+  return silentMs >= WATCH_MS && (busy || answered);
+}
+
 interface Header {
   id: string;
   vm: string;
@@ -125,6 +139,8 @@
   const forget = (report?.runs ?? [])
     .filter((entry) => entry.phase === "ended" && !known.has(entry.run))
     .map((entry) => entry.run);
+  const waitMs = room.busy || runs.length === 0 ? 0 : WAIT_MS;
+  lease.held = waitMs > 0;
   const id = `renew:${room.vm}:${dispatch.term}:${dispatch.now}`;
   dispatch.operations.push({
     ...header(scope, id, urgent),
@@ -132,6 +148,7 @@
     until: report === undefined ? 0 : renewUntil(report),
     runs,
     forget,
+    waitMs,
   });
 }
 
@@ -160,15 +177,18 @@
   const { room, lease, dispatch } = scope;
   const taken = zeroSize();
   const waiting: Occupant[] = [];
+  let leaving = false;
   for (const occupant of room.occupants) {
-    const held = lease.runs.get(occupant.run.id);
-    const sent = held?.seenIn !== undefined || held?.sentTo !== undefined ||
-      occupant.report !== undefined;
+    const { run, report, size } = occupant;
+    const held = lease.runs.get(run.id);
+    const sent = report !== undefined || held?.sentTo !== undefined ||
+      held?.seenIn !== undefined;
     if (sent) {
-      addSize(taken, occupant.size);
+      addSize(taken, size);
     }
-    const wanted = occupant.run.want === "run" && occupant.report === undefined;
-    if (wanted && held?.seenIn === undefined) {
+    leaving ||= sent && run.want !== "run";
+    const isNew = report === undefined && held?.seenIn === undefined;
+    if (run.want === "run" && isNew) {
       waiting.push(occupant);
     }
   }
@@ -179,12 +199,8 @@
     ) {
       continue;
     }
-    const free = remaining(room.limit, taken);
     const first = held.sentTo === undefined;
-    // Processors are shared by throttling; memory and accelerators are not.
-    if (
-      first && !fits({ ...size, millicores: 0 }, { ...free, millicores: 0 })
-    ) {
+    if (first && !hasMadeRoom(size, remaining(room.limit, taken), leaving)) {
       continue;
     }
     if (first) {
@@ -194,6 +210,15 @@
   }
 }
 
+/**
+ * Whether a placed run may start. It waits for memory only while runs leave: when the others merely grow, they are told
+ * to leave as their use comes near the VM's size. Processors are shared by throttling; accelerators are never shared.
+ */
+function hasMadeRoom(size: Size, free: Size, leaving: boolean): boolean {
+  return size.accelerators <= free.accelerators &&
+    (size.memoryMb <= free.memoryMb || !leaving);
+}
+
 function startOf(
   scope: Scope,
   job: Job,
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -14,6 +14,10 @@
 const URGENT_START_MS = 1_500;
 /** Interval at which a lease is renewed. */
 export const RENEW_MS = 5_000;
+/** How long an agent holds back its answer to a renewal while no run ends. */
+export const WAIT_MS = 4_000;
+/** Interval at which a VM is asked that has not reported in this term. */
+export const FIRST_ASK_MS = 1_000;
 /** Interval at which a VM is asked while a run on it starts or leaves. */
 export const WATCH_MS = 250;
 /** A VM that has not reported for this long gets no new work. */
@@ -50,6 +54,8 @@
   /** Leader's time at which the report arrived. */
   reportedAt: number;
   askedAt: number;
+  /** Whether the agent may be holding back its answer to the last renewal. */
+  held: boolean;
   /** A start was not answered; the VM gets no new work before its next report. */
   suspect: boolean;
   /** When the runs must be looked at again, though nothing was reported. */
@@ -64,6 +70,7 @@
   return {
     reportedAt: -Infinity,
     askedAt: -Infinity,
+    held: false,
     suspect: false,
     checkAt: -Infinity,
     runs: new Map(),
@@ -110,6 +117,7 @@
   lease.reports = new Map(report.runs.map((run) => [run.run, run]));
   lease.reportedAt = now;
   lease.suspect = false;
+  lease.held = false;
   return true;
 }
 
--- a/packages/core/src/placement/operation.ts
+++ b/packages/core/src/placement/operation.ts
@@ -28,6 +28,8 @@
     until: z.number(),
     runs: z.array(z.string()),
     forget: z.array(z.string()),
+    /** How long the agent holds the answer back while no run ends, in milliseconds. */
+    waitMs: z.number().int().nonnegative(),
   }),
   Addressed.extend({
     kind: z.literal("start"),
--- a/packages/daemon/src/platform/task_agents.ts
+++ b/packages/daemon/src/platform/task_agents.ts
@@ -22,7 +22,7 @@
     connections: MAX_CONNECTIONS,
     pipelining: 1,
   });
-  /** Renewals under way, by VM; a VM that does not answer is not asked twice at a time. */
+  /** Renewals under way; a VM that does not answer is not asked twice at a time. */
   readonly #renewing = new Set<string>();
 
   constructor(log: Log) {
@@ -36,16 +36,16 @@
 
   /** Sends an operation once. What gets no answer is sent again by a later pass where that is safe. */
   send(address: Address, operation: Operation, take: TakeReport): void {
-    const { vm, kind } = operation;
-    if (kind === "renew" && this.#renewing.has(vm)) {
+    const key = renewalOf(operation);
+    if (key !== undefined && this.#renewing.has(key)) {
       return;
     }
-    if (kind === "renew") {
-      this.#renewing.add(vm);
+    if (key !== undefined) {
+      this.#renewing.add(key);
     }
     void this.#call(address, operation, take).finally(() => {
-      if (kind === "renew") {
-        this.#renewing.delete(vm);
+      if (key !== undefined) {
+        this.#renewing.delete(key);
       }
     });
   }
@@ -78,9 +78,21 @@
   }
 }
 
-/** An agent answers a checkpoint that stops the run once the run has ended. */
+/** One renewal at a time is under way with a VM, and one that is held back besides. */
+function renewalOf(operation: Operation): string | undefined {
+  return operation.kind === "renew"
+    ? `${operation.vm}:${operation.waitMs > 0}`
+    : undefined;
+}
+
+/** An agent holds back its answer to some renewals, and answers a checkpoint that stops the run once the run has ended. */
 function deadlineOf(operation: Operation): number {
-  return operation.kind === "checkpoint" && operation.stop
-    ? CALL_MS + operation.graceMs
-    : CALL_MS;
+  switch (operation.kind) {
+    case "renew":
+      return CALL_MS + operation.waitMs;
+    case "checkpoint":
+      return CALL_MS + (operation.stop ? operation.graceMs : 0);
+    default:
+      return CALL_MS;
+  }
 }
--- a/packages/emulator/src/task_agent.ts
+++ b/packages/emulator/src/task_agent.ts
@@ -118,7 +118,8 @@
   async #carryOut(operation: Operation): Promise<void> {
     switch (operation.kind) {
       case "renew":
-        return this.#renew(operation);
+        this.#renew(operation);
+        return await this.#awaitEnd(operation.waitMs);
       case "start":
         return this.#start(operation);
       case "stop":
@@ -144,6 +145,14 @@
     forget.forEach((run) => this.#ended.delete(run));
   }
 
+  /** Waits until a run has ended that the leader does not know of, or the time is over. */
+  async #awaitEnd(waitMs: number): Promise<void> {
+    const deadline = performance.now() + waitMs;
+    while (this.#ended.size === 0 && performance.now() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+    }
+  }
+
   #start(operation: OperationOf<"start">): void {
     const { run, job, until, task, checkpoint } = operation;
     if (this.#known.has(run) || performance.now() >= until) {
