Absolve VMs of failures of a bad kind and end jobs that failed everywhere

Once a kind fails on three VMs its failures no longer count against any; a job that failed on every open VM is tried again there and stopped after 6 failures. Urgent work that fits nowhere with its reservation starts with less; runs on a draining VM get 0.8 of the drain timeout to end.

--- a/packages/core/src/placement/apply.ts
+++ b/packages/core/src/placement/apply.ts
@@ -87,6 +87,7 @@
     floorMb: 0,
     killedMb: 0,
     failedOn: [],
+    failures: 0,
     moves: 0,
   };
 }
@@ -306,7 +307,8 @@
   for (const job of Object.values(jobs.active)) {
     if (job.failedOn.includes(vm)) {
       const failedOn = job.failedOn.filter((name) => name !== vm);
-      jobs.active[job.id] = { ...job, failedOn };
+      const failures = job.failures - 1;
+      jobs.active[job.id] = { ...job, failedOn, failures };
       touch(jobs, job.id);
     }
   }
--- a/packages/core/src/placement/choice.ts
+++ b/packages/core/src/placement/choice.ts
@@ -33,8 +33,9 @@
   let best: Room | undefined;
   let bestScore = Infinity;
   const demand = { priority: job.priority, pressing };
+  const again = mayRetry(rooms, job);
   for (const room of rooms) {
-    if (!hasRoom(room, need, demand) || !accepts(room, job)) {
+    if (!hasRoom(room, need, demand) || !accepts(room, job, again)) {
       continue;
     }
     const score = leftover(room, need);
@@ -46,6 +47,12 @@
   return best;
 }
 
+/** Whether the job has failed on every VM that is open, so that it may only be tried again where it failed. */
+function mayRetry(rooms: readonly Room[], job: Job): boolean {
+  return job.failedOn.length > 0 &&
+    rooms.every((room) => !room.open || job.failedOn.includes(room.vm));
+}
+
 function leftover(room: Room, need: Size): number {
   const memory = (room.free.memoryMb - need.memoryMb) / room.limit.memoryMb;
   const cores = (room.free.millicores - need.millicores) /
@@ -55,9 +62,9 @@
   return memory + cores + wasted;
 }
 
-/** Whether the VM may take a run of the job at all. */
-export function accepts(room: Room, job: Job): boolean {
-  if (!room.open || job.failedOn.includes(room.vm)) {
+/** Whether the VM may take a run of the job at all; with `again`, also where it has failed. */
+export function accepts(room: Room, job: Job, again = false): boolean {
+  if (!room.open || (!again && job.failedOn.includes(room.vm))) {
     return false;
   }
   return !room.probe ||
--- a/packages/core/src/placement/ending.ts
+++ b/packages/core/src/placement/ending.ts
@@ -54,6 +54,7 @@
   }
   if (end.outcome === "failed") {
     recordFailure(jobs, job, run.vm, at);
+    job.failures += 1;
     job.failedOn = [...job.failedOn.filter((vm) => vm !== run.vm), run.vm];
   }
   if (run.cause === "cancel") {
@@ -69,7 +70,8 @@
     );
   }
   if (end.outcome === "failed" && isBadJob(jobs, job)) {
-    const reason = `The job failed on ${job.failedOn.join(", ")}`;
+    const vms = job.failedOn.join(", ");
+    const reason = `The job failed ${job.failures} times, on ${vms}`;
     endJob(jobs, job, { end: "failed", reason, at });
     return;
   }
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -192,7 +192,20 @@
       this.#commit(job, room, need);
       return { placed: true, need };
     }
-    return { placed: this.#preempt(job, rooms, need), need };
+    const placed = this.#preempt(job, rooms, need) ||
+      (job.priority === "urgent" && this.#placeLean(job, rooms, need));
+    return { placed, need };
+  }
+
+  /** Starts an urgent job with less memory than it may come to need, rather than not at all. */
+  #placeLean(job: Job, rooms: Room[], need: Size): boolean {
+    const lean = this.#filling.sizing.lean(job, need);
+    const room = chooseRoom(rooms, job, { need: lean, pressing: false });
+    if (room === undefined) {
+      return this.#preempt(job, rooms, lean);
+    }
+    this.#commit(job, room, lean);
+    return true;
   }
 
   #preempt(job: Job, rooms: Room[], need: Size): boolean {
--- a/packages/core/src/placement/health.ts
+++ b/packages/core/src/placement/health.ts
@@ -13,7 +13,7 @@
 /** Healthy VMs on which a job must fail before it is stopped as bad. */
 const BAD_JOB_VMS = 3;
 /** Failures after which a job is stopped, whatever the state of its VMs. */
-const MAX_FAILURES = 8;
+const MAX_FAILURES = 6;
 const MAX_FAILING_VMS = 8;
 /** Other VMs on which a kind must be failing before its failures stop counting against VMs. */
 const SUSPECT_KIND_VMS = 2;
@@ -48,6 +48,11 @@
   if (!estimate.failing.includes(vm)) {
     estimate.failing = [...estimate.failing, vm].slice(-MAX_FAILING_VMS);
   }
+  const others = estimate.failing.filter((name) => name !== vm).length;
+  if (others >= SUSPECT_KIND_VMS) {
+    absolve(jobs, kindKey(job));
+    return;
+  }
   const health = jobs.health[vm] ??= emptyHealth();
   if (health.phase === "probing") {
     health.phase = "quarantined";
@@ -55,9 +60,23 @@
     health.at = at;
     return;
   }
-  const others = estimate.failing.filter((name) => name !== vm).length;
-  if (others < SUSPECT_KIND_VMS) {
-    push(health, job, false);
+  push(health, job, false);
+}
+
+/** Failures of a kind that fails on several VMs say nothing about the VMs. */
+function absolve(jobs: Jobs, kind: string): void {
+  for (const health of Object.values(jobs.health)) {
+    const recent = health.recent.filter((entry) =>
+      entry.done || entry.kind !== kind
+    );
+    if (recent.length === health.recent.length) {
+      continue;
+    }
+    health.recent = recent;
+    if (health.phase !== "healthy" && !failsEverything(jobs, health)) {
+      health.phase = "healthy";
+      health.strikes = 0;
+    }
   }
 }
 
@@ -87,7 +106,7 @@
 
 /** Whether the job failed on enough healthy VMs to be stopped as bad. */
 export function isBadJob(jobs: Jobs, job: Job): boolean {
-  if (job.failedOn.length >= MAX_FAILURES) {
+  if (job.failures >= MAX_FAILURES) {
     return true;
   }
   const healthy = job.failedOn.filter((vm) => worksForOthers(jobs, vm, job.id));
--- a/packages/core/src/placement/job.ts
+++ b/packages/core/src/placement/job.ts
@@ -70,6 +70,7 @@
   checkpoint: z.string().optional(),
   /** VMs on which the job failed. */
   failedOn: z.array(Name),
+  failures: z.number().int(),
   moves: z.number().int(),
 });
 export type Job = z.infer<typeof Job>;
--- a/packages/core/src/placement/learning.ts
+++ b/packages/core/src/placement/learning.ts
@@ -21,6 +21,7 @@
 const MIN_RATIO = 0.5;
 const MAX_RATIO = 3;
 const PERCENT = 100;
+const LEAN_SHARE = 0.25;
 const MIN_MILLICORES = 100;
 const MIN_MEMORY_MB = 64;
 /** Share of the limit from which a killed run counts as having had all of it. */
@@ -73,6 +74,7 @@
   millicores?: number;
   runtimeMs?: number;
   typicalMs?: number;
+  peakMb?: number;
 }
 
 /** Sizes from the estimates of one state; each estimate is worked out once. */
@@ -106,6 +108,17 @@
     return this.#learn(kindKey(job)).typicalMs;
   }
 
+  /**
+   * The least size with which an urgent job may start when its reservation fits nowhere. Runs of lower classes leave
+   * as it grows.
+   */
+  lean(job: Job, need: Size): Size {
+    const { peakMb } = this.#learn(kindKey(job));
+    const leastMb = peakMb ?? need.memoryMb * LEAN_SHARE;
+    const memoryMb = Math.ceil(Math.max(leastMb, job.floorMb, MIN_MEMORY_MB));
+    return { ...need, memoryMb: Math.min(memoryMb, need.memoryMb) };
+  }
+
   #memory(job: Job, learned: Learned, limit: Size): number {
     const guess = learned.memoryMb === undefined
       ? this.#firstMemory(job, limit)
@@ -183,5 +196,6 @@
     millicores: Math.ceil(cores),
     runtimeMs: quantile(estimate.runtimeMs, RUNTIME_QUANTILE),
     typicalMs: quantile(estimate.runtimeMs, 0.5),
+    peakMb: Math.max(...estimate.memoryMb),
   };
 }
--- a/packages/core/src/placement/leaving.ts
+++ b/packages/core/src/placement/leaving.ts
@@ -13,8 +13,8 @@
 
 /** Share of its memory that a VM may use before a run leaves it. */
 const PRESSURE_SHARE = 0.92;
-/** Share of the drain timeout within which runs may end by themselves. */
-const DRAIN_FINISH_SHARE = 0.5;
+/** Share of the drain timeout within which runs may end by themselves; the rest is for checkpoints. */
+const DRAIN_FINISH_SHARE = 0.8;
 
 /** What the decision looks at. */
 export interface LeavingContext {
@@ -45,9 +45,7 @@
   room: Room,
   { record, context }: { record: VmRecord; context: LeavingContext },
 ): void {
-  const patienceMs = state.rules.maintenance.drainTimeoutMs *
-    DRAIN_FINISH_SHARE;
-  const finishBy = record.since + patienceMs;
+  const finishBy = record.since + patienceMs(state);
   for (const occupant of room.occupants) {
     const runtimeMs = context.sizing.typicalMs(occupant.job) ?? 0;
     const endsAt = occupant.run.at + runtimeMs;
@@ -59,6 +57,13 @@
   }
 }
 
+/** How long runs may go on; shorter where a short roll-out weighs more than few moves. */
+function patienceMs({ rules }: State): number {
+  const { weights, drainTimeoutMs } = rules.maintenance;
+  const balance = weights.rollout > 0 ? weights.moves / weights.rollout : 1;
+  return drainTimeoutMs * DRAIN_FINISH_SHARE * Math.min(1, balance);
+}
+
 function relievePressure(room: Room, context: LeavingContext): void {
   const sizeMb = room.limit.memoryMb;
   let usedMb = 0;
