Place each run for one incarnation of its VM's agent

Cause: when a VM and the leader were lost together, the new leader started the same runs again on the restarted agent, also for jobs that must not start again (found by a live test, 6 run ids started twice; no two at a time). A start now names the incarnation for which the run was placed.

--- a/bench/src/placement/baselines.ts
+++ b/bench/src/placement/baselines.ts
@@ -43,12 +43,14 @@
 class Declared implements Policy {
   readonly #placement = new Placement();
   readonly #pick: Pick;
+  readonly #incarnations = new Map<string, number>();
 
   constructor(pick: Pick) {
     this.#pick = pick;
   }
 
   report(report: AgentReport, time: { now: number; term: number }): boolean {
+    this.#incarnations.set(report.vm, report.incarnation);
     return this.#placement.report(report, time);
   }
 
@@ -96,7 +98,10 @@
       take(room.size, size);
       take(quota, size);
       const run = `${job.id}#${job.runs + 1}`;
-      changes.push({ type: "place", job: job.id, run, vm: room.vm, size });
+      const { vm } = room;
+      const incarnation = this.#incarnations.get(vm) ?? 0;
+      const place = { type: "place", job: job.id, run, vm } as const;
+      changes.push({ ...place, incarnation, size });
     }
     return changes;
   }
--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -9,9 +9,9 @@
   emptyLease,
   emptyRunLease,
   neverSent,
-  provenGone,
   type RunLease,
   STALE_MS,
+  startedAnew,
   type VmLease,
 } from "./lease.ts";
 import type { RunReport } from "./operation.ts";
@@ -101,7 +101,7 @@
     const outcome = neverSent(held) ? "stopped" : "lost";
     absorbing.changes.push({ type: "end", job: job.id, run: run.id, outcome });
   } else if (report !== undefined) {
-    held.seenIn = lease.report?.incarnation;
+    held.seen = true;
     noteCheckpoint(absorbing, view);
   }
 }
@@ -142,10 +142,9 @@
     return run.want !== "run" || stale || late;
   }
   if (now > held.bound) {
-    const unanswered = held.seenIn === undefined &&
-      lease.reportedAt < held.sentAt;
+    const unanswered = !held.seen && lease.reportedAt < held.sentAt;
     lease.suspect ||= unanswered;
     return true;
   }
-  return report === undefined && provenGone(lease, held);
+  return report === undefined && startedAnew(lease, run.incarnation);
 }
--- a/packages/core/src/placement/apply.ts
+++ b/packages/core/src/placement/apply.ts
@@ -234,6 +234,7 @@
     run: {
       id: change.run,
       vm: change.vm,
+      incarnation: change.incarnation,
       size: change.size,
       at: context.at,
       want: "run",
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -181,25 +181,28 @@
   for (const occupant of room.occupants) {
     const { run, report, size } = occupant;
     const held = lease.runs.get(run.id);
-    const sent = report !== undefined || held?.sentTo !== undefined ||
-      held?.seenIn !== undefined;
+    const sent = report !== undefined || held?.until !== undefined ||
+      held?.seen === true;
     if (sent) {
       addSize(taken, size);
     }
     leaving ||= sent && run.want !== "run";
-    const isNew = report === undefined && held?.seenIn === undefined;
+    const isNew = report === undefined && held?.seen !== true;
     if (run.want === "run" && isNew) {
       waiting.push(occupant);
     }
   }
   for (const { job, run, size } of waiting) {
     const held = lease.runs.get(run.id);
-    if (
-      held === undefined || held.closed || !startDue(lease, held, dispatch.now)
-    ) {
+    const { incarnation } = run;
+    const { now } = dispatch;
+    if (held === undefined || held.closed) {
+      continue;
+    }
+    if (!startDue(lease, held, { incarnation, now })) {
       continue;
     }
-    const first = held.sentTo === undefined;
+    const first = held.until === undefined;
     if (first && !hasMadeRoom(size, remaining(room.limit, taken), leaving)) {
       continue;
     }
@@ -228,6 +231,7 @@
   const { now } = scope.dispatch;
   return {
     ...header(scope, `start:${run.id}`, job.priority === "urgent"),
+    incarnation: run.incarnation,
     kind: "start",
     run: run.id,
     job: job.id,
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -241,12 +241,18 @@
   #commit(job: Job, room: Room, size: Size): void {
     const id = nextRun(job);
     const { at, changes } = this.#filling;
-    changes.push({ type: "place", job: job.id, run: id, vm: room.vm, size });
-    addOccupant(room, {
-      job,
-      run: { id, vm: room.vm, size, at, want: "run" },
+    const { vm } = room;
+    const incarnation = room.lease.report?.incarnation ?? 0;
+    const run = { id, vm, incarnation, size, at, want: "run" } as const;
+    changes.push({
+      type: "place",
+      job: job.id,
+      run: id,
+      vm,
+      incarnation,
       size,
     });
+    addOccupant(room, { job, run, size });
     addSize(this.#heldBy(job.team), size);
     const key = kindKey(job);
     this.#runsOfKind.set(key, this.#runsOf(key) + 1);
--- a/packages/core/src/placement/job.ts
+++ b/packages/core/src/placement/job.ts
@@ -49,6 +49,8 @@
 export const Run = z.object({
   id: z.string(),
   vm: Name,
+  /** Incarnation of the VM's agent for which the run is meant; no other starts it. */
+  incarnation: z.number().int(),
   size: Size,
   /** Wall-clock time of the placement, in milliseconds. */
   at: z.number(),
@@ -167,6 +169,7 @@
     job: JobId,
     run: z.string(),
     vm: Name,
+    incarnation: z.number().int(),
     size: Size,
   }),
   z.object({
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -35,15 +35,13 @@
   bound: number;
   /** End of the first lease on the agent's clock, when a start was sent. */
   until?: number;
-  /** Incarnation to which a start was sent. */
-  sentTo?: number;
   sentAt: number;
   /** The run has surely ended, and nothing may be sent for it any more. */
   closed: boolean;
   /** Whether this leader has renewed the lease. */
   renewed: boolean;
-  /** Incarnation that reported the run. */
-  seenIn?: number;
+  /** Whether a report listed the run. */
+  seen: boolean;
   /** Times at which operations on the run were first and last sent, by operation id. */
   operations: Map<string, { first: number; last: number }>;
 }
@@ -85,6 +83,7 @@
     sentAt: -Infinity,
     closed: false,
     renewed: false,
+    seen: false,
     operations: new Map(),
   };
 }
@@ -156,11 +155,9 @@
   run: RunLease,
   { now, lengthMs }: { now: number; lengthMs: number },
 ): number {
-  const { report } = lease;
   const ageMs = now - lease.reportedAt;
-  if (run.until === undefined || run.sentTo !== report?.incarnation) {
-    run.until = (report?.clock ?? 0) + ageMs + lengthMs;
-    run.sentTo = report?.incarnation;
+  if (run.until === undefined) {
+    run.until = (lease.report?.clock ?? 0) + ageMs + lengthMs;
     const bound = lease.reportedAt +
       (ageMs + lengthMs) * (1 + CLOCK_DRIFT) + CLOCK_MARGIN_MS;
     run.bound = Math.max(run.bound, bound);
@@ -169,23 +166,30 @@
   return run.until;
 }
 
-/** Whether a start may be sent, for the first time or again. */
-export function startDue(lease: VmLease, run: RunLease, now: number): boolean {
+/** Whether a start may be sent to the incarnation that the run is meant for, for the first time or again. */
+export function startDue(
+  lease: VmLease,
+  run: RunLease,
+  { incarnation, now }: { incarnation: number; now: number },
+): boolean {
   const { report } = lease;
-  if (report === undefined || now - lease.reportedAt > STALE_MS) {
+  if (
+    report?.incarnation !== incarnation || now - lease.reportedAt > STALE_MS
+  ) {
     return false;
   }
-  const first = run.sentTo !== report.incarnation;
-  return first || (now - run.sentAt >= START_RETRY_MS && now < run.bound);
+  return run.until === undefined ||
+    (now - run.sentAt >= START_RETRY_MS && now < run.bound);
 }
 
 /**
- * Whether the report proves that a run it does not list has ended and cannot start: an earlier incarnation had it, and
- * this leader sent no start to the present one. Starts of earlier leaders are refused, since the agent has seen this
- * term.
+ * Whether the VM's agent started anew since the run was placed. The run has ended with the earlier incarnation, and the
+ * present one refuses its start.
  */
-export function provenGone(lease: VmLease, run: RunLease): boolean {
-  const incarnation = lease.report?.incarnation;
-  return run.seenIn !== undefined && run.seenIn !== incarnation &&
-    run.sentTo !== incarnation;
+export function startedAnew(
+  lease: VmLease,
+  incarnation: number,
+): boolean {
+  return lease.report !== undefined &&
+    lease.report.incarnation > incarnation;
 }
--- a/packages/core/test/placement_test.ts
+++ b/packages/core/test/placement_test.ts
@@ -114,6 +114,7 @@
       job: "j",
       run: "j#1",
       vm: "a1",
+      incarnation: 1,
       size,
     } as const;
     cluster.apply({
--- a/test/jobs_test.ts
+++ b/test/jobs_test.ts
@@ -209,6 +209,30 @@
     await untilAll(ids, "done");
     expect(overlaps(events())).toEqual([]);
   });
+
+  it("run once at a time though the leader is frozen and goes on after another was elected", async () => {
+    const ids = Array.from({ length: 6 }, (_, n) => `f${n}`);
+    const frozen = await cluster.leader(["e4"]);
+    await submit(ids.map((id) => job(id, 5_000)));
+    await cluster.until(
+      "some started",
+      () =>
+        events().filter((e) => e.event === "started" && ids.includes(e.job))
+          .length >= 2,
+    );
+    cluster.signal(frozen, "SIGSTOP");
+    await cluster.until("another leader", async () => {
+      const leader = (await cluster.status("e4"))?.leader;
+      return leader !== undefined && leader !== null && leader !== frozen;
+    });
+    await submit([job("g1", 200)]);
+    cluster.signal(frozen, "SIGCONT");
+    await untilAll([...ids, "g1"], "done");
+    expect(overlaps(events())).toEqual([]);
+    const starts = events().filter((e) => e.event === "started");
+    const runs = starts.map(({ run }) => run);
+    expect(new Set(runs).size).toBe(runs.length);
+  });
 });
 
 /** Starts on a VM without an end. */
