--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { capacity } from "./capacity/capacity.ts";
 import { commits } from "./commits/commits.ts";
 import { placement } from "./placement/scenario.ts";
 import { scenario as routing } from "./routing/mod.ts";
@@ -12,7 +13,8 @@
 /** Every scenario that the command knows, in the order in which `all` runs them. */
 export const SCENARIOS: readonly Scenario[] = [
   commits,
-  placement,
   routing,
   WAVES,
+  placement,
+  capacity,
 ];
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -56,8 +56,8 @@
 });
 
 const Link = z.strictObject({
-  heartbeatMs: DurationMs.default(500).describe(
-    "Interval of heartbeats on each connection.",
+  heartbeatMs: DurationMs.default(700).describe(
+    "Interval of heartbeats on a connection that carries nothing else.",
   ),
   idleMs: DurationMs.default(2_000).describe(
     "Silence after which a connection is closed and replaced.",
@@ -78,7 +78,10 @@
     "Interval at which targets are told to announce themselves.",
   ),
   expireMs: DurationMs.default(3_000).describe(
-    "Silence after which a target receives no new work.",
+    "Silence after which a target receives no new work; it grows with the interval.",
+  ),
+  maxPerSecond: Count.default(20).describe(
+    "Announcements that one entry takes in a second; with more targets the interval grows.",
   ),
 });
 
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -75,10 +75,10 @@
       return sources.explain(query.id);
     case "waves":
       return waves(sources);
-    case "holding":
-      return {
-        phase: attemptOf(sources.state.ledger, query.key)?.phase ?? "none",
-      };
+    case "holding": {
+      const held = attemptOf(sources.state.ledger, query.key);
+      return { phase: held?.phase ?? "none", attempt: held?.attempt };
+    }
   }
 }
 
