--- a/packages/core/src/placement/apply.ts
+++ b/packages/core/src/placement/apply.ts
@@ -7,12 +7,10 @@
 import { type Fault, fault } from "../fault.ts";
 import { Err, Ok, type Result } from "../result.ts";
 import type { State } from "../state.ts";
-import { digestOf } from "./digest.ts";
 import { endRun } from "./ending.ts";
-import { neverFits, poolLimits } from "./feasibility.ts";
+import { quotasOf } from "./feasibility.ts";
 import { emptyHealth } from "./health.ts";
 import {
-  type EndedJob,
   type Job,
   type JobChange,
   type JobCommand,
@@ -20,18 +18,10 @@
   type JobReply,
   type Jobs,
   matchesJob,
-  type SubmittedJob,
 } from "./job.ts";
-import { Sizing } from "./learning.ts";
 import { countRun, endJob, touch } from "./record.ts";
-import {
-  addSize,
-  fits,
-  remaining,
-  type Size,
-  toSize,
-  zeroSize,
-} from "./size.ts";
+import { endedReply, submitJobs } from "./submitting.ts";
+import { addSize, fits, remaining, type Size, zeroSize } from "./size.ts";
 
 type ChangeOf<T extends JobChange["type"]> = Extract<JobChange, { type: T }>;
 
@@ -44,7 +34,7 @@
     case "job.submit":
       return Ok({
         kind: "jobs",
-        jobs: submit(state, command.jobs, command.at),
+        jobs: submitJobs(state, command.jobs, command.at),
       });
     case "job.cancel":
       return Ok({
@@ -57,73 +47,6 @@
   }
 }
 
-function submit(state: State, batch: SubmittedJob[], at: number): JobReply[] {
-  const limits = poolLimits(state);
-  const quotas = quotasOf(state);
-  const sizing = new Sizing(state.jobs);
-  return batch.map((submission) => {
-    const known = knownReply(state.jobs, submission);
-    if (known !== undefined) {
-      return known;
-    }
-    const job = newJob(submission, at);
-    state.jobs.active[job.id] = job;
-    touch(state.jobs, job.id);
-    const reason = neverFits(job, { limits, quotas, sizing });
-    if (reason !== undefined) {
-      endJob(state.jobs, job, { end: "refused", reason, at });
-      return { id: job.id, state: "refused", reason };
-    }
-    return { id: job.id, state: "waiting" };
-  });
-}
-
-function newJob(submission: SubmittedJob, at: number): Job {
-  return {
-    ...submission,
-    phase: "waiting",
-    submittedAt: at,
-    runs: 0,
-    floorMb: 0,
-    killedMb: 0,
-    failedOn: [],
-    failures: 0,
-    moves: 0,
-  };
-}
-
-function knownReply(
-  jobs: Jobs,
-  submission: SubmittedJob,
-): JobReply | undefined {
-  const digest = digestOf(submission);
-  const active = jobs.active[submission.id];
-  if (active !== undefined) {
-    return digestOf(active) === digest
-      ? { id: active.id, state: active.phase }
-      : conflict(submission.id);
-  }
-  const ended = jobs.ended[submission.id];
-  if (ended === undefined) {
-    return undefined;
-  }
-  return ended.digest === digest
-    ? endedReply(submission.id, ended)
-    : conflict(submission.id);
-}
-
-function conflict(id: string): JobReply {
-  return {
-    id,
-    state: "conflict",
-    reason: "Another job was submitted under this id",
-  };
-}
-
-function endedReply(id: string, ended: EndedJob): JobReply {
-  return { id, state: ended.end, reason: ended.reason };
-}
-
 function cancelledIds(
   jobs: Jobs,
   { jobs: named, matching }: Extract<JobCommand, { kind: "job.cancel" }>,
@@ -249,11 +172,6 @@
   return `${job.id}#${job.runs + 1}`;
 }
 
-/** The quota of each team. */
-export function quotasOf(state: State): Map<string, Size> {
-  return new Map(state.rules.teams.map((team) => [team.name, toSize(team)]));
-}
-
 function heldJob(jobs: Jobs, id: string, run: string): Job | undefined {
   const job = jobs.active[id];
   return job?.run?.id === run ? job : undefined;
--- a/packages/core/src/placement/explain.ts
+++ b/packages/core/src/placement/explain.ts
@@ -4,10 +4,9 @@
  * @module
  */
 import type { State } from "../state.ts";
-import { quotasOf } from "./apply.ts";
 import { accepts, chooseRoom } from "./choice.ts";
 import { isPressing } from "./deadline.ts";
-import { least, type PoolLimits } from "./feasibility.ts";
+import { least, type PoolLimits, quotasOf } from "./feasibility.ts";
 import { MAX_UNKNOWN_RUNS } from "./filling.ts";
 import { type Job, kindKey } from "./job.ts";
 import type { JobIndex } from "./job_index.ts";
--- a/packages/core/src/placement/feasibility.ts
+++ b/packages/core/src/placement/feasibility.ts
@@ -138,3 +138,8 @@
     accelerators: Math.min(a.accelerators, b.accelerators),
   };
 }
+
+/** The quota of each team. */
+export function quotasOf(state: State): Map<string, Size> {
+  return new Map(state.rules.teams.map((team) => [team.name, toSize(team)]));
+}
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -1,19 +1,19 @@
 /**
- * Places waiting jobs. Teams take turns by their dominant share of quota, after "Dominant Resource Fairness" (Ghodsi
- * et al., NSDI 2011).
+ * Places waiting jobs, class by class; within a class teams take turns.
  *
  * @module
  */
 import type { Priority } from "../names.ts";
 import type { State } from "../state.ts";
-import { nextRun, quotasOf } from "./apply.ts";
+import { nextRun } from "./apply.ts";
 import { choosePreemption, chooseRoom } from "./choice.ts";
 import { isPressing } from "./deadline.ts";
-import { largest, least, type PoolLimits } from "./feasibility.ts";
+import { largest, least, type PoolLimits, quotasOf } from "./feasibility.ts";
 import { type Job, type JobChange, kindKey } from "./job.ts";
 import type { JobIndex, Lane } from "./job_index.ts";
 import type { Sizing } from "./learning.ts";
 import { addOccupant, type Room, type Rooms } from "./room.ts";
+import { dominantShare, type Turn, Turns } from "./turns.ts";
 import { addSize, fits, remaining, type Size, zeroSize } from "./size.ts";
 
 /** Most placements in one pass. */
@@ -287,19 +287,6 @@
   }
 }
 
-/** The largest share of its quota that a team holds. */
-export function dominantShare(held: Size, quota: Size): number {
-  return Math.max(
-    ratio(held.millicores, quota.millicores),
-    ratio(held.memoryMb, quota.memoryMb),
-    ratio(held.accelerators, quota.accelerators),
-  );
-}
-
-function ratio(part: number, whole: number): number {
-  return part === 0 ? 0 : part / whole;
-}
-
 /** What came of trying to place a job. */
 interface Attempt {
   placed: boolean;
@@ -309,52 +296,3 @@
 function smaller(a: Size | undefined, b: Size | undefined): Size | undefined {
   return a === undefined || b === undefined ? a ?? b : least(a, b);
 }
-
-/** A lane and the position up to which it was looked at. */
-interface Turn {
-  lane: Lane;
-  cursor: number;
-}
-
-/** Lanes in order of their team's share. */
-class Turns {
-  readonly #teams = new Map<string, Turn[]>();
-  readonly #share: (team: string) => number;
-
-  constructor(lanes: Iterable<Lane>, share: (team: string) => number) {
-    this.#share = share;
-    for (const lane of lanes) {
-      const turn = { lane, cursor: 0 };
-      const known = this.#teams.get(lane.team);
-      if (known === undefined) {
-        this.#teams.set(lane.team, [turn]);
-      } else {
-        known.push(turn);
-      }
-    }
-  }
-
-  /** The next lane of the team with the least share. */
-  next(): Turn | undefined {
-    let best: Turn | undefined;
-    let bestShare = Infinity;
-    for (const [team, turns] of this.#teams) {
-      const share = this.#share(team);
-      if (best === undefined || share < bestShare) {
-        best = turns[0];
-        bestShare = share;
-      }
-    }
-    return best;
-  }
-
-  /** Leaves the lane out for the rest of the round. */
-  block(turn: Turn): void {
-    const { team } = turn.lane;
-    const turns = this.#teams.get(team);
-    turns?.splice(turns.indexOf(turn), 1);
-    if (turns?.length === 0) {
-      this.#teams.delete(team);
-    }
-  }
-}
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -6,10 +6,14 @@
  */
 import type { State } from "../state.ts";
 import { absorbReports } from "./absorbing.ts";
-import { quotasOf } from "./apply.ts";
 import { dispatchVm } from "./dispatch.ts";
 import { explainJob, type Explanation } from "./explain.ts";
-import { neverFits, type PoolLimits, poolLimits } from "./feasibility.ts";
+import {
+  neverFits,
+  type PoolLimits,
+  poolLimits,
+  quotasOf,
+} from "./feasibility.ts";
 import { Filler } from "./filling.ts";
 import type { JobChange, JobCommand } from "./job.ts";
 import { JobIndex } from "./job_index.ts";
