--- a/packages/core/src/placement/apply.ts
+++ b/packages/core/src/placement/apply.ts
@@ -7,30 +7,21 @@
 import { type Fault, fault } from "../fault.ts";
 import { Err, Ok, type Result } from "../result.ts";
 import type { State } from "../state.ts";
-import { digestOf } from "./digest.ts";
 import { endRun } from "./ending.ts";
-import { neverFits, poolLimits } from "./feasibility.ts";
+import { quotasOf } from "./feasibility.ts";
 import { emptyHealth } from "./health.ts";
 import {
-  type EndedJob,
   type Job,
   type JobChange,
   type JobCommand,
   type JobOutput,
   type JobReply,
   type Jobs,
-  type SubmittedJob,
+  matchesJob,
 } from "./job.ts";
-import { Sizing } from "./learning.ts";
 import { countRun, endJob, touch } from "./record.ts";
-import {
-  addSize,
-  fits,
-  remaining,
-  type Size,
-  toSize,
-  zeroSize,
-} from "./size.ts";
+import { endedReply, submitJobs } from "./submitting.ts";
+import { addSize, fits, remaining, type Size, zeroSize } from "./size.ts";
 
 type ChangeOf<T extends JobChange["type"]> = Extract<JobChange, { type: T }>;
 
@@ -43,82 +34,29 @@
     case "job.submit":
       return Ok({
         kind: "jobs",
-        jobs: submit(state, command.jobs, command.at),
+        jobs: submitJobs(state, command.jobs, command.at),
       });
     case "job.cancel":
       return Ok({
         kind: "jobs",
-        jobs: command.jobs.map((id) => cancel(state.jobs, id, command.at)),
+        jobs: cancelledIds(state.jobs, command)
+          .map((id) => cancel(state.jobs, id, command.at)),
       });
     case "job.step":
       return step(state, command);
   }
 }
 
-function submit(state: State, batch: SubmittedJob[], at: number): JobReply[] {
-  const limits = poolLimits(state);
-  const quotas = quotasOf(state);
-  const sizing = new Sizing(state.jobs);
-  return batch.map((submission) => {
-    const known = knownReply(state.jobs, submission);
-    if (known !== undefined) {
-      return known;
-    }
-    const job = newJob(submission, at);
-    state.jobs.active[job.id] = job;
-    touch(state.jobs, job.id);
-    const reason = neverFits(job, { limits, quotas, sizing });
-    if (reason !== undefined) {
-      endJob(state.jobs, job, { end: "refused", reason, at });
-      return { id: job.id, state: "refused", reason };
-    }
-    return { id: job.id, state: "waiting" };
-  });
-}
-
-function newJob(submission: SubmittedJob, at: number): Job {
-  return {
-    ...submission,
-    phase: "waiting",
-    submittedAt: at,
-    runs: 0,
-    floorMb: 0,
-    killedMb: 0,
-    failedOn: [],
-    moves: 0,
-  };
-}
-
-function knownReply(
+function cancelledIds(
   jobs: Jobs,
-  submission: SubmittedJob,
-): JobReply | undefined {
-  const digest = digestOf(submission);
-  const active = jobs.active[submission.id];
-  if (active !== undefined) {
-    return digestOf(active) === digest
-      ? { id: active.id, state: active.phase }
-      : conflict(submission.id);
+  { jobs: named, matching }: Extract<JobCommand, { kind: "job.cancel" }>,
+): string[] {
+  if (matching === undefined) {
+    return named ?? [];
   }
-  const ended = jobs.ended[submission.id];
-  if (ended === undefined) {
-    return undefined;
-  }
-  return ended.digest === digest
-    ? endedReply(submission.id, ended)
-    : conflict(submission.id);
-}
-
-function conflict(id: string): JobReply {
-  return {
-    id,
-    state: "conflict",
-    reason: "Another job was submitted under this id",
-  };
-}
-
-function endedReply(id: string, ended: EndedJob): JobReply {
-  return { id, state: ended.end, reason: ended.reason };
+  return Object.values(jobs.active)
+    .filter((job) => matchesJob(job, matching))
+    .map((job) => job.id);
 }
 
 function cancel(jobs: Jobs, id: string, at: number): JobReply {
@@ -219,6 +157,7 @@
     run: {
       id: change.run,
       vm: change.vm,
+      incarnation: change.incarnation,
       size: change.size,
       at: context.at,
       want: "run",
@@ -233,11 +172,6 @@
   return `${job.id}#${job.runs + 1}`;
 }
 
-/** The quota of each team. */
-export function quotasOf(state: State): Map<string, Size> {
-  return new Map(state.rules.teams.map((team) => [team.name, toSize(team)]));
-}
-
 function heldJob(jobs: Jobs, id: string, run: string): Job | undefined {
   const job = jobs.active[id];
   return job?.run?.id === run ? job : undefined;
@@ -292,7 +226,8 @@
   for (const job of Object.values(jobs.active)) {
     if (job.failedOn.includes(vm)) {
       const failedOn = job.failedOn.filter((name) => name !== vm);
-      jobs.active[job.id] = { ...job, failedOn };
+      const failures = job.failures - 1;
+      jobs.active[job.id] = { ...job, failedOn, failures };
       touch(jobs, job.id);
     }
   }
--- a/packages/core/src/placement/job.ts
+++ b/packages/core/src/placement/job.ts
@@ -49,6 +49,8 @@
 export const Run = z.object({
   id: z.string(),
   vm: Name,
+  /** Incarnation of the VM's agent for which the run is meant; no other starts it. */
+  incarnation: z.number().int(),
   size: Size,
   /** Wall-clock time of the placement, in milliseconds. */
   at: z.number(),
@@ -70,6 +72,7 @@
   checkpoint: z.string().optional(),
   /** VMs on which the job failed. */
   failedOn: z.array(Name),
+  failures: z.number().int(),
   moves: z.number().int(),
 });
 export type Job = z.infer<typeof Job>;
@@ -166,6 +169,7 @@
     job: JobId,
     run: z.string(),
     vm: Name,
+    incarnation: z.number().int(),
     size: Size,
   }),
   z.object({
@@ -201,6 +205,24 @@
 ]);
 export type JobChange = z.infer<typeof JobChange>;
 
+/** Most jobs that one cancellation names. */
+export const MAX_CANCELLED = 100_000;
+
+/** A choice of active jobs: those that agree in every given field. */
+export const JobMatch = z.strictObject({
+  team: Name.optional(),
+  kind: Name.optional(),
+  pool: Name.optional(),
+});
+export type JobMatch = z.infer<typeof JobMatch>;
+
+/** Whether a job agrees in every given field. */
+export function matchesJob(job: Job, match: JobMatch): boolean {
+  return (match.team ?? job.team) === job.team &&
+    (match.kind ?? job.kind) === job.kind &&
+    (match.pool ?? job.pool) === job.pool;
+}
+
 export const JobCommand = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("job.submit"),
@@ -209,7 +231,9 @@
   }),
   z.object({
     kind: z.literal("job.cancel"),
-    jobs: z.array(JobId).max(100_000),
+    /** The named jobs, or every active job that matches. */
+    jobs: z.array(JobId).max(MAX_CANCELLED).optional(),
+    matching: JobMatch.optional(),
     at: z.number(),
   }),
   z.object({
--- a/packages/core/src/placement/lease.ts
+++ b/packages/core/src/placement/lease.ts
@@ -14,6 +14,10 @@
 const URGENT_START_MS = 1_500;
 /** Interval at which a lease is renewed. */
 export const RENEW_MS = 5_000;
+/** How long an agent holds back its answer to a renewal while no run ends. */
+export const WAIT_MS = 4_000;
+/** Interval at which a VM is asked that has not reported in this term. */
+export const FIRST_ASK_MS = 1_000;
 /** Interval at which a VM is asked while a run on it starts or leaves. */
 export const WATCH_MS = 250;
 /** A VM that has not reported for this long gets no new work. */
@@ -31,15 +35,13 @@
   bound: number;
   /** End of the first lease on the agent's clock, when a start was sent. */
   until?: number;
-  /** Incarnation to which a start was sent. */
-  sentTo?: number;
   sentAt: number;
   /** The run has surely ended, and nothing may be sent for it any more. */
   closed: boolean;
   /** Whether this leader has renewed the lease. */
   renewed: boolean;
-  /** Incarnation that reported the run. */
-  seenIn?: number;
+  /** Whether a report listed the run. */
+  seen: boolean;
   /** Times at which operations on the run were first and last sent, by operation id. */
   operations: Map<string, { first: number; last: number }>;
 }
@@ -50,6 +52,8 @@
   /** Leader's time at which the report arrived. */
   reportedAt: number;
   askedAt: number;
+  /** Whether the agent may be holding back its answer to the last renewal. */
+  held: boolean;
   /** A start was not answered; the VM gets no new work before its next report. */
   suspect: boolean;
   /** When the runs must be looked at again, though nothing was reported. */
@@ -64,6 +68,7 @@
   return {
     reportedAt: -Infinity,
     askedAt: -Infinity,
+    held: false,
     suspect: false,
     checkAt: -Infinity,
     runs: new Map(),
@@ -78,6 +83,7 @@
     sentAt: -Infinity,
     closed: false,
     renewed: false,
+    seen: false,
     operations: new Map(),
   };
 }
@@ -110,6 +116,7 @@
   lease.reports = new Map(report.runs.map((run) => [run.run, run]));
   lease.reportedAt = now;
   lease.suspect = false;
+  lease.held = false;
   return true;
 }
 
@@ -148,11 +155,9 @@
   run: RunLease,
   { now, lengthMs }: { now: number; lengthMs: number },
 ): number {
-  const { report } = lease;
   const ageMs = now - lease.reportedAt;
-  if (run.until === undefined || run.sentTo !== report?.incarnation) {
-    run.until = (report?.clock ?? 0) + ageMs + lengthMs;
-    run.sentTo = report?.incarnation;
+  if (run.until === undefined) {
+    run.until = (lease.report?.clock ?? 0) + ageMs + lengthMs;
     const bound = lease.reportedAt +
       (ageMs + lengthMs) * (1 + CLOCK_DRIFT) + CLOCK_MARGIN_MS;
     run.bound = Math.max(run.bound, bound);
@@ -161,23 +166,30 @@
   return run.until;
 }
 
-/** Whether a start may be sent, for the first time or again. */
-export function startDue(lease: VmLease, run: RunLease, now: number): boolean {
+/** Whether a start may be sent to the incarnation that the run is meant for, for the first time or again. */
+export function startDue(
+  lease: VmLease,
+  run: RunLease,
+  { incarnation, now }: { incarnation: number; now: number },
+): boolean {
   const { report } = lease;
-  if (report === undefined || now - lease.reportedAt > STALE_MS) {
+  if (
+    report?.incarnation !== incarnation || now - lease.reportedAt > STALE_MS
+  ) {
     return false;
   }
-  const first = run.sentTo !== report.incarnation;
-  return first || (now - run.sentAt >= START_RETRY_MS && now < run.bound);
+  return run.until === undefined ||
+    (now - run.sentAt >= START_RETRY_MS && now < run.bound);
 }
 
 /**
- * Whether the report proves that a run it does not list has ended and cannot start: an earlier incarnation had it, and
- * this leader sent no start to the present one. Starts of earlier leaders are refused, since the agent has seen this
- * term.
+ * Whether the VM's agent started anew since the run was placed. The run has ended with the earlier incarnation, and the
+ * present one refuses its start.
  */
-export function provenGone(lease: VmLease, run: RunLease): boolean {
-  const incarnation = lease.report?.incarnation;
-  return run.seenIn !== undefined && run.seenIn !== incarnation &&
-    run.sentTo !== incarnation;
+export function startedAnew(
+  lease: VmLease,
+  incarnation: number,
+): boolean {
+  return lease.report !== undefined &&
+    lease.report.incarnation > incarnation;
 }
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -11,3 +11,4 @@
 export * from "./fleet.ts";
 export * from "./load.ts";
 export * from "./target.ts";
+export * from "./task_agent.ts";
