--- a/test/links_test.ts
+++ b/test/links_test.ts
@@ -1,7 +1,10 @@
 import { connect, createServer, type Socket } from "node:net";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { callAdmin } from "@quetzalcove/emulator";
-import { Connection } from "../packages/daemon/src/link/connection.ts";
+import {
+  Connection,
+  type Handlers,
+} from "../packages/daemon/src/link/connection.ts";
 import { Scene } from "./harness/scene.ts";
 
 /** The target of the system: a silent connection is found within this time. */
@@ -102,7 +105,7 @@
 
   /** A connection whose peer sends what the test says and reads nothing. */
   const pair = async (
-    handlers: ConstructorParameters<typeof Connection>[1],
+    handlers: Handlers,
   ): Promise<
     { socket: Socket; peer: Socket; connection: Connection; end: () => void }
   > => {
@@ -118,12 +121,12 @@
     peer.pause();
     peer.on("error", () => {});
     const socket = await accepted;
-    const connection = new Connection(
-      socket,
+    const connection = new Connection(socket, {
       handlers,
       bounds,
-      () => performance.now(),
-    );
+      now: () => performance.now(),
+      count: () => {},
+    });
     const end = (): void => {
       connection.close("test ends");
       peer.destroy();
