--- a/packages/core/src/machine.ts
+++ b/packages/core/src/machine.ts
@@ -9,12 +9,11 @@
 import { type Fault, Fault as FaultShape } from "./fault.ts";
 import { applyFleet, FleetCommand } from "./fleet.ts";
 import { applyBudget, BudgetCommand } from "./maintenance/budget.ts";
-import {
-  applyRollout,
-  notePhase,
-  RolloutCommand,
-} from "./maintenance/rollout.ts";
+import { notePhase, RolloutCommand } from "./maintenance/rollout.ts";
+import { applyRollout } from "./maintenance/rollout_machine.ts";
 import { applyLedger, LedgerCommand, LedgerOutput } from "./ledger.ts";
+import { applyJobs } from "./placement/apply.ts";
+import { JobCommand, JobOutput } from "./placement/job.ts";
 import { Ok, type Result } from "./result.ts";
 import type { State } from "./state.ts";
 
@@ -22,6 +21,7 @@
   ConfigureCommand,
   FleetCommand,
   LedgerCommand,
+  JobCommand,
   RolloutCommand,
   BudgetCommand,
 ]);
@@ -30,6 +30,7 @@
 /** What applying a command reports to the one who proposed it. */
 export const Output = z.union([
   LedgerOutput,
+  JobOutput,
   z.object({
     kind: z.literal("configured"),
     version: z.number().int(),
@@ -54,6 +55,10 @@
     case "vm.phase":
     case "vm.move":
       return changeVm(state, command);
+    case "job.submit":
+    case "job.cancel":
+    case "job.step":
+      return applyJobs(state, command);
     case "round.open":
     case "wave.start":
     case "wave.end":
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -9,6 +9,7 @@
 import {
   type Admission,
   capacityAdmission,
+  endsInTime,
   giveUpAt,
   loadOf,
   refusal,
@@ -20,14 +21,16 @@
   learn,
   learnTimeout,
   mayRetry,
+  nextDeadline,
   noteOutcome,
   release,
   start,
 } from "./attempts.ts";
 import { describePool, needsOf, type PoolDescription } from "./description.ts";
-import { Pool } from "./pool.ts";
+import { addressOf, Pool } from "./pool.ts";
 import {
   giveUp,
+  type Moment,
   noLease,
   noTarget,
   overloaded,
@@ -35,26 +38,18 @@
   tooLate,
   unknownService,
 } from "./refusals.ts";
-import { anyFree, choose, type Match, nextMatch } from "./selection.ts";
+import { choose, type Match, nextMatch } from "./selection.ts";
 import type { SlotReport } from "./slot_report.ts";
 import type {
   Completion,
   Dispatch,
   Route,
   RoutedService,
+  RouterSetup,
   Submission,
 } from "./submission.ts";
 import type { Pending } from "./waiting_line.ts";
 
-/** What a router is built with. */
-export interface RouterSetup {
-  entry: string;
-  incarnation: number;
-  /** Random numbers in [0, 1). */
-  random: () => number;
-  admission?: Admission;
-}
-
 /** The routing state of one entry. */
 export class Router {
   readonly #setup: RouterSetup;
@@ -66,6 +61,7 @@
   #routes: readonly Route[] = [];
   #wakeup = Number.POSITIVE_INFINITY;
   #reports = 0;
+  #startedAt = Number.POSITIVE_INFINITY;
 
   constructor(setup: RouterSetup) {
     this.#setup = setup;
@@ -74,6 +70,7 @@
 
   /** Takes over the services in force; requests that wait for a removed service are refused. */
   setServices(services: readonly RoutedService[], now: number): Dispatch[] {
+    this.#startedAt = Math.min(this.#startedAt, now);
     const dispatches: Dispatch[] = [];
     const names = new Set(services.map((service) => service.name));
     for (const [name, pool] of this.#pools) {
@@ -157,7 +154,7 @@
       return [];
     }
     this.#flights.delete(id);
-    release(flight, now);
+    release(flight);
     learn(flight, completion, now);
     const next = flight.settled
       ? []
@@ -223,9 +220,11 @@
     this.#allowances.enter(epoch, now);
     this.#spreadAllowances();
     this.#reports += 1;
+    this.#startedAt = Math.min(this.#startedAt, now);
     return {
       entry: this.#setup.entry,
       incarnation: this.#setup.incarnation,
+      ageMs: now - this.#startedAt,
       number: this.#reports,
       epoch,
       applied: this.#allowances.applied,
@@ -234,10 +233,10 @@
     };
   }
 
-  /** Whether requests wait that an early renewal could serve. */
-  isShort(now: number): boolean {
+  /** Whether requests wait for a service of which this entry holds no slot, so that it should renew early. */
+  isShort(): boolean {
     for (const pool of this.#pools.values()) {
-      if (pool.line.urgentAndLive > 0 && !anyFree(pool, now)) {
+      if (pool.line.urgentAndLive > 0 && pool.slots === 0) {
         return true;
       }
     }
@@ -249,14 +248,14 @@
     return [...this.#pools.values()].map((pool) => describePool(pool, now));
   }
 
-  #moment(now: number): { now: number; random: () => number } {
+  #moment(now: number): Moment {
     return { now, random: this.#setup.random };
   }
 
   #refusalOf(pool: Pool, pending: Pending, now: number): Fault | undefined {
     const moment = this.#moment(now);
     const idle = pool.line.length === 0 &&
-      now + pool.run.meanMs <= pending.deadline &&
+      endsInTime(pool, pending, now) &&
       choose(pool, pending, moment) !== undefined;
     return idle
       ? undefined
@@ -345,8 +344,7 @@
     this.#flights.set(id, start(pool, pending, { held, now }));
     this.#wakeAt(pending.deadline);
     this.#admission.started(loadOf(pool), now - pending.submittedAt, now);
-    const { target, address } = held.route;
-    return { kind: "send", id, target, address, attempt };
+    return { kind: "send", id, attempt, ...addressOf(held) };
   }
 
   #refuseWaiting(pool: Pool, pending: Pending, now: number): Dispatch {
@@ -388,12 +386,8 @@
     for (const pool of this.#pools.values()) {
       earliest = Math.min(earliest, pool.nextWakeup(now));
     }
-    for (const { settled, pending } of this.#flights.values()) {
-      if (!settled) {
-        earliest = Math.min(earliest, pending.deadline);
-      }
-    }
-    const lease = this.#allowances.until;
-    return lease > now ? Math.min(earliest, lease) : earliest;
+    earliest = Math.min(earliest, nextDeadline(this.#flights.values()));
+    const { until } = this.#allowances;
+    return until > now ? Math.min(earliest, until) : earliest;
   }
 }
--- a/packages/core/test/raft_node.ts
+++ b/packages/core/test/raft_node.ts
@@ -22,6 +22,7 @@
   heartbeatMs: 100,
   electionMs: 400,
   trailingEntries: 2,
+  window: { messages: 3, size: 1_000 },
   maxAppendSize: 100,
   snapshotChunkLength: 24,
 };
@@ -156,8 +157,14 @@
   /** Compacts the log; the snapshot reaches the disk, or a crash comes first. */
   compact(kept: boolean): void {
     const { index, commands } = this.machine;
-    const snapshot = this.raft?.compact(index, JSON.stringify(commands));
-    if (snapshot?.ok && kept) {
+    const author = `${this.id}@${index}/${this.#around.now()}`;
+    const data = JSON.stringify({ author, commands, end: author });
+    const snapshot = this.raft?.compact(index, data);
+    if (!snapshot?.ok) {
+      return;
+    }
+    this.#around.checker.compacted(snapshot.val);
+    if (kept) {
       adoptSnapshot(this.disk, snapshot.val);
       adoptSnapshot(this.#cache, snapshot.val);
     }
@@ -212,8 +219,7 @@
     const { checker } = this.#around;
     if (write.installed !== undefined) {
       this.machine = machineOf(write.installed);
-      const { index, commands } = this.machine;
-      checker.restored(this.id, index, commands.length);
+      checker.restored(write.installed, this.machine.commands.length);
     }
     for (const entry of committed) {
       this.#checkDurable(entry);
@@ -254,5 +260,5 @@
 function machineOf(snapshot: Snapshot | undefined): Machine {
   return snapshot === undefined
     ? { index: 0, commands: [] }
-    : { index: snapshot.index, commands: JSON.parse(snapshot.data) };
+    : { index: snapshot.index, commands: JSON.parse(snapshot.data).commands };
 }
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -174,6 +174,17 @@
     expect(size).toBeLessThan(1_500_000);
   });
 
+  test("goes on after all messages of a full window were lost", () => {
+    const group = Group.of(THREE);
+    isolate(group, "e3");
+    for (let i = 0; i < 200; i++) {
+      group.propose("e1", `w${i}`);
+    }
+    group.lost = () => false;
+    group.advance(1_000);
+    expect(group.node("e3").applied).toEqual(group.node("e1").applied);
+  });
+
   test("sends messages that fit their schema", () => {
     const group = Group.of(THREE);
     group.propose("e1", "a");
@@ -261,6 +272,36 @@
     expect(raft.compactionDue).toBe(true);
   });
 
+  test("keep the entries of a follower whose log holds their last one", () => {
+    const { raft } = new Group("e2").node("e2");
+    const position = { from: idOf("e1"), to: idOf("e2"), term: 2 };
+    const entries = [2, 3, 4].map((index) => ({
+      kind: "command" as const,
+      index,
+      term: 2,
+      data: "x",
+    }));
+    raft.receive({
+      kind: "append",
+      ...position,
+      previousIndex: 1,
+      previousTerm: 1,
+      entries,
+      commit: 1,
+    }, 0);
+    const head = { index: 3, term: 2, membership: raft.membership };
+    raft.receive({
+      kind: "snapshot",
+      ...position,
+      head,
+      offset: 0,
+      chunk: "[]",
+      last: true,
+    }, 0);
+    expect(raft.take().write).toMatchObject({ entries });
+    expect(raft.status).toMatchObject({ commit: 3, lastIndex: 4 });
+  });
+
   test("are not taken above what is applied", () => {
     const group = Group.of(["e1"]);
     const { raft } = group.node("e1");
@@ -314,6 +355,22 @@
     });
   });
 
+  test("waits until an entry of the leader's own term is committed", () => {
+    const group = Group.of(THREE);
+    const { raft } = group.node("e2");
+    group.lost = ({ kind, from }) => kind === "append" && from === idOf("e2");
+    group.node("e1").raft.transferLeadership(idOf("e2"), group.now).unwrap();
+    group.advance(300);
+    expect(raft.status.role).toBe("leader");
+    const change = { kind: "add", member: memberNamed("e4") } as const;
+    expect(raft.changeMembership(change, group.now).val).toMatchObject({
+      kind: "conflict",
+    });
+    group.lost = () => false;
+    group.advance(500);
+    expect(raft.changeMembership(change, group.now).ok).toBe(true);
+  });
+
   test("allows one change at a time", () => {
     const group = Group.of(THREE);
     const { raft } = group.node("e1");
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -7,9 +7,11 @@
 import {
   type Command,
   ConfigurationChange,
-  Err,
   type Fault,
   fault,
+  JobCancellation,
+  JobFilter,
+  JobSubmission,
   Ok,
   parse,
   parseJson,
@@ -17,7 +19,6 @@
   type Settings,
   Settlement,
   validate,
-  VmReason,
 } from "@quetzalcove/core";
 import findMyWay from "find-my-way";
 import { z } from "zod";
@@ -49,14 +50,9 @@
   transfer: (entry: string) => Promise<Result<unknown, Fault>>;
 }
 
-const DrainOrder = z.strictObject({ reason: VmReason.default("operator") });
+const Nothing = z.strictObject({});
 const EntryName = z.strictObject({ entry: z.string() });
 const ReplicaName = z.strictObject({ replica: z.string() });
-const VmRows = z.object({
-  vms: z.array(
-    z.looseObject({ name: z.string(), phase: z.string(), reason: z.string() }),
-  ),
-});
 
 /** Longest wait for the leader, in milliseconds. */
 const LEADER_TIMEOUT_MS = 5_000;
@@ -92,6 +88,7 @@
     this.#get("/v1/configuration", () => this.#read({ what: "configuration" }));
     this.#get("/v1/vms", () => this.#read({ what: "vms" }));
     this.#get("/v1/services", () => this.#read({ what: "services" }));
+    this.#get("/v1/waves", () => this.#read({ what: "waves" }));
     this.#get("/v1/replicas", () => this.#read({ what: "replicas" }));
     this.#get("/v1/force", (_, query) => {
       return this.#read({
@@ -105,6 +102,12 @@
         phase: query.get("phase") ?? undefined,
       });
     });
+    this.#get("/v1/jobs", (_, query) => {
+      return this.#list(query);
+    });
+    this.#get("/v1/jobs/:id", (params) => {
+      return this.#read({ what: "job", id: params["id"] ?? "" });
+    });
     this.#get("/v1/traces/:id", async (params) => {
       return Ok({ spans: await this.#parts.findTrace(params["id"] ?? "") });
     });
@@ -116,25 +119,21 @@
       ConfigurationChange,
       (change) => this.#configure(change),
     );
-    this.#post("/v1/vms/:name/drain", DrainOrder, (order, params) => {
-      return this.#changePhase(
-        params["name"] ?? "",
-        ["serving"],
-        "draining",
-        order.reason,
-      );
+    this.#post("/v1/vms/:name/drain", Nothing, (_, params) => {
+      return this.#want(params["name"] ?? "", true);
     });
-    this.#post("/v1/vms/:name/resume", DrainOrder, (_, params) => {
-      return this.#changePhase(
-        params["name"] ?? "",
-        ["draining", "drained"],
-        "serving",
-        "none",
-      );
+    this.#post("/v1/vms/:name/resume", Nothing, (_, params) => {
+      return this.#want(params["name"] ?? "", false);
     });
     this.#post("/v1/requests/settle", Settlement, (settlement) => {
       return this.#settle(settlement);
     });
+    this.#post("/v1/jobs", JobSubmission, ({ jobs }) => {
+      return this.#propose({ kind: "job.submit", jobs, at: 0 });
+    });
+    this.#post("/v1/jobs/cancel", JobCancellation, (cancellation) => {
+      return this.#propose({ kind: "job.cancel", ...cancellation, at: 0 });
+    });
     const { replicas } = this.#parts;
     this.#post("/v1/init", z.object({}), () => replicas.init());
     this.#post(
@@ -216,6 +215,13 @@
       .andThen((value) => parse(schema, value, "body"));
   }
 
+  async #list(query: URLSearchParams): Answer {
+    const filter = parse(JobFilter, Object.fromEntries(query), "query");
+    return filter.err
+      ? filter
+      : await this.#read({ what: "jobs", ...filter.val });
+  }
+
   #read(query: Query): Answer {
     return this.#parts.leader.call("read", query, LEADER_TIMEOUT_MS);
   }
@@ -257,39 +263,9 @@
     return await this.#propose({ kind: "ledger.settle", ...named, at: 0 });
   }
 
-  async #changePhase(
-    name: string,
-    from: readonly string[],
-    to: "draining" | "serving",
-    reason: VmReason,
-  ): Answer {
-    const rows = (await this.#read({ what: "vms" })).andThen((rows) =>
-      parse(VmRows, rows, "vms")
-    );
-    if (rows.err) {
-      return rows;
-    }
-    const vm = rows.val.vms.find((row) => row.name === name);
-    if (vm === undefined) {
-      return Err(fault("not_found", `VM "${name}" is in no inventory`));
-    }
-    if (!from.includes(vm.phase)) {
-      return Err(
-        fault(
-          "conflict",
-          `VM "${name}" is ${vm.phase}; this needs ${from.join(" or ")}`,
-        ),
-      );
-    }
-    const phase = vm.phase as "serving" | "draining" | "drained";
-    return await this.#propose({
-      kind: "vm.phase",
-      vm: name,
-      from: phase,
-      to,
-      reason,
-      at: 0,
-    });
+  /** Orders a VM out of service or back; the leader starts the stop when it is safe. */
+  #want(vm: string, out: boolean): Answer {
+    return this.#propose({ kind: "vm.want", vm, out, at: 0 });
   }
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -25,13 +25,15 @@
 import { HttpServer } from "./http_server.ts";
 import { Leader } from "./leader/leader.ts";
 import { type Component, Lifecycle } from "./lifecycle.ts";
-import type { Handler } from "./link/connection.ts";
+import type { ConnectionParts, Handler } from "./link/connection.ts";
 import { Link } from "./link/link.ts";
 import { LinkServer } from "./link/server.ts";
 import { hostAndPort } from "./net.ts";
 import { type Log, messageOf, openLog } from "./observe/log.ts";
 import { Metrics } from "./observe/metrics.ts";
+import { registerProcessGauges } from "./observe/process_gauges.ts";
 import { type SpanRecord, Tracing } from "./observe/tracing.ts";
+import { PlatformAgents } from "./platform/agents.ts";
 import { jsonReply, problemReply } from "./problem.ts";
 import { openReplicaFolder, type ReplicaFolder } from "./replica_folder.ts";
 
@@ -50,6 +52,14 @@
   readonly #settings: Settings;
   readonly #clock: Clock = systemClock;
   readonly #metrics = new Metrics();
+  readonly #traffic = {
+    sent: this.#metrics.counter("quetzalcove_link_bytes_total", {
+      direction: "sent",
+    }),
+    received: this.#metrics.counter("quetzalcove_link_bytes_total", {
+      direction: "received",
+    }),
+  };
   readonly #tracing: Tracing;
   readonly #lifecycle: Lifecycle;
   readonly #handlers = new Map<string, Handler>();
@@ -67,6 +77,7 @@
     this.#settings = settings;
     this.log = openLog({ ...log, entry });
     this.#tracing = new Tracing({ ...traces, entry, zone });
+    registerProcessGauges(this.#metrics);
     this.#lifecycle = new Lifecycle((component, error) => {
       this.log.error("component.stop_failed", {
         component,
@@ -141,9 +152,7 @@
         peer: peer.entry,
         address: peer.link,
         localHost: hostAndPort(this.#settings.listen.link).host,
-        handlers: this.#handlers,
-        bounds: this.#settings.link,
-        now: () => this.#clock.monotonic(),
+        ...this.#connectionParts(),
         log: this.log,
         hello: { cluster: this.#settings.cluster, entry: this.#settings.entry },
       });
@@ -160,10 +169,17 @@
   #linkServer(): LinkServer {
     return new LinkServer({
       address: this.#settings.listen.link,
+      ...this.#connectionParts(),
+    });
+  }
+
+  #connectionParts(): ConnectionParts {
+    return {
       handlers: this.#handlers,
       bounds: this.#settings.link,
       now: () => this.#clock.monotonic(),
-    });
+      count: (direction, bytes) => this.#traffic[direction](bytes),
+    };
   }
 
   #replicaComponents(folder: ReplicaFolder): Component[] {
@@ -177,7 +193,9 @@
       send: (entry, message) => this.#links.get(entry)?.notify("raft", message),
       onStorageFailure: (cause) => this.onFailure(cause),
     });
+    const agents = new PlatformAgents(this.log);
     const leader = new Leader({
+      agents,
       settings: this.#settings,
       consensus: replica,
       clock: this.#clock,
@@ -205,7 +223,7 @@
     for (const [method, handler] of this.#formation.handlers()) {
       this.#handlers.set(method, handler);
     }
-    return [replica, leader, this.#formation];
+    return [replica, agents, leader, this.#formation];
   }
 
   #leaderClient(): LeaderClient {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -124,7 +124,7 @@
     const now = this.#parts.clock.monotonic();
     return {
       inFlight,
-      usage: this.#usage.take(),
+      usage: this.#usage.read(),
       unhealthy: this.#ejected(now),
       slots: this.#router.report(term, now),
     };
@@ -153,11 +153,7 @@
   }
 
   #renewWhenShort(): void {
-    const { clock } = this.#parts;
-    if (
-      this.#earlyRenewal === undefined &&
-      this.#router.isShort(clock.monotonic())
-    ) {
+    if (this.#earlyRenewal === undefined && this.#router.isShort()) {
       this.#earlyRenewal = setTimeout(() => {
         this.#earlyRenewal = undefined;
         void this.membership.renew();
