--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -161,6 +161,7 @@
   }
   progress.round = Math.max(progress.round, answer.round);
   progress.probing = false;
+  progress.resend(replica.now - replica.tuning.heartbeatMs);
   progress.verify = progress.mode === "replicate" &&
     progress.match < progress.next - 1;
   flushReads(replica);
--- a/packages/core/src/raft/progress.ts
+++ b/packages/core/src/raft/progress.ts
@@ -115,6 +115,13 @@
     };
   }
 
+  /** Lets a snapshot chunk be sent again that was sent before a time and not answered. */
+  resend(before: number): void {
+    if (this.transmission !== undefined && this.transmission.sentAt <= before) {
+      this.transmission.sentAt = Number.NEGATIVE_INFINITY;
+    }
+  }
+
   #land(): void {
     while (
       this.#flights[0] !== undefined && this.#flights[0].lastIndex <= this.match
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -247,6 +247,14 @@
     expect(compactions).toBeLessThanOrEqual(20 / 3);
   });
 
+  test("send a lost chunk again after a heartbeat", () => {
+    const group = compacted();
+    let chunks = 0;
+    group.lost = ({ kind }) => kind === "snapshot" && ++chunks === 1;
+    group.advance(900);
+    expect(group.node("e3").applied).toEqual(group.node("e1").applied);
+  });
+
   test("are not due before they would be taken", () => {
     const { raft } = new Group("e2", { maxLogEntries: 2 }).node("e2");
     const entries = [2, 3, 4].map((index) => ({
