--- a/bench/src/waves/measure.ts
+++ b/bench/src/waves/measure.ts
@@ -10,6 +10,8 @@
 
 /** The figures of one run. */
 export interface Figures {
+  /** Whether the seed has an incident. */
+  incident: boolean;
   /** Whether every VM was maintained before the run ended. */
   complete: boolean;
   /** From the start of the round until the last VM was back, in minutes. */
@@ -59,17 +61,14 @@
     const decision = policy(model.state, observation, model.now);
     passes.push(clock() - from);
     decision.commands.forEach((command) => model.apply(command));
-    for (const action of decision.actions) {
-      if (action.kind === "reboot") {
-        model.reboot(action.vm, action.operation);
-      }
-    }
+    decision.actions.forEach((action) => model.order(action));
     buffer.sample(model.state);
     outsideMs += isOutside(model, shape) ? shape.tickMs : 0;
   }
   const { state } = model;
   const maintained = Object.values(state.vms).filter((vm) => isDone(state, vm));
   return {
+    incident: model.incident.kind !== "none",
     complete: isOver(state),
     rolloutMinutes: (model.now - start) / MINUTE_MS,
     moves: model.stops / Math.max(1, maintained.length),
--- a/packages/core/src/maintenance/health.ts
+++ b/packages/core/src/maintenance/health.ts
@@ -18,7 +18,7 @@
 
 /** Marks silent VMs as failed, unless so many are silent that the observation itself is in doubt. */
 export function findFailures(pass: Pass): void {
-  const serving = Object.values(pass.state.vms).filter(inService);
+  const serving = Object.values(pass.state.vms).filter(mustAnswer);
   const silent = serving.filter((record) => isSilent(pass, record));
   const doubtful = silent.length >= MIN_SILENT_VMS &&
     silent.length > serving.length * MAX_SILENT_SHARE;
@@ -37,25 +37,35 @@
   }
 }
 
-function inService(record: VmRecord): boolean {
-  return record.phase === "serving" || record.phase === "draining";
+/** An operator may switch off a VM that is drained for them; any other has to answer until it reboots. */
+function mustAnswer(record: VmRecord): boolean {
+  return record.phase === "serving" || record.phase === "draining" ||
+    record.phase === "drained" && record.reason === "wave";
 }
 
 function isSilent(pass: Pass, record: VmRecord): boolean {
+  const since = pass.condition(record.name)?.since ?? pass.now;
+  return !answers(pass, record) && pass.now - since >= FAILURE_MS;
+}
+
+/** Whether a VM answers; one that the platform has drained may have no targets left to answer. */
+export function answers(pass: Pass, record: VmRecord): boolean {
   const condition = pass.condition(record.name);
-  return condition?.live === false && pass.now - condition.since >= FAILURE_MS;
+  return condition?.live !== false || condition.platformDrained;
 }
 
 /** Moves a failed or returning VM towards service. */
 export function recover(pass: Pass, record: VmRecord): void {
   const requiredMs = stableMs(pass, record);
-  if (!pass.liveFor(record.name, requiredMs)) {
+  if (pass.condition(record.name)?.platformDrained === true) {
+    resume(pass, record);
+    holdUnstable(pass, record, requiredMs);
+    giveUp(pass, record);
+  } else if (!pass.liveFor(record.name, requiredMs)) {
     holdUnstable(pass, record, requiredMs);
     giveUp(pass, record);
   } else if (record.phase === "failed") {
     pass.changePhase(record, "returning", "failure");
-  } else if (pass.condition(record.name)?.platformDrained === true) {
-    resume(pass, record);
   } else {
     pass.changePhase(record, "serving", "none");
   }
--- a/packages/core/src/maintenance/stop.ts
+++ b/packages/core/src/maintenance/stop.ts
@@ -5,17 +5,16 @@
  * @module
  */
 import type { VmRecord } from "../fleet.ts";
-import { resume } from "./health.ts";
+import { answers, resume } from "./health.ts";
 import type { Hold } from "./observation.ts";
 import type { Pass } from "./pass.ts";
-import { rebootOperation } from "./rollout.ts";
 
 /** Takes the next step for a VM that is draining. */
 export function drain(pass: Pass, record: VmRecord, putOff?: Hold): void {
   const obstacle = putOff ?? obsolete(pass, record) ?? shortage(pass, record);
   if (obstacle !== undefined) {
     pass.hold({ ...obstacle, vm: record.name });
-    pass.changePhase(record, "serving", "none");
+    putBack(pass, record);
     return;
   }
   if (pass.listed.get(record.name)?.agent !== undefined) {
@@ -33,7 +32,7 @@
   pass.hold(busy);
   const late = pass.now - record.since >= pass.rules.drainTimeoutMs;
   if (late && record.reason !== "operator") {
-    pass.changePhase(record, "serving", "none");
+    putBack(pass, record);
   }
 }
 
@@ -56,6 +55,9 @@
     };
   }
   const condition = pass.condition(vm);
+  if (!answers(pass, record)) {
+    return silent(vm);
+  }
   if (condition?.inFlight === undefined) {
     return {
       rule: "in_flight",
@@ -65,6 +67,14 @@
     };
   }
   const drained = operations.get(drainOperation(record)) === "done";
+  if (!drained && pass.listed.get(vm)?.agent !== undefined) {
+    return {
+      rule: "agent",
+      vm,
+      message:
+        `The platform agent of VM "${vm}" has not confirmed that its jobs are checkpointed`,
+    };
+  }
   const tasks = drained ? 0 : condition.tasks;
   const left = condition.inFlight + tasks;
   return left === 0 ? undefined : {
@@ -77,6 +87,21 @@
   };
 }
 
+/** Puts a VM back into service, at once if its targets answer and the platform has not drained it yet. */
+function putBack(pass: Pass, record: VmRecord): void {
+  const condition = pass.condition(record.name);
+  const ready = condition?.live === true && !condition.platformDrained;
+  pass.changePhase(record, ready ? "serving" : "returning", "none");
+}
+
+function silent(vm: string): Hold {
+  return {
+    rule: "not_serving",
+    vm,
+    message: `VM "${vm}" does not answer; it may have failed`,
+  };
+}
+
 /** A stop that nobody wants any more. */
 function obsolete(pass: Pass, record: VmRecord): Hold | undefined {
   const listed = pass.listed.get(record.name);
@@ -118,41 +143,48 @@
   } else if (record.reason === "wave") {
     startReboot(pass, record, putOff);
   } else if (pass.state.rollout.wanted[record.name] === undefined) {
-    pass.changePhase(record, "serving", "none");
+    putBack(pass, record);
   }
 }
 
 function startReboot(pass: Pass, record: VmRecord, putOff?: Hold): void {
   const obstacle = putOff ?? shortage(pass, record);
-  if (obstacle === undefined) {
+  if (obstacle !== undefined) {
+    pass.hold({ ...obstacle, vm: record.name });
+    putBack(pass, record);
+  } else if (answers(pass, record)) {
     pass.changePhase(record, "rebooting", "wave");
   } else {
-    pass.hold({ ...obstacle, vm: record.name });
-    pass.changePhase(record, "serving", "none");
+    pass.hold(silent(record.name));
   }
 }
 
-/** Asks for the reboot of a VM until its agent confirms it. */
-export function reboot(pass: Pass, record: VmRecord): void {
-  const operation = rebootOperation(pass.state.rollout, record.name);
+/** Asks for the reboot of a VM until its agent confirms or refuses it. */
+export function reboot(pass: Pass, record: VmRecord, operation: string): void {
   const status = pass.observation.operations.get(operation);
   if (status === "done") {
-    pass.changePhase(record, "returning", record.reason);
-    return;
-  }
-  if (status === "failed") {
-    pass.propose({
-      kind: "reboot.refused",
-      vm: record.name,
-      operation,
-      at: pass.now,
-    });
-    pass.changePhase(record, "failed", "failure");
-    return;
+    pass.changePhase(record, "returning", "wave");
+  } else if (status === "failed") {
+    refused(pass, record, operation);
+  } else {
+    pass.act({ kind: "reboot", vm: record.name, operation });
+    awaitReboot(pass, record);
   }
-  pass.act({ kind: "reboot", vm: record.name, operation });
+}
+
+function refused(pass: Pass, record: VmRecord, operation: string): void {
+  pass.propose({
+    kind: "reboot.refused",
+    vm: record.name,
+    operation,
+    at: pass.now,
+  });
+}
+
+function awaitReboot(pass: Pass, record: VmRecord): void {
   const waited = pass.now - record.since;
-  if (waited >= pass.rules.rebootTimeoutMs) {
+  const limit = pass.rules.rebootTimeoutMs;
+  if (record.phase === "rebooting" && waited >= limit) {
     pass.changePhase(record, "failed", "failure");
     return;
   }
@@ -160,8 +192,10 @@
     rule: "reboot",
     vm: record.name,
     figure: waited,
-    limit: pass.rules.rebootTimeoutMs,
-    message: `VM "${record.name}" has been rebooting for ${waited} ms`,
+    limit,
+    message: record.phase === "rebooting"
+      ? `VM "${record.name}" has been rebooting for ${waited} ms`
+      : `VM "${record.name}" stays out until its agent answers for the reboot that it was asked for`,
   });
 }
 
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -27,7 +27,7 @@
   start,
 } from "./attempts.ts";
 import { describePool, needsOf, type PoolDescription } from "./description.ts";
-import { Pool } from "./pool.ts";
+import { addressOf, Pool } from "./pool.ts";
 import {
   giveUp,
   type Moment,
@@ -45,19 +45,11 @@
   Dispatch,
   Route,
   RoutedService,
+  RouterSetup,
   Submission,
 } from "./submission.ts";
 import type { Pending } from "./waiting_line.ts";
 
-/** What a router is built with. */
-export interface RouterSetup {
-  entry: string;
-  incarnation: number;
-  /** Random numbers in [0, 1). */
-  random: () => number;
-  admission?: Admission;
-}
-
 /** The routing state of one entry. */
 export class Router {
   readonly #setup: RouterSetup;
@@ -352,8 +344,7 @@
     this.#flights.set(id, start(pool, pending, { held, now }));
     this.#wakeAt(pending.deadline);
     this.#admission.started(loadOf(pool), now - pending.submittedAt, now);
-    const { target, address } = held.route;
-    return { kind: "send", id, target, address, attempt };
+    return { kind: "send", id, attempt, ...addressOf(held) };
   }
 
   #refuseWaiting(pool: Pool, pending: Pending, now: number): Dispatch {
@@ -396,7 +387,7 @@
       earliest = Math.min(earliest, pool.nextWakeup(now));
     }
     earliest = Math.min(earliest, nextDeadline(this.#flights.values()));
-    const lease = this.#allowances.until;
-    return lease > now ? Math.min(earliest, lease) : earliest;
+    const { until } = this.#allowances;
+    return until > now ? Math.min(earliest, until) : earliest;
   }
 }
--- a/packages/core/test/routing_ledger_test.ts
+++ b/packages/core/test/routing_ledger_test.ts
@@ -183,6 +183,17 @@
   expect(slotsOf(left)).toBe(24);
 });
 
+test("a report that was overtaken by a later one changes nothing", () => {
+  const router = routerOf("e1", TABLE);
+  const ledger = ledgerWith(TABLE);
+  renew(router, ledger, { now: 0 });
+  const early = router.report(1, 100);
+  renew(router, ledger, { now: 200 });
+  const before = ledger.describe(300);
+  expect(ledger.report(early, 300)).toBeUndefined();
+  expect(ledger.describe(300)).toEqual(before);
+});
+
 test("a new leader grants nothing until every entry reported what it holds", () => {
   const [first, second] = ["e1", "e2"].map((entry) => routerOf(entry, TABLE));
   const ledger = ledgerWith(TABLE);
@@ -234,6 +245,14 @@
   expect(slotsOf(router)).toBe(24);
 });
 
+test("targets that a new leader learns of late keep all their slots", () => {
+  const entries = ["e1", "e2"];
+  const ledger = ledgerWith(TABLE.slice(0, 1), { entries, epoch: 2 });
+  ledger.setTargets(TABLE, 500);
+  expect(ledger.describe(500).map((account) => account.usable))
+    .toEqual([8, 8, 8]);
+});
+
 test("with fewer slots than entries, an idle entry passes its slot to one with waiting requests", () => {
   const table = [route("a", { slots: 2 })];
   const routers = ["e1", "e2", "e3"].map((entry) => routerOf(entry, table));
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -25,6 +25,7 @@
 import type { Fields, Log } from "../observe/log.ts";
 import type { PlatformAgents } from "../platform/agents.ts";
 import { dueCommands, longestRequestMs } from "./conductor.ts";
+import { Placer } from "./placer.ts";
 import { Observer } from "./observer.ts";
 import { answerQuery, Query } from "./queries.ts";
 import { Tenure } from "./tenure.ts";
@@ -45,22 +46,29 @@
 /** Interval of fencing and pruning, in milliseconds. */
 const TICK_MS = 200;
 
-/** Interval of decisions on planned stops and waves, in milliseconds. */
+/** Shortest interval of decisions on planned stops and waves, in milliseconds. */
 const MAINTENANCE_MS = 500;
 
+/** Most of the processor that decisions may take, as a share of a core. */
+const MAINTENANCE_SHARE = 0.01;
+
 export class Leader implements Component {
   readonly name = "leader";
   readonly #parts: LeaderParts;
   readonly #tickers: Component[];
+  readonly #placer: Placer;
   #tenure: Tenure | undefined;
   #observer: Observer | undefined;
   #holds: readonly Hold[] = [];
+  #maintainNotBefore = -Infinity;
   #newsRevision = 0;
   #newsTable = 0;
 
   constructor(parts: LeaderParts) {
     this.#parts = parts;
+    this.#placer = new Placer(parts);
     this.#tickers = [
+      this.#placer,
       ticker("ledger upkeep", TICK_MS, () => this.#keepLedger()),
       ticker("maintenance", MAINTENANCE_MS, () => this.#maintain()),
     ];
@@ -159,11 +167,15 @@
     return await this.#stamped(command.val);
   }
 
-  #stamped(command: Command): Promise<Result<unknown, Fault>> {
+  async #stamped(command: Command): Promise<Result<unknown, Fault>> {
     const { consensus, clock } = this.#parts;
-    return consensus.propose(
+    const result = await consensus.propose(
       "at" in command ? { ...command, at: clock.wall() } : command,
     );
+    if (command.kind === "job.submit" || command.kind === "job.cancel") {
+      this.#placer.poke();
+    }
+    return result;
   }
 
   async #read(params: unknown): Promise<Result<unknown, Fault>> {
@@ -179,6 +191,7 @@
         leadership: consensus.leadership(),
         replicas: consensus.replicas(),
         holds: this.#holds,
+        explain: (job) => this.#placer.explain(job),
         now: clock.monotonic(),
         at: clock.wall(),
       });
@@ -229,16 +242,21 @@
 
   /** Decides on planned stops and waves, after a quorum confirmed that this replica still leads. */
   async #maintain(): Promise<void> {
+    const { consensus, clock, agents } = this.#parts;
+    if (clock.monotonic() < this.#maintainNotBefore) {
+      return;
+    }
     const confirmed = await this.#confirmed();
     const observer = this.#observer;
     if (confirmed.err || observer === undefined) {
       return;
     }
-    const { consensus, clock, agents } = this.#parts;
     const { state } = consensus;
     const moment = { now: clock.monotonic(), at: clock.wall() };
     const observation = observer.observe(state, confirmed.val, agents, moment);
     const decision = decideMaintenance(state, observation, { now: moment.at });
+    const tookMs = clock.monotonic() - moment.now;
+    this.#maintainNotBefore = moment.now + tookMs / MAINTENANCE_SHARE;
     this.#holds = decision.holds;
     for (const action of decision.actions) {
       agents.order(agentOf(state, action.vm), action, confirmed.val.term);
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -38,12 +38,25 @@
 const HEARTBEAT_METHOD = "heartbeat";
 const NEWLINE = 0x0a;
 
+/** What every connection of a daemon shares. */
+export interface ConnectionParts {
+  handlers: Handlers;
+  bounds: ConnectionBounds;
+  /** Monotonic time in milliseconds. */
+  now: () => number;
+  /** Counts bytes that crossed the link. */
+  count: (direction: "sent" | "received", bytes: number) => void;
+}
+
 export class Connection {
   readonly #socket: Socket;
+  readonly #count: ConnectionParts["count"];
   readonly #bounds: ConnectionBounds;
   readonly #client: JSONRPCClient;
   readonly #server = new JSONRPCServer({ errorListener: () => {} });
-  readonly #timers: NodeJS.Timeout[] = [];
+  readonly #heartbeat: NodeJS.Timeout;
+  #idleTimer: NodeJS.Timeout | undefined;
+  #spoke = false;
   #pending: Buffer[] = [];
   #pendingBytes = 0;
   #heardAt: number;
@@ -53,14 +66,11 @@
   /** Called once when the connection ends. */
   onClose: (reason: string) => void = () => {};
 
-  constructor(
-    socket: Socket,
-    handlers: Handlers,
-    bounds: ConnectionBounds,
-    now: () => number,
-  ) {
+  constructor(socket: Socket, parts: ConnectionParts) {
+    const { handlers, bounds, now, count } = parts;
     this.#socket = socket;
     this.#bounds = bounds;
+    this.#count = count;
     this.#heardAt = now();
     this.#client = new JSONRPCClient((request) => this.#write(request));
     for (const [method, handler] of handlers) {
@@ -70,13 +80,13 @@
     socket.setNoDelay(true);
     socket.on("data", (chunk) => {
       this.#heardAt = now();
+      this.#count("received", chunk.length);
       this.#read(chunk);
     });
     socket.on("error", (error) => this.close(error.message));
     socket.on("close", () => this.close("closed by the other end"));
-    this.#timers.push(
-      setInterval(() => this.#beat(now()), bounds.heartbeatMs),
-    );
+    this.#heartbeat = setInterval(() => this.#beat(), bounds.heartbeatMs);
+    this.#watchIdle(now);
   }
 
   get isOpen(): boolean {
@@ -110,19 +120,30 @@
       return;
     }
     this.#closed = true;
-    this.#timers.forEach(clearInterval);
+    clearInterval(this.#heartbeat);
+    clearTimeout(this.#idleTimer);
     this.#socket.destroy();
     this.#pending = [];
     this.#client.rejectAllPendingRequests(`Connection closed: ${reason}`);
     this.onClose(reason);
   }
 
-  #beat(now: number): void {
-    if (now - this.#heardAt > this.#bounds.idleMs) {
+  /** Closes the connection when nothing arrived for the idle timeout, else looks again when that may be so. */
+  #watchIdle(now: () => number): void {
+    const leftMs = this.#heardAt + this.#bounds.idleMs - now();
+    if (leftMs <= 0) {
       this.close(`nothing arrived for ${this.#bounds.idleMs} ms`);
       return;
     }
-    this.notify(HEARTBEAT_METHOD, []);
+    this.#idleTimer = setTimeout(() => this.#watchIdle(now), leftMs);
+  }
+
+  /** Anything that is sent tells the other end that this one lives, so a heartbeat is only sent in silence. */
+  #beat(): void {
+    if (!this.#spoke) {
+      this.notify(HEARTBEAT_METHOD, []);
+    }
+    this.#spoke = false;
   }
 
   #write(message: unknown): Promise<void> {
@@ -132,7 +153,10 @@
     if (this.#socket.writableLength >= this.#bounds.maxQueuedBytes) {
       return Promise.reject(new Error("Send queue is full"));
     }
-    this.#socket.write(`${JSON.stringify(message)}\n`);
+    const line = Buffer.from(`${JSON.stringify(message)}\n`);
+    this.#count("sent", line.length);
+    this.#spoke = true;
+    this.#socket.write(line);
     return Promise.resolve();
   }
 
