--- a/packages/daemon/src/storage/log_writer.ts
+++ b/packages/daemon/src/storage/log_writer.ts
@@ -25,9 +25,10 @@
 interface Extent {
   number: number;
   base: Position;
+  /** Lowest index that it writes; infinite without writes. */
+  minIndex: number;
+  /** Highest index that it writes, or the base's. */
   maxIndex: number;
-  /** Whether it replaces entries of earlier segments, which must then stay until it goes. */
-  overrides: boolean;
 }
 
 /** The end of the log, where a writer continues. */
@@ -117,12 +118,19 @@
   async removeCovered(index: number): Promise<void> {
     const needed = this.#extents.findIndex((extent) => extent.maxIndex > index);
     const limit = needed === -1 ? this.#extents.length - 1 : needed;
-    const keep = this.#extents.findLastIndex((extent, position) =>
-      position <= limit && !extent.overrides
+    const keep = this.#extents.findLastIndex((_, position) =>
+      position <= limit && this.#mayStart(position)
     );
     await this.#removeFirst(Math.max(0, keep));
   }
 
+  /** Whether the log can be read from a segment on: nothing in it or later replaces an entry before its base. */
+  #mayStart(position: number): boolean {
+    const [first, ...later] = this.#extents.slice(position);
+    return first !== undefined &&
+      [first, ...later].every(({ minIndex }) => minIndex > first.base.index);
+  }
+
   async close(): Promise<void> {
     await this.#handle.close();
   }
@@ -165,7 +173,12 @@
 }
 
 function newExtent({ number, base }: SegmentStart): Extent {
-  return { number, base, maxIndex: base.index, overrides: false };
+  return {
+    number,
+    base,
+    minIndex: Number.POSITIVE_INFINITY,
+    maxIndex: base.index,
+  };
 }
 
 function extentOf({ start, writes }: Segment): Extent {
@@ -176,7 +189,7 @@
 
 function extend(extent: Extent, { entries }: SegmentWrite): void {
   for (const { index } of entries) {
+    extent.minIndex = Math.min(extent.minIndex, index);
     extent.maxIndex = Math.max(extent.maxIndex, index);
-    extent.overrides ||= index <= extent.base.index;
   }
 }
