--- a/bench/src/routing/mod.ts
+++ b/bench/src/routing/mod.ts
@@ -11,16 +11,21 @@
 import { benchOvernight } from "./overnight.ts";
 import { benchRegrant } from "./regrant.ts";
 
-/** Runs the routing measurements. */
+/** Compares the ways of sharing slots under load and faults. */
 export function benchRouting(run: Run): Outcome {
-  const parts = [
-    benchCost(run),
-    benchLoads(run),
-    benchFaults(run),
+  return joined([benchCost(run), benchLoads(run), benchFaults(run)]);
+}
+
+/** Measures admission when capacity changes, overnight work, and when slots are granted again. */
+export function benchAdmission(run: Run): Outcome {
+  return joined([
     benchRegrant(run),
     benchCapacityChange(run),
     benchOvernight(run),
-  ];
+  ]);
+}
+
+function joined(parts: readonly Outcome[]): Outcome {
   return {
     tables: parts.flatMap((part) => part.tables),
     checks: parts.flatMap((part) => part.checks),
@@ -28,10 +33,18 @@
   };
 }
 
-/** The registered scenario. */
-export const scenario: Scenario = {
-  name: "routing",
-  description:
-    "Slot sharing, admission, retries and ejection at 0.5 to 3 times capacity, with faults",
-  run: benchRouting,
-};
+/** The registered scenarios. */
+export const ROUTING: readonly Scenario[] = [
+  {
+    name: "routing",
+    description:
+      "Ways of sharing slots at 0.5 to 3 times capacity, and what faults cost",
+    run: benchRouting,
+  },
+  {
+    name: "admission",
+    description:
+      "Admission when capacity changes, overnight work, slots of lost entries",
+    run: benchAdmission,
+  },
+];
--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { commits } from "./commits/commits.ts";
-import { scenario as routing } from "./routing/mod.ts";
+import { ROUTING } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
-export const SCENARIOS: readonly Scenario[] = [commits, routing, WAVES];
+export const SCENARIOS: readonly Scenario[] = [commits, ...ROUTING, WAVES];
--- a/packages/core/src/routing/attempts.ts
+++ b/packages/core/src/routing/attempts.ts
@@ -65,7 +65,7 @@
   switch (completion) {
     case "ok":
       pool.run.observe(runMs, now);
-      held.run.observe(runMs, now);
+      held.pace.observe(runMs / pool.run.meanMs, now);
       if (!late) {
         held.health.succeeded(now);
       }
--- a/packages/core/src/routing/description.ts
+++ b/packages/core/src/routing/description.ts
@@ -55,7 +55,7 @@
       allowance: held.allowance,
       inFlight: held.inFlight,
       failureShare: held.health.failureShare,
-      meanRunMs: held.run.meanMs,
+      meanRunMs: held.pace.meanMs * pool.run.meanMs,
     })),
   };
 }
--- a/packages/core/src/routing/pool.ts
+++ b/packages/core/src/routing/pool.ts
@@ -19,7 +19,7 @@
 /** How often waiting overnight work is looked at, since the slots that live work leaves grow with time. */
 const OVERNIGHT_CHECK_MS = 250;
 
-/** Samples that the service's mean counts for in the mean of a target. */
+/** Samples that a new target counts as being as fast as the others. */
 const TARGET_PRIOR_SAMPLES = 16;
 
 /** Samples after which older ones fade from the mean of a service. */
@@ -36,7 +36,8 @@
   /** Requests of this entry that may be at work on the target. */
   inFlight: number;
   health: Health;
-  run: RunTime;
+  /** Run times at the target as a multiple of the service's mean. */
+  pace: RunTime;
   usedAt: number;
 }
 
@@ -70,7 +71,7 @@
         allowance,
         inFlight: 0,
         health: new Health(),
-        run: new RunTime(this.run.meanMs, { weight: TARGET_PRIOR_SAMPLES }),
+        pace: new RunTime(1, { weight: TARGET_PRIOR_SAMPLES }),
         usedAt: now,
       });
       return;
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -71,7 +71,7 @@
       }
       continue;
     }
-    const cost = costOf(pool, held, moment);
+    const cost = costOf(held, moment);
     if (cost < bestCost) {
       best = held;
       bestCost = cost;
@@ -113,25 +113,25 @@
 }
 
 /** Expected run time, raised by the load and the failures at the target. */
-function costOf(pool: Pool, held: Held, { now, random }: Moment): number {
+function costOf(held: Held, { now, random }: Moment): number {
   if (now - held.usedAt > RELAX_AFTER_MS) {
-    held.run.relax(pool.run.meanMs, 0.5);
+    held.pace.relax(1, 0.5);
     held.health.fade();
     held.usedAt = now;
   }
   const busy = 1 + held.inFlight / held.allowance;
   const failing = 1 + FAILURE_PENALTY * held.health.suspicion;
-  return held.run.meanMs * busy * failing * (1 + JITTER * random());
+  return held.pace.meanMs * busy * failing * (1 + JITTER * random());
 }
 
 /** Whether waiting for another target beats starting at once on a slow one. */
 function waitsBetter(pool: Pool, held: Held, pending: Pending): boolean {
   const meanMs = pool.run.meanMs;
   const othersBusy = pool.inFlight - held.inFlight;
-  const slow = held.run.meanMs > SLOW_FACTOR * meanMs;
+  const slow = held.pace.meanMs > SLOW_FACTOR;
   if (pending.priority === "overnight" || othersBusy <= 0 || !slow) {
     return false;
   }
   const waitMs = (pool.line.urgentAndLive + 1) * meanMs / othersBusy;
-  return waitMs + meanMs < held.run.meanMs;
+  return waitMs + meanMs < held.pace.meanMs * meanMs;
 }
--- a/packages/core/test/routing_router_test.ts
+++ b/packages/core/test/routing_router_test.ts
@@ -266,6 +266,19 @@
   expect(now).toBeLessThan(20_000 - 100);
 });
 
+test("a declared run time ten times too long does not make a target look slow", () => {
+  const router = routerWith({ a: 1, b: 1 });
+  for (let index = 0; index < 5; index++) {
+    const now = index * 10;
+    router.submit(submission(`r${index}`), now);
+    router.complete(`r${index}`, "ok", now + 10);
+  }
+  const kinds = ["x", "y"].map((id) =>
+    router.submit(submission(id), 60)[0]?.kind
+  );
+  expect(kinds).toEqual(["send", "send"]);
+});
+
 test("an idle service lets overnight work use every slot", () => {
   const router = routerWith({ a: 2 });
   const night = { priority: "overnight", deadline: 60_000 } as const;
