--- a/packages/core/src/maintenance/rollout.ts
+++ b/packages/core/src/maintenance/rollout.ts
@@ -5,11 +5,8 @@
  * @module
  */
 import { z } from "zod";
-import { type Fault, fault } from "../fault.ts";
 import type { VmRecord } from "../fleet.ts";
 import { Name } from "../names.ts";
-import { Err, Ok, type Result } from "../result.ts";
-import type { State } from "../state.ts";
 
 export const Wave = z.object({
   id: z.number().int(),
@@ -51,6 +48,11 @@
   refused: z.record(z.string(), Tally),
   /** Recent failures by VM. */
   failures: z.record(z.string(), Failures),
+  /**
+   * Reboots without an answer when their VM was given up, by VM. The order may still reach the agent, so the VM stays
+   * out until the agent has answered.
+   */
+  unconfirmed: z.record(z.string(), z.string()),
   /** VMs that an operator wants out of service, with the time of the wish. */
   wanted: z.record(z.string(), z.number()),
 });
@@ -119,6 +121,7 @@
     postponed: {},
     refused: {},
     failures: {},
+    unconfirmed: {},
     wanted: {},
   };
 }
@@ -129,98 +132,19 @@
   return `reboot/${rollout.round}-${rollout.startedAt}/${vm}/${attempt}`;
 }
 
-/** The part of the state that a rollout command changes. */
-export type RolloutTarget = Pick<
-  State,
-  "rollout" | "vms" | "revision" | "inventory" | "removed"
->;
-
-/** Applies a rollout command in place; one that fails changes nothing. Returns the new revision. */
-export function applyRollout(
-  target: RolloutTarget,
-  command: RolloutCommand,
-): Result<number, Fault> {
-  switch (command.kind) {
-    case "round.open":
-      return openRound(target, command);
-    case "wave.start":
-      return startWave(target, command);
-    case "wave.end":
-      return endWave(target, command);
-    case "wave.resume":
-      return resume(target);
-    case "reboot.refused":
-      return refuse(target, command);
-    case "vm.remove":
-      return remove(target, command);
-    case "vm.want":
-      return want(target, command);
-  }
-}
-
-type Of<K extends RolloutCommand["kind"]> = Extract<
-  RolloutCommand,
-  { kind: K }
->;
-
-function openRound(
-  target: RolloutTarget,
-  command: Of<"round.open">,
-): Result<number, Fault> {
-  const { rollout } = target;
-  if (command.round !== rollout.round + 1 || rollout.wave !== null) {
-    return conflict(
-      `Round ${command.round} cannot follow round ${rollout.round} now`,
-    );
-  }
-  rollout.round = command.round;
-  rollout.startedAt = latest(target, command.at);
-  rollout.requested = command.requested;
-  rollout.passed = 0;
-  rollout.postponed = {};
-  rollout.refused = {};
-  return Ok(target.revision);
-}
-
-/** A start later than every maintenance so far, also when the clock of a new leader is behind. */
-function latest(target: RolloutTarget, at: number): number {
-  const ends = Object.values(target.vms).map((vm) => vm.maintainedAt + 1);
-  return ends.reduce((a, b) => Math.max(a, b), at);
-}
-
-function startWave(
-  target: RolloutTarget,
-  command: Of<"wave.start">,
-): Result<number, Fault> {
-  const { rollout, vms } = target;
-  if (rollout.wave !== null || command.id !== rollout.lastWave + 1) {
-    return conflict(
-      `Wave ${command.id} cannot follow wave ${rollout.lastWave} now`,
-    );
-  }
-  const unfit = command.vms.find((name) => !mayJoin(vms[name], rollout));
-  if (unfit !== undefined) {
-    return conflict(
-      `VM "${unfit}" is not serving or was already maintained in round ${rollout.round}`,
-    );
-  }
-  target.revision += 1;
-  for (const name of command.vms) {
-    Object.assign(vms[name] ?? {}, {
-      phase: "draining",
-      reason: "wave",
-      since: command.at,
-      revision: target.revision,
-    });
+/** The reboot of a VM that its agent still has to answer, or undefined. */
+export function awaitedReboot(
+  rollout: Rollout,
+  record: VmRecord,
+): string | undefined {
+  switch (record.phase) {
+    case "rebooting":
+      return rebootOperation(rollout, record.name);
+    case "failed":
+      return rollout.unconfirmed[record.name];
+    default:
+      return undefined;
   }
-  const { id, domain, canary, at } = command;
-  rollout.wave = { id, domain, canary, vms: command.vms, startedAt: at };
-  rollout.lastWave = id;
-  return Ok(target.revision);
-}
-
-function mayJoin(record: VmRecord | undefined, rollout: Rollout): boolean {
-  return record?.phase === "serving" && isDue(record, rollout);
 }
 
 /** Whether a VM still has to be maintained in the current round. */
@@ -228,84 +152,9 @@
   return rollout.round > 0 && record.maintainedAt < rollout.startedAt;
 }
 
-function endWave(
-  target: RolloutTarget,
-  command: Of<"wave.end">,
-): Result<number, Fault> {
-  const { rollout } = target;
-  if (rollout.wave?.id !== command.id) {
-    return conflict(`Wave ${command.id} is not running`);
-  }
-  rollout.wave = null;
-  if (command.outcome === "passed") {
-    rollout.passed += 1;
-    rollout.stops = 0;
-  } else if (command.outcome === "stopped") {
-    rollout.passed = 0;
-    rollout.stops += command.correlated ? STOPS_UNTIL_HEALTHY : 1;
-    rollout.stoppedAt = command.at;
-    rollout.suspects = [...new Set([...rollout.suspects, ...command.failed])];
-  }
-  return Ok(target.revision);
-}
-
 /** Waves stopped in a row after which no further canary is tried before health returns. */
 export const STOPS_UNTIL_HEALTHY = 2;
 
-function resume(target: RolloutTarget): Result<number, Fault> {
-  target.rollout.stops = 0;
-  target.rollout.suspects = [];
-  return Ok(target.revision);
-}
-
-function refuse(
-  target: RolloutTarget,
-  command: Of<"reboot.refused">,
-): Result<number, Fault> {
-  const { rollout, vms } = target;
-  const record = vms[command.vm];
-  const expected = rebootOperation(rollout, command.vm);
-  if (record?.phase !== "rebooting" || command.operation !== expected) {
-    return conflict(
-      `VM "${command.vm}" does not wait for operation "${command.operation}"`,
-    );
-  }
-  rollout.refused[command.vm] = next(rollout.refused[command.vm], command.at);
-  return Ok(target.revision);
-}
-
-function remove(
-  target: RolloutTarget,
-  command: Of<"vm.remove">,
-): Result<number, Fault> {
-  const record = target.vms[command.vm];
-  const listed = target.inventory.vms.some((vm) => vm.name === command.vm);
-  const stopped = record?.phase === "drained" || record?.phase === "failed";
-  if (listed || !stopped) {
-    return conflict(`VM "${command.vm}" is listed, unknown or not yet drained`);
-  }
-  target.revision += 1;
-  delete target.vms[command.vm];
-  target.removed[command.vm] = target.revision;
-  forgetVm(target.rollout, command.vm);
-  return Ok(target.revision);
-}
-
-function want(
-  target: RolloutTarget,
-  command: Of<"vm.want">,
-): Result<number, Fault> {
-  if (target.vms[command.vm] === undefined) {
-    return Err(fault("not_found", `VM "${command.vm}" is in no inventory`));
-  }
-  if (command.out) {
-    target.rollout.wanted[command.vm] ??= command.at;
-  } else {
-    delete target.rollout.wanted[command.vm];
-  }
-  return Ok(target.revision);
-}
-
 /**
  * Records what a change of phase means for the rollout: a maintenance, a failure, or a drain that was put off. A
  * maintenance counts from the confirmed reboot and never before the start of its round.
@@ -318,28 +167,45 @@
   if (after.phase === "failed") {
     noteFailure(rollout, after);
   }
-  const rebooted = before.phase === "rebooting" && after.phase === "returning";
-  if (rebooted && before.reason === "wave") {
-    after.maintainedAt = Math.max(after.since, rollout.startedAt);
-    delete rollout.postponed[after.name];
+  if (before.phase === "rebooting" && after.phase === "failed") {
+    rollout.unconfirmed[after.name] = rebootOperation(rollout, after.name);
   }
-  const putOff = after.phase === "serving" && before.reason !== "operator" &&
+  if (after.phase === "returning" && after.reason === "wave") {
+    noteReboot(rollout, before, after);
+  }
+  const back = after.phase === "serving" || after.phase === "returning";
+  const putOff = back && before.reason !== "operator" &&
     (before.phase === "draining" || before.phase === "drained") &&
     before.pool === after.pool;
   if (putOff) {
-    rollout.postponed[after.name] = next(
+    rollout.postponed[after.name] = counted(
       rollout.postponed[after.name],
       after.since,
     );
   }
 }
 
-function noteFailure(rollout: Rollout, record: VmRecord): void {
+/** A reboot that its agent confirmed counts as maintenance if it belongs to this round. */
+function noteReboot(
+  rollout: Rollout,
+  before: VmRecord,
+  after: VmRecord,
+): void {
+  const operation = awaitedReboot(rollout, before);
+  if (operation === rebootOperation(rollout, after.name)) {
+    after.maintainedAt = Math.max(after.since, rollout.startedAt);
+    delete rollout.postponed[after.name];
+  }
+  delete rollout.unconfirmed[after.name];
+}
+
+/** Records a failure of a VM. */
+export function noteFailure(rollout: Rollout, record: VmRecord): void {
   const known = rollout.failures[record.name];
   const recent = known !== undefined &&
     record.since - known.at <= FAILURE_MEMORY_MS;
   rollout.failures[record.name] = {
-    ...next(recent ? known : undefined, record.since),
+    ...counted(recent ? known : undefined, record.since),
     wave: rollout.wave?.id ?? 0,
   };
 }
@@ -349,13 +215,11 @@
   delete rollout.postponed[vm];
   delete rollout.refused[vm];
   delete rollout.failures[vm];
+  delete rollout.unconfirmed[vm];
   delete rollout.wanted[vm];
 }
 
-function next(tally: Tally | undefined, at: number): Tally {
+/** Counts one more event. */
+export function counted(tally: Tally | undefined, at: number): Tally {
   return { count: (tally?.count ?? 0) + 1, at };
 }
-
-function conflict(message: string): Result<never, Fault> {
-  return Err(fault("conflict", message));
-}
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -7,6 +7,7 @@
 import { VmRecord } from "./fleet.ts";
 import { emptyInventory, Inventory } from "./inventory.ts";
 import { emptyLedger, Ledger } from "./ledger.ts";
+import { emptyJobs, Jobs } from "./placement/job.ts";
 import { Accounts, emptyAccounts } from "./maintenance/budget.ts";
 import { emptyRollout, Rollout } from "./maintenance/rollout.ts";
 import { emptyRules, Rules } from "./rules.ts";
@@ -32,6 +33,8 @@
   /** VMs that left the inventory, with the revision at which they left. */
   removed: z.record(z.string(), z.number().int()),
   ledger: Ledger,
+  /** Jobs and what is learned from them. */
+  jobs: Jobs,
   /** Maintenance rounds and waves. */
   rollout: Rollout,
   /** Availability budgets. */
@@ -51,6 +54,7 @@
     vms: {},
     removed: {},
     ledger: emptyLedger(),
+    jobs: emptyJobs(),
     rollout: emptyRollout(),
     accounts: emptyAccounts(),
     changes: [],
--- a/packages/daemon/src/admin/admin.ts
+++ b/packages/daemon/src/admin/admin.ts
@@ -9,6 +9,9 @@
   ConfigurationChange,
   type Fault,
   fault,
+  JobCancellation,
+  JobFilter,
+  JobSubmission,
   Ok,
   parse,
   parseJson,
@@ -20,6 +23,7 @@
 import findMyWay from "find-my-way";
 import { z } from "zod";
 import type { LeaderClient } from "../entry/leader_client.ts";
+import { Holding } from "../entry/ledger_client.ts";
 import { readBody, writeReply } from "../http_server.ts";
 import type { Query } from "../leader/queries.ts";
 import type { Metrics } from "../observe/metrics.ts";
@@ -98,6 +102,12 @@
         phase: query.get("phase") ?? undefined,
       });
     });
+    this.#get("/v1/jobs", (_, query) => {
+      return this.#list(query);
+    });
+    this.#get("/v1/jobs/:id", (params) => {
+      return this.#read({ what: "job", id: params["id"] ?? "" });
+    });
     this.#get("/v1/traces/:id", async (params) => {
       return Ok({ spans: await this.#parts.findTrace(params["id"] ?? "") });
     });
@@ -116,7 +126,13 @@
       return this.#want(params["name"] ?? "", false);
     });
     this.#post("/v1/requests/settle", Settlement, (settlement) => {
-      return this.#propose({ kind: "ledger.settle", ...settlement, at: 0 });
+      return this.#settle(settlement);
+    });
+    this.#post("/v1/jobs", JobSubmission, ({ jobs }) => {
+      return this.#propose({ kind: "job.submit", jobs, at: 0 });
+    });
+    this.#post("/v1/jobs/cancel", JobCancellation, (cancellation) => {
+      return this.#propose({ kind: "job.cancel", ...cancellation, at: 0 });
     });
     const { replicas } = this.#parts;
     this.#post("/v1/init", z.object({}), () => replicas.init());
@@ -199,6 +215,13 @@
       .andThen((value) => parse(schema, value, "body"));
   }
 
+  async #list(query: URLSearchParams): Answer {
+    const filter = parse(JobFilter, Object.fromEntries(query), "query");
+    return filter.err
+      ? filter
+      : await this.#read({ what: "jobs", ...filter.val });
+  }
+
   #read(query: Query): Answer {
     return this.#parts.leader.call("read", query, LEADER_TIMEOUT_MS);
   }
@@ -225,6 +248,21 @@
       : await this.#propose({ kind: "configure", ...change, at: 0 });
   }
 
+  /** Names the attempt that is meant, since the command may be sent twice. */
+  async #settle(settlement: Settlement): Answer {
+    const { key } = settlement;
+    const holding = (await this.#read({ what: "holding", key }))
+      .andThen((value) => parse(Holding, value, "holding"));
+    if (holding.err) {
+      return holding;
+    }
+    const { attempt } = holding.val;
+    const named = attempt === undefined
+      ? settlement
+      : { ...settlement, attempt };
+    return await this.#propose({ kind: "ledger.settle", ...named, at: 0 });
+  }
+
   /** Orders a VM out of service or back; the leader starts the stop when it is safe. */
   #want(vm: string, out: boolean): Answer {
     return this.#propose({ kind: "vm.want", vm, out, at: 0 });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -25,12 +25,13 @@
 import { HttpServer } from "./http_server.ts";
 import { Leader } from "./leader/leader.ts";
 import { type Component, Lifecycle } from "./lifecycle.ts";
-import type { Handler } from "./link/connection.ts";
+import type { ConnectionParts, Handler } from "./link/connection.ts";
 import { Link } from "./link/link.ts";
 import { LinkServer } from "./link/server.ts";
 import { hostAndPort } from "./net.ts";
 import { type Log, messageOf, openLog } from "./observe/log.ts";
 import { Metrics } from "./observe/metrics.ts";
+import { registerProcessGauges } from "./observe/process_gauges.ts";
 import { type SpanRecord, Tracing } from "./observe/tracing.ts";
 import { PlatformAgents } from "./platform/agents.ts";
 import { jsonReply, problemReply } from "./problem.ts";
@@ -51,6 +52,14 @@
   readonly #settings: Settings;
   readonly #clock: Clock = systemClock;
   readonly #metrics = new Metrics();
+  readonly #traffic = {
+    sent: this.#metrics.counter("quetzalcove_link_bytes_total", {
+      direction: "sent",
+    }),
+    received: this.#metrics.counter("quetzalcove_link_bytes_total", {
+      direction: "received",
+    }),
+  };
   readonly #tracing: Tracing;
   readonly #lifecycle: Lifecycle;
   readonly #handlers = new Map<string, Handler>();
@@ -59,6 +68,7 @@
   #formation: Formation | undefined;
   #entry: Entry | undefined;
   #stopping: Promise<void> | undefined;
+  #isStarted = false;
   /** Called when the daemon cannot go on; the process must exit. */
   onFailure: (cause: Fault) => void = () => {};
 
@@ -67,6 +77,7 @@
     this.#settings = settings;
     this.log = openLog({ ...log, entry });
     this.#tracing = new Tracing({ ...traces, entry, zone });
+    registerProcessGauges(this.#metrics);
     this.#lifecycle = new Lifecycle((component, error) => {
       this.log.error("component.stop_failed", {
         component,
@@ -90,6 +101,7 @@
         fault("internal", `Daemon did not start: ${messageOf(error)}`),
       );
     }
+    this.#isStarted = true;
     await this.#initWhenAlone();
     this.log.info("daemon.started", {
       zone: this.#settings.zone,
@@ -140,9 +152,7 @@
         peer: peer.entry,
         address: peer.link,
         localHost: hostAndPort(this.#settings.listen.link).host,
-        handlers: this.#handlers,
-        bounds: this.#settings.link,
-        now: () => this.#clock.monotonic(),
+        ...this.#connectionParts(),
         log: this.log,
         hello: { cluster: this.#settings.cluster, entry: this.#settings.entry },
       });
@@ -159,10 +169,17 @@
   #linkServer(): LinkServer {
     return new LinkServer({
       address: this.#settings.listen.link,
+      ...this.#connectionParts(),
+    });
+  }
+
+  #connectionParts(): ConnectionParts {
+    return {
       handlers: this.#handlers,
       bounds: this.#settings.link,
       now: () => this.#clock.monotonic(),
-    });
+      count: (direction, bytes) => this.#traffic[direction](bytes),
+    };
   }
 
   #replicaComponents(folder: ReplicaFolder): Component[] {
@@ -343,6 +360,15 @@
   }
 
   async #stop(): Promise<void> {
+    if (this.#isStarted) {
+      await this.#finishWork();
+    }
+    await this.#lifecycle.stop();
+    this.log.info("daemon.stopped");
+  }
+
+  /** Lets callers go elsewhere and requests end, then hands the leadership over. */
+  async #finishWork(): Promise<void> {
     const { noticeMs, graceMs } = this.#settings.stop;
     this.log.info("daemon.stopping", { noticeMs });
     this.#entry?.membership.beginNotice();
@@ -350,8 +376,6 @@
     this.#entry?.membership.beginStop();
     await until(() => this.#entry?.front.inProgress === 0, graceMs);
     await this.#handOver();
-    await this.#lifecycle.stop();
-    this.log.info("daemon.stopped");
   }
 
   async #handOver(): Promise<void> {
