Report the longest run of services that became idle

Reports leave out services without work; the leader then gave their slots away one second after a lost entry's lease, although a request may have started right after the report. The test failed first for it.

--- a/packages/core/src/routing/description.ts
+++ b/packages/core/src/routing/description.ts
@@ -60,7 +60,7 @@
   };
 }
 
-/** What an entry needs of each service that it has work for, for the report to the leader. */
+/** What an entry needs of each service that it has or lately had work for, for the report to the leader. */
 export function needsOf(
   pools: Iterable<Pool>,
   now: number,
@@ -68,7 +68,9 @@
   const needs: Record<string, SlotNeed> = {};
   for (const pool of pools) {
     const need = needOf(pool, now);
-    if (need.live + need.overnight + need.waiting + pool.liveInFlight > 0) {
+    const { live, overnight, waiting, longestRunMs } = need;
+    const level = live + overnight + waiting + longestRunMs;
+    if (level + pool.liveInFlight > 0) {
       needs[pool.service.name] = need;
     }
   }
--- a/packages/core/test/routing_router_test.ts
+++ b/packages/core/test/routing_router_test.ts
@@ -166,6 +166,17 @@
   expect(Object.values(held)).toEqual([1]);
 });
 
+test("a service without work still reports its longest run, since its slots may be used again", () => {
+  const router = routerWith({ a: 1 });
+  router.submit(submission("r1"), 0);
+  router.complete("r1", "ok", 4_000);
+  expect(router.report(1, 40_000).needs["intake"]).toMatchObject({
+    live: 0,
+    waiting: 0,
+    longestRunMs: expect.any(Number),
+  });
+});
+
 test("a request whose target began to leave before its first byte goes to another target", () => {
   const router = routerWith({ a: 1, b: 0 });
   router.submit(submission("r1"), 0);
