--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -19,6 +19,8 @@
 /** A run that no agent was asked to start within this time is placed again. */
 const UNSENT_MS = 10_000;
 const URGENT_UNSENT_MS = 2_000;
+/** A VM that is silent for this long while an urgent run waits for it counts as lost. */
+const URGENT_SILENT_MS = 1_200;
 const RECHECK_MS = 500;
 
 /** What is read in one pass. */
@@ -136,10 +138,7 @@
   held: RunLease,
 ): boolean {
   if (neverSent(held)) {
-    const stale = lease.suspect || now - lease.reportedAt > STALE_MS;
-    const patienceMs = job.priority === "urgent" ? URGENT_UNSENT_MS : UNSENT_MS;
-    const late = at - run.at > patienceMs;
-    return run.want !== "run" || stale || late;
+    return run.want !== "run" || isStuck({ now, at }, job, { run, lease });
   }
   if (now > held.bound) {
     const unanswered = !held.seen && lease.reportedAt < held.sentAt;
@@ -148,3 +147,19 @@
   }
   return report === undefined && startedAnew(lease, run.incarnation);
 }
+
+/** Whether a placed run has waited too long to be sent to its VM. */
+function isStuck(
+  { now, at }: { now: number; at: number },
+  job: Job,
+  { run, lease }: { run: Run; lease: VmLease },
+): boolean {
+  const silentMs = now - lease.reportedAt;
+  const waitedMs = at - run.at;
+  if (job.priority !== "urgent") {
+    return lease.suspect || silentMs > STALE_MS || waitedMs > UNSENT_MS;
+  }
+  // The VM is asked all the time while the run waits, so that a short silence tells that it is lost.
+  lease.suspect ||= Math.min(silentMs, waitedMs) > URGENT_SILENT_MS;
+  return lease.suspect || waitedMs > URGENT_UNSENT_MS;
+}
--- a/packages/core/src/placement/learning.ts
+++ b/packages/core/src/placement/learning.ts
@@ -116,7 +116,12 @@
     const { peakMb } = this.#learn(kindKey(job));
     const leastMb = peakMb ?? need.memoryMb * LEAN_SHARE;
     const memoryMb = Math.ceil(Math.max(leastMb, job.floorMb, MIN_MEMORY_MB));
-    return { ...need, memoryMb: Math.min(memoryMb, need.memoryMb) };
+    return {
+      // Processors can be shared out anew at any time.
+      millicores: Math.ceil(need.millicores * LEAN_SHARE),
+      memoryMb: Math.min(memoryMb, need.memoryMb),
+      accelerators: need.accelerators,
+    };
   }
 
   #memory(job: Job, learned: Learned, limit: Size): number {
--- a/packages/core/test/placement_test.ts
+++ b/packages/core/test/placement_test.ts
@@ -198,6 +198,32 @@
     expect(Math.max(...cluster.counts.urgentMs)).toBeLessThan(3_900);
   });
 
+  test("starts elsewhere when the VM where others leave for it is lost", () => {
+    const cluster = smallCluster({
+      truth: () => need({ memoryMb: 20_000, workMs: 600_000 }),
+    });
+    const overnight = { priority: "overnight", memoryGb: 20 } as const;
+    cluster.submit([1, 2, 3].map((n) => job(`o${n}`, overnight)));
+    cluster.runUntil(60_000);
+    cluster.submit([job("u", { priority: "urgent", memoryGb: 20 })]);
+    cluster.runUntil(60_100);
+    const vm = vmOf(cluster, "u") ?? "";
+    cluster.workers.get(vm)?.crash(cluster.now);
+    cluster.runUntil(63_900);
+    expect(cluster.counts.urgentMs).toHaveLength(1);
+    expect(vmOf(cluster, "u")).not.toBe(vm);
+  });
+
+  test("shares the processors of VMs that are full of urgent work", () => {
+    const cluster = smallCluster({
+      truth: () => need({ millicores: 6_000, memoryMb: 500, workMs: 200_000 }),
+    });
+    const urgent = { priority: "urgent", memoryGb: 1, cores: 6 } as const;
+    cluster.submit([1, 2, 3, 4, 5].map((n) => job(`u${n}`, urgent)));
+    cluster.runUntil(4_000);
+    expect(cluster.counts.urgentMs).toHaveLength(5);
+  });
+
   test("starts with less than its reservation when that fits nowhere", () => {
     const cluster = smallCluster({ truth: () => need({ workMs: 200_000 }) });
     const urgent = { priority: "urgent", memoryGb: 20 } as const;
