--- a/bench/src/placement/cluster.ts
+++ b/bench/src/placement/cluster.ts
@@ -225,7 +225,10 @@
       leader.state,
       tick,
     );
-    this.counts.passMs.push((this.#setup.clock?.() ?? 0) - begin);
+    // A deposed leader works on a copy of the state, whose index is built anew only here.
+    if (leader.until === Infinity) {
+      this.counts.passMs.push((this.#setup.clock?.() ?? 0) - begin);
+    }
     for (const operation of operations) {
       this.#sendOperation(leader, operation);
     }
--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Job, JobChange, Run } from "./job.ts";
+import { type Job, type JobChange, kindKey, type Run } from "./job.ts";
 import type { JobIndex } from "./job_index.ts";
 import {
   emptyLease,
@@ -14,6 +14,8 @@
   startedAnew,
   type VmLease,
 } from "./lease.ts";
+import type { Sizing } from "./learning.ts";
+import { SETTLED_MS } from "./room.ts";
 import type { RunReport } from "./operation.ts";
 
 /** A run that no agent was asked to start within this time is placed again. */
@@ -33,6 +35,7 @@
   touched: ReadonlySet<string>;
   /** Lease bound of runs that this leader has not seen before. */
   firstBound?: number;
+  sizing: Sizing;
   changes: JobChange[];
 }
 
@@ -104,6 +107,9 @@
     absorbing.changes.push({ type: "end", job: job.id, run: run.id, outcome });
   } else if (report !== undefined) {
     held.seen = true;
+    if (report.runtimeMs >= SETTLED_MS) {
+      absorbing.sizing.observe(kindKey(job), report.peakMb);
+    }
     noteCheckpoint(absorbing, view);
   }
 }
--- a/packages/core/src/placement/explain.ts
+++ b/packages/core/src/placement/explain.ts
@@ -7,7 +7,7 @@
 import { accepts, chooseRoom } from "./choice.ts";
 import { isPressing } from "./deadline.ts";
 import { least, type PoolLimits, quotasOf } from "./feasibility.ts";
-import { MAX_UNKNOWN_RUNS } from "./filling.ts";
+import { countUnsettled, unknownCap } from "./filling.ts";
 import { type Job, kindKey } from "./job.ts";
 import type { JobIndex } from "./job_index.ts";
 import { MIN_SAMPLES, type Sizing } from "./learning.ts";
@@ -76,12 +76,14 @@
       formatSize(left)
     } of its quota left, and the job needs ${formatSize(need)}`;
   }
-  const running = context.index.runsOfKind.get(kindKey(job)) ?? 0;
+  const running = countUnsettled(context.index, kindKey(job), context.at);
+  const open = context.rooms.byPool.get(job.pool)?.filter((room) => room.open);
+  const cap = unknownCap(open?.length ?? 0);
   const unknown = !context.sizing.known(kindKey(job));
-  if (unknown && job.priority !== "urgent" && running >= MAX_UNKNOWN_RUNS) {
+  if (unknown && job.priority !== "urgent" && running >= cap) {
     return `Until ${MIN_SAMPLES} jobs of kind "${
       kindKey(job)
-    }" are done, at most ${MAX_UNKNOWN_RUNS} run at a time`;
+    }" are done, at most ${cap} of them start within a minute`;
   }
   return explainRooms(job, need, context);
 }
--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -12,7 +12,7 @@
 import { type Job, type JobChange, kindKey } from "./job.ts";
 import type { JobIndex, Lane } from "./job_index.ts";
 import type { Sizing } from "./learning.ts";
-import { addOccupant, type Room, type Rooms } from "./room.ts";
+import { addOccupant, type Room, type Rooms, SETTLED_MS } from "./room.ts";
 import { dominantShare, type Turn, Turns } from "./turns.ts";
 import { addSize, fits, remaining, type Size, zeroSize } from "./size.ts";
 
@@ -22,8 +22,10 @@
 const MAX_PREEMPTIONS = 32;
 /** Entries of a lane that are tried before the lane counts as blocked. */
 const MAX_TRIES = 2;
-/** Runs of a kind at a time while its sizes are unknown. */
-export const MAX_UNKNOWN_RUNS = 6;
+/** Least number of young runs of a kind at a time while its sizes are unknown. */
+const MAX_UNKNOWN_RUNS = 6;
+/** VMs of a pool for each further such run. */
+const VMS_PER_UNKNOWN_RUN = 4;
 /** How long a lane is left out while nothing changes for it. */
 const LEFT_OUT_MS = 10_000;
 /** How long a live job waits before overnight runs are ended for it. */
@@ -111,7 +113,7 @@
   }
 
   /** Whether nothing has changed for a lane that was left out before; tells without reading its jobs. */
-  #isBlocked(lane: Lane, { round, most }: PoolContext): boolean {
+  #isBlocked(lane: Lane, { rooms, round, most }: PoolContext): boolean {
     const { at } = this.#filling;
     if (round.pressing && at < (lane.calmUntil ?? 0)) {
       return true;
@@ -119,7 +121,7 @@
     if (round.priority === "urgent") {
       return false;
     }
-    if (this.#isCapped(lane.key)) {
+    if (this.#isCapped(lane.key, rooms.length)) {
       return true;
     }
     const { blocked } = lane;
@@ -139,7 +141,10 @@
     context: PoolContext,
   ): boolean {
     const { items } = turn.lane;
-    if (context.round.priority !== "urgent" && this.#isCapped(turn.lane.key)) {
+    if (
+      context.round.priority !== "urgent" &&
+      this.#isCapped(turn.lane.key, context.rooms.length)
+    ) {
       return false;
     }
     let tries = 0;
@@ -260,14 +265,20 @@
     this.#placements += 1;
   }
 
+  /** Runs of a kind that are too young to show what they use. */
   #runsOf(key: string): number {
-    return this.#runsOfKind.get(key) ??
-      this.#filling.index.runsOfKind.get(key) ?? 0;
+    const known = this.#runsOfKind.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const count = countUnsettled(this.#filling.index, key, this.#filling.at);
+    this.#runsOfKind.set(key, count);
+    return count;
   }
 
-  #isCapped(key: string): boolean {
+  #isCapped(key: string, vms: number): boolean {
     return !this.#filling.sizing.known(key) &&
-      this.#runsOf(key) >= MAX_UNKNOWN_RUNS;
+      this.#runsOf(key) >= unknownCap(vms);
   }
 
   #heldBy(team: string): Size {
@@ -287,6 +298,24 @@
   }
 }
 
+/** Young runs of a kind of unknown size that a pool takes at a time. */
+export function unknownCap(vms: number): number {
+  return Math.max(MAX_UNKNOWN_RUNS, Math.floor(vms / VMS_PER_UNKNOWN_RUN));
+}
+
+/** Number of runs of a kind that are too young to show what they use. */
+export function countUnsettled(
+  index: JobIndex,
+  key: string,
+  at: number,
+): number {
+  let count = 0;
+  for (const { run } of index.runsOfKind.get(key) ?? []) {
+    count += run !== undefined && at - run.at < SETTLED_MS ? 1 : 0;
+  }
+  return count;
+}
+
 /** What came of trying to place a job. */
 interface Attempt {
   placed: boolean;
--- a/packages/core/src/placement/job_index.ts
+++ b/packages/core/src/placement/job_index.ts
@@ -42,8 +42,8 @@
 export class JobIndex {
   /** Runs on each VM, by job id. */
   readonly byVm = new Map<string, Map<string, Job>>();
-  /** Number of runs of each kind. */
-  readonly runsOfKind = new Map<string, number>();
+  /** Jobs with a run, by kind. */
+  readonly runsOfKind = new Map<string, Set<Job>>();
   /** VMs whose runs changed since the set was last emptied. */
   readonly touched = new Set<string>();
   #waiting = new Map<string, Map<Priority, Lanes>>();
@@ -90,9 +90,7 @@
     this.#waiting.clear();
     this.byVm.clear();
     this.runsOfKind.clear();
-    const active = Object.values(jobs.active);
-    active.sort((a, b) => rankOf(a) - rankOf(b));
-    for (const job of active) {
+    for (const job of Object.values(jobs.active)) {
       this.#add(job);
     }
   }
@@ -125,7 +123,7 @@
     const runs = this.byVm.get(job.run.vm) ?? new Map<string, Job>();
     this.byVm.set(job.run.vm, runs.set(job.id, job));
     this.touched.add(job.run.vm);
-    this.#countRun(job, 1);
+    this.#runsLike(job).add(job);
   }
 
   #remove(job: Job): void {
@@ -136,7 +134,7 @@
     }
     this.byVm.get(job.run.vm)?.delete(job.id);
     this.touched.add(job.run.vm);
-    this.#countRun(job, -1);
+    this.#runsLike(job).delete(job);
   }
 
   #leave(job: Job): void {
@@ -154,9 +152,11 @@
     }
   }
 
-  #countRun(job: Job, change: number): void {
+  #runsLike(job: Job): Set<Job> {
     const key = kindKey(job);
-    this.runsOfKind.set(key, (this.runsOfKind.get(key) ?? 0) + change);
+    const runs = this.runsOfKind.get(key) ?? new Set();
+    this.runsOfKind.set(key, runs);
+    return runs;
   }
 
   #lanes(job: Job): Lanes {
--- a/packages/core/src/placement/learning.ts
+++ b/packages/core/src/placement/learning.ts
@@ -81,6 +81,7 @@
 export class Sizing {
   readonly #jobs: Jobs;
   readonly #learned = new WeakMap<Estimate, Learned>();
+  readonly #observed = new Map<string, number>();
   #ratios: readonly number[] = [];
   #ratio = 1;
 
@@ -136,6 +137,12 @@
     return tried ? job.floorMb : Math.min(job.floorMb, limit.memoryMb);
   }
 
+  /** Notes what a run uses that has gone on for a while; it stands in for ended runs while there are none. */
+  observe(key: string, memoryMb: number): void {
+    const most = Math.max(memoryMb, this.#observed.get(key) ?? 0);
+    this.#observed.set(key, most);
+  }
+
   /** Whether enough runs of the kind have ended to trust its sizes. */
   known(key: string): boolean {
     const samples = this.#jobs.estimates[key]?.memoryMb.length ?? 0;
@@ -149,8 +156,11 @@
 
   #learn(key: string): Learned {
     const estimate = this.#jobs.estimates[key];
-    if (estimate === undefined) {
-      return {};
+    if (estimate === undefined || estimate.memoryMb.length === 0) {
+      const observed = this.#observed.get(key);
+      return observed === undefined
+        ? {}
+        : { memoryMb: Math.ceil(observed * FEW_SAMPLES_MARGIN) };
     }
     let learned = this.#learned.get(estimate);
     if (learned === undefined) {
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -97,7 +97,8 @@
     const limits = this.#limits;
     const changes: JobChange[] = [];
     const firstBound = takesOver ? takeoverBound(tick.since) : undefined;
-    absorbReports({ index, leases, now, at, touched, firstBound, changes });
+    const absorbing = { index, leases, now, at, touched, sizing };
+    absorbReports({ ...absorbing, firstBound, changes });
     rooms.update(state, { index, leases, now, touched });
     touched.clear();
     this.#refuse(state, { changed, boundsChanged, changes });
--- a/packages/core/src/placement/room.ts
+++ b/packages/core/src/placement/room.ts
@@ -17,7 +17,7 @@
 /** A run counts with at least this share of what it reserved. */
 const RECLAIM_SHARE = 0.6;
 /** A run younger than this counts with all that it reserved. */
-const SETTLED_MS = 60_000;
+export const SETTLED_MS = 60_000;
 
 /** A run on a VM with the size that it is expected to use. */
 export interface Occupant {
