--- a/packages/core/test/maintenance_wave_test.ts
+++ b/packages/core/test/maintenance_wave_test.ts
@@ -54,6 +54,13 @@
     expect(changed.log).toEqual(alone.log);
   });
 
+  test("passes every wave when the platform stops the targets of a drained VM", () => {
+    const world = new World();
+    world.machines.forEach((machine) => machine.stopsTargets = true);
+    world.until(() => world.isRoundDone());
+    expect(world.log.filter((line) => /failed|stopped/.test(line))).toEqual([]);
+  });
+
   test("asks again under the same operation when an answer is lost", () => {
     const world = new World();
     let calls = 0;
@@ -80,6 +87,28 @@
     expect(world.state.rollout.round).toBe(2);
   });
 
+  test("comes back to every VM within the period, also when faults delay it", () => {
+    const periodMs = 4 * HOUR_MS;
+    const world = new World({ rules: rules({ periodMs }) });
+    const last = new Map<string, number>();
+    const gaps: number[] = [];
+    for (let i = 0; i < 20 * 720; i++) {
+      if (i % 1_440 === 100) {
+        world.fail("z1-r0-a", 600_000);
+      }
+      world.step(5_000);
+      for (const vm of Object.values(world.state.vms)) {
+        const known = last.get(vm.name) ?? 0;
+        if (known > 0 && vm.maintainedAt > known) {
+          gaps.push(vm.maintainedAt - known);
+        }
+        last.set(vm.name, vm.maintainedAt);
+      }
+    }
+    expect(gaps.length).toBe(12 * 6);
+    expect(Math.max(...gaps)).toBeLessThanOrEqual(periodMs);
+  });
+
   test("runs only inside a window that is long enough for a wave", () => {
     const hours = { drainTimeoutMs: 600_000, rebootTimeoutMs: 900_000 };
     const windows = [{ from: "01:00", to: "01:30" }];
@@ -98,6 +127,25 @@
 });
 
 describe("a wave", () => {
+  test("takes the VM with the least work first when moves weigh most", () => {
+    const canary = [0, 5].map((moves) => {
+      const world = new World({ rules: rules({ weights: { moves } }) });
+      world.until(() => world.state.rollout.round === 1);
+      for (const [name, machine] of world.machines) {
+        machine.work = [world.now + HOUR_MS, world.now + HOUR_MS];
+        const vm = world.state.vms[name];
+        const due = name.startsWith("z0") && name !== "z0-r0-a";
+        if (vm !== undefined && !due) {
+          vm.maintainedAt = world.now;
+        }
+      }
+      world.machine("z0-r1-a").work = [];
+      world.until(() => world.state.rollout.wave !== null);
+      return world.state.rollout.wave?.vms;
+    });
+    expect(canary).toEqual([["z0-r0-b"], ["z0-r1-a"]]);
+  });
+
   test("is not started when the worst further loss would leave too little, and says so", () => {
     const world = new World();
     world.need = 25;
@@ -118,6 +166,22 @@
     `);
   });
 
+  test("may leave need unserved within the risk share, but never without a further loss", () => {
+    const cases = [[0, 26], [0.1, 26], [0.5, 26], [1, 35]] as const;
+    const widest = cases.map(([riskShare, need]) => {
+      const weights = { rollout: 9 };
+      const world = new World({ rules: rules({ riskShare, weights }) });
+      world.need = need;
+      let width = 0;
+      for (let i = 0; i < 1_800; i++) {
+        world.step();
+        width = Math.max(width, world.state.rollout.wave?.vms.length ?? 0);
+      }
+      return width;
+    });
+    expect(widest).toEqual([0, 2, 4, 2]);
+  });
+
   test("stops when its canary does not return, tries one more, then waits for health", () => {
     const world = new World({ rules: rules({ bakeMs: 60_000 }) });
     for (const machine of world.machines.values()) {
@@ -192,6 +256,18 @@
       .toBe(true);
   });
 
+  test("keeps a VM out while an order to reboot it may still be on its way", () => {
+    const world = new World();
+    const vm = "z0-r0-a";
+    world.machine(vm).orderMs = 20 * 60_000;
+    world.until(() => world.state.vms[vm]?.phase === "failed");
+    world.until(() => world.state.vms[vm]?.phase === "serving");
+    expect(world.machine(vm).rebooted.size).toBe(1);
+    world.machine(vm).orderMs = 0;
+    world.until(() => world.isRoundDone());
+    expect(world.machine(vm).rebooted.size).toBe(1);
+  });
+
   test("reports a reboot that the agent refuses and tries it under a new operation", () => {
     const world = new World();
     const vm = "z0-r0-a";
