End a planned stop although callers keep their connections busy

Each answer ends its connection during a stop now, and connections that are still open 5 s after the last request are ended.

Node was ruled out as the one that ends such connections by itself: it ends idle ones only.

--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -36,10 +36,16 @@
   listener: Listener;
 }
 
+/** How long connections may take to end after the last request, in milliseconds. */
+const CLOSE_LIMIT_MS = 5_000;
+
 export class HttpServer implements Component {
   readonly name: string;
   readonly #listener: HttpListener;
   readonly #server: Server;
+  /** Requests whose answer has not been written to its end. */
+  readonly #open = new Set<ServerResponse>();
+  #stopping = false;
 
   constructor(listener: HttpListener) {
     const { limits } = listener;
@@ -50,7 +56,7 @@
       headersTimeout: limits.headersTimeoutMs,
       requestTimeout: limits.requestTimeoutMs,
       keepAliveTimeout: limits.keepAliveMs,
-    }, listener.listener);
+    }, (request, response) => this.#serve(request, response));
     this.#server.maxConnections = limits.maxConnections;
   }
 
@@ -61,18 +67,39 @@
     });
   }
 
-  /** Accepts no more connections and waits until all answers are written. */
-  stop(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
-    });
+  /** Accepts no more connections and waits until all answers are written; each answer ends its connection. */
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    this.#open.forEach((response) => endConnection(response));
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#server.closeIdleConnections();
+    const limit = setTimeout(() => this.abort(), CLOSE_LIMIT_MS);
+    await closed;
+    clearTimeout(limit);
   }
 
   /** Ends connections that are still open. */
   abort(): void {
     this.#server.closeAllConnections();
   }
+
+  /** A caller may keep a connection busy for good, so it is asked to leave with its next answer. */
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    this.#open.add(response);
+    response.once("close", () => this.#open.delete(response));
+    if (this.#stopping) {
+      endConnection(response);
+    }
+    this.#listener.listener(request, response);
+  }
+}
+
+function endConnection(response: ServerResponse): void {
+  if (!response.headersSent) {
+    response.setHeader("connection", "close");
+  }
 }
 
 /** Reads a body to its end; a longer or truncated one is a fault. */
--- a/test/harness/scene.ts
+++ b/test/harness/scene.ts
@@ -53,6 +53,8 @@
   readonly runs: Run[] = [];
   readonly deliveries: Delivery[] = [];
   readonly #plan: ScenePlan;
+  readonly #runsByPath = new Map<string, number>();
+  readonly #runsByKey = new Map<string, number>();
   readonly #targets = new Map<string, Target>();
   readonly #announcers = new Map<string, Announcer>();
 
@@ -130,9 +132,19 @@
 
   /** Runs of a request at all targets, by its key or else by its path. */
   ran(order: Pick<Call, "key" | "path">): number {
-    return this.runs.filter((run) =>
-      order.key === undefined ? run.path === order.path : run.key === order.key
-    ).length;
+    const { key, path } = order;
+    return (key === undefined
+      ? this.#runsByPath.get(path)
+      : this.#runsByKey.get(key)) ?? 0;
+  }
+
+  #record(run: Run): void {
+    this.runs.push(run);
+    const { key, path } = run;
+    this.#runsByPath.set(path, (this.#runsByPath.get(path) ?? 0) + 1);
+    if (key !== undefined) {
+      this.#runsByKey.set(key, (this.#runsByKey.get(key) ?? 0) + 1);
+    }
   }
 
   target(name: string): Target {
@@ -172,7 +184,7 @@
     const target = new Target({
       announcement,
       usual: Behaviour.parse({ runMs: this.#plan.runMs ?? 10 }),
-      record: (run) => this.runs.push(run),
+      record: (run) => this.#record(run),
     });
     await target.start();
     const entries = this.cluster.services();
--- /dev/null
+++ b/test/interrupted_test.ts
@@ -0,0 +1,99 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { callAdmin } from "@quetzalcove/emulator";
+import { lies, Scene } from "./harness/scene.ts";
+import type { Seen } from "./harness/site.ts";
+
+/** Delay of each chunk between e4 and the others, so that a grant of the ledger is long on its way. */
+const DELAY_MS = 250;
+
+describe("a request that is interrupted between the ledger and its target", () => {
+  const scene = new Scene({ entries: 4, replicas: 3, vms: 4 });
+  const { cluster } = scene;
+
+  beforeAll(() => scene.start());
+  afterAll(() => scene.stop());
+
+  const submit = (
+    entry: string,
+    key: string,
+    more: object = {},
+  ): Promise<Seen | undefined> => {
+    const path = `/reports/${key}`;
+    return scene.send(entry, { service: "intake", path, key, ...more });
+  };
+
+  const runs = (keys: readonly string[]): number[] =>
+    keys.map((key) => scene.ran({ key, path: "" }));
+
+  /** Keys of attempts in a phase. */
+  const held = async (phase: string): Promise<string[]> => {
+    const answer = await callAdmin<{ attempts?: { key: string }[] }>(
+      cluster.admin("e1"),
+      `/v1/requests?phase=${phase}`,
+    );
+    return (answer?.value.attempts ?? []).map(({ key }) =>
+      key.replace("anonymous/", "")
+    );
+  };
+
+  it("is not sent by an entry that was frozen past its lease", async () => {
+    const keys = Array.from({ length: 5 }, (_, index) => `frozen-${index}`);
+    cluster.relaysOf("e4").forEach((relay) => relay.delay(DELAY_MS));
+    const first = keys.map((key) => submit("e4", key));
+    await cluster.until("attempts in the ledger", async () => {
+      const running = await held("running");
+      return keys.every((key) => running.includes(key));
+    });
+    cluster.signal("e4", "SIGSTOP");
+    await cluster.until("fenced attempts", async () => {
+      const unknown = await held("unknown");
+      return keys.every((key, index) =>
+        unknown.includes(key) || runs(keys)[index] === 1
+      );
+    });
+    const before = runs(keys);
+    expect(before).toContain(0);
+    cluster.signal("e4", "SIGCONT");
+    cluster.relaysOf("e4").forEach((relay) => relay.delay(0));
+    const seen = await Promise.all(first);
+    expect(runs(keys)).toEqual(before);
+    expect(seen.map((one) => one?.outcome)).toContain("unknown");
+    const key = keys[before.indexOf(0)] ?? "";
+    const settle = { key: `anonymous/${key}`, outcome: "not run" };
+    for (const name of ["e1", "e2"]) {
+      const settled = await callAdmin(
+        cluster.admin(name),
+        "/v1/requests/settle",
+        settle,
+      );
+      expect(settled?.status).toBe(200);
+    }
+    await cluster.until(
+      "the run",
+      async () => (await submit("e2", key))?.outcome === "done",
+    );
+    expect(runs([key])).toEqual([1]);
+    await scene.serves(["e4"]);
+    expect(lies(scene.deliveries)).toEqual([]);
+  });
+
+  it("leaves no key behind when its caller goes away at any moment", async () => {
+    const keys = Array.from({ length: 60 }, (_, index) => `gone-${index}`);
+    cluster.relaysOf("e4").forEach((relay) => relay.delay(5));
+    await Promise.all(
+      keys.map((key, index) => submit("e4", key, { patienceMs: index + 1 })),
+    );
+    cluster.relaysOf("e4").forEach((relay) => relay.delay(0));
+    const last = await Promise.all(keys.map(async (key) => {
+      let seen: Seen | undefined;
+      await cluster.until(`an end of ${key}`, async () => {
+        seen = await submit("e1", key);
+        return seen?.outcome === "done";
+      });
+      return seen?.outcome;
+    }));
+    expect(new Set(last)).toEqual(new Set(["done"]));
+    expect(runs(keys)).toEqual(keys.map(() => 1));
+    expect(await held("running")).toEqual([]);
+  });
+});
