Decide on a stop again as soon as renewals may allow it

Ruled out: a shorter fixed interval, which costs the leader its share of the processor when nothing goes on. Conclusion: a pass runs when a renewal comes in while a stop waits for one, within 1 % of a core.

--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -52,6 +52,12 @@
 /** Most of the processor that decisions may take, as a share of a core. */
 const MAINTENANCE_SHARE = 0.01;
 
+/** Rules that hold a stop until entries have renewed their leases. */
+const AWAITING_RULES: ReadonlySet<Hold["rule"]> = new Set([
+  "view",
+  "in_flight",
+]);
+
 /** Longest interval of these decisions, in milliseconds. */
 const MAX_MAINTENANCE_MS = 2_000;
 
@@ -65,6 +71,9 @@
   #observer: Observer | undefined;
   #holds: readonly Hold[] = [];
   #maintainNotBefore = -Infinity;
+  /** Whether a stop waits for what a renewal may bring. */
+  #awaitsRenewals = false;
+  #soon: NodeJS.Timeout | undefined;
   #newsRevision = 0;
   #newsTable = 0;
 
@@ -90,6 +99,7 @@
   }
 
   async stop(): Promise<void> {
+    clearTimeout(this.#soon);
     await Promise.all(this.#tickers.map((each) => each.stop()));
   }
 
@@ -150,6 +160,9 @@
           clock.monotonic(),
         );
         this.#announceNews();
+        if (this.#awaitsRenewals) {
+          this.#maintainSoon();
+        }
         return Ok(grant);
       },
     );
@@ -186,7 +199,7 @@
     }
     if (command.kind === "vm.want" || command.kind === "configure") {
       this.#maintainNotBefore = -Infinity;
-      this.#maintenance.runNow();
+      this.#maintainSoon();
     }
     return result;
   }
@@ -273,12 +286,23 @@
     this.#maintainNotBefore = moment.now +
       Math.min(MAX_MAINTENANCE_MS, usedMs / MAINTENANCE_SHARE);
     this.#holds = decision.holds;
+    this.#awaitsRenewals = decision.commands.length > 0 ||
+      decision.holds.some((hold) => AWAITING_RULES.has(hold.rule));
     for (const action of decision.actions) {
       agents.order(agentOf(state, action.vm), action, confirmed.val.term);
     }
     await this.#proposeAll(decision.commands);
   }
 
+  /** Decides again as soon as the share of the processor allows it. */
+  #maintainSoon(): void {
+    const delayMs = this.#maintainNotBefore - this.#parts.clock.monotonic();
+    this.#soon ??= setTimeout(() => {
+      this.#soon = undefined;
+      this.#maintenance.runNow();
+    }, Math.max(0, delayMs));
+  }
+
   async #proposeAll(commands: readonly Command[]): Promise<void> {
     const { consensus, log } = this.#parts;
     const results = await Promise.all(
--- a/test/pools_test.ts
+++ b/test/pools_test.ts
@@ -15,6 +15,7 @@
     vms: 6,
     allServices: true,
     runMs: RUN_MS,
+    rules: { budget: { unservedShare: 0.5 } },
   });
   const { cluster } = scene;
   const watch = new PoolWatch(cluster);
