Do not put off a move that the operator withdrew and ordered again

Found by test/pools_test.ts (waited 45 s for 2 moves while operators change pools every second): a withdrawn move counted as put off, which holds the next for a drain timeout. Moves and removals now count as put off only when their drain took too long. The new stop test failed first with that hold.

--- a/packages/core/src/machine.ts
+++ b/packages/core/src/machine.ts
@@ -81,7 +81,8 @@
     (record) => {
       state.revision = revision;
       state.vms[command.vm] = record;
-      notePhase(state.rollout, before ?? record, record);
+      const change = { before: before ?? record, after: record };
+      notePhase(state.rollout, change, state.rules.maintenance);
       return Ok(changed(revision));
     },
   );
--- a/packages/core/src/maintenance/rollout.ts
+++ b/packages/core/src/maintenance/rollout.ts
@@ -161,9 +161,10 @@
  */
 export function notePhase(
   rollout: Rollout,
-  before: VmRecord,
-  after: VmRecord,
+  change: { before: VmRecord; after: VmRecord },
+  { drainTimeoutMs }: { drainTimeoutMs: number },
 ): void {
+  const { before, after } = change;
   if (after.phase === "failed") {
     noteFailure(rollout, after);
   }
@@ -173,11 +174,7 @@
   if (after.phase === "returning" && after.reason === "wave") {
     noteReboot(rollout, before, after);
   }
-  const back = after.phase === "serving" || after.phase === "returning";
-  const putOff = back && before.reason !== "operator" &&
-    (before.phase === "draining" || before.phase === "drained") &&
-    before.pool === after.pool;
-  if (putOff) {
+  if (wasPutOff(before, after, drainTimeoutMs)) {
     rollout.postponed[after.name] = counted(
       rollout.postponed[after.name],
       after.since,
@@ -185,6 +182,20 @@
   }
 }
 
+/** Operators withdraw moves and removals as well, so theirs count as put off only when they took too long. */
+function wasPutOff(
+  before: VmRecord,
+  after: VmRecord,
+  drainTimeoutMs: number,
+): boolean {
+  const stopping = before.phase === "draining" || before.phase === "drained";
+  const back = after.phase === "serving" || after.phase === "returning";
+  const late = after.since - before.since >= drainTimeoutMs;
+  const ordered = before.reason === "move" || before.reason === "removal";
+  return stopping && back && before.pool === after.pool &&
+    (before.reason === "wave" || ordered && late);
+}
+
 /** A reboot that its agent confirmed counts as maintenance if it belongs to this round. */
 function noteReboot(
   rollout: Rollout,
--- a/packages/core/test/maintenance_stop_test.ts
+++ b/packages/core/test/maintenance_stop_test.ts
@@ -149,6 +149,22 @@
     `);
   });
 
+  test("moves a VM at once although the operator changed the pool and changed it back", () => {
+    const world = disabled();
+    world.requestMs = 5_000;
+    world.step();
+    world.step();
+    for (const pool of ["b", "a", "b"]) {
+      world.configure(withPool(pool), world.state.rules);
+      world.until(() => phase(world) !== "serving" || pool === "a", {
+        steps: 10,
+      });
+      world.step();
+      world.step();
+    }
+    world.until(() => world.state.vms[VM]?.pool === "b", { steps: 30 });
+  });
+
   test("removes a VM only when it is idle, and keeps it while its service needs it", () => {
     const rest = inventory();
     const without = { ...rest, vms: rest.vms.filter((vm) => vm.name !== VM) };
