--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -7,14 +7,14 @@
 import { commits } from "./commits/commits.ts";
 import { live } from "./live/live.ts";
 import { placement } from "./placement/scenario.ts";
-import { scenario as routing } from "./routing/mod.ts";
+import { ROUTING } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
 
 /** Every scenario that the command knows, in the order in which `all` runs them. */
 export const SCENARIOS: readonly Scenario[] = [
   commits,
-  routing,
+  ...ROUTING,
   WAVES,
   placement,
   capacity,
