--- a/test/harness/scene.ts
+++ b/test/harness/scene.ts
@@ -26,6 +26,8 @@
   vms: number;
   /** Changes to the rules of both services. */
   rules?: Record<string, unknown>;
+  /** Changes to the rules of maintenance. */
+  maintenance?: Partial<Rules["maintenance"]>;
   settings?: Partial<Settings>;
   /** Whether each VM has a target of every service, for moves between pools. */
   allServices?: boolean;
@@ -63,6 +65,7 @@
       inventory: inventoryOf(plan.vms),
       rules: rulesOf(plan.rules),
     };
+    Object.assign(this.site.rules.maintenance, plan.maintenance);
     this.cluster = new Cluster({
       entries: plan.entries,
       replicas: plan.replicas,
