--- a/packages/core/src/placement/absorbing.ts
+++ b/packages/core/src/placement/absorbing.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Job, JobChange, Run } from "./job.ts";
+import { type Job, type JobChange, kindKey, type Run } from "./job.ts";
 import type { JobIndex } from "./job_index.ts";
 import {
   emptyLease,
@@ -14,11 +14,15 @@
   startedAnew,
   type VmLease,
 } from "./lease.ts";
+import type { Sizing } from "./learning.ts";
+import { SETTLED_MS } from "./room.ts";
 import type { RunReport } from "./operation.ts";
 
 /** A run that no agent was asked to start within this time is placed again. */
 const UNSENT_MS = 10_000;
 const URGENT_UNSENT_MS = 2_000;
+/** A VM that is silent for this long while an urgent run waits for it counts as lost. */
+const URGENT_SILENT_MS = 1_200;
 const RECHECK_MS = 500;
 
 /** What is read in one pass. */
@@ -31,6 +35,7 @@
   touched: ReadonlySet<string>;
   /** Lease bound of runs that this leader has not seen before. */
   firstBound?: number;
+  sizing: Sizing;
   changes: JobChange[];
 }
 
@@ -102,6 +107,9 @@
     absorbing.changes.push({ type: "end", job: job.id, run: run.id, outcome });
   } else if (report !== undefined) {
     held.seen = true;
+    if (report.runtimeMs >= SETTLED_MS) {
+      absorbing.sizing.observe(kindKey(job), report.peakMb);
+    }
     noteCheckpoint(absorbing, view);
   }
 }
@@ -136,10 +144,7 @@
   held: RunLease,
 ): boolean {
   if (neverSent(held)) {
-    const stale = lease.suspect || now - lease.reportedAt > STALE_MS;
-    const patienceMs = job.priority === "urgent" ? URGENT_UNSENT_MS : UNSENT_MS;
-    const late = at - run.at > patienceMs;
-    return run.want !== "run" || stale || late;
+    return run.want !== "run" || isStuck({ now, at }, job, { run, lease });
   }
   if (now > held.bound) {
     const unanswered = !held.seen && lease.reportedAt < held.sentAt;
@@ -148,3 +153,19 @@
   }
   return report === undefined && startedAnew(lease, run.incarnation);
 }
+
+/** Whether a placed run has waited too long to be sent to its VM. */
+function isStuck(
+  { now, at }: { now: number; at: number },
+  job: Job,
+  { run, lease }: { run: Run; lease: VmLease },
+): boolean {
+  const silentMs = now - lease.reportedAt;
+  const waitedMs = at - run.at;
+  if (job.priority !== "urgent") {
+    return lease.suspect || silentMs > STALE_MS || waitedMs > UNSENT_MS;
+  }
+  // The VM is asked all the time while the run waits, so that a short silence tells that it is lost.
+  lease.suspect ||= Math.min(silentMs, waitedMs) > URGENT_SILENT_MS;
+  return lease.suspect || waitedMs > URGENT_UNSENT_MS;
+}
