--- a/packages/core/src/placement/filling.ts
+++ b/packages/core/src/placement/filling.ts
@@ -17,9 +17,11 @@
 import { addSize, fits, remaining, type Size, zeroSize } from "./size.ts";
 
 /** Most placements in one pass. */
-export const MAX_PLACEMENTS = 512;
+const MAX_PLACEMENTS = 200;
 /** Most jobs in one pass for which runs to end are looked for. */
 const MAX_PREEMPTIONS = 32;
+/** The same for live jobs, which can wait. */
+const MAX_LIVE_PREEMPTIONS = 8;
 /** Entries of a lane that are tried before the lane counts as blocked. */
 const MAX_TRIES = 2;
 /** Least number of young runs of a kind at a time while its sizes are unknown. */
@@ -218,7 +220,10 @@
     const waitedMs = at - job.submittedAt;
     const mayPreempt = job.priority === "urgent" ||
       (job.priority === "live" && waitedMs >= LIVE_PATIENCE_MS);
-    if (!mayPreempt || this.#preemptions >= MAX_PREEMPTIONS) {
+    const most = job.priority === "urgent"
+      ? MAX_PREEMPTIONS
+      : MAX_LIVE_PREEMPTIONS;
+    if (!mayPreempt || this.#preemptions >= most) {
       return false;
     }
     this.#preemptions += 1;
