Keep writes from before the first start apart, and refuse to start beside a known cluster

Cause: a review by the author of the core: a write that waited during init reported to the new replica, and init did not look at the stored term. Ruled out by reading: other places swap no replica. Conclusion: both closed.

--- a/packages/daemon/src/consensus/replica_task.ts
+++ b/packages/daemon/src/consensus/replica_task.ts
@@ -132,6 +132,18 @@
   async bootstrap(): Promise<Result<void, Fault>> {
     const { settings, storage, replica, log } = this.#parts;
     const { entry, zone, listen } = settings;
+    const { term } = this.#raft.status;
+    if (term > 0) {
+      return Err(
+        fault(
+          "conflict",
+          `Replica "${replica}" has heard of term ${term} of a cluster`,
+          {
+            remedy: "Wait until that cluster takes this replica in",
+          },
+        ),
+      );
+    }
     const stored = bootstrap({ replica, entry, zone, address: listen.link });
     const { hardState, entries } = stored;
     const saved = await storage.save({ hardState, entries });
@@ -301,6 +313,7 @@
 
   async #store(output: RaftOutput): Promise<void> {
     const { storage, metrics, clock } = this.#parts;
+    const raft = this.#raft;
     const startedAt = clock.monotonic();
     const stored = await storage.save(output.write);
     if (stored.err) {
@@ -313,7 +326,10 @@
     );
     this.#event((now) => {
       output.answers.forEach((message) => this.#send(message));
-      this.#raft.persisted(output.id, now);
+      // A write that waited while the cluster was initialized belongs to the replica before it.
+      if (raft === this.#raft) {
+        raft.persisted(output.id, now);
+      }
     });
   }
 
