--- a/packages/daemon/src/consensus/replica_task.ts
+++ b/packages/daemon/src/consensus/replica_task.ts
@@ -31,6 +31,9 @@
 import type { Metrics } from "../observe/metrics.ts";
 import type { Storage } from "../storage/storage.ts";
 import type { Consensus, Leadership, ReplicaStatus } from "./consensus.ts";
+import { lostLeadership, Proposals, stoppedReplica } from "./proposals.ts";
+import { ReadBarriers } from "./read_barriers.ts";
+import { entryOf, leadershipOf, replicaStatuses } from "./replica_status.ts";
 
 /** What a replica task needs. */
 export interface ReplicaParts {
@@ -48,40 +51,19 @@
   onStorageFailure: (cause: Fault) => void;
 }
 
-interface Waiter {
-  term: number;
-  settle: (result: Result<Output, Fault>) => void;
-}
-
-/** A read that waits for a round; a confirmed round began after the read was asked for. */
-interface Barrier {
-  askedAt: number;
-  settle: (result: Result<void, Fault>) => void;
-}
-
-/** Share of the shortest election timeout for which a confirmed round counts. */
-const LEASE_SHARE = 0.5;
-
 /** Share of a heartbeat between two ticks. */
 const TICK_SHARE = 0.25;
 
-/** Entries behind at which a replica no longer counts as caught up. */
-const CAUGHT_UP_ENTRIES = 64;
-
 export class ReplicaTask implements Consensus, Component {
   readonly name = "replica";
   readonly #parts: ReplicaParts;
   #raft: Raft;
   readonly #ticker: Component;
-  readonly #waiters = new Map<number, Waiter>();
-  readonly #barriers = new Map<string, Barrier>();
+  readonly #proposals = new Proposals();
+  readonly #barriers: ReadBarriers;
   readonly #listeners: (() => void)[] = [];
   #state: State;
   #appliedIndex: number;
-  #barrierCount = 0;
-  /** Until then no other replica can be elected. */
-  #leasedUntil = -Infinity;
-  #isTransferring = false;
   #pumpDue = false;
   #stopped = false;
   #wasLeader = false;
@@ -90,6 +72,7 @@
   constructor(parts: ReplicaParts) {
     this.#parts = parts;
     this.#raft = openRaft(parts, parts.stored);
+    this.#barriers = new ReadBarriers(parts.settings.raft.electionMinMs);
     const { snapshot } = parts.stored;
     this.#state = snapshot === undefined
       ? emptyState()
@@ -155,12 +138,7 @@
   }
 
   leadership(): Leadership {
-    const { term, leader, role } = this.#raft.status;
-    return {
-      term,
-      leader: leader === undefined ? undefined : entryOf(leader),
-      isLeader: role === "leader",
-    };
+    return leadershipOf(this.#raft);
   }
 
   onChange(listener: () => void): void {
@@ -184,36 +162,29 @@
         if (proposed.err) {
           settle(Err(this.#asNotLeader(proposed.val)));
         } else {
-          this.#waiters.set(proposed.val.first, {
-            term: proposed.val.term,
-            settle,
-          });
+          const { first, term } = proposed.val;
+          this.#proposals.add(first, { term, settle });
         }
       });
     });
   }
 
-  /**
-   * A round that a quorum confirmed keeps followers from electing another leader for an election timeout, so reads
-   * within part of that time need no round of their own (Ongaro's thesis, section 6.4.1).
-   */
   barrier(): Promise<Result<void, Fault>> {
     const askedAt = this.#parts.clock.monotonic();
     if (this.#stopped) {
       return Promise.resolve(Err(stoppedReplica()));
     }
-    if (askedAt < this.#leasedUntil) {
+    if (this.#barriers.isLeased(askedAt)) {
       return Promise.resolve(Ok.EMPTY);
     }
     return new Promise((settle) => {
       this.#event((now) => {
-        this.#barrierCount += 1;
-        const context = String(this.#barrierCount);
+        const context = this.#barriers.nextContext();
         const asked = this.#raft.readIndex(context, now);
         if (asked.err) {
           settle(Err(this.#asNotLeader(asked.val)));
         } else {
-          this.#barriers.set(context, { askedAt, settle });
+          this.#barriers.add(context, { askedAt, settle });
         }
       });
     });
@@ -235,8 +206,7 @@
       return Err(fault("not_found", `Entry "${entry}" holds no replica`));
     }
     let result: Result<void, Fault> = Ok.EMPTY;
-    this.#isTransferring = true;
-    this.#leasedUntil = -Infinity;
+    this.#barriers.beginTransfer();
     this.#event((now) => {
       result = this.#raft.transferLeadership(member.replica, now);
     });
@@ -244,22 +214,7 @@
   }
 
   replicas(): ReplicaStatus[] {
-    const { replica, leader, lastIndex } = this.#raft.status;
-    const matched = new Map(
-      this.#raft.progress.map((known) => [known.replica, known.match]),
-    );
-    matched.set(replica, lastIndex);
-    return this.#raft.membership.members.map((member) => {
-      const match = matched.get(member.replica) ?? 0;
-      return {
-        replica: member.replica,
-        entry: member.entry,
-        zone: member.zone,
-        role: member.replica === leader ? "leader" : roleOf(member.standing),
-        matched: match,
-        caughtUp: lastIndex - match <= CAUGHT_UP_ENTRIES,
-      };
-    });
+    return replicaStatuses(this.#raft);
   }
 
   #event(step: (now: number) => void): void {
@@ -297,15 +252,10 @@
       this.#appliedIndex = output.write.installed.index;
     }
     output.committed.forEach((entry) => this.#apply(entry));
-    output.reads.forEach(({ context }) =>
-      this.#settleBarrier(context, Ok.EMPTY)
+    output.reads.forEach(({ context }) => this.#barriers.confirm(context));
+    output.lostReads.forEach((context) =>
+      this.#barriers.lose(context, lostLeadership())
     );
-    output.lostReads.forEach((context) => {
-      this.#settleBarrier(
-        context,
-        Err(fault("no_leader", "Leadership was lost")),
-      );
-    });
     if (output.committed.length > 0 || output.write.installed !== undefined) {
       this.#listeners.forEach((listener) => listener());
     }
@@ -339,32 +289,10 @@
 
   #apply(entry: LogEntry): void {
     this.#appliedIndex = entry.index;
-    const waiter = this.#waiters.get(entry.index);
-    this.#waiters.delete(entry.index);
-    if (entry.kind !== "command") {
-      waiter?.settle(Err(lostLeadership()));
-      return;
-    }
-    const result = apply(this.#state, JSON.parse(entry.data) as Command);
-    waiter?.settle(waiter.term === entry.term ? result : Err(lostLeadership()));
-  }
-
-  #settleBarrier(context: string, result: Result<void, Fault>): void {
-    const barrier = this.#barriers.get(context);
-    this.#barriers.delete(context);
-    barrier?.settle(result);
-    if (barrier !== undefined && result.ok && this.#mayLease()) {
-      const { electionMinMs } = this.#parts.settings.raft;
-      this.#leasedUntil = Math.max(
-        this.#leasedUntil,
-        barrier.askedAt + electionMinMs * LEASE_SHARE,
-      );
-    }
-  }
-
-  /** A successor may be elected at any moment during a transfer, so a leader that began one trusts no lease. */
-  #mayLease(): boolean {
-    return !this.#isTransferring && this.leadership().isLeader;
+    const result = entry.kind === "command"
+      ? apply(this.#state, JSON.parse(entry.data) as Command)
+      : undefined;
+    this.#proposals.settle(entry, result);
   }
 
   #followLeadership(): void {
@@ -373,8 +301,7 @@
       return;
     }
     this.#wasLeader = isLeader;
-    this.#leasedUntil = -Infinity;
-    this.#isTransferring = false;
+    this.#barriers.changeRole();
     if (!isLeader) {
       this.#failAll();
     }
@@ -387,13 +314,8 @@
   }
 
   #failAll(): void {
-    for (const waiter of this.#waiters.values()) {
-      waiter.settle(Err(lostLeadership()));
-    }
-    this.#waiters.clear();
-    for (const context of [...this.#barriers.keys()]) {
-      this.#settleBarrier(context, Err(lostLeadership()));
-    }
+    this.#proposals.loseAll();
+    this.#barriers.loseAll(lostLeadership());
   }
 
   #compactIfDue(): void {
@@ -461,24 +383,3 @@
 function restore(data: string): State {
   return JSON.parse(data) as State;
 }
-
-function roleOf(standing: "voter" | "learner"): "follower" | "learner" {
-  return standing === "voter" ? "follower" : "learner";
-}
-
-/** A replica that stopped takes nothing in, so what it is asked did not run. */
-function stoppedReplica(): Fault {
-  return fault("no_leader", "This replica has stopped", { outcome: "not run" });
-}
-
-function lostLeadership(): Fault {
-  return fault(
-    "no_leader",
-    "Leadership was lost before the command was confirmed",
-  );
-}
-
-/** The entry that holds a replica. */
-export function entryOf(replica: ReplicaId): string {
-  return replica.slice(0, replica.lastIndexOf("#"));
-}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -19,6 +19,7 @@
 import { Admin, type ReplicaOperations } from "./admin/admin.ts";
 import { type Clock, systemClock } from "./clock.ts";
 import { Formation } from "./consensus/formation.ts";
+import { handOver } from "./consensus/hand_over.ts";
 import { ReplicaTask } from "./consensus/replica_task.ts";
 import { Entry } from "./entry/entry.ts";
 import { LeaderClient } from "./entry/leader_client.ts";
@@ -36,16 +37,13 @@
 import { PlatformAgents } from "./platform/agents.ts";
 import { jsonReply, problemReply } from "./problem.ts";
 import { openReplicaFolder, type ReplicaFolder } from "./replica_folder.ts";
+import { until, wait } from "./waiting.ts";
 
 const Hello = z.object({ cluster: z.string(), entry: z.string() });
 
 /** Wait for the spans of one peer, in milliseconds. */
 const TRACE_TIMEOUT_MS = 500;
 
-/** Longest wait for a successor before a leader stops, in milliseconds. */
-const TRANSFER_MS = 2_000;
-const POLL_MS = 20;
-
 /** A running daemon. */
 export class Daemon {
   readonly log: Log;
@@ -375,32 +373,8 @@
     await wait(noticeMs);
     this.#entry?.membership.beginStop();
     await until(() => this.#entry?.front.inProgress === 0, graceMs);
-    await this.#handOver();
-  }
-
-  async #handOver(): Promise<void> {
-    const replica = this.#replica;
-    if (replica === undefined || !replica.leadership().isLeader) {
-      return;
-    }
-    const successor = replica.replicas().find((member) => {
-      return member.entry !== this.#settings.entry &&
-        member.role === "follower" && member.caughtUp;
-    });
-    if (successor !== undefined) {
-      replica.transfer(successor.entry);
-      await until(() => !replica.leadership().isLeader, TRANSFER_MS);
+    if (this.#replica !== undefined) {
+      await handOver(this.#replica, this.#settings.entry);
     }
   }
 }
-
-function wait(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
-
-/** Waits until a condition holds, or the time is over. */
-async function until(condition: () => boolean, limitMs: number): Promise<void> {
-  for (let waited = 0; waited < limitMs && !condition(); waited += POLL_MS) {
-    await wait(POLL_MS);
-  }
-}
--- a/packages/daemon/src/entry/leader_client.ts
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -8,6 +8,7 @@
 import { within } from "../deadline.ts";
 import type { Handlers } from "../link/connection.ts";
 import type { Link } from "../link/link.ts";
+import { wait } from "../waiting.ts";
 
 /** What a leader client needs. */
 export interface LeaderRoutes {
@@ -139,7 +140,3 @@
   return await within(limitMs, answer) ??
     Err(fault("timeout", `Call of ${method} here got no answer in time`));
 }
-
-function wait(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/emulator/src/agent.ts
+++ b/packages/emulator/src/agent.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import { VmOrder, type VmOrderAnswer } from "@quetzalcove/core";
+import { listenAt } from "./listen.ts";
 
 /** What an emulated agent is built with. */
 export interface AgentSetup {
@@ -41,16 +42,7 @@
   }
 
   start(): Promise<void> {
-    const { address } = this.#setup;
-    const colon = address.lastIndexOf(":");
-    const at = {
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-    };
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(at, resolve);
-    });
+    return listenAt(this.#server, this.#setup.address);
   }
 
   stop(): Promise<void> {
--- a/packages/emulator/src/target.ts
+++ b/packages/emulator/src/target.ts
@@ -14,6 +14,7 @@
 import process from "node:process";
 import type { Announcement } from "@quetzalcove/core";
 import { type Behaviour, BEHAVIOUR_HEADER, behaviourOf } from "./behaviour.ts";
+import { listenAt } from "./listen.ts";
 
 /** One run of a request at a target. */
 export interface Run {
@@ -72,16 +73,7 @@
   }
 
   start(): Promise<void> {
-    const { address } = this.#setup.announcement;
-    const colon = address.lastIndexOf(":");
-    const at = {
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-    };
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(at, resolve);
-    });
+    return listenAt(this.#server, this.#setup.announcement.address);
   }
 
   /** Accepts nothing more and waits for the requests at work. */
