Show the hop to the leader in traces

Cause: a trace of an at-most-once request had spans for entry, queue, ledger and target, and none for the link. The proposal carries the trace context; the leader's span continues it. Ruled out: a context for every call between daemons, which would trace renewals too.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -194,6 +194,7 @@
     const agents = new PlatformAgents(this.log);
     const leader = new Leader({
       agents,
+      tracing: this.#tracing,
       settings: this.#settings,
       consensus: replica,
       clock: this.#clock,
--- a/packages/daemon/src/entry/ledger_client.ts
+++ b/packages/daemon/src/entry/ledger_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Context } from "@opentelemetry/api";
 import {
   type Answer,
   Err,
@@ -15,6 +16,7 @@
   type Result,
 } from "@quetzalcove/core";
 import { z } from "zod";
+import { injectContext } from "../observe/tracing.ts";
 import type { LeaderClient } from "./leader_client.ts";
 
 /** An attempt that this entry asked for. */
@@ -39,6 +41,13 @@
 /** How long an entry keeps trying to record how an attempt ended, in milliseconds. */
 const RECORD_MS = 300_000;
 
+/** How an attempt is asked for. */
+export interface Asking {
+  timeoutMs: number;
+  /** Trace context that the leader's span continues. */
+  context: Context;
+}
+
 export class LedgerClient {
   readonly #leader: LeaderClient;
 
@@ -47,8 +56,17 @@
   }
 
   /** Asks for the attempt. A lost answer is asked for again under the same attempt id. */
-  begin(claim: Claim, timeoutMs: number): Promise<Result<LedgerOutput, Fault>> {
-    return this.#propose({ kind: "ledger.begin", ...claim, at: 0 }, timeoutMs);
+  begin(
+    claim: Claim,
+    { timeoutMs, context }: Asking,
+  ): Promise<Result<LedgerOutput, Fault>> {
+    const trace: Record<string, string> = {};
+    injectContext(context, trace);
+    return this.#propose(
+      { kind: "ledger.begin", ...claim, at: 0 },
+      timeoutMs,
+      trace,
+    );
   }
 
   /** Records the answer of an attempt. */
@@ -94,8 +112,10 @@
   async #propose(
     command: LedgerCommand,
     timeoutMs: number,
+    trace?: Record<string, string>,
   ): Promise<Result<LedgerOutput, Fault>> {
-    const answer = await this.#leader.call("propose", command, timeoutMs);
+    const params = trace === undefined ? command : { ...command, trace };
+    const answer = await this.#leader.call("propose", params, timeoutMs);
     if (answer.err) {
       return answer;
     }
--- a/packages/daemon/src/entry/request_path.ts
+++ b/packages/daemon/src/entry/request_path.ts
@@ -184,7 +184,7 @@
     const begun = await tracing.within(
       "ledger",
       journey.context,
-      () => ledger.begin(claim, timeoutMs),
+      (context) => ledger.begin(claim, { timeoutMs, context }),
     );
     if (begun.ok && begun.val.kind === "granted") {
       journey.begun = true;
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -23,6 +23,7 @@
 import { type Component, type Ticker, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
 import type { Fields, Log } from "../observe/log.ts";
+import { extractContext, type Tracing } from "../observe/tracing.ts";
 import type { PlatformAgents } from "../platform/agents.ts";
 import { dueCommands, longestRequestMs } from "./conductor.ts";
 import { Placer } from "./placer.ts";
@@ -37,10 +38,15 @@
   clock: Clock;
   log: Log;
   agents: PlatformAgents;
+  tracing: Tracing;
   /** Tells all entries that a renewal would bring news. */
   announceNews: () => void;
 }
 
+/** The trace context of a proposal, in the headers of W3C. */
+const Traced = z.object({
+  trace: z.record(z.string(), z.string()).optional().catch(undefined),
+});
 const GiveBack = z.object({ entry: z.string(), incarnation: z.number().int() });
 
 /** Interval of fencing and pruning, in milliseconds. */
@@ -186,7 +192,14 @@
     if (this.#tenure === undefined) {
       return Err(this.#notLeader());
     }
-    return await this.#stamped(command.val);
+    const { trace } = Traced.parse(params);
+    return trace === undefined
+      ? await this.#stamped(command.val)
+      : await this.#parts.tracing.within(
+        "link",
+        extractContext(trace),
+        () => this.#stamped(command.val),
+      );
   }
 
   async #stamped(command: Command): Promise<Result<unknown, Fault>> {
--- a/test/answers_test.ts
+++ b/test/answers_test.ts
@@ -1,6 +1,6 @@
 import { connect } from "node:net";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import type { Fleet, Run } from "@quetzalcove/emulator";
+import { callAdmin, type Fleet, type Run } from "@quetzalcove/emulator";
 import { Cluster } from "./harness/cluster.ts";
 import { call, fleetOf, inventoryOf, rulesOf } from "./harness/site.ts";
 
@@ -166,4 +166,42 @@
     expect(answer).toMatch(/^HTTP\/1\.1 400 /);
     expect(runs.some((run) => /smuggled|hidden/.test(run.path))).toBe(false);
   });
+
+  it("names a trace with a span for each hop", async () => {
+    const answer = await fetch(
+      `http://${cluster.service("e2")}/intake/traced`,
+      {
+        method: "POST",
+        body: "estimate",
+        headers: { "idempotency-key": "traced" },
+      },
+    );
+    const trace = answer.headers.get("x-quetzalcove-trace") ?? "";
+    const hops: string[] = [];
+    await cluster.until("all spans", async () => {
+      const found = await callAdmin<
+        { spans: { name: string; entry: string }[] }
+      >(
+        cluster.admin("e2"),
+        `/v1/traces/${trace}`,
+      );
+      hops.splice(
+        0,
+        hops.length,
+        ...(found?.value.spans ?? []).map((span) =>
+          `${span.name} ${span.entry}`
+        ),
+      );
+      return hops.length === 5;
+    });
+    expect(hops.sort()).toMatchInlineSnapshot(`
+      [
+        "entry e2",
+        "ledger e2",
+        "link e1",
+        "queue e2",
+        "target e2",
+      ]
+    `);
+  });
 });
