Count the silence of a VM from when it was added

Cause: in a trial on a fresh clone a VM that had just been added, and had no target yet, was marked failed within 3 s: its silence was counted from the start of the leader. Ruled out: marking later in general; the 10 s stand.

--- a/packages/daemon/src/leader/observer.ts
+++ b/packages/daemon/src/leader/observer.ts
@@ -11,6 +11,7 @@
   type Reading,
   runsOn,
   type State,
+  type VmRecord,
 } from "@quetzalcove/core";
 import type { PlatformAgents } from "../platform/agents.ts";
 import { longestRequestMs } from "./conductor.ts";
@@ -96,7 +97,7 @@
     for (const record of Object.values(state.vms)) {
       const found = slots.get(record.name);
       conditions.set(record.name, {
-        ...this.#livenessOf(record.name, found !== undefined, moment.at),
+        ...this.#livenessOf(record, found !== undefined, moment.at),
         slots: found ?? {},
         inFlight: tenure.leases.isIdle(record, longest, moment.now)
           ? 0
@@ -108,13 +109,15 @@
     return conditions;
   }
 
-  #livenessOf(vm: string, live: boolean, at: number): Liveness {
-    const known = this.#liveness.get(vm);
+  #livenessOf(vm: VmRecord, live: boolean, at: number): Liveness {
+    const known = this.#liveness.get(vm.name);
     if (known !== undefined && known.live === live) {
       return known;
     }
-    const changed = { live, since: known === undefined ? this.#startedAt : at };
-    this.#liveness.set(vm, changed);
+    // Silence is counted from when this leader could first have heard of the VM.
+    const first = Math.max(this.#startedAt, vm.since);
+    const changed = { live, since: known === undefined ? first : at };
+    this.#liveness.set(vm.name, changed);
     return changed;
   }
 }
