Share the site of the live measurements, and drop a reader nobody calls

Cause: the scenarios capacity and live started and ended nine daemons with the same lines; Metrics.counted had no caller. Ruled out: joining the sites of tests (answers, at most once, not run), whose set-ups differ in what they wait for, and the driver of the commits bench with the replica task, which measures the storage without the daemon on purpose.

--- a/bench/src/capacity/live.ts
+++ b/bench/src/capacity/live.ts
@@ -3,22 +3,10 @@
  *
  * @module
  */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import process from "node:process";
 import type { Settings, Status } from "@quetzalcove/core";
-import {
-  Behaviour,
-  callAdmin,
-  eventually,
-  Fleet,
-  isFormed,
-  settingsFor,
-  startDaemons,
-} from "@quetzalcove/emulator";
+import { callAdmin } from "@quetzalcove/emulator";
 import { request } from "undici";
-import { inventoryOf, PLAN, rulesOf } from "./fleet_data.ts";
+import { adminOf, startSite, stopSite } from "../live/site.ts";
 import type { Series } from "./pure.ts";
 
 /** How the live measurement runs. */
@@ -36,7 +24,6 @@
   receivedBytes: number;
 }
 
-const PATIENCE_MS = 60_000;
 const SETTLE_MS = 5_000;
 const BYTES_PER_MB = 1_048_576;
 const BYTES_PER_KB = 1_024;
@@ -69,58 +56,17 @@
 }
 
 async function watchSize(size: number, watchMs: number): Promise<Figure[]> {
-  const folder = mkdtempSync(join(tmpdir(), "quetzalcove-capacity-"));
-  const network = `127.${60 + (process.pid % 60)}.${process.pid % 250}`;
-  const { entries, replicas } = PLAN;
-  const settings = settingsFor({ entries, replicas, network, folder });
-  const daemons = startDaemons(settings, folder);
-  const inventory = inventoryOf(size);
-  const rules = rulesOf();
-  const fleet = new Fleet({
-    inventory,
-    rules,
-    entries: settings.map((one) => one.listen.service),
-    network: `127.${130 + (process.pid % 60)}`,
-    usual: Behaviour.parse({}),
-    record: () => {},
-    startedAt: Date.now(),
-  });
+  const site = await startSite(size);
   try {
-    await eventually(() => isFormed(settings), PATIENCE_MS);
-    const change = { change: "first", base: 0, inventory, rules };
-    await callAdmin(
-      settings[0]?.listen.admin ?? "",
-      "/v1/configuration",
-      change,
-    );
-    await fleet.start();
-    const leader = await settledLeader(settings, size);
-    return await watch(settings, leader, watchMs);
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    const admin = adminOf(site.settings, 0);
+    const status = await callAdmin<Status>(admin, "/v1/status");
+    return await watch(site.settings, status?.value.leader ?? "", watchMs);
   } finally {
-    await fleet.stop();
-    daemons.forEach((daemon) => daemon.signal("SIGKILL"));
-    await Promise.all(daemons.map((daemon) => daemon.ended));
-    rmSync(folder, { recursive: true, force: true });
+    await stopSite(site);
   }
 }
 
-async function settledLeader(
-  settings: readonly Settings[],
-  targets: number,
-): Promise<string> {
-  let leader = "";
-  await eventually(async () => {
-    const status = await callAdmin<Status>(
-      settings[0]?.listen.admin ?? "",
-      "/v1/status",
-    );
-    leader = status?.value.leader ?? "";
-    return status?.value.counts?.targets === targets;
-  }, PATIENCE_MS);
-  await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
-  return leader;
-}
-
 async function watch(
   settings: readonly Settings[],
   leader: string,
--- a/bench/src/live/live.ts
+++ b/bench/src/live/live.ts
@@ -4,24 +4,18 @@
  *
  * @module
  */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
 import { join } from "node:path";
-import process from "node:process";
 import type { Settings, Status } from "@quetzalcove/core";
 import {
-  Behaviour,
   callAdmin,
   type Child,
   eventually,
-  Fleet,
   isFormed,
-  settingsFor,
   startDaemons,
 } from "@quetzalcove/emulator";
 import { build } from "hdr-histogram-js";
 import { Pool } from "undici";
-import { inventoryOf, PLAN, rulesOf } from "../capacity/fleet_data.ts";
+import { inventoryOf, rulesOf } from "../capacity/fleet_data.ts";
 import {
   atMost,
   decimal,
@@ -30,6 +24,13 @@
   type Scenario,
   type Table,
 } from "../scenario.ts";
+import {
+  adminOf,
+  PATIENCE_MS,
+  type Site,
+  startSite,
+  stopSite,
+} from "./site.ts";
 
 const VMS = 42;
 const CHANGES = 40;
@@ -37,7 +38,6 @@
 const LOSSES = 5;
 const QUICK_LOSSES = 1;
 const REQUESTS = 400;
-const PATIENCE_MS = 60_000;
 const POLL_MS = 10;
 const US_PER_MS = 1_000;
 const SIGNIFICANT_DIGITS = 3;
@@ -52,16 +52,9 @@
   run: benchLive,
 };
 
-interface Site {
-  settings: Settings[];
-  daemons: Child[];
-  fleet: Fleet;
-  folder: string;
-}
-
 /** Runs the scenario. */
 export async function benchLive(run: Run): Promise<Outcome> {
-  const site = await startSite();
+  const site = await startSite(VMS);
   try {
     const requests = await measureRequests(site);
     const changes = await measureChanges(
@@ -84,48 +77,6 @@
   }
 }
 
-async function startSite(): Promise<Site> {
-  const folder = mkdtempSync(join(tmpdir(), "quetzalcove-live-"));
-  const network = `127.${60 + (process.pid % 60)}.${process.pid % 250}`;
-  const { entries, replicas } = PLAN;
-  const settings = settingsFor({ entries, replicas, network, folder });
-  const daemons = startDaemons(settings, folder);
-  const inventory = inventoryOf(VMS);
-  const rules = rulesOf();
-  const fleet = new Fleet({
-    inventory,
-    rules,
-    entries: settings.map((one) => one.listen.service),
-    network: `127.${130 + (process.pid % 60)}`,
-    usual: Behaviour.parse({ runMs: 5 }),
-    record: () => {},
-    startedAt: Date.now(),
-  });
-  await eventually(() => isFormed(settings), PATIENCE_MS);
-  const change = { change: "first", base: 0, inventory, rules };
-  await callAdmin(adminOf(settings, 0), "/v1/configuration", change);
-  await fleet.start();
-  await eventually(async () => {
-    const status = await callAdmin<Status>(adminOf(settings, 0), "/v1/status");
-    return status?.value.counts?.targets === VMS;
-  }, PATIENCE_MS);
-  return { settings, daemons, fleet, folder };
-}
-
-async function stopSite({ daemons, fleet, folder }: Site): Promise<void> {
-  await fleet.stop();
-  daemons.forEach((daemon) => {
-    daemon.signal("SIGCONT");
-    daemon.signal("SIGKILL");
-  });
-  await Promise.all(daemons.map((daemon) => daemon.ended));
-  rmSync(folder, { recursive: true, force: true });
-}
-
-function adminOf(settings: readonly Settings[], index: number): string {
-  return settings[index]?.listen.admin ?? "";
-}
-
 /** Latency of requests one after the other, repeatable and not, at an entry that holds no replica. */
 async function measureRequests({ settings }: Site): Promise<Table> {
   const pool = new Pool(`http://${settings.at(-1)?.listen.service}`, {
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -35,11 +35,6 @@
     return (by) => values.set(key, (values.get(key) ?? 0) + by);
   }
 
-  /** The value of a counter. */
-  counted(name: string, labels: Labels = {}): number {
-    return this.#counters.get(name)?.values.get(labelText(labels)) ?? 0;
-  }
-
   /** Registers a gauge that is read when metrics are written. */
   gauge(name: string, read: () => number, labels: Labels = {}): void {
     seriesOf(this.#gauges, name).values.set(labelText(labels), read);
