--- a/packages/core/src/raft/mod.ts
+++ b/packages/core/src/raft/mod.ts
@@ -9,4 +9,5 @@
 export type { RaftOutput, RaftWrite } from "./output.ts";
 export * from "./raft.ts";
 export * from "./record.ts";
+export * from "./succession.ts";
 export { DEFAULT_TUNING, type Role, type Tuning } from "./replica.ts";
--- /dev/null
+++ b/packages/core/src/scheduling/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Scheduling of jobs of steps and tasks on workers, without input or output.
+ *
+ * @module
+ */
+export * from "./batch_job.ts";
+export * from "./command.ts";
+export * from "./job_book.ts";
+export * from "./job_record.ts";
+export * from "./placing.ts";
+export * from "./queue_plan.ts";
+export * from "./task_name.ts";
+export * from "./urgency.ts";
+export * from "./worker_lease.ts";
+export * from "./worker_load.ts";
+export * from "./worker_orders.ts";
--- /dev/null
+++ b/packages/core/src/scheduling/placing.ts
@@ -0,0 +1,218 @@
+/**
+ * Which worker runs which task.
+ *
+ * Answers the pattern of many small steps that share a pool: tasks are packed on the fullest worker that has room, so
+ * that wide steps still find empty workers and idle ones can leave the pool.
+ *
+ * @module
+ */
+import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
+import type { RunKey, Worker } from "./command.ts";
+import type { WaitingStep } from "./job_record.ts";
+import { taskName } from "./task_name.ts";
+import type { WorkerLoad } from "./worker_load.ts";
+
+/** A worker that may take tasks, and what is left of it during one pass. */
+export class Room {
+  readonly worker: Worker;
+  readonly free: Resources;
+  readonly #load: WorkerLoad;
+  readonly #planned = new Map<string, number>();
+  #serving: number;
+  #filling: number;
+
+  constructor(worker: Worker, load: WorkerLoad) {
+    const { capacity } = worker;
+    const { reserved } = load;
+    this.worker = worker;
+    this.#load = load;
+    this.#serving = load.serving;
+    this.#filling = load.filling;
+    this.free = {
+      cpuMilli: capacity.cpuMilli - reserved.cpuMilli,
+      memoryMb: capacity.memoryMb - reserved.memoryMb,
+      gpus: capacity.gpus - reserved.gpus,
+    };
+  }
+
+  /** Whether a task of a step may run here. */
+  accepts(step: WaitingStep): boolean {
+    const { spec, name } = step;
+    const { cpuMilli, memoryMb, gpus } = reservation(spec);
+    const { free, worker } = this;
+    return free.cpuMilli >= cpuMilli && free.memoryMb >= memoryMb &&
+      free.gpus >= gpus && hasLabel(worker, spec.requiredLabel) &&
+      (spec.maxPerWorker === 0 || this.#ofStep(name) < spec.maxPerWorker) &&
+      this.#mayShare(spec);
+  }
+
+  /** Takes room for a task of a step. */
+  take({ spec, name }: WaitingStep): void {
+    const { cpuMilli, memoryMb, gpus } = reservation(spec);
+    this.free.cpuMilli -= cpuMilli;
+    this.free.memoryMb -= memoryMb;
+    this.free.gpus -= gpus;
+    this.#planned.set(name, (this.#planned.get(name) ?? 0) + 1);
+    this.#serving += spec.targetLatencyMs > 0 ? 1 : 0;
+    this.#filling += spec.fills ? 1 : 0;
+  }
+
+  /** Tasks that fill slow down tasks that serve, so the two stay apart. */
+  #mayShare(spec: StepSpec): boolean {
+    if (spec.fills) {
+      return this.#serving === 0;
+    }
+    return spec.targetLatencyMs === 0 || this.#filling === 0;
+  }
+
+  #ofStep(name: string): number {
+    return this.#load.ofStep(name) + (this.#planned.get(name) ?? 0);
+  }
+}
+
+/** Chooses workers for as many tasks of a step as fit; all or none for a gang. */
+export function placeStep(
+  step: WaitingStep,
+  rooms: readonly Room[],
+): RunKey[] {
+  const indices = [...step.indices];
+  if (!step.spec.gang && !step.spec.sameRack) {
+    return placeTasks(step, indices, rooms);
+  }
+  if (step.spec.gang && indices.length < step.spec.taskCount) {
+    // Members of the last run have not all ended.
+    return [];
+  }
+  return placeTogether(step, indices, rooms);
+}
+
+function placeTasks(
+  step: WaitingStep,
+  indices: readonly number[],
+  rooms: readonly Room[],
+): RunKey[] {
+  const placed: RunKey[] = [];
+  for (const index of indices) {
+    const room = chooseRoom(step, rooms);
+    if (room === undefined) {
+      break;
+    }
+    room.take(step);
+    placed.push(runKey(step, index, room.worker.id));
+  }
+  return placed;
+}
+
+/** Places all tasks or none, on one rack if that is possible. */
+function placeTogether(
+  step: WaitingStep,
+  indices: readonly number[],
+  rooms: readonly Room[],
+): RunKey[] {
+  const racks = new Map<string, Room[]>();
+  for (const room of rooms) {
+    const rack = rackOf(room.worker);
+    racks.set(rack, [...racks.get(rack) ?? [], room]);
+  }
+  const groups = [...racks.values()].sort((a, b) =>
+    freeCpu(b) - freeCpu(a)
+  );
+  for (const group of [...groups, rooms]) {
+    const chosen = tryAll(step, indices, group);
+    if (chosen !== undefined) {
+      chosen.forEach((room) => room.take(step));
+      const run = step.spec.gang ? nextGangRun(step) : undefined;
+      return chosen.map((room, i) => {
+        const key = runKey(step, indices[i] ?? 0, room.worker.id);
+        return run === undefined ? key : { ...key, run };
+      });
+    }
+  }
+  return step.spec.gang ? [] : placeTasks(step, indices, rooms);
+}
+
+/** Rooms for all tasks, without taking them; undefined if they do not all fit. */
+function tryAll(
+  { spec, name }: WaitingStep,
+  indices: readonly number[],
+  rooms: readonly Room[],
+): Room[] | undefined {
+  const step = { spec, name } as WaitingStep;
+  const { cpuMilli, memoryMb, gpus } = reservation(spec);
+  const chosen: Room[] = [];
+  for (const room of rooms) {
+    if (!room.accepts(step)) {
+      continue;
+    }
+    const fits = Math.min(
+      share(room.free.cpuMilli, cpuMilli),
+      share(room.free.memoryMb, memoryMb),
+      share(room.free.gpus, gpus),
+      spec.maxPerWorker === 0 ? Infinity : spec.maxPerWorker,
+      indices.length - chosen.length,
+    );
+    for (let i = 0; i < fits; i++) {
+      chosen.push(room);
+    }
+  }
+  return chosen.length === indices.length ? chosen : undefined;
+}
+
+function share(free: number, each: number): number {
+  return each === 0 ? Infinity : Math.floor(free / each);
+}
+
+/** The worker near the data, and of these the one with the least processor time left. */
+function chooseRoom(
+  step: WaitingStep,
+  rooms: readonly Room[],
+): Room | undefined {
+  const { dataRack } = step.spec;
+  let best: Room | undefined;
+  let bestIsNear = false;
+  for (const room of rooms) {
+    if (!room.accepts(step)) {
+      continue;
+    }
+    const isNear = dataRack === "" || room.worker.labels.includes(dataRack);
+    const isBetter = best === undefined || (isNear && !bestIsNear) ||
+      (isNear === bestIsNear && room.free.cpuMilli < best.free.cpuMilli);
+    if (isBetter) {
+      best = room;
+      bestIsNear = isNear;
+    }
+  }
+  return best;
+}
+
+function runKey(
+  { job, round, step }: WaitingStep,
+  index: number,
+  worker: string,
+): RunKey {
+  const task = job.rounds[round]?.tasks[step]?.[index];
+  return {
+    task: taskName({ job: job.id, round, step, index }),
+    run: (task?.run ?? 0) + 1,
+    worker,
+  };
+}
+
+/** All members of a gang run under one number. */
+function nextGangRun({ job, round, step }: WaitingStep): number {
+  const tasks = job.rounds[round]?.tasks[step] ?? [];
+  return 1 + Math.max(0, ...tasks.map(({ run }) => run));
+}
+
+function freeCpu(rooms: readonly Room[]): number {
+  return rooms.reduce((total, { free }) => total + free.cpuMilli, 0);
+}
+
+function hasLabel({ labels }: Worker, required: string): boolean {
+  return required === "" || labels.includes(required);
+}
+
+/** Labels are the kind of a VM, then its rack. */
+function rackOf({ labels }: Worker): string {
+  return labels[1] ?? "";
+}
--- /dev/null
+++ b/packages/core/src/scheduling/queue_plan.ts
@@ -0,0 +1,93 @@
+/**
+ * The operators' plan of queues and pools. Whole plans replace each other; the highest version wins.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { type Fault, fault } from "../fault.ts";
+import { Err, Ok, type Result } from "../result.ts";
+
+/** A queue: requests under one host and path prefix become jobs on one pool. */
+export const Queue = z.object({
+  name: z.string(),
+  host: z.string(),
+  pathPrefix: z.string(),
+  pool: z.string(),
+  /** 0 comes first. */
+  priority: z.number().int().nonnegative(),
+  /** Runs of a task that may fail before its job fails. */
+  maxAttempts: z.number().int().positive(),
+  /** The objective is this many times the longest chain of work, plus the target latency. */
+  slackFactor: z.number().positive(),
+  targetLatencyMs: z.number().nonnegative(),
+  /** Deadline of callers' requests. */
+  timeoutMs: z.number().positive(),
+  /** Whether an advisor decides which workers may run a step. */
+  advised: z.boolean(),
+});
+export type Queue = z.infer<typeof Queue>;
+
+/** A pool of VMs of one service. */
+export const PoolPlan = z.object({
+  name: z.string(),
+  /** Whether workers refuse what does not fit. */
+  enforcesCapacity: z.boolean(),
+  /** Whether its VMs are switched off and free of charge. */
+  standby: z.boolean(),
+});
+export type PoolPlan = z.infer<typeof PoolPlan>;
+
+export const QueuePlan = z.object({
+  version: z.number().int().nonnegative(),
+  queues: z.array(Queue),
+  pools: z.array(PoolPlan),
+  /** The document as the operator sent it, returned unchanged. */
+  source: z.string(),
+});
+export type QueuePlan = z.infer<typeof QueuePlan>;
+
+export function emptyQueuePlan(): QueuePlan {
+  return { version: 0, queues: [], pools: [], source: "" };
+}
+
+/** Checks references and uniqueness; the fault names the first offender. */
+export function checkQueuePlan(plan: QueuePlan): Result<void, Fault> {
+  const pools = new Set(plan.pools.map(({ name }) => name));
+  const prefixes = new Set<string>();
+  for (const { name, host, pathPrefix, pool } of plan.queues) {
+    if (!pools.has(pool)) {
+      return Err(
+        fault("invalid", `Queue "${name}" names unknown pool "${pool}"`),
+      );
+    }
+    const key = `${host} ${pathPrefix}`;
+    if (prefixes.has(key)) {
+      return Err(
+        fault(
+          "invalid",
+          `Queue "${name}" shares host "${host}" and prefix "${pathPrefix}" with another queue`,
+        ),
+      );
+    }
+    prefixes.add(key);
+  }
+  return Ok.EMPTY;
+}
+
+/** The queue of a request: the longest prefix of its path under its host. */
+export function findQueue(
+  { queues }: QueuePlan,
+  host: string,
+  path: string,
+): Queue | undefined {
+  let best: Queue | undefined;
+  for (const queue of queues) {
+    const matches = queue.host === host && path.startsWith(queue.pathPrefix);
+    const isLonger = best === undefined ||
+      queue.pathPrefix.length > best.pathPrefix.length;
+    if (matches && isLonger) {
+      best = queue;
+    }
+  }
+  return best;
+}
--- a/packages/daemon/src/consensus/consensus.ts
+++ b/packages/daemon/src/consensus/consensus.ts
@@ -23,15 +23,24 @@
   caughtUp: boolean;
 }
 
-export interface Consensus {
+/** A deterministic state machine that the log drives. */
+export interface StateMachine<S, C, O> {
+  empty(): S;
+  /** Applies a command in place. */
+  apply(state: S, command: C): Result<O, Fault>;
+  encode(state: S): string;
+  decode(text: string): S;
+}
+
+export interface Consensus<S = State, C = Command, O = Output> {
   /** The applied state. Only the consensus task changes it. */
-  readonly state: State;
+  readonly state: S;
   leadership(): Leadership;
   /**
    * Proposes a command at the leader and reports what applying it returned. `no_leader` and `timeout` mean that the
    * command may still be applied; every command is idempotent, so it may be proposed again.
    */
-  propose(command: Command): Promise<Result<Output, Fault>>;
+  propose(command: C): Promise<Result<O, Fault>>;
   /** Confirms leadership and waits until the applied state holds all that was committed before the call. */
   barrier(): Promise<Result<void, Fault>>;
   replicas(): ReplicaStatus[];
--- a/packages/daemon/src/consensus/formation.ts
+++ b/packages/daemon/src/consensus/formation.ts
@@ -5,14 +5,17 @@
  * @module
  */
 import {
+  type Command,
   Err,
   type Fault,
   fault,
   Member,
   Ok,
+  type Output,
   parse,
   type Result,
   type Settings,
+  type State,
 } from "@quetzalcove/core";
 import { z } from "zod";
 import type { LeaderClient } from "../entry/leader_client.ts";
@@ -26,7 +29,7 @@
 /** What the formation task needs. */
 export interface FormationParts {
   settings: Settings;
-  replica: ReplicaTask;
+  replica: ReplicaTask<State, Command, Output>;
   links: ReadonlyMap<string, Link>;
   leader: LeaderClient;
   log: Log;
--- a/packages/daemon/src/consensus/proposals.ts
+++ b/packages/daemon/src/consensus/proposals.ts
@@ -3,31 +3,26 @@
  *
  * @module
  */
-import {
-  Err,
-  type Fault,
-  fault,
-  type Output,
-  type Result,
-} from "@quetzalcove/core";
+import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
 
-interface Waiter {
+interface Waiter<O> {
   term: number;
-  settle: (result: Result<Output, Fault>) => void;
+  settle: (result: Result<O, Fault>) => void;
 }
 
-export class Proposals {
-  readonly #waiters = new Map<number, Waiter>();
+/** Proposals of commands whose output is of type `O`. */
+export class Proposals<O> {
+  readonly #waiters = new Map<number, Waiter<O>>();
 
   /** Waits for the entry at an index, if it is of the given term. */
-  add(index: number, waiter: Waiter): void {
+  add(index: number, waiter: Waiter<O>): void {
     this.#waiters.set(index, waiter);
   }
 
   /** Reports what became of the entry at an index. Without a result the entry was no command. */
   settle(
     { index, term }: { index: number; term: number },
-    result: Result<Output, Fault> | undefined,
+    result: Result<O, Fault> | undefined,
   ): void {
     const waiter = this.#waiters.get(index);
     this.#waiters.delete(index);
--- a/packages/daemon/src/consensus/read_barriers.ts
+++ b/packages/daemon/src/consensus/read_barriers.ts
@@ -8,21 +8,35 @@
  */
 import { Err, type Fault, Ok, type Result } from "@quetzalcove/core";
 
+/** Both clocks of the process at one moment, in milliseconds. */
+export interface Moment {
+  monotonic: number;
+  wall: number;
+}
+
 /** A read that waits for a round; a confirmed round began after the read was asked for. */
 interface Barrier {
-  askedAt: number;
+  askedAt: Moment;
   settle: (result: Result<void, Fault>) => void;
 }
 
 /** Share of the shortest election timeout for which a confirmed round counts. */
 const LEASE_SHARE = 0.5;
 
+/**
+ * Difference between the two clocks' progress, in milliseconds, that tells a suspension of the process: the monotonic
+ * clock stands still meanwhile. A step of the wall clock looks the same and costs one more round.
+ */
+const SUSPENSION_MS = 50;
+
 export class ReadBarriers {
   readonly #leaseMs: number;
   readonly #barriers = new Map<string, Barrier>();
   #count = 0;
-  /** Until then no other replica can be elected. */
+  /** Until then, on the monotonic clock, no other replica can be elected. */
   #leasedUntil = -Infinity;
+  /** When the round of the lease was asked for. */
+  #leasedAt: Moment = { monotonic: 0, wall: 0 };
   #mayLease = true;
 
   /** `electionMinMs` is the shortest election timeout, in milliseconds. */
@@ -31,8 +45,10 @@
   }
 
   /** Whether leadership needs no confirmation now. */
-  isLeased(now: number): boolean {
-    return now < this.#leasedUntil;
+  isLeased(now: Moment): boolean {
+    const { monotonic, wall } = this.#leasedAt;
+    const drift = (now.wall - wall) - (now.monotonic - monotonic);
+    return now.monotonic < this.#leasedUntil && Math.abs(drift) < SUSPENSION_MS;
   }
 
   /** A context for a read that has none yet. */
@@ -51,11 +67,10 @@
     if (barrier === undefined) {
       return;
     }
-    if (this.#mayLease) {
-      this.#leasedUntil = Math.max(
-        this.#leasedUntil,
-        barrier.askedAt + this.#leaseMs,
-      );
+    const until = barrier.askedAt.monotonic + this.#leaseMs;
+    if (this.#mayLease && until > this.#leasedUntil) {
+      this.#leasedUntil = until;
+      this.#leasedAt = barrier.askedAt;
     }
     this.#settle(context, Ok.EMPTY);
   }
--- a/packages/daemon/src/consensus/replica_task.ts
+++ b/packages/daemon/src/consensus/replica_task.ts
@@ -4,17 +4,13 @@
  * @module
  */
 import {
-  apply,
   bootstrap,
-  type Command,
-  emptyState,
   Err,
   type Fault,
   fault,
   type LogEntry,
   type MembershipChange,
   Ok,
-  type Output,
   Raft,
   type RaftMessage,
   type RaftOutput,
@@ -22,7 +18,6 @@
   type Result,
   type Settings,
   type Snapshot,
-  type State,
   type Stored,
 } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
@@ -30,14 +25,26 @@
 import type { Log } from "../observe/log.ts";
 import type { Metrics } from "../observe/metrics.ts";
 import type { Storage } from "../storage/storage.ts";
-import type { Consensus, Leadership, ReplicaStatus } from "./consensus.ts";
+import type {
+  Consensus,
+  Leadership,
+  ReplicaStatus,
+  StateMachine,
+} from "./consensus.ts";
 import { lostLeadership, Proposals, stoppedReplica } from "./proposals.ts";
-import { ReadBarriers } from "./read_barriers.ts";
+import { type Moment, ReadBarriers } from "./read_barriers.ts";
 import { entryOf, leadershipOf, replicaStatuses } from "./replica_status.ts";
 
+/** The settings that a replica task reads. */
+export interface ReplicaSettings
+  extends Pick<Settings, "entry" | "zone" | "raft"> {
+  listen: Pick<Settings["listen"], "link">;
+}
+
 /** What a replica task needs. */
-export interface ReplicaParts {
-  settings: Settings;
+export interface ReplicaParts<S, C, O> {
+  settings: ReplicaSettings;
+  machine: StateMachine<S, C, O>;
   replica: ReplicaId;
   stored: Stored;
   storage: Storage;
@@ -54,29 +61,29 @@
 /** Share of a heartbeat between two ticks. */
 const TICK_SHARE = 0.25;
 
-export class ReplicaTask implements Consensus, Component {
+export class ReplicaTask<S, C, O> implements Consensus<S, C, O>, Component {
   readonly name = "replica";
-  readonly #parts: ReplicaParts;
+  readonly #parts: ReplicaParts<S, C, O>;
   #raft: Raft;
   readonly #ticker: Component;
-  readonly #proposals = new Proposals();
+  readonly #proposals = new Proposals<O>();
   readonly #barriers: ReadBarriers;
   readonly #listeners: (() => void)[] = [];
-  #state: State;
+  #state: S;
   #appliedIndex: number;
   #pumpDue = false;
   #stopped = false;
   #wasLeader = false;
   #saving = false;
 
-  constructor(parts: ReplicaParts) {
+  constructor(parts: ReplicaParts<S, C, O>) {
     this.#parts = parts;
     this.#raft = openRaft(parts, parts.stored);
     this.#barriers = new ReadBarriers(parts.settings.raft.electionMinMs);
     const { snapshot } = parts.stored;
     this.#state = snapshot === undefined
-      ? emptyState()
-      : restore(snapshot.data);
+      ? parts.machine.empty()
+      : parts.machine.decode(snapshot.data);
     this.#appliedIndex = snapshot?.index ?? 0;
     this.#ticker = ticker(
       "raft ticks",
@@ -87,7 +94,7 @@
     );
   }
 
-  get state(): State {
+  get state(): S {
     return this.#state;
   }
 
@@ -152,7 +159,7 @@
     }
   }
 
-  propose(command: Command): Promise<Result<Output, Fault>> {
+  propose(command: C): Promise<Result<O, Fault>> {
     if (this.#stopped) {
       return Promise.resolve(Err(stoppedReplica()));
     }
@@ -170,7 +177,7 @@
   }
 
   barrier(): Promise<Result<void, Fault>> {
-    const askedAt = this.#parts.clock.monotonic();
+    const askedAt = this.#moment();
     if (this.#stopped) {
       return Promise.resolve(Err(stoppedReplica()));
     }
@@ -190,6 +197,19 @@
     });
   }
 
+  /** Whether this replica leads and no other can have been elected. */
+  get hasAuthority(): boolean {
+    return !this.#stopped && this.#raft.status.role === "leader" &&
+      this.#barriers.isLeased(this.#moment());
+  }
+
+  /** How long each other replica has been silent towards this leader, in milliseconds. */
+  silences(): Map<ReplicaId, number> {
+    return new Map(
+      this.#raft.progress.map(({ replica, silentMs }) => [replica, silentMs]),
+    );
+  }
+
   /** Starts a membership change at the leader. */
   changeMembership(change: MembershipChange): Result<void, Fault> {
     let result: Result<void, Fault> = Ok.EMPTY;
@@ -217,6 +237,11 @@
     return replicaStatuses(this.#raft);
   }
 
+  #moment(): Moment {
+    const { clock } = this.#parts;
+    return { monotonic: clock.monotonic(), wall: clock.wall() };
+  }
+
   #event(step: (now: number) => void): void {
     if (this.#stopped) {
       return;
@@ -248,7 +273,7 @@
     output.messages.forEach((message) => this.#send(message));
     void this.#store(output);
     if (output.write.installed !== undefined) {
-      this.#state = restore(output.write.installed.data);
+      this.#state = this.#parts.machine.decode(output.write.installed.data);
       this.#appliedIndex = output.write.installed.index;
     }
     output.committed.forEach((entry) => this.#apply(entry));
@@ -290,7 +315,7 @@
   #apply(entry: LogEntry): void {
     this.#appliedIndex = entry.index;
     const result = entry.kind === "command"
-      ? apply(this.#state, JSON.parse(entry.data) as Command)
+      ? this.#parts.machine.apply(this.#state, JSON.parse(entry.data) as C)
       : undefined;
     this.#proposals.settle(entry, result);
   }
@@ -324,7 +349,7 @@
     }
     const compacted = this.#raft.compact(
       this.#appliedIndex,
-      JSON.stringify(this.#state),
+      this.#parts.machine.encode(this.#state),
     );
     if (compacted.ok) {
       this.#saving = true;
@@ -366,8 +391,13 @@
   }
 }
 
-function openRaft(parts: ReplicaParts, stored: Stored): Raft {
-  const { settings, replica, random, clock } = parts;
+function openRaft(
+  { settings, replica, random, clock }: Pick<
+    ReplicaParts<never, never, never>,
+    "settings" | "replica" | "random" | "clock"
+  >,
+  stored: Stored,
+): Raft {
   return new Raft({
     replica,
     stored,
@@ -379,7 +409,3 @@
     },
   }, clock.monotonic());
 }
-
-function restore(data: string): State {
-  return JSON.parse(data) as State;
-}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,15 +4,18 @@
  * @module
  */
 import {
+  type Command,
   Err,
   type Fault,
   fault,
   Ok,
+  type Output,
   parse,
   type Peer,
   RaftMessage,
   type Result,
   type Settings,
+  type State,
   Trace,
 } from "@quetzalcove/core";
 import { z } from "zod";
@@ -20,6 +23,7 @@
 import { type Clock, systemClock } from "./clock.ts";
 import { Formation } from "./consensus/formation.ts";
 import { handOver } from "./consensus/hand_over.ts";
+import { productMachine } from "./consensus/product_machine.ts";
 import { ReplicaTask } from "./consensus/replica_task.ts";
 import { Entry } from "./entry/entry.ts";
 import { LeaderClient } from "./entry/leader_client.ts";
@@ -62,7 +66,7 @@
   readonly #lifecycle: Lifecycle;
   readonly #handlers = new Map<string, Handler>();
   readonly #links = new Map<string, Link>();
-  #replica: ReplicaTask | undefined;
+  #replica: ReplicaTask<State, Command, Output> | undefined;
   #formation: Formation | undefined;
   #entry: Entry | undefined;
   #stopping: Promise<void> | undefined;
@@ -183,6 +187,7 @@
   #replicaComponents(folder: ReplicaFolder): Component[] {
     const replica = new ReplicaTask({
       settings: this.#settings,
+      machine: productMachine,
       ...folder,
       clock: this.#clock,
       random: Math.random,
--- a/packages/daemon/src/entry/leader_client.ts
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -10,14 +10,20 @@
 import type { Link } from "../link/link.ts";
 import { wait } from "../waiting.ts";
 
+/** Links by the name of the entry at the other end. */
+export interface LinkDirectory {
+  get(entry: string): Pick<Link, "request"> | undefined;
+  keys(): Iterable<string>;
+}
+
 /** What a leader client needs. */
 export interface LeaderRoutes {
   /** This daemon's entry name. */
   entry: string;
   /** Handlers of this daemon, when it is a replica itself. */
   local: Handlers | undefined;
-  /** Links to the other replicas, by entry name. */
-  links: ReadonlyMap<string, Link>;
+  /** Links to the other replicas, by entry name; replicas may come and go. */
+  links: LinkDirectory;
   clock: Pick<Clock, "monotonic">;
 }
 
@@ -29,14 +35,11 @@
 
 export class LeaderClient {
   readonly #routes: LeaderRoutes;
-  readonly #candidates: string[];
   #leader: string | undefined;
   #turn = 0;
 
   constructor(routes: LeaderRoutes) {
     this.#routes = routes;
-    const own = routes.local === undefined ? [] : [routes.entry];
-    this.#candidates = [...own, ...routes.links.keys()];
   }
 
   /** The replica that led at the last successful call. */
@@ -117,8 +120,11 @@
   }
 
   #nextCandidate(): string | undefined {
+    const { local, entry, links } = this.#routes;
+    const own = local === undefined ? [] : [entry];
+    const candidates = [...own, ...links.keys()];
     this.#turn += 1;
-    return this.#candidates[this.#turn % Math.max(1, this.#candidates.length)];
+    return candidates[this.#turn % Math.max(1, candidates.length)];
   }
 }
 
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -32,7 +32,7 @@
 export interface HttpListener {
   name: string;
   address: Address;
-  limits: Settings["limits"];
+  limits: Omit<Settings["limits"], "maxAdminBytes">;
   listener: Listener;
 }
 
--- a/packages/daemon/src/observe/log.ts
+++ b/packages/daemon/src/observe/log.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
+import { boundedOutput } from "./bounded_output.ts";
 import { createLogger, format, type Logger, transports } from "winston";
 
+/** File descriptor of standard output. */
+const STDOUT = 1;
+
 /** Values of one event. Undefined values are left out. */
 export type Fields = Record<string, string | number | boolean | undefined>;
 
@@ -19,6 +23,8 @@
 export interface LogTarget {
   level: string;
   file?: string;
+  /** Where events go without a file; standard error by default. */
+  output?: "stderr" | "stdout";
   entry: string;
 }
 
@@ -28,7 +34,9 @@
     level: target.level,
     format: format.printf((info) => String(info.message)),
     transports: [
-      target.file === undefined
+      target.output === "stdout"
+        ? new transports.Stream({ stream: boundedOutput(STDOUT) })
+        : target.file === undefined
         ? new transports.Console({
           stderrLevels: ["error", "warn", "info", "debug"],
         })
--- /dev/null
+++ b/packages/daemon/src/scheduler/front_desk.ts
@@ -0,0 +1,301 @@
+/**
+ * What the leader answers to customers, operators and workers. Every answer rests on confirmed leadership.
+ *
+ * @module
+ */
+import {
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  parse,
+  type Result,
+} from "@quetzalcove/core";
+import {
+  checkQueuePlan,
+  findQueue,
+  hasForwardDependency,
+  type Queue,
+  type SubmittedJob,
+  visibleState,
+} from "@quetzalcove/core/scheduling";
+import type { Clock } from "../clock.ts";
+import type { Handler, Handlers } from "../link/connection.ts";
+import type { Log } from "../observe/log.ts";
+import type { BookConsensus } from "./book_machine.ts";
+import {
+  type Cancellation,
+  type Method,
+  PARAMS,
+  type Params,
+  type PlanReading,
+  type QueueReading,
+  type WaveReading,
+} from "./methods.ts";
+import { SubmissionBatch } from "./submission_batch.ts";
+
+/** What the front desk needs. */
+export interface DeskParts {
+  consensus: BookConsensus;
+  clock: Clock;
+  log: Log;
+  /** Wakes the placing of tasks. */
+  onChange: () => void;
+}
+
+type Answers = {
+  [M in Method]: (params: Params<M>) => Promise<Result<unknown, Fault>>;
+};
+
+/** Job ids become parts of task names, so they hold no dot. */
+const JOB_ID = /^[0-9A-Za-z_-]{1,64}$/;
+
+/** How long a caller should wait before it tries again, in milliseconds: one election. */
+const ELECTION_PAUSE_MS = 1_000;
+
+export class FrontDesk {
+  readonly #parts: DeskParts;
+  readonly #submissions: SubmissionBatch;
+
+  constructor(parts: DeskParts) {
+    this.#parts = parts;
+    this.#submissions = new SubmissionBatch(parts);
+  }
+
+  /** Handlers of the methods that other nodes call here. */
+  handlers(): Handlers {
+    const answers: Answers = {
+      submit_job: (params) => this.#submit(params),
+      read_queue: (params) => this.#readQueue(params),
+      cancel_job: (params) => this.#cancel(params),
+      report_worker: (params) => this.#reportWorker(params),
+      leave_worker: (params) => this.#leaveWorker(params),
+      replace_plan: (params) => this.#replacePlan(params),
+      read_plan: () => this.#readPlan(),
+      start_wave: (params) => this.#startWave(params),
+      read_wave: (params) => this.#readWave(params),
+    };
+    const methods = Object.keys(answers) as Method[];
+    return new Map(
+      methods.map((method) => [method, this.#handler(method, answers)]),
+    );
+  }
+
+  #handler(method: Method, answers: Answers): Handler {
+    const answer = answers[method] as (
+      params: unknown,
+    ) => Promise<Result<unknown, Fault>>;
+    return async (raw) => {
+      const params = parse(PARAMS[method], raw, method);
+      if (params.err) {
+        return params;
+      }
+      const confirmed = await this.#parts.consensus.barrier();
+      return confirmed.err ? confirmed : await answer(params.val);
+    };
+  }
+
+  async #submit(
+    { host, path, spec }: Params<"submit_job">,
+  ): Promise<Result<unknown, Fault>> {
+    const { consensus, log } = this.#parts;
+    const found = this.#findQueue(host, path);
+    if (found.err) {
+      return found;
+    }
+    const { queue, rest: id } = found.val;
+    if (!JOB_ID.test(id) || hasForwardDependency(spec)) {
+      return Err(
+        fault("invalid", `Job "${id}" of queue "${queue.name}" is malformed`, {
+          outcome: "not run",
+        }),
+      );
+    }
+    if (consensus.state.jobs.has(id)) {
+      return Ok({});
+    }
+    const job: SubmittedJob = { id, queue: queue.name, pool: queue.pool, spec };
+    const stored = await this.#submissions.add(job);
+    log.info("job.submitted", {
+      job: id,
+      queue: queue.name,
+      plan: consensus.state.plan.version,
+      tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
+      outcome: stored.ok ? "accepted" : stored.val.kind,
+    });
+    return stored;
+  }
+
+  #readQueue(
+    { host, path }: Params<"read_queue">,
+  ): Promise<Result<QueueReading, Fault>> {
+    const { state } = this.#parts.consensus;
+    const reading = this.#findQueue(host, path).map(
+      ({ queue, rest }): QueueReading => {
+        if (rest === "") {
+          const pendingJobs = state.pendingJobs(queue.name);
+          return { kind: "queue", pendingJobs };
+        }
+        const job = state.jobs.get(rest);
+        return job === undefined
+          ? { kind: "no_job" }
+          : { kind: "job", state: visibleState(job) };
+      },
+    );
+    return Promise.resolve(reading);
+  }
+
+  async #cancel(
+    { host, path }: Params<"cancel_job">,
+  ): Promise<Result<Cancellation, Fault>> {
+    const { consensus, clock, log, onChange } = this.#parts;
+    const found = this.#findQueue(host, path);
+    if (found.err) {
+      return found;
+    }
+    const id = found.val.rest;
+    if (!consensus.state.jobs.has(id)) {
+      return Ok({ isKnown: false });
+    }
+    const cancelled = await consensus.propose({
+      kind: "cancel",
+      ids: [id],
+      atMs: clock.wall(),
+    });
+    log.info("job.cancelled", {
+      job: id,
+      outcome: cancelled.ok ? "cancelled" : cancelled.val.kind,
+    });
+    onChange();
+    return cancelled.map(() => ({ isKnown: true }));
+  }
+
+  async #reportWorker(
+    { worker }: Params<"report_worker">,
+  ): Promise<Result<unknown, Fault>> {
+    const { consensus, log, onChange } = this.#parts;
+    const { workers, plan } = consensus.state;
+    const known = workers.get(worker.id);
+    // Reports may arrive late, so a worker never stops leaving.
+    const isNews = known === undefined || (worker.draining && !known.draining);
+    if (!isNews) {
+      return Ok({});
+    }
+    const hasPool = plan.pools.some(({ name }) => name === worker.pool);
+    if (plan.version > 0 && !hasPool) {
+      return Err(
+        fault("invalid", `Worker "${worker.id}" names no pool of the plan`),
+      );
+    }
+    const joined = await consensus.propose({ kind: "join", workers: [worker] });
+    log.info("worker.reported", {
+      worker: worker.id,
+      pool: worker.pool,
+      address: worker.address,
+      draining: worker.draining,
+      outcome: joined.ok ? "recorded" : joined.val.kind,
+    });
+    onChange();
+    return joined;
+  }
+
+  async #leaveWorker(
+    { id }: Params<"leave_worker">,
+  ): Promise<Result<unknown, Fault>> {
+    const { consensus, log } = this.#parts;
+    const worker = consensus.state.workers.get(id);
+    if (worker === undefined || worker.draining) {
+      return Ok({});
+    }
+    log.info("worker.leaving", { worker: id });
+    return await consensus.propose({
+      kind: "join",
+      workers: [{ ...worker, draining: true }],
+    });
+  }
+
+  async #replacePlan(
+    { plan }: Params<"replace_plan">,
+  ): Promise<Result<unknown, Fault>> {
+    const { consensus, log, onChange } = this.#parts;
+    const checked = checkQueuePlan(plan);
+    if (checked.err) {
+      log.warn("plan.refused", {
+        version: plan.version,
+        reason: checked.val.message,
+      });
+      return checked;
+    }
+    const held = consensus.state.plan.version;
+    if (plan.version <= held) {
+      return Ok({ version: held });
+    }
+    const replaced = await consensus.propose({ kind: "plan", plan });
+    log.info("plan.replaced", {
+      version: plan.version,
+      held,
+      queues: plan.queues.length,
+      outcome: replaced.ok ? "stored" : replaced.val.kind,
+    });
+    onChange();
+    return replaced;
+  }
+
+  #readPlan(): Promise<Result<PlanReading, Fault>> {
+    const { version, source } = this.#parts.consensus.state.plan;
+    return Promise.resolve(
+      version === 0 ? Err(noPlan()) : Ok({ version, source }),
+    );
+  }
+
+  async #startWave(
+    { wave }: Params<"start_wave">,
+  ): Promise<Result<unknown, Fault>> {
+    const { consensus, log, onChange } = this.#parts;
+    const started = await consensus.propose({ kind: "wave", wave });
+    log.info("wave.started", {
+      wave: wave.id,
+      vms: wave.vms.length,
+      maxDown: wave.maxDown,
+      outcome: started.ok ? "stored" : started.val.kind,
+    });
+    onChange();
+    return started;
+  }
+
+  #readWave(
+    { id }: Params<"read_wave">,
+  ): Promise<Result<WaveReading, Fault>> {
+    const record = this.#parts.consensus.state.waves.get(id);
+    if (record === undefined) {
+      return Promise.resolve(Err(fault("not_found", `Wave ${id} is unknown`)));
+    }
+    const isCompleted = record.done.length >= record.wave.vms.length;
+    return Promise.resolve(Ok({ isCompleted }));
+  }
+
+  #findQueue(
+    host: string,
+    path: string,
+  ): Result<{ queue: Queue; rest: string }, Fault> {
+    const { plan } = this.#parts.consensus.state;
+    if (plan.version === 0) {
+      return Err(noPlan());
+    }
+    const queue = findQueue(plan, host, path);
+    return queue === undefined
+      ? Err(
+        fault("unknown_service", `No queue serves "${host}${path}"`, {
+          outcome: "not run",
+        }),
+      )
+      : Ok({ queue, rest: path.slice(queue.pathPrefix.length) });
+  }
+}
+
+function noPlan(): Fault {
+  return fault("overloaded", "No plan of queues was received yet", {
+    outcome: "not run",
+    retryAfterMs: ELECTION_PAUSE_MS,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/methods.ts
@@ -0,0 +1,53 @@
+/**
+ * Methods that nodes call at the leader over links.
+ *
+ * @module
+ */
+import {
+  BatchJobSpec,
+  BatchJobState,
+  QueuePlan,
+  UpkeepWave,
+  Worker,
+} from "@quetzalcove/core/scheduling";
+import { z } from "zod";
+
+/** A place below a queue, as a request names it. */
+const Target = z.object({ host: z.string(), path: z.string() });
+
+/** Parameters by method. */
+export const PARAMS = {
+  submit_job: Target.extend({ spec: BatchJobSpec }),
+  /** The state of a job, or the number of pending jobs of its queue. */
+  read_queue: Target,
+  cancel_job: Target,
+  report_worker: z.object({ worker: Worker }),
+  leave_worker: z.object({ id: z.string() }),
+  replace_plan: z.object({ plan: QueuePlan }),
+  read_plan: z.object({}),
+  start_wave: z.object({ wave: UpkeepWave }),
+  read_wave: z.object({ id: z.number().int() }),
+} as const;
+
+export type Method = keyof typeof PARAMS;
+export type Params<M extends Method> = z.infer<(typeof PARAMS)[M]>;
+
+/** What reading a place below a queue returns. */
+export const QueueReading = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("job"), state: BatchJobState }),
+  z.object({ kind: z.literal("no_job") }),
+  z.object({ kind: z.literal("queue"), pendingJobs: z.number().int() }),
+]);
+export type QueueReading = z.infer<typeof QueueReading>;
+
+export const Cancellation = z.object({ isKnown: z.boolean() });
+export type Cancellation = z.infer<typeof Cancellation>;
+
+export const PlanReading = z.object({
+  version: z.number().int(),
+  source: z.string(),
+});
+export type PlanReading = z.infer<typeof PlanReading>;
+
+export const WaveReading = z.object({ isCompleted: z.boolean() });
+export type WaveReading = z.infer<typeof WaveReading>;
--- /dev/null
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * A node that schedules jobs on workers of a platform.
+ *
+ * @module
+ */
+export { type Component, Lifecycle, ticker } from "../lifecycle.ts";
+export { HttpServer, readBody } from "../http_server.ts";
+export { hostAndPort } from "../net.ts";
+export { type Log, messageOf, openLog } from "../observe/log.ts";
+export { Metrics } from "../observe/metrics.ts";
+export { until, wait } from "../waiting.ts";
+export * from "./methods.ts";
+export { type NodeParts, SchedulerNode } from "./node.ts";
+export * from "./ports.ts";
+export { checkSchedulerSettings, SchedulerSettings } from "./settings.ts";
--- /dev/null
+++ b/packages/daemon/src/scheduler/node.ts
@@ -0,0 +1,268 @@
+/**
+ * One scheduler node: an entry that calls the leader, and a replica that may lead when it has a data folder.
+ *
+ * @module
+ */
+import {
+  Err,
+  type Fault,
+  fault,
+  Ok,
+  parse,
+  RaftMessage,
+  type Result,
+} from "@quetzalcove/core";
+import type {
+  BookCommand,
+  BookOutput,
+  JobBook,
+} from "@quetzalcove/core/scheduling";
+import { type Clock, systemClock } from "../clock.ts";
+import { Assembly } from "../consensus/assembly.ts";
+import { handOver } from "../consensus/hand_over.ts";
+import { ReplicaTask } from "../consensus/replica_task.ts";
+import { LeaderClient } from "../entry/leader_client.ts";
+import { type Component, Lifecycle } from "../lifecycle.ts";
+import type { ConnectionParts, Handler } from "../link/connection.ts";
+import { Mesh } from "../link/mesh.ts";
+import { LinkServer } from "../link/server.ts";
+import { hostAndPort } from "../net.ts";
+import { type Log, messageOf } from "../observe/log.ts";
+import { Metrics } from "../observe/metrics.ts";
+import { registerProcessGauges } from "../observe/process_gauges.ts";
+import type { ReplicaFolder } from "../replica_folder.ts";
+import { authorityKeeper } from "./authority.ts";
+import { bookMachine } from "./book_machine.ts";
+import { Directory, type GroupDescription } from "./directory.ts";
+import { FrontDesk } from "./front_desk.ts";
+import { LeaderTask } from "./leader_task.ts";
+import type { Method, Params } from "./methods.ts";
+import type { WorkerCalls } from "./ports.ts";
+import { openSchedulerFolder } from "./replica_start.ts";
+import type { SchedulerSettings } from "./settings.ts";
+
+type BookReplica = ReplicaTask<JobBook, BookCommand, BookOutput>;
+
+/** What a node needs from the platform it runs on. */
+export interface NodeParts {
+  settings: SchedulerSettings;
+  log: Log;
+  workerCalls: WorkerCalls;
+}
+
+/** Silence after which a learner is dropped, in milliseconds: far above any pause from which it comes back. */
+const LEARNER_LOST_MS = 30_000;
+
+export class SchedulerNode {
+  readonly metrics = new Metrics();
+  readonly #parts: NodeParts;
+  readonly #clock: Clock = systemClock;
+  readonly #handlers = new Map<string, Handler>();
+  readonly #mesh: Mesh;
+  readonly #lifecycle: Lifecycle;
+  #leaderClient: LeaderClient;
+  readonly #directory: Directory;
+  #replica: BookReplica | undefined;
+  /** Called when the node cannot go on; the process must exit. */
+  onFailure: (cause: Fault) => void = () => {};
+
+  constructor(parts: NodeParts) {
+    const { settings, log } = parts;
+    const { cluster, host, listen } = settings;
+    this.#parts = parts;
+    registerProcessGauges(this.metrics);
+    this.#mesh = new Mesh({
+      ...this.#connectionParts(),
+      log,
+      localHost: host,
+      hello: { cluster, entry: host },
+    }, hostAndPort(listen.link).port);
+    const seeds = settings.seeds.map((seed) => hostAndPort(seed).host);
+    this.#directory = new Directory(
+      this.#mesh,
+      seeds.filter((seed) => seed !== host),
+    );
+    this.#leaderClient = this.#newLeaderClient(false);
+    this.#lifecycle = new Lifecycle((component, error) => {
+      log.error("component.stop_failed", {
+        component,
+        reason: messageOf(error),
+      });
+    });
+  }
+
+  /** Address of the node that led when it was last called. */
+  get leaderHost(): string | undefined {
+    return this.#leaderClient.leader;
+  }
+
+  /** Whether a leader was known a short while ago. */
+  get isReady(): boolean {
+    return this.#replica === undefined
+      ? this.#directory.knowsLeader
+      : this.#replica.leadership().leader !== undefined;
+  }
+
+  /** Calls a method at the leader; the call ends by its deadline, in milliseconds. */
+  call<M extends Method>(
+    method: M,
+    params: Params<M>,
+    timeoutMs = this.#parts.settings.callTimeoutMs,
+  ): Promise<Result<unknown, Fault>> {
+    return this.#leaderClient.call(method, params, timeoutMs);
+  }
+
+  /** Starts everything in order, then the given components. */
+  async start(servers: readonly Component[]): Promise<Result<void, Fault>> {
+    const { settings } = this.#parts;
+    const { dataFolder } = settings;
+    const folder = dataFolder === null
+      ? Ok(undefined)
+      : await openSchedulerFolder(settings, dataFolder);
+    if (folder.err) {
+      return folder;
+    }
+    try {
+      for (const component of this.#components(folder.val)) {
+        await this.#lifecycle.start(component);
+      }
+      for (const server of servers) {
+        await this.#lifecycle.start(server);
+      }
+    } catch (error) {
+      return Err(
+        fault("internal", `Node did not start: ${messageOf(error)}`),
+      );
+    }
+    return Ok.EMPTY;
+  }
+
+  /** Hands the leadership over, then stops everything. */
+  async stop(): Promise<void> {
+    if (this.#replica !== undefined) {
+      await handOver(this.#replica, this.#parts.settings.host);
+    }
+    await this.#lifecycle.stop();
+  }
+
+  #components(folder: ReplicaFolder | undefined): Component[] {
+    const { settings } = this.#parts;
+    this.#handlers.set("hello", () => Promise.resolve(Ok({})));
+    const server = new LinkServer({
+      address: settings.listen.link,
+      ...this.#connectionParts(),
+    });
+    if (folder === undefined) {
+      return [this.#mesh, this.#directory];
+    }
+    return [this.#mesh, ...this.#replicaComponents(folder), server];
+  }
+
+  #replicaComponents(folder: ReplicaFolder): Component[] {
+    const { settings, log } = this.#parts;
+    const { host, zone, listen } = settings;
+    const replica: BookReplica = new ReplicaTask({
+      settings: { ...settings, entry: host, listen },
+      machine: bookMachine,
+      ...folder,
+      clock: this.#clock,
+      random: Math.random,
+      log,
+      metrics: this.metrics,
+      send: (entry, message) => this.#mesh.get(entry).notify("raft", message),
+      onStorageFailure: (cause) => this.onFailure(cause),
+    });
+    this.#replica = replica;
+    this.#leaderClient = this.#newLeaderClient(true);
+    const assembly = new Assembly({
+      replica,
+      self: {
+        replica: folder.replica,
+        entry: host,
+        zone,
+        address: listen.link,
+      },
+      rules: {
+        voters: settings.raft.voters,
+        lostAfterMs: settings.raft.lostAfterMs,
+        learnerLostAfterMs: LEARNER_LOST_MS,
+      },
+      leader: this.#leaderClient,
+      onMembers: (hosts) =>
+        this.#mesh.setKnown(hosts.filter((other) => other !== host)),
+      log,
+    });
+    const leaderTask = this.#leaderTask(replica);
+    const desk = new FrontDesk({
+      consensus: replica,
+      clock: this.#clock,
+      log,
+      onChange: () => leaderTask.wake(),
+    });
+    this.#handle(assembly.handlers());
+    this.#handle(desk.handlers());
+    this.#handle(this.#groupHandlers(replica));
+    return [replica, leaderTask, authorityKeeper(replica), assembly];
+  }
+
+  #leaderTask(replica: BookReplica): LeaderTask {
+    const { settings, log, workerCalls } = this.#parts;
+    return new LeaderTask({
+      settings: settings.workers,
+      retentionMs: settings.retentionMs,
+      consensus: replica,
+      calls: workerCalls,
+      clock: this.#clock,
+      log,
+      metrics: this.metrics,
+      hasAuthority: () => replica.hasAuthority,
+    });
+  }
+
+  #groupHandlers(replica: BookReplica): ReadonlyMap<string, Handler> {
+    return new Map<string, Handler>([
+      ["raft", (params) =>
+        Promise.resolve(
+          parse(RaftMessage, params, "raft").map((message) =>
+            replica.receive(message)
+          ),
+        )],
+      ["describe_group", () => {
+        const description: GroupDescription = {
+          hosts: replica.replicas().map(({ entry }) => entry),
+          leader: replica.leadership().leader,
+        };
+        return Promise.resolve(Ok(description));
+      }],
+    ]);
+  }
+
+  #handle(handlers: ReadonlyMap<string, Handler>): void {
+    handlers.forEach((handler, method) => this.#handlers.set(method, handler));
+  }
+
+  #newLeaderClient(isReplica: boolean): LeaderClient {
+    return new LeaderClient({
+      entry: this.#parts.settings.host,
+      local: isReplica ? this.#handlers : undefined,
+      links: this.#mesh,
+      clock: this.#clock,
+    });
+  }
+
+  #connectionParts(): ConnectionParts {
+    const sent = this.metrics.counter("quetzalcove_link_bytes_total", {
+      direction: "sent",
+    });
+    const received = this.metrics.counter("quetzalcove_link_bytes_total", {
+      direction: "received",
+    });
+    return {
+      handlers: this.#handlers,
+      bounds: this.#parts.settings.link,
+      now: () => this.#clock.monotonic(),
+      count: (direction, bytes) =>
+        direction === "sent" ? sent(bytes) : received(bytes),
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -0,0 +1,64 @@
+/**
+ * What the scheduler needs from the platform it runs on.
+ *
+ * @module
+ */
+import type {
+  Listing,
+  StartAnswer,
+  Worker,
+} from "@quetzalcove/core/scheduling";
+
+/** An order to start a run. Times are on the worker's clock, in milliseconds. */
+export interface StartOrder {
+  task: string;
+  run: number;
+  /** Text of the job. */
+  text: string;
+  leaseDeadlineMs: number;
+  fence: number;
+  /** Checkpoint to resume from; empty for none. */
+  checkpoint: string;
+  /** The advisor's permit; empty where none is needed. */
+  permit: string;
+}
+
+/** An order that concerns one run. */
+export interface RunOrder {
+  task: string;
+  run: number;
+  fence: number;
+}
+
+/** Renewal of the lease of a worker. */
+export interface Renewal {
+  fence: number;
+  /** Undefined until the worker's clock is known. */
+  leaseDeadlineMs: number | undefined;
+  /** Ends up to this number are settled; the worker may forget them. */
+  seenEnds: number;
+  /** How long the answer may wait for an end, in milliseconds. */
+  waitMs: number;
+}
+
+/** Answer to an order, and the worker's clock where it tells. */
+export interface Answered<T> {
+  answer: T;
+  clockMs: number | undefined;
+}
+
+export type RenewalAnswer =
+  | { kind: "listing"; listing: Listing; clockMs: number }
+  /** Another worker has the address. */
+  | { kind: "other_worker" }
+  | { kind: "fenced" }
+  | { kind: "no_answer"; reason: string };
+
+/** Calls at workers. Every call ends by its deadline. */
+export interface WorkerCalls {
+  start(worker: Worker, order: StartOrder): Promise<Answered<StartAnswer>>;
+  stop(worker: Worker, order: RunOrder): Promise<Answered<boolean>>;
+  renew(worker: Worker, renewal: Renewal): Promise<RenewalAnswer>;
+  /** Closes the connections to a worker. */
+  forget(worker: Worker): void;
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/replica_start.ts
@@ -0,0 +1,85 @@
+/**
+ * The data folder of a replica at start: opened, or formatted when it is new.
+ *
+ * @module
+ */
+import {
+  emptyStored,
+  type Fault,
+  type Member,
+  type ReplicaId,
+  type Result,
+  type Stored,
+} from "@quetzalcove/core";
+import type { ReplicaFolder } from "../replica_folder.ts";
+import { hostAndPort } from "../net.ts";
+import { formatFolder, newReplicaId, readFormat } from "../storage/format.ts";
+import { trustExclusiveFolder } from "../storage/lock.ts";
+import { openStorage } from "../storage/opening.ts";
+import type { SchedulerSettings } from "./settings.ts";
+
+/** Suffix of the ids of the first voters; every node derives the same ids from the seeds. */
+const FOUNDER_SUFFIX = "founder";
+
+/** The zone of a founder as other nodes know it; only its address counts. */
+const UNKNOWN_ZONE = "unknown";
+
+/**
+ * Opens a data folder. At the first start of the cluster the seeds are its voters, on every node alike; later an empty
+ * folder gets a new replica id, so that a replica whose disk was lost never votes under its old one.
+ */
+export async function openSchedulerFolder(
+  settings: SchedulerSettings,
+  dataFolder: string,
+): Promise<Result<ReplicaFolder, Fault>> {
+  const known = await readFormat(dataFolder);
+  if (known.err) {
+    return known;
+  }
+  if (known.val === undefined) {
+    const { replica, stored } = firstState(settings);
+    const formatted = await formatFolder(
+      dataFolder,
+      { cluster: settings.cluster, replica, stored },
+      trustExclusiveFolder,
+    );
+    if (formatted.err) {
+      return formatted;
+    }
+  }
+  const opened = await openStorage(dataFolder, trustExclusiveFolder);
+  return opened.map(({ format, stored, storage }) => ({
+    replica: format.replica,
+    stored,
+    storage,
+  }));
+}
+
+function firstState(
+  { host, seeds, firstStart, listen }: SchedulerSettings,
+): { replica: ReplicaId; stored: Stored } {
+  const founders = seeds.map((seed) => hostAndPort(seed).host);
+  if (!firstStart || !founders.includes(host)) {
+    return { replica: newReplicaId(host), stored: emptyStored() };
+  }
+  const { port } = hostAndPort(listen.link);
+  const members = founders.map((founder): Member => ({
+    replica: `${founder}#${FOUNDER_SUFFIX}`,
+    entry: founder,
+    zone: UNKNOWN_ZONE,
+    address: `${founder}:${port}`,
+    standing: "voter",
+  }));
+  return {
+    replica: `${host}#${FOUNDER_SUFFIX}`,
+    stored: {
+      hardState: { term: 1 },
+      entries: [{
+        kind: "membership",
+        index: 1,
+        term: 1,
+        membership: { members },
+      }],
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/settings.ts
@@ -0,0 +1,144 @@
+/**
+ * Settings of a scheduler node: an entry, a replica that may lead, or both.
+ *
+ * @module
+ */
+import {
+  Address,
+  DurationMs,
+  type Fault,
+  Name,
+  parse,
+  type Result,
+} from "@quetzalcove/core";
+import { z } from "zod";
+
+const Count = z.number().int().positive();
+const Bytes = z.number().int().positive();
+
+const Listen = z.strictObject({
+  service: Address.optional().describe("Customers' requests."),
+  health: Address.optional().describe("Readiness for the balancer."),
+  control: Address.optional().describe("Operators and workers."),
+  link: Address.describe("Links from the other nodes."),
+  metrics: Address.describe("Counters and latency histograms."),
+});
+
+const Raft = z.strictObject({
+  heartbeatMs: DurationMs.default(150).describe(
+    "Interval of the leader's heartbeats; a fifth of the election timeout.",
+  ),
+  electionMinMs: DurationMs.default(800).describe(
+    "Shortest time without a leader before an election; above the pauses of a throttled VM.",
+  ),
+  snapshotEveryEntries: Count.default(20_000).describe(
+    "Log entries between two snapshots; about five minutes at peak load.",
+  ),
+  voters: Count.default(5).describe(
+    "Voters to keep; five survive the loss of two disks.",
+  ),
+  lostAfterMs: DurationMs.default(6_000).describe(
+    "Silence after which a voter is replaced, if another replica can take its place.",
+  ),
+});
+
+const Link = z.strictObject({
+  heartbeatMs: DurationMs.default(500).describe(
+    "Interval of heartbeats on a connection that carries nothing else.",
+  ),
+  idleMs: DurationMs.default(1_500).describe(
+    "Silence after which a connection is replaced; three heartbeats.",
+  ),
+  maxQueuedBytes: Bytes.default(8_388_608).describe(
+    "Most bytes that wait to be sent to one peer.",
+  ),
+  maxMessageBytes: Bytes.default(4_194_304).describe(
+    "Largest message that is read.",
+  ),
+});
+
+const WorkerOrdersSettings = z.strictObject({
+  leaseMs: DurationMs.default(4_000).describe(
+    "Lease of what runs on a worker; spans an election and two renewals.",
+  ),
+  maxLeaseMs: DurationMs.default(10_000).describe(
+    "Longest lease that workers grant, from the platform.",
+  ),
+  renewalWaitMs: DurationMs.default(1_500).describe(
+    "How long a renewal waits at the worker for the end of a run.",
+  ),
+  callTimeoutMs: DurationMs.default(1_000).describe(
+    "Deadline of a call beyond the time that it waits at the worker.",
+  ),
+  stopMs: DurationMs.default(200).describe(
+    "Longest time that a worker takes to stop a run, from the platform.",
+  ),
+  contactMs: DurationMs.default(3_000).describe(
+    "Silence after which a worker gets no new work.",
+  ),
+});
+
+const Limits = z.strictObject({
+  maxHeaderBytes: Bytes.default(16_384).describe("Largest request header."),
+  maxBodyBytes: Bytes.default(1_048_576).describe(
+    "Largest request body; a plan of some thousand queues.",
+  ),
+  headersTimeoutMs: DurationMs.default(3_000).describe(
+    "Deadline for a request's header.",
+  ),
+  requestTimeoutMs: DurationMs.default(10_000).describe(
+    "Deadline for a whole request.",
+  ),
+  keepAliveMs: DurationMs.default(60_000).describe(
+    "How long an idle connection of a caller stays open.",
+  ),
+  maxConnections: Count.default(2_000).describe("Connections of callers."),
+});
+
+export const SchedulerSettings = z.strictObject({
+  cluster: Name.describe("Name of the cluster; links refuse another one."),
+  node: Name.describe("Name of this node in logs and orders."),
+  host: z.string().describe("IP address of this node."),
+  zone: Name.describe("Availability zone of this node."),
+  listen: Listen.describe("Addresses of this node."),
+  seeds: z.array(Address).min(1).describe(
+    "Addresses of replicas to start from; links use the port of this node's own.",
+  ),
+  firstStart: z.boolean().default(false).describe(
+    "Whether the cluster starts for the first time; the seeds are its first voters.",
+  ),
+  dataFolder: z.string().min(1).nullable().default(null).describe(
+    "Folder for the replicated state; a node without one is an entry only.",
+  ),
+  raft: Raft.prefault({}).describe("Replication."),
+  link: Link.prefault({}).describe("Connections between nodes."),
+  workers: WorkerOrdersSettings.prefault({}).describe("Orders to workers."),
+  limits: Limits.prefault({}).describe("Bounds on callers."),
+  callTimeoutMs: DurationMs.default(2_500).describe(
+    "Deadline of a call at the leader; below the callers' three seconds.",
+  ),
+  graceMs: DurationMs.default(6_000).describe(
+    "Time from the signal to stop until the process is killed.",
+  ),
+  retentionMs: DurationMs.default(180_000).describe(
+    "How long the outcome of a job is kept; above the two minutes that callers are promised.",
+  ),
+  logLevel: z.enum(["debug", "info", "warn", "error"]).default("info").describe(
+    "Least severe events that are logged.",
+  ),
+});
+export type SchedulerSettings = z.infer<typeof SchedulerSettings>;
+
+/** Checks settings; the fault lists each offending value. */
+export function checkSchedulerSettings(
+  value: unknown,
+  fileName: string,
+): Result<SchedulerSettings, Fault> {
+  return parse(SchedulerSettings, value, fileName).map((settings) => {
+    const { leaseMs, maxLeaseMs } = settings.workers;
+    return {
+      ...settings,
+      workers: { ...settings.workers, leaseMs: Math.min(leaseMs, maxLeaseMs) },
+    };
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -0,0 +1,232 @@
+/**
+ * One term of a leader: sessions with all workers, and passes that place waiting tasks.
+ *
+ * @module
+ */
+import {
+  inOrderOfUrgency,
+  type JobBook,
+  placeStep,
+  Room,
+  type RunKey,
+  type RunRecord,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
+import { type Component, ticker } from "../lifecycle.ts";
+import { type SessionParts, WorkerSession } from "./worker_session.ts";
+
+/** What a tenure needs. */
+export interface TenureParts extends Omit<SessionParts, "onChange" | "onLost"> {
+  retentionMs: number;
+}
+
+/** Interval of passes that nothing else asked for, in milliseconds: bounds the delay of a repeated order. */
+const IDLE_PASS_MS = 100;
+
+/** Interval at which outcomes of old jobs are dropped, in milliseconds. */
+const FORGET_MS = 10_000;
+
+export class Tenure implements Component {
+  readonly name = "tenure";
+  readonly #parts: TenureParts;
+  readonly #sessions = new Map<string, WorkerSession>();
+  readonly #passes: Component;
+  #passDue = false;
+  #isPlacing = false;
+  #stopped = false;
+  #forgotAt: number;
+
+  constructor(parts: TenureParts) {
+    this.#parts = parts;
+    this.#forgotAt = parts.clock.monotonic();
+    this.#passes = ticker("passes", IDLE_PASS_MS, () => this.#pass());
+  }
+
+  get #book(): JobBook {
+    return this.#parts.consensus.state;
+  }
+
+  start(): Promise<void> {
+    const { log, term } = this.#parts;
+    log.info("tenure.started", { term, workers: this.#book.workers.size });
+    this.#followWorkers();
+    return this.#passes.start();
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    this.#sessions.forEach((session) => session.stop());
+    this.#sessions.clear();
+    await this.#passes.stop();
+    this.#parts.log.info("tenure.ended", { term: this.#parts.term });
+  }
+
+  /** Runs a pass in the next turn of the event loop. */
+  wake(): void {
+    if (!this.#passDue && !this.#stopped) {
+      this.#passDue = true;
+      setImmediate(() => {
+        this.#passDue = false;
+        this.#pass();
+      });
+    }
+  }
+
+  /** Workers that may get work, by pool. */
+  usableWorkers(now: number): Map<string, Worker[]> {
+    const pools = new Map<string, Worker[]>();
+    for (const session of this.#sessions.values()) {
+      const { worker } = session;
+      if (session.isUsable(now)) {
+        const pool = pools.get(worker.pool) ?? [];
+        pool.push(worker);
+        pools.set(worker.pool, pool);
+      }
+    }
+    return pools;
+  }
+
+  #pass(): void {
+    if (this.#stopped || !this.#parts.hasAuthority()) {
+      return;
+    }
+    const now = this.#parts.clock.monotonic();
+    this.#followWorkers();
+    this.#withdrawUnwanted();
+    this.#openRounds();
+    this.#forgetOldJobs(now);
+    this.#sessions.forEach((session) => session.sendDue());
+    void this.#place(now);
+  }
+
+  /** Opens a session with each worker of the book, and follows what changed about it. */
+  #followWorkers(): void {
+    const { workers } = this.#book;
+    for (const [id, session] of this.#sessions) {
+      const worker = workers.get(id);
+      if (worker === undefined) {
+        session.stop();
+        this.#sessions.delete(id);
+      } else {
+        session.worker = worker;
+      }
+    }
+    for (const worker of workers.values()) {
+      if (!this.#sessions.has(worker.id)) {
+        this.#open(worker);
+      }
+    }
+  }
+
+  #open(worker: Worker): void {
+    const session = new WorkerSession(worker, {
+      ...this.#parts,
+      onChange: () => this.wake(),
+      onLost: (id, reason) => void this.#lose(id, reason),
+    });
+    this.#sessions.set(worker.id, session);
+    void session.run();
+  }
+
+  async #lose(id: string, reason: string): Promise<void> {
+    const { log, consensus, clock } = this.#parts;
+    const runs = this.#book.load(id).runs.size;
+    this.#sessions.delete(id);
+    log.warn("worker.lost", { worker: id, reason, runs });
+    await consensus.propose({
+      kind: "lose",
+      workers: [id],
+      atMs: clock.wall(),
+    });
+    this.wake();
+  }
+
+  #withdrawUnwanted(): void {
+    for (const run of this.#book.unwanted) {
+      this.#sessions.get(run.worker)?.withdraw(run);
+    }
+  }
+
+  #openRounds(): void {
+    const { consensus, clock } = this.#parts;
+    const wall = clock.wall();
+    const rounds: { job: string; round: number }[] = [];
+    for (const job of this.#book.repeated) {
+      const repeat = job.spec?.repeat;
+      if (
+        repeat !== undefined && job.opened < repeat.count &&
+        wall >= repeat.startAtMs + job.opened * repeat.intervalMs
+      ) {
+        rounds.push({ job: job.id, round: job.opened });
+      }
+    }
+    if (rounds.length > 0) {
+      void consensus.propose({ kind: "open", rounds }).then(() => this.wake());
+    }
+  }
+
+  #forgetOldJobs(now: number): void {
+    const { consensus, clock, retentionMs } = this.#parts;
+    if (now - this.#forgotAt >= FORGET_MS) {
+      this.#forgotAt = now;
+      const endedBeforeMs = clock.wall() - retentionMs;
+      void consensus.propose({ kind: "forget", endedBeforeMs });
+    }
+  }
+
+  /** Reserves room for waiting tasks in the log, then orders their runs. */
+  async #place(now: number): Promise<void> {
+    if (this.#isPlacing || this.#book.waiting.size === 0) {
+      return;
+    }
+    const runs = this.#choosePlaces(now);
+    if (runs.length === 0) {
+      return;
+    }
+    this.#isPlacing = true;
+    const placed = await this.#parts.consensus.propose({ kind: "place", runs });
+    this.#isPlacing = false;
+    if (placed.ok && !this.#stopped) {
+      this.#order(runs);
+      this.wake();
+    }
+  }
+
+  #choosePlaces(now: number): RunKey[] {
+    const rooms = new Map<string, Room[]>();
+    for (const [pool, workers] of this.usableWorkers(now)) {
+      rooms.set(
+        pool,
+        workers.map((worker) => new Room(worker, this.#book.load(worker.id))),
+      );
+    }
+    const { log } = this.#parts;
+    const runs: RunKey[] = [];
+    for (const step of inOrderOfUrgency(this.#book.waiting.values())) {
+      const placed = placeStep(step, rooms.get(step.job.pool) ?? []);
+      if (placed.length > 0) {
+        runs.push(...placed);
+        log.info("step.placed", {
+          step: step.name,
+          tasks: placed.length,
+          waiting: step.indices.size - placed.length,
+          workers: new Set(placed.map(({ worker }) => worker)).size,
+        });
+      }
+    }
+    return runs;
+  }
+
+  #order(runs: readonly RunKey[]): void {
+    const byWorker = new Map<string, RunRecord[]>();
+    for (const key of runs) {
+      const run = this.#book.findRun(key);
+      if (run !== undefined) {
+        const own = byWorker.get(key.worker) ?? [];
+        own.push(run);
+        byWorker.set(key.worker, own);
+      }
+    }
+    byWorker.forEach((own, worker) => this.#sessions.get(worker)?.start(own));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -0,0 +1,348 @@
+/**
+ * One worker under one leader: renews its lease, sends it orders and settles what it lists.
+ *
+ * @module
+ */
+import {
+  type ClockReading,
+  inheritedLeaseEndsBy,
+  leaseDeadline,
+  leaseEndsBy,
+  type Listing,
+  type RunEnd,
+  type RunKey,
+  type RunRecord,
+  type StartAnswer,
+  type Worker,
+  WorkerOrders,
+} from "@quetzalcove/core/scheduling";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../observe/log.ts";
+import type { Metrics } from "../observe/metrics.ts";
+import { wait } from "../waiting.ts";
+import type { BookConsensus } from "./book_machine.ts";
+import type { WorkerCalls } from "./ports.ts";
+import type { SchedulerSettings } from "./settings.ts";
+
+/** What all sessions of a term share. */
+export interface SessionParts {
+  settings: SchedulerSettings["workers"];
+  term: number;
+  consensus: BookConsensus;
+  calls: WorkerCalls;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  /** Whether this node still leads for sure. */
+  hasAuthority: () => boolean;
+  /** Called when room was freed or the worker became usable. */
+  onChange: () => void;
+  /** Called when the worker surely runs nothing any more. */
+  onLost: (worker: string, reason: string) => void;
+}
+
+/** Pause after an order or renewal without an answer, in milliseconds: some round trips of a slowed link. */
+const UNANSWERED_MS = 250;
+
+/** Pause while authority is being confirmed, in milliseconds. */
+const UNCONFIRMED_MS = 20;
+
+/** How long a worker that refused an order for its own ill health gets no work, in milliseconds. */
+const UNWELL_MS = 2_000;
+
+/** How long a worker whose room differs from the book gets no work, in milliseconds; one renewal clears it up. */
+const NO_ROOM_MS = 200;
+
+export class WorkerSession {
+  worker: Worker;
+  readonly #parts: SessionParts;
+  readonly #orders: WorkerOrders;
+  #reading: ClockReading | undefined;
+  #leaseEndsBy: number;
+  #seenEnds = 0;
+  #contactAt = -Infinity;
+  #isVerified = false;
+  #pausedUntil = -Infinity;
+  #stopped = false;
+  /** Runs that the worker listed last, by task. */
+  #listing: Listing = { running: [], ended: [] };
+
+  constructor(worker: Worker, parts: SessionParts) {
+    const { settings, clock } = parts;
+    const now = clock.monotonic();
+    this.worker = worker;
+    this.#parts = parts;
+    this.#orders = new WorkerOrders({
+      unansweredMs: UNANSWERED_MS,
+      stopMs: settings.stopMs,
+    });
+    this.#leaseEndsBy = inheritedLeaseEndsBy(now, settings.leaseMs);
+    for (const run of parts.consensus.state.load(worker.id).runs.values()) {
+      this.#orders.add(run, now, true);
+    }
+  }
+
+  /** Whether the worker may get new work. */
+  isUsable(now: number): boolean {
+    return this.#isVerified && !this.worker.draining &&
+      now >= this.#pausedUntil &&
+      now - this.#contactAt < this.#parts.settings.contactMs;
+  }
+
+  /** What the worker listed last. */
+  get listing(): Listing {
+    return this.#listing;
+  }
+
+  /** Runs until the session is stopped. */
+  async run(): Promise<void> {
+    while (!this.#stopped) {
+      if (this.#parts.hasAuthority()) {
+        await this.#renew();
+      } else {
+        await wait(UNCONFIRMED_MS);
+      }
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#parts.calls.forget(this.worker);
+  }
+
+  /** Orders runs that were committed. */
+  start(runs: readonly RunRecord[]): void {
+    const now = this.#parts.clock.monotonic();
+    runs.forEach((run) => this.#orders.add(run, now));
+    this.sendDue();
+  }
+
+  /** Stops a run that is not wanted any more. */
+  withdraw(run: RunRecord): void {
+    this.#orders.withdraw(run, this.#parts.clock.monotonic());
+  }
+
+  /** Sends the orders that are due. */
+  sendDue(): void {
+    const now = this.#parts.clock.monotonic();
+    if (this.#stopped || !this.#parts.hasAuthority()) {
+      return;
+    }
+    if (this.worker.draining) {
+      this.#orders.withdrawStarts(now);
+    }
+    for (const run of this.#orders.takeStops(now)) {
+      void this.#sendStop(run);
+    }
+    if (this.#isVerified && this.#reading !== undefined) {
+      for (const run of this.#orders.takeStarts(now)) {
+        void this.#sendStart(run, this.#reading);
+      }
+    }
+  }
+
+  async #renew(): Promise<void> {
+    const { calls, settings, clock, term } = this.#parts;
+    const askedAt = clock.monotonic();
+    const leaseDeadlineMs = this.#extendLease(askedAt);
+    const answer = await calls.renew(this.worker, {
+      fence: term,
+      leaseDeadlineMs,
+      seenEnds: this.#seenEnds,
+      waitMs: this.#isVerified ? settings.renewalWaitMs : 0,
+    });
+    const now = clock.monotonic();
+    switch (answer.kind) {
+      case "listing":
+        this.#heard(answer.clockMs, now);
+        await this.#settle(answer.listing, askedAt, now);
+        return;
+      case "other_worker":
+        this.#lose("another worker has its address");
+        return;
+      case "fenced":
+        this.#parts.log.warn("worker.fenced", { worker: this.worker.id, term });
+        await wait(UNANSWERED_MS);
+        return;
+      case "no_answer":
+        this.#noteSilence(now, answer.reason);
+        await wait(UNANSWERED_MS);
+    }
+  }
+
+  #heard(clockMs: number | undefined, now: number): void {
+    this.#contactAt = now;
+    if (clockMs !== undefined) {
+      this.#reading = { workerMs: clockMs, receivedAt: now };
+    }
+  }
+
+  /** The deadline for an order that leaves now; notes when the lease has surely ended. */
+  #extendLease(now: number): number | undefined {
+    if (this.#reading === undefined) {
+      return undefined;
+    }
+    const { leaseMs } = this.#parts.settings;
+    const deadline = leaseDeadline(this.#reading, now, leaseMs);
+    const endsBy = leaseEndsBy(this.#reading, deadline);
+    this.#leaseEndsBy = Math.max(this.#leaseEndsBy, endsBy);
+    return deadline;
+  }
+
+  async #settle(
+    listing: Listing,
+    askedAt: number,
+    now: number,
+  ): Promise<void> {
+    const { consensus, clock } = this.#parts;
+    const book = consensus.state;
+    const { id } = this.worker;
+    this.#listing = listing;
+    this.#orders.retain((run) => book.findRun(run) !== undefined);
+    const { dropped, strays } = this.#orders.noteListing(
+      listing,
+      askedAt,
+      now,
+    );
+    if (!this.#isVerified) {
+      this.#isVerified = true;
+      this.#parts.log.info("worker.verified", {
+        worker: id,
+        running: listing.running.length,
+      });
+      this.#parts.onChange();
+    }
+    strays.forEach(({ task, run }) => void this.#stopStray(task, run));
+    const ends = listing.ended.map(({ task, run, how, checkpoint }): RunEnd => {
+      return { task, run, worker: id, how, checkpoint };
+    });
+    if (ends.length > 0 || dropped.length > 0) {
+      const settled = await consensus.propose({
+        kind: "settle",
+        ends,
+        dropped,
+        atMs: clock.wall(),
+      });
+      if (settled.ok) {
+        this.#seenEnds = listing.ended.reduce(
+          (highest, { number }) => Math.max(highest, number),
+          this.#seenEnds,
+        );
+        this.#noteEnds(ends, dropped);
+      } else {
+        await wait(UNCONFIRMED_MS);
+      }
+    }
+    this.sendDue();
+  }
+
+  #noteEnds(ends: readonly RunEnd[], dropped: readonly RunKey[]): void {
+    const { metrics, log, onChange } = this.#parts;
+    for (const { task, run, worker, how } of ends) {
+      metrics.count("quetzalcove_runs_ended_total", { how });
+      if (how !== "done") {
+        log.info("run.ended", { task, run, worker, how });
+      }
+    }
+    for (const { task, run, worker } of dropped) {
+      log.info("run.dropped", { task, run, worker, reason: "never started" });
+    }
+    onChange();
+  }
+
+  async #sendStart(run: RunRecord, reading: ClockReading): Promise<void> {
+    const { calls, consensus, clock, term, metrics } = this.#parts;
+    const book = consensus.state;
+    const job = book.jobs.get(run.job);
+    const task = book.taskOf(run);
+    const isWanted = book.findRun(run) !== undefined &&
+      job?.outcome === "open" && job.spec !== undefined && task !== undefined;
+    const sentAt = clock.monotonic();
+    if (!isWanted) {
+      this.#orders.withdraw(run, sentAt);
+      return;
+    }
+    const { answer, clockMs } = await calls.start(this.worker, {
+      task: run.task,
+      run: run.run,
+      text: job.spec?.text ?? "",
+      leaseDeadlineMs: this.#extendLease(sentAt) ?? reading.workerMs,
+      fence: term,
+      checkpoint: task.checkpoint,
+      permit: "",
+    });
+    const now = clock.monotonic();
+    metrics.observe("quetzalcove_start_order_seconds", now - sentAt);
+    if (answer !== "no_answer") {
+      this.#heard(clockMs, now);
+    }
+    const refused = this.#orders.noteStart(run, answer, now);
+    if (answer !== "started") {
+      this.#noteRefusal(run, answer, now);
+    }
+    if (refused !== undefined) {
+      await consensus.propose({
+        kind: "settle",
+        ends: [],
+        dropped: [refused],
+        atMs: clock.wall(),
+      });
+      this.#parts.onChange();
+    }
+  }
+
+  #noteRefusal(run: RunRecord, answer: StartAnswer, now: number): void {
+    const { log, metrics } = this.#parts;
+    const { task, worker } = run;
+    metrics.count("quetzalcove_starts_refused_total", { answer });
+    log.warn("run.not_started", { task, run: run.run, worker, answer });
+    if (answer === "other_worker") {
+      this.#lose("another worker has its address");
+    } else if (answer === "unwell") {
+      this.#pausedUntil = now + UNWELL_MS;
+    } else if (answer === "no_room") {
+      this.#pausedUntil = now + NO_ROOM_MS;
+    }
+  }
+
+  async #sendStop(run: RunRecord): Promise<void> {
+    const { task, run: number } = run;
+    const isAnswered = await this.#stopRun(task, number);
+    this.#orders.noteStop(run, isAnswered, this.#parts.clock.monotonic());
+  }
+
+  async #stopStray(task: string, run: number): Promise<void> {
+    const isAnswered = await this.#stopRun(task, run);
+    this.#parts.log.warn("run.stray_stopped", {
+      task,
+      run,
+      worker: this.worker.id,
+      answered: isAnswered,
+    });
+  }
+
+  async #stopRun(task: string, run: number): Promise<boolean> {
+    const { calls, clock, term } = this.#parts;
+    const order = { task, run, fence: term };
+    const { answer, clockMs } = await calls.stop(this.worker, order);
+    if (answer) {
+      this.#heard(clockMs, clock.monotonic());
+    }
+    return answer;
+  }
+
+  #noteSilence(now: number, reason: string): void {
+    const { contactMs } = this.#parts.settings;
+    this.#parts.metrics.count("quetzalcove_renewals_unanswered_total");
+    if (now > this.#leaseEndsBy && now - this.#contactAt > contactMs) {
+      this.#lose(reason);
+    }
+  }
+
+  #lose(reason: string): void {
+    if (!this.#stopped) {
+      this.stop();
+      this.#parts.onLost(this.worker.id, reason);
+    }
+  }
+}
--- a/packages/daemon/src/storage/format.ts
+++ b/packages/daemon/src/storage/format.ts
@@ -24,7 +24,7 @@
   storageFault,
   writeDurably,
 } from "./files.ts";
-import { lockFolder } from "./lock.ts";
+import { type LockFolder, lockFolder } from "./lock.ts";
 import { createSegment, segmentNumber } from "./segment.ts";
 
 const FORMAT_FILE = "format.json";
@@ -97,6 +97,7 @@
 export async function formatFolder(
   folder: string,
   formatting: Formatting,
+  takeLock: LockFolder = lockFolder,
 ): Promise<Result<FolderFormat, Fault>> {
   const created = await attempt(
     "Creating the data folder",
@@ -105,7 +106,7 @@
   if (created.err) {
     return created;
   }
-  const lock = await lockFolder(folder);
+  const lock = await takeLock(folder);
   if (lock.err) {
     return lock;
   }
--- a/packages/daemon/src/storage/lock.ts
+++ b/packages/daemon/src/storage/lock.ts
@@ -36,6 +36,13 @@
   release(): Promise<void>;
 }
 
+/** Takes the lock of a folder. */
+export type LockFolder = (folder: string) => Promise<Result<FolderLock, Fault>>;
+
+/** Takes no lock: for folders that the platform gives to one process at a time, on disks without hard links. */
+export const trustExclusiveFolder: LockFolder = () =>
+  Promise.resolve(Ok({ release: () => Promise.resolve() }));
+
 /** Takes the lock of a folder, also from a process that is gone. */
 export async function lockFolder(
   folder: string,
--- a/packages/daemon/src/storage/opening.ts
+++ b/packages/daemon/src/storage/opening.ts
@@ -19,7 +19,7 @@
   TEMPORARY_SUFFIX,
 } from "./files.ts";
 import { type FolderFormat, readFormat } from "./format.ts";
-import { type FolderLock, lockFolder } from "./lock.ts";
+import { type FolderLock, type LockFolder, lockFolder } from "./lock.ts";
 import { type LogEnd, LogWriter } from "./log_writer.ts";
 import { recover } from "./recovery.ts";
 import { readSegments } from "./segment.ts";
@@ -36,6 +36,7 @@
 /** Opens a formatted folder: locks it, checks it, and cuts a torn end of the log. */
 export async function openStorage(
   folder: string,
+  takeLock: LockFolder = lockFolder,
 ): Promise<Result<OpenedStorage, Fault>> {
   const format = await readFormat(folder);
   if (format.err) {
@@ -49,7 +50,7 @@
       ),
     );
   }
-  const lock = await lockFolder(folder);
+  const lock = await takeLock(folder);
   if (lock.err) {
     return lock;
   }
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,47 @@
+// Bundles the program for the users' platform into one file: npm run bundle
+import { fileURLToPath } from "node:url";
+import { build } from "esbuild";
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+
+/** The main file of ts-results asks for its parts in a way that cannot be bundled; its ES modules can. */
+const resultModules = {
+  name: "result modules",
+  setup(bundler) {
+    const namespace = "results";
+    bundler.onResolve({ filter: /^ts-results$/ }, ({ path }) => ({
+      path,
+      namespace,
+    }));
+    bundler.onLoad({ filter: /.*/, namespace }, () => ({
+      resolveDir: root,
+      contents: `import { Err, Ok } from "./node_modules/ts-results/esm/index.js";
+        export default { Err, Ok };`,
+    }));
+  },
+};
+
+await build({
+  absWorkingDir: root,
+  entryPoints: { "quetzalcove-node": "platform/src/main.ts" },
+  outdir: "target",
+  outExtension: { ".js": ".mjs" },
+  bundle: true,
+  platform: "node",
+  format: "esm",
+  target: "node20",
+  minifySyntax: true,
+  legalComments: "none",
+  logLevel: "warning",
+  plugins: [resultModules],
+  alias: {
+    "@quetzalcove/core/scheduling": "./packages/core/src/scheduling/mod.ts",
+    "@quetzalcove/daemon/scheduler": "./packages/daemon/src/scheduler/mod.ts",
+    "@quetzalcove/core": "./packages/core/src/mod.ts",
+  },
+  // CommonJS dependencies ask for built-in modules at run time.
+  banner: {
+    js:
+      'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
+  },
+});
