--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -103,12 +103,14 @@
   }),
   z.object({ kind: z.literal("forget"), endedBeforeMs: z.number() }),
   z.object({ kind: z.literal("wave"), wave: UpkeepWave }),
-  /** Upkeep of a VM was ordered, or has ended. */
+  /** Upkeep of a VM is about to be ordered, was refused, or has ended; a VM that left the fleet needs none. */
   z.object({
     kind: z.literal("upkeep"),
     wave: z.number().int(),
     vm: z.string(),
-    phase: z.enum(["begun", "done", "gone"]),
+    phase: z.enum(["begun", "refused", "done", "gone"]),
+    /** Worker on the VM before its upkeep, if any. */
+    worker: z.string().optional(),
   }),
 ]);
 export type BookCommand = z.infer<typeof BookCommand>;
--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -34,8 +34,8 @@
 /** A wave and how far it is. */
 export interface WaveRecord {
   wave: UpkeepWave;
-  /** VMs whose upkeep was ordered and has not ended. */
-  down: string[];
+  /** VMs whose upkeep was ordered and has not ended, and the workers that they had. */
+  down: { vm: string; worker: string | undefined }[];
   /** VMs whose upkeep has ended, or that left the fleet. */
   done: string[];
 }
@@ -486,14 +486,18 @@
   }
 
   #noteUpkeep(
-    { wave, vm, phase }: Extract<BookCommand, { kind: "upkeep" }>,
+    { wave, vm, phase, worker }: Extract<BookCommand, { kind: "upkeep" }>,
   ): void {
     const record = this.waves.get(wave);
     if (record === undefined || record.done.includes(vm)) {
       return;
     }
-    record.down = record.down.filter((other) => other !== vm);
-    (phase === "begun" ? record.down : record.done).push(vm);
+    record.down = record.down.filter((other) => other.vm !== vm);
+    if (phase === "begun") {
+      record.down.push({ vm, worker });
+    } else if (phase !== "refused") {
+      record.done.push(vm);
+    }
   }
 
   #countUnstarted({ queue }: JobRecord, by: 1 | -1): void {
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -14,3 +14,7 @@
 export * from "./worker_lease.ts";
 export * from "./worker_load.ts";
 export * from "./worker_orders.ts";
+export * from "./pool_demand.ts";
+export * from "./pool_moves.ts";
+export * from "./upkeep_plan.ts";
+export * from "./work_estimate.ts";
--- a/packages/core/src/scheduling/placing.ts
+++ b/packages/core/src/scheduling/placing.ts
@@ -21,7 +21,12 @@
   #serving: number;
   #filling: number;
 
-  constructor(worker: Worker, load: WorkerLoad) {
+  /** A worker that is due to go should not get tasks that last. */
+  constructor(
+    worker: Worker,
+    load: WorkerLoad,
+    readonly isDue = false,
+  ) {
     const { capacity } = worker;
     const { reserved } = load;
     this.worker = worker;
@@ -114,9 +119,7 @@
     const rack = rackOf(room.worker);
     racks.set(rack, [...racks.get(rack) ?? [], room]);
   }
-  const groups = [...racks.values()].sort((a, b) =>
-    freeCpu(b) - freeCpu(a)
-  );
+  const groups = [...racks.values()].sort((a, b) => freeCpu(b) - freeCpu(a));
   for (const group of [...groups, rooms]) {
     const chosen = tryAll(step, indices, group);
     if (chosen !== undefined) {
@@ -162,24 +165,25 @@
   return each === 0 ? Infinity : Math.floor(free / each);
 }
 
-/** The worker near the data, and of these the one with the least processor time left. */
+/** The worker near the data, and of these the one with the least processor time left; what lasts shuns due workers. */
 function chooseRoom(
   step: WaitingStep,
   rooms: readonly Room[],
 ): Room | undefined {
-  const { dataRack } = step.spec;
+  const { dataRack, lasting } = step.spec;
   let best: Room | undefined;
-  let bestIsNear = false;
+  let bestRank = 0;
   for (const room of rooms) {
     if (!room.accepts(step)) {
       continue;
     }
-    const isNear = dataRack === "" || room.worker.labels.includes(dataRack);
-    const isBetter = best === undefined || (isNear && !bestIsNear) ||
-      (isNear === bestIsNear && room.free.cpuMilli < best.free.cpuMilli);
+    const isFar = dataRack !== "" && !room.worker.labels.includes(dataRack);
+    const rank = 2 * Number(lasting && room.isDue) + Number(isFar);
+    const isBetter = best === undefined || rank < bestRank ||
+      (rank === bestRank && room.free.cpuMilli < best.free.cpuMilli);
     if (isBetter) {
       best = room;
-      bestIsNear = isNear;
+      bestRank = rank;
     }
   }
   return best;
--- a/packages/daemon/src/consensus/hand_over.ts
+++ b/packages/daemon/src/consensus/hand_over.ts
@@ -11,7 +11,10 @@
 
 /** Lets a follower that has caught up take over, if the replica of this entry leads. */
 export async function handOver(
-  replica: Pick<ReplicaTask<never, never, never>, "leadership" | "replicas" | "transfer">,
+  replica: Pick<
+    ReplicaTask<never, never, never>,
+    "leadership" | "replicas" | "transfer"
+  >,
   entry: string,
 ): Promise<void> {
   if (!replica.leadership().isLeader) {
--- a/packages/daemon/src/consensus/product_machine.ts
+++ b/packages/daemon/src/consensus/product_machine.ts
@@ -18,4 +18,3 @@
   encode: (state) => JSON.stringify(state),
   decode: (text) => JSON.parse(text) as State,
 };
-
--- a/packages/daemon/src/scheduler/front_desk.ts
+++ b/packages/daemon/src/scheduler/front_desk.ts
@@ -41,6 +41,8 @@
   log: Log;
   /** Wakes the placing of tasks. */
   onChange: () => void;
+  /** Called with each job that was accepted. */
+  onAccepted: (job: SubmittedJob) => void;
 }
 
 type Answers = {
@@ -116,6 +118,9 @@
     }
     const job: SubmittedJob = { id, queue: queue.name, pool: queue.pool, spec };
     const stored = await this.#submissions.add(job);
+    if (stored.ok) {
+      this.#parts.onAccepted(job);
+    }
     log.info("job.submitted", {
       job: id,
       queue: queue.name,
--- a/packages/daemon/src/scheduler/leader_task.ts
+++ b/packages/daemon/src/scheduler/leader_task.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { SubmittedJob } from "@quetzalcove/core/scheduling";
 import type { Component } from "../lifecycle.ts";
 import { Tenure, type TenureParts } from "./tenure.ts";
 
@@ -35,6 +36,11 @@
     this.#tenure?.wake();
   }
 
+  /** Notes a job that was accepted. */
+  noteArrival(job: SubmittedJob): void {
+    this.#tenure?.noteArrival(job);
+  }
+
   #follow(): void {
     if (this.#stopped) {
       return;
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -37,7 +37,7 @@
 import { FrontDesk } from "./front_desk.ts";
 import { LeaderTask } from "./leader_task.ts";
 import type { Method, Params } from "./methods.ts";
-import type { WorkerCalls } from "./ports.ts";
+import type { FleetCalls, WorkerCalls } from "./ports.ts";
 import { openSchedulerFolder } from "./replica_start.ts";
 import type { SchedulerSettings } from "./settings.ts";
 
@@ -48,6 +48,8 @@
   settings: SchedulerSettings;
   log: Log;
   workerCalls: WorkerCalls;
+  /** Undefined where the platform lists no VMs. */
+  fleetCalls: FleetCalls | undefined;
 }
 
 /** Silence after which a learner is dropped, in milliseconds: far above any pause from which it comes back. */
@@ -198,6 +200,7 @@
       clock: this.#clock,
       log,
       onChange: () => leaderTask.wake(),
+      onAccepted: (job) => leaderTask.noteArrival(job),
     });
     this.#handle(assembly.handlers());
     this.#handle(desk.handlers());
@@ -206,8 +209,10 @@
   }
 
   #leaderTask(replica: BookReplica): LeaderTask {
-    const { settings, log, workerCalls } = this.#parts;
+    const { settings, log, workerCalls, fleetCalls } = this.#parts;
     return new LeaderTask({
+      fleetCalls,
+      holder: settings.node,
       settings: settings.workers,
       retentionMs: settings.retentionMs,
       consensus: replica,
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -62,3 +62,40 @@
   /** Closes the connections to a worker. */
   forget(worker: Worker): void;
 }
+
+/** A VM as the platform lists it. */
+export interface ListedVm {
+  vm: string;
+  pool: string;
+  state: "up" | "moving" | "upkeep" | "down";
+  cores: number;
+}
+
+/** An order that concerns one VM. The fence rises with each order for any VM. */
+export interface VmOrder {
+  vm: string;
+  holder: string;
+  fence: number;
+}
+
+export type VmAnswer =
+  /** Carried out, now or before; everything on the VM has ended. */
+  | "done"
+  /** The VM is not up, or is leaving. */
+  | "busy"
+  /** A higher fence was used. */
+  | "fenced"
+  /** The platform does not know the VM, or it does not fit the pool or wave. */
+  | "refused"
+  /** The platform takes no more orders at present. */
+  | "throttled"
+  /** The order may have been carried out. */
+  | "no_answer";
+
+/** Calls at the platform's list of VMs. Every call ends by its deadline. */
+export interface FleetCalls {
+  /** All VMs, or undefined when the list could not be read in full. */
+  list(): Promise<ListedVm[] | undefined>;
+  move(order: VmOrder, pool: string): Promise<VmAnswer>;
+  maintain(order: VmOrder, wave: number): Promise<VmAnswer>;
+}
--- a/packages/daemon/src/scheduler/settings.ts
+++ b/packages/daemon/src/scheduler/settings.ts
@@ -113,6 +113,9 @@
   raft: Raft.prefault({}).describe("Replication."),
   link: Link.prefault({}).describe("Connections between nodes."),
   workers: WorkerOrdersSettings.prefault({}).describe("Orders to workers."),
+  fleet: Address.nullable().default(null).describe(
+    "Where the platform lists and moves VMs; null where it does not.",
+  ),
   limits: Limits.prefault({}).describe("Bounds on callers."),
   callTimeoutMs: DurationMs.default(2_500).describe(
     "Deadline of a call at the leader; below the callers' three seconds.",
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -4,20 +4,30 @@
  * @module
  */
 import {
+  ArrivalRates,
   inOrderOfUrgency,
   type JobBook,
   placeStep,
   Room,
   type RunKey,
   type RunRecord,
+  type SubmittedJob,
   type Worker,
+  WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
+import { FleetTask } from "./fleet_task.ts";
+import type { FleetCalls } from "./ports.ts";
 import { type SessionParts, WorkerSession } from "./worker_session.ts";
 
 /** What a tenure needs. */
-export interface TenureParts extends Omit<SessionParts, "onChange" | "onLost"> {
+export interface TenureParts
+  extends Omit<SessionParts, "onChange" | "onLost" | "estimate"> {
   retentionMs: number;
+  /** Calls at the platform's list of VMs; undefined where there is none. */
+  fleetCalls: FleetCalls | undefined;
+  /** Name under which this node orders. */
+  holder: string;
 }
 
 /** Interval of passes that nothing else asked for, in milliseconds: bounds the delay of a repeated order. */
@@ -31,6 +41,9 @@
   readonly #parts: TenureParts;
   readonly #sessions = new Map<string, WorkerSession>();
   readonly #passes: Component;
+  readonly #rates = new ArrivalRates();
+  readonly #estimate = new WorkEstimate();
+  readonly #fleet: FleetTask | undefined;
   #passDue = false;
   #isPlacing = false;
   #stopped = false;
@@ -40,6 +53,14 @@
     this.#parts = parts;
     this.#forgotAt = parts.clock.monotonic();
     this.#passes = ticker("passes", IDLE_PASS_MS, () => this.#pass());
+    this.#fleet = parts.fleetCalls && new FleetTask({
+      ...parts,
+      calls: parts.fleetCalls,
+      rates: this.#rates,
+      estimate: this.#estimate,
+      session: (worker) => this.#sessions.get(worker),
+      onChange: () => this.wake(),
+    });
   }
 
   get #book(): JobBook {
@@ -55,6 +76,7 @@
 
   async stop(): Promise<void> {
     this.#stopped = true;
+    this.#fleet?.stop();
     this.#sessions.forEach((session) => session.stop());
     this.#sessions.clear();
     await this.#passes.stop();
@@ -72,12 +94,21 @@
     }
   }
 
+  /** Notes a job that was accepted. */
+  noteArrival(job: SubmittedJob): void {
+    const record = this.#book.jobs.get(job.id);
+    if (record !== undefined) {
+      const coreMs = this.#estimate.workOf(record);
+      this.#rates.note(job.pool, coreMs, this.#parts.clock.monotonic());
+    }
+  }
+
   /** Workers that may get work, by pool. */
   usableWorkers(now: number): Map<string, Worker[]> {
     const pools = new Map<string, Worker[]>();
     for (const session of this.#sessions.values()) {
       const { worker } = session;
-      if (session.isUsable(now)) {
+      if (session.isUsable(now) && this.#fleet?.isReserved(worker) !== true) {
         const pool = pools.get(worker.pool) ?? [];
         pool.push(worker);
         pools.set(worker.pool, pool);
@@ -95,6 +126,7 @@
     this.#withdrawUnwanted();
     this.#openRounds();
     this.#forgetOldJobs(now);
+    this.#fleet?.step(now);
     this.#sessions.forEach((session) => session.sendDue());
     void this.#place(now);
   }
@@ -121,6 +153,7 @@
   #open(worker: Worker): void {
     const session = new WorkerSession(worker, {
       ...this.#parts,
+      estimate: this.#estimate,
       onChange: () => this.wake(),
       onLost: (id, reason) => void this.#lose(id, reason),
     });
@@ -197,12 +230,17 @@
     for (const [pool, workers] of this.usableWorkers(now)) {
       rooms.set(
         pool,
-        workers.map((worker) => new Room(worker, this.#book.load(worker.id))),
+        workers.map((worker) => this.#roomOf(worker)),
       );
     }
     const { log } = this.#parts;
     const runs: RunKey[] = [];
-    for (const step of inOrderOfUrgency(this.#book.waiting.values())) {
+    const inOrder = inOrderOfUrgency(
+      this.#book.waiting.values(),
+      this.#estimate,
+      this.#parts.clock.wall(),
+    );
+    for (const step of inOrder) {
       const placed = placeStep(step, rooms.get(step.job.pool) ?? []);
       if (placed.length > 0) {
         runs.push(...placed);
@@ -217,6 +255,11 @@
     return runs;
   }
 
+  #roomOf(worker: Worker): Room {
+    const isDue = this.#fleet?.isDue(worker) === true;
+    return new Room(worker, this.#book.load(worker.id), isDue);
+  }
+
   #order(runs: readonly RunKey[]): void {
     const byWorker = new Map<string, RunRecord[]>();
     for (const key of runs) {
--- /dev/null
+++ b/packages/daemon/src/scheduler/vm_orders.ts
@@ -0,0 +1,103 @@
+/**
+ * Orders that concern VMs: one at a time for each VM, repeated until the platform answers.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+import type { Log } from "../observe/log.ts";
+import type { Metrics } from "../observe/metrics.ts";
+import { wait } from "../waiting.ts";
+import type { FleetCalls, VmAnswer } from "./ports.ts";
+
+/** What is done to a VM. */
+export type VmAction =
+  | { kind: "move"; pool: string }
+  | { kind: "upkeep"; wave: number };
+
+/** What the orders need. */
+export interface VmOrderParts {
+  calls: FleetCalls;
+  term: number;
+  /** Name under which this leader orders. */
+  holder: string;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  hasAuthority: () => boolean;
+}
+
+/** Orders of one term; fences of a later term are higher. */
+const ORDERS_PER_TERM = 1_000_000;
+
+/** Pause before an order is repeated, in milliseconds. */
+const RETRY_MS = 500;
+
+export class VmOrders {
+  readonly #parts: VmOrderParts;
+  readonly #pending = new Set<string>();
+  #count = 0;
+  #stopped = false;
+
+  constructor(parts: VmOrderParts) {
+    this.#parts = parts;
+  }
+
+  /** Whether an order for a VM may still be carried out. */
+  isPending(vm: string): boolean {
+    return this.#pending.has(vm);
+  }
+
+  /** Number of VMs with an order that may still be carried out. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Orders an action and repeats it until the answer is definite; undefined when the term ended before. */
+  async order(vm: string, action: VmAction): Promise<VmAnswer | undefined> {
+    const { term, log, metrics, hasAuthority } = this.#parts;
+    this.#pending.add(vm);
+    this.#count += 1;
+    const fence = term * ORDERS_PER_TERM + this.#count;
+    let answer: VmAnswer | undefined;
+    while (!this.#stopped && !isDefinite(answer)) {
+      if (answer !== undefined) {
+        await wait(RETRY_MS);
+      }
+      if (hasAuthority()) {
+        answer = await this.#send(vm, action, fence);
+        metrics.count("quetzalcove_vm_orders_total", {
+          kind: action.kind,
+          answer,
+        });
+      } else {
+        await wait(RETRY_MS);
+      }
+    }
+    this.#pending.delete(vm);
+    log.info("vm.ordered", {
+      vm,
+      order: action.kind,
+      to: action.kind === "move" ? action.pool : String(action.wave),
+      fence,
+      answer,
+    });
+    return isDefinite(answer) ? answer : undefined;
+  }
+
+  #send(vm: string, action: VmAction, fence: number): Promise<VmAnswer> {
+    const { calls, holder } = this.#parts;
+    const order = { vm, holder, fence };
+    return action.kind === "move"
+      ? calls.move(order, action.pool)
+      : calls.maintain(order, action.wave);
+  }
+}
+
+function isDefinite(answer: VmAnswer | undefined): boolean {
+  return answer !== undefined && answer !== "no_answer" &&
+    answer !== "throttled";
+}
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -10,11 +10,13 @@
   leaseEndsBy,
   type Listing,
   type RunEnd,
+  type RunEnding,
   type RunKey,
   type RunRecord,
   type StartAnswer,
   type Worker,
   WorkerOrders,
+  type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../observe/log.ts";
@@ -33,6 +35,8 @@
   clock: Clock;
   log: Log;
   metrics: Metrics;
+  /** Learns how long tasks take. */
+  estimate: WorkEstimate;
   /** Whether this node still leads for sure. */
   hasAuthority: () => boolean;
   /** Called when room was freed or the worker became usable. */
@@ -53,6 +57,14 @@
 /** How long a worker whose room differs from the book gets no work, in milliseconds; one renewal clears it up. */
 const NO_ROOM_MS = 200;
 
+/** What is known of a run from its start on. */
+interface StartedRun {
+  run: number;
+  queue: string;
+  guessedMs: number;
+  at: number;
+}
+
 export class WorkerSession {
   worker: Worker;
   readonly #parts: SessionParts;
@@ -64,6 +76,8 @@
   #isVerified = false;
   #pausedUntil = -Infinity;
   #stopped = false;
+  /** Runs that started here, by task. */
+  readonly #started = new Map<string, StartedRun>();
   /** Runs that the worker listed last, by task. */
   #listing: Listing = { running: [], ended: [] };
 
@@ -84,8 +98,13 @@
 
   /** Whether the worker may get new work. */
   isUsable(now: number): boolean {
-    return this.#isVerified && !this.worker.draining &&
-      now >= this.#pausedUntil &&
+    return this.isInContact(now) && !this.worker.draining &&
+      now >= this.#pausedUntil;
+  }
+
+  /** Whether the worker has answered a short while ago. */
+  isInContact(now: number): boolean {
+    return this.#isVerified &&
       now - this.#contactAt < this.#parts.settings.contactMs;
   }
 
@@ -240,6 +259,7 @@
     const { metrics, log, onChange } = this.#parts;
     for (const { task, run, worker, how } of ends) {
       metrics.count("quetzalcove_runs_ended_total", { how });
+      this.#learn(task, run, how);
       if (how !== "done") {
         log.info("run.ended", { task, run, worker, how });
       }
@@ -250,6 +270,16 @@
     onChange();
   }
 
+  #learn(task: string, run: number, how: RunEnding): void {
+    const started = this.#started.get(task);
+    this.#started.delete(task);
+    if (started?.run === run && how === "done") {
+      const { estimate, clock } = this.#parts;
+      const tookMs = clock.monotonic() - started.at;
+      estimate.observe(started.queue, started.guessedMs, tookMs);
+    }
+  }
+
   async #sendStart(run: RunRecord, reading: ClockReading): Promise<void> {
     const { calls, consensus, clock, term, metrics } = this.#parts;
     const book = consensus.state;
@@ -276,6 +306,14 @@
     if (answer !== "no_answer") {
       this.#heard(clockMs, now);
     }
+    if (answer === "started") {
+      this.#started.set(run.task, {
+        run: run.run,
+        queue: job.queue,
+        guessedMs: job.spec?.steps[run.step]?.estimatedMs ?? 0,
+        at: now,
+      });
+    }
     const refused = this.#orders.noteStart(run, answer, now);
     if (answer !== "started") {
       this.#noteRefusal(run, answer, now);
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -15,7 +15,8 @@
     }));
     bundler.onLoad({ filter: /.*/, namespace }, () => ({
       resolveDir: root,
-      contents: `import { Err, Ok } from "./node_modules/ts-results/esm/index.js";
+      contents:
+        `import { Err, Ok } from "./node_modules/ts-results/esm/index.js";
         export default { Err, Ok };`,
     }));
   },
