--- a/packages/daemon/src/consensus/assembly.ts
+++ b/packages/daemon/src/consensus/assembly.ts
@@ -16,7 +16,6 @@
   type Result,
   type SuccessionRules,
 } from "@quetzalcove/core";
-import { z } from "zod";
 import type { LeaderClient } from "../entry/leader_client.ts";
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
