Watch workers and runs, ask the advisor, pace what fills; tests of the scheduling core

Found by a property test: a late 'done' of a lost run left its task waiting, which would have run it again.

--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -259,9 +259,11 @@
         indices.add(index);
       }
     });
+    const name = stepName({ job: job.id, round, step });
     if (indices.size > 0) {
-      const name = stepName({ job: job.id, round, step });
       this.waiting.set(name, { name, job, round, step, spec, indices });
+    } else {
+      this.waiting.delete(name);
     }
   }
 
@@ -344,7 +346,7 @@
     const wasActive = this.findRun(end) !== undefined;
     if (
       place === undefined || job === undefined || record === undefined ||
-      task === undefined || spec === undefined
+      task === undefined || spec === undefined || end.run > task.run
     ) {
       return;
     }
@@ -356,6 +358,8 @@
     if (end.how === "done" && !task.isDone && job.outcome === "open") {
       const members = spec.gang ? record.tasks[place.step] ?? [] : [task];
       members.forEach((member) => this.#markDone(record, place.step, member));
+      // A late report may be of a task that waits for its next run.
+      this.#queueStep(job, place.round, place.step);
       this.#release(end);
       this.#afterTaskDone(job, place.round, place.step, atMs);
       return;
--- a/packages/core/src/scheduling/placing.ts
+++ b/packages/core/src/scheduling/placing.ts
@@ -47,8 +47,12 @@
     const { free, worker } = this;
     return free.cpuMilli >= cpuMilli && free.memoryMb >= memoryMb &&
       free.gpus >= gpus && hasLabel(worker, spec.requiredLabel) &&
-      (spec.maxPerWorker === 0 || this.#ofStep(name) < spec.maxPerWorker) &&
-      this.#mayShare(spec);
+      (spec.maxPerWorker === 0 || this.#ofStep(name) < spec.maxPerWorker);
+  }
+
+  /** Whether a task that fills would run beside one that serves, and slow it down. */
+  wouldDisturb({ fills, targetLatencyMs }: StepSpec): boolean {
+    return fills ? this.#serving > 0 : targetLatencyMs > 0 && this.#filling > 0;
   }
 
   /** Takes room for a task of a step. */
@@ -62,14 +66,6 @@
     this.#filling += spec.fills ? 1 : 0;
   }
 
-  /** Tasks that fill slow down tasks that serve, so the two stay apart. */
-  #mayShare(spec: StepSpec): boolean {
-    if (spec.fills) {
-      return this.#serving === 0;
-    }
-    return spec.targetLatencyMs === 0 || this.#filling === 0;
-  }
-
   #ofStep(name: string): number {
     return this.#load.ofStep(name) + (this.#planned.get(name) ?? 0);
   }
@@ -165,7 +161,10 @@
   return each === 0 ? Infinity : Math.floor(free / each);
 }
 
-/** The worker near the data, and of these the one with the least processor time left; what lasts shuns due workers. */
+/**
+ * The worker with the least processor time left, of those where the task disturbs nothing, where it may stay if it
+ * lasts, and that are near its data, in this order.
+ */
 function chooseRoom(
   step: WaitingStep,
   rooms: readonly Room[],
@@ -178,7 +177,8 @@
       continue;
     }
     const isFar = dataRack !== "" && !room.worker.labels.includes(dataRack);
-    const rank = 2 * Number(lasting && room.isDue) + Number(isFar);
+    const rank = 4 * Number(room.wouldDisturb(step.spec)) +
+      2 * Number(lasting && room.isDue) + Number(isFar);
     const isBetter = best === undefined || rank < bestRank ||
       (rank === bestRank && room.free.cpuMilli < best.free.cpuMilli);
     if (isBetter) {
--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -31,7 +31,7 @@
   task: string;
   run: number;
   checkpoint: string;
-  /** Share of full speed at which it works, in percent. */
+  /** How far it is, in percent; 100 for a task that lasts and is at work. */
   percent: number;
   /** Tail latency in milliseconds of a task that serves, else the processor use in thousandths of a core. */
   gauge: number;
--- /dev/null
+++ b/packages/core/test/scheduling_fixture.ts
@@ -0,0 +1,127 @@
+/**
+ * Builders of jobs, workers and books for the scheduling tests.
+ *
+ * @module
+ */
+import {
+  type BatchJobSpec,
+  JobBook,
+  type Queue,
+  type RunKey,
+  type StepSpec,
+  type SubmittedJob,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
+
+export function step(changes: Partial<StepSpec> = {}): StepSpec {
+  return {
+    taskCount: 1,
+    demand: { cpuMilli: 1_000, memoryMb: 100, gpus: 0 },
+    estimatedMs: 1_000,
+    dependsOn: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: "",
+    dataRack: "",
+    maxPerWorker: 0,
+    allowsCopies: false,
+    lasting: false,
+    image: "",
+    targetLatencyMs: 0,
+    fills: false,
+    maxUnavailable: undefined,
+    ...changes,
+  };
+}
+
+export function spec(...steps: StepSpec[]): BatchJobSpec {
+  return { text: "work", steps, repeat: undefined };
+}
+
+export function queue(changes: Partial<Queue> = {}): Queue {
+  return {
+    name: "reports",
+    host: "reports.example",
+    pathPrefix: "/reports/",
+    pool: "intake",
+    priority: 0,
+    maxAttempts: 2,
+    slackFactor: 1.6,
+    targetLatencyMs: 600,
+    timeoutMs: 3_000,
+    advised: false,
+    ...changes,
+  };
+}
+
+export function worker(id: string, changes: Partial<Worker> = {}): Worker {
+  return {
+    id,
+    pool: "intake",
+    address: `10.0.0.1:${8_000 + Number(id.replace(/\D/g, "") || 0)}`,
+    zone: "accra-a",
+    vm: `vm-${id}`,
+    capacity: { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 },
+    labels: ["a", "r1"],
+    draining: false,
+    ...changes,
+  };
+}
+
+/** A book with one queue and some workers. */
+export function book(workers: readonly Worker[], ...queues: Queue[]): JobBook {
+  const result = new JobBook();
+  result.apply({
+    kind: "plan",
+    plan: {
+      version: 1,
+      queues: queues.length === 0 ? [queue()] : queues,
+      pools: [
+        { name: "intake", enforcesCapacity: true, standby: false },
+        { name: "charts", enforcesCapacity: true, standby: false },
+        { name: "spare", enforcesCapacity: true, standby: true },
+      ],
+      source: "{}",
+    },
+  });
+  result.apply({ kind: "join", workers: [...workers] });
+  return result;
+}
+
+export function submit(
+  target: JobBook,
+  id: string,
+  job: BatchJobSpec,
+  atMs = 0,
+): void {
+  const submitted: SubmittedJob = {
+    id,
+    queue: "reports",
+    pool: "intake",
+    spec: job,
+  };
+  target.apply({ kind: "submit", jobs: [submitted], atMs });
+}
+
+export function place(target: JobBook, ...runs: RunKey[]): void {
+  target.apply({ kind: "place", runs });
+}
+
+export function end(
+  target: JobBook,
+  run: RunKey,
+  how: "done" | "failed" | "stopped" | "lapsed" | "broken" | "alone",
+  checkpoint = "",
+): void {
+  target.apply({
+    kind: "settle",
+    ends: [{ ...run, how, checkpoint }],
+    dropped: [],
+    atMs: 1_000,
+  });
+}
+
+export function run(task: string, number: number, on: string): RunKey {
+  return { task, run: number, worker: on };
+}
--- /dev/null
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -0,0 +1,266 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  ArrivalRates,
+  chooseMoves,
+  type IdleVm,
+  planUpkeep,
+  type PoolState,
+} from "@quetzalcove/core/scheduling";
+import { type MemberView, nextMembershipChange } from "@quetzalcove/core";
+
+const CORES = 32;
+
+function idle(vm: string, pool: string, idleMs = 0): IdleVm {
+  return { vm, pool, cores: CORES, idleMs };
+}
+
+function pool(
+  name: string,
+  wanted: number,
+  vms: number,
+  idleVms: IdleVm[] = [],
+  standby = false,
+): PoolState {
+  return {
+    name,
+    standby,
+    demand: { reserved: 0, waiting: 0, wanted },
+    cores: vms * CORES,
+    idle: idleVms,
+  };
+}
+
+describe("moving VMs between pools", () => {
+  it("brings idle VMs of other pools before those that are off", () => {
+    const moves = chooseMoves([
+      pool("busy", 80, 2),
+      pool("calm", 10, 3, [idle("a", "calm"), idle("b", "calm")]),
+      pool("off", 0, 0, [idle("c", "off", Infinity)], true),
+    ]);
+    expect(moves).toEqual([{ vm: "a", from: "calm", to: "busy" }]);
+  });
+
+  it("takes none from a pool that needs it", () => {
+    const moves = chooseMoves([
+      pool("busy", 200, 2),
+      pool("other", 70, 3, [idle("a", "other", 9_999)]),
+    ]);
+    expect(moves).toEqual([]);
+  });
+
+  it("switches off what has been idle for long and is not needed", () => {
+    const moves = chooseMoves([
+      pool("calm", 20, 3, [
+        idle("a", "calm", 100),
+        idle("b", "calm", 5_000),
+        idle("c", "calm", 5_000),
+      ]),
+      pool("off", 0, 0, [], true),
+    ]);
+    expect(moves.map(({ vm, to }) => `${vm} ${to}`)).toEqual([
+      "b off",
+      "c off",
+    ]);
+  });
+
+  it("moves no VM twice, and leaves no pool short that was not", () => {
+    const state = fc.record({
+      wanted: fc.integer({ min: 0, max: 400 }),
+      vms: fc.integer({ min: 0, max: 12 }),
+      idleShare: fc.double({ min: 0, max: 1, noNaN: true }),
+      idleMs: fc.integer({ min: 0, max: 6_000 }),
+    });
+    fc.assert(fc.property(
+      fc.array(state, { minLength: 2, maxLength: 5 }),
+      fc.integer({ min: 0, max: 6 }),
+      (states, off) => {
+        const pools = states.map(({ wanted, vms, idleShare, idleMs }, i) => {
+          const idleVms = Array.from(
+            { length: Math.floor(vms * idleShare) },
+            (_, j) => idle(`p${i}-${j}`, `p${i}`, idleMs),
+          );
+          return pool(`p${i}`, wanted, vms, idleVms);
+        });
+        const reserve = Array.from(
+          { length: off },
+          (_, j) => idle(`off-${j}`, "off", Infinity),
+        );
+        const had = new Map(pools.map(({ name, cores }) => [name, cores]));
+        const moves = chooseMoves([...pools, pool("off", 0, 0, reserve, true)]);
+        expect(new Set(moves.map(({ vm }) => vm)).size).toBe(moves.length);
+        for (const { name, demand, cores } of pools) {
+          const wasEnough = (had.get(name) ?? 0) >= demand.wanted / 0.85;
+          if (wasEnough) {
+            expect(cores).toBeGreaterThanOrEqual(demand.wanted / 0.85);
+          }
+        }
+      },
+    ));
+  });
+});
+
+describe("demand that goes round between queues", () => {
+  it("shows in the arrival rate well before a move takes", () => {
+    const rates = new ArrivalRates();
+    // A job of ten core-seconds every 25 ms asks for 400 cores.
+    let now = 0;
+    for (; now < 1_000; now += 25) {
+      rates.note("pool", 10_000, now);
+    }
+    expect(rates.rate("pool", now)).toBeGreaterThan(300);
+    expect(rates.rate("pool", now)).toBeLessThan(450);
+    expect(rates.rate("pool", now + 2_000)).toBeLessThan(10);
+  });
+});
+
+describe("upkeep of a wave", () => {
+  const due = fc.record({
+    runs: fc.integer({ min: 0, max: 3 }),
+    lastingRuns: fc.integer({ min: 0, max: 1 }),
+    isPoolBusy: fc.boolean(),
+    isDraining: fc.boolean(),
+    isUp: fc.boolean(),
+  });
+
+  it("never takes down more than allowed, nor a VM that is busy or not up", () => {
+    fc.assert(fc.property(
+      fc.array(due, { maxLength: 12 }),
+      fc.integer({ min: 1, max: 6 }),
+      fc.integer({ min: 0, max: 8 }),
+      fc.integer({ min: -5_000, max: 60_000 }),
+      (vms, maxDown, down, leftMs) => {
+        const named = vms.map((vm, i) => ({ ...vm, vm: `vm${i}` }));
+        const plan = planUpkeep({ maxDown, down, leftMs, due: named });
+        expect(plan.takeDown.length).toBeLessThanOrEqual(
+          Math.max(0, maxDown - down),
+        );
+        for (const vm of plan.takeDown) {
+          expect(named.find((each) => each.vm === vm)).toMatchObject({
+            runs: 0,
+            isUp: true,
+          });
+        }
+        expect(plan.drain.length + plan.takeDown.length + down)
+          .toBeLessThanOrEqual(Math.max(maxDown, down));
+      },
+    ));
+  });
+
+  const busy = {
+    vm: "a",
+    runs: 5,
+    lastingRuns: 0,
+    isPoolBusy: true,
+    isDraining: false,
+    isUp: true,
+  };
+
+  it("leaves a busy pool its VMs while there is time, and no longer", () => {
+    const progress = { maxDown: 4, down: 0, due: [busy] };
+    expect(planUpkeep({ ...progress, leftMs: 60_000 }).drain).toEqual([]);
+    expect(planUpkeep({ ...progress, leftMs: 5_000 }).drain).toEqual(["a"]);
+  });
+
+  it("goes on emptying a VM that it has begun to empty", () => {
+    const others = [busy, { ...busy, vm: "b", isDraining: true }];
+    const plan = planUpkeep({
+      maxDown: 1,
+      down: 0,
+      leftMs: 60_000,
+      due: others,
+    });
+    expect(plan.drain).toEqual(["b"]);
+  });
+});
+
+describe("the voters of a group that lives on changing machines", () => {
+  const RULES = { voters: 5, lostAfterMs: 6_000, learnerLostAfterMs: 30_000 };
+
+  function member(
+    replica: string,
+    changes: Partial<MemberView> = {},
+  ): MemberView {
+    return {
+      replica: `${replica}#0000`,
+      entry: replica,
+      isVoter: true,
+      isCaughtUp: true,
+      silentMs: 0,
+      ...changes,
+    };
+  }
+
+  const five = ["a", "b", "c", "d", "e"].map((name) => member(name));
+
+  it("grow to the wanted number as learners catch up", () => {
+    const behind = member("d", { isVoter: false, isCaughtUp: false });
+    const ready = member("e", { isVoter: false });
+    const members = [...five.slice(0, 3), behind, ready];
+    expect(nextMembershipChange(members, RULES)).toEqual({
+      kind: "promote",
+      replica: "e#0000",
+    });
+  });
+
+  it("stay as they are while a silent one has no successor", () => {
+    const members = [...five.slice(0, 4), member("e", { silentMs: 60_000 })];
+    expect(nextMembershipChange(members, RULES)).toBeUndefined();
+  });
+
+  it("lose a silent one once a successor has caught up", () => {
+    const members = [
+      ...five.slice(0, 4),
+      member("e", { silentMs: 7_000 }),
+      member("f", { isVoter: false }),
+    ];
+    expect(nextMembershipChange(members, RULES)).toEqual({
+      kind: "remove",
+      replica: "e#0000",
+    });
+  });
+
+  it("lose one whose machine came back with an empty disk, before its successor votes", () => {
+    const members = [
+      member("a", { silentMs: 500 }),
+      ...five.slice(1),
+      { ...member("a", { isVoter: false }), replica: "a#1111" },
+    ];
+    expect(nextMembershipChange(members, RULES)).toEqual({
+      kind: "remove",
+      replica: "a#0000",
+    });
+  });
+
+  it("drop learners that never come back", () => {
+    const members = [
+      ...five,
+      member("f", { isVoter: false, isCaughtUp: false, silentMs: 31_000 }),
+    ];
+    expect(nextMembershipChange(members, RULES)).toEqual({
+      kind: "remove",
+      replica: "f#0000",
+    });
+  });
+
+  it("are never reduced below a majority of those in contact by one change", () => {
+    const view = fc.record({
+      entry: fc.constantFrom("a", "b", "c", "d", "e", "f"),
+      isVoter: fc.boolean(),
+      isCaughtUp: fc.boolean(),
+      silentMs: fc.integer({ min: 0, max: 40_000 }),
+    });
+    fc.assert(fc.property(fc.array(view, { maxLength: 7 }), (views) => {
+      const members = views.map((each, i) => ({
+        ...each,
+        replica: `${each.entry}#000${i}`,
+      }));
+      const change = nextMembershipChange(members, RULES);
+      if (change?.kind === "remove") {
+        const removed = members.find((each) => each.replica === change.replica);
+        // Only one that says nothing is removed.
+        expect(removed?.silentMs).toBeGreaterThan(0);
+      }
+    }));
+  });
+});
--- /dev/null
+++ b/packages/core/test/scheduling_placing_test.ts
@@ -0,0 +1,333 @@
+import { describe, expect, it } from "vitest";
+import {
+  inOrderOfUrgency,
+  type JobBook,
+  nextPace,
+  placeStep,
+  ProgressWatch,
+  Room,
+  type RunKey,
+  type StepSpec,
+  type WaitingStep,
+  WorkerHealth,
+  WorkEstimate,
+} from "@quetzalcove/core/scheduling";
+import {
+  book,
+  end,
+  place,
+  run,
+  spec,
+  step,
+  submit,
+  worker,
+} from "./scheduling_fixture.ts";
+
+function rooms(jobs: JobBook, due: readonly string[] = []): Room[] {
+  return [...jobs.workers.values()].map((each) =>
+    new Room(each, jobs.load(each.id), due.includes(each.id))
+  );
+}
+
+function placeOnly(jobs: JobBook, id: string, due: string[] = []): RunKey[] {
+  const waiting = jobs.waiting.get(`${id}.0.0`) as WaitingStep;
+  return placeStep(waiting, rooms(jobs, due));
+}
+
+function workersOf(runs: readonly RunKey[]): string[] {
+  return runs.map(({ worker: on }) => on);
+}
+
+function placed(of: Partial<StepSpec>, ...workers: string[]): string[] {
+  const jobs = book(workers.map((id) => worker(id)));
+  submit(jobs, "j", spec(step(of)));
+  return workersOf(placeOnly(jobs, "j"));
+}
+
+describe("placing the tasks of a step", () => {
+  it("fills one worker before it takes the next", () => {
+    expect(placed({ taskCount: 6 }, "w1", "w2")).toEqual(
+      ["w1", "w1", "w1", "w1", "w2", "w2"],
+    );
+  });
+
+  it("takes no more than there is room for", () => {
+    expect(placed({ taskCount: 9 }, "w1", "w2")).toHaveLength(8);
+  });
+
+  it("keeps to the limit for each worker", () => {
+    expect(placed({ taskCount: 5, maxPerWorker: 1 }, "w1", "w2")).toEqual(
+      ["w1", "w2"],
+    );
+  });
+
+  it("counts runs of the step that are there already towards the limit", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    submit(jobs, "j", spec(step({ taskCount: 3, maxPerWorker: 1 })));
+    place(jobs, run("j.0.0.0", 1, "w1"));
+    expect(workersOf(placeOnly(jobs, "j"))).toEqual(["w2"]);
+  });
+
+  it("needs the label that the step requires", () => {
+    const jobs = book([worker("w1"), worker("w2", { labels: ["b", "r2"] })]);
+    submit(jobs, "j", spec(step({ requiredLabel: "b" })));
+    expect(workersOf(placeOnly(jobs, "j"))).toEqual(["w2"]);
+  });
+
+  it("prefers the rack of the data, and takes another when that is full", () => {
+    const jobs = book([worker("w1"), worker("w2", { labels: ["a", "r2"] })]);
+    submit(jobs, "j", spec(step({ taskCount: 6, dataRack: "r2" })));
+    expect(workersOf(placeOnly(jobs, "j"))).toEqual(
+      ["w2", "w2", "w2", "w2", "w1", "w1"],
+    );
+  });
+
+  it("starts a gang as a whole, under one number above all earlier ones", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    submit(jobs, "j", spec(step({ taskCount: 6, gang: true })));
+    place(jobs, run("j.0.0.0", 3, "w1"));
+    expect(placeOnly(jobs, "j")).toEqual([]);
+    end(jobs, run("j.0.0.0", 3, "w1"), "broken");
+    const runs = placeOnly(jobs, "j");
+    expect(runs).toHaveLength(6);
+    expect(new Set(runs.map(({ run: number }) => number))).toEqual(
+      new Set([4]),
+    );
+  });
+
+  it("starts no part of a gang that does not fit", () => {
+    expect(placed({ taskCount: 9, gang: true }, "w1", "w2")).toEqual([]);
+  });
+
+  it("keeps a gang on one rack if it fits there", () => {
+    const jobs = book([
+      worker("w1", { labels: ["a", "r1"] }),
+      worker("w2", { labels: ["a", "r2"] }),
+      worker("w3", { labels: ["a", "r2"] }),
+    ]);
+    submit(jobs, "j", spec(step({ taskCount: 6, gang: true, sameRack: true })));
+    expect(new Set(workersOf(placeOnly(jobs, "j")))).toEqual(
+      new Set(["w2", "w3"]),
+    );
+  });
+
+  it("keeps what lasts off workers that are due to go", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    submit(jobs, "j", spec(step({ lasting: true })));
+    expect(workersOf(placeOnly(jobs, "j", ["w1"]))).toEqual(["w2"]);
+  });
+
+  it("keeps what fills away from what serves, unless there is no other worker", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    submit(jobs, "serves", spec(step({ lasting: true, targetLatencyMs: 50 })));
+    submit(jobs, "fills", spec(step({ fills: true, taskCount: 1 })));
+    place(jobs, run("serves.0.0.0", 1, "w1"));
+    expect(workersOf(placeOnly(jobs, "fills"))).toEqual(["w2"]);
+    jobs.apply({ kind: "lose", workers: ["w2"], atMs: 0 });
+    expect(workersOf(placeOnly(jobs, "fills"))).toEqual(["w1"]);
+  });
+});
+
+describe("a queue that asks for more than its pool for some seconds", () => {
+  /**
+   * Jobs of one task of a second each arrive at twice the rate that four slots can serve. Returns how many ended within
+   * their objective.
+   */
+  function serve(order: (waiting: WaitingStep[], now: number) => string[]): {
+    inTime: number;
+    done: number;
+  } {
+    const jobs = book([worker("w1")]);
+    const slots: { job: string; endsAt: number }[] = [];
+    const objectiveMs = 1.6 * 1_000 + 600;
+    let inTime = 0;
+    let done = 0;
+    for (let now = 0; now < 30_000; now += 25) {
+      const isRising = now < 8_000 && now % 125 === 0;
+      if (isRising) {
+        submit(jobs, `j${now}`, spec(step()), now);
+      }
+      for (const slot of slots.filter(({ endsAt }) => endsAt <= now)) {
+        slots.splice(slots.indexOf(slot), 1);
+        end(jobs, run(`${slot.job}.0.0.0`, 1, "w1"), "done");
+        done += 1;
+        const acceptedAt = Number(slot.job.slice(1));
+        inTime += now - acceptedAt <= objectiveMs ? 1 : 0;
+      }
+      const next = order([...jobs.waiting.values()], now);
+      for (const job of next.slice(0, 4 - slots.length)) {
+        place(jobs, run(`${job}.0.0.0`, 1, "w1"));
+        slots.push({ job, endsAt: now + 1_000 });
+      }
+    }
+    return { inTime, done };
+  }
+
+  it("has more of its jobs in time when those that are late already wait, and all are done", () => {
+    const first = serve((waiting) => waiting.map(({ job }) => job.id));
+    const estimate = new WorkEstimate();
+    const urgent = serve((waiting, now) =>
+      inOrderOfUrgency(waiting, estimate, now).map(({ job }) => job.id)
+    );
+    expect(first.done).toBe(64);
+    expect(urgent.done).toBe(64);
+    expect(urgent.inTime).toBeGreaterThan(1.5 * first.inTime);
+  });
+
+  it("puts queues of a higher priority first among jobs that can be in time", () => {
+    const jobs = book([worker("w1")]);
+    submit(jobs, "late", spec(step()), 0);
+    submit(jobs, "normal", spec(step()), 10_000);
+    submit(jobs, "first", spec(step()), 10_001);
+    const job = jobs.jobs.get("normal");
+    if (job !== undefined) {
+      job.terms.priority = 1;
+    }
+    const order = inOrderOfUrgency(
+      jobs.waiting.values(),
+      new WorkEstimate(),
+      10_010,
+    );
+    expect(order.map(({ job: { id } }) => id)).toEqual(
+      ["first", "normal", "late"],
+    );
+  });
+});
+
+describe("the estimate of work", () => {
+  it("follows what tasks take, and is not thrown off by a single hung one", () => {
+    const estimate = new WorkEstimate();
+    for (let i = 0; i < 100; i++) {
+      estimate.observe("q", 500, 1_000);
+    }
+    expect(estimate.taskMs("q", 500)).toBeCloseTo(1_000, -1);
+    estimate.observe("q", 500, 600_000);
+    expect(estimate.taskMs("q", 500)).toBeLessThan(1_200);
+  });
+
+  it("measures the longest chain of steps", () => {
+    const jobs = book([]);
+    submit(
+      jobs,
+      "j",
+      spec(
+        step({ estimatedMs: 100 }),
+        step({ estimatedMs: 700, dependsOn: [0] }),
+        step({ estimatedMs: 300, dependsOn: [0] }),
+        step({ estimatedMs: 50, dependsOn: [1, 2] }),
+      ),
+    );
+    const job = jobs.jobs.get("j");
+    const estimate = new WorkEstimate();
+    expect(job && estimate.chainMs(job)).toBe(850);
+    expect(job && estimate.chainMs(job, 2)).toBe(350);
+  });
+});
+
+describe("a worker on which runs fail", () => {
+  it("is left alone after failures of several jobs in a row", () => {
+    const health = new WorkerHealth();
+    expect(health.noteEnd("w", "a", "failed", 0)).toBe(false);
+    expect(health.noteEnd("w", "a", "failed", 0)).toBe(false);
+    expect(health.noteEnd("w", "b", "failed", 0)).toBe(true);
+    expect(health.isTrusted("w", 100)).toBe(false);
+    expect(health.isTrusted("w", 2_000)).toBe(true);
+  });
+
+  it("is left alone longer when it fails again, and trusted once a task is done", () => {
+    const health = new WorkerHealth();
+    health.noteEnd("w", "a", "failed", 0);
+    health.noteEnd("w", "b", "failed", 0);
+    health.noteEnd("w", "c", "failed", 2_000);
+    expect(health.isTrusted("w", 4_500)).toBe(false);
+    health.noteEnd("w", "d", "done", 4_600);
+    expect(health.isTrusted("w", 4_600)).toBe(true);
+  });
+
+  it("is not blamed for runs that were stopped or lost their lease", () => {
+    const health = new WorkerHealth();
+    for (const how of ["stopped", "lapsed", "broken", "alone"] as const) {
+      health.noteEnd("w", how, how, 0);
+    }
+    expect(health.isTrusted("w", 0)).toBe(true);
+  });
+});
+
+describe("watching progress", () => {
+  const expectation = { expectedMs: 1_000, resumes: false };
+  const row = (percent: number, number = 1): {
+    task: string;
+    run: number;
+    checkpoint: string;
+    percent: number;
+    gauge: number;
+  } => ({ task: "t", run: number, checkpoint: "", percent, gauge: 0 });
+
+  it("finds a run that stands still", () => {
+    const watch = new ProgressWatch();
+    watch.note([row(10)], () => expectation, 0);
+    expect(watch.note([row(10)], () => expectation, 700).still).toEqual([]);
+    expect(watch.note([row(10)], () => expectation, 701).still).toHaveLength(1);
+  });
+
+  it("gives a run that resumes the time to be restored", () => {
+    const watch = new ProgressWatch();
+    const resuming = { expectedMs: 1_000, resumes: true };
+    watch.note([row(0)], () => resuming, 0);
+    expect(watch.note([row(0)], () => resuming, 1_900).still).toEqual([]);
+  });
+
+  it("starts anew with a new run of the task", () => {
+    const watch = new ProgressWatch();
+    watch.note([row(10)], () => expectation, 0);
+    expect(watch.note([row(0, 2)], () => expectation, 5_000).still).toEqual([]);
+  });
+
+  it("finds a run that crawls, unless it is nearly done", () => {
+    const watch = new ProgressWatch();
+    watch.note([row(0)], () => expectation, 0);
+    watch.note([row(5)], () => expectation, 600);
+    expect(watch.note([row(11)], () => expectation, 1_100).crawling)
+      .toHaveLength(1);
+    const other = new ProgressWatch();
+    other.note([row(45)], () => expectation, 0);
+    other.note([row(48)], () => expectation, 600);
+    expect(other.note([row(52)], () => expectation, 1_100).crawling)
+      .toEqual([]);
+  });
+
+  it("leaves alone what has no expected length", () => {
+    const watch = new ProgressWatch();
+    watch.note([row(100)], () => undefined, 0);
+    expect(watch.note([row(100)], () => undefined, 60_000).still).toEqual([]);
+  });
+});
+
+describe("pacing what fills", () => {
+  it("stops it while a tail is over its target", () => {
+    expect(nextPace(80, [{ tailMs: 51, targetMs: 50 }])).toBe(0);
+  });
+
+  it("keeps a disturbed tail below its target, and uses what room there is", () => {
+    // The tail grows with the pace: 30 ms alone, 70 ms beside work at full speed.
+    let percent = 100;
+    let over = 0;
+    let work = 0;
+    for (let i = 0; i < 200; i++) {
+      const tailMs = 30 + 0.4 * percent;
+      over += tailMs > 50 ? 1 : 0;
+      work += percent;
+      percent = nextPace(percent, [{ tailMs, targetMs: 50 }]);
+    }
+    expect(over).toBeLessThanOrEqual(1);
+    expect(work / 200).toBeGreaterThan(10);
+  });
+
+  it("lets it work at full speed where nothing serves", () => {
+    let percent = 0;
+    for (let i = 0; i < 10; i++) {
+      percent = nextPace(percent, []);
+    }
+    expect(percent).toBe(100);
+  });
+});
--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -14,6 +14,7 @@
   poolDemands,
   type PoolState,
   type RunRecord,
+  taskName,
   type WaveRecord,
   type Worker,
   type WorkEstimate,
@@ -113,7 +114,7 @@
       return;
     }
     this.#stepWaves(now);
-    this.#evacuate();
+    this.#evacuate(now);
     this.#move(now);
   }
 
@@ -263,7 +264,7 @@
   }
 
   /** Stops what lasts on workers that are being emptied, as far as its steps can spare it. */
-  #evacuate(): void {
+  #evacuate(now: number): void {
     for (const run of this.#withdrawn) {
       if (this.#book.findRun(run) !== run) {
         this.#withdrawn.delete(run);
@@ -274,7 +275,7 @@
         const spec = this.#book.stepOf(run);
         if (
           spec?.lasting === true && !this.#withdrawn.has(run) &&
-          this.#awayTasks(run) < (spec.maxUnavailable ?? 0)
+          this.#awayTasks(run, now) < (spec.maxUnavailable ?? 0)
         ) {
           this.#withdrawn.add(run);
           this.#parts.session(id)?.withdraw(run);
@@ -284,21 +285,17 @@
     }
   }
 
-  /** Tasks of a run's step that are not at work. */
-  #awayTasks({ job, round, step }: RunRecord): number {
+  /** Tasks of a run's step that are not at work, as far as is known now. */
+  #awayTasks({ job, round, step }: RunRecord, now: number): number {
     const tasks = this.#book.jobs.get(job)?.rounds[round]?.tasks[step] ?? [];
     return tasks.filter((task, index) => {
-      if (task.worker === undefined) {
-        return true;
-      }
-      const name = `${job}.${round}.${step}.${index}`;
-      const run = this.#book.load(task.worker).runs.get(name);
-      const listing = this.#parts.session(task.worker)?.listing;
-      const isAtWork = listing?.running.some((row) =>
-        row.task === name && row.run === task.run && row.percent === 100
-      );
-      return isAtWork !== true || (run !== undefined &&
-        this.#withdrawn.has(run));
+      const name = taskName({ job, round, step, index });
+      const run = task.worker === undefined
+        ? undefined
+        : this.#book.load(task.worker).runs.get(name);
+      const session = run && this.#parts.session(run.worker);
+      return run === undefined || this.#withdrawn.has(run) ||
+        session?.isAtWork(run, now) !== true;
     }).length;
   }
 
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -37,7 +37,7 @@
 import { FrontDesk } from "./front_desk.ts";
 import { LeaderTask } from "./leader_task.ts";
 import type { Method, Params } from "./methods.ts";
-import type { FleetCalls, WorkerCalls } from "./ports.ts";
+import type { AdviceCalls, FleetCalls, WorkerCalls } from "./ports.ts";
 import { openSchedulerFolder } from "./replica_start.ts";
 import type { SchedulerSettings } from "./settings.ts";
 
@@ -50,6 +50,8 @@
   workerCalls: WorkerCalls;
   /** Undefined where the platform lists no VMs. */
   fleetCalls: FleetCalls | undefined;
+  /** Undefined where no advisor is named. */
+  adviceCalls: AdviceCalls | undefined;
 }
 
 /** Silence after which a learner is dropped, in milliseconds: far above any pause from which it comes back. */
@@ -209,9 +211,10 @@
   }
 
   #leaderTask(replica: BookReplica): LeaderTask {
-    const { settings, log, workerCalls, fleetCalls } = this.#parts;
+    const { settings, log, workerCalls, fleetCalls, adviceCalls } = this.#parts;
     return new LeaderTask({
       fleetCalls,
+      adviceCalls,
       holder: settings.node,
       settings: settings.workers,
       retentionMs: settings.retentionMs,
--- /dev/null
+++ b/packages/daemon/src/scheduler/pacer.ts
@@ -0,0 +1,88 @@
+/**
+ * Paces what fills on one worker by the tails of what serves there.
+ *
+ * @module
+ */
+import {
+  type ListedRun,
+  type Listing,
+  nextPace,
+  parseTaskName,
+  type ServingTail,
+  type StepSpec,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
+import type { Log } from "../observe/log.ts";
+import type { BookConsensus } from "./book_machine.ts";
+import type { WorkerCalls } from "./ports.ts";
+
+/** What a pacer needs. */
+export interface PacerParts {
+  consensus: BookConsensus;
+  calls: WorkerCalls;
+  term: number;
+  log: Log;
+}
+
+/** Shortest time between two decisions, in milliseconds: the span of the listed figures. */
+const DECIDE_MS = 500;
+
+/** Pace at which a run starts, in percent. */
+const FULL_PERCENT = 100;
+
+export class Pacer {
+  readonly #parts: PacerParts;
+  #percent = FULL_PERCENT;
+  #decidedAt = -Infinity;
+  /** Paces that the worker has taken, by task and run. */
+  readonly #taken = new Map<string, number>();
+
+  constructor(parts: PacerParts) {
+    this.#parts = parts;
+  }
+
+  /** Decides after a listing of the worker, and sends what changed. */
+  follow(worker: Worker, { running }: Listing, now: number): void {
+    const filling = running.filter(({ task }) => this.#specOf(task)?.fills);
+    if (filling.length === 0) {
+      this.#taken.clear();
+      return;
+    }
+    const tails = running.flatMap((row) => this.#tailOf(row));
+    if (now - this.#decidedAt >= DECIDE_MS) {
+      this.#decidedAt = now;
+      const percent = nextPace(this.#percent, tails);
+      if (percent !== this.#percent) {
+        this.#parts.log.info("worker.paced", { worker: worker.id, percent });
+      }
+      this.#percent = percent;
+    }
+    filling.forEach((row) => void this.#send(worker, row));
+  }
+
+  #tailOf({ task, gauge }: ListedRun): ServingTail[] {
+    const targetMs = this.#specOf(task)?.targetLatencyMs ?? 0;
+    return targetMs > 0 ? [{ tailMs: gauge, targetMs }] : [];
+  }
+
+  #specOf(task: string): StepSpec | undefined {
+    const place = parseTaskName(task);
+    return place && this.#parts.consensus.state.stepOf(place);
+  }
+
+  async #send(worker: Worker, { task, run }: ListedRun): Promise<void> {
+    const key = `${task} ${run}`;
+    const percent = this.#percent;
+    const taken = this.#taken.get(key) ?? FULL_PERCENT;
+    if (taken === percent) {
+      return;
+    }
+    this.#taken.set(key, percent);
+    const order = { task, run, fence: this.#parts.term };
+    const { answer } = await this.#parts.calls.pace(worker, order, percent);
+    if (!answer) {
+      // Sent again after the next listing.
+      this.#taken.set(key, taken);
+    }
+  }
+}
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -59,6 +59,12 @@
   start(worker: Worker, order: StartOrder): Promise<Answered<StartAnswer>>;
   stop(worker: Worker, order: RunOrder): Promise<Answered<boolean>>;
   renew(worker: Worker, renewal: Renewal): Promise<RenewalAnswer>;
+  /** Sets the share of full speed of a run that fills, in percent. */
+  pace(
+    worker: Worker,
+    order: RunOrder,
+    percent: number,
+  ): Promise<Answered<boolean>>;
   /** Closes the connections to a worker. */
   forget(worker: Worker): void;
 }
@@ -99,3 +105,16 @@
   move(order: VmOrder, pool: string): Promise<VmAnswer>;
   maintain(order: VmOrder, wave: number): Promise<VmAnswer>;
 }
+
+/** Which workers may run a step, and the permits that their orders must carry. */
+export interface Advice {
+  /** Permits by worker. */
+  permits: ReadonlyMap<string, string>;
+  validityMs: number;
+}
+
+/** Calls at the advisor. It answers one call of a node at a time. */
+export interface AdviceCalls {
+  /** Undefined when the advisor gave no advice. */
+  advise(step: string, workers: readonly string[]): Promise<Advice | undefined>;
+}
--- a/packages/daemon/src/scheduler/settings.ts
+++ b/packages/daemon/src/scheduler/settings.ts
@@ -116,6 +116,9 @@
   fleet: Address.nullable().default(null).describe(
     "Where the platform lists and moves VMs; null where it does not.",
   ),
+  advisor: Address.nullable().default(null).describe(
+    "Where advice on workers is asked for; null where there is none.",
+  ),
   limits: Limits.prefault({}).describe("Bounds on callers."),
   callTimeoutMs: DurationMs.default(2_500).describe(
     "Deadline of a call at the leader; below the callers' three seconds.",
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -12,20 +12,28 @@
   type RunKey,
   type RunRecord,
   type SubmittedJob,
+  type WaitingStep,
   type Worker,
+  WorkerHealth,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
 import { FleetTask } from "./fleet_task.ts";
-import type { FleetCalls } from "./ports.ts";
+import { AdviceDesk } from "./advice_desk.ts";
+import type { AdviceCalls, FleetCalls } from "./ports.ts";
 import { type SessionParts, WorkerSession } from "./worker_session.ts";
 
 /** What a tenure needs. */
-export interface TenureParts
-  extends Omit<SessionParts, "onChange" | "onLost" | "estimate"> {
+export interface TenureParts extends
+  Omit<
+    SessionParts,
+    "onChange" | "onLost" | "estimate" | "health" | "permit"
+  > {
   retentionMs: number;
   /** Calls at the platform's list of VMs; undefined where there is none. */
   fleetCalls: FleetCalls | undefined;
+  /** Calls at the advisor; undefined where there is none. */
+  adviceCalls: AdviceCalls | undefined;
   /** Name under which this node orders. */
   holder: string;
 }
@@ -43,7 +51,9 @@
   readonly #passes: Component;
   readonly #rates = new ArrivalRates();
   readonly #estimate = new WorkEstimate();
+  readonly #health = new WorkerHealth();
   readonly #fleet: FleetTask | undefined;
+  readonly #advice: AdviceDesk | undefined;
   #passDue = false;
   #isPlacing = false;
   #stopped = false;
@@ -61,6 +71,11 @@
       session: (worker) => this.#sessions.get(worker),
       onChange: () => this.wake(),
     });
+    this.#advice = parts.adviceCalls && new AdviceDesk({
+      ...parts,
+      calls: parts.adviceCalls,
+      onChange: () => this.wake(),
+    });
   }
 
   get #book(): JobBook {
@@ -103,15 +118,24 @@
     }
   }
 
-  /** Workers that may get work, by pool. */
-  usableWorkers(now: number): Map<string, Worker[]> {
+  /** Workers that may get work, by pool; those that fail or hang only where there is no other. */
+  #usableWorkers(now: number): Map<string, Worker[]> {
     const pools = new Map<string, Worker[]>();
+    const doubtful: Worker[] = [];
     for (const session of this.#sessions.values()) {
       const { worker } = session;
-      if (session.isUsable(now) && this.#fleet?.isReserved(worker) !== true) {
-        const pool = pools.get(worker.pool) ?? [];
-        pool.push(worker);
-        pools.set(worker.pool, pool);
+      if (!session.isUsable(now) || this.#fleet?.isReserved(worker) === true) {
+        continue;
+      }
+      if (this.#health.isTrusted(worker.id, now)) {
+        pools.set(worker.pool, [...pools.get(worker.pool) ?? [], worker]);
+      } else {
+        doubtful.push(worker);
+      }
+    }
+    for (const worker of doubtful) {
+      if (!pools.has(worker.pool)) {
+        pools.set(worker.pool, [worker]);
       }
     }
     return pools;
@@ -154,6 +178,9 @@
     const session = new WorkerSession(worker, {
       ...this.#parts,
       estimate: this.#estimate,
+      health: this.#health,
+      permit: (step, id) =>
+        this.#advice?.permit(step, id, this.#parts.clock.monotonic()),
       onChange: () => this.wake(),
       onLost: (id, reason) => void this.#lose(id, reason),
     });
@@ -165,6 +192,7 @@
     const { log, consensus, clock } = this.#parts;
     const runs = this.#book.load(id).runs.size;
     this.#sessions.delete(id);
+    this.#health.forget(id);
     log.warn("worker.lost", { worker: id, reason, runs });
     await consensus.propose({
       kind: "lose",
@@ -227,34 +255,56 @@
 
   #choosePlaces(now: number): RunKey[] {
     const rooms = new Map<string, Room[]>();
-    for (const [pool, workers] of this.usableWorkers(now)) {
-      rooms.set(
-        pool,
-        workers.map((worker) => this.#roomOf(worker)),
-      );
+    for (const [pool, workers] of this.#usableWorkers(now)) {
+      rooms.set(pool, workers.map((worker) => this.#roomOf(worker)));
     }
-    const { log } = this.#parts;
-    const runs: RunKey[] = [];
     const inOrder = inOrderOfUrgency(
       this.#book.waiting.values(),
       this.#estimate,
       this.#parts.clock.wall(),
     );
-    for (const step of inOrder) {
-      const placed = placeStep(step, rooms.get(step.job.pool) ?? []);
-      if (placed.length > 0) {
-        runs.push(...placed);
-        log.info("step.placed", {
-          step: step.name,
-          tasks: placed.length,
-          waiting: step.indices.size - placed.length,
-          workers: new Set(placed.map(({ worker }) => worker)).size,
-        });
-      }
-    }
+    const runs = inOrder.flatMap((step) =>
+      this.#placeStep(step, this.#roomsFor(step, rooms, now))
+    );
+    this.#advice?.follow(
+      inOrder,
+      (step) =>
+        (rooms.get(step.job.pool) ?? [])
+          .filter((room) => room.accepts(step))
+          .map(({ worker }) => worker),
+      (name) => this.#book.waiting.has(name),
+      now,
+    );
     return runs;
   }
 
+  /** Rooms of the step's pool; of an advised queue only those with a permit. */
+  #roomsFor(
+    { name, job }: WaitingStep,
+    rooms: ReadonlyMap<string, Room[]>,
+    now: number,
+  ): Room[] {
+    const own = rooms.get(job.pool) ?? [];
+    return job.terms.advised
+      ? own.filter(({ worker }) =>
+        this.#advice?.permit(name, worker.id, now) !== undefined
+      )
+      : own;
+  }
+
+  #placeStep(step: WaitingStep, rooms: readonly Room[]): RunKey[] {
+    const placed = placeStep(step, rooms);
+    if (placed.length > 0) {
+      this.#parts.log.info("step.placed", {
+        step: step.name,
+        tasks: placed.length,
+        waiting: step.indices.size - placed.length,
+        workers: new Set(placed.map(({ worker }) => worker)).size,
+      });
+    }
+    return placed;
+  }
+
   #roomOf(worker: Worker): Room {
     const isDue = this.#fleet?.isDue(worker) === true;
     return new Room(worker, this.#book.load(worker.id), isDue);
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -5,16 +5,22 @@
  */
 import {
   type ClockReading,
+  type Expectation,
   inheritedLeaseEndsBy,
   leaseDeadline,
   leaseEndsBy,
+  type ListedRun,
   type Listing,
+  parseTaskName,
+  ProgressWatch,
   type RunEnd,
   type RunEnding,
   type RunKey,
   type RunRecord,
   type StartAnswer,
+  stepName,
   type Worker,
+  type WorkerHealth,
   WorkerOrders,
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -23,6 +29,7 @@
 import type { Metrics } from "../observe/metrics.ts";
 import { wait } from "../waiting.ts";
 import type { BookConsensus } from "./book_machine.ts";
+import { Pacer } from "./pacer.ts";
 import type { WorkerCalls } from "./ports.ts";
 import type { SchedulerSettings } from "./settings.ts";
 
@@ -37,6 +44,9 @@
   metrics: Metrics;
   /** Learns how long tasks take. */
   estimate: WorkEstimate;
+  health: WorkerHealth;
+  /** The advisor's permit of a worker for a step, while it is valid. */
+  permit: (step: string, worker: string) => string | undefined;
   /** Whether this node still leads for sure. */
   hasAuthority: () => boolean;
   /** Called when room was freed or the worker became usable. */
@@ -45,6 +55,9 @@
   onLost: (worker: string, reason: string) => void;
 }
 
+/** Percent at which a task that lasts is listed once it is at work. */
+const AT_WORK_PERCENT = 100;
+
 /** Pause after an order or renewal without an answer, in milliseconds: some round trips of a slowed link. */
 const UNANSWERED_MS = 250;
 
@@ -76,6 +89,8 @@
   #isVerified = false;
   #pausedUntil = -Infinity;
   #stopped = false;
+  readonly #progress = new ProgressWatch();
+  readonly #pacer: Pacer;
   /** Runs that started here, by task. */
   readonly #started = new Map<string, StartedRun>();
   /** Runs that the worker listed last, by task. */
@@ -90,6 +105,7 @@
       unansweredMs: UNANSWERED_MS,
       stopMs: settings.stopMs,
     });
+    this.#pacer = new Pacer(parts);
     this.#leaseEndsBy = inheritedLeaseEndsBy(now, settings.leaseMs);
     for (const run of parts.consensus.state.load(worker.id).runs.values()) {
       this.#orders.add(run, now, true);
@@ -108,9 +124,12 @@
       now - this.#contactAt < this.#parts.settings.contactMs;
   }
 
-  /** What the worker listed last. */
-  get listing(): Listing {
-    return this.#listing;
+  /** Whether a task that lasts is at work: the worker said so a short while ago. */
+  isAtWork({ task, run }: RunRecord, now: number): boolean {
+    return this.isInContact(now) &&
+      this.#listing.running.some((row) =>
+        row.task === task && row.run === run && row.percent === AT_WORK_PERCENT
+      );
   }
 
   /** Runs until the session is stopped. */
@@ -231,6 +250,8 @@
       });
       this.#parts.onChange();
     }
+    this.#watchProgress(listing, now);
+    this.#pacer.follow(this.worker, listing, now);
     strays.forEach(({ task, run }) => void this.#stopStray(task, run));
     const ends = listing.ended.map(({ task, run, how, checkpoint }): RunEnd => {
       return { task, run, worker: id, how, checkpoint };
@@ -255,11 +276,61 @@
     this.sendDue();
   }
 
+  /** Stops runs that stand still, so that they run elsewhere, and leaves the worker alone for a while. */
+  #watchProgress({ running }: Listing, now: number): void {
+    const { health, log, metrics } = this.#parts;
+    const { id } = this.worker;
+    const { still, crawling } = this.#progress.note(
+      running,
+      (row) => this.#expect(row),
+      now,
+    );
+    const crawlingJobs = new Set(
+      crawling.map(({ task }) => parseTaskName(task)?.job),
+    );
+    const stuck = crawlingJobs.size > 1 ? [...still, ...crawling] : still;
+    if (stuck.length === 0) {
+      return;
+    }
+    const isPaused = health.noteStall(id, now);
+    for (const row of stuck) {
+      const run = this.#parts.consensus.state.findRun({ ...row, worker: id });
+      if (run !== undefined) {
+        this.#orders.withdraw(run, now);
+        metrics.count("quetzalcove_runs_stuck_total");
+        log.warn("run.stuck", {
+          task: row.task,
+          run: row.run,
+          worker: id,
+          percent: row.percent,
+          paused: isPaused,
+        });
+      }
+    }
+  }
+
+  #expect({ task }: ListedRun): Expectation | undefined {
+    const place = parseTaskName(task);
+    const book = this.#parts.consensus.state;
+    const job = place === undefined ? undefined : book.jobs.get(place.job);
+    const spec = job?.spec?.steps[place?.step ?? -1];
+    if (place === undefined || job === undefined || spec === undefined) {
+      return undefined;
+    }
+    if (spec.lasting || spec.fills || spec.gang) {
+      return undefined;
+    }
+    const expectedMs = this.#parts.estimate.taskMs(job.queue, spec.estimatedMs);
+    const resumes = (book.taskOf(place)?.checkpoint ?? "") !== "";
+    return { expectedMs, resumes };
+  }
+
   #noteEnds(ends: readonly RunEnd[], dropped: readonly RunKey[]): void {
     const { metrics, log, onChange } = this.#parts;
     for (const { task, run, worker, how } of ends) {
       metrics.count("quetzalcove_runs_ended_total", { how });
       this.#learn(task, run, how);
+      this.#noteHealth(task, how);
       if (how !== "done") {
         log.info("run.ended", { task, run, worker, how });
       }
@@ -270,6 +341,15 @@
     onChange();
   }
 
+  #noteHealth(task: string, how: RunEnding): void {
+    const { health, clock, log } = this.#parts;
+    const job = parseTaskName(task)?.job ?? "";
+    const { id } = this.worker;
+    if (health.noteEnd(id, job, how, clock.monotonic())) {
+      log.warn("worker.paused", { worker: id, reason: "runs fail there" });
+    }
+  }
+
   #learn(task: string, run: number, how: RunEnding): void {
     const started = this.#started.get(task);
     this.#started.delete(task);
@@ -299,7 +379,7 @@
       leaseDeadlineMs: this.#extendLease(sentAt) ?? reading.workerMs,
       fence: term,
       checkpoint: task.checkpoint,
-      permit: "",
+      permit: this.#permitOf(run),
     });
     const now = clock.monotonic();
     metrics.observe("quetzalcove_start_order_seconds", now - sentAt);
@@ -329,6 +409,11 @@
     }
   }
 
+  #permitOf(run: RunRecord): string {
+    const { permit } = this.#parts;
+    return permit(stepName(run), this.worker.id) ?? "";
+  }
+
   #noteRefusal(run: RunRecord, answer: StartAnswer, now: number): void {
     const { log, metrics } = this.#parts;
     const { task, worker } = run;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,12 @@
 export default defineConfig({
   resolve: {
     alias: {
+      "@quetzalcove/core/scheduling": source(
+        "packages/core/src/scheduling/mod.ts",
+      ),
+      "@quetzalcove/daemon/scheduler": source(
+        "packages/daemon/src/scheduler/mod.ts",
+      ),
       "@quetzalcove/core": source("packages/core/src/mod.ts"),
       "@quetzalcove/daemon": source("packages/daemon/src/mod.ts"),
       "@quetzalcove/cli": source("packages/cli/src/mod.ts"),
@@ -18,6 +24,7 @@
     include: [
       "packages/*/test/**/*_test.ts",
       "bench/test/**/*_test.ts",
+      "platform/test/**/*_test.ts",
       "test/**/*_test.ts",
     ],
     exclude: ["test/torture/**", "**/node_modules/**", "**/dist/**"],
