--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -34,6 +34,8 @@
   labels: z.array(z.string()),
   /** Whether it announced that it leaves; it gets no new work. */
   draining: z.boolean(),
+  /** Whether it said goodbye; once it does not answer, nothing runs there. */
+  hasLeft: z.boolean(),
 });
 export type Worker = z.infer<typeof Worker>;
 
--- a/packages/core/test/scheduling_fixture.ts
+++ b/packages/core/test/scheduling_fixture.ts
@@ -65,6 +65,7 @@
     capacity: { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 },
     labels: ["a", "r1"],
     draining: false,
+    hasLeft: false,
     ...changes,
   };
 }
--- a/packages/daemon/src/scheduler/front_desk.ts
+++ b/packages/daemon/src/scheduler/front_desk.ts
@@ -209,13 +209,13 @@
   ): Promise<Result<unknown, Fault>> {
     const { consensus, log } = this.#parts;
     const worker = consensus.state.workers.get(id);
-    if (worker === undefined || worker.draining) {
+    if (worker === undefined || worker.hasLeft) {
       return Ok({});
     }
     log.info("worker.leaving", { worker: id });
     return await consensus.propose({
       kind: "join",
-      workers: [{ ...worker, draining: true }],
+      workers: [{ ...worker, draining: true, hasLeft: true }],
     });
   }
 
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -83,10 +83,14 @@
   readonly #parts: SessionParts;
   readonly #orders: WorkerOrders;
   #reading: ClockReading | undefined;
+  /** The latest deadline that the worker was given, on its clock. */
+  #deadline: number | undefined;
   #leaseEndsBy: number;
   #seenEnds = 0;
   #contactAt = -Infinity;
   #isVerified = false;
+  /** Whether the last renewal got no answer. */
+  #isSilent = false;
   #pausedUntil = -Infinity;
   #stopped = false;
   readonly #progress = new ProgressWatch();
@@ -183,12 +187,14 @@
     const { calls, settings, clock, term } = this.#parts;
     const askedAt = clock.monotonic();
     const leaseDeadlineMs = this.#extendLease(askedAt);
+    const mayWait = this.#isVerified && !this.#isSilent;
     const answer = await calls.renew(this.worker, {
       fence: term,
       leaseDeadlineMs,
       seenEnds: this.#seenEnds,
-      waitMs: this.#isVerified ? settings.renewalWaitMs : 0,
+      waitMs: mayWait ? settings.renewalWaitMs : 0,
     });
+    this.#isSilent = answer.kind === "no_answer";
     const now = clock.monotonic();
     switch (answer.kind) {
       case "listing":
@@ -215,16 +221,18 @@
     }
   }
 
-  /** The deadline for an order that leaves now; notes when the lease has surely ended. */
+  /**
+   * The deadline for an order that leaves now; notes when the lease has surely ended. A worker that does not answer gets
+   * no longer lease, so that what runs there is free in time.
+   */
   #extendLease(now: number): number | undefined {
-    if (this.#reading === undefined) {
-      return undefined;
+    if (this.#reading !== undefined && !this.#isSilent) {
+      const { leaseMs } = this.#parts.settings;
+      this.#deadline = leaseDeadline(this.#reading, now, leaseMs);
+      const endsBy = leaseEndsBy(this.#reading, this.#deadline);
+      this.#leaseEndsBy = Math.max(this.#leaseEndsBy, endsBy);
     }
-    const { leaseMs } = this.#parts.settings;
-    const deadline = leaseDeadline(this.#reading, now, leaseMs);
-    const endsBy = leaseEndsBy(this.#reading, deadline);
-    this.#leaseEndsBy = Math.max(this.#leaseEndsBy, endsBy);
-    return deadline;
+    return this.#deadline;
   }
 
   async #settle(
@@ -457,7 +465,9 @@
   #noteSilence(now: number, reason: string): void {
     const { contactMs } = this.#parts.settings;
     this.#parts.metrics.count("quetzalcove_renewals_unanswered_total");
-    if (now > this.#leaseEndsBy && now - this.#contactAt > contactMs) {
+    const hasLapsed = now > this.#leaseEndsBy &&
+      now - this.#contactAt > contactMs;
+    if (hasLapsed || this.worker.hasLeft) {
       this.#lose(reason);
     }
   }
