--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -149,6 +149,11 @@
     await this.#lifecycle.stop();
   }
 
+  /** Stops without handing anything over. */
+  abort(): Promise<void> {
+    return this.#lifecycle.stop();
+  }
+
   #components(folder: ReplicaFolder | undefined): Component[] {
     const { settings } = this.#parts;
     this.#handlers.set("hello", () => Promise.resolve(Ok({})));
