Tell a rise of demand within some jobs, and keep VMs until demand is known

Cause: a single large job counted as a rate of 160 cores and moved five VMs, a rise showed after half a second, and all pools were shrunk before the first job.

--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pool_demand.ts
@@ -9,28 +9,56 @@
 import type { JobBook } from "./job_book.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
-/** Time constant of the arrival rate, in milliseconds: some ten jobs of a rising queue. */
-const RATE_MS = 500;
+/** Longest span over which arrivals are counted, in milliseconds: some jobs of a queue of large ones. */
+const WINDOW_MS = 1_000;
+
+/** Shortest span that makes a rate, in milliseconds: some arrivals of a rising queue of small jobs. */
+const SHORTEST_SPAN_MS = 150;
+
+/** Arrivals that make a rate; fewer come close together by chance. */
+const FEWEST_ARRIVALS = 3;
 
 /** Time in which work that waits should have started, in milliseconds: about one task. */
 const CATCH_UP_MS = 1_000;
 
-/** Exponentially weighted rates of arriving work, by pool. */
+interface Arrival {
+  at: number;
+  coreMs: number;
+}
+
+/** Rates of arriving work, by pool. */
 export class ArrivalRates {
-  readonly #rates = new Map<string, { rate: number; at: number }>();
+  readonly #arrivals = new Map<string, Arrival[]>();
 
   /** Notes a job whose tasks need so many core-milliseconds. */
   note(pool: string, coreMs: number, now: number): void {
-    const rate = this.rate(pool, now) + coreMs / RATE_MS;
-    this.#rates.set(pool, { rate, at: now });
+    const recent = this.#recent(pool, now);
+    recent.push({ at: now, coreMs });
+    this.#arrivals.set(pool, recent);
   }
 
-  /** Cores that keep up with the arrivals. */
+  /**
+   * Cores that keep up with the arrivals, from the first recent one on, so that a rise shows at once. The largest job is
+   * left out: it marks the start of the span, and a single one is no rate.
+   */
   rate(pool: string, now: number): number {
-    const known = this.#rates.get(pool);
-    return known === undefined
-      ? 0
-      : known.rate * Math.exp(-(now - known.at) / RATE_MS);
+    const recent = this.#recent(pool, now);
+    const [first] = recent;
+    if (first === undefined || recent.length < FEWEST_ARRIVALS) {
+      return 0;
+    }
+    let sum = 0;
+    let largest = 0;
+    for (const { coreMs } of recent) {
+      sum += coreMs;
+      largest = Math.max(largest, coreMs);
+    }
+    return (sum - largest) / Math.max(SHORTEST_SPAN_MS, now - first.at);
+  }
+
+  #recent(pool: string, now: number): Arrival[] {
+    const all = this.#arrivals.get(pool) ?? [];
+    return all.filter(({ at }) => now - at < WINDOW_MS);
   }
 }
 
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -112,6 +112,20 @@
     expect(rates.rate("pool", now)).toBeLessThan(450);
     expect(rates.rate("pool", now + 2_000)).toBeLessThan(10);
   });
+
+  it("shows within a few jobs after a calm", () => {
+    const rates = new ArrivalRates();
+    [0, 25, 50, 75, 100, 125, 150, 175].forEach((at) =>
+      rates.note("pool", 10_000, at)
+    );
+    expect(rates.rate("pool", 200)).toBeGreaterThan(300);
+  });
+
+  it("is not taken from a single large job", () => {
+    const rates = new ArrivalRates();
+    rates.note("pool", 80_000, 0);
+    expect(rates.rate("pool", 10)).toBe(0);
+  });
 });
 
 describe("upkeep of a wave", () => {
--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -67,6 +67,8 @@
   /** VMs that are not to be chosen before a time. */
   readonly #pausedUntil = new Map<string, number>();
   readonly #idleSince = new Map<string, number>();
+  /** When the first job arrived under this leader; before, nothing tells which VMs will be needed. */
+  #demandKnownAt = Infinity;
   /** Workers that are being emptied for upkeep. */
   readonly #draining = new Set<string>();
   /** Runs that were stopped to empty a worker. */
@@ -105,6 +107,11 @@
     return false;
   }
 
+  /** Notes a job that was accepted. */
+  noteArrival(now: number): void {
+    this.#demandKnownAt = Math.min(this.#demandKnownAt, now);
+  }
+
   /** Looks for what is to be ordered. */
   step(now: number): void {
     this.#followIdleness(now);
@@ -365,7 +372,7 @@
         vm,
         pool: pool.name,
         cores,
-        idleMs: now - idleSince,
+        idleMs: now - Math.max(idleSince, this.#demandKnownAt),
       };
       pool.idle.push(idle);
     }
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -113,8 +113,12 @@
   noteArrival(job: SubmittedJob): void {
     const record = this.#book.jobs.get(job.id);
     if (record !== undefined) {
+      const now = this.#parts.clock.monotonic();
       const coreMs = this.#estimate.workOf(record);
-      this.#rates.note(job.pool, coreMs, this.#parts.clock.monotonic());
+      if (coreMs > 0) {
+        this.#rates.note(job.pool, coreMs, now);
+        this.#fleet?.noteArrival(now);
+      }
     }
   }
 
