Split the fleet and session tasks along their jobs, show a node's status, log how jobs end

Upkeep, the directory of VMs, leases and stragglers are modules of their own. A worker that was being emptied when its wave ended stayed without work: the set of emptied workers is now built anew in each pass. An entry cut off from all replicas says so after 1.5 s (3 s before), so that the balancer sends its customers elsewhere; while replicas elect a leader it stays ready.

--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -56,6 +56,9 @@
   advised: false,
 };
 
+/** Jobs kept in the list of those that just ended; a follower never empties it. */
+const MAX_JUST_ENDED = 256;
+
 const APPLIED: BookOutput = { kind: "applied" };
 
 export class JobBook {
@@ -69,6 +72,8 @@
   readonly unwanted = new Set<RunRecord>();
   /** Open jobs that are repeated. */
   readonly repeated = new Set<JobRecord>();
+  /** Jobs that ended since the list was last emptied; not part of the state, and bounded. */
+  readonly justEnded: JobRecord[] = [];
   readonly #loads = new Map<string, WorkerLoad>();
   readonly #unstarted = new Map<string, number>();
   /** Jobs that have ended, the oldest first. */
@@ -437,6 +442,7 @@
     job.endedAtMs = atMs;
     this.repeated.delete(job);
     this.#ended.add(job);
+    this.#announceEnd(job);
     for (const [key, record] of Object.entries(job.rounds)) {
       const round = Number(key);
       record.tasks.forEach((tasks, step) => {
@@ -456,6 +462,13 @@
     this.#strip(job);
   }
 
+  #announceEnd(job: JobRecord): void {
+    if (this.justEnded.length >= MAX_JUST_ENDED) {
+      this.justEnded.shift();
+    }
+    this.justEnded.push(job);
+  }
+
   /** Of a job that has ended and no longer runs, only the outcome is kept. */
   #strip(job: JobRecord): void {
     if (job.outcome !== "open" && job.activeRuns === 0) {
--- a/packages/daemon/src/scheduler/directory.ts
+++ b/packages/daemon/src/scheduler/directory.ts
@@ -6,6 +6,8 @@
 import { parse } from "@quetzalcove/core";
 import { z } from "zod";
 import { type Component, ticker } from "../lifecycle.ts";
+import type { Log } from "../observe/log.ts";
+import type { Clock } from "../clock.ts";
 import type { Mesh } from "../link/mesh.ts";
 
 /** What a replica tells about the group. */
@@ -15,23 +17,36 @@
 });
 export type GroupDescription = z.infer<typeof GroupDescription>;
 
-/** Interval of questions, in milliseconds: well below the time in which machines are replaced. */
-const ASK_MS = 1_000;
-const CALL_MS = 800;
+/** Interval of questions, in milliseconds: half of that of the balancer's readiness checks. */
+const ASK_MS = 500;
+const CALL_MS = 450;
 
-/** Time for which a leader that was heard of counts as known, in milliseconds: three questions. */
-const LEADER_KNOWN_MS = 3_000;
+/** Time after which an entry that hears from no replica is cut off, in milliseconds: three questions. */
+const CUT_OFF_MS = 1_500;
+
+/** Time after which an entry whose replicas name no leader may be cut off with a minority, in milliseconds: some elections. */
+const LEADERLESS_MS = 5_000;
 
 /** Asks one known replica after the other for the group; the seeds stay known until a replica has answered. */
 export class Directory implements Component {
   readonly name = "directory";
   readonly #mesh: Mesh;
+  readonly #log: Log;
+  readonly #clock: Pick<Clock, "monotonic">;
   readonly #ticker: Component;
   #turn = 0;
+  #answeredAt = -Infinity;
   #leaderHeardAt = -Infinity;
 
-  constructor(mesh: Mesh, seeds: readonly string[]) {
+  constructor(
+    mesh: Mesh,
+    seeds: readonly string[],
+    clock: Pick<Clock, "monotonic">,
+    log: Log,
+  ) {
     this.#mesh = mesh;
+    this.#clock = clock;
+    this.#log = log;
     mesh.setKnown(seeds);
     this.#ticker = ticker("directory", ASK_MS, () => this.#ask());
   }
@@ -44,9 +59,11 @@
     return this.#ticker.stop();
   }
 
-  /** Whether a replica named a leader a short while ago. */
-  get knowsLeader(): boolean {
-    return performance.now() - this.#leaderHeardAt < LEADER_KNOWN_MS;
+  /** Whether this entry can serve as well as any other: it reaches replicas, and they have a leader or elect one. */
+  get isConnected(): boolean {
+    const now = this.#clock.monotonic();
+    return now - this.#answeredAt < CUT_OFF_MS &&
+      now - this.#leaderHeardAt < LEADERLESS_MS;
   }
 
   async #ask(): Promise<void> {
@@ -61,11 +78,26 @@
     const group = answer.andThen((value) =>
       parse(GroupDescription, value, "describe_group")
     );
-    if (group.ok && group.val.leader !== undefined) {
-      this.#leaderHeardAt = performance.now();
-    }
+    this.#note(group.ok ? group.val : undefined);
     if (group.ok && group.val.hosts.length > 0) {
       this.#mesh.setKnown(group.val.hosts);
     }
   }
+
+  #note(group: GroupDescription | undefined): void {
+    const now = this.#clock.monotonic();
+    const wasConnected = this.isConnected;
+    if (group !== undefined) {
+      this.#answeredAt = now;
+    }
+    if (group?.leader !== undefined) {
+      this.#leaderHeardAt = now;
+    }
+    if (this.isConnected !== wasConnected) {
+      this.#log.info(
+        this.isConnected ? "group.reached" : "group.lost",
+        { leader: group?.leader },
+      );
+    }
+  }
 }
--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -1,86 +1,46 @@
 /**
- * Moves VMs between pools as demand rises and falls, and takes them down for upkeep.
+ * Moves VMs between pools as demand rises and falls, and has them maintained.
  *
  * @module
  */
 import {
   type ArrivalRates,
   chooseMoves,
-  type DueVm,
-  type IdleVm,
   type JobBook,
-  planUpkeep,
   type PoolDemand,
   poolDemands,
   type PoolState,
-  type RunRecord,
-  taskName,
-  type WaveRecord,
   type Worker,
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
-import type { BookConsensus } from "./book_machine.ts";
-import type { FleetCalls, ListedVm } from "./ports.ts";
-import { type VmAction, type VmOrderParts, VmOrders } from "./vm_orders.ts";
+import { UpkeepTask } from "./upkeep_task.ts";
+import { VmDirectory, type VmDirectoryParts } from "./vm_directory.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
 /** What the fleet task needs. */
-export interface FleetParts extends VmOrderParts {
-  calls: FleetCalls;
-  consensus: BookConsensus;
+export interface FleetParts extends VmDirectoryParts {
   rates: ArrivalRates;
   estimate: WorkEstimate;
   session: (worker: string) => WorkerSession | undefined;
-  onChange: () => void;
 }
 
-/** Age at which the list of VMs is read again, in milliseconds: when something is expected of it, and otherwise. */
-const EXPECTING_LIST_MS = 1_500;
-const IDLE_LIST_MS = 15_000;
-
-/** Pause before a VM whose order was refused is chosen again, in milliseconds. */
-const REFUSED_PAUSE_MS = 2_000;
-
-/** Most orders that may be under way at once. */
+/** Most orders that may be under way at once: a quarter of what the platform takes in a second. */
 const MAX_ORDERS = 16;
 
 const MILLI = 1_000;
 
-/** A VM that left its pool or went down by our order. */
-interface Absence {
-  /** Pool to which it comes back, and the cores that it brings. */
-  pool: string;
-  cores: number;
-  /** Worker that it had, which may still be in the book for a moment. */
-  worker: string | undefined;
-  at: number;
-}
-
 export class FleetTask {
   readonly #parts: FleetParts;
-  readonly #orders: VmOrders;
-  #listed = new Map<string, ListedVm>();
-  #listedAt = -Infinity;
-  #isListing = false;
-  /** VMs that have not come back. */
-  readonly #away = new Map<string, Absence>();
-  /** VMs that are not to be chosen before a time. */
-  readonly #pausedUntil = new Map<string, number>();
+  readonly #vms: VmDirectory;
+  readonly #upkeep: UpkeepTask;
   readonly #idleSince = new Map<string, number>();
   /** When the first job arrived under this leader; before, nothing tells which VMs will be needed. */
   #demandKnownAt = Infinity;
-  /** Workers that are being emptied for upkeep. */
-  readonly #draining = new Set<string>();
-  /** Runs that were stopped to empty a worker. */
-  readonly #withdrawn = new Set<RunRecord>();
-  /** Waves and VMs whose upkeep is being ordered. */
-  readonly #ordering = new Map<string, number>();
-  /** Upkeep that this leader knows to have been carried out. */
-  readonly #maintained = new Set<string>();
 
   constructor(parts: FleetParts) {
     this.#parts = parts;
-    this.#orders = new VmOrders(parts);
+    this.#vms = new VmDirectory(parts);
+    this.#upkeep = new UpkeepTask({ ...parts, vms: this.#vms });
   }
 
   get #book(): JobBook {
@@ -88,23 +48,18 @@
   }
 
   stop(): void {
-    this.#orders.stop();
+    this.#vms.stop();
   }
 
   /** Whether a worker must get no new work, because its VM is about to go. */
-  isReserved({ id, vm }: Worker): boolean {
-    return this.#draining.has(id) ||
-      (vm !== undefined && this.#orders.isPending(vm));
+  isReserved(worker: Worker): boolean {
+    return this.#upkeep.isDraining(worker) ||
+      (worker.vm !== undefined && this.#vms.isPending(worker.vm));
   }
 
   /** Whether a VM is due for upkeep, so that what lasts is better placed elsewhere. */
-  isDue({ vm }: Worker): boolean {
-    for (const { wave, done } of this.#book.waves.values()) {
-      if (vm !== undefined && wave.vms.includes(vm) && !done.includes(vm)) {
-        return true;
-      }
-    }
-    return false;
+  isDue(worker: Worker): boolean {
+    return this.#upkeep.isDue(worker);
   }
 
   /** Notes a job that was accepted. */
@@ -115,24 +70,21 @@
   /** Looks for what is to be ordered. */
   step(now: number): void {
     this.#followIdleness(now);
-    this.#followReturns(now);
-    this.#readListWhenDue(now);
-    if (this.#listedAt === -Infinity) {
-      return;
+    this.#vms.step(now, this.#upkeep.isUnderWay);
+    if (this.#vms.isKnown) {
+      this.#upkeep.step(now);
+      this.#move(now);
     }
-    this.#stepWaves(now);
-    this.#evacuate(now);
-    this.#move(now);
   }
 
   #followIdleness(now: number): void {
     const { workers } = this.#book;
-    for (const worker of workers.values()) {
-      const isIdle = this.#book.load(worker.id).runs.size === 0;
+    for (const id of workers.keys()) {
+      const isIdle = this.#book.load(id).runs.size === 0;
       if (!isIdle) {
-        this.#idleSince.delete(worker.id);
-      } else if (!this.#idleSince.has(worker.id)) {
-        this.#idleSince.set(worker.id, now);
+        this.#idleSince.delete(id);
+      } else if (!this.#idleSince.has(id)) {
+        this.#idleSince.set(id, now);
       }
     }
     for (const id of this.#idleSince.keys()) {
@@ -142,175 +94,11 @@
     }
   }
 
-  /** A VM is back when a worker on it has reported, or when the list shows it up in a pool without workers. */
-  #followReturns(now: number): void {
-    for (const [vm, { at, worker }] of this.#away) {
-      const listed = this.#listed.get(vm);
-      const current = this.#workerOn(vm);
-      const isBack = (current !== undefined && current.id !== worker) ||
-        (current === undefined && this.#listedAt > at &&
-          listed?.state === "up" &&
-          this.#isStandby(listed.pool));
-      if (isBack) {
-        this.#away.delete(vm);
-        this.#pausedUntil.set(vm, now);
-        this.#parts.onChange();
-      }
-    }
-  }
-
-  #readListWhenDue(now: number): void {
-    const isExpecting = this.#away.size > 0 ||
-      [...this.#book.waves.values()].some((record) => !isComplete(record));
-    const age = now - this.#listedAt;
-    const dueAge = isExpecting ? EXPECTING_LIST_MS : IDLE_LIST_MS;
-    if (!this.#isListing && age >= dueAge && this.#parts.hasAuthority()) {
-      void this.#readList();
-    }
-  }
-
-  async #readList(): Promise<void> {
-    const { calls, clock, log } = this.#parts;
-    this.#isListing = true;
-    const askedAt = clock.monotonic();
-    const vms = await calls.list();
-    this.#isListing = false;
-    if (vms === undefined) {
-      log.warn("fleet.list_failed", {
-        age: Math.round(askedAt - this.#listedAt),
-      });
-      return;
-    }
-    this.#listed = new Map(vms.map((vm) => [vm.vm, vm]));
-    this.#listedAt = askedAt;
-    this.#parts.onChange();
-  }
-
-  #stepWaves(now: number): void {
-    for (const record of this.#book.waves.values()) {
-      if (!isComplete(record)) {
-        this.#closeUpkeeps(record);
-        this.#openUpkeeps(record, now);
-      }
-    }
-  }
-
-  /** Notes upkeeps that have ended, and repeats orders that an earlier leader may have sent. */
-  #closeUpkeeps({ wave, down }: WaveRecord): void {
-    for (const { vm, worker } of down) {
-      if (this.#ordering.has(vm)) {
-        continue;
-      }
-      const successor = this.#workerOn(vm);
-      const isBack = successor !== undefined && successor.id !== worker;
-      const isKnown = this.#maintained.has(`${wave.id} ${vm}`);
-      if (isBack || (isKnown && !this.#away.has(vm))) {
-        void this.#note(wave.id, vm, "done");
-      } else if (!isKnown) {
-        void this.#maintain(wave.id, vm, worker);
-      }
-    }
-  }
-
-  #openUpkeeps({ wave, down, done }: WaveRecord, now: number): void {
-    const startedMs = this.#parts.clock.wall() - wave.startedAtMs;
-    const busyPools = new Set(
-      Array.from(this.#book.waiting.values(), ({ job }) => job.pool),
-    );
-    const ordering = [...this.#ordering].flatMap(([vm, id]) =>
-      id === wave.id ? [vm] : []
-    );
-    const downVms = new Set([...down.map(({ vm }) => vm), ...ordering]);
-    const due: DueVm[] = [];
-    for (const vm of wave.vms) {
-      const isOpen = !done.includes(vm) && !downVms.has(vm);
-      if (isOpen && !this.#listed.has(vm) && this.#workerOn(vm) === undefined) {
-        void this.#note(wave.id, vm, "gone");
-      } else if (isOpen) {
-        due.push(this.#dueVm(vm, busyPools, now));
-      }
-    }
-    const plan = planUpkeep({
-      maxDown: wave.maxDown,
-      down: downVms.size,
-      leftMs: wave.durationMs - startedMs,
-      due,
-    });
-    this.#draining.clear();
-    for (const vm of plan.drain) {
-      const worker = this.#workerOn(vm);
-      if (worker !== undefined) {
-        this.#draining.add(worker.id);
-      }
-    }
-    for (const vm of plan.takeDown) {
-      void this.#maintain(wave.id, vm, this.#workerOn(vm)?.id);
-    }
-  }
-
-  #dueVm(vm: string, busyPools: ReadonlySet<string>, now: number): DueVm {
-    const worker = this.#workerOn(vm);
-    const listed = this.#listed.get(vm);
-    const runs = worker === undefined
-      ? []
-      : [...this.#book.load(worker.id).runs.values()];
-    const isUsable = worker !== undefined && !worker.draining &&
-      this.#parts.session(worker.id)?.isInContact(now) === true;
-    const isOff = worker === undefined && listed?.state === "up" &&
-      this.#isStandby(listed.pool);
-    const isFree = !this.#orders.isPending(vm) && !this.#away.has(vm) &&
-      now >= (this.#pausedUntil.get(vm) ?? 0);
-    return {
-      vm,
-      runs: runs.length,
-      lastingRuns: runs.filter((run) => this.#book.stepOf(run)?.lasting).length,
-      isPoolBusy: worker !== undefined && busyPools.has(worker.pool),
-      isDraining: worker !== undefined && this.#draining.has(worker.id),
-      isUp: isFree && (isUsable || isOff),
-    };
-  }
-
-  /** Stops what lasts on workers that are being emptied, as far as its steps can spare it. */
-  #evacuate(now: number): void {
-    for (const run of this.#withdrawn) {
-      if (this.#book.findRun(run) !== run) {
-        this.#withdrawn.delete(run);
-      }
-    }
-    for (const id of this.#draining) {
-      for (const run of this.#book.load(id).runs.values()) {
-        const spec = this.#book.stepOf(run);
-        if (
-          spec?.lasting === true && !this.#withdrawn.has(run) &&
-          this.#awayTasks(run, now) < (spec.maxUnavailable ?? 0)
-        ) {
-          this.#withdrawn.add(run);
-          this.#parts.session(id)?.withdraw(run);
-          this.#parts.log.info("run.evacuated", { task: run.task, worker: id });
-        }
-      }
-    }
-  }
-
-  /** Tasks of a run's step that are not at work, as far as is known now. */
-  #awayTasks({ job, round, step }: RunRecord, now: number): number {
-    const tasks = this.#book.jobs.get(job)?.rounds[round]?.tasks[step] ?? [];
-    return tasks.filter((task, index) => {
-      const name = taskName({ job, round, step, index });
-      const run = task.worker === undefined
-        ? undefined
-        : this.#book.load(task.worker).runs.get(name);
-      const session = run && this.#parts.session(run.worker);
-      return run === undefined || this.#withdrawn.has(run) ||
-        session?.isAtWork(run, now) !== true;
-    }).length;
-  }
-
   #move(now: number): void {
-    const { consensus, rates, estimate, log } = this.#parts;
-    const demands = poolDemands(consensus.state, rates, estimate, now);
+    const { rates, estimate, log } = this.#parts;
+    const demands = poolDemands(this.#book, rates, estimate, now);
     for (const { vm, from, to } of chooseMoves(this.#pools(demands, now))) {
-      if (this.#orders.pending >= MAX_ORDERS) {
+      if (this.#vms.pendingOrders >= MAX_ORDERS) {
         return;
       }
       const demand = demands.get(to);
@@ -321,7 +109,10 @@
         wanted: Math.round(demand?.wanted ?? 0),
         waiting: Math.round(demand?.waiting ?? 0),
       });
-      void this.#moveVm(vm, to);
+      const cores = (this.#vms.workerOn(vm)?.capacity.cpuMilli ?? 0) / MILLI ||
+        (this.#vms.find(vm)?.cores ?? 0);
+      const action = { kind: "move", pool: to } as const;
+      void this.#vms.order(vm, action, { pool: to, cores });
     }
   }
 
@@ -336,150 +127,43 @@
     for (const worker of this.#book.workers.values()) {
       const pool = pools.get(worker.pool);
       if (pool !== undefined && !worker.draining && !this.isReserved(worker)) {
-        this.#count(pool, worker, now);
+        this.#countWorker(pool, worker, now);
       }
     }
-    for (const { pool, cores } of this.#away.values()) {
+    for (const { pool, cores } of this.#vms.absences) {
       const state = pools.get(pool);
       if (state !== undefined) {
         state.cores += cores;
       }
     }
-    for (const { vm, pool, state, cores } of this.#listed.values()) {
+    for (const { vm, pool, state, cores } of this.#vms.listed) {
       const home = pools.get(pool);
-      const isFree = state === "up" && this.#isChoosable(vm, now) &&
-        this.#workerOn(vm) === undefined;
-      if (home?.standby === true && isFree) {
+      const isOff = home?.standby === true && state === "up" &&
+        this.#vms.workerOn(vm) === undefined;
+      if (isOff && this.#vms.isChoosable(vm, now)) {
         home.idle.push({ vm, pool, cores, idleMs: Infinity });
       }
     }
     return [...pools.values()];
   }
 
-  #count(pool: PoolState, worker: Worker, now: number): void {
-    const session = this.#parts.session(worker.id);
-    if (session?.isInContact(now) !== true) {
+  #countWorker(
+    pool: PoolState,
+    { id, vm, capacity }: Worker,
+    now: number,
+  ): void {
+    if (this.#parts.session(id)?.isInContact(now) !== true) {
       return;
     }
-    const cores = worker.capacity.cpuMilli / MILLI;
+    const cores = capacity.cpuMilli / MILLI;
     pool.cores += cores;
-    const idleSince = this.#idleSince.get(worker.id);
-    const { vm } = worker;
+    const idleSince = this.#idleSince.get(id);
     if (
-      vm !== undefined && idleSince !== undefined && this.#isChoosable(vm, now)
+      vm !== undefined && idleSince !== undefined &&
+      this.#vms.isChoosable(vm, now)
     ) {
-      const idle: IdleVm = {
-        vm,
-        pool: pool.name,
-        cores,
-        idleMs: now - Math.max(idleSince, this.#demandKnownAt),
-      };
-      pool.idle.push(idle);
-    }
-  }
-
-  #isChoosable(vm: string, now: number): boolean {
-    return !this.#orders.isPending(vm) && !this.#away.has(vm) &&
-      now >= (this.#pausedUntil.get(vm) ?? 0);
-  }
-
-  async #moveVm(vm: string, pool: string): Promise<void> {
-    const worker = this.#workerOn(vm);
-    const cores = (worker?.capacity.cpuMilli ?? 0) / MILLI ||
-      (this.#listed.get(vm)?.cores ?? 0);
-    await this.#order(vm, { kind: "move", pool }, worker?.id, { pool, cores });
-  }
-
-  async #maintain(
-    wave: number,
-    vm: string,
-    worker: string | undefined,
-  ): Promise<void> {
-    const { clock } = this.#parts;
-    this.#ordering.set(vm, wave);
-    this.#pausedUntil.set(vm, clock.monotonic() + REFUSED_PAUSE_MS);
-    // The limit of the wave must hold under the next leader as well, so the log comes first.
-    if (await this.#note(wave, vm, "begun", worker)) {
-      await this.#takeDown(wave, vm, worker);
+      const idleMs = now - Math.max(idleSince, this.#demandKnownAt);
+      pool.idle.push({ vm, pool: pool.name, cores, idleMs });
     }
-    this.#ordering.delete(vm);
   }
-
-  async #takeDown(
-    wave: number,
-    vm: string,
-    worker: string | undefined,
-  ): Promise<void> {
-    const pool = this.#workerOn(vm)?.pool ?? this.#listed.get(vm)?.pool ?? "";
-    const action: VmAction = { kind: "upkeep", wave };
-    const answer = await this.#order(vm, action, worker, { pool, cores: 0 });
-    if (answer === "done") {
-      this.#maintained.add(`${wave} ${vm}`);
-    } else if (answer !== undefined) {
-      await this.#note(wave, vm, "refused");
-    }
-  }
-
-  /** Sends an order; when it is carried out, everything on the VM has ended. */
-  async #order(
-    vm: string,
-    action: VmAction,
-    worker: string | undefined,
-    target: { pool: string; cores: number },
-  ): Promise<string | undefined> {
-    const { clock, consensus } = this.#parts;
-    const answer = await this.#orders.order(vm, action);
-    const now = clock.monotonic();
-    if (answer === "done") {
-      this.#away.set(vm, { ...target, worker, at: now });
-      if (worker !== undefined) {
-        await consensus.propose({
-          kind: "lose",
-          workers: [worker],
-          atMs: clock.wall(),
-        });
-      }
-    } else if (answer !== undefined) {
-      this.#pausedUntil.set(vm, now + REFUSED_PAUSE_MS);
-    }
-    return answer;
-  }
-
-  async #note(
-    wave: number,
-    vm: string,
-    phase: "begun" | "refused" | "done" | "gone",
-    worker?: string,
-  ): Promise<boolean> {
-    const { consensus, log, onChange } = this.#parts;
-    const noted = await consensus.propose({
-      kind: "upkeep",
-      wave,
-      vm,
-      phase,
-      worker,
-    });
-    log.info("upkeep.noted", { wave, vm, phase, ok: noted.ok });
-    onChange();
-    return noted.ok;
-  }
-
-  #workerOn(vm: string): Worker | undefined {
-    for (const worker of this.#book.workers.values()) {
-      if (worker.vm === vm) {
-        return worker;
-      }
-    }
-    return undefined;
-  }
-
-  #isStandby(pool: string): boolean {
-    return this.#book.plan.pools.some(({ name, standby }) =>
-      name === pool && standby
-    );
-  }
-}
-
-function isComplete({ wave, done }: WaveRecord): boolean {
-  return done.length >= wave.vms.length;
 }
--- a/packages/daemon/src/scheduler/leader_task.ts
+++ b/packages/daemon/src/scheduler/leader_task.ts
@@ -5,6 +5,7 @@
  */
 import type { SubmittedJob } from "@quetzalcove/core/scheduling";
 import type { Component } from "../lifecycle.ts";
+import type { TenureStatus } from "./status.ts";
 import { Tenure, type TenureParts } from "./tenure.ts";
 
 /** What the leader task needs; the term comes with each tenure. */
@@ -41,6 +42,11 @@
     this.#tenure?.noteArrival(job);
   }
 
+  /** What the leader knows now; undefined at a node that does not lead. */
+  describe(): TenureStatus | undefined {
+    return this.#tenure?.describe();
+  }
+
   #follow(): void {
     if (this.#stopped) {
       return;
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -12,4 +12,5 @@
 export * from "./methods.ts";
 export { type NodeParts, SchedulerNode } from "./node.ts";
 export * from "./ports.ts";
+export { NodeStatus } from "./status.ts";
 export { checkSchedulerSettings, SchedulerSettings } from "./settings.ts";
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -16,6 +16,7 @@
   BookCommand,
   BookOutput,
   JobBook,
+  JobRecord,
 } from "@quetzalcove/core/scheduling";
 import { type Clock, systemClock } from "../clock.ts";
 import { Assembly } from "../consensus/assembly.ts";
@@ -39,6 +40,7 @@
 import type { Method, Params } from "./methods.ts";
 import type { AdviceCalls, FleetCalls, WorkerCalls } from "./ports.ts";
 import { openSchedulerFolder } from "./replica_start.ts";
+import type { NodeStatus } from "./status.ts";
 import type { SchedulerSettings } from "./settings.ts";
 
 type BookReplica = ReplicaTask<JobBook, BookCommand, BookOutput>;
@@ -67,6 +69,7 @@
   #leaderClient: LeaderClient;
   readonly #directory: Directory;
   #replica: BookReplica | undefined;
+  #leaderTask: LeaderTask | undefined;
   /** Called when the node cannot go on; the process must exit. */
   onFailure: (cause: Fault) => void = () => {};
 
@@ -85,6 +88,8 @@
     this.#directory = new Directory(
       this.#mesh,
       seeds.filter((seed) => seed !== host),
+      this.#clock,
+      log,
     );
     this.#leaderClient = this.#newLeaderClient(false);
     this.#lifecycle = new Lifecycle((component, error) => {
@@ -100,13 +105,38 @@
     return this.#leaderClient.leader;
   }
 
-  /** Whether a leader was known a short while ago. */
+  /** Whether customers are served here as well as anywhere else. */
   get isReady(): boolean {
     return this.#replica === undefined
-      ? this.#directory.knowsLeader
+      ? this.#directory.isConnected
       : this.#replica.leadership().leader !== undefined;
   }
 
+  /** What this node knows now, for operators. */
+  describe(): NodeStatus {
+    const { node, zone } = this.#parts.settings;
+    const replica = this.#replica;
+    const book = replica?.state;
+    return {
+      node,
+      zone,
+      isReady: this.isReady,
+      leader: replica?.leadership().leader ?? this.leaderHost,
+      replicas: (replica?.replicas() ?? []).map((member) => ({
+        replica: member.replica,
+        role: member.role,
+        caughtUp: member.caughtUp,
+      })),
+      plan: book?.plan.version,
+      openJobs: book && countOf(book.jobs.values(), isOpen),
+      openWaves: book && countOf(
+        book.waves.values(),
+        ({ wave, done }) => done.length < wave.vms.length,
+      ),
+      tenure: this.#leaderTask?.describe(),
+    };
+  }
+
   /** Calls a method at the leader; the call ends by its deadline, in milliseconds. */
   call<M extends Method>(
     method: M,
@@ -201,7 +231,8 @@
         this.#mesh.setKnown(hosts.filter((other) => other !== host)),
       log,
     });
-    const leaderTask = this.#leaderTask(replica);
+    const leaderTask = this.#newLeaderTask(replica);
+    this.#leaderTask = leaderTask;
     const desk = new FrontDesk({
       consensus: replica,
       clock: this.#clock,
@@ -215,7 +246,7 @@
     return [replica, leaderTask, authorityKeeper(replica), assembly];
   }
 
-  #leaderTask(replica: BookReplica): LeaderTask {
+  #newLeaderTask(replica: BookReplica): LeaderTask {
     const { settings, log, workerCalls, fleetCalls, adviceCalls } = this.#parts;
     return new LeaderTask({
       fleetCalls,
@@ -279,3 +310,14 @@
     };
   }
 }
+
+function countOf<T>(
+  items: Iterable<T>,
+  matches: (item: T) => boolean,
+): number {
+  return [...items].filter(matches).length;
+}
+
+function isOpen({ outcome }: JobRecord): boolean {
+  return outcome === "open";
+}
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -8,6 +8,7 @@
   inOrderOfUrgency,
   type JobBook,
   placeStep,
+  poolDemands,
   Room,
   type RunKey,
   type RunRecord,
@@ -21,6 +22,7 @@
 import { FleetTask } from "./fleet_task.ts";
 import { AdviceDesk } from "./advice_desk.ts";
 import type { AdviceCalls, FleetCalls } from "./ports.ts";
+import type { TenureStatus } from "./status.ts";
 import { type SessionParts, WorkerSession } from "./worker_session.ts";
 
 /** What a tenure needs. */
@@ -98,6 +100,33 @@
     this.#parts.log.info("tenure.ended", { term: this.#parts.term });
   }
 
+  /** What the leader knows now, for operators. */
+  describe(): TenureStatus {
+    const now = this.#parts.clock.monotonic();
+    const demands = poolDemands(
+      this.#book,
+      this.#rates,
+      this.#estimate,
+      now,
+    );
+    return {
+      term: this.#parts.term,
+      pools: [...demands].map(([name, { reserved, waiting, wanted }]) => {
+        const sessions = [...this.#sessions.values()].filter(({ worker }) =>
+          worker.pool === name
+        );
+        return {
+          name,
+          workers: sessions.length,
+          usable: sessions.filter((session) => session.isUsable(now)).length,
+          reservedCores: Math.round(reserved),
+          waitingCores: Math.round(waiting),
+          wantedCores: Math.round(wanted),
+        };
+      }),
+    };
+  }
+
   /** Runs a pass in the next turn of the event loop. */
   wake(): void {
     if (!this.#passDue && !this.#stopped) {
@@ -154,6 +183,7 @@
     this.#withdrawUnwanted();
     this.#openRounds();
     this.#forgetOldJobs(now);
+    this.#logEndedJobs();
     this.#fleet?.step(now);
     this.#sessions.forEach((session) => session.sendDue());
     void this.#place(now);
@@ -230,6 +260,18 @@
     }
   }
 
+  #logEndedJobs(): void {
+    for (const job of this.#book.justEnded.splice(0)) {
+      this.#parts.log.info("job.ended", {
+        job: job.id,
+        queue: job.queue,
+        outcome: job.outcome,
+        tookMs: Math.round((job.endedAtMs ?? 0) - job.acceptedAtMs),
+        runsLeft: job.activeRuns,
+      });
+    }
+  }
+
   #forgetOldJobs(now: number): void {
     const { consensus, clock, retentionMs } = this.#parts;
     if (now - this.#forgotAt >= FORGET_MS) {
--- /dev/null
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -0,0 +1,243 @@
+/**
+ * Takes the VMs of waves down for their upkeep, and empties them before.
+ *
+ * @module
+ */
+import {
+  type DueVm,
+  type JobBook,
+  planUpkeep,
+  type RunRecord,
+  taskName,
+  type WaveRecord,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
+import type { VmDirectory, VmDirectoryParts } from "./vm_directory.ts";
+import type { WorkerSession } from "./worker_session.ts";
+
+/** What the upkeep task needs. */
+export interface UpkeepParts
+  extends Pick<VmDirectoryParts, "consensus" | "clock" | "log" | "onChange"> {
+  vms: VmDirectory;
+  session: (worker: string) => WorkerSession | undefined;
+}
+
+type UpkeepPhase = "begun" | "refused" | "done" | "gone";
+
+export class UpkeepTask {
+  readonly #parts: UpkeepParts;
+  /** Workers that are being emptied. */
+  #draining = new Set<string>();
+  /** Runs that were stopped to empty a worker. */
+  readonly #withdrawn = new Set<RunRecord>();
+  /** VMs whose upkeep is being ordered, and their waves. */
+  readonly #ordering = new Map<string, number>();
+  /** Waves and VMs whose upkeep this leader knows to have been carried out. */
+  readonly #maintained = new Set<string>();
+
+  constructor(parts: UpkeepParts) {
+    this.#parts = parts;
+  }
+
+  get #book(): JobBook {
+    return this.#parts.consensus.state;
+  }
+
+  /** Whether a wave is not complete. */
+  get isUnderWay(): boolean {
+    return this.#openWaves().length > 0;
+  }
+
+  /** Whether a worker is being emptied. */
+  isDraining({ id }: Worker): boolean {
+    return this.#draining.has(id);
+  }
+
+  /** Whether a VM is due for upkeep, so that what lasts is better placed elsewhere. */
+  isDue({ vm }: Worker): boolean {
+    return vm !== undefined &&
+      this.#openWaves().some(({ wave, done }) =>
+        wave.vms.includes(vm) && !done.includes(vm)
+      );
+  }
+
+  /** Looks for what is to be ordered. */
+  step(now: number): void {
+    const draining = new Set<string>();
+    for (const record of this.#openWaves()) {
+      this.#closeUpkeeps(record);
+      this.#openUpkeeps(record, draining, now);
+    }
+    this.#draining = draining;
+    this.#evacuate(now);
+  }
+
+  #openWaves(): WaveRecord[] {
+    return [...this.#book.waves.values()].filter(({ wave, done }) =>
+      done.length < wave.vms.length
+    );
+  }
+
+  /** Notes upkeeps that have ended, and repeats orders that an earlier leader may have sent. */
+  #closeUpkeeps({ wave, down }: WaveRecord): void {
+    const { vms } = this.#parts;
+    for (const { vm, worker } of down) {
+      if (this.#ordering.has(vm)) {
+        continue;
+      }
+      const successor = vms.workerOn(vm);
+      const isBack = successor !== undefined && successor.id !== worker;
+      const isKnown = this.#maintained.has(upkeepKey(wave.id, vm));
+      if (isBack || (isKnown && !vms.isAway(vm))) {
+        void this.#note(wave.id, vm, "done");
+      } else if (!isKnown) {
+        void this.#maintain(wave.id, vm);
+      }
+    }
+  }
+
+  #openUpkeeps(
+    { wave, down, done }: WaveRecord,
+    draining: Set<string>,
+    now: number,
+  ): void {
+    const { vms, clock } = this.#parts;
+    const ordering = [...this.#ordering].flatMap(([vm, id]) =>
+      id === wave.id ? [vm] : []
+    );
+    const downVms = new Set([...down.map(({ vm }) => vm), ...ordering]);
+    const busyPools = new Set(
+      Array.from(this.#book.waiting.values(), ({ job }) => job.pool),
+    );
+    const due: DueVm[] = [];
+    for (const vm of wave.vms) {
+      if (done.includes(vm) || downVms.has(vm)) {
+        continue;
+      }
+      const exists = vms.find(vm) !== undefined ||
+        vms.workerOn(vm) !== undefined;
+      if (exists) {
+        due.push(this.#dueVm(vm, busyPools, now));
+      } else {
+        void this.#note(wave.id, vm, "gone");
+      }
+    }
+    const plan = planUpkeep({
+      maxDown: wave.maxDown,
+      down: downVms.size,
+      leftMs: wave.startedAtMs + wave.durationMs - clock.wall(),
+      due,
+    });
+    for (const vm of plan.drain) {
+      const worker = vms.workerOn(vm);
+      if (worker !== undefined) {
+        draining.add(worker.id);
+      }
+    }
+    plan.takeDown.forEach((vm) => void this.#maintain(wave.id, vm));
+  }
+
+  #dueVm(vm: string, busyPools: ReadonlySet<string>, now: number): DueVm {
+    const { vms, session } = this.#parts;
+    const worker = vms.workerOn(vm);
+    const listed = vms.find(vm);
+    const runs = worker === undefined
+      ? []
+      : [...this.#book.load(worker.id).runs.values()];
+    const isUsable = worker !== undefined && !worker.draining &&
+      session(worker.id)?.isInContact(now) === true;
+    const isOff = worker === undefined && listed?.state === "up" &&
+      vms.isStandby(listed.pool);
+    return {
+      vm,
+      runs: runs.length,
+      lastingRuns: runs.filter((run) => this.#book.stepOf(run)?.lasting).length,
+      isPoolBusy: worker !== undefined && busyPools.has(worker.pool),
+      isDraining: worker !== undefined && this.#draining.has(worker.id),
+      isUp: vms.isChoosable(vm, now) && (isUsable || isOff),
+    };
+  }
+
+  async #maintain(wave: number, vm: string): Promise<void> {
+    const { vms, clock } = this.#parts;
+    this.#ordering.set(vm, wave);
+    vms.pause(vm, clock.monotonic());
+    // The limit of the wave must hold under the next leader as well, so the log comes first.
+    if (await this.#note(wave, vm, "begun")) {
+      await this.#takeDown(wave, vm);
+    }
+    this.#ordering.delete(vm);
+  }
+
+  async #takeDown(wave: number, vm: string): Promise<void> {
+    const { vms } = this.#parts;
+    const pool = vms.workerOn(vm)?.pool ?? vms.find(vm)?.pool ?? "";
+    const isDone = await vms.order(
+      vm,
+      { kind: "upkeep", wave },
+      { pool, cores: 0 },
+    );
+    if (isDone === true) {
+      this.#maintained.add(upkeepKey(wave, vm));
+    } else if (isDone === false) {
+      await this.#note(wave, vm, "refused");
+    }
+  }
+
+  async #note(wave: number, vm: string, phase: UpkeepPhase): Promise<boolean> {
+    const { vms, consensus, log, onChange } = this.#parts;
+    const worker = vms.workerOn(vm)?.id;
+    const noted = await consensus.propose({
+      kind: "upkeep",
+      wave,
+      vm,
+      phase,
+      worker,
+    });
+    log.info("upkeep.noted", { wave, vm, phase, worker, stored: noted.ok });
+    onChange();
+    return noted.ok;
+  }
+
+  /** Stops what lasts on workers that are being emptied, as far as its steps can spare it. */
+  #evacuate(now: number): void {
+    const { session, log } = this.#parts;
+    for (const run of this.#withdrawn) {
+      if (this.#book.findRun(run) !== run) {
+        this.#withdrawn.delete(run);
+      }
+    }
+    for (const id of this.#draining) {
+      for (const run of this.#book.load(id).runs.values()) {
+        const spec = this.#book.stepOf(run);
+        const away = this.#awayTasks(run, now);
+        if (
+          spec?.lasting === true && !this.#withdrawn.has(run) &&
+          away < (spec.maxUnavailable ?? 0)
+        ) {
+          this.#withdrawn.add(run);
+          session(id)?.withdraw(run);
+          log.info("run.evacuated", { task: run.task, worker: id, away });
+        }
+      }
+    }
+  }
+
+  /** Tasks of a run's step that are not at work, as far as is known now. */
+  #awayTasks({ job, round, step }: RunRecord, now: number): number {
+    const tasks = this.#book.jobs.get(job)?.rounds[round]?.tasks[step] ?? [];
+    return tasks.filter((task, index) => {
+      const name = taskName({ job, round, step, index });
+      const run = task.worker === undefined
+        ? undefined
+        : this.#book.load(task.worker).runs.get(name);
+      const session = run && this.#parts.session(run.worker);
+      return run === undefined || this.#withdrawn.has(run) ||
+        session?.isAtWork(run, now) !== true;
+    }).length;
+  }
+}
+
+function upkeepKey(wave: number, vm: string): string {
+  return `${wave} ${vm}`;
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -0,0 +1,192 @@
+/**
+ * What a leader knows about VMs: the platform's list, the workers on them, and those that are on their way.
+ *
+ * @module
+ */
+import type { JobBook, Worker } from "@quetzalcove/core/scheduling";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../observe/log.ts";
+import type { BookConsensus } from "./book_machine.ts";
+import type { FleetCalls, ListedVm } from "./ports.ts";
+import { type VmAction, type VmOrderParts, VmOrders } from "./vm_orders.ts";
+
+/** What the directory needs. */
+export interface VmDirectoryParts extends VmOrderParts {
+  calls: FleetCalls;
+  consensus: BookConsensus;
+  clock: Clock;
+  log: Log;
+  onChange: () => void;
+}
+
+/** A VM that left its pool or went down by our order. */
+export interface Absence {
+  /** Pool to which it comes back, and the cores that it brings. */
+  pool: string;
+  cores: number;
+  /** Worker that it had, which may still be in the book for a moment. */
+  worker: string | undefined;
+  at: number;
+}
+
+/** Age at which the list of VMs is read again, in milliseconds: when something is expected of it, and otherwise. */
+const EXPECTING_LIST_MS = 1_500;
+const IDLE_LIST_MS = 15_000;
+
+/** Pause before a VM whose order was refused is chosen again, in milliseconds: about one upkeep. */
+const REFUSED_PAUSE_MS = 2_000;
+
+export class VmDirectory {
+  readonly #parts: VmDirectoryParts;
+  readonly #orders: VmOrders;
+  #listed = new Map<string, ListedVm>();
+  #listedAt = -Infinity;
+  #isListing = false;
+  readonly #away = new Map<string, Absence>();
+  readonly #pausedUntil = new Map<string, number>();
+  #workers = new Map<string, Worker>();
+
+  constructor(parts: VmDirectoryParts) {
+    this.#parts = parts;
+    this.#orders = new VmOrders(parts);
+  }
+
+  get #book(): JobBook {
+    return this.#parts.consensus.state;
+  }
+
+  stop(): void {
+    this.#orders.stop();
+  }
+
+  /** Whether the list was read at least once. */
+  get isKnown(): boolean {
+    return this.#listedAt !== -Infinity;
+  }
+
+  /** VMs with an order that may still be carried out. */
+  get pendingOrders(): number {
+    return this.#orders.pending;
+  }
+
+  get listed(): Iterable<ListedVm> {
+    return this.#listed.values();
+  }
+
+  get absences(): Iterable<Absence> {
+    return this.#away.values();
+  }
+
+  /** The VM as it was listed last. */
+  find(vm: string): ListedVm | undefined {
+    return this.#listed.get(vm);
+  }
+
+  /** The worker on a VM. */
+  workerOn(vm: string): Worker | undefined {
+    return this.#workers.get(vm);
+  }
+
+  /** Whether an order for a VM may still be carried out. */
+  isPending(vm: string): boolean {
+    return this.#orders.isPending(vm);
+  }
+
+  /** Whether a VM left by our order and has not come back. */
+  isAway(vm: string): boolean {
+    return this.#away.has(vm);
+  }
+
+  /** Whether a VM may be chosen for an order. */
+  isChoosable(vm: string, now: number): boolean {
+    return !this.isPending(vm) && !this.isAway(vm) &&
+      now >= (this.#pausedUntil.get(vm) ?? -Infinity);
+  }
+
+  /** Keeps a VM from being chosen for a while. */
+  pause(vm: string, now: number): void {
+    this.#pausedUntil.set(vm, now + REFUSED_PAUSE_MS);
+  }
+
+  isStandby(pool: string): boolean {
+    return this.#book.plan.pools.some(({ name, standby }) =>
+      name === pool && standby
+    );
+  }
+
+  /** Follows the book, and reads the list when it is due. */
+  step(now: number, isExpecting: boolean): void {
+    this.#workers = new Map();
+    for (const worker of this.#book.workers.values()) {
+      if (worker.vm !== undefined) {
+        this.#workers.set(worker.vm, worker);
+      }
+    }
+    this.#followReturns();
+    const age = now - this.#listedAt;
+    const dueAge = isExpecting || this.#away.size > 0
+      ? EXPECTING_LIST_MS
+      : IDLE_LIST_MS;
+    if (!this.#isListing && age >= dueAge && this.#parts.hasAuthority()) {
+      void this.#readList();
+    }
+  }
+
+  /** Sends an order; once it is carried out, everything on the VM has ended. Returns whether it was. */
+  async order(
+    vm: string,
+    action: VmAction,
+    target: Pick<Absence, "pool" | "cores">,
+  ): Promise<boolean | undefined> {
+    const { clock, consensus } = this.#parts;
+    const worker = this.workerOn(vm)?.id;
+    const answer = await this.#orders.order(vm, action);
+    const now = clock.monotonic();
+    if (answer === "done") {
+      this.#away.set(vm, { ...target, worker, at: now });
+      if (worker !== undefined) {
+        await consensus.propose({
+          kind: "lose",
+          workers: [worker],
+          atMs: clock.wall(),
+        });
+      }
+    } else if (answer !== undefined) {
+      this.pause(vm, now);
+    }
+    return answer === undefined ? undefined : answer === "done";
+  }
+
+  /** A VM is back when another worker on it has reported, or when the list shows it up in a pool without workers. */
+  #followReturns(): void {
+    for (const [vm, { at, worker }] of this.#away) {
+      const current = this.workerOn(vm);
+      const listed = this.#listed.get(vm);
+      const isBack = current === undefined
+        ? this.#listedAt > at && listed?.state === "up" &&
+          this.isStandby(listed.pool)
+        : current.id !== worker;
+      if (isBack) {
+        this.#away.delete(vm);
+        this.#parts.onChange();
+      }
+    }
+  }
+
+  async #readList(): Promise<void> {
+    const { calls, clock, log, onChange } = this.#parts;
+    this.#isListing = true;
+    const askedAt = clock.monotonic();
+    const vms = await calls.list();
+    this.#isListing = false;
+    if (vms === undefined) {
+      log.warn("fleet.list_failed", {
+        ageMs: Math.round(askedAt - this.#listedAt),
+      });
+      return;
+    }
+    this.#listed = new Map(vms.map((vm) => [vm.vm, vm]));
+    this.#listedAt = askedAt;
+    onChange();
+  }
+}
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -4,15 +4,8 @@
  * @module
  */
 import {
-  type ClockReading,
-  type Expectation,
-  inheritedLeaseEndsBy,
-  leaseDeadline,
-  leaseEndsBy,
-  type ListedRun,
   type Listing,
   parseTaskName,
-  ProgressWatch,
   type RunEnd,
   type RunEnding,
   type RunKey,
@@ -29,9 +22,11 @@
 import type { Metrics } from "../observe/metrics.ts";
 import { wait } from "../waiting.ts";
 import type { BookConsensus } from "./book_machine.ts";
+import { LeaseHolder } from "./lease_holder.ts";
 import { Pacer } from "./pacer.ts";
-import type { WorkerCalls } from "./ports.ts";
+import type { RenewalAnswer, WorkerCalls } from "./ports.ts";
 import type { SchedulerSettings } from "./settings.ts";
+import { StragglerWatch } from "./straggler_watch.ts";
 
 /** What all sessions of a term share. */
 export interface SessionParts {
@@ -82,10 +77,7 @@
   worker: Worker;
   readonly #parts: SessionParts;
   readonly #orders: WorkerOrders;
-  #reading: ClockReading | undefined;
-  /** The latest deadline that the worker was given, on its clock. */
-  #deadline: number | undefined;
-  #leaseEndsBy: number;
+  readonly #lease: LeaseHolder;
   #seenEnds = 0;
   #contactAt = -Infinity;
   #isVerified = false;
@@ -93,7 +85,7 @@
   #isSilent = false;
   #pausedUntil = -Infinity;
   #stopped = false;
-  readonly #progress = new ProgressWatch();
+  readonly #stragglers: StragglerWatch;
   readonly #pacer: Pacer;
   /** Runs that started here, by task. */
   readonly #started = new Map<string, StartedRun>();
@@ -110,7 +102,8 @@
       stopMs: settings.stopMs,
     });
     this.#pacer = new Pacer(parts);
-    this.#leaseEndsBy = inheritedLeaseEndsBy(now, settings.leaseMs);
+    this.#stragglers = new StragglerWatch(parts.estimate);
+    this.#lease = new LeaseHolder(settings.leaseMs, now);
     for (const run of parts.consensus.state.load(worker.id).runs.values()) {
       this.#orders.add(run, now, true);
     }
@@ -176,9 +169,9 @@
     for (const run of this.#orders.takeStops(now)) {
       void this.#sendStop(run);
     }
-    if (this.#isVerified && this.#reading !== undefined) {
+    if (this.#isVerified) {
       for (const run of this.#orders.takeStarts(now)) {
-        void this.#sendStart(run, this.#reading);
+        void this.#sendStart(run);
       }
     }
   }
@@ -186,7 +179,7 @@
   async #renew(): Promise<void> {
     const { calls, settings, clock, term } = this.#parts;
     const askedAt = clock.monotonic();
-    const leaseDeadlineMs = this.#extendLease(askedAt);
+    const leaseDeadlineMs = this.#leaseFor(askedAt);
     const mayWait = this.#isVerified && !this.#isSilent;
     const answer = await calls.renew(this.worker, {
       fence: term,
@@ -194,7 +187,7 @@
       seenEnds: this.#seenEnds,
       waitMs: mayWait ? settings.renewalWaitMs : 0,
     });
-    this.#isSilent = answer.kind === "no_answer";
+    this.#noteContact(answer, clock.monotonic());
     const now = clock.monotonic();
     switch (answer.kind) {
       case "listing":
@@ -214,25 +207,36 @@
     }
   }
 
+  /** Logs when a worker falls silent and when it answers again. */
+  #noteContact(answer: RenewalAnswer, now: number): void {
+    const isSilent = answer.kind === "no_answer";
+    if (isSilent !== this.#isSilent) {
+      this.#isSilent = isSilent;
+      this.#parts.log.info(isSilent ? "worker.silent" : "worker.answers", {
+        worker: this.worker.id,
+        reason: isSilent ? answer.reason : undefined,
+        heardMsAgo: Math.round(now - this.#contactAt),
+        leaseLeftMs: Math.round(this.#lease.endsBy - now),
+      });
+    }
+  }
+
   #heard(clockMs: number | undefined, now: number): void {
     this.#contactAt = now;
     if (clockMs !== undefined) {
-      this.#reading = { workerMs: clockMs, receivedAt: now };
+      this.#lease.noteClock({ workerMs: clockMs, receivedAt: now });
     }
   }
 
   /**
-   * The deadline for an order that leaves now; notes when the lease has surely ended. A worker that does not answer gets
-   * no longer lease, so that what runs there is free in time.
+   * The deadline for an order that leaves now. A worker that does not answer gets no longer lease, so that what runs
+   * there is free in time.
    */
-  #extendLease(now: number): number | undefined {
-    if (this.#reading !== undefined && !this.#isSilent) {
-      const { leaseMs } = this.#parts.settings;
-      this.#deadline = leaseDeadline(this.#reading, now, leaseMs);
-      const endsBy = leaseEndsBy(this.#reading, this.#deadline);
-      this.#leaseEndsBy = Math.max(this.#leaseEndsBy, endsBy);
+  #leaseFor(now: number): number | undefined {
+    if (!this.#isSilent) {
+      this.#lease.extend(now);
     }
-    return this.#deadline;
+    return this.#lease.deadline;
   }
 
   async #settle(
@@ -258,7 +262,7 @@
       });
       this.#parts.onChange();
     }
-    this.#watchProgress(listing, now);
+    this.#withdrawStuck(listing, now);
     this.#pacer.follow(this.worker, listing, now);
     strays.forEach(({ task, run }) => void this.#stopStray(task, run));
     const ends = listing.ended.map(({ task, run, how, checkpoint }): RunEnd => {
@@ -285,52 +289,25 @@
   }
 
   /** Stops runs that stand still, so that they run elsewhere, and leaves the worker alone for a while. */
-  #watchProgress({ running }: Listing, now: number): void {
-    const { health, log, metrics } = this.#parts;
+  #withdrawStuck({ running }: Listing, now: number): void {
+    const { consensus, health, log, metrics } = this.#parts;
     const { id } = this.worker;
-    const { still, crawling } = this.#progress.note(
-      running,
-      (row) => this.#expect(row),
-      now,
-    );
-    const crawlingJobs = new Set(
-      crawling.map(({ task }) => parseTaskName(task)?.job),
-    );
-    const stuck = crawlingJobs.size > 1 ? [...still, ...crawling] : still;
+    const stuck = this.#stragglers.note(id, running, consensus.state, now);
     if (stuck.length === 0) {
       return;
     }
-    const isPaused = health.noteStall(id, now);
-    for (const row of stuck) {
-      const run = this.#parts.consensus.state.findRun({ ...row, worker: id });
-      if (run !== undefined) {
-        this.#orders.withdraw(run, now);
-        metrics.count("quetzalcove_runs_stuck_total");
-        log.warn("run.stuck", {
-          task: row.task,
-          run: row.run,
-          worker: id,
-          percent: row.percent,
-          paused: isPaused,
-        });
-      }
-    }
-  }
-
-  #expect({ task }: ListedRun): Expectation | undefined {
-    const place = parseTaskName(task);
-    const book = this.#parts.consensus.state;
-    const job = place === undefined ? undefined : book.jobs.get(place.job);
-    const spec = job?.spec?.steps[place?.step ?? -1];
-    if (place === undefined || job === undefined || spec === undefined) {
-      return undefined;
-    }
-    if (spec.lasting || spec.fills || spec.gang) {
-      return undefined;
+    const paused = health.noteStall(id, now);
+    for (const { run, percent } of stuck) {
+      this.#orders.withdraw(run, now);
+      metrics.count("quetzalcove_runs_stuck_total");
+      log.warn("run.stuck", {
+        task: run.task,
+        run: run.run,
+        worker: id,
+        percent,
+        paused,
+      });
     }
-    const expectedMs = this.#parts.estimate.taskMs(job.queue, spec.estimatedMs);
-    const resumes = (book.taskOf(place)?.checkpoint ?? "") !== "";
-    return { expectedMs, resumes };
   }
 
   #noteEnds(ends: readonly RunEnd[], dropped: readonly RunKey[]): void {
@@ -368,7 +345,7 @@
     }
   }
 
-  async #sendStart(run: RunRecord, reading: ClockReading): Promise<void> {
+  async #sendStart(run: RunRecord): Promise<void> {
     const { calls, consensus, clock, term, metrics } = this.#parts;
     const book = consensus.state;
     const job = book.jobs.get(run.job);
@@ -376,7 +353,8 @@
     const isWanted = book.findRun(run) !== undefined &&
       job?.outcome === "open" && job.spec !== undefined && task !== undefined;
     const sentAt = clock.monotonic();
-    if (!isWanted) {
+    const leaseDeadlineMs = this.#leaseFor(sentAt);
+    if (!isWanted || leaseDeadlineMs === undefined) {
       this.#orders.withdraw(run, sentAt);
       return;
     }
@@ -384,7 +362,7 @@
       task: run.task,
       run: run.run,
       text: job.spec?.text ?? "",
-      leaseDeadlineMs: this.#extendLease(sentAt) ?? reading.workerMs,
+      leaseDeadlineMs,
       fence: term,
       checkpoint: task.checkpoint,
       permit: this.#permitOf(run),
@@ -465,7 +443,7 @@
   #noteSilence(now: number, reason: string): void {
     const { contactMs } = this.#parts.settings;
     this.#parts.metrics.count("quetzalcove_renewals_unanswered_total");
-    const hasLapsed = now > this.#leaseEndsBy &&
+    const hasLapsed = now > this.#lease.endsBy &&
       now - this.#contactAt > contactMs;
     if (hasLapsed || this.worker.hasLeft) {
       this.#lose(reason);
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -26,6 +26,8 @@
 } from "../src/scheduler/ports.ts";
 import { WorkerSession } from "../src/scheduler/worker_session.ts";
 
+const ignore = (): void => {};
+
 const LEASE_MS = 4_000;
 const CALL_MS = 1_000;
 
@@ -150,7 +152,7 @@
       wall: () => Date.now(),
       processor: () => 0,
     },
-    log: { debug() {}, info() {}, warn() {}, error() {} },
+    log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
     metrics: new Metrics(),
     estimate: new WorkEstimate(),
     health: new WorkerHealth(),
