--- a/packages/cli/src/reference.ts
+++ b/packages/cli/src/reference.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Inventory, Rules, Settings } from "@quetzalcove/core";
+import { SchedulerSettings } from "@quetzalcove/core/scheduling";
 import { z } from "zod";
 import { describeKeys } from "./reference_page.ts";
 
@@ -21,6 +22,13 @@
       "One JSON file for each `quetzalcoved`. A change needs a restart of that daemon.",
     schema: Settings,
   },
+  {
+    path: "platform/settings.schema.json",
+    title: "Settings of one scheduler node",
+    intro:
+      "One JSON file for each `quetzalcove-node`. A change needs a restart of that\nnode.",
+    schema: SchedulerSettings,
+  },
   {
     path: "packages/core/inventory.schema.json",
     title: "Inventory",
--- a/packages/cli/src/reference_page.ts
+++ b/packages/cli/src/reference_page.ts
@@ -36,13 +36,23 @@
     [
       `## ${title}`,
       intro,
-      `JSON Schema:\n[${path}](../${path})`,
+      schemaLine(path),
       table(keysOf(json, "")),
     ].join("\n\n")
   );
   return `${[INTRO, ...sections].join("\n\n")}\n`;
 }
 
+/** Longest line of the page, as the formatter wraps it. */
+const LINE_LENGTH = 80;
+
+function schemaLine(path: string): string {
+  const label = "JSON Schema:";
+  const link = `[${path}](../${path})`;
+  const fits = label.length + 1 + link.length <= LINE_LENGTH;
+  return `${label}${fits ? " " : "\n"}${link}`;
+}
+
 const INTRO = `# Configuration
 
 Generated from the schemas by \`npm run schemas\`; edit the schemas, not this
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -11,6 +11,7 @@
 export * from "./placing.ts";
 export * from "./progress_watch.ts";
 export * from "./queue_plan.ts";
+export * from "./scheduler_settings.ts";
 export * from "./task_name.ts";
 export * from "./urgency.ts";
 export * from "./worker_health.ts";
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -13,4 +13,3 @@
 export { type NodeParts, SchedulerNode } from "./node.ts";
 export * from "./ports.ts";
 export { NodeStatus } from "./status.ts";
-export { checkSchedulerSettings, SchedulerSettings } from "./settings.ts";
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -41,7 +41,7 @@
 import type { AdviceCalls, FleetCalls, WorkerCalls } from "./ports.ts";
 import { openSchedulerFolder } from "./replica_start.ts";
 import type { NodeStatus } from "./status.ts";
-import type { SchedulerSettings } from "./settings.ts";
+import type { SchedulerSettings } from "@quetzalcove/core/scheduling";
 
 type BookReplica = ReplicaTask<JobBook, BookCommand, BookOutput>;
 
--- a/packages/daemon/src/scheduler/replica_start.ts
+++ b/packages/daemon/src/scheduler/replica_start.ts
@@ -16,7 +16,7 @@
 import { formatFolder, newReplicaId, readFormat } from "../storage/format.ts";
 import { trustExclusiveFolder } from "../storage/lock.ts";
 import { openStorage } from "../storage/opening.ts";
-import type { SchedulerSettings } from "./settings.ts";
+import type { SchedulerSettings } from "@quetzalcove/core/scheduling";
 
 /** Suffix of the ids of the first voters; every node derives the same ids from the seeds. */
 const FOUNDER_SUFFIX = "founder";
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -25,7 +25,7 @@
 import { LeaseHolder } from "./lease_holder.ts";
 import { Pacer } from "./pacer.ts";
 import type { RenewalAnswer, WorkerCalls } from "./ports.ts";
-import type { SchedulerSettings } from "./settings.ts";
+import type { SchedulerSettings } from "@quetzalcove/core/scheduling";
 import { StragglerWatch } from "./straggler_watch.ts";
 
 /** What all sessions of a term share. */
