--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -38,7 +38,7 @@
 import { Metrics } from "./observe/metrics.ts";
 import { registerProcessGauges } from "./observe/process_gauges.ts";
 import { type SpanRecord, Tracing } from "./observe/tracing.ts";
-import { PlatformAgents } from "./platform/agents.ts";
+import { PlatformAgents } from "./agents/agents.ts";
 import { jsonReply, problemReply } from "./problem.ts";
 import { openReplicaFolder, type ReplicaFolder } from "./replica_folder.ts";
 import { until, wait } from "./waiting.ts";
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -24,7 +24,7 @@
 import type { Handler, Handlers } from "../link/connection.ts";
 import type { Fields, Log } from "../observe/log.ts";
 import { extractContext, type Tracing } from "../observe/tracing.ts";
-import type { PlatformAgents } from "../platform/agents.ts";
+import type { PlatformAgents } from "../agents/agents.ts";
 import { dueCommands, longestRequestMs } from "./conductor.ts";
 import { Placer } from "./placer.ts";
 import { Observer } from "./observer.ts";
--- a/packages/daemon/src/leader/observer.ts
+++ b/packages/daemon/src/leader/observer.ts
@@ -13,7 +13,7 @@
   type State,
   type VmRecord,
 } from "@quetzalcove/core";
-import type { PlatformAgents } from "../platform/agents.ts";
+import type { PlatformAgents } from "../agents/agents.ts";
 import { longestRequestMs } from "./conductor.ts";
 import type { Tenure } from "./tenure.ts";
 
--- a/packages/daemon/src/leader/placer.ts
+++ b/packages/daemon/src/leader/placer.ts
@@ -13,7 +13,7 @@
 import type { Consensus } from "../consensus/consensus.ts";
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Log } from "../observe/log.ts";
-import { TaskAgents } from "../platform/task_agents.ts";
+import { TaskAgents } from "../agents/task_agents.ts";
 
 /** What the placer needs. */
 export interface PlacerParts {
