Never count a worker as alive, idle or free that an order has just ended

Ruled out: leases (4 s left) and the leader (none changed). Ended workers are now remembered in the book, their sessions end with them, a VM is idle only through its own worker and while nothing is being placed there, and the list counts as old for 3 s after an order.

--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -97,10 +97,12 @@
     atMs: z.number(),
   }),
   z.object({ kind: z.literal("join"), workers: z.array(Worker) }),
-  /** Workers that are gone with everything that ran there. */
+  /** Workers of which nothing runs any more. */
   z.object({
     kind: z.literal("lose"),
     workers: z.array(z.string()),
+    /** Whether they have ended for good; a report of theirs that arrives later is an old one. */
+    haveEnded: z.boolean(),
     atMs: z.number(),
   }),
   z.object({ kind: z.literal("forget"), endedBeforeMs: z.number() }),
--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -46,6 +46,7 @@
   jobs: JobRecord[];
   workers: Worker[];
   waves: WaveRecord[];
+  endedWorkers: string[];
 }
 
 const DEFAULT_TERMS: JobTerms = {
@@ -56,6 +57,9 @@
   advised: false,
 };
 
+/** Ended workers that are remembered; their last reports arrive within seconds. */
+const MAX_ENDED_WORKERS = 4_096;
+
 /** Jobs kept in the list of those that just ended; a follower never empties it. */
 const MAX_JUST_ENDED = 256;
 
@@ -76,6 +80,8 @@
   readonly justEnded: JobRecord[] = [];
   readonly #loads = new Map<string, WorkerLoad>();
   readonly #unstarted = new Map<string, number>();
+  /** Workers that have ended for good, the oldest first. */
+  readonly #endedWorkers = new Set<string>();
   /** Jobs that have ended, the oldest first. */
   readonly #ended = new Set<JobRecord>();
 
@@ -100,12 +106,12 @@
         command.ends.forEach((end) => this.#end(end, command.atMs));
         return Ok(APPLIED);
       case "join":
-        command.workers.forEach((worker) =>
-          this.workers.set(worker.id, worker)
-        );
+        command.workers.forEach((worker) => this.#join(worker));
         return Ok(APPLIED);
       case "lose":
-        command.workers.forEach((worker) => this.#lose(worker));
+        command.workers.forEach((worker) =>
+          this.#lose(worker, command.haveEnded)
+        );
         return Ok(APPLIED);
       case "forget":
         this.#forget(command.endedBeforeMs);
@@ -158,6 +164,7 @@
       jobs: [...this.jobs.values()],
       workers: [...this.workers.values()],
       waves: [...this.waves.values()],
+      endedWorkers: [...this.#endedWorkers],
     };
     return JSON.stringify(image);
   }
@@ -169,6 +176,7 @@
     book.plan = image.plan;
     image.workers.forEach((worker) => book.workers.set(worker.id, worker));
     image.waves.forEach((record) => book.waves.set(record.wave.id, record));
+    image.endedWorkers.forEach((id) => book.#endedWorkers.add(id));
     image.jobs.forEach((job) => book.#adopt(job));
     return book;
   }
@@ -477,8 +485,21 @@
     }
   }
 
-  #lose(id: string): void {
+  #join(worker: Worker): void {
+    if (!this.#endedWorkers.has(worker.id)) {
+      this.workers.set(worker.id, worker);
+    }
+  }
+
+  #lose(id: string, hasEnded: boolean): void {
     this.workers.delete(id);
+    if (hasEnded) {
+      this.#endedWorkers.add(id);
+      const [oldest] = this.#endedWorkers;
+      if (this.#endedWorkers.size > MAX_ENDED_WORKERS && oldest !== undefined) {
+        this.#endedWorkers.delete(oldest);
+      }
+    }
     const load = this.#loads.get(id);
     for (const run of [...load?.runs.values() ?? []]) {
       this.#release(run);
--- a/packages/core/test/scheduling_book_test.ts
+++ b/packages/core/test/scheduling_book_test.ts
@@ -115,7 +115,7 @@
     const jobs = book([worker("w1"), worker("w2")]);
     submit(jobs, "j", spec(step({ taskCount: 2 })));
     place(jobs, run("j.0.0.0", 1, "w1"));
-    jobs.apply({ kind: "lose", workers: ["w1"], atMs: 5 });
+    jobs.apply({ kind: "lose", workers: ["w1"], haveEnded: false, atMs: 5 });
     place(jobs, run("j.0.0.0", 2, "w2"));
     end(jobs, run("j.0.0.0", 1, "w1"), "done");
     expect(jobs.taskOf({ job: "j", round: 0, step: 0, index: 0 })?.isDone)
@@ -127,7 +127,7 @@
     const jobs = book([worker("w1")]);
     submit(jobs, "j", spec(step({ taskCount: 2 })));
     place(jobs, run("j.0.0.0", 1, "w1"));
-    jobs.apply({ kind: "lose", workers: ["w1"], atMs: 5 });
+    jobs.apply({ kind: "lose", workers: ["w1"], haveEnded: false, atMs: 5 });
     end(jobs, run("j.0.0.0", 1, "w1"), "done");
     end(jobs, run("j.0.0.1", 1, "w1"), "done");
     expect([...jobs.waiting.get("j.0.0")?.indices ?? []]).toEqual([1]);
@@ -177,6 +177,20 @@
     expect(stateOf(jobs, "j")).toBe("completed");
   });
 
+  it("takes a late report of a worker that has ended for an old one, and one of a silent worker for news", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    const lose = (id: string, haveEnded: boolean): void => {
+      jobs.apply({ kind: "lose", workers: [id], haveEnded, atMs: 1 });
+    };
+    lose("w1", true);
+    lose("w2", false);
+    const restored = JobBook.decode(jobs.encode());
+    for (const each of [jobs, restored]) {
+      each.apply({ kind: "join", workers: [worker("w1"), worker("w2")] });
+      expect([...each.workers.keys()]).toEqual(["w2"]);
+    }
+  });
+
   it("counts jobs that wait for their first run", () => {
     const jobs = book([worker("w1")]);
     ["a", "b", "c"].forEach((id) => submit(jobs, id, spec(step())));
@@ -266,6 +280,7 @@
   fc.record({
     kind: fc.constant("lose" as const),
     workers: fc.constantFrom("w1", "w2").map((id) => [id]),
+    haveEnded: fc.boolean(),
     atMs: fc.constant(3),
   }),
   fc.constant<BookCommand>({
--- a/packages/core/test/scheduling_placing_test.ts
+++ b/packages/core/test/scheduling_placing_test.ts
@@ -123,7 +123,7 @@
     submit(jobs, "fills", spec(step({ fills: true, taskCount: 1 })));
     place(jobs, run("serves.0.0.0", 1, "w1"));
     expect(workersOf(placeOnly(jobs, "fills"))).toEqual(["w2"]);
-    jobs.apply({ kind: "lose", workers: ["w2"], atMs: 0 });
+    jobs.apply({ kind: "lose", workers: ["w2"], haveEnded: false, atMs: 0 });
     expect(workersOf(placeOnly(jobs, "fills"))).toEqual(["w1"]);
   });
 });
--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -22,6 +22,8 @@
   rates: ArrivalRates;
   estimate: WorkEstimate;
   session: (worker: string) => WorkerSession | undefined;
+  /** Whether a placement on a worker awaits its commit. */
+  isBeingPlaced: (worker: string) => boolean;
 }
 
 /** Most orders that may be under way at once: a quarter of what the platform takes in a second. */
@@ -53,8 +55,10 @@
 
   /** Whether a worker must get no new work, because its VM is about to go. */
   isReserved(worker: Worker): boolean {
+    const { vm } = worker;
     return this.#upkeep.isDraining(worker) ||
-      (worker.vm !== undefined && this.#vms.isPending(worker.vm));
+      (vm !== undefined &&
+        (this.#vms.isPending(vm) || this.#vms.isAway(vm)));
   }
 
   /** Whether a VM is due for upkeep, so that what lasts is better placed elsewhere. */
@@ -158,8 +162,9 @@
     const cores = capacity.cpuMilli / MILLI;
     pool.cores += cores;
     const idleSince = this.#idleSince.get(id);
+    const isIdle = idleSince !== undefined && !this.#parts.isBeingPlaced(id);
     if (
-      vm !== undefined && idleSince !== undefined &&
+      vm !== undefined && isIdle && this.#vms.workerOn(vm)?.id === id &&
       this.#vms.isChoosable(vm, now)
     ) {
       const idleMs = now - Math.max(idleSince, this.#demandKnownAt);
--- a/packages/daemon/src/scheduler/front_desk.ts
+++ b/packages/daemon/src/scheduler/front_desk.ts
@@ -195,6 +195,7 @@
     const joined = await consensus.propose({ kind: "join", workers: [worker] });
     log.info("worker.reported", {
       worker: worker.id,
+      vm: worker.vm,
       pool: worker.pool,
       address: worker.address,
       draining: worker.draining,
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -58,6 +58,8 @@
   readonly #advice: AdviceDesk | undefined;
   #passDue = false;
   #isPlacing = false;
+  /** Workers of placements that are not committed yet. */
+  #placing = new Set<string>();
   #stopped = false;
   #forgotAt: number;
 
@@ -71,6 +73,8 @@
       rates: this.#rates,
       estimate: this.#estimate,
       session: (worker) => this.#sessions.get(worker),
+      isBeingPlaced: (worker) => this.#placing.has(worker),
+      lose: (worker, reason) => this.#lose(worker, reason, true),
       onChange: () => this.wake(),
     });
     this.#advice = parts.adviceCalls && new AdviceDesk({
@@ -216,21 +220,23 @@
       permit: (step, id) =>
         this.#advice?.permit(step, id, this.#parts.clock.monotonic()),
       onChange: () => this.wake(),
-      onLost: (id, reason) => void this.#lose(id, reason),
+      onLost: (id, reason, hasEnded) => void this.#lose(id, reason, hasEnded),
     });
     this.#sessions.set(worker.id, session);
     void session.run();
   }
 
-  async #lose(id: string, reason: string): Promise<void> {
+  async #lose(id: string, reason: string, hasEnded: boolean): Promise<void> {
     const { log, consensus, clock } = this.#parts;
     const runs = this.#book.load(id).runs.size;
+    this.#sessions.get(id)?.stop();
     this.#sessions.delete(id);
     this.#health.forget(id);
-    log.warn("worker.lost", { worker: id, reason, runs });
+    log.warn("worker.lost", { worker: id, reason, runs, ended: hasEnded });
     await consensus.propose({
       kind: "lose",
       workers: [id],
+      haveEnded: hasEnded,
       atMs: clock.wall(),
     });
     this.wake();
@@ -291,8 +297,10 @@
       return;
     }
     this.#isPlacing = true;
+    this.#placing = new Set(runs.map(({ worker }) => worker));
     const placed = await this.#parts.consensus.propose({ kind: "place", runs });
     this.#isPlacing = false;
+    this.#placing.clear();
     if (placed.ok && !this.#stopped) {
       this.#order(runs);
       this.wake();
--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -19,6 +19,7 @@
 export interface UpkeepParts
   extends Pick<VmDirectoryParts, "consensus" | "clock" | "log" | "onChange"> {
   vms: VmDirectory;
+  isBeingPlaced: (worker: string) => boolean;
   session: (worker: string) => WorkerSession | undefined;
 }
 
@@ -145,6 +146,7 @@
       ? []
       : [...this.#book.load(worker.id).runs.values()];
     const isUsable = worker !== undefined && !worker.draining &&
+      !this.#parts.isBeingPlaced(worker.id) &&
       session(worker.id)?.isInContact(now) === true;
     const isOff = worker === undefined && listed?.state === "up" &&
       vms.isStandby(listed.pool);
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -16,6 +16,8 @@
   consensus: BookConsensus;
   clock: Clock;
   log: Log;
+  /** Ends the session of a worker that has ended, and takes it out of the book. */
+  lose: (worker: string, reason: string) => Promise<void>;
   onChange: () => void;
 }
 
@@ -33,6 +35,9 @@
 const EXPECTING_LIST_MS = 1_500;
 const IDLE_LIST_MS = 15_000;
 
+/** Time after an order in which the list may still show the VM as before, in milliseconds: an upkeep and the list's lag. */
+const SHORTEST_ABSENCE_MS = 3_000;
+
 /** Pause before a VM whose order was refused is chosen again, in milliseconds: about one upkeep. */
 const REFUSED_PAUSE_MS = 2_000;
 
@@ -138,18 +143,14 @@
     action: VmAction,
     target: Pick<Absence, "pool" | "cores">,
   ): Promise<boolean | undefined> {
-    const { clock, consensus } = this.#parts;
+    const { clock, lose } = this.#parts;
     const worker = this.workerOn(vm)?.id;
     const answer = await this.#orders.order(vm, action);
     const now = clock.monotonic();
     if (answer === "done") {
       this.#away.set(vm, { ...target, worker, at: now });
       if (worker !== undefined) {
-        await consensus.propose({
-          kind: "lose",
-          workers: [worker],
-          atMs: clock.wall(),
-        });
+        await lose(worker, `its VM was ordered to ${action.kind}`);
       }
     } else if (answer !== undefined) {
       this.pause(vm, now);
@@ -163,7 +164,7 @@
       const current = this.workerOn(vm);
       const listed = this.#listed.get(vm);
       const isBack = current === undefined
-        ? this.#listedAt > at && listed?.state === "up" &&
+        ? this.#listedAt > at + SHORTEST_ABSENCE_MS && listed?.state === "up" &&
           this.isStandby(listed.pool)
         : current.id !== worker;
       if (isBack) {
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -46,8 +46,8 @@
   hasAuthority: () => boolean;
   /** Called when room was freed or the worker became usable. */
   onChange: () => void;
-  /** Called when the worker surely runs nothing any more. */
-  onLost: (worker: string, reason: string) => void;
+  /** Called when the worker surely runs nothing any more; it may have ended for good. */
+  onLost: (worker: string, reason: string, hasEnded: boolean) => void;
 }
 
 /** Percent at which a task that lasts is listed once it is at work. */
@@ -195,7 +195,7 @@
         await this.#settle(answer.listing, askedAt, now);
         return;
       case "other_worker":
-        this.#lose("another worker has its address");
+        this.#lose("another worker has its address", true);
         return;
       case "fenced":
         this.#parts.log.warn("worker.fenced", { worker: this.worker.id, term });
@@ -406,7 +406,7 @@
     metrics.count("quetzalcove_starts_refused_total", { answer });
     log.warn("run.not_started", { task, run: run.run, worker, answer });
     if (answer === "other_worker") {
-      this.#lose("another worker has its address");
+      this.#lose("another worker has its address", true);
     } else if (answer === "unwell") {
       this.#pausedUntil = now + UNWELL_MS;
     } else if (answer === "no_room") {
@@ -446,14 +446,14 @@
     const hasLapsed = now > this.#lease.endsBy &&
       now - this.#contactAt > contactMs;
     if (hasLapsed || this.worker.hasLeft) {
-      this.#lose(reason);
+      this.#lose(reason, this.worker.hasLeft);
     }
   }
 
-  #lose(reason: string): void {
+  #lose(reason: string, hasEnded: boolean): void {
     if (!this.#stopped) {
       this.stop();
-      this.#parts.onLost(this.worker.id, reason);
+      this.#parts.onLost(this.worker.id, reason, hasEnded);
     }
   }
 }
