--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -28,7 +28,12 @@
   type WaitingStep,
 } from "./job_record.ts";
 import { emptyQueuePlan, type QueuePlan } from "./queue_plan.ts";
-import { parseTaskName, stepName, taskName } from "./task_name.ts";
+import {
+  parseTaskName,
+  stepName,
+  taskName,
+  type TaskPlace,
+} from "./task_name.ts";
 import { WorkerLoad } from "./worker_load.ts";
 
 /** A wave and how far it is. */
@@ -206,7 +211,7 @@
 
   #adoptRun(
     job: JobRecord,
-    place: { job: string; round: number; step: number; index: number },
+    place: TaskPlace,
     { run, worker, isDone }: TaskRecord,
   ): void {
     const spec = job.spec?.steps[place.step];
@@ -327,7 +332,7 @@
   }
 
   /** Frees the room of a run; its task waits again unless it is done or its job has ended. */
-  #release(key: RunKey): RunRecord | undefined {
+  #release(key: RunKey): void {
     const run = this.findRun(key);
     const job = run === undefined ? undefined : this.jobs.get(run.job);
     const task = run === undefined ? undefined : this.taskOf(run);
@@ -336,7 +341,7 @@
       run === undefined || job === undefined || task === undefined ||
       spec === undefined
     ) {
-      return undefined;
+      return;
     }
     this.load(run.worker).remove(run, spec);
     this.unwanted.delete(run);
@@ -347,7 +352,6 @@
     } else {
       this.#strip(job);
     }
-    return run;
   }
 
   #end(end: RunEnd, atMs: number): void {
@@ -428,16 +432,22 @@
   #markUnwanted(job: JobRecord, round: number, step: number): void {
     const tasks = job.rounds[round]?.tasks[step] ?? [];
     tasks.forEach((task, index) => {
-      if (task.isDone && task.worker !== undefined) {
-        const name = taskName({ job: job.id, round, step, index });
-        const run = this.load(task.worker).runs.get(name);
-        if (run !== undefined) {
-          this.unwanted.add(run);
-        }
+      if (task.isDone) {
+        this.#disown({ job: job.id, round, step, index }, task);
       }
     });
   }
 
+  /** Wants the run of a task stopped, if it has one. */
+  #disown(place: TaskPlace, { worker }: TaskRecord): void {
+    const run = worker === undefined
+      ? undefined
+      : this.load(worker).runs.get(taskName(place));
+    if (run !== undefined) {
+      this.unwanted.add(run);
+    }
+  }
+
   #close(
     job: JobRecord,
     outcome: "completed" | "failed" | "cancelled",
@@ -455,16 +465,9 @@
       const round = Number(key);
       record.tasks.forEach((tasks, step) => {
         this.waiting.delete(stepName({ job: job.id, round, step }));
-        tasks.forEach(({ worker }, index) => {
-          if (worker === undefined) {
-            return;
-          }
-          const name = taskName({ job: job.id, round, step, index });
-          const run = this.load(worker).runs.get(name);
-          if (run !== undefined) {
-            this.unwanted.add(run);
-          }
-        });
+        tasks.forEach((task, index) =>
+          this.#disown({ job: job.id, round, step, index }, task)
+        );
       });
     }
     this.#strip(job);
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -3,13 +3,12 @@
  *
  * @module
  */
-export { type Component, Lifecycle, ticker } from "../lifecycle.ts";
+export type { Component } from "../lifecycle.ts";
 export { HttpServer, readBody } from "../http_server.ts";
 export { hostAndPort } from "../net.ts";
 export { type Log, messageOf, openLog } from "../observe/log.ts";
-export { Metrics } from "../observe/metrics.ts";
-export { until, wait } from "../waiting.ts";
+export { wait } from "../waiting.ts";
 export * from "./methods.ts";
-export { type NodeParts, SchedulerNode } from "./node.ts";
+export { SchedulerNode } from "./node.ts";
 export * from "./ports.ts";
 export { NodeStatus } from "./status.ts";
