Soak the platform's program under random faults as real processes

The relay keeps a connection silent that lost bytes, instead of going on behind the gap, and takes rules for one source.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,7 +1,11 @@
-// Bundles the program for the users' platform into one file: npm run bundle
+// Bundles the program for the users' platform into one file: npm run bundle [-- --outdir FOLDER]
 import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
 import { build } from "esbuild";
 
+const { values } = parseArgs({
+  options: { outdir: { type: "string", default: "target" } },
+});
 const root = fileURLToPath(new URL("..", import.meta.url));
 
 /** The main file of ts-results asks for its parts in a way that cannot be bundled; its ES modules can. */
@@ -25,7 +29,7 @@
 await build({
   absWorkingDir: root,
   entryPoints: { "quetzalcove-node": "platform/src/main.ts" },
-  outdir: "target",
+  outdir: values.outdir,
   outExtension: { ".js": ".mjs" },
   bundle: true,
   platform: "node",
--- /dev/null
+++ b/scripts/soak.js
@@ -0,0 +1,37 @@
+// Runs the fault soak of the platform's program: npm run soak -- --seeds N --seed FIRST --seconds S --entries N --at-once N
+import { spawnSync } from "node:child_process";
+import process from "node:process";
+import { parseArgs } from "node:util";
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: "string", default: "50" },
+    seed: { type: "string", default: String(Date.now() % 1_000_000) },
+    seconds: { type: "string", default: "20" },
+    entries: { type: "string", default: "3" },
+    "at-once": { type: "string", default: "2" },
+  },
+});
+const ending = spawnSync(
+  process.execPath,
+  [
+    "node_modules/vitest/vitest.mjs",
+    "run",
+    "--config",
+    "vitest.soak.config.ts",
+  ],
+  {
+    stdio: "inherit",
+    env: {
+      ...process.env,
+      QUETZALCOVE_SOAK: JSON.stringify({
+        seeds: Number(values.seeds),
+        first: Number(values.seed),
+        lengthMs: 1_000 * Number(values.seconds),
+        entries: Number(values.entries),
+        atOnce: Number(values["at-once"]),
+      }),
+    },
+  },
+);
+process.exitCode = ending.status ?? 1;
--- a/test/harness/relay.ts
+++ b/test/harness/relay.ts
@@ -11,18 +11,30 @@
 interface Pair {
   near: Socket;
   far: Socket;
-  /** A pair made before a silence stays silent for good. */
+  /** IP address of the near end. */
+  source: string;
+  /** Whether the pair stays silent for good. */
   lost: boolean;
 }
 
+/** What happens to the connections of one source. */
+interface Rule {
+  out: Passage;
+  back: Passage;
+  delayMs: number;
+}
+
+const OPEN: Rule = { out: "open", back: "open", delayMs: 0 };
+
 export class Relay {
   readonly #listen: { host: string; port: number };
   readonly #target: { host: string; port: number };
   readonly #pairs = new Set<Pair>();
   #server: Server | undefined;
   #cut = false;
-  #passage: { out: Passage; back: Passage } = { out: "open", back: "open" };
-  #delayMs = 0;
+  #rule = OPEN;
+  /** Rules of single sources, by IP address, which go before the common one. */
+  readonly #rules = new Map<string, Rule>();
 
   constructor(
     listen: { host: string; port: number },
@@ -55,14 +67,15 @@
     this.#pairs.clear();
   }
 
-  /** Swallows bytes without ending any connection. */
+  /** Swallows bytes without ending any connection; of all sources, or of one. */
   silence(
     passage: { out?: Passage; back?: Passage } = {
       out: "silent",
       back: "silent",
     },
+    source?: string,
   ): void {
-    this.#passage = { out: "open", back: "open", ...passage };
+    this.#change({ out: "open", back: "open", ...passage }, source);
   }
 
   /** Present connections stay silent for good; new ones work. */
@@ -72,14 +85,40 @@
     });
   }
 
-  /** Delays each chunk in each direction. */
-  delay(delayMs: number): void {
-    this.#delayMs = delayMs;
+  /** Resets present connections; new ones work. */
+  reset(): void {
+    this.#pairs.forEach(({ near, far }) => {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    });
+  }
+
+  /** Delays each chunk in each direction; of all sources, or of one. */
+  delay(delayMs: number, source?: string): void {
+    this.#change({ delayMs }, source);
+  }
+
+  /** Lets everything pass at once; of one source, or of all. */
+  heal(source?: string): void {
+    if (source === undefined) {
+      this.#cut = false;
+      this.#rule = OPEN;
+      this.#rules.clear();
+    } else {
+      this.#rules.delete(source);
+    }
+  }
+
+  #change(change: Partial<Rule>, source: string | undefined): void {
+    if (source === undefined) {
+      this.#rule = { ...this.#rule, ...change };
+    } else {
+      this.#rules.set(source, { ...this.#ruleOf(source), ...change });
+    }
   }
 
-  heal(): void {
-    this.#cut = false;
-    this.#passage = { out: "open", back: "open" };
+  #ruleOf(source: string): Rule {
+    return this.#rules.get(source) ?? this.#rule;
   }
 
   #accept(near: Socket): void {
@@ -88,7 +127,8 @@
       return;
     }
     const far = connect(this.#target);
-    const pair: Pair = { near, far, lost: false };
+    const source = near.remoteAddress ?? "";
+    const pair: Pair = { near, far, source, lost: false };
     this.#pairs.add(pair);
     this.#pipe(pair, near, far, "out");
     this.#pipe(pair, far, near, "back");
@@ -102,13 +142,16 @@
       to.destroy();
     });
     from.on("data", (chunk) => {
-      if (pair.lost || this.#passage[direction] === "silent") {
+      const rule = this.#ruleOf(pair.source);
+      // A stream that lost some bytes must not go on behind the gap.
+      pair.lost ||= rule[direction] === "silent";
+      if (pair.lost) {
         return;
       }
-      if (this.#delayMs === 0) {
+      if (rule.delayMs === 0) {
         to.write(chunk);
       } else {
-        setTimeout(() => to.write(chunk), this.#delayMs);
+        setTimeout(() => to.write(chunk), rule.delayMs);
       }
     });
   }
--- a/test/torture/callers.ts
+++ b/test/torture/callers.ts
@@ -5,7 +5,7 @@
  */
 import type { Delivery, Scene } from "../harness/scene.ts";
 import { lies } from "../harness/scene.ts";
-import type { Pick } from "./schedule.ts";
+import type { Pick } from "../harness/pick.ts";
 
 const FAILURES = ["short", "undeclared", "silent"] as const;
 const FAILURE_SHARE = 25;
--- a/test/torture/schedule.ts
+++ b/test/torture/schedule.ts
@@ -4,8 +4,7 @@
  *
  * @module
  */
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Pick } from "../harness/pick.ts";
 
 export const FAULT_KINDS = [
   "kill",
@@ -31,14 +30,6 @@
   delayMs: number;
 }
 
-/** A source of random whole numbers from 0 to `below` - 1. */
-export type Pick = (below: number) => number;
-
-export function pickOf(seed: number): Pick {
-  const random = xoroshiro128plus(seed);
-  return (below) => uniformInt(random, 0, below - 1);
-}
-
 const LEADER_SHARE = 3;
 const MIN_REQUESTS = 50;
 const MAX_REQUESTS = 600;
--- a/test/torture/torture_test.ts
+++ b/test/torture/torture_test.ts
@@ -3,11 +3,12 @@
 import { callAdmin } from "@quetzalcove/emulator";
 import { contradiction } from "../harness/history.ts";
 import { forgotten, type Office, Operators } from "../harness/operators.ts";
+import { pickOf } from "../harness/pick.ts";
 import { overlaps, PoolWatch, withPools } from "../harness/pools.ts";
 import { Scene } from "../harness/scene.ts";
 import { Callers, RUN_MS } from "./callers.ts";
 import { begin } from "./faults.ts";
-import { nextStep, pickOf, type Step } from "./schedule.ts";
+import { nextStep, type Step } from "./schedule.ts";
 
 const MINUTES = Number(process.env["QUETZALCOVE_TORTURE_MINUTES"] ?? 10);
 const SEED = Number(process.env["QUETZALCOVE_TORTURE_SEED"] ?? 1);
