--- a/packages/core/src/scheduling/work_estimate.ts
+++ b/packages/core/src/scheduling/work_estimate.ts
@@ -1,12 +1,21 @@
 /**
  * How long tasks of a queue really take against their submitters' guesses.
  *
+ * Answers the pattern of guesses that are far off: a guess is trusted as far as the guesses of its queue have told long
+ * tasks from short ones, and pulled towards the queue's mean otherwise.
+ *
  * @module
  */
 import type { JobRecord } from "./job_record.ts";
 
-/** Weight of one observation: some twenty tasks, two or three jobs, set the estimate. */
-const OBSERVATION_WEIGHT = 0.05;
+/** Weight that an observation keeps with each later one: some fifty tasks, six to ten jobs, set the estimate. */
+const MEMORY = 0.98;
+
+/** Weight of the assumption that guesses are right on the mean, in observations; it fades like they do. */
+const TRUST_IN_MEAN = 2;
+
+/** Weight of the assumption that guesses tell long tasks from short ones, in observations: about three jobs. */
+const TRUST_IN_ORDER = 20;
 
 /** Duration assumed for a task without a guess, in milliseconds. */
 const DEFAULT_TASK_MS = 1_000;
@@ -15,23 +24,68 @@
 const MAX_RATIO = 8;
 const MIN_RATIO = 0.125;
 
-/** Ratio of real durations to guesses, by queue: an exponentially weighted mean. */
+/** Assumed variance of logarithms of guesses, which scales the trust in them; it is that of guesses off by half. */
+const GUESS_VARIANCE = 0.25;
+
+/** Weighted sums over the tasks of one queue; x is the logarithm of a guess, d that of real duration by guess. */
+interface Sums {
+  weight: number;
+  x: number;
+  d: number;
+  xx: number;
+  xd: number;
+  dd: number;
+}
+
+/**
+ * Real durations by queue and guess: a log-linear regression with exponential forgetting, regularized towards guesses
+ * that are right (ridge regression), and corrected to the mean of the log-normal distribution.
+ */
 export class WorkEstimate {
-  readonly #ratios = new Map<string, number>();
+  readonly #queues = new Map<string, Sums>();
 
   /** Learns from a task that was done. */
   observe(queue: string, guessedMs: number, tookMs: number): void {
-    const observed = Math.min(
-      MAX_RATIO,
-      Math.max(MIN_RATIO, tookMs / (guessedMs || DEFAULT_TASK_MS)),
-    );
-    const known = this.#ratios.get(queue) ?? 1;
-    this.#ratios.set(queue, known + OBSERVATION_WEIGHT * (observed - known));
+    const ratio = tookMs / (guessedMs || DEFAULT_TASK_MS);
+    const x = Math.log(guessedMs || DEFAULT_TASK_MS);
+    const d = Math.log(Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio)));
+    const before = this.#queues.get(queue) ?? {
+      weight: TRUST_IN_MEAN,
+      x: TRUST_IN_MEAN * x,
+      d: 0,
+      xx: TRUST_IN_MEAN * x * x,
+      xd: 0,
+      dd: 0,
+    };
+    const add = (old: number, value: number): number => MEMORY * old + value;
+    this.#queues.set(queue, {
+      weight: add(before.weight, 1),
+      x: add(before.x, x),
+      d: add(before.d, d),
+      xx: add(before.xx, x * x),
+      xd: add(before.xd, x * d),
+      dd: add(before.dd, d * d),
+    });
   }
 
   /** Expected duration of a task, in milliseconds. */
   taskMs(queue: string, guessedMs: number): number {
-    return (guessedMs || DEFAULT_TASK_MS) * (this.#ratios.get(queue) ?? 1);
+    const guess = guessedMs || DEFAULT_TASK_MS;
+    const sums = this.#queues.get(queue);
+    if (sums === undefined) {
+      return guess;
+    }
+    const { weight } = sums;
+    const meanX = sums.x / weight;
+    const meanD = sums.d / weight;
+    const varianceX = sums.xx - weight * meanX * meanX;
+    const covariance = sums.xd - meanX * sums.d;
+    const slope = covariance / (varianceX + TRUST_IN_ORDER * GUESS_VARIANCE);
+    const spread = sums.dd - meanD * sums.d -
+      2 * slope * covariance + slope * slope * varianceX;
+    const variance = Math.max(0, spread) / weight;
+    const x = Math.log(guess);
+    return Math.exp(x + meanD + slope * (x - meanX) + variance / 2);
   }
 
   /** Expected length of the longest chain of steps from a step on, in milliseconds. */
