Write log lines whole, no more at once than a pipe takes

Ruled out: the bound on waiting lines, as no log.dropped was written. Writes now end with a line and stay below 4,096 bytes, which pipes take whole.

--- a/packages/daemon/src/observe/bounded_output.ts
+++ b/packages/daemon/src/observe/bounded_output.ts
@@ -12,8 +12,21 @@
 /** Longest wait before lines are written together, in milliseconds. */
 const GATHER_MS = 50;
 
+/** Most bytes of one write: what pipes take whole, so that no reader sees a part of a line. */
+const PIPE_BYTES = 4_096;
+
+/** Writes bytes to a file descriptor, and tells how many of them were taken. */
+export type Write = (
+  descriptor: number,
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+) => void;
+
 /** Opens a bounded stream on a file descriptor. Lines of some milliseconds share one write. */
-export function boundedOutput(descriptor: number): Writable {
+export function boundedOutput(
+  descriptor: number,
+  writeTo: Write = write,
+): Writable {
   let waiting: string[] = [];
   let waitingBytes = 0;
   let dropped = 0;
@@ -24,11 +37,13 @@
       return;
     }
     const note = dropped === 0 ? "" : `event=log.dropped lines=${dropped}\n`;
-    const text = waiting.join("") + note;
+    const chunks = inChunks([...waiting, note]);
     waiting = [];
     waitingBytes = 0;
     dropped = 0;
-    writeAll(descriptor, Buffer.from(text), () => later(flush));
+    const writeBytes: WriteBytes = (bytes, done) =>
+      writeTo(descriptor, bytes, done);
+    writeChunks(writeBytes, chunks, () => later(flush));
   };
   return new Writable({
     decodeStrings: false,
@@ -54,11 +69,46 @@
   setTimeout(flush, GATHER_MS).unref();
 }
 
-function writeAll(descriptor: number, bytes: Buffer, done: () => void): void {
-  write(descriptor, bytes, (error, written) => {
+/** Joins lines as long as they fit into one write. */
+function inChunks(lines: readonly string[]): Buffer[] {
+  const chunks: string[] = [];
+  let chunk = "";
+  for (const line of lines) {
+    if (chunk.length + line.length > PIPE_BYTES && chunk !== "") {
+      chunks.push(chunk);
+      chunk = "";
+    }
+    chunk += line;
+  }
+  return [...chunks, chunk].map((text) => Buffer.from(text));
+}
+
+type WriteBytes = (
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+) => void;
+
+function writeChunks(
+  writeBytes: WriteBytes,
+  [chunk, ...others]: readonly Buffer[],
+  done: () => void,
+): void {
+  if (chunk === undefined) {
+    done();
+  } else {
+    writeAll(writeBytes, chunk, () => writeChunks(writeBytes, others, done));
+  }
+}
+
+function writeAll(
+  writeBytes: WriteBytes,
+  bytes: Buffer,
+  done: () => void,
+): void {
+  writeBytes(bytes, (error, written) => {
     const isPartial = error === null && written < bytes.length;
     if (isPartial) {
-      writeAll(descriptor, bytes.subarray(written), done);
+      writeAll(writeBytes, bytes.subarray(written), done);
     } else {
       // Without a reader there is nobody to report a failed write to.
       done();
--- a/packages/daemon/test/bounded_output_test.ts
+++ b/packages/daemon/test/bounded_output_test.ts
@@ -29,6 +29,30 @@
     );
   });
 
+  it("is written in whole lines, no more at once than a pipe takes", async () => {
+    const writes: string[] = [];
+    const output = boundedOutput(descriptor, (_, bytes, done) => {
+      writes.push(bytes.toString());
+      setImmediate(() => done(null, bytes.length));
+    });
+    const lines = Array.from({ length: 500 }, (_, i) => `event=e n=${i}\n`);
+    lines.forEach((line) => output.write(line));
+    await vi.waitFor(() => expect(writes.join("")).toBe(lines.join("")));
+    expect(writes.every((text) => text.endsWith("\n"))).toBe(true);
+    expect(Math.max(...writes.map(({ length }) => length)))
+      .toBeLessThanOrEqual(4_096);
+  });
+
+  it("goes on with the rest when only a part was taken", async () => {
+    let taken = "";
+    const output = boundedOutput(descriptor, (_, bytes, done) => {
+      taken += bytes.subarray(0, 3).toString();
+      setImmediate(() => done(null, Math.min(3, bytes.length)));
+    });
+    output.write("abcdefgh\n");
+    await vi.waitFor(() => expect(taken).toBe("abcdefgh\n"));
+  });
+
   it("is dropped beyond its bound, and says how much was", async () => {
     const output = boundedOutput(descriptor);
     const line = `${"x".repeat(99_999)}\n`;
