Bound the work of passes, and try nothing again where it failed

- Passes take a third of the processor at most; a step that needs no less than one that found no room is not tried against the same workers.
- Moves have a limit of their own; idle VMs of a wave are spread over its time while a pool is short.

--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -383,6 +383,7 @@
     }
     if (end.how === "failed" && wasActive) {
       task.failures += 1;
+      task.failedOn = end.worker;
       const failures = spec.gang
         ? sum(record.tasks[place.step]?.map((member) => member.failures) ?? [])
         : task.failures;
--- a/packages/core/src/scheduling/placing.ts
+++ b/packages/core/src/scheduling/placing.ts
@@ -2,13 +2,14 @@
  * Which worker runs which task.
  *
  * Answers the pattern of many small steps that share a pool: tasks are packed on the fullest worker that has room, so
- * that wide steps still find empty workers and idle ones can leave the pool.
+ * that wide steps still find empty workers and idle ones can leave the pool. A worker that fails all that it starts has
+ * always room, so a task is not tried again where it failed.
  *
  * @module
  */
 import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
 import type { RunKey, Worker } from "./command.ts";
-import type { WaitingStep } from "./job_record.ts";
+import type { TaskRecord, WaitingStep } from "./job_record.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 
@@ -43,13 +44,17 @@
   /** Whether a task of a step may run here. */
   accepts(step: WaitingStep): boolean {
     const { spec, name } = step;
-    const { cpuMilli, memoryMb, gpus } = reservation(spec);
-    const { free, worker } = this;
-    return free.cpuMilli >= cpuMilli && free.memoryMb >= memoryMb &&
-      free.gpus >= gpus && hasLabel(worker, spec.requiredLabel) &&
+    return fits(spec, this.free) &&
+      hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#ofStep(name) < spec.maxPerWorker);
   }
 
+  /** Whether a task of a step could run here if nothing else did. */
+  couldAccept({ spec }: WaitingStep): boolean {
+    const { capacity } = this.worker;
+    return fits(spec, capacity) && hasLabel(this.worker, spec.requiredLabel);
+  }
+
   /** Whether a task that fills would run beside one that serves, and slow it down. */
   wouldDisturb({ fills, targetLatencyMs }: StepSpec): boolean {
     return fills ? this.#serving > 0 : targetLatencyMs > 0 && this.#filling > 0;
@@ -71,6 +76,36 @@
   }
 }
 
+/** Smallest demands that found no room in one pass, so that a long queue is not tried against full workers. */
+export class FullRooms {
+  readonly #smallest = new Map<string, Resources>();
+
+  /** Notes a step of which tasks found no room, if room was all that they lacked. */
+  note(step: WaitingStep): void {
+    const { spec, job, indices } = step;
+    const isPlain = !spec.gang && !spec.sameRack && spec.maxPerWorker === 0 &&
+      !job.terms.advised &&
+      [...indices].every((index) =>
+        taskOf(step, index)?.failedOn === undefined
+      );
+    if (isPlain) {
+      this.#smallest.set(keyOf(step), reservation(spec));
+    }
+  }
+
+  /** Whether a step needs at least as much as one that found no room. */
+  covers(step: WaitingStep): boolean {
+    const smallest = this.#smallest.get(keyOf(step));
+    const { cpuMilli, memoryMb, gpus } = reservation(step.spec);
+    return smallest !== undefined && cpuMilli >= smallest.cpuMilli &&
+      memoryMb >= smallest.memoryMb && gpus >= smallest.gpus;
+  }
+}
+
+function keyOf({ job, spec }: WaitingStep): string {
+  return `${job.pool} ${spec.requiredLabel}`;
+}
+
 /** Chooses workers for as many tasks of a step as fit; all or none for a gang. */
 export function placeStep(
   step: WaitingStep,
@@ -94,16 +129,33 @@
 ): RunKey[] {
   const placed: RunKey[] = [];
   for (const index of indices) {
-    const room = chooseRoom(step, rooms);
-    if (room === undefined) {
+    const { failedOn } = taskOf(step, index) ?? {};
+    const room = chooseRoom(step, withoutFailed(step, failedOn, rooms));
+    if (room === undefined && failedOn === undefined) {
       break;
     }
+    if (room === undefined) {
+      continue;
+    }
     room.take(step);
     placed.push(runKey(step, index, room.worker.id));
   }
   return placed;
 }
 
+/** Rooms other than that of the worker on which a task failed, unless no other could ever take it. */
+function withoutFailed(
+  step: WaitingStep,
+  failedOn: string | undefined,
+  rooms: readonly Room[],
+): readonly Room[] {
+  if (failedOn === undefined) {
+    return rooms;
+  }
+  const others = rooms.filter(({ worker }) => worker.id !== failedOn);
+  return others.some((room) => room.couldAccept(step)) ? others : rooms;
+}
+
 /** Places all tasks or none, on one rack if that is possible. */
 function placeTogether(
   step: WaitingStep,
@@ -190,18 +242,31 @@
 }
 
 function runKey(
-  { job, round, step }: WaitingStep,
+  waiting: WaitingStep,
   index: number,
   worker: string,
 ): RunKey {
-  const task = job.rounds[round]?.tasks[step]?.[index];
+  const { job, round, step } = waiting;
   return {
     task: taskName({ job: job.id, round, step, index }),
-    run: (task?.run ?? 0) + 1,
+    run: (taskOf(waiting, index)?.run ?? 0) + 1,
     worker,
   };
 }
 
+function taskOf(
+  { job, round, step }: WaitingStep,
+  index: number,
+): TaskRecord | undefined {
+  return job.rounds[round]?.tasks[step]?.[index];
+}
+
+function fits(spec: StepSpec, room: Resources): boolean {
+  const { cpuMilli, memoryMb, gpus } = reservation(spec);
+  return room.cpuMilli >= cpuMilli && room.memoryMb >= memoryMb &&
+    room.gpus >= gpus;
+}
+
 /** All members of a gang run under one number. */
 function nextGangRun({ job, round, step }: WaitingStep): number {
   const tasks = job.rounds[round]?.tasks[step] ?? [];
--- a/packages/core/src/scheduling/worker_health.ts
+++ b/packages/core/src/scheduling/worker_health.ts
@@ -2,7 +2,8 @@
  * Which workers are to be left alone for a while, from how runs end and progress there.
  *
  * Answers the pattern of workers that report themselves healthy and fail, hang or delay what they run. Failures of one
- * job say little about a worker, because some jobs fail everywhere; failures of several jobs in a row do.
+ * job say little about a worker, because some jobs fail everywhere; failures of several jobs in a row do, unless these
+ * jobs fail on other workers as well.
  *
  * @module
  */
@@ -15,14 +16,22 @@
 const FIRST_PAUSE_MS = 2_000;
 const LONGEST_PAUSE_MS = 16_000;
 
+/** Failed jobs that are remembered; the oldest are forgotten first. */
+const MAX_FAILED_JOBS = 4_096;
+
 interface Record {
+  /** Jobs that failed in a row. */
   failedJobs: Set<string>;
+  /** Jobs for which it is paused. */
+  blamedFor: Set<string>;
   pausedUntil: number;
   pauseMs: number;
 }
 
 export class WorkerHealth {
   readonly #records = new Map<string, Record>();
+  /** Worker on which each job failed first; undefined once it failed on another. */
+  readonly #failedFirstOn = new Map<string, string | undefined>();
 
   /** Whether a worker may get new work. */
   isTrusted(worker: string, now: number): boolean {
@@ -43,6 +52,9 @@
     if (how !== "failed") {
       return false;
     }
+    if (this.#failsEverywhere(worker, job, now)) {
+      return false;
+    }
     const record = this.#record(worker);
     record.failedJobs.add(job);
     // After a pause, the first failure is enough.
@@ -50,6 +62,41 @@
     return record.failedJobs.size >= needed && this.#pause(record, now);
   }
 
+  /** Whether a job failed on several workers; then the first one is no longer blamed for it. */
+  #failsEverywhere(worker: string, job: string, now: number): boolean {
+    const isKnown = this.#failedFirstOn.has(job);
+    const first = this.#failedFirstOn.get(job);
+    if (!isKnown) {
+      this.#remember(job, worker);
+      return false;
+    }
+    if (first === worker) {
+      return false;
+    }
+    if (first !== undefined) {
+      this.#failedFirstOn.set(job, undefined);
+      this.#exonerate(first, job, now);
+    }
+    return true;
+  }
+
+  #remember(job: string, worker: string): void {
+    this.#failedFirstOn.set(job, worker);
+    const [oldest] = this.#failedFirstOn.keys();
+    if (this.#failedFirstOn.size > MAX_FAILED_JOBS && oldest !== undefined) {
+      this.#failedFirstOn.delete(oldest);
+    }
+  }
+
+  #exonerate(worker: string, job: string, now: number): void {
+    const record = this.#records.get(worker);
+    record?.failedJobs.delete(job);
+    const wasBlamed = record?.blamedFor.delete(job) === true;
+    if (wasBlamed && record.blamedFor.size === 0 && now < record.pausedUntil) {
+      this.#records.delete(worker);
+    }
+  }
+
   /** Notes that nothing on a worker progresses; returns whether it was paused for it. */
   noteStall(worker: string, now: number): boolean {
     return this.isTrusted(worker, now) &&
@@ -66,6 +113,7 @@
     if (record === undefined) {
       record = {
         failedJobs: new Set(),
+        blamedFor: new Set(),
         pausedUntil: 0,
         pauseMs: FIRST_PAUSE_MS,
       };
@@ -75,7 +123,8 @@
   }
 
   #pause(record: Record, now: number): boolean {
-    record.failedJobs.clear();
+    record.blamedFor = record.failedJobs;
+    record.failedJobs = new Set();
     record.pausedUntil = now + record.pauseMs;
     record.pauseMs = Math.min(LONGEST_PAUSE_MS, 2 * record.pauseMs);
     return true;
--- a/packages/core/test/scheduling_placing_test.ts
+++ b/packages/core/test/scheduling_placing_test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import {
+  FullRooms,
   inOrderOfUrgency,
   type JobBook,
   nextPace,
@@ -68,6 +69,60 @@
     expect(workersOf(placeOnly(jobs, "j"))).toEqual(["w2"]);
   });
 
+  it("does not try a task again where it failed, though all others are full", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    submit(jobs, "j", spec(step({ taskCount: 8 })));
+    const runs = placeOnly(jobs, "j");
+    place(jobs, ...runs);
+    const on = (id: string): RunKey =>
+      runs.find(({ worker }) => worker === id) as RunKey;
+    end(jobs, on("w1"), "failed");
+    expect(placeOnly(jobs, "j")).toEqual([]);
+    end(jobs, on("w2"), "done");
+    expect(placeOnly(jobs, "j")).toEqual([
+      { task: on("w1").task, run: 2, worker: "w2" },
+    ]);
+  });
+
+  it("tries a task again where it failed when no other worker could take it", () => {
+    const jobs = book([worker("w1"), worker("w2", { labels: ["b", "r1"] })]);
+    submit(jobs, "j", spec(step({ requiredLabel: "a" })));
+    place(jobs, run("j.0.0.0", 1, "w1"));
+    end(jobs, run("j.0.0.0", 1, "w1"), "failed");
+    expect(workersOf(placeOnly(jobs, "j"))).toEqual(["w1"]);
+  });
+
+  it("is not tried for a step that needs no less than one that found no room", () => {
+    const jobs = book([worker("w1")]);
+    const add = (id: string, of: Partial<StepSpec>): WaitingStep => {
+      submit(jobs, id, spec(step(of)));
+      return jobs.waiting.get(`${id}.0.0`) as WaitingStep;
+    };
+    const demand = (cpuMilli: number): StepSpec["demand"] => ({
+      cpuMilli,
+      memoryMb: 100,
+      gpus: 0,
+    });
+    const full = new FullRooms();
+    const failed = add("a", { demand: demand(2_000) });
+    expect(full.covers(failed)).toBe(false);
+    full.note(failed);
+    expect(full.covers(add("b", { demand: demand(3_000) }))).toBe(true);
+    expect(full.covers(add("c", { demand: demand(1_000) }))).toBe(false);
+    expect(full.covers(add("d", { requiredLabel: "b" }))).toBe(false);
+  });
+
+  it("says nothing of others when a step lacked more than room", () => {
+    const jobs = book([worker("w1")]);
+    submit(jobs, "a", spec(step({ taskCount: 2, maxPerWorker: 1 })));
+    submit(jobs, "b", spec(step({ taskCount: 2, gang: true })));
+    const full = new FullRooms();
+    for (const waiting of jobs.waiting.values()) {
+      full.note(waiting);
+      expect(full.covers(waiting)).toBe(false);
+    }
+  });
+
   it("needs the label that the step requires", () => {
     const jobs = book([worker("w1"), worker("w2", { labels: ["b", "r2"] })]);
     submit(jobs, "j", spec(step({ requiredLabel: "b" })));
@@ -244,6 +299,28 @@
     expect(health.isTrusted("w", 4_600)).toBe(true);
   });
 
+  it("is not blamed for jobs that fail on other workers as well", () => {
+    const health = new WorkerHealth();
+    health.noteEnd("w", "a", "failed", 0);
+    expect(health.noteEnd("w", "b", "failed", 0)).toBe(true);
+    health.noteEnd("v", "a", "failed", 100);
+    expect(health.isTrusted("w", 100)).toBe(false);
+    health.noteEnd("v", "b", "failed", 100);
+    expect(health.isTrusted("w", 100)).toBe(true);
+    expect(health.isTrusted("v", 100)).toBe(true);
+    health.noteEnd("u", "a", "failed", 200);
+    expect(health.noteEnd("u", "b", "failed", 200)).toBe(false);
+  });
+
+  it("stays paused for a stall whatever jobs fail elsewhere", () => {
+    const health = new WorkerHealth();
+    health.noteEnd("w", "a", "failed", 0);
+    health.noteEnd("w", "a", "done", 0);
+    health.noteStall("w", 0);
+    health.noteEnd("v", "a", "failed", 100);
+    expect(health.isTrusted("w", 100)).toBe(false);
+  });
+
   it("is not blamed for runs that were stopped or lost their lease", () => {
     const health = new WorkerHealth();
     for (const how of ["stopped", "lapsed", "broken", "alone"] as const) {
--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -6,6 +6,7 @@
 import {
   type ArrivalRates,
   chooseMoves,
+  isShortOfVms,
   type JobBook,
   type PoolDemand,
   poolDemands,
@@ -26,8 +27,8 @@
   isBeingPlaced: (worker: string) => boolean;
 }
 
-/** Most orders that may be under way at once: a quarter of what the platform takes in a second. */
-const MAX_ORDERS = 16;
+/** Most moves that may be under way at once: half of what the platform takes in a second. */
+const MAX_MOVES = 32;
 
 const MILLI = 1_000;
 
@@ -76,8 +77,12 @@
     this.#followIdleness(now);
     this.#vms.step(now, this.#upkeep.isUnderWay);
     if (this.#vms.isKnown) {
-      this.#upkeep.step(now);
-      this.#move(now);
+      const { rates, estimate } = this.#parts;
+      const demands = poolDemands(this.#book, rates, estimate, now);
+      const isShort = isShortOfVms(this.#pools(demands, now));
+      this.#upkeep.step(now, isShort);
+      // Upkeep takes some VMs, so what is left is counted again.
+      this.#move(demands, this.#pools(demands, now));
     }
   }
 
@@ -98,11 +103,13 @@
     }
   }
 
-  #move(now: number): void {
-    const { rates, estimate, log } = this.#parts;
-    const demands = poolDemands(this.#book, rates, estimate, now);
-    for (const { vm, from, to } of chooseMoves(this.#pools(demands, now))) {
-      if (this.#vms.pendingOrders >= MAX_ORDERS) {
+  #move(
+    demands: ReadonlyMap<string, PoolDemand>,
+    pools: readonly PoolState[],
+  ): void {
+    const { log } = this.#parts;
+    for (const { vm, from, to } of chooseMoves(pools)) {
+      if (this.#vms.pendingMoves >= MAX_MOVES) {
         return;
       }
       const demand = demands.get(to);
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -5,6 +5,7 @@
  */
 import {
   ArrivalRates,
+  FullRooms,
   inOrderOfUrgency,
   type JobBook,
   placeStep,
@@ -43,6 +44,12 @@
 /** Interval of passes that nothing else asked for, in milliseconds: bounds the delay of a repeated order. */
 const IDLE_PASS_MS = 100;
 
+/** Pause after a pass, as a multiple of its duration: deciding takes at most a third of the processor. */
+const PASS_PAUSE_FACTOR = 2;
+
+/** Interval of looks at the fleet, in milliseconds: short against the second and a half that a VM is on its way. */
+const FLEET_MS = 50;
+
 /** Interval at which outcomes of old jobs are dropped, in milliseconds. */
 const FORGET_MS = 10_000;
 
@@ -62,6 +69,8 @@
   #placing = new Set<string>();
   #stopped = false;
   #forgotAt: number;
+  #nextPassAt = -Infinity;
+  #fleetSeenAt = -Infinity;
 
   constructor(parts: TenureParts) {
     this.#parts = parts;
@@ -131,14 +140,21 @@
     };
   }
 
-  /** Runs a pass in the next turn of the event loop. */
+  /** Runs a pass soon: in the next turn of the event loop, or after the pause that the last one calls for. */
   wake(): void {
-    if (!this.#passDue && !this.#stopped) {
-      this.#passDue = true;
-      setImmediate(() => {
-        this.#passDue = false;
-        this.#pass();
-      });
+    if (this.#passDue || this.#stopped) {
+      return;
+    }
+    this.#passDue = true;
+    const pass = (): void => {
+      this.#passDue = false;
+      this.#pass();
+    };
+    const pauseMs = this.#nextPassAt - this.#parts.clock.monotonic();
+    if (pauseMs > 0) {
+      setTimeout(pass, pauseMs);
+    } else {
+      setImmediate(pass);
     }
   }
 
@@ -188,9 +204,14 @@
     this.#openRounds();
     this.#forgetOldJobs(now);
     this.#logEndedJobs();
-    this.#fleet?.step(now);
+    if (now - this.#fleetSeenAt >= FLEET_MS) {
+      this.#fleetSeenAt = now;
+      this.#fleet?.step(now);
+    }
     this.#sessions.forEach((session) => session.sendDue());
     void this.#place(now);
+    const end = this.#parts.clock.monotonic();
+    this.#nextPassAt = end + PASS_PAUSE_FACTOR * (end - now);
   }
 
   /** Opens a session with each worker of the book, and follows what changed about it. */
@@ -317,8 +338,11 @@
       this.#estimate,
       this.#parts.clock.wall(),
     );
+    const full = new FullRooms();
     const runs = inOrder.flatMap((step) =>
-      this.#placeStep(step, this.#roomsFor(step, rooms, now))
+      full.covers(step)
+        ? []
+        : this.#placeStep(step, this.#roomsFor(step, rooms, now), full)
     );
     this.#advice?.follow(
       inOrder,
@@ -346,8 +370,15 @@
       : own;
   }
 
-  #placeStep(step: WaitingStep, rooms: readonly Room[]): RunKey[] {
+  #placeStep(
+    step: WaitingStep,
+    rooms: readonly Room[],
+    full: FullRooms,
+  ): RunKey[] {
     const placed = placeStep(step, rooms);
+    if (placed.length < step.indices.size) {
+      full.note(step);
+    }
     if (placed.length > 0) {
       this.#parts.log.info("step.placed", {
         step: step.name,
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -69,9 +69,9 @@
     return this.#listedAt !== -Infinity;
   }
 
-  /** VMs with an order that may still be carried out. */
-  get pendingOrders(): number {
-    return this.#orders.pending;
+  /** Moves that may still be carried out. */
+  get pendingMoves(): number {
+    return this.#orders.pendingMoves;
   }
 
   get listed(): Iterable<ListedVm> {
--- a/packages/daemon/src/scheduler/vm_orders.ts
+++ b/packages/daemon/src/scheduler/vm_orders.ts
@@ -34,7 +34,8 @@
 
 export class VmOrders {
   readonly #parts: VmOrderParts;
-  readonly #pending = new Set<string>();
+  /** What was ordered for each VM. */
+  readonly #pending = new Map<string, VmAction["kind"]>();
   #count = 0;
   #stopped = false;
 
@@ -47,9 +48,9 @@
     return this.#pending.has(vm);
   }
 
-  /** Number of VMs with an order that may still be carried out. */
-  get pending(): number {
-    return this.#pending.size;
+  /** Number of moves that may still be carried out. */
+  get pendingMoves(): number {
+    return [...this.#pending.values()].filter((kind) => kind === "move").length;
   }
 
   stop(): void {
@@ -59,7 +60,7 @@
   /** Orders an action and repeats it until the answer is definite; undefined when the term ended before. */
   async order(vm: string, action: VmAction): Promise<VmAnswer | undefined> {
     const { term, log, metrics, hasAuthority } = this.#parts;
-    this.#pending.add(vm);
+    this.#pending.set(vm, action.kind);
     this.#count += 1;
     const fence = term * ORDERS_PER_TERM + this.#count;
     let answer: VmAnswer | undefined;
