--- a/packages/core/test/scheduling_day.ts
+++ b/packages/core/test/scheduling_day.ts
@@ -11,6 +11,7 @@
   chooseMoves,
   inOrderOfUrgency,
   JobBook,
+  type Move,
   placeStep,
   type PoolDemand,
   poolDemands,
@@ -46,6 +47,10 @@
   /** How long the demand of each queue is up, in milliseconds; one after the other. */
   turnMs: number;
   seed: number;
+  /** Chooses moves; as the product does, unless given. */
+  choose?: (pools: readonly PoolState[]) => Move[];
+  /** Learns durations; the product's estimate, unless given. */
+  estimate?: WorkEstimate;
 }
 
 export interface DayResult {
@@ -99,7 +104,7 @@
   readonly #random;
   readonly #book = new JobBook();
   readonly #rates = new ArrivalRates();
-  readonly #estimate = new WorkEstimate();
+  readonly #estimate: WorkEstimate;
   readonly #vms = new Map<string, Vm>();
   readonly #ends = new Map<number, { run: RunKey; tookMs: number }[]>();
   readonly #idleSince = new Map<string, number>();
@@ -110,6 +115,7 @@
 
   constructor(plan: DayPlan) {
     this.#plan = plan;
+    this.#estimate = plan.estimate ?? new WorkEstimate();
     const generator = xoroshiro128plus(plan.seed);
     this.#random = () => uniformFloat64(generator);
     this.#book.apply({
@@ -252,7 +258,8 @@
 
   #move(now: number): void {
     const demands = poolDemands(this.#book, this.#rates, this.#estimate, now);
-    for (const { vm, to } of chooseMoves(this.#pools(demands, now))) {
+    const { choose = chooseMoves } = this.#plan;
+    for (const { vm, to } of choose(this.#pools(demands, now))) {
       const moved = this.#vms.get(vm);
       if (moved !== undefined) {
         const { worker: last } = moved;
