Explain from the logs of all nodes what became of a job

An on-call engineer has an id and a folder of logs; the way from one to the cause was grep by hand over all nodes.

--- a/packages/cli/src/commands/mod.ts
+++ b/packages/cli/src/commands/mod.ts
@@ -7,6 +7,7 @@
 import { APPLY } from "./apply.ts";
 import { CONFIG } from "./config.ts";
 import { DRAIN, RESUME } from "./drain.ts";
+import { EXPLAIN } from "./explain.ts";
 import { EXPORT } from "./export.ts";
 import { IMPORT } from "./import.ts";
 import { INIT } from "./init.ts";
@@ -38,4 +39,5 @@
   SETTLE,
   REPLICAS,
   TRACE,
+  EXPLAIN,
 ];
--- a/packages/cli/src/runtime.ts
+++ b/packages/cli/src/runtime.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import { readFile, writeFile } from "node:fs/promises";
+import { readdir, readFile, writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as wait } from "node:timers/promises";
 import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
@@ -18,6 +19,8 @@
   printError(text: string): void;
   readText(path: string): Promise<Result<string, Fault>>;
   writeText(path: string, text: string): Promise<Result<void, Fault>>;
+  /** Paths of the files directly in a folder, in the order of their names. */
+  listFiles(folder: string): Promise<Result<string[], Fault>>;
   /** Wall-clock time in milliseconds. */
   now(): number;
   sleep(ms: number): Promise<void>;
@@ -33,6 +36,7 @@
     printError: (text) => void process.stderr.write(text),
     readText,
     writeText,
+    listFiles,
     now: () => Date.now(),
     sleep: async (ms) => {
       await wait(ms);
@@ -61,11 +65,22 @@
   }
 }
 
+async function listFiles(folder: string): Promise<Result<string[], Fault>> {
+  try {
+    const entries = await readdir(folder, { withFileTypes: true });
+    const files = entries.filter((entry) => entry.isFile());
+    return Ok(files.map(({ name }) => join(folder, name)).sort());
+  } catch (error) {
+    return Err(describeFileError("read", folder, error));
+  }
+}
+
 const FILE_ERRORS: Record<string, string> = {
   EACCES: "permission denied",
   EISDIR: "it is a folder",
   ENOENT: "no such file or folder",
   ENOSPC: "no space is left",
+  ENOTDIR: "it is no folder",
 };
 
 function describeFileError(
--- a/packages/cli/test/input_test.ts
+++ b/packages/cli/test/input_test.ts
@@ -186,6 +186,7 @@
       print: () => {},
       printError: () => {},
       readText: () => Promise.reject(new Error("No file is read")),
+      listFiles: () => Promise.reject(new Error("No folder is read")),
       writeText: () => Promise.reject(new Error("No file is written")),
       now: () => 0,
       sleep: () => Promise.resolve(),
--- a/packages/cli/test/session.ts
+++ b/packages/cli/test/session.ts
@@ -80,6 +80,7 @@
         this.files.set(path, text);
         return Promise.resolve(Ok.EMPTY);
       },
+      listFiles: (folder) => Promise.resolve(this.#list(folder)),
       now: () => this.now,
       sleep: (ms) => {
         this.now += ms;
@@ -89,6 +90,19 @@
     };
   }
 
+  #list(
+    folder: string,
+  ): ReturnType<Runtime["listFiles"]> extends Promise<infer R> ? R : never {
+    const files = [...this.files.keys()].filter((path) =>
+      path.startsWith(`${folder}/`)
+    );
+    return files.length > 0 ? Ok(files) : Err(
+      fault("invalid", `Cannot read ${folder}: no such file or folder`, {
+        path: folder,
+      }),
+    );
+  }
+
   #read(
     path: string,
   ): ReturnType<Runtime["readText"]> extends Promise<infer R> ? R
