--- a/packages/core/src/scheduling/job_book.ts
+++ b/packages/core/src/scheduling/job_book.ts
@@ -383,7 +383,7 @@
     }
     if (end.how === "failed" && wasActive) {
       task.failures += 1;
-      task.failedOn = end.worker;
+      task.lastFailure = { worker: end.worker, atMs };
       const failures = spec.gang
         ? sum(record.tasks[place.step]?.map((member) => member.failures) ?? [])
         : task.failures;
--- a/packages/core/src/scheduling/job_record.ts
+++ b/packages/core/src/scheduling/job_record.ts
@@ -13,8 +13,8 @@
   /** Number of the last run; 0 before the first. */
   run: number;
   failures: number;
-  /** Worker on which it failed last; undefined before it failed. */
-  failedOn?: string | undefined;
+  /** Worker on which it failed last, and when by the wall clock in milliseconds; undefined before it failed. */
+  lastFailure?: { worker: string; atMs: number } | undefined;
   isDone: boolean;
   /** Latest checkpoint; empty for none. */
   checkpoint: string;
--- a/packages/core/src/scheduling/placing.ts
+++ b/packages/core/src/scheduling/placing.ts
@@ -3,7 +3,7 @@
  *
  * Answers the pattern of many small steps that share a pool: tasks are packed on the fullest worker that has room, so
  * that wide steps still find empty workers and idle ones can leave the pool. A worker that fails all that it starts has
- * always room, so a task is not tried again where it failed.
+ * always room, so for a while a task is not tried again where it failed.
  *
  * @module
  */
@@ -13,6 +13,9 @@
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 
+/** Time in which a task waits for another worker than that on which it failed, in milliseconds: one or two tasks there. */
+const ELSEWHERE_MS = 1_500;
+
 /** A worker that may take tasks, and what is left of it during one pass. */
 export class Room {
   readonly worker: Worker;
@@ -86,7 +89,7 @@
     const isPlain = !spec.gang && !spec.sameRack && spec.maxPerWorker === 0 &&
       !job.terms.advised &&
       [...indices].every((index) =>
-        taskOf(step, index)?.failedOn === undefined
+        taskOf(step, index)?.lastFailure === undefined
       );
     if (isPlain) {
       this.#smallest.set(keyOf(step), reservation(spec));
@@ -106,32 +109,35 @@
   return `${job.pool} ${spec.requiredLabel}`;
 }
 
-/** Chooses workers for as many tasks of a step as fit; all or none for a gang. */
+/** Chooses workers for as many tasks of a step as fit; all or none for a gang. Takes the time of the wall clock. */
 export function placeStep(
   step: WaitingStep,
   rooms: readonly Room[],
+  wallNow: number,
 ): RunKey[] {
   const indices = [...step.indices];
   if (!step.spec.gang && !step.spec.sameRack) {
-    return placeTasks(step, indices, rooms);
+    return placeTasks(step, indices, rooms, wallNow);
   }
   if (step.spec.gang && indices.length < step.spec.taskCount) {
     // Members of the last run have not all ended.
     return [];
   }
-  return placeTogether(step, indices, rooms);
+  return placeTogether(step, indices, rooms, wallNow);
 }
 
 function placeTasks(
   step: WaitingStep,
   indices: readonly number[],
   rooms: readonly Room[],
+  wallNow: number,
 ): RunKey[] {
   const placed: RunKey[] = [];
   for (const index of indices) {
-    const { failedOn } = taskOf(step, index) ?? {};
-    const room = chooseRoom(step, withoutFailed(step, failedOn, rooms));
-    if (room === undefined && failedOn === undefined) {
+    const task = taskOf(step, index);
+    const candidates = withoutFailed(step, task, rooms, wallNow);
+    const room = chooseRoom(step, candidates);
+    if (room === undefined && candidates === rooms) {
       break;
     }
     if (room === undefined) {
@@ -143,16 +149,20 @@
   return placed;
 }
 
-/** Rooms other than that of the worker on which a task failed, unless no other could ever take it. */
+/** Rooms other than that of the worker on which a task failed a short while ago, if another one could ever take it. */
 function withoutFailed(
   step: WaitingStep,
-  failedOn: string | undefined,
+  task: TaskRecord | undefined,
   rooms: readonly Room[],
+  wallNow: number,
 ): readonly Room[] {
-  if (failedOn === undefined) {
+  const failure = task?.lastFailure;
+  const agoMs = wallNow - (failure?.atMs ?? -Infinity);
+  // A failure in the future was noted before the wall clock was set back.
+  if (failure === undefined || agoMs < 0 || agoMs >= ELSEWHERE_MS) {
     return rooms;
   }
-  const others = rooms.filter(({ worker }) => worker.id !== failedOn);
+  const others = rooms.filter(({ worker }) => worker.id !== failure.worker);
   return others.some((room) => room.couldAccept(step)) ? others : rooms;
 }
 
@@ -161,6 +171,7 @@
   step: WaitingStep,
   indices: readonly number[],
   rooms: readonly Room[],
+  wallNow: number,
 ): RunKey[] {
   const racks = new Map<string, Room[]>();
   for (const room of rooms) {
@@ -179,7 +190,7 @@
       });
     }
   }
-  return step.spec.gang ? [] : placeTasks(step, indices, rooms);
+  return step.spec.gang ? [] : placeTasks(step, indices, rooms, wallNow);
 }
 
 /** Rooms for all tasks, without taking them; undefined if they do not all fit. */
--- a/packages/core/test/scheduling_day.ts
+++ b/packages/core/test/scheduling_day.ts
@@ -329,7 +329,7 @@
       now,
     );
     const runs = inOrder.flatMap((each) =>
-      placeStep(each, rooms.get(each.job.pool) ?? [])
+      placeStep(each, rooms.get(each.job.pool) ?? [], now)
     );
     this.#book.apply({ kind: "place", runs });
     for (const run of runs) {
--- a/packages/core/test/scheduling_placing_test.ts
+++ b/packages/core/test/scheduling_placing_test.ts
@@ -30,9 +30,14 @@
   );
 }
 
-function placeOnly(jobs: JobBook, id: string, due: string[] = []): RunKey[] {
+function placeOnly(
+  jobs: JobBook,
+  id: string,
+  due: string[] = [],
+  wallNow = 1_000,
+): RunKey[] {
   const waiting = jobs.waiting.get(`${id}.0.0`) as WaitingStep;
-  return placeStep(waiting, rooms(jobs, due));
+  return placeStep(waiting, rooms(jobs, due), wallNow);
 }
 
 function workersOf(runs: readonly RunKey[]): string[] {
@@ -84,6 +89,22 @@
     ]);
   });
 
+  it("tries a task again where it failed when the others stay full", () => {
+    const jobs = book([worker("w1"), worker("w2")]);
+    submit(jobs, "j", spec(step({ taskCount: 8, lasting: true })));
+    const runs = placeOnly(jobs, "j");
+    place(jobs, ...runs);
+    const failed = runs.find((each) => each.worker === "w1") as RunKey;
+    // The fixture's ends are noted at 1,000 ms.
+    end(jobs, failed, "failed");
+    expect(placeOnly(jobs, "j", [], 2_000)).toEqual([]);
+    // The wall clock was set back.
+    expect(placeOnly(jobs, "j", [], 900)).toHaveLength(1);
+    expect(placeOnly(jobs, "j", [], 2_500)).toEqual([
+      { task: failed.task, run: 2, worker: "w1" },
+    ]);
+  });
+
   it("tries a task again where it failed when no other worker could take it", () => {
     const jobs = book([worker("w1"), worker("w2", { labels: ["b", "r1"] })]);
     submit(jobs, "j", spec(step({ requiredLabel: "a" })));
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -375,7 +375,7 @@
     rooms: readonly Room[],
     full: FullRooms,
   ): RunKey[] {
-    const placed = placeStep(step, rooms);
+    const placed = placeStep(step, rooms, this.#parts.clock.wall());
     if (placed.length < step.indices.size) {
       full.note(step);
     }
