--- a/packages/core/src/scheduling/placing.ts
+++ b/packages/core/src/scheduling/placing.ts
@@ -109,7 +109,10 @@
   return `${job.pool} ${spec.requiredLabel}`;
 }
 
-/** Chooses workers for as many tasks of a step as fit; all or none for a gang. Takes the time of the wall clock. */
+/**
+ * Chooses workers for as many tasks of a step as fit; all or none for a gang. `wallNow` is the wall clock in
+ * milliseconds.
+ */
 export function placeStep(
   step: WaitingStep,
   rooms: readonly Room[],
--- a/packages/core/src/scheduling/work_estimate.ts
+++ b/packages/core/src/scheduling/work_estimate.ts
@@ -27,7 +27,7 @@
 /** Assumed variance of logarithms of guesses, which scales the trust in them; it is that of guesses off by half. */
 const GUESS_VARIANCE = 0.25;
 
-/** Weighted sums over the tasks of one queue; x is the logarithm of a guess, d that of real duration by guess. */
+/** Weighted sums over the tasks of one queue; x is the logarithm of a guess, d that of real duration over guess. */
 interface Sums {
   weight: number;
   x: number;
--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -1,7 +1,6 @@
 // Runs the fault soak of the platform's program: npm run soak -- --seeds N --seed FIRST --seconds S --entries N --at-once N
-import { spawnSync } from "node:child_process";
-import process from "node:process";
 import { parseArgs } from "node:util";
+import { runLongTest } from "./long_test.js";
 
 const { values } = parseArgs({
   options: {
@@ -12,26 +11,12 @@
     "at-once": { type: "string", default: "2" },
   },
 });
-const ending = spawnSync(
-  process.execPath,
-  [
-    "node_modules/vitest/vitest.mjs",
-    "run",
-    "--config",
-    "vitest.soak.config.ts",
-  ],
-  {
-    stdio: "inherit",
-    env: {
-      ...process.env,
-      QUETZALCOVE_SOAK: JSON.stringify({
-        seeds: Number(values.seeds),
-        first: Number(values.seed),
-        lengthMs: 1_000 * Number(values.seconds),
-        entries: Number(values.entries),
-        atOnce: Number(values["at-once"]),
-      }),
-    },
-  },
-);
-process.exitCode = ending.status ?? 1;
+runLongTest("vitest.soak.config.ts", {
+  QUETZALCOVE_SOAK: JSON.stringify({
+    seeds: Number(values.seeds),
+    first: Number(values.seed),
+    lengthMs: 1_000 * Number(values.seconds),
+    entries: Number(values.entries),
+    atOnce: Number(values["at-once"]),
+  }),
+});
