End only the worker that a VM had when its upkeep was decided

The platform answers one that was carried out before as done; meanwhile the next worker had reported, was taken for the one that ended, and its runs were placed again while they ran.

The worker is now that of the decision, the log entry names the same one, and a worker gets no work while the upkeep of its VM is noted and ordered; until then a task placed in between was thrown away. Ruled out: the answers of the raw client (a start is sent once) and drops by listings (they take 200 ms at least).

--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -59,7 +59,8 @@
     const { vm } = worker;
     return this.#upkeep.isDraining(worker) ||
       (vm !== undefined &&
-        (this.#vms.isPending(vm) || this.#vms.isAway(vm)));
+        (this.#vms.isPending(vm) || this.#vms.isAway(vm) ||
+          this.#upkeep.isOrdering(vm)));
   }
 
   /** Whether a VM is due for upkeep, so that what lasts is better placed elsewhere. */
@@ -120,10 +121,12 @@
         wanted: Math.round(demand?.wanted ?? 0),
         waiting: Math.round(demand?.waiting ?? 0),
       });
-      const cores = (this.#vms.workerOn(vm)?.capacity.cpuMilli ?? 0) / MILLI ||
+      const worker = this.#vms.workerOn(vm);
+      const cores = (worker?.capacity.cpuMilli ?? 0) / MILLI ||
         (this.#vms.find(vm)?.cores ?? 0);
       const action = { kind: "move", pool: to } as const;
-      void this.#vms.order(vm, action, { pool: to, cores });
+      const target = { pool: to, cores, worker: worker?.id };
+      void this.#vms.order(vm, action, target);
     }
   }
 
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -47,9 +47,6 @@
 /** Pause after a pass, as a multiple of its duration: deciding takes at most a third of the processor. */
 const PASS_PAUSE_FACTOR = 2;
 
-/** Interval of looks at the fleet, in milliseconds: short against the second and a half that a VM is on its way. */
-const FLEET_MS = 50;
-
 /** Interval at which outcomes of old jobs are dropped, in milliseconds. */
 const FORGET_MS = 10_000;
 
@@ -70,7 +67,6 @@
   #stopped = false;
   #forgotAt: number;
   #nextPassAt = -Infinity;
-  #fleetSeenAt = -Infinity;
 
   constructor(parts: TenureParts) {
     this.#parts = parts;
@@ -204,10 +200,7 @@
     this.#openRounds();
     this.#forgetOldJobs(now);
     this.#logEndedJobs();
-    if (now - this.#fleetSeenAt >= FLEET_MS) {
-      this.#fleetSeenAt = now;
-      this.#fleet?.step(now);
-    }
+    this.#fleet?.step(now);
     this.#sessions.forEach((session) => session.sendDue());
     void this.#place(now);
     const end = this.#parts.clock.monotonic();
--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -54,6 +54,11 @@
     return this.#draining.has(id);
   }
 
+  /** Whether the upkeep of a VM is being noted and ordered, so that its worker must get no work. */
+  isOrdering(vm: string): boolean {
+    return this.#ordering.has(vm);
+  }
+
   /** Whether a VM is due for upkeep, so that what lasts is better placed elsewhere. */
   isDue({ vm }: Worker): boolean {
     return vm !== undefined &&
@@ -90,9 +95,9 @@
       const isBack = successor !== undefined && successor.id !== worker;
       const isKnown = this.#maintained.has(upkeepKey(wave.id, vm));
       if (isBack || (isKnown && !vms.isAway(vm))) {
-        void this.#note(wave.id, vm, "done");
+        void this.#note(wave.id, vm, "done", successor?.id);
       } else if (!isKnown) {
-        void this.#maintain(wave.id, vm);
+        void this.#maintain(wave.id, vm, worker);
       }
     }
   }
@@ -121,7 +126,7 @@
       if (exists) {
         due.push(this.#dueVm(vm, busyPools, now));
       } else {
-        void this.#note(wave.id, vm, "gone");
+        void this.#note(wave.id, vm, "gone", undefined);
       }
     }
     const plan = planUpkeep({
@@ -137,7 +142,9 @@
         draining.add(worker.id);
       }
     }
-    plan.takeDown.forEach((vm) => void this.#maintain(wave.id, vm));
+    plan.takeDown.forEach((vm) =>
+      void this.#maintain(wave.id, vm, vms.workerOn(vm)?.id)
+    );
   }
 
   #dueVm(vm: string, busyPools: ReadonlySet<string>, now: number): DueVm {
@@ -162,35 +169,48 @@
     };
   }
 
-  async #maintain(wave: number, vm: string): Promise<void> {
+  /** Has a VM maintained that has the given worker, if any. */
+  async #maintain(
+    wave: number,
+    vm: string,
+    worker: string | undefined,
+  ): Promise<void> {
     const { vms, clock } = this.#parts;
     this.#ordering.set(vm, wave);
     vms.pause(vm, clock.monotonic());
     // The limit of the wave must hold under the next leader as well, so the log comes first.
-    if (await this.#note(wave, vm, "begun")) {
-      await this.#takeDown(wave, vm);
+    if (await this.#note(wave, vm, "begun", worker)) {
+      await this.#takeDown(wave, vm, worker);
     }
     this.#ordering.delete(vm);
   }
 
-  async #takeDown(wave: number, vm: string): Promise<void> {
+  async #takeDown(
+    wave: number,
+    vm: string,
+    worker: string | undefined,
+  ): Promise<void> {
     const { vms } = this.#parts;
     const pool = vms.workerOn(vm)?.pool ?? vms.find(vm)?.pool ?? "";
     const isDone = await vms.order(
       vm,
       { kind: "upkeep", wave },
-      { pool, cores: 0 },
+      { pool, cores: 0, worker },
     );
     if (isDone === true) {
       this.#maintained.add(upkeepKey(wave, vm));
     } else if (isDone === false) {
-      await this.#note(wave, vm, "refused");
+      await this.#note(wave, vm, "refused", worker);
     }
   }
 
-  async #note(wave: number, vm: string, phase: UpkeepPhase): Promise<boolean> {
-    const { vms, consensus, log, onChange } = this.#parts;
-    const worker = vms.workerOn(vm)?.id;
+  async #note(
+    wave: number,
+    vm: string,
+    phase: UpkeepPhase,
+    worker: string | undefined,
+  ): Promise<boolean> {
+    const { consensus, log, onChange } = this.#parts;
     const noted = await consensus.propose({
       kind: "upkeep",
       wave,
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -137,14 +137,17 @@
     }
   }
 
-  /** Sends an order; once it is carried out, everything on the VM has ended. Returns whether it was. */
+  /**
+   * Sends an order; once it is carried out, everything on the worker that the VM had when it was decided has ended.
+   * Returns whether it was. An order that had been carried out before is answered alike, so the worker that the VM has
+   * by then may be the next one and work on.
+   */
   async order(
     vm: string,
     action: VmAction,
-    target: Pick<Absence, "pool" | "cores">,
+    { worker, ...target }: Pick<Absence, "pool" | "cores" | "worker">,
   ): Promise<boolean | undefined> {
     const { clock, lose } = this.#parts;
-    const worker = this.workerOn(vm)?.id;
     const answer = await this.#orders.order(vm, action);
     const now = clock.monotonic();
     if (answer === "done") {
--- /dev/null
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -0,0 +1,163 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { Ok } from "@quetzalcove/core";
+import type {
+  BookCommand,
+  BookOutput,
+  JobBook,
+} from "@quetzalcove/core/scheduling";
+import { book, worker } from "../../core/test/scheduling_fixture.ts";
+import { Metrics } from "../src/observe/metrics.ts";
+import type { VmAnswer } from "../src/scheduler/ports.ts";
+import { UpkeepTask } from "../src/scheduler/upkeep_task.ts";
+import { VmDirectory } from "../src/scheduler/vm_directory.ts";
+
+const VM = "vm-1";
+const WAVE = {
+  id: 1,
+  vms: [VM],
+  durationMs: 20_000,
+  maxDown: 1,
+  startedAtMs: 0,
+};
+const ORDER_MS = 10;
+
+const ignore = (): void => {};
+
+class Scene {
+  readonly jobs: JobBook = book([]);
+  readonly lost: string[] = [];
+  readonly maintained: string[] = [];
+  readonly vms: VmDirectory;
+  readonly upkeep: UpkeepTask;
+  /** Called while an order is on its way. */
+  meanwhile: () => void = ignore;
+
+  constructor() {
+    this.jobs.apply({ kind: "wave", wave: WAVE });
+    const parts = {
+      term: 7,
+      holder: "n1",
+      consensus: {
+        state: this.jobs,
+        propose: (command: BookCommand) =>
+          Promise.resolve(
+            this.jobs.apply(command).map((output): BookOutput => output),
+          ),
+        barrier: () => Promise.resolve(Ok.EMPTY),
+        leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
+        replicas: () => [],
+        onChange: ignore,
+      },
+      clock: {
+        monotonic: () => Date.now(),
+        wall: () => Date.now(),
+        processor: () => 0,
+      },
+      log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+      metrics: new Metrics(),
+      hasAuthority: () => true,
+      onChange: ignore,
+      lose: (id: string) => {
+        this.lost.push(id);
+        this.jobs.apply({
+          kind: "lose",
+          workers: [id],
+          haveEnded: true,
+          atMs: Date.now(),
+        });
+        return Promise.resolve();
+      },
+      calls: {
+        list: () =>
+          Promise.resolve([
+            { vm: VM, pool: "intake", state: "up" as const, cores: 4 },
+          ]),
+        move: () => Promise.resolve("done" as VmAnswer),
+        maintain: async ({ vm }: { vm: string }): Promise<VmAnswer> => {
+          this.meanwhile();
+          await new Promise((resolve) => setTimeout(resolve, ORDER_MS));
+          this.maintained.push(vm);
+          return "done";
+        },
+      },
+      isBeingPlaced: () => false,
+      session: () => ({ isInContact: () => true }) as never,
+    };
+    this.vms = new VmDirectory(parts);
+    this.upkeep = new UpkeepTask({ ...parts, vms: this.vms });
+  }
+
+  join(id: string): void {
+    this.jobs.apply({ kind: "join", workers: [worker(id, { vm: VM })] });
+  }
+
+  async step(): Promise<void> {
+    this.vms.step(Date.now(), true);
+    this.upkeep.step(Date.now(), false);
+    await vi.advanceTimersByTimeAsync(0);
+  }
+}
+
+describe("the upkeep of a VM", () => {
+  let scene: Scene;
+
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+    scene = new Scene();
+  });
+
+  afterEach(() => {
+    scene.vms.stop();
+    vi.useRealTimers();
+  });
+
+  it("ends the worker that the VM had, and keeps work away from it before", async () => {
+    scene.join("w1");
+    await scene.step();
+    await scene.step();
+    expect(scene.upkeep.isOrdering(VM)).toBe(true);
+    await vi.advanceTimersByTimeAsync(ORDER_MS);
+    expect(scene.maintained).toEqual([VM]);
+    expect(scene.lost).toEqual(["w1"]);
+    expect(scene.upkeep.isOrdering(VM)).toBe(false);
+  });
+
+  it("that an earlier leader ordered does not end the next worker, which is back while the order is repeated", async () => {
+    scene.join("w1");
+    scene.jobs.apply({
+      kind: "upkeep",
+      wave: WAVE.id,
+      vm: VM,
+      phase: "begun",
+      worker: "w1",
+    });
+    scene.meanwhile = () => scene.join("w2");
+    await scene.step();
+    await scene.step();
+    await vi.advanceTimersByTimeAsync(ORDER_MS);
+    expect(scene.maintained).toEqual([VM]);
+    expect(scene.lost).toEqual(["w1"]);
+    await scene.step();
+    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+    expect(scene.jobs.workers.has("w2")).toBe(true);
+  });
+
+  it("that an earlier leader had carried out does not end the worker that reports while it is noted again", async () => {
+    scene.jobs.apply({
+      kind: "upkeep",
+      wave: WAVE.id,
+      vm: VM,
+      phase: "begun",
+      worker: "w1",
+    });
+    scene.vms.step(Date.now(), true);
+    scene.upkeep.step(Date.now(), false);
+    // The next worker reports between the decision and the order.
+    scene.join("w2");
+    scene.vms.step(Date.now(), true);
+    await vi.advanceTimersByTimeAsync(2 * ORDER_MS);
+    expect(scene.maintained).toEqual([VM]);
+    expect(scene.lost).toEqual(["w1"]);
+    expect(scene.jobs.workers.has("w2")).toBe(true);
+  });
+});
