--- a/packages/core/src/scheduling/pool_moves.ts
+++ b/packages/core/src/scheduling/pool_moves.ts
@@ -74,11 +74,6 @@
   return moves;
 }
 
-/** Whether a pool lacks cores. */
-export function isShortOfVms(pools: readonly PoolState[]): boolean {
-  return pools.some((pool) => !pool.standby && shortage(pool) > 0);
-}
-
 /** Cores that a pool lacks; negative when it has more than it needs. */
 function shortage({ demand, cores }: PoolState): number {
   return demand.wanted / USABLE_SHARE - cores;
--- a/packages/core/src/scheduling/upkeep_plan.ts
+++ b/packages/core/src/scheduling/upkeep_plan.ts
@@ -2,8 +2,7 @@
  * Which VMs of a wave are taken down next.
  *
  * Answers the pattern of maintenance under load: VMs that are off or idle go first, busy ones are drained while their
- * pool has nothing waiting, and all of them once the wave is short of time. While a pool is short of VMs, idle ones are
- * spread over the time of the wave, so that most of them can go where they are needed.
+ * pool has nothing waiting, and all of them once the wave is short of time.
  *
  * @module
  */
@@ -29,8 +28,6 @@
   /** Time until the wave should be complete, in milliseconds. */
   leftMs: number;
   due: DueVm[];
-  /** Whether a pool lacks VMs, which idle ones could make up for. */
-  isFleetShort: boolean;
 }
 
 export interface UpkeepPlan {
@@ -43,28 +40,19 @@
 /** Time that one VM takes from the choice until it is back, in milliseconds: emptying, upkeep and rejoining. */
 const VM_CYCLE_MS = 6_000;
 
-/** Time that an idle VM takes from the order until it is back, in milliseconds: upkeep and rejoining. */
-const IDLE_CYCLE_MS = 3_000;
-
-/** Part of the time left in which a wave should be complete at an even pace; the rest is for VMs that are held up. */
-const PACED_SHARE = 0.7;
-
 /** Part of a wave's places that are used while there is time, so that pools keep their room. */
 const CALM_SHARE = 0.5;
 
 /** Chooses what to take down and what to empty. */
 export function planUpkeep(progress: WaveProgress): UpkeepPlan {
-  const { maxDown, down, leftMs, due, isFleetShort } = progress;
+  const { maxDown, down, leftMs, due } = progress;
   const places = maxDown - down;
   const rounds = Math.ceil(due.length / maxDown);
   const isShortOfTime = leftMs < (rounds + 1) * VM_CYCLE_MS;
-  const idlePlaces = isFleetShort
-    ? Math.min(places, pacedPlaces(due.length, leftMs) - down)
-    : places;
   const up = due.filter(({ isUp }) => isUp);
   const takeDown = up
     .filter(({ runs }) => runs === 0)
-    .slice(0, Math.max(0, idlePlaces))
+    .slice(0, Math.max(0, places))
     .map(({ vm }) => vm);
   const calmPlaces = isShortOfTime
     ? places
@@ -82,10 +70,3 @@
     .map(({ vm }) => vm);
   return { takeDown, drain };
 }
-
-/** VMs that must be down at a time so that all have had their upkeep in time. */
-function pacedPlaces(due: number, leftMs: number): number {
-  return leftMs > 0
-    ? Math.ceil(due * IDLE_CYCLE_MS / (PACED_SHARE * leftMs))
-    : due;
-}
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -143,16 +143,9 @@
       fc.integer({ min: 1, max: 6 }),
       fc.integer({ min: 0, max: 8 }),
       fc.integer({ min: -5_000, max: 60_000 }),
-      fc.boolean(),
-      (vms, maxDown, down, leftMs, isFleetShort) => {
+      (vms, maxDown, down, leftMs) => {
         const named = vms.map((vm, i) => ({ ...vm, vm: `vm${i}` }));
-        const plan = planUpkeep({
-          maxDown,
-          down,
-          leftMs,
-          due: named,
-          isFleetShort,
-        });
+        const plan = planUpkeep({ maxDown, down, leftMs, due: named });
         expect(plan.takeDown.length).toBeLessThanOrEqual(
           Math.max(0, maxDown - down),
         );
@@ -178,12 +171,7 @@
   };
 
   it("leaves a busy pool its VMs while there is time, and no longer", () => {
-    const progress = {
-      maxDown: 4,
-      down: 0,
-      due: [busy],
-      isFleetShort: false,
-    };
+    const progress = { maxDown: 4, down: 0, due: [busy] };
     expect(planUpkeep({ ...progress, leftMs: 60_000 }).drain).toEqual([]);
     expect(planUpkeep({ ...progress, leftMs: 5_000 }).drain).toEqual(["a"]);
   });
@@ -195,41 +183,9 @@
       down: 0,
       leftMs: 60_000,
       due: others,
-      isFleetShort: false,
     });
     expect(plan.drain).toEqual(["b"]);
   });
-
-  it("spreads idle VMs over its time while pools lack VMs, and still ends in time", () => {
-    const waiting = Array.from({ length: 120 }, (_, i) => ({
-      ...busy,
-      vm: `vm${i}`,
-      runs: 0,
-      isPoolBusy: false,
-    }));
-    const durationMs = 24_000;
-    const upkeepMs = 2_500;
-    const backAt: number[] = [];
-    let mostDown = 0;
-    let now = 0;
-    for (; waiting.length > 0 || backAt.length > 0; now += 100) {
-      while ((backAt[0] ?? Infinity) <= now) {
-        backAt.shift();
-      }
-      const { takeDown } = planUpkeep({
-        maxDown: 50,
-        down: backAt.length,
-        leftMs: durationMs - now,
-        due: waiting,
-        isFleetShort: true,
-      });
-      waiting.splice(0, takeDown.length);
-      takeDown.forEach(() => backAt.push(now + upkeepMs));
-      mostDown = Math.max(mostDown, backAt.length);
-    }
-    expect(mostDown).toBeLessThanOrEqual(25);
-    expect(now).toBeLessThan(durationMs);
-  });
 });
 
 describe("the voters of a group that lives on changing machines", () => {
--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -6,7 +6,6 @@
 import {
   type ArrivalRates,
   chooseMoves,
-  isShortOfVms,
   type JobBook,
   type PoolDemand,
   poolDemands,
@@ -78,12 +77,8 @@
     this.#followIdleness(now);
     this.#vms.step(now, this.#upkeep.isUnderWay);
     if (this.#vms.isKnown) {
-      const { rates, estimate } = this.#parts;
-      const demands = poolDemands(this.#book, rates, estimate, now);
-      const isShort = isShortOfVms(this.#pools(demands, now));
-      this.#upkeep.step(now, isShort);
-      // Upkeep takes some VMs, so what is left is counted again.
-      this.#move(demands, this.#pools(demands, now));
+      this.#upkeep.step(now);
+      this.#move(now);
     }
   }
 
@@ -104,12 +99,10 @@
     }
   }
 
-  #move(
-    demands: ReadonlyMap<string, PoolDemand>,
-    pools: readonly PoolState[],
-  ): void {
-    const { log } = this.#parts;
-    for (const { vm, from, to } of chooseMoves(pools)) {
+  #move(now: number): void {
+    const { rates, estimate, log } = this.#parts;
+    const demands = poolDemands(this.#book, rates, estimate, now);
+    for (const { vm, from, to } of chooseMoves(this.#pools(demands, now))) {
       if (this.#vms.pendingMoves >= MAX_MOVES) {
         return;
       }
--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -68,11 +68,11 @@
   }
 
   /** Looks for what is to be ordered. */
-  step(now: number, isFleetShort: boolean): void {
+  step(now: number): void {
     const draining = new Set<string>();
     for (const record of this.#openWaves()) {
       this.#closeUpkeeps(record);
-      this.#openUpkeeps(record, draining, isFleetShort, now);
+      this.#openUpkeeps(record, draining, now);
     }
     this.#draining = draining;
     this.#evacuate(now);
@@ -105,7 +105,6 @@
   #openUpkeeps(
     { wave, down, done }: WaveRecord,
     draining: Set<string>,
-    isFleetShort: boolean,
     now: number,
   ): void {
     const { vms, clock } = this.#parts;
@@ -134,7 +133,6 @@
       down: downVms.size,
       leftMs: wave.startedAtMs + wave.durationMs - clock.wall(),
       due,
-      isFleetShort,
     });
     for (const vm of plan.drain) {
       const worker = vms.workerOn(vm);
--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -93,7 +93,7 @@
 
   async step(): Promise<void> {
     this.vms.step(Date.now(), true);
-    this.upkeep.step(Date.now(), false);
+    this.upkeep.step(Date.now());
     await vi.advanceTimersByTimeAsync(0);
   }
 }
@@ -151,7 +151,7 @@
       worker: "w1",
     });
     scene.vms.step(Date.now(), true);
-    scene.upkeep.step(Date.now(), false);
+    scene.upkeep.step(Date.now());
     // The next worker reports between the decision and the order.
     scene.join("w2");
     scene.vms.step(Date.now(), true);
