End all workers that a VM had when the order of its upkeep left

Now a first order ends all workers of its VM that the book holds when it leaves; a repeated one those of the decision, as it may have been carried out before.

--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -118,7 +118,7 @@
       const cores = (worker?.capacity.cpuMilli ?? 0) / MILLI ||
         (this.#vms.find(vm)?.cores ?? 0);
       const action = { kind: "move", pool: to } as const;
-      const target = { pool: to, cores, worker: worker?.id };
+      const target = { pool: to, cores, workers: this.#vms.workersOn(vm) };
       void this.#vms.order(vm, action, target);
     }
   }
--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -97,7 +97,13 @@
       if (isBack || (isKnown && !vms.isAway(vm))) {
         void this.#note(wave.id, vm, "done", successor?.id);
       } else if (!isKnown) {
-        void this.#maintain(wave.id, vm, worker);
+        const known = [
+          ...new Set([
+            ...vms.workersOn(vm),
+            ...worker === undefined ? [] : [worker],
+          ]),
+        ];
+        void this.#maintain(wave.id, vm, worker, () => known);
       }
     }
   }
@@ -140,9 +146,10 @@
         draining.add(worker.id);
       }
     }
-    plan.takeDown.forEach((vm) =>
-      void this.#maintain(wave.id, vm, vms.workerOn(vm)?.id)
-    );
+    plan.takeDown.forEach((vm) => {
+      const worker = vms.workerOn(vm)?.id;
+      void this.#maintain(wave.id, vm, worker, () => vms.workersOn(vm));
+    });
   }
 
   #dueVm(vm: string, busyPools: ReadonlySet<string>, now: number): DueVm {
@@ -167,18 +174,22 @@
     };
   }
 
-  /** Has a VM maintained that has the given worker, if any. */
+  /**
+   * Has a VM maintained that has the given worker, if any. Which workers the order ends is asked for when it leaves; an
+   * order that an earlier leader may have sent ends those that were known before.
+   */
   async #maintain(
     wave: number,
     vm: string,
     worker: string | undefined,
+    endedWorkers: () => readonly string[],
   ): Promise<void> {
     const { vms, clock } = this.#parts;
     this.#ordering.set(vm, wave);
     vms.pause(vm, clock.monotonic());
     // The limit of the wave must hold under the next leader as well, so the log comes first.
     if (await this.#note(wave, vm, "begun", worker)) {
-      await this.#takeDown(wave, vm, worker);
+      await this.#takeDown(wave, vm, endedWorkers());
     }
     this.#ordering.delete(vm);
   }
@@ -186,19 +197,19 @@
   async #takeDown(
     wave: number,
     vm: string,
-    worker: string | undefined,
+    workers: readonly string[],
   ): Promise<void> {
     const { vms } = this.#parts;
     const pool = vms.workerOn(vm)?.pool ?? vms.find(vm)?.pool ?? "";
     const isDone = await vms.order(
       vm,
       { kind: "upkeep", wave },
-      { pool, cores: 0, worker },
+      { pool, cores: 0, workers },
     );
     if (isDone === true) {
       this.#maintained.add(upkeepKey(wave, vm));
     } else if (isDone === false) {
-      await this.#note(wave, vm, "refused", worker);
+      await this.#note(wave, vm, "refused", workers.at(-1));
     }
   }
 
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -26,8 +26,8 @@
   /** Pool to which it comes back, and the cores that it brings. */
   pool: string;
   cores: number;
-  /** Worker that it had, which may still be in the book for a moment. */
-  worker: string | undefined;
+  /** Workers that it had, which may still be in the book for a moment. */
+  workers: readonly string[];
   at: number;
 }
 
@@ -92,6 +92,13 @@
     return this.#workers.get(vm);
   }
 
+  /** All workers of the book on a VM: one that has ended may still be there beside the next one. */
+  workersOn(vm: string): string[] {
+    return [...this.#book.workers.values()]
+      .filter((worker) => worker.vm === vm)
+      .map(({ id }) => id);
+  }
+
   /** Whether an order for a VM may still be carried out. */
   isPending(vm: string): boolean {
     return this.#orders.isPending(vm);
@@ -138,21 +145,20 @@
   }
 
   /**
-   * Sends an order; once it is carried out, everything on the worker that the VM had when it was decided has ended.
-   * Returns whether it was. An order that had been carried out before is answered alike, so the worker that the VM has
-   * by then may be the next one and work on.
+   * Sends an order; once it is carried out, everything on the given workers has ended. Returns whether it was. An order
+   * that had been carried out before is answered alike, so a worker that reported since may work on.
    */
   async order(
     vm: string,
     action: VmAction,
-    { worker, ...target }: Pick<Absence, "pool" | "cores" | "worker">,
+    target: Omit<Absence, "at">,
   ): Promise<boolean | undefined> {
     const { clock, lose } = this.#parts;
     const answer = await this.#orders.order(vm, action);
     const now = clock.monotonic();
     if (answer === "done") {
-      this.#away.set(vm, { ...target, worker, at: now });
-      if (worker !== undefined) {
+      this.#away.set(vm, { ...target, at: now });
+      for (const worker of target.workers) {
         await lose(worker, `its VM was ordered to ${action.kind}`);
       }
     } else if (answer !== undefined) {
@@ -163,13 +169,13 @@
 
   /** A VM is back when another worker on it has reported, or when the list shows it up in a pool without workers. */
   #followReturns(): void {
-    for (const [vm, { at, worker }] of this.#away) {
+    for (const [vm, { at, workers }] of this.#away) {
       const current = this.workerOn(vm);
       const listed = this.#listed.get(vm);
       const isBack = current === undefined
         ? this.#listedAt > at + SHORTEST_ABSENCE_MS && listed?.state === "up" &&
           this.isStandby(listed.pool)
-        : current.id !== worker;
+        : !workers.includes(current.id);
       if (isBack) {
         this.#away.delete(vm);
         this.#parts.onChange();
--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -122,6 +122,22 @@
     expect(scene.upkeep.isOrdering(VM)).toBe(false);
   });
 
+  it("ends the next worker if that has reported before the order left, and is over with the one after", async () => {
+    scene.join("w1");
+    scene.vms.step(Date.now(), true);
+    scene.upkeep.step(Date.now());
+    scene.join("w2");
+    scene.vms.step(Date.now(), true);
+    await vi.advanceTimersByTimeAsync(2 * ORDER_MS);
+    expect(scene.maintained).toEqual([VM]);
+    expect(scene.lost).toEqual(["w1", "w2"]);
+    await scene.step();
+    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+    scene.join("w3");
+    await scene.step();
+    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+  });
+
   it("that an earlier leader ordered does not end the next worker, which is back while the order is repeated", async () => {
     scene.join("w1");
     scene.jobs.apply({
