--- a/packages/cli/src/story.ts
+++ b/packages/cli/src/story.ts
@@ -47,7 +47,7 @@
 /** Shortest pause that is named, in milliseconds: above the rounds of a healthy group. */
 const GAP_MS = 500;
 
-/** Fields whose values name a job, alone or as the start of a step or a task. */
+/** What ends a job's id within a value: the name of a step or task goes on, or a path does. */
 const TOKEN_END = /[./?\s]/;
 
 /** Collects what concerns a job; undefined when no event names it. */
