Compute a queue's fit once for each observation, and say two things simpler

Cause: the estimate of a duration worked the whole regression out anew for each waiting step of each pass, though it changes only when a task ends. The stream of log lines had two types for one function and two that write the rest; a repeated upkeep is told the workers known before instead of a function that returns them.

--- a/packages/core/src/scheduling/work_estimate.ts
+++ b/packages/core/src/scheduling/work_estimate.ts
@@ -37,12 +37,18 @@
   dd: number;
 }
 
+/** Sums and what they make of guesses: the logarithm of a duration is that of the guess times `factor` plus `offset`. */
+interface Fit extends Sums {
+  factor: number;
+  offset: number;
+}
+
 /**
  * Real durations by queue and guess: a log-linear regression with exponential forgetting, regularized towards guesses
  * that are right (ridge regression), and corrected to the mean of the log-normal distribution.
  */
 export class WorkEstimate {
-  readonly #queues = new Map<string, Sums>();
+  readonly #queues = new Map<string, Fit>();
 
   /** Learns from a task that was done. */
   observe(queue: string, guessedMs: number, tookMs: number): void {
@@ -58,34 +64,24 @@
       dd: 0,
     };
     const add = (old: number, value: number): number => MEMORY * old + value;
-    this.#queues.set(queue, {
+    const sums = {
       weight: add(before.weight, 1),
       x: add(before.x, x),
       d: add(before.d, d),
       xx: add(before.xx, x * x),
       xd: add(before.xd, x * d),
       dd: add(before.dd, d * d),
-    });
+    };
+    this.#queues.set(queue, fitOf(sums));
   }
 
   /** Expected duration of a task, in milliseconds. */
   taskMs(queue: string, guessedMs: number): number {
     const guess = guessedMs || DEFAULT_TASK_MS;
-    const sums = this.#queues.get(queue);
-    if (sums === undefined) {
-      return guess;
-    }
-    const { weight } = sums;
-    const meanX = sums.x / weight;
-    const meanD = sums.d / weight;
-    const varianceX = sums.xx - weight * meanX * meanX;
-    const covariance = sums.xd - meanX * sums.d;
-    const slope = covariance / (varianceX + TRUST_IN_ORDER * GUESS_VARIANCE);
-    const spread = sums.dd - meanD * sums.d -
-      2 * slope * covariance + slope * slope * varianceX;
-    const variance = Math.max(0, spread) / weight;
-    const x = Math.log(guess);
-    return Math.exp(x + meanD + slope * (x - meanX) + variance / 2);
+    const fit = this.#queues.get(queue);
+    return fit === undefined
+      ? guess
+      : Math.exp(fit.factor * Math.log(guess) + fit.offset);
   }
 
   /** Expected length of the longest chain of steps from a step on, in milliseconds. */
@@ -115,3 +111,20 @@
     }, 0);
   }
 }
+
+function fitOf(sums: Sums): Fit {
+  const { weight } = sums;
+  const meanX = sums.x / weight;
+  const meanD = sums.d / weight;
+  const varianceX = sums.xx - weight * meanX * meanX;
+  const covariance = sums.xd - meanX * sums.d;
+  const slope = covariance / (varianceX + TRUST_IN_ORDER * GUESS_VARIANCE);
+  const spread = sums.dd - meanD * sums.d -
+    2 * slope * covariance + slope * slope * varianceX;
+  const variance = Math.max(0, spread) / weight;
+  return {
+    ...sums,
+    factor: 1 + slope,
+    offset: meanD - slope * meanX + variance / 2,
+  };
+}
--- a/packages/daemon/src/observe/bounded_output.ts
+++ b/packages/daemon/src/observe/bounded_output.ts
@@ -41,9 +41,7 @@
     waiting = [];
     waitingBytes = 0;
     dropped = 0;
-    const writeBytes: WriteBytes = (bytes, done) =>
-      writeTo(descriptor, bytes, done);
-    writeChunks(writeBytes, chunks, () => later(flush));
+    writeChunks(writeTo, descriptor, chunks, () => later(flush));
   };
   return new Writable({
     decodeStrings: false,
@@ -83,35 +81,20 @@
   return [...chunks, chunk].map((text) => Buffer.from(text));
 }
 
-type WriteBytes = (
-  bytes: Buffer,
-  done: (error: Error | null, written: number) => void,
-) => void;
-
 function writeChunks(
-  writeBytes: WriteBytes,
+  writeTo: Write,
+  descriptor: number,
   [chunk, ...others]: readonly Buffer[],
   done: () => void,
 ): void {
   if (chunk === undefined) {
     done();
-  } else {
-    writeAll(writeBytes, chunk, () => writeChunks(writeBytes, others, done));
+    return;
   }
-}
-
-function writeAll(
-  writeBytes: WriteBytes,
-  bytes: Buffer,
-  done: () => void,
-): void {
-  writeBytes(bytes, (error, written) => {
-    const isPartial = error === null && written < bytes.length;
-    if (isPartial) {
-      writeAll(writeBytes, bytes.subarray(written), done);
-    } else {
-      // Without a reader there is nobody to report a failed write to.
-      done();
-    }
+  writeTo(descriptor, chunk, (error, written) => {
+    const isPartial = error === null && written < chunk.length;
+    // Without a reader there is nobody to report a failed write to.
+    const left = isPartial ? [chunk.subarray(written), ...others] : others;
+    writeChunks(writeTo, descriptor, left, done);
   });
 }
--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -97,13 +97,11 @@
       if (isBack || (isKnown && !vms.isAway(vm))) {
         void this.#note(wave.id, vm, "done", successor?.id);
       } else if (!isKnown) {
-        const known = [
-          ...new Set([
-            ...vms.workersOn(vm),
-            ...worker === undefined ? [] : [worker],
-          ]),
-        ];
-        void this.#maintain(wave.id, vm, worker, () => known);
+        const known = new Set(vms.workersOn(vm));
+        if (worker !== undefined) {
+          known.add(worker);
+        }
+        void this.#maintain(wave.id, vm, worker, [...known]);
       }
     }
   }
@@ -146,10 +144,9 @@
         draining.add(worker.id);
       }
     }
-    plan.takeDown.forEach((vm) => {
-      const worker = vms.workerOn(vm)?.id;
-      void this.#maintain(wave.id, vm, worker, () => vms.workersOn(vm));
-    });
+    for (const vm of plan.takeDown) {
+      void this.#maintain(wave.id, vm, vms.workerOn(vm)?.id);
+    }
   }
 
   #dueVm(vm: string, busyPools: ReadonlySet<string>, now: number): DueVm {
@@ -175,21 +172,21 @@
   }
 
   /**
-   * Has a VM maintained that has the given worker, if any. Which workers the order ends is asked for when it leaves; an
-   * order that an earlier leader may have sent ends those that were known before.
+   * Has a VM maintained that has the given worker, if any. The order ends all workers that the VM has when it leaves; one
+   * that an earlier leader may have sent ends those that were known before.
    */
   async #maintain(
     wave: number,
     vm: string,
     worker: string | undefined,
-    endedWorkers: () => readonly string[],
+    knownBefore?: readonly string[],
   ): Promise<void> {
     const { vms, clock } = this.#parts;
     this.#ordering.set(vm, wave);
     vms.pause(vm, clock.monotonic());
     // The limit of the wave must hold under the next leader as well, so the log comes first.
     if (await this.#note(wave, vm, "begun", worker)) {
-      await this.#takeDown(wave, vm, endedWorkers());
+      await this.#takeDown(wave, vm, knownBefore ?? vms.workersOn(vm));
     }
     this.#ordering.delete(vm);
   }
