Admit a replica through one function in both kinds of group

Cause: assembly and formation each held the applicant's schema, the question whether a replica is a member, and the step that adds it. joining.ts holds them once; what differs stays where it was: who may join, and the refusal of one that does not lead. An applicant that is known already is answered {} by both, where assembly answered nothing; its caller looks at success only.

--- a/packages/daemon/src/consensus/assembly.ts
+++ b/packages/daemon/src/consensus/assembly.ts
@@ -7,11 +7,9 @@
   Err,
   type Fault,
   fault,
-  Member,
   type MembershipChange,
   type MemberView,
   nextMembershipChange,
-  Ok,
   parse,
   type Result,
   type SuccessionRules,
@@ -20,6 +18,7 @@
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
 import type { Log } from "../observe/log.ts";
+import { admit, Applicant, isMember } from "./joining.ts";
 import type { ReplicaTask } from "./replica_task.ts";
 
 /** What an assembly needs. */
@@ -29,7 +28,7 @@
     "leadership" | "replicas" | "silences" | "changeMembership"
   >;
   /** How the others reach this replica. */
-  self: Omit<Member, "standing">;
+  self: Applicant;
   rules: SuccessionRules;
   leader: LeaderClient;
   /** Called with the machines of all members after each change. */
@@ -37,8 +36,6 @@
   log: Log;
 }
 
-const Applicant = Member.omit({ standing: true });
-
 /** Interval of steps towards the wanted group, in milliseconds. */
 const STEP_MS = 300;
 const CALL_MS = 1_000;
@@ -74,9 +71,7 @@
     this.#followMembers();
     if (replica.leadership().isLeader) {
       this.#arrange();
-    } else if (
-      !replica.replicas().some((member) => member.replica === self.replica)
-    ) {
+    } else if (!isMember(replica, self.replica)) {
       await this.#askToJoin();
     }
   }
@@ -116,16 +111,9 @@
           : fault("not_leader", what, { outcome: "not run", leader }),
       );
     }
-    return parse(Applicant, params, "join").andThen((member) => {
-      const isMember = replica.replicas().some((known) =>
-        known.replica === member.replica
-      );
-      if (isMember) {
-        return Ok.EMPTY;
-      }
-      log.info("replica.joins", { replica: member.replica });
-      return replica.changeMembership({ kind: "add", member });
-    });
+    return parse(Applicant, params, "join").andThen((applicant) =>
+      admit(replica, applicant, log)
+    );
   }
 
   #arrange(): void {
--- a/packages/daemon/src/consensus/formation.ts
+++ b/packages/daemon/src/consensus/formation.ts
@@ -9,7 +9,6 @@
   Err,
   type Fault,
   fault,
-  Member,
   Ok,
   type Output,
   parse,
@@ -24,6 +23,7 @@
 import type { Link } from "../link/link.ts";
 import type { Log } from "../observe/log.ts";
 import type { ReplicaStatus } from "./consensus.ts";
+import { admit, Applicant, isMember } from "./joining.ts";
 import type { ReplicaTask } from "./replica_task.ts";
 
 /** What the formation task needs. */
@@ -35,7 +35,6 @@
   log: Log;
 }
 
-const Applicant = Member.omit({ standing: true });
 const Description = z.object({ replica: z.string(), isFormed: z.boolean() });
 
 const ReplicaName = z.object({ replica: z.string() });
@@ -145,9 +144,7 @@
     const { isLeader } = replica.leadership();
     if (isLeader) {
       this.#arrange();
-    } else if (
-      !replica.replicas().some((member) => member.replica === replica.replica)
-    ) {
+    } else if (!isMember(replica, replica.replica)) {
       await this.#askToJoin();
     }
   }
@@ -201,13 +198,7 @@
             ),
           );
         }
-        if (
-          replica.replicas().some((known) => known.replica === member.replica)
-        ) {
-          return Ok({});
-        }
-        log.info("replica.joins", { replica: member.replica });
-        return replica.changeMembership({ kind: "add", member });
+        return admit(replica, member, log);
       },
     );
   }
