Catch the moment that the test of an interrupted request needs

Cause: it waits until three attempts are under way at once, a moment of some tenths of a second that never comes back, and two looks at the ledger can miss it. It then waits 45 s in vain.

Requests that have all ended are followed by others with new keys; everything that is asserted stays.

--- a/test/interrupted_test.ts
+++ b/test/interrupted_test.ts
@@ -39,17 +39,36 @@
     );
   };
 
+  /**
+   * Requests through e4 whose attempts are in the ledger at one moment. That moment is short and may pass between two
+   * looks, so requests that have all ended are followed by others.
+   */
+  const underWay = async (): Promise<
+    { keys: string[]; first: Promise<Seen | undefined>[] }
+  > => {
+    for (let round = 0;; round += 1) {
+      const keys = Array.from(
+        { length: SLOTS_OF_ENTRY - 1 },
+        (_, index) => `frozen-${round}-${index}`,
+      );
+      const first = keys.map((key) => submit("e4", key));
+      let areOver = false;
+      void Promise.all(first).then(() => areOver = true);
+      let areRunning = false;
+      await cluster.until("attempts in the ledger", async () => {
+        const running = await held("running");
+        areRunning = keys.every((key) => running.includes(key));
+        return areRunning || areOver;
+      });
+      if (areRunning) {
+        return { keys, first };
+      }
+    }
+  };
+
   it("is not sent by an entry that was frozen past its lease", async () => {
-    const keys = Array.from(
-      { length: SLOTS_OF_ENTRY - 1 },
-      (_, index) => `frozen-${index}`,
-    );
     cluster.relaysOf("e4").forEach((relay) => relay.delay(DELAY_MS));
-    const first = keys.map((key) => submit("e4", key));
-    await cluster.until("attempts in the ledger", async () => {
-      const running = await held("running");
-      return keys.every((key) => running.includes(key));
-    });
+    const { keys, first } = await underWay();
     cluster.signal("e4", "SIGSTOP");
     await cluster.until("fenced attempts", async () => {
       const unknown = await held("unknown");
