--- a/packages/daemon/src/entry/leader_client.ts
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -58,7 +58,8 @@
   ): Promise<Result<unknown, Fault>> {
     const { clock } = this.#routes;
     const deadline = clock.monotonic() + timeoutMs;
-    let last: Result<unknown, Fault> = Err(notSent("No replica is known"));
+    // Errors are expensive to build, and a call that succeeds needs none.
+    let last: Result<unknown, Fault> | undefined;
     let inDoubt = false;
     for (let left = timeoutMs; left > 0; left = deadline - clock.monotonic()) {
       const candidate = this.#leader ?? this.#nextCandidate();
@@ -80,6 +81,7 @@
         );
       }
     }
+    last ??= Err(notSent("No replica is known"));
     return inDoubt
       ? last.mapErr((found) => ({ ...found, outcome: "unknown" as const }))
       : last;
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -26,6 +26,7 @@
 import { extractContext, type Tracing } from "../observe/tracing.ts";
 import type { PlatformAgents } from "../agents/agents.ts";
 import { dueCommands, longestRequestMs } from "./conductor.ts";
+import { HoldLog } from "./hold_log.ts";
 import { Placer } from "./placer.ts";
 import { Observer } from "./observer.ts";
 import { answerQuery, Query } from "./queries.ts";
@@ -73,6 +74,7 @@
   readonly #tickers: Component[];
   readonly #maintenance: Ticker;
   readonly #placer: Placer;
+  readonly #holdLog: HoldLog;
   #tenure: Tenure | undefined;
   #observer: Observer | undefined;
   #holds: readonly Hold[] = [];
@@ -86,6 +88,7 @@
   constructor(parts: LeaderParts) {
     this.#parts = parts;
     this.#placer = new Placer(parts);
+    this.#holdLog = new HoldLog(parts.log);
     this.#maintenance = ticker(
       "maintenance",
       MAINTENANCE_MS,
@@ -299,6 +302,7 @@
     this.#maintainNotBefore = moment.now +
       Math.min(MAX_MAINTENANCE_MS, usedMs / MAINTENANCE_SHARE);
     this.#holds = decision.holds;
+    this.#holdLog.note(decision.holds, moment.now);
     this.#awaitsRenewals = decision.commands.length > 0 ||
       decision.holds.some((hold) => AWAITING_RULES.has(hold.rule));
     for (const action of decision.actions) {
