--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -23,6 +23,7 @@
 import { FleetTask } from "./fleet_task.ts";
 import { AdviceDesk } from "./advice_desk.ts";
 import type { AdviceCalls, FleetCalls } from "./ports.ts";
+import { Settlements } from "./settlements.ts";
 import type { TenureStatus } from "./status.ts";
 import { type SessionParts, WorkerSession } from "./worker_session.ts";
 
@@ -30,7 +31,7 @@
 export interface TenureParts extends
   Omit<
     SessionParts,
-    "onChange" | "onLost" | "estimate" | "health" | "permit"
+    "onChange" | "onLost" | "estimate" | "health" | "permit" | "settlements"
   > {
   retentionMs: number;
   /** Calls at the platform's list of VMs; undefined where there is none. */
@@ -58,6 +59,7 @@
   readonly #rates = new ArrivalRates();
   readonly #estimate = new WorkEstimate();
   readonly #health = new WorkerHealth();
+  readonly #settlements: Settlements;
   readonly #fleet: FleetTask | undefined;
   readonly #advice: AdviceDesk | undefined;
   #passDue = false;
@@ -70,6 +72,7 @@
 
   constructor(parts: TenureParts) {
     this.#parts = parts;
+    this.#settlements = new Settlements(parts);
     this.#forgotAt = parts.clock.monotonic();
     this.#passes = ticker("passes", IDLE_PASS_MS, () => this.#pass());
     this.#fleet = parts.fleetCalls && new FleetTask({
@@ -229,6 +232,7 @@
   #open(worker: Worker): void {
     const session = new WorkerSession(worker, {
       ...this.#parts,
+      settlements: this.#settlements,
       estimate: this.#estimate,
       health: this.#health,
       permit: (step, id) =>
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -25,6 +25,7 @@
 import { LeaseHolder } from "./lease_holder.ts";
 import { Pacer } from "./pacer.ts";
 import type { RenewalAnswer, WorkerCalls } from "./ports.ts";
+import type { Settlements } from "./settlements.ts";
 import type { SchedulerSettings } from "@quetzalcove/core/scheduling";
 import { StragglerWatch } from "./straggler_watch.ts";
 
@@ -33,6 +34,8 @@
   settings: SchedulerSettings["workers"];
   term: number;
   consensus: BookConsensus;
+  /** Stores what workers list. */
+  settlements: Settlements;
   calls: WorkerCalls;
   clock: Clock;
   log: Log;
@@ -244,7 +247,7 @@
     askedAt: number,
     now: number,
   ): Promise<void> {
-    const { consensus, clock } = this.#parts;
+    const { consensus, settlements } = this.#parts;
     const book = consensus.state;
     const { id } = this.worker;
     this.#listing = listing;
@@ -269,12 +272,7 @@
       return { task, run, worker: id, how, checkpoint };
     });
     if (ends.length > 0 || dropped.length > 0) {
-      const settled = await consensus.propose({
-        kind: "settle",
-        ends,
-        dropped,
-        atMs: clock.wall(),
-      });
+      const settled = await settlements.add(ends, dropped);
       if (settled.ok) {
         this.#seenEnds = listing.ended.reduce(
           (highest, { number }) => Math.max(highest, number),
@@ -346,7 +344,7 @@
   }
 
   async #sendStart(run: RunRecord): Promise<void> {
-    const { calls, consensus, clock, term, metrics } = this.#parts;
+    const { calls, consensus, clock, term, metrics, settlements } = this.#parts;
     const book = consensus.state;
     const job = book.jobs.get(run.job);
     const task = book.taskOf(run);
@@ -385,12 +383,7 @@
       this.#noteRefusal(run, answer, now);
     }
     if (refused !== undefined) {
-      await consensus.propose({
-        kind: "settle",
-        ends: [],
-        dropped: [refused],
-        atMs: clock.wall(),
-      });
+      await settlements.add([], [refused]);
       this.#parts.onChange();
     }
   }
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -24,6 +24,8 @@
   StartOrder,
   WorkerCalls,
 } from "../src/scheduler/ports.ts";
+import type { BookConsensus } from "../src/scheduler/book_machine.ts";
+import { Settlements } from "../src/scheduler/settlements.ts";
 import { WorkerSession } from "../src/scheduler/worker_session.ts";
 
 const ignore = (): void => {};
@@ -125,6 +127,22 @@
   place(jobs, run("j.0.0.0", 1, "w1"));
   const calls = new ScriptedWorker();
   let lostAt: number | undefined;
+  const consensus: BookConsensus = {
+    state: jobs,
+    propose: (command: BookCommand) =>
+      Promise.resolve(
+        jobs.apply(command).map((output): BookOutput => output),
+      ),
+    barrier: () => Promise.resolve(Ok.EMPTY),
+    leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
+    replicas: () => [],
+    onChange: () => {},
+  };
+  const clock = {
+    monotonic: () => Date.now(),
+    wall: () => Date.now(),
+    processor: () => 0,
+  };
   const session = new WorkerSession(worker("w1"), {
     settings: {
       leaseMs: LEASE_MS,
@@ -135,23 +153,10 @@
       contactMs: 3_000,
     },
     term: 7,
-    consensus: {
-      state: jobs,
-      propose: (command: BookCommand) =>
-        Promise.resolve(
-          jobs.apply(command).map((output): BookOutput => output),
-        ),
-      barrier: () => Promise.resolve(Ok.EMPTY),
-      leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
-      replicas: () => [],
-      onChange: () => {},
-    },
+    consensus,
+    settlements: new Settlements({ consensus, clock }),
     calls,
-    clock: {
-      monotonic: () => Date.now(),
-      wall: () => Date.now(),
-      processor: () => 0,
-    },
+    clock,
     log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
     metrics: new Metrics(),
     estimate: new WorkEstimate(),
