--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -5,7 +5,6 @@
  */
 export * from "./batch_job.ts";
 export * from "./command.ts";
-export * from "./demand_turns.ts";
 export * from "./job_book.ts";
 export * from "./job_record.ts";
 export * from "./pacing.ts";
--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pool_demand.ts
@@ -6,7 +6,6 @@
  *
  * @module
  */
-import { DemandTurns } from "./demand_turns.ts";
 import type { JobBook } from "./job_book.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
@@ -29,8 +28,6 @@
 
 /** Rates of arriving work, by pool. */
 export class ArrivalRates {
-  /** Tells which pool's demand rises next. */
-  readonly turns = new DemandTurns();
   readonly #arrivals = new Map<string, Arrival[]>();
 
   /** Notes a job whose tasks need so many core-milliseconds. */
@@ -38,7 +35,6 @@
     const recent = this.#recent(pool, now);
     recent.push({ at: now, coreMs });
     this.#arrivals.set(pool, recent);
-    this.turns.note(pool, coreMs, now);
   }
 
   /**
@@ -72,7 +68,7 @@
   reserved: number;
   /** Cores that the tasks that wait could use at once. */
   waiting: number;
-  /** Cores that keep up with arrivals, those foreseen included, and start what waits in time. */
+  /** Cores that keep up with arrivals and start what waits in time. */
   wanted: number;
 }
 
@@ -109,7 +105,6 @@
     demand.wanted = Math.max(
       demand.reserved + Math.min(demand.waiting, catchUp),
       arriving + catchUp,
-      rates.turns.expected(pool, now),
     );
   }
   return demands;
--- a/packages/core/test/scheduling_day.ts
+++ b/packages/core/test/scheduling_day.ts
@@ -46,13 +46,9 @@
   coresOfVm: number;
   /** How long the demand of each queue is up, in milliseconds; one after the other. */
   turnMs: number;
-  /** How often each queue has its turn; once, unless given. */
-  cycles?: number;
   seed: number;
   /** Chooses moves; as the product does, unless given. */
   choose?: (pools: readonly PoolState[]) => Move[];
-  /** Measures demand; the product's rates, unless given. */
-  rates?: ArrivalRates;
   /** Learns durations; the product's estimate, unless given. */
   estimate?: WorkEstimate;
 }
@@ -107,7 +103,7 @@
   readonly #plan: DayPlan;
   readonly #random;
   readonly #book = new JobBook();
-  readonly #rates: ArrivalRates;
+  readonly #rates = new ArrivalRates();
   readonly #estimate: WorkEstimate;
   readonly #vms = new Map<string, Vm>();
   readonly #ends = new Map<number, { run: RunKey; tookMs: number }[]>();
@@ -119,7 +115,6 @@
 
   constructor(plan: DayPlan) {
     this.#plan = plan;
-    this.#rates = plan.rates ?? new ArrivalRates();
     this.#estimate = plan.estimate ?? new WorkEstimate();
     const generator = xoroshiro128plus(plan.seed);
     this.#random = () => uniformFloat64(generator);
@@ -146,8 +141,8 @@
   }
 
   play(): DayResult {
-    const { queues, turnMs, cycles = 1 } = this.#plan;
-    const lengthMs = cycles * queues.length * turnMs + TAIL_MS;
+    const { queues, turnMs } = this.#plan;
+    const lengthMs = queues.length * turnMs + TAIL_MS;
     for (let now = 0; now < lengthMs; now += TICK_MS) {
       this.#arrive(now);
       this.#endRuns(now);
@@ -167,13 +162,9 @@
   }
 
   #arrive(now: number): void {
-    const { queues, turnMs, cycles = 1 } = this.#plan;
-    const cycleMs = queues.length * turnMs;
-    const isOver = now >= cycles * cycleMs;
-    queues.forEach((load, turn) => {
-      const point = (now % cycleMs) / turnMs - turn;
+    this.#plan.queues.forEach((load, turn) => {
       const expected = load.jobsPerSecond * TICK_MS / 1_000 *
-        heightOf(isOver ? Infinity : point);
+        heightOf((now - turn * this.#plan.turnMs) / this.#plan.turnMs);
       for (let left = expected; left > 0; left -= 1) {
         if (this.#random() < Math.min(1, left)) {
           this.#submit(load, now);
