Pace waves, refuse truly without a quorum, call ended workers no more

- A wave took seven VMs off at once, a fifth of the fleet, while the next queue rose.
It now keeps as many VMs out as it needs to end in time, with a margin, and what was begun goes on; short of time it takes all places as before.
- 76 requests that reached no worker were answered 504, which callers cannot try again.
A leader without a quorum let a submission wait for it, and the entry gave up first.
The leader now answers within 500 ms that it was not run, and proposes nothing afterwards.
- Each worker whose VM was moved was called once more on a new connection, since a pass opened a session for it while its end was being committed.

--- a/packages/core/src/scheduling/upkeep_plan.ts
+++ b/packages/core/src/scheduling/upkeep_plan.ts
@@ -1,8 +1,9 @@
 /**
  * Which VMs of a wave are taken down next.
  *
- * Answers the pattern of maintenance under load: VMs that are off or idle go first, busy ones are drained while their
- * pool has nothing waiting, and all of them once the wave is short of time.
+ * Answers the pattern of maintenance under load: no more VMs are out at once than the wave needs to end in time, so that
+ * a rise of demand finds the others. VMs that are off or idle go first, busy ones are drained while their pool has
+ * nothing waiting, and all of them once the wave is short of time.
  *
  * @module
  */
@@ -40,8 +41,11 @@
 /** Time that one VM takes from the choice until it is back, in milliseconds: emptying, upkeep and rejoining. */
 const VM_CYCLE_MS = 6_000;
 
-/** Part of a wave's places that are used while there is time, so that pools keep their room. */
-const CALM_SHARE = 0.5;
+/** The same of a VM on which nothing runs. */
+const EMPTY_VM_CYCLE_MS = 3_000;
+
+/** VMs that are out at once, against an even spread over the time left; the margin is for drains that take longer. */
+const PACE_MARGIN = 1.25;
 
 /** Chooses what to take down and what to empty. */
 export function planUpkeep(progress: WaveProgress): UpkeepPlan {
@@ -49,24 +53,38 @@
   const places = maxDown - down;
   const rounds = Math.ceil(due.length / maxDown);
   const isShortOfTime = leftMs < (rounds + 1) * VM_CYCLE_MS;
+  const pace = isShortOfTime ? maxDown : paceOf(due, leftMs);
+  const calmPlaces = Math.min(places, Math.max(0, pace - down));
   const up = due.filter(({ isUp }) => isUp);
-  const takeDown = up
-    .filter(({ runs }) => runs === 0)
-    .slice(0, Math.max(0, places))
-    .map(({ vm }) => vm);
-  const calmPlaces = isShortOfTime
-    ? places
-    : Math.max(1, Math.floor(maxDown * CALM_SHARE)) - down;
-  const drainPlaces = Math.max(0, calmPlaces - takeDown.length);
-  const drain = up
-    .filter(({ runs, isDraining, isPoolBusy }) =>
-      runs > 0 && (isDraining || isShortOfTime || !isPoolBusy)
-    )
-    .sort((a, b) =>
-      Number(b.isDraining) - Number(a.isDraining) ||
-      a.lastingRuns - b.lastingRuns || a.runs - b.runs
-    )
-    .slice(0, drainPlaces)
-    .map(({ vm }) => vm);
-  return { takeDown, drain };
+  const isBusy = ({ runs }: DueVm): boolean => runs > 0;
+  const busy = up.filter(isBusy);
+  const empty = up.filter((each) => !isBusy(each));
+  // What was begun goes on: an emptied VM would be moved as an idle one, and tasks that last have left the others.
+  const emptied = empty.filter(({ isDraining }) => isDraining)
+    .slice(0, Math.max(0, places));
+  const draining = busy.filter(({ isDraining }) => isDraining).sort(byWork)
+    .slice(0, Math.max(0, places - emptied.length));
+  const begun = emptied.length + draining.length;
+  const idle = empty.filter(({ isDraining }) => !isDraining)
+    .slice(0, Math.max(0, calmPlaces - begun));
+  const next = busy.filter(({ isDraining, isPoolBusy }) =>
+    !isDraining && (isShortOfTime || !isPoolBusy)
+  ).sort(byWork).slice(0, Math.max(0, calmPlaces - begun - idle.length));
+  return {
+    takeDown: [...emptied, ...idle].map(({ vm }) => vm),
+    drain: [...draining, ...next].map(({ vm }) => vm),
+  };
+}
+
+/** VMs that must be out at once, so that all have had their turn in the time that is left. */
+function paceOf(due: readonly DueVm[], leftMs: number): number {
+  const workMs = due.reduce(
+    (sum, { runs }) => sum + (runs === 0 ? EMPTY_VM_CYCLE_MS : VM_CYCLE_MS),
+    0,
+  );
+  return Math.ceil(PACE_MARGIN * workMs / leftMs);
+}
+
+function byWork(a: DueVm, b: DueVm): number {
+  return a.lastingRuns - b.lastingRuns || a.runs - b.runs;
 }
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -176,6 +176,33 @@
     expect(planUpkeep({ ...progress, leftMs: 5_000 }).drain).toEqual(["a"]);
   });
 
+  it("takes no more VMs down at once than it needs to end in time", () => {
+    const off = Array.from({ length: 16 }, (_, i) => ({
+      ...busy,
+      vm: `off${i}`,
+      runs: 0,
+    }));
+    const plan = planUpkeep({ maxDown: 7, down: 0, leftMs: 25_000, due: off });
+    // Sixteen VMs of 3 s each in 25 s: two at once would just do.
+    expect(plan.takeDown.length).toBeGreaterThanOrEqual(2);
+    expect(plan.takeDown.length).toBeLessThan(5);
+    const late = planUpkeep({ maxDown: 7, down: 0, leftMs: 9_000, due: off });
+    expect(late.takeDown.length).toBe(7);
+  });
+
+  it("takes an emptied VM down although others would do", () => {
+    const due = [
+      ...Array.from({ length: 3 }, (_, i) => ({
+        ...busy,
+        vm: `off${i}`,
+        runs: 0,
+      })),
+      { ...busy, vm: "emptied", runs: 0, isDraining: true },
+    ];
+    const plan = planUpkeep({ maxDown: 4, down: 3, leftMs: 60_000, due });
+    expect(plan.takeDown).toEqual(["emptied"]);
+  });
+
   it("goes on emptying a VM that it has begun to empty", () => {
     const others = [busy, { ...busy, vm: "b", isDraining: true }];
     const plan = planUpkeep({
--- a/packages/daemon/src/scheduler/front_desk.ts
+++ b/packages/daemon/src/scheduler/front_desk.ts
@@ -20,6 +20,7 @@
   visibleState,
 } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
+import { within } from "../deadline.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
 import type { Log } from "../observe/log.ts";
 import type { BookConsensus } from "./book_machine.ts";
@@ -52,6 +53,9 @@
 /** Job ids become parts of task names, so they hold no dot. */
 const JOB_ID = /^[0-9A-Za-z_-]{1,64}$/;
 
+/** Longest wait for a quorum, in milliseconds; entries wait 700 for an answer and would not know what became of a call. */
+const CONFIRM_MS = 500;
+
 /** How long a caller should wait before it tries again, in milliseconds: one election. */
 const ELECTION_PAUSE_MS = 1_000;
 
@@ -92,11 +96,30 @@
       if (params.err) {
         return params;
       }
-      const confirmed = await this.#parts.consensus.barrier();
+      const confirmed = await this.#confirm();
       return confirmed.err ? confirmed : await answer(params.val);
     };
   }
 
+  /** Confirms that this node leads. A failure says "not run", since nothing was proposed yet. */
+  async #confirm(): Promise<Result<void, Fault>> {
+    const confirmed = await within(CONFIRM_MS, this.#parts.consensus.barrier());
+    return confirmed === undefined
+      ? Err(
+        fault(
+          "no_leader",
+          `No quorum confirmed this node in ${CONFIRM_MS} ms`,
+          {
+            outcome: "not run",
+          },
+        ),
+      )
+      : confirmed.mapErr((found) => ({
+        ...found,
+        outcome: "not run" as const,
+      }));
+  }
+
   async #submit(
     { host, path, spec }: Params<"submit_job">,
   ): Promise<Result<unknown, Fault>> {
--- a/packages/daemon/src/scheduler/tenure.ts
+++ b/packages/daemon/src/scheduler/tenure.ts
@@ -64,6 +64,8 @@
   readonly #advice: AdviceDesk | undefined;
   #passDue = false;
   #isPlacing = false;
+  /** Workers whose loss is not committed yet; the book still holds them. */
+  readonly #losing = new Set<string>();
   /** Workers of placements that are not committed yet. */
   #placing = new Set<string>();
   #stopped = false;
@@ -223,7 +225,7 @@
       }
     }
     for (const worker of workers.values()) {
-      if (!this.#sessions.has(worker.id)) {
+      if (!this.#sessions.has(worker.id) && !this.#losing.has(worker.id)) {
         this.#open(worker);
       }
     }
@@ -251,12 +253,14 @@
     this.#sessions.delete(id);
     this.#health.forget(id);
     log.warn("worker.lost", { worker: id, reason, runs, ended: hasEnded });
+    this.#losing.add(id);
     await consensus.propose({
       kind: "lose",
       workers: [id],
       haveEnded: hasEnded,
       atMs: clock.wall(),
     });
+    this.#losing.delete(id);
     this.wake();
   }
 
--- /dev/null
+++ b/packages/daemon/test/front_desk_test.ts
@@ -0,0 +1,115 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
+import { type BookCommand, JobBook } from "@quetzalcove/core/scheduling";
+import { FrontDesk } from "../src/scheduler/front_desk.ts";
+
+const ignore = (): void => {};
+
+/** Time for which an entry waits for one replica's answer, in milliseconds. */
+const ENTRY_PATIENCE_MS = 700;
+
+const SUBMISSION = {
+  host: "jobs.example",
+  path: "/intake/0000000000000001",
+  spec: {
+    text: "work",
+    steps: [{
+      taskCount: 1,
+      demand: { cpuMilli: 1, memoryMb: 1, gpus: 0 },
+      estimatedMs: 1,
+      dependsOn: [],
+      checkpoints: false,
+      gang: false,
+      sameRack: false,
+      requiredLabel: "",
+      dataRack: "",
+      maxPerWorker: 0,
+      allowsCopies: false,
+      lasting: false,
+      image: "",
+      targetLatencyMs: 0,
+      fills: false,
+    }],
+  },
+};
+
+/** A desk at a replica whose quorum answers as the test says. */
+function deskWith(barrier: () => Promise<Result<void, Fault>>): {
+  submit: () => Promise<Result<unknown, Fault>>;
+  proposed: BookCommand[];
+} {
+  const proposed: BookCommand[] = [];
+  const desk = new FrontDesk({
+    consensus: {
+      state: new JobBook(),
+      propose: (command) => {
+        proposed.push(command);
+        return Promise.resolve(Ok({ kind: "applied" as const }));
+      },
+      barrier,
+      leadership: () => ({ term: 1, leader: "n1", isLeader: true }),
+      replicas: () => [],
+      onChange: ignore,
+    },
+    clock: { monotonic: () => 0, wall: () => 0, processor: () => 0 },
+    log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+    onChange: ignore,
+    onAccepted: ignore,
+  });
+  const handler = desk.handlers().get("submit_job");
+  return {
+    submit: () => handler?.(SUBMISSION) ?? Promise.reject(new Error("absent")),
+    proposed,
+  };
+}
+
+describe("a submission at a leader that lost its quorum", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it("is refused as not run while the entry still waits, and is never proposed", async () => {
+    let confirm: (result: Result<void, Fault>) => void = ignore;
+    const { submit, proposed } = deskWith(() =>
+      new Promise((resolve) => {
+        confirm = resolve;
+      })
+    );
+    const answer = submit();
+    await vi.advanceTimersByTimeAsync(ENTRY_PATIENCE_MS);
+    const settled = await Promise.race([answer, Promise.resolve(undefined)]);
+    expect(settled?.err && settled.val).toMatchObject({
+      kind: "no_leader",
+      outcome: "not run",
+    });
+    // The quorum is back, too late for this submission.
+    confirm(Ok.EMPTY);
+    await vi.advanceTimersByTimeAsync(ENTRY_PATIENCE_MS);
+    expect(proposed).toEqual([]);
+  });
+
+  it("is refused as not run when the leadership is lost before it was proposed", async () => {
+    const { submit, proposed } = deskWith(() =>
+      Promise.resolve(Err(fault("no_leader", "Leadership was lost")))
+    );
+    const answer = await submit();
+    expect(answer.err && answer.val.outcome).toBe("not run");
+    expect(proposed).toEqual([]);
+  });
+
+  it("keeps the name of the replica that leads", async () => {
+    const { submit } = deskWith(() =>
+      Promise.resolve(Err(fault("not_leader", "Not here", { leader: "n2" })))
+    );
+    const answer = await submit();
+    expect(answer.err && answer.val).toMatchObject({
+      kind: "not_leader",
+      leader: "n2",
+      outcome: "not run",
+    });
+  });
+});
