--- a/packages/daemon/test/leader_client_test.ts
+++ b/packages/daemon/test/leader_client_test.ts
@@ -116,3 +116,79 @@
     `);
   });
 });
+
+describe("calls while no replica leads", () => {
+  /** Replicas that do not lead; each answer takes a moment. */
+  function electing(hint?: string): {
+    client: LeaderClient;
+    clock: ReturnType<typeof clockOf>;
+    asked: string[];
+  } {
+    const clock = clockOf();
+    const asked: string[] = [];
+    const linkTo = (entry: string): Link => {
+      const request = async (): Promise<Result<unknown, Fault>> => {
+        asked.push(entry);
+        await new Promise((resolve) => setTimeout(resolve, 1));
+        clock.now += 10;
+        const named = hint === undefined ? {} : { leader: hint };
+        return Err(fault("not_leader", "No", { outcome: "not run", ...named }));
+      };
+      return { request } as unknown as Link;
+    };
+    const client = new LeaderClient({
+      entry: "e1",
+      local: undefined,
+      links: new Map(["e2", "e3", "e4"].map((e) => [e, linkTo(e)])),
+      clock,
+    });
+    return { client, clock, asked };
+  }
+
+  function outcomesOf(results: Result<unknown, Fault>[]): Set<unknown> {
+    return new Set(results.map((each) => each.err && each.val.outcome));
+  }
+
+  it("do not flood the replicas, however many wait", async () => {
+    const { client, asked } = electing();
+    const results = await Promise.all(
+      Array.from({ length: 200 }, () => client.call("submit", {}, 100)),
+    );
+    // One search at a time, of 10 ms each.
+    expect(asked.length).toBeLessThanOrEqual(11);
+    expect(outcomesOf(results)).toEqual(new Set(["not run"]));
+  });
+
+  it("do not flood a dead leader that the others still name", async () => {
+    const { client, asked } = electing("e9");
+    await Promise.all(
+      Array.from({ length: 200 }, () => client.call("submit", {}, 100)),
+    );
+    expect(asked.length).toBeLessThanOrEqual(11);
+  });
+
+  it("are refused at once when that has taken long, and asked to come back later and later", async () => {
+    const { client, clock, asked } = electing();
+    clock.now = 3_500;
+    const searching = client.call("submit", {}, 10);
+    const askedBefore = asked.length;
+    const refused = await client.call("submit", {}, 2_500);
+    expect(asked.length).toBe(askedBefore);
+    expect(refused.err && refused.val).toMatchObject({
+      outcome: "not run",
+      retryAfterMs: 1_750,
+    });
+    await searching;
+    clock.now = 60_000;
+    const late = await client.call("submit", {}, 10);
+    expect(late.err && late.val.retryAfterMs).toBe(3_000);
+  });
+
+  it("wait while an election is likely under way", async () => {
+    const { client, clock } = electing();
+    clock.now = 500;
+    const refused = await client.call("submit", {}, 100);
+    expect(clock.now).toBeGreaterThanOrEqual(600);
+    expect(refused.err && refused.val.retryAfterMs).toBe(1_000);
+  });
+});
