--- a/packages/daemon/test/front_desk_test.ts
+++ b/packages/daemon/test/front_desk_test.ts
@@ -1,9 +1,14 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
 import { type BookCommand, JobBook } from "@quetzalcove/core/scheduling";
+import { spec, step } from "../../core/test/scheduling_fixture.ts";
 import { FrontDesk } from "../src/scheduler/front_desk.ts";
-
-const ignore = (): void => {};
+import {
+  consensusOf,
+  ignore,
+  QUIET_LOG,
+  TEST_CLOCK,
+} from "./scheduler_fixture.ts";
 
 /** Time for which an entry waits for one replica's answer, in milliseconds. */
 const ENTRY_PATIENCE_MS = 700;
@@ -11,26 +16,7 @@
 const SUBMISSION = {
   host: "jobs.example",
   path: "/intake/0000000000000001",
-  spec: {
-    text: "work",
-    steps: [{
-      taskCount: 1,
-      demand: { cpuMilli: 1, memoryMb: 1, gpus: 0 },
-      estimatedMs: 1,
-      dependsOn: [],
-      checkpoints: false,
-      gang: false,
-      sameRack: false,
-      requiredLabel: "",
-      dataRack: "",
-      maxPerWorker: 0,
-      allowsCopies: false,
-      lasting: false,
-      image: "",
-      targetLatencyMs: 0,
-      fills: false,
-    }],
-  },
+  spec: spec(step()),
 };
 
 /** A desk at a replica whose quorum answers as the test says. */
@@ -40,19 +26,15 @@
 } {
   const proposed: BookCommand[] = [];
   const desk = new FrontDesk({
-    consensus: {
-      state: new JobBook(),
+    consensus: consensusOf(new JobBook(), {
       propose: (command) => {
         proposed.push(command);
         return Promise.resolve(Ok({ kind: "applied" as const }));
       },
       barrier,
-      leadership: () => ({ term: 1, leader: "n1", isLeader: true }),
-      replicas: () => [],
-      onChange: ignore,
-    },
-    clock: { monotonic: () => 0, wall: () => 0, processor: () => 0 },
-    log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+    }),
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
     onChange: ignore,
     onAccepted: ignore,
   });
--- a/packages/daemon/test/hold_log_test.ts
+++ b/packages/daemon/test/hold_log_test.ts
@@ -2,8 +2,7 @@
 import type { Hold } from "@quetzalcove/core";
 import { HoldLog } from "../src/leader/hold_log.ts";
 import type { Fields, Log } from "../src/observe/log.ts";
-
-const ignore = (): void => {};
+import { QUIET_LOG } from "./scheduler_fixture.ts";
 
 /** A log that keeps its events. */
 function recorded(): { log: Log; events: [string, Fields | undefined][] } {
@@ -11,10 +10,7 @@
   const keep = (event: string, fields?: Fields): void => {
     events.push([event, fields]);
   };
-  return {
-    log: { debug: ignore, info: keep, warn: keep, error: keep },
-    events,
-  };
+  return { log: { ...QUIET_LOG, info: keep, warn: keep }, events };
 }
 
 function capacityHold(vm: string, figure: number): Hold {
--- /dev/null
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -0,0 +1,52 @@
+/**
+ * Stand-ins of what the scheduler's tasks are given.
+ *
+ * @module
+ */
+import { Ok } from "@quetzalcove/core";
+import type { BookOutput, JobBook } from "@quetzalcove/core/scheduling";
+import type { Clock } from "../src/clock.ts";
+import type { Log } from "../src/observe/log.ts";
+import type { BookConsensus } from "../src/scheduler/book_machine.ts";
+
+export const ignore = (): void => {};
+
+export const QUIET_LOG: Log = {
+  debug: ignore,
+  info: ignore,
+  warn: ignore,
+  error: ignore,
+};
+
+/** Clocks that follow the timers of a test. */
+export const TEST_CLOCK: Clock = {
+  monotonic: () => Date.now(),
+  wall: () => Date.now(),
+  processor: () => 0,
+};
+
+export const WORKER_SETTINGS = {
+  leaseMs: 4_000,
+  maxLeaseMs: 10_000,
+  renewalWaitMs: 1_500,
+  callTimeoutMs: 1_000,
+  stopMs: 200,
+  contactMs: 3_000,
+} as const;
+
+/** A leader whose proposals are committed at once. */
+export function consensusOf(
+  jobs: JobBook,
+  changes: Partial<BookConsensus> = {},
+): BookConsensus {
+  return {
+    state: jobs,
+    propose: (command) =>
+      Promise.resolve(jobs.apply(command).map((output): BookOutput => output)),
+    barrier: () => Promise.resolve(Ok.EMPTY),
+    leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
+    replicas: () => [],
+    onChange: ignore,
+    ...changes,
+  };
+}
--- a/packages/daemon/test/settlements_test.ts
+++ b/packages/daemon/test/settlements_test.ts
@@ -7,6 +7,7 @@
   type RunEnd,
 } from "@quetzalcove/core/scheduling";
 import { Settlements } from "../src/scheduler/settlements.ts";
+import { consensusOf, TEST_CLOCK } from "./scheduler_fixture.ts";
 
 const APPLIED: BookOutput = { kind: "applied" };
 
@@ -18,18 +19,13 @@
   readonly #commits: ((result: Result<BookOutput, Fault>) => void)[] = [];
 
   readonly settlements = new Settlements({
-    consensus: {
-      state: new JobBook(),
+    consensus: consensusOf(new JobBook(), {
       propose: (command) => {
         this.proposed.push(command as Settle);
         return new Promise((resolve) => this.#commits.push(resolve));
       },
-      barrier: () => Promise.resolve(Ok.EMPTY),
-      leadership: () => ({ term: 1, leader: "n1", isLeader: true }),
-      replicas: () => [],
-      onChange: () => {},
-    },
-    clock: { monotonic: () => 0, wall: () => 0, processor: () => 0 },
+    }),
+    clock: TEST_CLOCK,
   });
 
   async finish(result: Result<BookOutput, Fault> = Ok(APPLIED)): Promise<void> {
--- a/packages/daemon/test/tenure_test.ts
+++ b/packages/daemon/test/tenure_test.ts
@@ -1,12 +1,16 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Ok } from "@quetzalcove/core";
 import type { BookCommand, BookOutput } from "@quetzalcove/core/scheduling";
 import { book, worker } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import type { WorkerCalls } from "../src/scheduler/ports.ts";
 import { Tenure } from "../src/scheduler/tenure.ts";
-
-const ignore = (): void => {};
+import {
+  consensusOf,
+  ignore,
+  QUIET_LOG,
+  TEST_CLOCK,
+  WORKER_SETTINGS,
+} from "./scheduler_fixture.ts";
 
 describe("a worker that has ended", () => {
   beforeEach(() => {
@@ -33,21 +37,13 @@
       forget: ignore,
     };
     const tenure = new Tenure({
-      settings: {
-        leaseMs: 4_000,
-        maxLeaseMs: 10_000,
-        renewalWaitMs: 1_500,
-        callTimeoutMs: 1_000,
-        stopMs: 200,
-        contactMs: 3_000,
-      },
+      settings: WORKER_SETTINGS,
       term: 7,
       holder: "n1",
       retentionMs: 60_000,
       fleetCalls: undefined,
       adviceCalls: undefined,
-      consensus: {
-        state: jobs,
+      consensus: consensusOf(jobs, {
         propose: (command: BookCommand) =>
           new Promise((resolve) => {
             commit = () =>
@@ -55,18 +51,10 @@
                 jobs.apply(command).map((output): BookOutput => output),
               );
           }),
-        barrier: () => Promise.resolve(Ok.EMPTY),
-        leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
-        replicas: () => [],
-        onChange: ignore,
-      },
+      }),
       calls,
-      clock: {
-        monotonic: () => Date.now(),
-        wall: () => Date.now(),
-        processor: () => 0,
-      },
-      log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+      clock: TEST_CLOCK,
+      log: QUIET_LOG,
       metrics: new Metrics(),
       hasAuthority: () => true,
     });
--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -1,15 +1,16 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Ok } from "@quetzalcove/core";
-import type {
-  BookCommand,
-  BookOutput,
-  JobBook,
-} from "@quetzalcove/core/scheduling";
+import type { JobBook } from "@quetzalcove/core/scheduling";
 import { book, worker } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import type { VmAnswer } from "../src/scheduler/ports.ts";
 import { UpkeepTask } from "../src/scheduler/upkeep_task.ts";
 import { VmDirectory } from "../src/scheduler/vm_directory.ts";
+import {
+  consensusOf,
+  ignore,
+  QUIET_LOG,
+  TEST_CLOCK,
+} from "./scheduler_fixture.ts";
 
 const VM = "vm-1";
 const WAVE = {
@@ -21,8 +22,6 @@
 };
 const ORDER_MS = 10;
 
-const ignore = (): void => {};
-
 class Scene {
   readonly jobs: JobBook = book([]);
   readonly lost: string[] = [];
@@ -37,23 +36,9 @@
     const parts = {
       term: 7,
       holder: "n1",
-      consensus: {
-        state: this.jobs,
-        propose: (command: BookCommand) =>
-          Promise.resolve(
-            this.jobs.apply(command).map((output): BookOutput => output),
-          ),
-        barrier: () => Promise.resolve(Ok.EMPTY),
-        leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
-        replicas: () => [],
-        onChange: ignore,
-      },
-      clock: {
-        monotonic: () => Date.now(),
-        wall: () => Date.now(),
-        processor: () => 0,
-      },
-      log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+      consensus: consensusOf(this.jobs),
+      clock: TEST_CLOCK,
+      log: QUIET_LOG,
       metrics: new Metrics(),
       hasAuthority: () => true,
       onChange: ignore,
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -1,8 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Ok } from "@quetzalcove/core";
 import {
-  type BookCommand,
-  type BookOutput,
   type JobBook,
   type ListedEnd,
   WorkerHealth,
@@ -24,11 +21,14 @@
   StartOrder,
   WorkerCalls,
 } from "../src/scheduler/ports.ts";
-import type { BookConsensus } from "../src/scheduler/book_machine.ts";
 import { Settlements } from "../src/scheduler/settlements.ts";
 import { WorkerSession } from "../src/scheduler/worker_session.ts";
-
-const ignore = (): void => {};
+import {
+  consensusOf,
+  QUIET_LOG,
+  TEST_CLOCK,
+  WORKER_SETTINGS,
+} from "./scheduler_fixture.ts";
 
 const LEASE_MS = 4_000;
 const CALL_MS = 1_000;
@@ -127,37 +127,15 @@
   place(jobs, run("j.0.0.0", 1, "w1"));
   const calls = new ScriptedWorker();
   let lostAt: number | undefined;
-  const consensus: BookConsensus = {
-    state: jobs,
-    propose: (command: BookCommand) =>
-      Promise.resolve(
-        jobs.apply(command).map((output): BookOutput => output),
-      ),
-    barrier: () => Promise.resolve(Ok.EMPTY),
-    leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
-    replicas: () => [],
-    onChange: () => {},
-  };
-  const clock = {
-    monotonic: () => Date.now(),
-    wall: () => Date.now(),
-    processor: () => 0,
-  };
+  const consensus = consensusOf(jobs);
   const session = new WorkerSession(worker("w1"), {
-    settings: {
-      leaseMs: LEASE_MS,
-      maxLeaseMs: 10_000,
-      renewalWaitMs: 1_500,
-      callTimeoutMs: CALL_MS,
-      stopMs: 200,
-      contactMs: 3_000,
-    },
+    settings: { ...WORKER_SETTINGS, leaseMs: LEASE_MS, callTimeoutMs: CALL_MS },
     term: 7,
     consensus,
-    settlements: new Settlements({ consensus, clock }),
+    settlements: new Settlements({ consensus, clock: TEST_CLOCK }),
     calls,
-    clock,
-    log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
     metrics: new Metrics(),
     estimate: new WorkEstimate(),
     health: new WorkerHealth(),
