Take an upkeep for over only after an answered order and an answering worker

If the VM's worker had crashed meanwhile, the worker in its place was taken for the one after the upkeep, although the order had just ended it, and the next VM of the wave went down beside it. The same look at the worker closed an upkeep without any order, and a refusal of the repeated order gave the VM's place away.

Now only this leader's own answered order ends an upkeep, a worker that had reported before the answer must answer a renewal that left later, and a refused repetition changes nothing. Three tests fail with the former code.

--- a/packages/daemon/src/scheduler/fleet_task.ts
+++ b/packages/daemon/src/scheduler/fleet_task.ts
@@ -18,7 +18,7 @@
 import type { WorkerSession } from "./worker_session.ts";
 
 /** What the fleet task needs. */
-export interface FleetParts extends VmDirectoryParts {
+export interface FleetParts extends Omit<VmDirectoryParts, "hasAnsweredSince"> {
   rates: ArrivalRates;
   estimate: WorkEstimate;
   session: (worker: string) => WorkerSession | undefined;
@@ -41,7 +41,11 @@
 
   constructor(parts: FleetParts) {
     this.#parts = parts;
-    this.#vms = new VmDirectory(parts);
+    this.#vms = new VmDirectory({
+      ...parts,
+      hasAnsweredSince: (worker, at) =>
+        parts.session(worker)?.hasAnsweredSince(at) === true,
+    });
     this.#upkeep = new UpkeepTask({ ...parts, vms: this.#vms });
   }
 
--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -71,7 +71,7 @@
   step(now: number): void {
     const draining = new Set<string>();
     for (const record of this.#openWaves()) {
-      this.#closeUpkeeps(record);
+      this.#closeUpkeeps(record, now);
       this.#openUpkeeps(record, draining, now);
     }
     this.#draining = draining;
@@ -85,18 +85,17 @@
   }
 
   /** Notes upkeeps that have ended, and repeats orders that an earlier leader may have sent. */
-  #closeUpkeeps({ wave, down }: WaveRecord): void {
+  #closeUpkeeps({ wave, down }: WaveRecord, now: number): void {
     const { vms } = this.#parts;
     for (const { vm, worker } of down) {
       if (this.#ordering.has(vm)) {
         continue;
       }
-      const successor = vms.workerOn(vm);
-      const isBack = successor !== undefined && successor.id !== worker;
+      // Another worker than before proves nothing: the one before may have crashed, and the order never left.
       const isKnown = this.#maintained.has(upkeepKey(wave.id, vm));
-      if (isBack || (isKnown && !vms.isAway(vm))) {
-        void this.#note(wave.id, vm, "done", successor?.id);
-      } else if (!isKnown) {
+      if (isKnown && !vms.isAway(vm)) {
+        void this.#note(wave.id, vm, "done", vms.workerOn(vm)?.id);
+      } else if (!isKnown && vms.isChoosable(vm, now)) {
         const known = new Set(vms.workersOn(vm));
         if (worker !== undefined) {
           known.add(worker);
@@ -186,7 +185,7 @@
     vms.pause(vm, clock.monotonic());
     // The limit of the wave must hold under the next leader as well, so the log comes first.
     if (await this.#note(wave, vm, "begun", worker)) {
-      await this.#takeDown(wave, vm, knownBefore ?? vms.workersOn(vm));
+      await this.#takeDown(wave, vm, knownBefore);
     }
     this.#ordering.delete(vm);
   }
@@ -194,9 +193,10 @@
   async #takeDown(
     wave: number,
     vm: string,
-    workers: readonly string[],
+    knownBefore: readonly string[] | undefined,
   ): Promise<void> {
     const { vms } = this.#parts;
+    const workers = knownBefore ?? vms.workersOn(vm);
     const pool = vms.workerOn(vm)?.pool ?? vms.find(vm)?.pool ?? "";
     const isDone = await vms.order(
       vm,
@@ -205,9 +205,10 @@
     );
     if (isDone === true) {
       this.#maintained.add(upkeepKey(wave, vm));
-    } else if (isDone === false) {
+    } else if (isDone === false && knownBefore === undefined) {
       await this.#note(wave, vm, "refused", workers.at(-1));
     }
+    // A repeated order that was refused tells nothing about the first one, so the VM goes on counting as down.
   }
 
   async #note(
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -16,6 +16,8 @@
   consensus: BookConsensus;
   clock: Clock;
   log: Log;
+  /** Whether a worker answered a call that left after a time. */
+  hasAnsweredSince: (worker: string, at: number) => boolean;
   /** Ends the session of a worker that has ended, and takes it out of the book. */
   lose: (worker: string, reason: string) => Promise<void>;
   onChange: () => void;
@@ -28,6 +30,8 @@
   cores: number;
   /** Workers that it had, which may still be in the book for a moment. */
   workers: readonly string[];
+  /** Workers that had reported when the order was answered: they ended with it, unless it had been carried out before. */
+  doubtful: readonly string[];
   at: number;
 }
 
@@ -151,13 +155,16 @@
   async order(
     vm: string,
     action: VmAction,
-    target: Omit<Absence, "at">,
+    target: Omit<Absence, "at" | "doubtful">,
   ): Promise<boolean | undefined> {
     const { clock, lose } = this.#parts;
     const answer = await this.#orders.order(vm, action);
     const now = clock.monotonic();
     if (answer === "done") {
-      this.#away.set(vm, { ...target, at: now });
+      const doubtful = this.workersOn(vm).filter((id) =>
+        !target.workers.includes(id)
+      );
+      this.#away.set(vm, { ...target, doubtful, at: now });
       for (const worker of target.workers) {
         await lose(worker, `its VM was ordered to ${action.kind}`);
       }
@@ -169,13 +176,15 @@
 
   /** A VM is back when another worker on it has reported, or when the list shows it up in a pool without workers. */
   #followReturns(): void {
-    for (const [vm, { at, workers }] of this.#away) {
+    const { hasAnsweredSince } = this.#parts;
+    for (const [vm, { at, workers, doubtful }] of this.#away) {
       const current = this.workerOn(vm);
       const listed = this.#listed.get(vm);
       const isBack = current === undefined
         ? this.#listedAt > at + SHORTEST_ABSENCE_MS && listed?.state === "up" &&
           this.isStandby(listed.pool)
-        : !workers.includes(current.id);
+        : !workers.includes(current.id) &&
+          (!doubtful.includes(current.id) || hasAnsweredSince(current.id, at));
       if (isBack) {
         this.#away.delete(vm);
         this.#parts.onChange();
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -83,6 +83,8 @@
   readonly #lease: LeaseHolder;
   #seenEnds = 0;
   #contactAt = -Infinity;
+  /** When the last renewal that was answered had left. */
+  #answeredFrom = -Infinity;
   #isVerified = false;
   /** Whether the last renewal got no answer. */
   #isSilent = false;
@@ -124,6 +126,11 @@
       now - this.#contactAt < this.#parts.settings.contactMs;
   }
 
+  /** Whether the worker answered a renewal that left after a time. */
+  hasAnsweredSince(at: number): boolean {
+    return this.#answeredFrom > at;
+  }
+
   /** Whether a task that lasts is at work: the worker said so a short while ago. */
   isAtWork({ task, run }: RunRecord, now: number): boolean {
     return this.isInContact(now) &&
@@ -194,6 +201,7 @@
     const now = clock.monotonic();
     switch (answer.kind) {
       case "listing":
+        this.#answeredFrom = askedAt;
         this.#heard(answer.clockMs, now);
         await this.#settle(answer.listing, askedAt, now);
         return;
--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -28,6 +28,9 @@
   readonly maintained: string[] = [];
   readonly vms: VmDirectory;
   readonly upkeep: UpkeepTask;
+  /** Whether workers that report go on answering after an order. */
+  hasAnswered = true;
+  answer: VmAnswer = "done";
   /** Called while an order is on its way. */
   meanwhile: () => void = ignore;
 
@@ -62,9 +65,10 @@
           this.meanwhile();
           await new Promise((resolve) => setTimeout(resolve, ORDER_MS));
           this.maintained.push(vm);
-          return "done";
+          return this.answer;
         },
       },
+      hasAnsweredSince: () => this.hasAnswered,
       isBeingPlaced: () => false,
       session: () => ({ isInContact: () => true }) as never,
     };
@@ -161,4 +165,56 @@
     expect(scene.lost).toEqual(["w1"]);
     expect(scene.jobs.workers.has("w2")).toBe(true);
   });
+
+  describe("that an earlier leader noted, on a VM whose worker crashed meanwhile", () => {
+    beforeEach(() => {
+      scene.jobs.apply({
+        kind: "upkeep",
+        wave: WAVE.id,
+        vm: VM,
+        phase: "begun",
+        worker: "w1",
+      });
+    });
+
+    it("is ordered although another worker is there", async () => {
+      scene.join("w2");
+      await scene.step();
+      await scene.step();
+      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      expect(scene.maintained).toEqual([VM]);
+      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+    });
+
+    it("is not over as long as the worker that reported meanwhile does not answer", async () => {
+      scene.hasAnswered = false;
+      scene.meanwhile = () => scene.join("w2");
+      await scene.step();
+      await scene.step();
+      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      await scene.step();
+      // The order ended w2; the VM is down.
+      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+      expect(scene.jobs.waves.get(WAVE.id)?.down).toHaveLength(1);
+      scene.jobs.apply({
+        kind: "lose",
+        workers: ["w2"],
+        haveEnded: true,
+        atMs: Date.now(),
+      });
+      scene.join("w3");
+      await scene.step();
+      await scene.step();
+      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+    });
+
+    it("keeps its place in the wave when the repeated order is refused", async () => {
+      scene.answer = "busy";
+      scene.join("w2");
+      await scene.step();
+      await scene.step();
+      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      expect(scene.jobs.waves.get(WAVE.id)?.down).toHaveLength(1);
+    });
+  });
 });
