--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -1,15 +1,16 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Ok } from "@quetzalcove/core";
-import type {
-  BookCommand,
-  BookOutput,
-  JobBook,
-} from "@quetzalcove/core/scheduling";
+import type { JobBook } from "@quetzalcove/core/scheduling";
 import { book, worker } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import type { VmAnswer } from "../src/scheduler/ports.ts";
 import { UpkeepTask } from "../src/scheduler/upkeep_task.ts";
 import { VmDirectory } from "../src/scheduler/vm_directory.ts";
+import {
+  consensusOf,
+  ignore,
+  QUIET_LOG,
+  TEST_CLOCK,
+} from "./scheduler_fixture.ts";
 
 const VM = "vm-1";
 const WAVE = {
@@ -21,14 +22,15 @@
 };
 const ORDER_MS = 10;
 
-const ignore = (): void => {};
-
 class Scene {
   readonly jobs: JobBook = book([]);
   readonly lost: string[] = [];
   readonly maintained: string[] = [];
   readonly vms: VmDirectory;
   readonly upkeep: UpkeepTask;
+  /** Whether workers that report go on answering after an order. */
+  hasAnswered = true;
+  answer: VmAnswer = "done";
   /** Called while an order is on its way. */
   meanwhile: () => void = ignore;
 
@@ -37,23 +39,9 @@
     const parts = {
       term: 7,
       holder: "n1",
-      consensus: {
-        state: this.jobs,
-        propose: (command: BookCommand) =>
-          Promise.resolve(
-            this.jobs.apply(command).map((output): BookOutput => output),
-          ),
-        barrier: () => Promise.resolve(Ok.EMPTY),
-        leadership: () => ({ term: 7, leader: "n1", isLeader: true }),
-        replicas: () => [],
-        onChange: ignore,
-      },
-      clock: {
-        monotonic: () => Date.now(),
-        wall: () => Date.now(),
-        processor: () => 0,
-      },
-      log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+      consensus: consensusOf(this.jobs),
+      clock: TEST_CLOCK,
+      log: QUIET_LOG,
       metrics: new Metrics(),
       hasAuthority: () => true,
       onChange: ignore,
@@ -77,9 +65,10 @@
           this.meanwhile();
           await new Promise((resolve) => setTimeout(resolve, ORDER_MS));
           this.maintained.push(vm);
-          return "done";
+          return this.answer;
         },
       },
+      hasAnsweredSince: () => this.hasAnswered,
       isBeingPlaced: () => false,
       session: () => ({ isInContact: () => true }) as never,
     };
@@ -176,4 +165,56 @@
     expect(scene.lost).toEqual(["w1"]);
     expect(scene.jobs.workers.has("w2")).toBe(true);
   });
+
+  describe("that an earlier leader noted, on a VM whose worker crashed meanwhile", () => {
+    beforeEach(() => {
+      scene.jobs.apply({
+        kind: "upkeep",
+        wave: WAVE.id,
+        vm: VM,
+        phase: "begun",
+        worker: "w1",
+      });
+    });
+
+    it("is ordered although another worker is there", async () => {
+      scene.join("w2");
+      await scene.step();
+      await scene.step();
+      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      expect(scene.maintained).toEqual([VM]);
+      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+    });
+
+    it("is not over as long as the worker that reported meanwhile does not answer", async () => {
+      scene.hasAnswered = false;
+      scene.meanwhile = () => scene.join("w2");
+      await scene.step();
+      await scene.step();
+      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      await scene.step();
+      // The order ended w2; the VM is down.
+      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+      expect(scene.jobs.waves.get(WAVE.id)?.down).toHaveLength(1);
+      scene.jobs.apply({
+        kind: "lose",
+        workers: ["w2"],
+        haveEnded: true,
+        atMs: Date.now(),
+      });
+      scene.join("w3");
+      await scene.step();
+      await scene.step();
+      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+    });
+
+    it("keeps its place in the wave when the repeated order is refused", async () => {
+      scene.answer = "busy";
+      scene.join("w2");
+      await scene.step();
+      await scene.step();
+      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      expect(scene.jobs.waves.get(WAVE.id)?.down).toHaveLength(1);
+    });
+  });
 });
