--- a/packages/daemon/src/scheduler/upkeep_task.ts
+++ b/packages/daemon/src/scheduler/upkeep_task.ts
@@ -96,11 +96,9 @@
       if (isKnown && !vms.isAway(vm)) {
         void this.#note(wave.id, vm, "done", vms.workerOn(vm)?.id);
       } else if (!isKnown && vms.isChoosable(vm, now)) {
-        const known = new Set(vms.workersOn(vm));
-        if (worker !== undefined) {
-          known.add(worker);
-        }
-        void this.#maintain(wave.id, vm, worker, [...known]);
+        // Any other worker on the VM may be the one after the upkeep; it shows by answering.
+        const before = worker === undefined ? [] : [worker];
+        void this.#maintain(wave.id, vm, worker, before);
       }
     }
   }
--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -166,6 +166,24 @@
     expect(scene.jobs.workers.has("w2")).toBe(true);
   });
 
+  it("that an earlier leader had carried out does not end the worker that has reported before the order is repeated", async () => {
+    scene.jobs.apply({
+      kind: "upkeep",
+      wave: WAVE.id,
+      vm: VM,
+      phase: "begun",
+      worker: "w1",
+    });
+    scene.join("w2");
+    await scene.step();
+    await scene.step();
+    await vi.advanceTimersByTimeAsync(ORDER_MS);
+    await scene.step();
+    expect(scene.lost).not.toContain("w2");
+    expect(scene.jobs.workers.has("w2")).toBe(true);
+    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+  });
+
   describe("that an earlier leader noted, on a VM whose worker crashed meanwhile", () => {
     beforeEach(() => {
       scene.jobs.apply({
@@ -178,6 +196,7 @@
     });
 
     it("is ordered although another worker is there", async () => {
+      scene.hasAnswered = false;
       scene.join("w2");
       await scene.step();
       await scene.step();
