Say once in the tests of upkeeps how one is noted and ordered

Cause: four tests wrote the same note of an earlier leader and five the same three steps until an order is answered.

--- a/packages/daemon/test/upkeep_task_test.ts
+++ b/packages/daemon/test/upkeep_task_test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { JobBook } from "@quetzalcove/core/scheduling";
+import type { JobBook, WaveRecord } from "@quetzalcove/core/scheduling";
 import { book, worker } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import type { VmAnswer } from "../src/scheduler/ports.ts";
@@ -80,6 +80,28 @@
     this.jobs.apply({ kind: "join", workers: [worker(id, { vm: VM })] });
   }
 
+  /** An earlier leader noted that the upkeep is ordered. */
+  noteBegun(worker: string): void {
+    this.jobs.apply({
+      kind: "upkeep",
+      wave: WAVE.id,
+      vm: VM,
+      phase: "begun",
+      worker,
+    });
+  }
+
+  get wave(): WaveRecord | undefined {
+    return this.jobs.waves.get(WAVE.id);
+  }
+
+  /** Looks for what is to be ordered, until the order is answered. */
+  async order(): Promise<void> {
+    await this.step();
+    await this.step();
+    await vi.advanceTimersByTimeAsync(ORDER_MS);
+  }
+
   async step(): Promise<void> {
     this.vms.step(Date.now(), true);
     this.upkeep.step(Date.now());
@@ -121,40 +143,26 @@
     expect(scene.maintained).toEqual([VM]);
     expect(scene.lost).toEqual(["w1", "w2"]);
     await scene.step();
-    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+    expect(scene.wave?.done).toEqual([]);
     scene.join("w3");
     await scene.step();
-    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+    expect(scene.wave?.done).toEqual([VM]);
   });
 
   it("that an earlier leader ordered does not end the next worker, which is back while the order is repeated", async () => {
     scene.join("w1");
-    scene.jobs.apply({
-      kind: "upkeep",
-      wave: WAVE.id,
-      vm: VM,
-      phase: "begun",
-      worker: "w1",
-    });
+    scene.noteBegun("w1");
     scene.meanwhile = () => scene.join("w2");
-    await scene.step();
-    await scene.step();
-    await vi.advanceTimersByTimeAsync(ORDER_MS);
+    await scene.order();
     expect(scene.maintained).toEqual([VM]);
     expect(scene.lost).toEqual(["w1"]);
     await scene.step();
-    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+    expect(scene.wave?.done).toEqual([VM]);
     expect(scene.jobs.workers.has("w2")).toBe(true);
   });
 
   it("that an earlier leader had carried out does not end the worker that reports while it is noted again", async () => {
-    scene.jobs.apply({
-      kind: "upkeep",
-      wave: WAVE.id,
-      vm: VM,
-      phase: "begun",
-      worker: "w1",
-    });
+    scene.noteBegun("w1");
     scene.vms.step(Date.now(), true);
     scene.upkeep.step(Date.now());
     // The next worker reports between the decision and the order.
@@ -167,54 +175,36 @@
   });
 
   it("that an earlier leader had carried out does not end the worker that has reported before the order is repeated", async () => {
-    scene.jobs.apply({
-      kind: "upkeep",
-      wave: WAVE.id,
-      vm: VM,
-      phase: "begun",
-      worker: "w1",
-    });
+    scene.noteBegun("w1");
     scene.join("w2");
-    await scene.step();
-    await scene.step();
-    await vi.advanceTimersByTimeAsync(ORDER_MS);
+    await scene.order();
     await scene.step();
     expect(scene.lost).not.toContain("w2");
     expect(scene.jobs.workers.has("w2")).toBe(true);
-    expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+    expect(scene.wave?.done).toEqual([VM]);
   });
 
   describe("that an earlier leader noted, on a VM whose worker crashed meanwhile", () => {
     beforeEach(() => {
-      scene.jobs.apply({
-        kind: "upkeep",
-        wave: WAVE.id,
-        vm: VM,
-        phase: "begun",
-        worker: "w1",
-      });
+      scene.noteBegun("w1");
     });
 
     it("is ordered although another worker is there", async () => {
       scene.hasAnswered = false;
       scene.join("w2");
-      await scene.step();
-      await scene.step();
-      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      await scene.order();
       expect(scene.maintained).toEqual([VM]);
-      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
+      expect(scene.wave?.done).toEqual([]);
     });
 
     it("is not over as long as the worker that reported meanwhile does not answer", async () => {
       scene.hasAnswered = false;
       scene.meanwhile = () => scene.join("w2");
-      await scene.step();
-      await scene.step();
-      await vi.advanceTimersByTimeAsync(ORDER_MS);
+      await scene.order();
       await scene.step();
       // The order ended w2; the VM is down.
-      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([]);
-      expect(scene.jobs.waves.get(WAVE.id)?.down).toHaveLength(1);
+      expect(scene.wave?.done).toEqual([]);
+      expect(scene.wave?.down).toHaveLength(1);
       scene.jobs.apply({
         kind: "lose",
         workers: ["w2"],
@@ -224,16 +214,14 @@
       scene.join("w3");
       await scene.step();
       await scene.step();
-      expect(scene.jobs.waves.get(WAVE.id)?.done).toEqual([VM]);
+      expect(scene.wave?.done).toEqual([VM]);
     });
 
     it("keeps its place in the wave when the repeated order is refused", async () => {
       scene.answer = "busy";
       scene.join("w2");
-      await scene.step();
-      await scene.step();
-      await vi.advanceTimersByTimeAsync(ORDER_MS);
-      expect(scene.jobs.waves.get(WAVE.id)?.down).toHaveLength(1);
+      await scene.order();
+      expect(scene.wave?.down).toHaveLength(1);
     });
   });
 });
