Log the load of a process and the backlog of each pool

Callers of the grown deployments saw jobs late after a change of leader. The logs could not tell a leader short of processor time from a pool short of VMs: neither processor time nor free capacity was in them.

process.load gives processor time, event loop delay and the time of each activity of the last half second, only while the process is loaded; pool.backlog gives the steps that wait, how many are late, and the free cores, twice a second at most and only for pools in which steps wait.

--- a/packages/core/src/scheduling/urgency.ts
+++ b/packages/core/src/scheduling/urgency.ts
@@ -28,13 +28,21 @@
   wallNow: number,
 ): WaitingStep[] {
   const ranked = Array.from(waiting, (step): RankedStep => {
-    const startBy = objectiveDeadline(step.job, step.round, estimate) -
-      estimate.criticalPathMs(step.job, step.step);
+    const startBy = latestStart(step, estimate);
     return { step, startBy, isLate: startBy < wallNow };
   });
   return ranked.sort(compareSteps).map(({ step }) => step);
 }
 
+/** Whether a job misses its objective even if the step starts now. `wallNow` is in wall-clock milliseconds. */
+export function isLate(
+  step: WaitingStep,
+  estimate: WorkEstimate,
+  wallNow: number,
+): boolean {
+  return latestStart(step, estimate) < wallNow;
+}
+
 /** Time by which a round should be complete, in wall-clock milliseconds. */
 export function objectiveDeadline(
   job: JobRecord,
@@ -49,6 +57,14 @@
   return from + slackFactor * estimate.criticalPathMs(job) + targetLatencyMs;
 }
 
+function latestStart(
+  { job, round, step }: WaitingStep,
+  estimate: WorkEstimate,
+): number {
+  return objectiveDeadline(job, round, estimate) -
+    estimate.criticalPathMs(job, step);
+}
+
 function compareSteps(a: RankedStep, b: RankedStep): number {
   return Number(endsByItself(a)) - Number(endsByItself(b)) ||
     Number(a.isLate) - Number(b.isLate) ||
--- /dev/null
+++ b/packages/daemon/src/scheduler/backlog_log.ts
@@ -0,0 +1,68 @@
+/**
+ * Logs the backlog of each pool, and the capacity that the pool has for it.
+ *
+ * @module
+ */
+import {
+  isLate,
+  type JobStore,
+  type PoolDemand,
+  type WaitingStep,
+  type Worker,
+  type WorkEstimate,
+} from "@quetzalcove/core/scheduling";
+import type { Log } from "../observe/log.ts";
+
+/** State of the pools at one moment. */
+export interface BacklogSnapshot {
+  jobStore: JobStore;
+  demands: ReadonlyMap<string, PoolDemand>;
+  /** Workers that may get new runs, by pool. */
+  usableWorkers: ReadonlyMap<string, readonly Worker[]>;
+  estimate: WorkEstimate;
+}
+
+const MILLICORES_PER_CORE = 1_000;
+
+/** Logs one line for each pool in which steps wait. `wallNow` is the wall-clock time in milliseconds. */
+export function logBacklogs(
+  { jobStore, demands, usableWorkers, estimate }: BacklogSnapshot,
+  log: Log,
+  wallNow: number,
+): void {
+  const waiting = new Map<string, WaitingStep[]>();
+  for (const step of jobStore.waiting.values()) {
+    const steps = waiting.get(step.job.pool) ?? [];
+    steps.push(step);
+    waiting.set(step.job.pool, steps);
+  }
+  for (const [pool, steps] of waiting) {
+    const workers = usableWorkers.get(pool) ?? [];
+    const demand = demands.get(pool);
+    log.info("pool.backlog", {
+      pool,
+      steps: steps.length,
+      lateSteps: steps.filter((step) => isLate(step, estimate, wallNow)).length,
+      oldestMs: Math.round(
+        wallNow - Math.min(...steps.map(({ job }) => job.acceptedAtMs)),
+      ),
+      waitingCores: Math.round(demand?.waiting ?? 0),
+      wantedCores: Math.round(demand?.wanted ?? 0),
+      usableWorkers: workers.length,
+      freeCores: Math.round(
+        freeMillicores(jobStore, workers) / MILLICORES_PER_CORE,
+      ),
+    });
+  }
+}
+
+function freeMillicores(
+  jobStore: JobStore,
+  workers: readonly Worker[],
+): number {
+  return workers.reduce(
+    (sum, { id, capacity }) =>
+      sum + capacity.cpuMilli - jobStore.load(id).reserved.cpuMilli,
+    0,
+  );
+}
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -20,6 +20,7 @@
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
+import { logBacklogs } from "./backlog_log.ts";
 import { FleetController } from "./fleet_controller.ts";
 import { PermitCache } from "./permit_cache.ts";
 import type { AdvisorClient, VmClient } from "./platform_clients.ts";
@@ -40,6 +41,8 @@
   advisorClient: AdvisorClient | undefined;
   /** Name of this node in its orders for VMs. */
   holder: string;
+  /** Runs a synchronous function and adds its duration to an activity of the process. */
+  measure: <T>(activity: string, run: () => T) => T;
 }
 
 /** Interval of passes that nothing else triggers; bounds the delay of retried orders. */
@@ -51,6 +54,9 @@
 /** Interval at which jobs past their retention time are removed from the job store. */
 const PRUNE_INTERVAL_MS = 10_000;
 
+/** Interval at which backlogs are logged while steps wait. */
+const BACKLOG_LOG_INTERVAL_MS = 500;
+
 export class LeadershipTerm implements Component {
   readonly name = "tenure";
   readonly #parts: LeadershipTermParts;
@@ -70,6 +76,7 @@
   #placementWorkers = new Set<string>();
   #stopped = false;
   #prunedAt: number;
+  #backlogLoggedAt = -Infinity;
   #nextPassAt = -Infinity;
 
   constructor(parts: LeadershipTermParts) {
@@ -206,8 +213,12 @@
     this.#openRounds();
     this.#pruneEndedJobs(now);
     this.#logEndedJobs();
-    this.#fleet?.reconcile(now);
-    this.#sessions.forEach((session) => session.sendDue());
+    this.#logBacklogs(now);
+    const { measure } = this.#parts;
+    measure("fleet", () => this.#fleet?.reconcile(now));
+    measure("orders", () => {
+      this.#sessions.forEach((session) => session.sendDue());
+    });
     void this.#place(now);
     const end = this.#parts.clock.monotonic();
     this.#nextPassAt = end + PASS_PAUSE_FACTOR * (end - now);
@@ -309,6 +320,23 @@
     }
   }
 
+  #logBacklogs(now: number): void {
+    if (now - this.#backlogLoggedAt < BACKLOG_LOG_INTERVAL_MS) {
+      return;
+    }
+    this.#backlogLoggedAt = now;
+    const jobStore = this.#jobStore;
+    const estimate = this.#estimate;
+    const { log, clock } = this.#parts;
+    const demands = poolDemands(jobStore, this.#rates, estimate, now);
+    const usableWorkers = this.#usableWorkers(now);
+    logBacklogs(
+      { jobStore, demands, usableWorkers, estimate },
+      log,
+      clock.wall(),
+    );
+  }
+
   #pruneEndedJobs(now: number): void {
     const { consensus, clock, retentionMs } = this.#parts;
     if (now - this.#prunedAt >= PRUNE_INTERVAL_MS) {
@@ -323,7 +351,10 @@
     if (this.#isPlacing || this.#jobStore.waiting.size === 0) {
       return;
     }
-    const runs = this.#choosePlacements(now);
+    const runs = this.#parts.measure(
+      "placement",
+      () => this.#choosePlacements(now),
+    );
     if (runs.length === 0) {
       return;
     }
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -29,6 +29,7 @@
 import { LinkServer } from "../link/server.ts";
 import { hostAndPort } from "../net.ts";
 import { errorMessage, type Log } from "../observe/log.ts";
+import { LoadMonitor } from "../observe/load_monitor.ts";
 import { Metrics } from "../observe/metrics.ts";
 import { registerProcessGauges } from "../observe/process_gauges.ts";
 import type { ReplicaFolder } from "../replica_folder.ts";
@@ -71,6 +72,7 @@
   readonly #parts: NodeParts;
   readonly #clock: Clock = systemClock;
   readonly #handlers = new Map<string, Handler>();
+  readonly #load: LoadMonitor;
   readonly #linkPool: LinkPool;
   readonly #lifecycle: Lifecycle;
   #leaderClient: LeaderClient;
@@ -85,6 +87,11 @@
     const { cluster, host, listen } = settings;
     this.#parts = parts;
     registerProcessGauges(this.metrics);
+    this.#load = new LoadMonitor({
+      clock: this.#clock,
+      log,
+      metrics: this.metrics,
+    });
     this.#linkPool = new LinkPool({
       ...this.#connectionParts(),
       log,
@@ -199,9 +206,14 @@
       ...this.#connectionParts(),
     });
     if (folder === undefined) {
-      return [this.#linkPool, this.#discovery];
+      return [this.#load, this.#linkPool, this.#discovery];
     }
-    return [this.#linkPool, ...this.#createReplicaComponents(folder), server];
+    return [
+      this.#load,
+      this.#linkPool,
+      ...this.#createReplicaComponents(folder),
+      server,
+    ];
   }
 
   #createReplicaComponents(folder: ReplicaFolder): Component[] {
@@ -209,7 +221,14 @@
     const { host, zone, listen } = settings;
     const replica: JobReplica = new RaftDriver({
       settings: { ...settings, entry: host, listen },
-      stateMachine: jobStateMachine,
+      stateMachine: {
+        ...jobStateMachine,
+        apply: (jobStore, command) =>
+          this.#load.measure(
+            "apply",
+            () => jobStateMachine.apply(jobStore, command),
+          ),
+      },
       ...folder,
       clock: this.#clock,
       random: Math.random,
@@ -274,6 +293,7 @@
       log,
       metrics: this.metrics,
       isConfirmedLeader: () => replica.isConfirmedLeader,
+      measure: (activity, run) => this.#load.measure(activity, run),
     });
   }
 
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -61,6 +61,7 @@
       log: QUIET_LOG,
       metrics: new Metrics(),
       isConfirmedLeader: () => true,
+      measure: (_, run) => run(),
     });
     await leadershipTerm.start();
     await vi.advanceTimersByTimeAsync(1_000);
