Raft: send a commit index alone only when the log is idle

Callers waited for a leader short of processor time at the peak of demand. While a follower has appends to answer, the index now goes with the next append, or alone after the last answer; an idle group behaves as before.

raft_test.ts fails without it: two empty appends where none is needed.

--- a/packages/core/src/raft/replication.ts
+++ b/packages/core/src/raft/replication.ts
@@ -42,9 +42,16 @@
   }
 }
 
-/** Whether an append without entries has to probe the log or carry a new commit index. */
-function isEmptyAppendDue(replica: Replica, progress: Progress): boolean {
-  return progress.mode === "probe" || progress.sentCommit < replica.commit;
+/**
+ * Whether an append without entries has to probe the log or carry a new commit index. While a follower has appends to
+ * answer, its answer or the next append follows within a round trip, and the commit index goes with the last of them.
+ */
+function isEmptyAppendDue(
+  { commit, log }: Replica,
+  { mode, match, sentCommit }: Progress,
+): boolean {
+  return mode === "probe" ||
+    (sentCommit < commit && match === log.last.index);
 }
 
 function sendAppend(replica: Replica, progress: Progress): void {
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -185,6 +185,32 @@
     expect(group.node("e3").applied).toEqual(group.node("e1").applied);
   });
 
+  // Guards against a leader that spends its processor on a message to each follower for each commit.
+  test("carries the commit index on the appends of a busy leader, and sends it alone only when the log is idle", () => {
+    const group = Group.of(THREE);
+    const { raft } = group.node("e1");
+    const propose = (command: string): RaftOutput => {
+      raft.propose([command], group.now).unwrap();
+      const output = raft.takeOutput();
+      raft.reportSynced(output.id, group.now);
+      return output;
+    };
+    const first = propose("a");
+    const second = propose("b");
+    raft.receive(acceptedAnswer(first, idOf("e2")), group.now);
+    const whileBusy = raft.takeOutput();
+    expect(whileBusy.committed.map(({ index }) => index))
+      .toEqual([first.write.entries[0]?.index]);
+    expect(whileBusy.messages).toEqual([]);
+    raft.receive(acceptedAnswer(second, idOf("e2")), group.now);
+    expect(raft.takeOutput().messages).toMatchObject([{
+      kind: "append",
+      to: idOf("e2"),
+      entries: [],
+      commit: second.write.entries[0]?.index,
+    }]);
+  });
+
   test("sends messages that match their schema", () => {
     const group = Group.of(THREE);
     group.propose("e1", "a");
