Raft driver: commands proposed during a log write share the next one

Callers waited for a leader short of processor time at the peak of demand. Commands that arrive while a write is in progress are now proposed together when it ends, or after 10 ms, since the other replicas can commit while the local disk stalls.

raft_driver_test.ts fails without it (three writes where two are needed).

--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -62,15 +62,29 @@
   onStorageFailure: (cause: Fault) => void;
 }
 
+/** Longest time that a proposal waits for the log write in progress: more than a sync of a healthy disk takes. */
+const MAX_PROPOSAL_WAIT_MS = 10;
+
 /** Interval of Raft ticks, as a share of the heartbeat interval. */
 const TICK_INTERVAL_SHARE = 0.25;
 
+/** A command that waits to be proposed. */
+interface QueuedProposal<O> {
+  command: string;
+  settle: (result: Result<O, Fault>) => void;
+}
+
 export class RaftDriver<S, C, O> implements Consensus<S, C, O>, Component {
   readonly name = "replica";
   readonly #parts: RaftDriverParts<S, C, O>;
   #raft: Raft;
   readonly #ticker: Component;
   readonly #proposals = new PendingProposals<O>();
+  /** Commands to be proposed together when the log write in progress ends. */
+  #queuedProposals: QueuedProposal<O>[] = [];
+  #proposalTimer: NodeJS.Timeout | undefined;
+  /** Number of log entry writes in progress. */
+  #entryWrites = 0;
   readonly #barriers: ReadBarriers;
   readonly #listeners: (() => void)[] = [];
   #state: S;
@@ -173,15 +187,39 @@
       return Promise.resolve(Err(replicaStoppedFault()));
     }
     return new Promise((settle) => {
-      this.#step((now) => {
-        const proposed = this.#raft.propose([JSON.stringify(command)], now);
+      this.#queuedProposals.push({ command: JSON.stringify(command), settle });
+      if (this.#entryWrites === 0) {
+        this.#proposeQueued();
+      } else {
+        this.#proposalTimer ??= setTimeout(
+          () => this.#proposeQueued(),
+          MAX_PROPOSAL_WAIT_MS,
+        );
+      }
+    });
+  }
+
+  /**
+   * Proposes the queued commands. Those that arrive during a log write share the next one, and the appends and answers
+   * of the other replicas (group commit).
+   */
+  #proposeQueued(): void {
+    clearTimeout(this.#proposalTimer);
+    this.#proposalTimer = undefined;
+    const queued = this.#queuedProposals.splice(0);
+    if (queued.length === 0) {
+      return;
+    }
+    this.#step((now) => {
+      for (const { command, settle } of queued) {
+        const proposed = this.#raft.propose([command], now);
         if (proposed.err) {
           settle(Err(this.#withKnownLeader(proposed.val)));
         } else {
           const { first, term } = proposed.val;
           this.#proposals.add(first, { term, settle });
         }
-      });
+      }
     });
   }
 
@@ -301,7 +339,10 @@
     const { storage, metrics, clock } = this.#parts;
     const raft = this.#raft;
     const startedAt = clock.monotonic();
+    const hasEntries = output.write.entries.length > 0;
+    this.#entryWrites += hasEntries ? 1 : 0;
     const stored = await storage.save(output.write);
+    this.#entryWrites -= hasEntries ? 1 : 0;
     if (stored.err) {
       this.#onStorageFailure(stored.val);
       return;
@@ -317,6 +358,9 @@
         raft.reportSynced(output.id, now);
       }
     });
+    if (this.#entryWrites === 0) {
+      this.#proposeQueued();
+    }
   }
 
   #send(message: RaftMessage): void {
@@ -350,6 +394,12 @@
   }
 
   #failPending(): void {
+    if (this.#stopped) {
+      clearTimeout(this.#proposalTimer);
+      this.#queuedProposals.splice(0).forEach(({ settle }) =>
+        settle(Err(replicaStoppedFault()))
+      );
+    }
     this.#proposals.failAll();
     this.#barriers.failAll(leadershipLostFault());
   }
