Demand: jobs that waited for a leader are no burst

Callers of other queues lost VMs to a demand that did not exist. Arrivals in the first second of a term now count over that second.

scheduling_fleet_test.ts fails without it: a rate of 2,600 cores for work that arrived at 400.

--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pool_demand.ts
@@ -29,6 +29,12 @@
 /** Arrival rates of work by pool. */
 export class ArrivalRates {
   readonly #arrivals = new Map<string, Arrival[]>();
+  readonly #startedAt: number;
+
+  /** `now` is the beginning of the leadership term; jobs that waited for it arrive together right after. */
+  constructor(now: number) {
+    this.#startedAt = now;
+  }
 
   /** Records the arrival of a job that needs `coreMs` core-milliseconds in total. */
   record(pool: string, coreMs: number, now: number): void {
@@ -53,7 +59,9 @@
       sum += coreMs;
       largest = Math.max(largest, coreMs);
     }
-    return (sum - largest) / Math.max(MIN_SPAN_MS, now - first.at);
+    const mayHaveWaited = first.at - this.#startedAt < WINDOW_MS;
+    const minSpanMs = mayHaveWaited ? WINDOW_MS : MIN_SPAN_MS;
+    return (sum - largest) / Math.max(minSpanMs, now - first.at);
   }
 
   #recent(pool: string, now: number): Arrival[] {
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -102,7 +102,7 @@
 
 describe("a burst of demand", () => {
   it("shows in the arrival rate in less time than a move takes", () => {
-    const rates = new ArrivalRates();
+    const rates = new ArrivalRates(-60_000);
     // A job of 10 core-seconds every 25 ms needs 400 cores.
     let now = 0;
     for (; now < 1_000; now += 25) {
@@ -114,15 +114,25 @@
   });
 
   it("shows within a few jobs after a time without arrivals", () => {
-    const rates = new ArrivalRates();
+    const rates = new ArrivalRates(-60_000);
     [0, 25, 50, 75, 100, 125, 150, 175].forEach((at) =>
       rates.record("pool", 10_000, at)
     );
     expect(rates.rate("pool", 200)).toBeGreaterThan(300);
   });
 
+  // Guards against moves of VMs for a demand of several fleets after a change of leader.
+  it("is not inferred from jobs that waited for a leader and arrive together", () => {
+    const rates = new ArrivalRates(0);
+    // 40 jobs of 10 core-seconds in the second before this leader served.
+    for (let i = 0; i < 40; i++) {
+      rates.record("pool", 10_000, 200 + i / 10);
+    }
+    expect(rates.rate("pool", 210)).toBeLessThan(450);
+  });
+
   it("is not inferred from a single large job", () => {
-    const rates = new ArrivalRates();
+    const rates = new ArrivalRates(-60_000);
     rates.record("pool", 80_000, 0);
     expect(rates.rate("pool", 10)).toBe(0);
   });
--- a/packages/core/test/scheduling_simulation.ts
+++ b/packages/core/test/scheduling_simulation.ts
@@ -104,7 +104,7 @@
   readonly #config: SimulationConfig;
   readonly #random;
   readonly #jobStore = new JobStore();
-  readonly #rates = new ArrivalRates();
+  readonly #rates = new ArrivalRates(-Infinity);
   readonly #estimate: WorkEstimate;
   readonly #vms = new Map<string, Vm>();
   readonly #endsByTime = new Map<number, { run: RunKey; tookMs: number }[]>();
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -65,7 +65,7 @@
   readonly #parts: LeadershipTermParts;
   readonly #sessions = new Map<string, WorkerSession>();
   readonly #ticker: Component;
-  readonly #rates = new ArrivalRates();
+  readonly #rates: ArrivalRates;
   readonly #estimate = new WorkEstimate();
   readonly #health = new WorkerHealth();
   readonly #runEndBatcher: RunEndBatcher;
@@ -85,7 +85,9 @@
   constructor(parts: LeadershipTermParts) {
     this.#parts = parts;
     this.#runEndBatcher = new RunEndBatcher(parts);
-    this.#prunedAt = parts.clock.monotonic();
+    const now = parts.clock.monotonic();
+    this.#rates = new ArrivalRates(now);
+    this.#prunedAt = now;
     this.#ticker = ticker("passes", PASS_INTERVAL_MS, () => this.#pass());
     this.#fleet = parts.vmClient && new FleetController({
       ...parts,
--- a/packages/daemon/test/backlog_log_test.ts
+++ b/packages/daemon/test/backlog_log_test.ts
@@ -28,7 +28,7 @@
   logBacklogs(
     {
       jobStore,
-      demands: poolDemands(jobStore, new ArrivalRates(), estimate, 10_000),
+      demands: poolDemands(jobStore, new ArrivalRates(0), estimate, 10_000),
       usableWorkers: new Map([["intake", workers]]),
       estimate,
     },
