Maintenance: a VM is gone only if a list from after the wave began lacks it

Cause: the leader took a VM that neither its list nor a worker named for gone. Ruled out: a lost worker or a moved VM, since neither VM had been seen before.

Change: a VM counts as gone only if a list that was requested after this leader saw the wave lacks it.

--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -35,6 +35,8 @@
   readonly #starting = new Map<string, number>();
   /** Keys of waves and VMs for which the platform confirmed to this leader that the order was carried out. */
   readonly #confirmedDone = new Set<string>();
+  /** When this leader first saw each wave, in monotonic milliseconds. */
+  readonly #seenAt = new Map<number, number>();
 
   constructor(parts: MaintenanceControllerParts) {
     this.#parts = parts;
@@ -109,6 +111,9 @@
     now: number,
   ): void {
     const { vms, clock } = this.#parts;
+    // An older list may lack VMs that were added before the wave.
+    const seenAt = this.#seenAt.get(wave.id) ?? now;
+    this.#seenAt.set(wave.id, seenAt);
     const starting = [...this.#starting].flatMap(([vm, id]) =>
       id === wave.id ? [vm] : []
     );
@@ -121,11 +126,11 @@
       if (done.includes(vm) || downVms.has(vm)) {
         continue;
       }
-      const exists = vms.find(vm) !== undefined ||
+      const isKnown = vms.find(vm) !== undefined ||
         vms.workerOn(vm) !== undefined;
-      if (exists) {
+      if (isKnown) {
         due.push(this.#dueVm(vm, busyPools, now));
-      } else {
+      } else if (vms.listedAt > seenAt) {
         void this.#recordPhase(wave.id, vm, "gone", undefined);
       }
     }
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -71,6 +71,11 @@
     this.#orders.stop();
   }
 
+  /** When the list as last read was requested, in monotonic milliseconds; -Infinity before the first one. */
+  get listedAt(): number {
+    return this.#listedAt;
+  }
+
   /** Whether the list has been read at least once. */
   get isLoaded(): boolean {
     return this.#listedAt !== -Infinity;
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -31,6 +31,8 @@
   /** Whether workers that reported still answer after an order. */
   workersAnswer = true;
   answer: VmAnswer = "done";
+  /** VMs that the platform lists. */
+  listed = [VM];
   /** Called while an order is in progress. */
   duringOrder: () => void = ignore;
 
@@ -57,9 +59,14 @@
       },
       client: {
         list: () =>
-          Promise.resolve([
-            { vm: VM, pool: "intake", state: "up" as const, cores: 4 },
-          ]),
+          Promise.resolve(
+            this.listed.map((vm) => ({
+              vm,
+              pool: "intake",
+              state: "up" as const,
+              cores: 4,
+            })),
+          ),
         move: () => Promise.resolve("done" as VmAnswer),
         maintain: async ({ vm }: { vm: string }): Promise<VmAnswer> => {
           this.duringOrder();
@@ -184,6 +191,30 @@
     expect(fixture.wave?.done).toEqual([VM]);
   });
 
+  // A VM that was added shortly before its wave was reported as maintained, because the last list lacked it.
+  it("is due although a list from before the wave lacks the VM", async () => {
+    fixture.listed = [];
+    fixture.vms.refresh(Date.now(), true);
+    await vi.advanceTimersByTimeAsync(2_000);
+    fixture.listed = [VM];
+    await fixture.reconcile();
+    expect(fixture.wave?.done).toEqual([]);
+    await fixture.reconcile();
+    fixture.join("w1");
+    await fixture.order();
+    expect(fixture.maintained).toEqual([VM]);
+  });
+
+  it("is left out once a list from after the beginning of the wave lacks the VM", async () => {
+    fixture.listed = [];
+    await fixture.reconcile();
+    expect(fixture.wave?.done).toEqual([]);
+    await vi.advanceTimersByTimeAsync(2_000);
+    await fixture.reconcile();
+    await fixture.reconcile();
+    expect(fixture.wave?.done).toEqual([VM]);
+  });
+
   describe("that an earlier leader recorded, on a VM whose worker crashed since", () => {
     beforeEach(() => {
       fixture.recordBegun("w1");
