Other replicas relay the leader's calls to workers

The other four replicas have a core each and mostly follow.

Change: a worker has one relay, in its zone if there is one, by rendezvous hashing. The leader sends it the calls of one turn in one frame and gets answers in frames; the relay takes the text of a job from its own job store and makes the HTTP calls. Decisions, leases, fences and orders stay with the leader. A relay agrees to each term first, declines frames of an ended term and those that were delayed for longer than half an election timeout (suspension, cut link), so that the permission under which the leader sent them cannot have passed to another leader. A start through a lost relay counts as unanswered; a renewal is repeated by the leader, since it may be sent twice. Where no replica can relay, the leader calls as before.

--- /dev/null
+++ b/packages/core/src/scheduling/relay_choice.ts
@@ -0,0 +1,66 @@
+/**
+ * Which replica relays the calls to a worker.
+ *
+ * A busy leader spends most of its processor time on HTTP calls to workers, while the other replicas idle. They relay
+ * these calls in batches. Each worker has one relay, in its own zone if possible, and keeps it while the set of relays
+ * stays the same, since new connections to workers are expensive.
+ *
+ * @module
+ */
+import type { Worker } from "./command.ts";
+
+/** A replica other than the leader, as the leader sees it. */
+export interface RelayCandidate {
+  host: string;
+  zone: string;
+  /** Whether its job store is close to the leader's, so that it knows the jobs whose tasks are started. */
+  caughtUp: boolean;
+  /** Whether the connection to it is open. */
+  isConnected: boolean;
+  /** Time since it last answered the leader, in milliseconds. */
+  silentMs: number;
+}
+
+/** Silence after which a replica relays no calls: three of the leader's heartbeats. */
+const MAX_SILENCE_MS = 450;
+
+/** Replicas that can relay calls now. */
+export function usableRelays(
+  candidates: readonly RelayCandidate[],
+): RelayCandidate[] {
+  return candidates.filter(({ caughtUp, isConnected, silentMs }) =>
+    caughtUp && isConnected && silentMs <= MAX_SILENCE_MS
+  );
+}
+
+/** Host of the relay for a worker by rendezvous hashing, preferably in its zone; undefined if there are no relays. */
+export function chooseRelay(
+  { id, zone }: Pick<Worker, "id" | "zone">,
+  relays: readonly Pick<RelayCandidate, "host" | "zone">[],
+): string | undefined {
+  const near = relays.filter((relay) => relay.zone === zone);
+  let chosen: string | undefined;
+  let highest = -1;
+  for (const { host } of near.length > 0 ? near : relays) {
+    const weight = hash(`${host} ${id}`);
+    if (weight > highest) {
+      highest = weight;
+      chosen = host;
+    }
+  }
+  return chosen;
+}
+
+const FNV_OFFSET = 2_166_136_261;
+const FNV_PRIME = 16_777_619;
+
+/** FNV-1a with a final mix, because similar texts would otherwise get similar high bits. */
+function hash(text: string): number {
+  let value = FNV_OFFSET;
+  for (let i = 0; i < text.length; i++) {
+    value = Math.imul(value ^ text.charCodeAt(i), FNV_PRIME);
+  }
+  value = Math.imul(value ^ (value >>> 16), 0x85eb_ca6b);
+  value = Math.imul(value ^ (value >>> 13), 0xc2b2_ae35);
+  return (value ^ (value >>> 16)) >>> 0;
+}
--- a/packages/daemon/src/scheduler/leader_controller.ts
+++ b/packages/daemon/src/scheduler/leader_controller.ts
@@ -4,17 +4,25 @@
  * @module
  */
 import type { SubmittedJob } from "@quetzalcove/core/scheduling";
+import type { Fault, Result } from "@quetzalcove/core";
+import { Err, fault } from "@quetzalcove/core";
 import type { Component } from "../lifecycle.ts";
+import type { CallRouter } from "./call_relay/mod.ts";
 import type { LeadershipTermStatus } from "./status.ts";
 import { LeadershipTerm, type LeadershipTermParts } from "./leadership_term.ts";
 
-/** Dependencies of the leader controller; it adds the term number itself. */
-export type LeaderControllerParts = Omit<LeadershipTermParts, "term">;
+/** Dependencies of the leader controller; it adds the term number and the client itself. */
+export interface LeaderControllerParts
+  extends Omit<LeadershipTermParts, "term" | "client"> {
+  /** Creates the router of the calls to workers in one leadership term. */
+  createRouter: (term: number) => CallRouter;
+}
 
 export class LeaderController implements Component {
   readonly name = "leader";
   readonly #parts: LeaderControllerParts;
   #activeTerm: LeadershipTerm | undefined;
+  #router: CallRouter | undefined;
   #lastTerm = -1;
   #stopped = false;
 
@@ -42,6 +50,12 @@
     this.#activeTerm?.recordArrival(job);
   }
 
+  /** Handles answers to relayed calls. */
+  receiveAnswers(params: unknown): Result<void, Fault> {
+    return this.#router?.receive(params) ??
+      Err(fault("not_leader", "This node does not lead"));
+  }
+
   /** Status of the current leadership term; undefined on a node that does not lead. */
   describe(): LeadershipTermStatus | undefined {
     return this.#activeTerm?.describe();
@@ -66,14 +80,21 @@
     const confirmed = await this.#parts.consensus.barrier();
     const { isLeader, term: current } = this.#parts.consensus.leadership();
     if (confirmed.ok && isLeader && current === term && !this.#stopped) {
-      this.#activeTerm = new LeadershipTerm({ ...this.#parts, term });
+      const router = this.#parts.createRouter(term);
+      this.#router = router;
+      await router.start();
+      const { client } = router;
+      this.#activeTerm = new LeadershipTerm({ ...this.#parts, term, client });
       await this.#activeTerm.start();
     }
   }
 
   async #endTerm(): Promise<void> {
     const ending = this.#activeTerm;
+    const router = this.#router;
     this.#activeTerm = undefined;
+    this.#router = undefined;
     await ending?.stop();
+    await router?.stop();
   }
 }
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -17,6 +17,7 @@
   JobStore,
   JobStoreCommand,
   JobStoreOutput,
+  RelayCandidate,
 } from "@quetzalcove/core/scheduling";
 import { type Clock, systemClock } from "../clock.ts";
 import { DynamicMembershipController } from "../consensus/dynamic_membership_controller.ts";
@@ -34,6 +35,7 @@
 import { registerProcessGauges } from "../observe/process_gauges.ts";
 import type { ReplicaFolder } from "../replica_folder.ts";
 import { leadershipConfirmer } from "./leadership_confirmer.ts";
+import { CallRelay, CallRouter, RELAY_METHODS } from "./call_relay/mod.ts";
 import { jobStateMachine } from "./job_state_machine.ts";
 import {
   type GroupDescription,
@@ -64,6 +66,12 @@
   advisorClient: AdvisorClient | undefined;
 }
 
+/**
+ * Longest delay of a call on its way to a relay, as a share of the shortest election timeout. Together with the lease
+ * under which the leader sends, it ends before another replica can be elected.
+ */
+const RELAY_DELAY_SHARE = 0.5;
+
 /** Silence after which a learner is removed: much longer than any pause from which a learner recovers. */
 const LEARNER_LOST_AFTER_MS = 30_000;
 
@@ -267,6 +275,22 @@
       onChange: () => leaderController.wake(),
       onAccepted: (job) => leaderController.recordArrival(job),
     });
+    const callRelay = new CallRelay({
+      host,
+      consensus: replica,
+      client: this.#parts.workerClient,
+      clock: this.#clock,
+      log,
+      metrics: this.metrics,
+      maxDelayMs: settings.raft.electionMinMs * RELAY_DELAY_SHARE,
+      send: (to, method, params) =>
+        this.#linkPool.get(to).notify(method, params),
+    });
+    this.#addHandlers(callRelay.handlers());
+    this.#handlers.set(
+      RELAY_METHODS.answers,
+      (params) => Promise.resolve(leaderController.receiveAnswers(params)),
+    );
     this.#addHandlers(membershipController.handlers());
     this.#addHandlers(leaderApi.handlers());
     this.#addHandlers(this.#groupHandlers(replica));
@@ -288,7 +312,23 @@
       settings: settings.workers,
       retentionMs: settings.retentionMs,
       consensus: replica,
-      client: workerClient,
+      createRouter: (term) =>
+        new CallRouter({
+          host: settings.host,
+          term,
+          direct: workerClient,
+          zoneOf: (worker) => replica.state.workers.get(worker)?.zone,
+          candidates: () => this.#relayCandidates(replica),
+          isConfirmedLeader: () => replica.isConfirmedLeader,
+          callTimeoutMs: settings.workers.callTimeoutMs,
+          clock: this.#clock,
+          log,
+          metrics: this.metrics,
+          send: (to, method, params) =>
+            this.#linkPool.get(to).notify(method, params),
+          request: (to, method, params, timeoutMs) =>
+            this.#linkPool.get(to).request(method, params, timeoutMs),
+        }),
       clock: this.#clock,
       log,
       metrics: this.metrics,
@@ -297,6 +337,20 @@
     });
   }
 
+  /** The other replicas, which can relay calls of this leader. */
+  #relayCandidates(replica: JobReplica): RelayCandidate[] {
+    const silentTimes = replica.silentTimes();
+    return replica.replicas()
+      .filter(({ entry }) => entry !== this.#parts.settings.host)
+      .map(({ replica: id, entry, zone, caughtUp }) => ({
+        host: entry,
+        zone,
+        caughtUp,
+        isConnected: this.#linkPool.get(entry).isOpen,
+        silentMs: silentTimes.get(id) ?? Infinity,
+      }));
+  }
+
   #groupHandlers(replica: JobReplica): ReadonlyMap<string, Handler> {
     return new Map<string, Handler>([
       ["raft", (params) =>
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -9,6 +9,9 @@
   Worker,
 } from "@quetzalcove/core/scheduling";
 
+/** What identifies a worker to a client. */
+export type CalledWorker = Pick<Worker, "id" | "address">;
+
 /** An order to start a run. */
 export interface StartOrder {
   task: string;
@@ -59,19 +62,22 @@
 /** Client for workers. Every call ends by its deadline. */
 export interface WorkerClient {
   start(
-    worker: Worker,
+    worker: CalledWorker,
     order: StartOrder,
   ): Promise<AnswerWithClock<StartAnswer>>;
-  stop(worker: Worker, order: RunOrder): Promise<AnswerWithClock<boolean>>;
-  renew(worker: Worker, renewal: WorkerRenewal): Promise<RenewalAnswer>;
+  stop(
+    worker: CalledWorker,
+    order: RunOrder,
+  ): Promise<AnswerWithClock<boolean>>;
+  renew(worker: CalledWorker, renewal: WorkerRenewal): Promise<RenewalAnswer>;
   /** Sets the speed of a best-effort run, in percent of full speed. */
   pace(
-    worker: Worker,
+    worker: CalledWorker,
     order: RunOrder,
     percent: number,
   ): Promise<AnswerWithClock<boolean>>;
   /** Closes the connections to a worker. */
-  disconnect(worker: Worker): void;
+  disconnect(worker: CalledWorker): void;
 }
 
 /** A VM in the platform's list. */
