Call router: calls wait while leadership is not confirmed

Cause: a frame leaves up to 10 ms after its calls were made. If the leader's lease had run out in between, the calls ended as unanswered although they were certainly not sent, so their runs counted as in doubt for 250 ms.

Change: the frame waits until leadership is confirmed again, as sessions do; calls whose deadline passes before are never sent. The permission is checked when the frame leaves, as before.

--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -84,6 +84,9 @@
 /** Interval at which the relays are chosen anew and overdue calls end. */
 const CHECK_INTERVAL_MS = 100;
 
+/** Delay before a frame is tried again while leadership is not confirmed. */
+const UNCONFIRMED_DELAY_MS = 20;
+
 /** Deadline of the request to relay calls: some round trips, since a new leader waits for the answers. */
 const OPEN_TIMEOUT_MS = 100;
 
@@ -256,17 +259,24 @@
     return batcher;
   }
 
+  /** Sends calls in one frame, once leadership is confirmed. Those whose deadline passes before are never sent. */
   #sendFrame(relay: string, calls: RelayedCall[]): void {
     const { host, term, clock, send } = this.#parts;
+    const wanted = calls.filter(({ kind, call }) =>
+      kind === "disconnect" || this.#pending.has(call)
+    );
+    if (this.#stopped || wanted.length === 0) {
+      return;
+    }
     if (!this.#mayCall) {
-      calls.forEach(({ call }) => this.#settle(call, { kind: "unsent" }));
+      setTimeout(() => this.#sendFrame(relay, wanted), UNCONFIRMED_DELAY_MS);
       return;
     }
     const frame: CallFrame = {
       leader: host,
       term,
       sentAtMs: clock.wall(),
-      calls,
+      calls: wanted,
     };
     send(relay, RELAY_METHODS.calls, frame);
   }
@@ -392,6 +402,8 @@
     case "no_answer":
     case "declined":
       return { kind: "no_answer", reason: outcome.reason };
+    case "lost":
+      return { kind: "no_answer", reason: "its relay was lost" };
     default:
       return { kind: "no_answer", reason: "the call was not relayed" };
   }
