Maintenance: the end of one VM's maintenance is proposed once

Harmless, but work for the leader at its peak. The new test saw three proposals in place of one before.

--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -35,6 +35,8 @@
   readonly #starting = new Map<string, number>();
   /** Keys of waves and VMs for which the platform confirmed to this leader that the order was carried out. */
   readonly #confirmedDone = new Set<string>();
+  /** Keys of waves and VMs whose end of maintenance is being committed. */
+  readonly #recordingDone = new Set<string>();
   /** When this leader first saw each wave, in monotonic milliseconds. */
   readonly #seenAt = new Map<number, number>();
 
@@ -96,7 +98,7 @@
       // A new worker on the VM is no proof: the old one may have crashed and the order may never have been sent.
       const isConfirmed = this.#confirmedDone.has(maintenanceKey(wave.id, vm));
       if (isConfirmed && !vms.isAbsent(vm)) {
-        void this.#recordPhase(wave.id, vm, "done", vms.workerOn(vm)?.id);
+        void this.#recordDone(wave.id, vm);
       } else if (!isConfirmed && vms.isEligible(vm, now)) {
         // Any other worker may have started after the maintenance; if it still answers later, it did.
         const before = worker === undefined ? [] : [worker];
@@ -105,6 +107,21 @@
     }
   }
 
+  /** Records the end of a VM's maintenance, once although passes go on during the commit. */
+  async #recordDone(wave: number, vm: string): Promise<void> {
+    const key = maintenanceKey(wave, vm);
+    if (!this.#recordingDone.has(key)) {
+      this.#recordingDone.add(key);
+      await this.#recordPhase(
+        wave,
+        vm,
+        "done",
+        this.#parts.vms.workerOn(vm)?.id,
+      );
+      this.#recordingDone.delete(key);
+    }
+  }
+
   #startMaintenance(
     { wave, down, done }: WaveRecord,
     draining: Set<string>,
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -26,6 +26,8 @@
   readonly jobStore: JobStore = newJobStore([]);
   readonly removed: string[] = [];
   readonly maintained: string[] = [];
+  /** Phases of maintenance that were proposed. */
+  readonly phases: string[] = [];
   readonly vms: VmDirectory;
   readonly maintenance: MaintenanceController;
   /** Whether workers that reported still answer after an order. */
@@ -38,10 +40,18 @@
 
   constructor() {
     this.jobStore.apply({ kind: "wave", wave: WAVE });
+    const committing = consensusOf(this.jobStore);
     const parts = {
       term: 7,
       holder: "n1",
-      consensus: consensusOf(this.jobStore),
+      consensus: consensusOf(this.jobStore, {
+        propose: (command) => {
+          if (command.kind === "upkeep") {
+            this.phases.push(command.phase);
+          }
+          return committing.propose(command);
+        },
+      }),
       clock: TEST_CLOCK,
       log: QUIET_LOG,
       metrics: new Metrics(),
@@ -191,6 +201,18 @@
     expect(fixture.wave?.done).toEqual([VM]);
   });
 
+  it("is recorded as done once, although passes go on during the commit", async () => {
+    fixture.join("w1");
+    await fixture.order();
+    fixture.join("w2");
+    fixture.vms.refresh(Date.now(), true);
+    for (let pass = 0; pass < 3; pass++) {
+      fixture.maintenance.reconcile(Date.now());
+    }
+    await vi.advanceTimersByTimeAsync(0);
+    expect(fixture.phases).toEqual(["begun", "done"]);
+  });
+
   // A VM that was added shortly before its wave was reported as maintained, because the last list lacked it.
   it("is due although a list from before the wave lacks the VM", async () => {
     fixture.listed = [];
