Moves: follow the trend of demand, and bring VMs for steps that are spread

The leader's log: free cores of the pool fell from 2,300 to 146 in 2.3 s, yet the first move was ordered at 1.75 s and its VM ready at 3.4 s. Arrivals were counted with guesses, which are far too low, and ends that are seen first are those of short tasks. What tasks use and wait for rose by about 1,100 cores a second all the while.

Change: demand_trend.ts extrapolates the cores in use and waited for by the time of a move; arrivals are weighed with the durations known by now; a waiting step that is spread asks for as many VMs as it needs.

--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pool_demand.ts
@@ -6,6 +6,8 @@
  *
  * @module
  */
+import type { StepSpec } from "./batch_job.ts";
+import type { DemandTrend } from "./demand_trend.ts";
 import type { JobStore } from "./job_store.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
@@ -23,7 +25,7 @@
 
 interface Arrival {
   at: number;
-  coreMs: number;
+  coreMs: () => number;
 }
 
 /** Arrival rates of work by pool. */
@@ -36,8 +38,8 @@
     this.#startedAt = now;
   }
 
-  /** Records the arrival of a job that needs `coreMs` core-milliseconds in total. */
-  record(pool: string, coreMs: number, now: number): void {
+  /** Records the arrival of a job. `coreMs` estimates what it needs in total, in core-milliseconds, at any later time. */
+  record(pool: string, coreMs: () => number, now: number): void {
     const recent = this.#recent(pool, now);
     recent.push({ at: now, coreMs });
     this.#arrivals.set(pool, recent);
@@ -56,8 +58,9 @@
     let sum = 0;
     let largest = 0;
     for (const { coreMs } of recent) {
-      sum += coreMs;
-      largest = Math.max(largest, coreMs);
+      const estimated = coreMs();
+      sum += estimated;
+      largest = Math.max(largest, estimated);
     }
     const mayHaveWaited = first.at - this.#startedAt < WINDOW_MS;
     const minSpanMs = mayHaveWaited ? WINDOW_MS : MIN_SPAN_MS;
@@ -78,6 +81,20 @@
   waiting: number;
   /** Cores that keep up with the arrivals and start the backlog in time. */
   wanted: number;
+  /** VMs without which a waiting step cannot be spread as it asks for. */
+  vms: number;
+}
+
+/** Raises what pools want to the forecast of their demand. */
+export function anticipate(
+  demands: ReadonlyMap<string, PoolDemand>,
+  trend: DemandTrend,
+  now: number,
+): void {
+  for (const [pool, demand] of demands) {
+    trend.record(pool, demand.reserved + demand.waiting, now);
+    demand.wanted = Math.max(demand.wanted, trend.forecast(pool));
+  }
 }
 
 /** Demand of each pool of the queue plan. */
@@ -89,7 +106,7 @@
 ): Map<string, PoolDemand> {
   const demands = new Map<string, PoolDemand>();
   for (const { name } of jobStore.plan.pools) {
-    demands.set(name, { reserved: 0, waiting: 0, wanted: 0 });
+    demands.set(name, { reserved: 0, waiting: 0, wanted: 0, vms: 0 });
   }
   for (const worker of jobStore.workers.values()) {
     const demand = demands.get(worker.pool);
@@ -103,6 +120,7 @@
     if (demand !== undefined) {
       const cores = indices.size * spec.demand.cpuMilli / 1_000;
       demand.waiting += cores;
+      demand.vms = Math.max(demand.vms, vmsForSpread(spec));
       const ms = estimate.taskMs(job.queue, spec.estimatedMs);
       backlogs.set(job.pool, (backlogs.get(job.pool) ?? 0) + cores * ms);
     }
@@ -117,3 +135,8 @@
   }
   return demands;
 }
+
+/** Number of VMs over which a step must be spread. */
+function vmsForSpread({ taskCount, maxPerWorker }: StepSpec): number {
+  return maxPerWorker === 0 ? 0 : Math.ceil(taskCount / maxPerWorker);
+}
--- a/packages/core/src/scheduling/pool_moves.ts
+++ b/packages/core/src/scheduling/pool_moves.ts
@@ -23,6 +23,8 @@
   demand: PoolDemand;
   /** Cores of its workers and of VMs that are being moved to it. */
   cores: number;
+  /** Number of these workers and VMs. */
+  vms: number;
   idle: IdleVm[];
 }
 
@@ -38,7 +40,7 @@
 /** Idle time after which a VM is moved to standby; twice the machine time that a move costs. */
 const STANDBY_AFTER_MS = 2_500;
 
-/** Chooses the moves to order now; updates the pools' `cores` accordingly. */
+/** Chooses the moves to order now; updates the pools' `cores` and `vms` accordingly. */
 export function chooseMoves(pools: readonly PoolState[]): Move[] {
   const active = pools.filter(({ standby }) => !standby);
   const standbyPools = pools.filter(({ standby }) => standby);
@@ -47,10 +49,11 @@
   const addMove = (source: PoolState, to: string, idle: IdleVm): void => {
     moved.add(idle.vm);
     source.cores -= idle.cores;
+    source.vms -= 1;
     moves.push({ vm: idle.vm, from: source.name, to });
   };
   for (const pool of byShortage(active)) {
-    while (shortage(pool) > 0) {
+    while (shortage(pool) > 0 || pool.vms < pool.demand.vms) {
       const found = findSurplusVm(pool, active, moved) ??
         findIdleVm(standbyPools, moved);
       if (found === undefined) {
@@ -58,15 +61,16 @@
       }
       addMove(found.source, pool.name, found.idle);
       pool.cores += found.idle.cores;
+      pool.vms += 1;
     }
   }
   const [standbyPool] = standbyPools;
   if (standbyPool !== undefined) {
     for (const pool of active) {
       for (const idle of pool.idle) {
-        const isSurplus = shortage(pool) + idle.cores <= 0;
         if (
-          !moved.has(idle.vm) && isSurplus && idle.idleMs >= STANDBY_AFTER_MS
+          !moved.has(idle.vm) && isSurplus(pool, idle) &&
+          idle.idleMs >= STANDBY_AFTER_MS
         ) {
           addMove(pool, standbyPool.name, idle);
         }
@@ -81,6 +85,11 @@
   return demand.wanted / USABLE_SHARE - cores;
 }
 
+/** Whether a pool has enough cores and VMs without an idle VM of its own. */
+function isSurplus(pool: PoolState, { cores }: IdleVm): boolean {
+  return shortage(pool) + cores <= 0 && pool.vms > pool.demand.vms;
+}
+
 function byShortage(pools: readonly PoolState[]): PoolState[] {
   return [...pools].sort((a, b) => shortage(b) - shortage(a));
 }
@@ -100,7 +109,7 @@
     const idle = source.idle.find(({ vm }) => !moved.has(vm));
     if (
       source !== pool && idle !== undefined &&
-      shortage(source) + idle.cores <= 0
+      isSurplus(source, idle)
     ) {
       return { source, idle };
     }
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -3,11 +3,21 @@
 import {
   ArrivalRates,
   chooseMoves,
+  DemandTrend,
   type IdleVm,
   planMaintenance,
+  poolDemands,
   type PoolState,
+  WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type MemberView, nextMembershipChange } from "@quetzalcove/core";
+import {
+  newJobStore,
+  spec,
+  step,
+  submit,
+  worker,
+} from "./scheduling_fixture.ts";
 
 const CORES = 32;
 
@@ -25,8 +35,9 @@
   return {
     name,
     standby,
-    demand: { reserved: 0, waiting: 0, wanted },
+    demand: { reserved: 0, waiting: 0, wanted, vms: 0 },
     cores: vms * CORES,
+    vms,
     idle: idleVms,
   };
 }
@@ -49,6 +60,30 @@
     expect(moves).toEqual([]);
   });
 
+  // Long-running steps with one task per worker waited for ever, as their cores alone would have fitted.
+  it("brings VMs to a pool whose steps cannot be spread otherwise, although it has enough cores", () => {
+    const spread = pool("spread", 10, 2);
+    spread.demand.vms = 4;
+    const moves = chooseMoves([
+      spread,
+      pool("calm", 10, 5, ["a", "b", "c"].map((vm) => idle(vm, "calm"))),
+    ]);
+    expect(moves.map(({ vm, to }) => `${vm} ${to}`)).toEqual([
+      "a spread",
+      "b spread",
+    ]);
+  });
+
+  it("leaves a pool the VMs over which its steps are spread", () => {
+    const spread = pool("spread", 10, 3, [
+      idle("a", "spread", 9_999),
+      idle("b", "spread", 9_999),
+    ]);
+    spread.demand.vms = 2;
+    const moves = chooseMoves([spread, pool("off", 0, 0, [], true)]);
+    expect(moves.map(({ vm }) => vm)).toEqual(["a"]);
+  });
+
   it("moves VMs to standby that are not needed and have been idle for long", () => {
     const moves = chooseMoves([
       pool("calm", 20, 3, [
@@ -100,13 +135,74 @@
   });
 });
 
+describe("the trend of demand", () => {
+  /** Records one sample each 50 ms, of a demand given by its time in milliseconds. */
+  function trendOf(cores: (at: number) => number, untilMs: number) {
+    const trend = new DemandTrend();
+    for (let at = 0; at <= untilMs; at += 50) {
+      trend.record("pool", cores(at), at);
+    }
+    return trend;
+  }
+
+  it("foresees a steady rise by the time that a move takes", () => {
+    const rising = trendOf((at) => 500 + at, 1_500);
+    expect(rising.forecast("pool")).toBeGreaterThan(3_500);
+    expect(rising.forecast("pool")).toBeLessThan(4_000);
+  });
+
+  it("is the present demand while that is steady or falls", () => {
+    expect(trendOf(() => 800, 1_500).forecast("pool")).toBe(800);
+    expect(trendOf((at) => 3_000 - at, 1_500).forecast("pool")).toBe(1_500);
+  });
+
+  it("is limited for demand that rises in one step", () => {
+    const step = trendOf((at) => at < 1_000 ? 10 : 1_000, 1_200);
+    expect(step.forecast("pool")).toBeLessThanOrEqual(2_500);
+  });
+
+  it("ends soon after the rise", () => {
+    const risen = trendOf((at) => Math.min(2_000, 500 + at), 2_700);
+    expect(risen.forecast("pool")).toBe(2_000);
+  });
+
+  it("is not inferred from a few samples", () => {
+    expect(trendOf((at) => at, 250).forecast("pool")).toBe(250);
+  });
+});
+
+describe("the demand of a pool", () => {
+  it("includes a VM for each part of a waiting step that is spread", () => {
+    const store = newJobStore([worker("w1")]);
+    submit(store, "j1", spec(step({ taskCount: 9, maxPerWorker: 2 })));
+    const demands = poolDemands(
+      store,
+      new ArrivalRates(-60_000),
+      new WorkEstimate(),
+      0,
+    );
+    expect(demands.get("intake")?.vms).toBe(5);
+  });
+
+  it("follows the durations that are learned after a job has arrived", () => {
+    const rates = new ArrivalRates(-60_000);
+    let taskMs = 100;
+    for (let at = 0; at < 500; at += 50) {
+      rates.record("pool", () => 10 * taskMs, at);
+    }
+    const before = rates.rate("pool", 500);
+    taskMs = 1_000;
+    expect(rates.rate("pool", 500)).toBeCloseTo(10 * before);
+  });
+});
+
 describe("a burst of demand", () => {
   it("shows in the arrival rate in less time than a move takes", () => {
     const rates = new ArrivalRates(-60_000);
     // A job of 10 core-seconds every 25 ms needs 400 cores.
     let now = 0;
     for (; now < 1_000; now += 25) {
-      rates.record("pool", 10_000, now);
+      rates.record("pool", () => 10_000, now);
     }
     expect(rates.rate("pool", now)).toBeGreaterThan(300);
     expect(rates.rate("pool", now)).toBeLessThan(450);
@@ -116,7 +212,7 @@
   it("shows within a few jobs after a time without arrivals", () => {
     const rates = new ArrivalRates(-60_000);
     [0, 25, 50, 75, 100, 125, 150, 175].forEach((at) =>
-      rates.record("pool", 10_000, at)
+      rates.record("pool", () => 10_000, at)
     );
     expect(rates.rate("pool", 200)).toBeGreaterThan(300);
   });
@@ -126,14 +222,14 @@
     const rates = new ArrivalRates(0);
     // 40 jobs of 10 core-seconds in the second before this leader served.
     for (let i = 0; i < 40; i++) {
-      rates.record("pool", 10_000, 200 + i / 10);
+      rates.record("pool", () => 10_000, 200 + i / 10);
     }
     expect(rates.rate("pool", 210)).toBeLessThan(450);
   });
 
   it("is not inferred from a single large job", () => {
     const rates = new ArrivalRates(-60_000);
-    rates.record("pool", 80_000, 0);
+    rates.record("pool", () => 80_000, 0);
     expect(rates.rate("pool", 10)).toBe(0);
   });
 });
--- a/packages/core/test/scheduling_simulation.ts
+++ b/packages/core/test/scheduling_simulation.ts
@@ -7,9 +7,11 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
+  anticipate,
   ArrivalRates,
   CandidateWorker,
   chooseMoves,
+  DemandTrend,
   JobStore,
   type Move,
   placeStep,
@@ -51,6 +53,10 @@
   choose?: (pools: readonly PoolState[]) => Move[];
   /** Estimate of task durations; that of the core by default. */
   estimate?: WorkEstimate;
+  /** Trend of demand; that of the core by default. */
+  trend?: DemandTrend;
+  /** Mean ratio of submitters' guesses to durations; 1 by default. */
+  guessFactor?: number;
 }
 
 export interface SimulationResult {
@@ -106,6 +112,7 @@
   readonly #jobStore = new JobStore();
   readonly #rates = new ArrivalRates(-Infinity);
   readonly #estimate: WorkEstimate;
+  readonly #trend: DemandTrend;
   readonly #vms = new Map<string, Vm>();
   readonly #endsByTime = new Map<number, { run: RunKey; tookMs: number }[]>();
   readonly #idleSince = new Map<string, number>();
@@ -117,6 +124,7 @@
   constructor(config: SimulationConfig) {
     this.#config = config;
     this.#estimate = config.estimate ?? new WorkEstimate();
+    this.#trend = config.trend ?? new DemandTrend();
     const generator = xoroshiro128plus(config.seed);
     this.#random = () => uniformFloat64(generator);
     this.#jobStore.apply({
@@ -183,7 +191,8 @@
   #submit(load: QueueLoad, now: number): void {
     const id = `j${this.#arrivals.size}`;
     const taskMs = load.taskMs * this.#logNormal(JOB_SPREAD);
-    const guessMs = taskMs * this.#logNormal(GUESS_SPREAD);
+    const { guessFactor = 1 } = this.#config;
+    const guessMs = guessFactor * taskMs * this.#logNormal(GUESS_SPREAD);
     const steps = Array.from(
       { length: load.steps },
       (_, i): StepSpec =>
@@ -205,7 +214,7 @@
     if (job === undefined) {
       throw new Error(`Job "${id}" was not stored`);
     }
-    this.#rates.record(pool, this.#estimate.jobCoreMs(job), now);
+    this.#rates.record(pool, () => this.#estimate.jobCoreMs(job), now);
     const { slackFactor, targetLatencyMs } = job.terms;
     const work = load.steps * load.tasks * load.cores * taskMs / 1_000;
     this.#workSeconds += work;
@@ -270,6 +279,7 @@
       this.#estimate,
       now,
     );
+    anticipate(demands, this.#trend, now);
     const { choose = chooseMoves } = this.#config;
     for (const { vm, to } of choose(this.#pools(demands, now))) {
       const moved = this.#vms.get(vm);
@@ -301,7 +311,14 @@
     for (const { name, standby } of this.#jobStore.plan.pools) {
       const demand = demands.get(name);
       if (demand !== undefined) {
-        pools.set(name, { name, standby, demand, cores: 0, idle: [] });
+        pools.set(name, {
+          name,
+          standby,
+          demand,
+          cores: 0,
+          vms: 0,
+          idle: [],
+        });
       }
     }
     for (
@@ -318,6 +335,7 @@
         continue;
       }
       state.cores += cores;
+      state.vms += 1;
       if (own !== undefined && this.#jobStore.load(own.id).runs.size === 0) {
         const since = this.#idleSince.get(vm) ?? now;
         this.#idleSince.set(vm, since);
--- a/packages/core/test/scheduling_simulation_test.ts
+++ b/packages/core/test/scheduling_simulation_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { WorkEstimate } from "@quetzalcove/core/scheduling";
+import { DemandTrend, WorkEstimate } from "@quetzalcove/core/scheduling";
 import {
   simulate,
   type SimulationConfig,
@@ -79,6 +79,26 @@
   },
 );
 
+/** The baseline: demand stays as it is at present. */
+class NoTrend extends DemandTrend {
+  override forecast(): number {
+    return 0;
+  }
+}
+
+describe("a rise of demand that lasts longer than a move, with guesses far below the durations", () => {
+  it("leaves more jobs in time with the trend of demand than without", () => {
+    const late = (trend: () => DemandTrend): number =>
+      [1, 2, 3, 4, 5, 6, 7, 8].reduce((sum, seed) => {
+        const config = { ...SMALL_FLEET, seed, guessFactor: 0.4 };
+        return sum + 1 - simulate({ ...config, trend: trend() }).inTime;
+      }, 0);
+    expect(late(() => new DemandTrend())).toBeLessThan(
+      late(() => new NoTrend()),
+    );
+  });
+});
+
 describe("the estimate of task durations from inaccurate guesses", () => {
   it("saves a large fleet VM-seconds and moves compared with the mean ratio of actual to guessed durations", () => {
     const regression = simulateSeeds(FLEET, () => ({}));
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import {
+  anticipate,
   type ArrivalRates,
   chooseMoves,
+  DemandTrend,
   type JobStore,
   type PoolDemand,
   poolDemands,
@@ -36,6 +38,7 @@
   readonly #parts: FleetControllerParts;
   readonly #vms: VmDirectory;
   readonly #maintenance: MaintenanceController;
+  readonly #trend = new DemandTrend();
   readonly #idleSince = new Map<string, number>();
   /**
    * When the first job arrived in this leadership term. VMs count as idle only from then on, because demand is unknown
@@ -110,6 +113,7 @@
   #startMoves(now: number): void {
     const { rates, estimate, log } = this.#parts;
     const demands = poolDemands(this.#jobStore, rates, estimate, now);
+    anticipate(demands, this.#trend, now);
     for (const { vm, from, to } of chooseMoves(this.#pools(demands, now))) {
       if (this.#vms.pendingMoves >= MAX_PENDING_MOVES) {
         return;
@@ -136,7 +140,14 @@
     for (const { name, standby } of this.#jobStore.plan.pools) {
       const demand = demands.get(name);
       if (demand !== undefined) {
-        pools.set(name, { name, standby, demand, cores: 0, idle: [] });
+        pools.set(name, {
+          name,
+          standby,
+          demand,
+          cores: 0,
+          vms: 0,
+          idle: [],
+        });
       }
     }
     for (const worker of this.#jobStore.workers.values()) {
@@ -149,6 +160,7 @@
       const state = pools.get(pool);
       if (state !== undefined) {
         state.cores += cores;
+        state.vms += 1;
       }
     }
     for (const { vm, pool, state, cores } of this.#vms.listed) {
@@ -172,6 +184,7 @@
     }
     const cores = capacity.cpuMilli / MILLICORES_PER_CORE;
     pool.cores += cores;
+    pool.vms += 1;
     const idleSince = this.#idleSince.get(id);
     const isIdle = idleSince !== undefined &&
       !this.#parts.hasPendingPlacement(id);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -177,8 +177,8 @@
     const record = this.#jobStore.jobs.get(job.id);
     if (record !== undefined) {
       const now = this.#parts.clock.monotonic();
-      const coreMs = this.#estimate.jobCoreMs(record);
-      if (coreMs > 0) {
+      const coreMs = (): number => this.#estimate.jobCoreMs(record);
+      if (coreMs() > 0) {
         this.#rates.record(job.pool, coreMs, now);
         this.#fleet?.recordArrival(now);
       }
