--- a/packages/daemon/src/scheduler/leader_controller.ts
+++ b/packages/daemon/src/scheduler/leader_controller.ts
@@ -4,8 +4,7 @@
  * @module
  */
 import type { SubmittedJob } from "@quetzalcove/core/scheduling";
-import type { Fault, Result } from "@quetzalcove/core";
-import { Err, fault } from "@quetzalcove/core";
+import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
 import type { Component } from "../lifecycle.ts";
 import type { CallRouter } from "./call_relay/mod.ts";
 import type { LeadershipTermStatus } from "./status.ts";
@@ -58,7 +57,10 @@
 
   /** Status of the current leadership term; undefined on a node that does not lead. */
   describe(): LeadershipTermStatus | undefined {
-    return this.#activeTerm?.describe();
+    return this.#activeTerm && {
+      ...this.#activeTerm.describe(),
+      relays: this.#router?.relays ?? [],
+    };
   }
 
   #onLeadershipChange(): void {
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -128,7 +128,7 @@
   }
 
   /** Current status, for operators. */
-  describe(): LeadershipTermStatus {
+  describe(): Omit<LeadershipTermStatus, "relays"> {
     const now = this.#parts.clock.monotonic();
     const demands = poolDemands(
       this.#jobStore,
--- a/packages/daemon/src/scheduler/status.ts
+++ b/packages/daemon/src/scheduler/status.ts
@@ -22,6 +22,8 @@
 
 export const LeadershipTermStatus = z.object({
   term: Count,
+  /** Hosts of the replicas that relay calls to workers. */
+  relays: z.array(z.string()).default([]),
   pools: z.array(PoolStatus),
 });
 export type LeadershipTermStatus = z.infer<typeof LeadershipTermStatus>;
