Relays: a busy leader does not take its followers for silent

Cause: a replica relayed calls only while its last answer was at most 450 ms old. Change: the limit is 1 s; a closed link still ends the relay at once.

--- a/packages/core/src/scheduling/relay_choice.ts
+++ b/packages/core/src/scheduling/relay_choice.ts
@@ -21,8 +21,8 @@
   silentMs: number;
 }
 
-/** Silence after which a replica relays no calls: three of the leader's heartbeats. */
-const MAX_SILENCE_MS = 450;
+/** Silence after which a replica relays no calls; longer than a busy leader takes to read the answers. */
+const MAX_SILENCE_MS = 1_000;
 
 /** Replicas that can relay calls now. */
 export function usableRelays(
