--- a/packages/core/src/scheduling/demand_trend.ts
+++ b/packages/core/src/scheduling/demand_trend.ts
@@ -14,13 +14,13 @@
 const MIN_SPAN_MS = 300;
 
 /** How far ahead demand is extrapolated: a move, and the time until the new worker gets its first tasks. */
-const LEAD_MS = 2_000;
+const LEAD_MS = 2_300;
 
 /** Rise that is ignored as chance, as a share of the demand. */
 const CHANCE_SHARE = 0.1;
 
 /** Upper limit of the forecast, as a multiple of the present demand. */
-const MAX_FACTOR = 2.5;
+const MAX_FACTOR = 4;
 
 interface Sample {
   /** In milliseconds. */
