Relays only from 64 workers on

One rule for all deployments, with hysteresis: the other replicas relay calls from workers.relayFromWorkers (64) on, until there are half as many.

--- a/packages/core/src/scheduling/relay_choice.ts
+++ b/packages/core/src/scheduling/relay_choice.ts
@@ -24,6 +24,18 @@
 /** Silence after which a replica relays no calls; longer than a busy leader takes to read the answers. */
 const MAX_SILENCE_MS = 1_000;
 
+/** Share of the number of workers from which calls are relayed, below which they no longer are. */
+const STOP_SHARE = 0.5;
+
+/** Whether there are so many workers that relays save the leader more than they cost, with hysteresis. */
+export function areRelaysWorthwhile(
+  workers: number,
+  fromWorkers: number,
+  areInUse: boolean,
+): boolean {
+  return workers >= fromWorkers * (areInUse ? STOP_SHARE : 1);
+}
+
 /** Replicas that can relay calls now. */
 export function usableRelays(
   candidates: readonly RelayCandidate[],
--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -72,6 +72,9 @@
   contactMs: DurationMs.default(3_000).describe(
     "Silence after which a worker gets no new work.",
   ),
+  relayFromWorkers: Count.default(64).describe(
+    "Number of workers from which other replicas relay the leader's calls to them.",
+  ),
 });
 
 const Limits = z.strictObject({
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -137,7 +137,10 @@
 
 describe("the trend of demand", () => {
   /** Records one sample each 50 ms, of a demand given by its time in milliseconds. */
-  function trendOf(cores: (at: number) => number, untilMs: number) {
+  function trendOf(
+    cores: (at: number) => number,
+    untilMs: number,
+  ): DemandTrend {
     const trend = new DemandTrend();
     for (let at = 0; at <= untilMs; at += 50) {
       trend.record("pool", cores(at), at);
--- a/packages/core/test/scheduling_relay_choice_test.ts
+++ b/packages/core/test/scheduling_relay_choice_test.ts
@@ -1,11 +1,15 @@
 import { describe, expect, it } from "vitest";
 import {
+  areRelaysWorthwhile,
   chooseRelay,
   type RelayCandidate,
   usableRelays,
 } from "../src/scheduling/mod.ts";
 
-function candidate(host: string, changes: Partial<RelayCandidate> = {}) {
+function candidate(
+  host: string,
+  changes: Partial<RelayCandidate> = {},
+): RelayCandidate {
   return {
     host,
     zone: `zone-${host}`,
@@ -16,10 +20,19 @@
   };
 }
 
-function workers(count: number, zone: string) {
+function workers(count: number, zone: string): { id: string; zone: string }[] {
   return Array.from({ length: count }, (_, i) => ({ id: `w-${i}`, zone }));
 }
 
+describe("relays", () => {
+  it("are used from a number of workers on, until there are half as many", () => {
+    expect(areRelaysWorthwhile(63, 64, false)).toBe(false);
+    expect(areRelaysWorthwhile(64, 64, false)).toBe(true);
+    expect(areRelaysWorthwhile(32, 64, true)).toBe(true);
+    expect(areRelaysWorthwhile(31, 64, true)).toBe(false);
+  });
+});
+
 describe("usable relays", () => {
   it("are caught up, connected and answer the leader", () => {
     const candidates = [
--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -8,6 +8,7 @@
  */
 import { type Fault, Ok, parse, type Result } from "@quetzalcove/core";
 import {
+  areRelaysWorthwhile,
   chooseRelay,
   type RelayCandidate,
   usableRelays,
@@ -40,6 +41,9 @@
   direct: WorkerClient;
   /** Zone of a worker, if it is known. */
   zoneOf: (worker: string) => string | undefined;
+  /** Number of workers from which calls are relayed. */
+  relayFromWorkers: number;
+  workerCount: () => number;
   /** Replicas other than this one. */
   candidates: () => RelayCandidate[];
   isConfirmedLeader: () => boolean;
@@ -323,9 +327,13 @@
 
   /** Chooses the usable relays; when they change, each worker gets its relay anew with its next call. */
   #chooseRelays(): void {
-    const { candidates, log } = this.#parts;
+    const { candidates, relayFromWorkers, workerCount, log } = this.#parts;
     const before = this.relays;
-    const usable = usableRelays(candidates());
+    const areInUse = before.length > 0;
+    const usable =
+      areRelaysWorthwhile(workerCount(), relayFromWorkers, areInUse)
+        ? usableRelays(candidates())
+        : [];
     const hosts = usable.map(({ host }) => host);
     for (const host of this.#opened) {
       // It may have been restarted, so it has to agree again.
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -318,6 +318,8 @@
           term,
           direct: workerClient,
           zoneOf: (worker) => replica.state.workers.get(worker)?.zone,
+          relayFromWorkers: settings.workers.relayFromWorkers,
+          workerCount: () => replica.state.workers.size,
           candidates: () => this.#relayCandidates(replica),
           isConfirmedLeader: () => replica.isConfirmedLeader,
           callTimeoutMs: settings.workers.callTimeoutMs,
--- a/packages/daemon/test/call_relay_test.ts
+++ b/packages/daemon/test/call_relay_test.ts
@@ -83,6 +83,7 @@
   readonly frames: string[] = [];
   relayTerm = TERM;
   isConfirmedLeader = true;
+  workerCount = 100;
   isLinkOpen = true;
   /** Messages are lost, though the link seems open. */
   isLinkSilent = false;
@@ -99,6 +100,8 @@
       term: TERM,
       direct: this.direct,
       zoneOf: () => "zone-a",
+      relayFromWorkers: 64,
+      workerCount: () => this.workerCount,
       candidates: () => [this.candidate],
       isConfirmedLeader: () => this.isConfirmedLeader,
       callTimeoutMs: 1_000,
@@ -258,6 +261,17 @@
     expect(fixture.direct.calls).toHaveLength(1);
   });
 
+  it("are made by the leader while there are few workers", async () => {
+    fixture.workerCount = 31;
+    await vi.advanceTimersByTimeAsync(200);
+    await outcomeOf(fixture.router.client.start(WORKER, ORDER));
+    expect(fixture.direct.calls).toHaveLength(1);
+    fixture.workerCount = 64;
+    await vi.advanceTimersByTimeAsync(300);
+    await outcomeOf(fixture.router.client.start(WORKER, ORDER));
+    expect(fixture.relayed.calls).toHaveLength(1);
+  });
+
   it("wait while leadership is not confirmed", async () => {
     fixture.isConfirmedLeader = false;
     const started = fixture.router.client.start(WORKER, ORDER);
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -32,6 +32,7 @@
   callTimeoutMs: 1_000,
   stopMs: 200,
   contactMs: 3_000,
+  relayFromWorkers: 64,
 } as const;
 
 /** Consensus on a leader whose proposals are committed at once; `changes` replaces members. */
