Leader controller: no term starts after leadership was lost meanwhile

Found in reading: since a new leader waits up to 100 ms for the other replicas to agree to relay calls, it can lose leadership in that time; the term started nevertheless and never ended (it sent nothing, as leadership was not confirmed). Leadership is checked again after the wait.

--- a/packages/daemon/src/scheduler/leader_controller.ts
+++ b/packages/daemon/src/scheduler/leader_controller.ts
@@ -80,15 +80,24 @@
   async #startTerm(term: number): Promise<void> {
     await this.#endTerm();
     const confirmed = await this.#parts.consensus.barrier();
-    const { isLeader, term: current } = this.#parts.consensus.leadership();
-    if (confirmed.ok && isLeader && current === term && !this.#stopped) {
-      const router = this.#parts.createRouter(term);
-      this.#router = router;
-      await router.start();
-      const { client } = router;
-      this.#activeTerm = new LeadershipTerm({ ...this.#parts, term, client });
-      await this.#activeTerm.start();
+    if (confirmed.err || !this.#leads(term)) {
+      return;
+    }
+    const router = this.#parts.createRouter(term);
+    await router.start();
+    if (!this.#leads(term)) {
+      await router.stop();
+      return;
     }
+    this.#router = router;
+    const { client } = router;
+    this.#activeTerm = new LeadershipTerm({ ...this.#parts, term, client });
+    await this.#activeTerm.start();
+  }
+
+  #leads(term: number): boolean {
+    const current = this.#parts.consensus.leadership();
+    return current.isLeader && current.term === term && !this.#stopped;
   }
 
   async #endTerm(): Promise<void> {
