Call router: a renewal that the leader makes itself keeps its long poll

Only a renewal that is repeated after its relay was lost asks for an answer at once. The test of few workers now checks the renewal, and failed before.

--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -194,8 +194,11 @@
         const { leaseDeadlineMs, seenEnds, waitMs } = renewal;
         const call = { kind: "renew", leaseDeadlineMs, seenEnds, waitMs };
         const outcome = await this.#call(worker, call as CallBody, waitMs);
+        if (this.#isForDirectCall(outcome)) {
+          return await direct.renew(worker, renewal);
+        }
         // A renewal may be sent twice, so that a lost relay does not make its workers seem silent.
-        return this.#isForDirectCall(outcome) || this.#mayRepeat(outcome)
+        return this.#mayRepeat(outcome)
           ? await direct.renew(worker, { ...renewal, waitMs: 0 })
           : renewalAnswer(outcome);
       },
@@ -332,7 +335,7 @@
     const areInUse = before.length > 0;
     const usable =
       areRelaysWorthwhile(workerCount(), relayFromWorkers, areInUse)
-        ? usableRelays(candidates())
+        ? usableRelays(candidates(), before)
         : [];
     const hosts = usable.map(({ host }) => host);
     for (const host of this.#opened) {
--- a/packages/daemon/test/call_relay_test.ts
+++ b/packages/daemon/test/call_relay_test.ts
@@ -265,7 +265,16 @@
     fixture.workerCount = 31;
     await vi.advanceTimersByTimeAsync(200);
     await outcomeOf(fixture.router.client.start(WORKER, ORDER));
-    expect(fixture.direct.calls).toHaveLength(1);
+    await outcomeOf(fixture.router.client.renew(WORKER, {
+      fence: TERM,
+      leaseDeadlineMs: 4_000,
+      seenEnds: 0,
+      waitMs: 1_500,
+    }));
+    expect(fixture.direct.calls).toEqual([
+      'start job.0.0.0 "work" at w1, fence 7',
+      "renew w1, seen 0, wait 1500",
+    ]);
     fixture.workerCount = 64;
     await vi.advanceTimersByTimeAsync(300);
     await outcomeOf(fixture.router.client.start(WORKER, ORDER));
