Relays stay in use while they fall behind

A relay must be caught up to begin with. At a peak a follower may be more than 64 entries behind for a moment; to end its calls as lost then costs more than the tasks of unknown jobs, which it declines and the leader sends itself.

--- a/packages/core/src/scheduling/relay_choice.ts
+++ b/packages/core/src/scheduling/relay_choice.ts
@@ -36,12 +36,14 @@
   return workers >= fromWorkers * (areInUse ? STOP_SHARE : 1);
 }
 
-/** Replicas that can relay calls now. */
+/** Replicas that can relay calls now. One that does so already may fall behind: it declines tasks of unknown jobs. */
 export function usableRelays(
   candidates: readonly RelayCandidate[],
+  inUse: readonly string[],
 ): RelayCandidate[] {
-  return candidates.filter(({ caughtUp, isConnected, silentMs }) =>
-    caughtUp && isConnected && silentMs <= MAX_SILENCE_MS
+  return candidates.filter(({ host, caughtUp, isConnected, silentMs }) =>
+    (caughtUp || inUse.includes(host)) && isConnected &&
+    silentMs <= MAX_SILENCE_MS
   );
 }
 
--- a/packages/core/test/scheduling_relay_choice_test.ts
+++ b/packages/core/test/scheduling_relay_choice_test.ts
@@ -42,11 +42,16 @@
       candidate("d", { silentMs: 1_001 }),
       candidate("e", { silentMs: 1_000 }),
     ];
-    expect(usableRelays(candidates).map(({ host }) => host)).toEqual([
+    expect(usableRelays(candidates, []).map(({ host }) => host)).toEqual([
       "a",
       "e",
     ]);
   });
+
+  it("stay in use when they fall behind for a while", () => {
+    const behind = candidate("b", { caughtUp: false });
+    expect(usableRelays([behind], ["b"])).toEqual([behind]);
+  });
 });
 
 describe("the relay of a worker", () => {
