Refusals: wait for the ledger as long as a leader takes to be replaced

No logs were kept. Of the replies that the entry can give, only a refusal before any attempt has this shape: the reply to a failed claim comes at its own limit of 2 s, a lost attempt is a 502 or 504, an entry without a lease answers at once. So the 500 ms for which a refusal reads the ledger had run out. That is less than one call at a leader that no longer answers (700 ms), so a refusal during a change of leader could only be "unknown".

Change: a refusal waits up to 2 s, like the claim of an attempt. The caller's outcome is then known. A cluster that has no leader for 3 s still fails at once. The harness keeps the fault of a refusal, so that a failed test names it.

--- a/packages/daemon/src/entry/refusal.ts
+++ b/packages/daemon/src/entry/refusal.ts
@@ -15,8 +15,8 @@
   leaseController: LeaseController;
 }
 
-/** Maximum wait for the ledger before a refusal. */
-const LEDGER_READ_TIMEOUT_MS = 500;
+/** Maximum wait for the ledger before a refusal; covers a call at a leader that has stopped and the next election. */
+const LEDGER_READ_TIMEOUT_MS = 2_000;
 
 /** Returns the reply to a request that this entry did not run. `key` is its ledger key, if it has one. */
 export async function refusalReply(
--- a/test/harness/services.ts
+++ b/test/harness/services.ts
@@ -68,6 +68,8 @@
   own: boolean;
   replayed: boolean;
   retryAfter: boolean;
+  /** The fault by which the system refused or failed the request; undefined for the answer of a target. */
+  fault?: string;
 }
 
 /** Options of a request. */
@@ -118,12 +120,22 @@
       own: digest === digestOf(options.path, body) && text.includes(digest),
       replayed: answer.headers["x-quetzalcove-replayed"] === "true",
       retryAfter: answer.headers["retry-after"] !== undefined,
+      ...(answer.headers["content-type"] === "application/problem+json" &&
+        { fault: faultOf(text) }),
     };
   } catch {
     return undefined;
   }
 }
 
+/** Kind and message of the fault in a problem document. */
+function faultOf(text: string): string {
+  const { fault } = JSON.parse(text) as {
+    fault: { kind: string; message: string };
+  };
+  return `${fault.kind}: ${fault.message}`;
+}
+
 /** Number of runs with an idempotency key. */
 export function runCountOf(runs: readonly Run[], key: string): number {
   return runs.filter((run) => run.key === key).length;
