Fleet: use VMs in standby as soon as the list shows them there

Cause: a VM that was moved to standby counted as absent for 3 s, and until the next list, up to 1.5 s later.

Change: the 3 s guard against a list that still shows a VM as it was before. A VM that was in another pool cannot be listed as up in standby before it is there, so the guard is only needed for maintenance and for moves out of standby. While VMs are absent the list is read each 500 ms.

Test: vm_directory_test.ts; with the former code the VM was available after 3.2 s, where the move and the list's lag take 1.7 s.

--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -34,10 +34,12 @@
   unconfirmed: readonly string[];
   /** When the order was answered, in monotonic milliseconds. */
   answeredAt: number;
+  /** From when a list shows whether the VM is back in a standby pool, in monotonic milliseconds. */
+  listedFrom: number;
 }
 
 /** Age at which the list of VMs is refreshed while moves or maintenance are in progress. */
-const ACTIVE_REFRESH_MS = 1_500;
+const ACTIVE_REFRESH_MS = 500;
 
 /** Age at which the list of VMs is refreshed otherwise. */
 const IDLE_REFRESH_MS = 15_000;
@@ -167,7 +169,7 @@
   async order(
     vm: string,
     action: VmAction,
-    absence: Omit<Absence, "answeredAt" | "unconfirmed">,
+    absence: Pick<Absence, "pool" | "cores" | "workers">,
   ): Promise<boolean | undefined> {
     const { clock, removeWorker } = this.#parts;
     const answer = await this.#orders.order(vm, action);
@@ -176,7 +178,16 @@
       const unconfirmed = this.workersOn(vm).filter((id) =>
         !absence.workers.includes(id)
       );
-      this.#absences.set(vm, { ...absence, unconfirmed, answeredAt: now });
+      // Only a VM that was in the standby pool before can be listed there before it is back.
+      const isNewToStandby = action.kind === "move" &&
+        this.isStandby(action.pool);
+      const listedFrom = isNewToStandby ? now : now + MIN_ABSENCE_MS;
+      this.#absences.set(vm, {
+        ...absence,
+        unconfirmed,
+        answeredAt: now,
+        listedFrom,
+      });
       for (const worker of absence.workers) {
         await removeWorker(worker, `VM ${action.kind} order carried out`);
       }
@@ -189,12 +200,12 @@
   /** Ends absences: a VM is back when a new worker on it has reported, or is listed as up in a standby pool. */
   #detectReturns(): void {
     const { hasAnsweredSince } = this.#parts;
-    for (const [vm, { answeredAt, workers, unconfirmed }] of this.#absences) {
+    for (const [vm, absence] of this.#absences) {
+      const { answeredAt, listedFrom, workers, unconfirmed } = absence;
       const current = this.workerOn(vm);
       const listedVm = this.#listed.get(vm);
       const isBack = current === undefined
-        ? this.#listedAt > answeredAt + MIN_ABSENCE_MS &&
-          listedVm?.state === "up" &&
+        ? this.#listedAt > listedFrom && listedVm?.state === "up" &&
           this.isStandby(listedVm.pool)
         : !workers.includes(current.id) &&
           (!unconfirmed.includes(current.id) ||
