Scheduler: elections after 500 ms without a leader

Change: heartbeats each 100 ms and elections after 500 ms (150 and 800 before). The longest delay of relayed calls and the lease of reads are shares of the election timeout and shrink with it.

--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -21,10 +21,10 @@
 });
 
 const Raft = z.strictObject({
-  heartbeatMs: DurationMs.default(150).describe(
+  heartbeatMs: DurationMs.default(100).describe(
     "Interval of the leader's heartbeats; a fifth of the election timeout.",
   ),
-  electionMinMs: DurationMs.default(800).describe(
+  electionMinMs: DurationMs.default(500).describe(
     "Shortest time without a leader before an election; above the pauses of a throttled VM.",
   ),
   snapshotEveryEntries: Count.default(20_000).describe(
