Worker client: orders time out after 300 ms

Cause: an order that a worker receives and does not answer was sent again after 1.25 s, longer than a short task takes, and the orders pipelined behind it on the same connection waited as long.

Change: the setting workers.orderTimeoutMs, 300 ms, for starts, stops and changes of pace. An order is sent again under the same run number, and a worker carries it out once.

--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -66,6 +66,9 @@
   callTimeoutMs: DurationMs.default(1_000).describe(
     "Deadline of a call beyond the time that it waits at the worker.",
   ),
+  orderTimeoutMs: DurationMs.default(300).describe(
+    "Deadline of an order to a worker, after which it is sent again; a worker carries it out once.",
+  ),
   stopMs: DurationMs.default(200).describe(
     "Longest time that a worker takes to stop a run, from the platform.",
   ),
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -30,6 +30,7 @@
   maxLeaseMs: 10_000,
   renewalWaitMs: 1_500,
   callTimeoutMs: 1_000,
+  orderTimeoutMs: 300,
   stopMs: 200,
   contactMs: 3_000,
   relayFromWorkers: 64,
