Worker session: notice a lost answer to a renewal within a second

A lost long poll was noticed after 2.5 s and repeated after another 0.25 s, and no end of a run on that worker was known before. A job waits for the slowest of the workers of its tasks.

Change: a renewal waits at most 500 ms at a worker with runs that end by themselves, and its answer is expected within 400 ms beyond that. A worker that missed this deadline is called again at once and gets the full second, so that a slow one does not count as silent.

Test: worker_session_test.ts, two cases, seen to fail with the former waits.

--- a/packages/daemon/src/scheduler/call_relay/call_relay.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_relay.ts
@@ -180,8 +180,14 @@
         return { kind: "order", call: call.call, ...answer };
       }
       case "renew": {
-        const { leaseDeadlineMs, seenEnds, waitMs } = call;
-        const renewal = { fence, leaseDeadlineMs, seenEnds, waitMs };
+        const { leaseDeadlineMs, seenEnds, waitMs, timeoutMs } = call;
+        const renewal = {
+          fence,
+          leaseDeadlineMs,
+          seenEnds,
+          waitMs,
+          timeoutMs,
+        };
         return renewalAnswer(call.call, await client.renew(worker, renewal));
       }
       case "disconnect":
--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -191,8 +191,14 @@
           : orderAnswer(outcome);
       },
       renew: async (worker, renewal) => {
-        const { leaseDeadlineMs, seenEnds, waitMs } = renewal;
-        const call = { kind: "renew", leaseDeadlineMs, seenEnds, waitMs };
+        const { leaseDeadlineMs, seenEnds, waitMs, timeoutMs } = renewal;
+        const call = {
+          kind: "renew",
+          leaseDeadlineMs,
+          seenEnds,
+          waitMs,
+          timeoutMs,
+        };
         const outcome = await this.#call(worker, call as CallBody, waitMs);
         if (this.#isForDirectCall(outcome)) {
           return await direct.renew(worker, renewal);
--- a/packages/daemon/src/scheduler/call_relay/messages.ts
+++ b/packages/daemon/src/scheduler/call_relay/messages.ts
@@ -32,6 +32,7 @@
     leaseDeadlineMs: z.number().optional(),
     seenEnds: Count,
     waitMs: z.number(),
+    timeoutMs: z.number(),
   }),
   /** Closes the connections to the worker; has no answer. */
   Call.extend({ kind: z.literal("disconnect") }),
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -44,6 +44,8 @@
   seenEnds: number;
   /** Long poll: how long the worker may delay its answer until a run ends, in milliseconds. */
   waitMs: number;
+  /** Deadline of the answer beyond that, in milliseconds. */
+  timeoutMs: number;
 }
 
 /** Answer to an order, and the time on the worker's clock if the answer has it. */
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -59,6 +59,15 @@
 /** Back-off after an unanswered order or renewal: several round trips of a slow link. */
 const UNANSWERED_BACKOFF_MS = 250;
 
+/**
+ * Longest wait of a renewal at a worker with runs that end by themselves. If its answer is lost, ends are noticed only
+ * with the next one.
+ */
+const BUSY_WAIT_MS = 500;
+
+/** Deadline of a renewal beyond its wait: some round trips of a slow link. A worker that missed it gets longer. */
+const PROMPT_ANSWER_MS = 400;
+
 /** Delay before a retry while leadership is not confirmed. */
 const UNCONFIRMED_DELAY_MS = 20;
 
@@ -195,12 +204,16 @@
     const { client, settings, clock, term } = this.#parts;
     const sentAt = clock.monotonic();
     const leaseDeadlineMs = this.#leaseDeadlineFor(sentAt);
-    const mayWait = this.#isVerified && !this.#isSilent;
+    const wasSilent = this.#isSilent;
+    const mayWait = this.#isVerified && !wasSilent;
     const answer = await client.renew(this.worker, {
       fence: term,
       leaseDeadlineMs,
       seenEnds: this.#lastCommittedEnd,
-      waitMs: mayWait ? settings.renewalWaitMs : 0,
+      waitMs: mayWait ? this.#renewalWaitMs() : 0,
+      timeoutMs: wasSilent
+        ? settings.callTimeoutMs
+        : Math.min(PROMPT_ANSWER_MS, settings.callTimeoutMs),
     });
     this.#logContactChange(answer, clock.monotonic());
     const now = clock.monotonic();
@@ -219,10 +232,24 @@
         return;
       case "no_answer":
         this.#handleSilence(now, answer.reason);
-        await wait(UNANSWERED_BACKOFF_MS);
+        if (wasSilent) {
+          await wait(UNANSWERED_BACKOFF_MS);
+        }
     }
   }
 
+  #renewalWaitMs(): number {
+    const { consensus, settings } = this.#parts;
+    const jobStore = consensus.state;
+    const runs = [...jobStore.load(this.worker.id).runs.values()];
+    const isBusy = runs.some(({ job, step }) =>
+      jobStore.jobs.get(job)?.spec?.steps[step]?.lasting === false
+    );
+    return isBusy
+      ? Math.min(BUSY_WAIT_MS, settings.renewalWaitMs)
+      : settings.renewalWaitMs;
+  }
+
   /** Logs when a worker stops answering and when it answers again. */
   #logContactChange(answer: RenewalAnswer, now: number): void {
     const isSilent = answer.kind === "no_answer";
--- a/packages/daemon/test/call_relay_test.ts
+++ b/packages/daemon/test/call_relay_test.ts
@@ -223,6 +223,7 @@
       leaseDeadlineMs: 4_000,
       seenEnds: 2,
       waitMs: 1_500,
+      timeoutMs: 1_000,
     };
     const outcomes = await outcomeOf(Promise.all([
       client.start(WORKER, ORDER),
@@ -270,6 +271,7 @@
       leaseDeadlineMs: 4_000,
       seenEnds: 0,
       waitMs: 1_500,
+      timeoutMs: 1_000,
     }));
     expect(fixture.direct.calls).toEqual([
       'start job.0.0.0 "work" at w1, fence 7',
@@ -356,6 +358,7 @@
         leaseDeadlineMs: 4_000,
         seenEnds: 0,
         waitMs: 1_500,
+        timeoutMs: 1_000,
       });
       await vi.advanceTimersByTimeAsync(20);
       fixture.isLinkOpen = false;
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -36,6 +36,8 @@
 /** A worker that answers calls; while `isSilent`, they time out instead. */
 class ScriptedWorker implements WorkerClient {
   isSilent = false;
+  /** Whether the answer to the next renewal is lost. */
+  losesNextAnswer = false;
   readonly renewals: WorkerRenewal[] = [];
   readonly starts: StartOrder[] = [];
   readonly stops: string[] = [];
@@ -69,12 +71,14 @@
   renew(_: unknown, renewal: WorkerRenewal): Promise<RenewalAnswer> {
     this.renewals.push(renewal);
     const silence: RenewalAnswer = { kind: "no_answer", reason: "silent" };
-    return this.#answerOr(
-      this.#listing(),
-      silence,
-      CALL_TIMEOUT_MS + renewal.waitMs,
-      50,
-    );
+    const timeoutMs = renewal.timeoutMs + renewal.waitMs;
+    if (this.losesNextAnswer) {
+      this.losesNextAnswer = false;
+      return new Promise((resolve) =>
+        setTimeout(() => resolve(silence), timeoutMs)
+      );
+    }
+    return this.#answerOr(this.#listing(), silence, timeoutMs, 50);
   }
 
   disconnect(): void {}
@@ -208,6 +212,34 @@
       .toBe(1);
   });
 
+  it("commits the end of a run within the duration of a task although an answer is lost", async () => {
+    const { client, session, jobStore } = fixture;
+    submit(jobStore, "k", spec(step()));
+    const key = run("k.0.0.0", 1, "w1");
+    place(jobStore, key);
+    const placed = jobStore.findRun(key);
+    session.start(placed === undefined ? [] : [placed]);
+    await vi.advanceTimersByTimeAsync(500);
+    client.losesNextAnswer = true;
+    const { task } = key;
+    client.ended = [{ number: 1, task, run: 1, how: "done", checkpoint: "" }];
+    await vi.advanceTimersByTimeAsync(1_100);
+    expect(jobStore.jobs.get("k")?.outcome).toBe("completed");
+  });
+
+  it("gives a worker that missed the deadline of a renewal more time for the next one", async () => {
+    const { client } = fixture;
+    await vi.advanceTimersByTimeAsync(500);
+    client.losesNextAnswer = true;
+    const before = client.renewals.length;
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(
+      client.renewals.slice(before, before + 3).map((renewal) =>
+        renewal.timeoutMs
+      ),
+    ).toEqual([400, CALL_TIMEOUT_MS, 400]);
+  });
+
   it("starts nothing on a draining worker, and stops a run whose start was not answered", async () => {
     const { client, session, jobStore } = fixture;
     await vi.advanceTimersByTimeAsync(100);
