--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -9,6 +9,7 @@
 import { placement } from "./placement/scenario.ts";
 import { ROUTING } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
+import { sweep } from "./sweep/scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
 
 /** All scenarios, in the order in which `all` runs them. */
@@ -19,4 +20,5 @@
   placement,
   capacity,
   live,
+  sweep,
 ];
