--- a/bench/src/sweep/scenario.ts
+++ b/bench/src/sweep/scenario.ts
@@ -108,7 +108,8 @@
     name: deployment.replace(/\.toml$/, ""),
     specification: {
       data: { values },
-      facet: { field: "quantity", type: "nominal", columns: 3, title: null },
+      facet: { field: "quantity", type: "nominal", title: null },
+      columns: 3,
       resolve: { scale: { y: "independent" } },
       spec: {
         height: PLOT_HEIGHT_PX,
