Core: one FNV-1a hash for digests and the choice of relays

Cause: relay_choice.ts wrote the loop and constants of placement/digest.ts again. Change: both call fnv1a in hash.ts; the final mix stays with the choice of relays.

--- a/packages/core/src/placement/digest.ts
+++ b/packages/core/src/placement/digest.ts
@@ -3,14 +3,12 @@
  *
  * @module
  */
+import { fnv1a } from "../hash.ts";
 import type { SubmittedJob } from "./job.ts";
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
 /** The FNV-1a hash of the submitted fields. */
 export function digestOf(job: SubmittedJob): number {
-  const text = JSON.stringify([
+  return fnv1a(JSON.stringify([
     job.team,
     job.kind,
     job.pool,
@@ -22,10 +20,5 @@
     job.deadline ?? null,
     job.restartable,
     job.task,
-  ]);
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < text.length; i += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  return hash >>> 0;
+  ]));
 }
--- a/packages/core/src/scheduling/relay_choice.ts
+++ b/packages/core/src/scheduling/relay_choice.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { fnv1a } from "../hash.ts";
 import type { Worker } from "./command.ts";
 
 /** A replica other than the leader, as the leader sees it. */
@@ -65,15 +66,9 @@
   return chosen;
 }
 
-const FNV_OFFSET = 2_166_136_261;
-const FNV_PRIME = 16_777_619;
-
 /** FNV-1a with a final mix, because similar texts would otherwise get similar high bits. */
 function hash(text: string): number {
-  let value = FNV_OFFSET;
-  for (let i = 0; i < text.length; i++) {
-    value = Math.imul(value ^ text.charCodeAt(i), FNV_PRIME);
-  }
+  let value = fnv1a(text);
   value = Math.imul(value ^ (value >>> 16), 0x85eb_ca6b);
   value = Math.imul(value ^ (value >>> 13), 0xc2b2_ae35);
   return (value ^ (value >>> 16)) >>> 0;
