Worker session: find the step of a run with the job store

Cause: the session looked a step up by itself where JobStore.stepOf does the same. Change: it calls stepOf. Result: the same value; unit tests of the packages pass (436).

--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -242,9 +242,7 @@
     const { consensus, settings } = this.#parts;
     const jobStore = consensus.state;
     const runs = [...jobStore.load(this.worker.id).runs.values()];
-    const isBusy = runs.some(({ job, step }) =>
-      jobStore.jobs.get(job)?.spec?.steps[step]?.lasting === false
-    );
+    const isBusy = runs.some((run) => jobStore.stepOf(run)?.lasting === false);
     return isBusy
       ? Math.min(BUSY_WAIT_MS, settings.renewalWaitMs)
       : settings.renewalWaitMs;
