Leader: log each run that is lost with its worker

Cause: worker.lost says how many runs a worker took with it, not which, so the log could not tell a task that crashes its workers from tasks that ran beside it. Change: run.lost names each run, whether its start was confirmed and for how long it is known to have run on the worker's clock; quetzalcove_runs_lost_total counts them.

--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -98,6 +98,13 @@
     return this.#unsent.size > 0;
   }
 
+  /** Whether the start of a run was certainly not sent. */
+  isUnsent({ task, run }: RunRecord): boolean {
+    const order = this.#orders.get(task);
+    return order?.run.run === run && order.phase.kind === "start_due" &&
+      !order.phase.inDoubt;
+  }
+
   /** Adds a placed run to be started; `inDoubt` if an earlier leader may already have ordered its start. */
   add(run: RunRecord, now: number, inDoubt = false): void {
     if (this.#orders.get(run.task)?.run.run !== run.run) {
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -275,12 +275,29 @@
     reason: string,
     hasEnded: boolean,
   ): Promise<void> {
-    const { log, consensus, clock } = this.#parts;
-    const runs = this.#jobStore.load(id).runs.size;
-    this.#sessions.get(id)?.stop();
+    const { log, consensus, clock, metrics } = this.#parts;
+    const runs = [...this.#jobStore.load(id).runs.values()];
+    const session = this.#sessions.get(id);
+    session?.stop();
     this.#sessions.delete(id);
     this.#health.remove(id);
-    log.warn("worker.lost", { worker: id, reason, runs, ended: hasEnded });
+    log.warn("worker.lost", {
+      worker: id,
+      reason,
+      runs: runs.length,
+      ended: hasEnded,
+    });
+    for (const run of runs) {
+      const evidence = session?.evidenceOf(run);
+      metrics.count("quetzalcove_runs_lost_total");
+      log.info("run.lost", {
+        task: run.task,
+        run: run.run,
+        worker: id,
+        start: evidence?.start ?? "unknown",
+        survivedMs: evidence?.survivedMs,
+      });
+    }
     this.#workersBeingRemoved.add(id);
     await consensus.propose({
       kind: "lose",
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -10,6 +10,7 @@
   type RunKey,
   type RunOutcome,
   type RunRecord,
+  RunSurvival,
   type StartAnswer,
   stepName,
   type Worker,
@@ -77,6 +78,14 @@
 /** How long a worker without the free resources that the job store expects gets no new runs; a renewal corrects that. */
 const NO_ROOM_PAUSE_MS = 200;
 
+/** What a session knows of a run. */
+export interface RunEvidence {
+  /** `unanswered`: the start was sent, and may have been executed. */
+  start: "unsent" | "unanswered" | "confirmed";
+  /** Time that the run is known to have run, in milliseconds. */
+  survivedMs: number;
+}
+
 /** A run that the worker confirmed as started; kept to learn its duration. */
 interface StartedRun {
   run: number;
@@ -106,6 +115,7 @@
   readonly #pacer: Pacer;
   /** Runs that this session started, by task. */
   readonly #startedRuns = new Map<string, StartedRun>();
+  readonly #survival = new RunSurvival();
   #lastListing: Listing = { running: [], ended: [] };
 
   constructor(worker: Worker, parts: WorkerSessionParts) {
@@ -150,6 +160,16 @@
       );
   }
 
+  /** What is known of the start of a run and of how long it ran. */
+  evidenceOf(run: RunRecord): RunEvidence {
+    const survivedMs = this.#survival.survivedMs(run.task, run.run);
+    if (survivedMs !== undefined) {
+      return { start: "confirmed", survivedMs };
+    }
+    const isUnsent = this.#orders.isUnsent(run);
+    return { start: isUnsent ? "unsent" : "unanswered", survivedMs: 0 };
+  }
+
   /** Renews the lease until the session is stopped. */
   async run(): Promise<void> {
     while (!this.#stopped) {
@@ -221,6 +241,7 @@
       case "listing":
         this.#lastAnsweredSentAt = sentAt;
         this.#recordContact(answer.clockMs, now);
+        this.#survival.recordListing(answer.listing.running, answer.clockMs);
         await this.#processListing(answer.listing, sentAt, now);
         return;
       case "other_worker":
@@ -290,6 +311,9 @@
     const { id } = this.worker;
     this.#lastListing = listing;
     this.#orders.retain((run) => jobStore.findRun(run) !== undefined);
+    this.#survival.retain((task, run) =>
+      jobStore.findRun({ task, run, worker: id }) !== undefined
+    );
     const { dropped, strays } = this.#orders.reconcile(
       listing,
       sentAt,
@@ -410,6 +434,7 @@
       this.#recordContact(clockMs, now);
     }
     if (answer === "started") {
+      this.#survival.recordStart(run.task, run.run, clockMs);
       this.#startedRuns.set(run.task, {
         run: run.run,
         queue: job.queue,
