--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -4,18 +4,13 @@
   JobStoreOutput,
 } from "@quetzalcove/core/scheduling";
 import { newJobStore, worker } from "../../core/test/scheduling_fixture.ts";
-import { Metrics } from "../src/observe/metrics.ts";
 import type { WorkerClient } from "../src/scheduler/platform_clients.ts";
-import {
-  LeadershipTerm,
-  type LeadershipTermParts,
-} from "../src/scheduler/leadership_term.ts";
+import { LeadershipTerm } from "../src/scheduler/leadership_term.ts";
 import {
   consensusOf,
   ignore,
-  QUIET_LOG,
-  TEST_CLOCK,
-  WORKER_SETTINGS,
+  notExpected,
+  termParts,
 } from "./scheduler_fixture.ts";
 
 beforeEach(() => {
@@ -26,37 +21,6 @@
   vi.useRealTimers();
 });
 
-const notExpected = (): Promise<never> =>
-  Promise.reject(new Error("not called"));
-
-function termParts(
-  changes:
-    & Pick<LeadershipTermParts, "consensus">
-    & Partial<LeadershipTermParts>,
-): LeadershipTermParts {
-  return {
-    settings: WORKER_SETTINGS,
-    term: 7,
-    holder: "n1",
-    retentionMs: 60_000,
-    vmClient: undefined,
-    advisorClient: undefined,
-    client: {
-      start: notExpected,
-      stop: notExpected,
-      pace: notExpected,
-      renew: notExpected,
-      disconnect: ignore,
-    },
-    clock: TEST_CLOCK,
-    log: QUIET_LOG,
-    metrics: new Metrics(),
-    isConfirmedLeader: () => true,
-    measure: (_, run) => run(),
-    ...changes,
-  };
-}
-
 describe("a busy leadership term", () => {
   // Guards against a leader whose passes take the processor from the orders that they place.
   it("shares a pass between the changes of some round trips", async () => {
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -7,7 +7,9 @@
 import type { JobStore, JobStoreOutput } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../src/clock.ts";
 import type { Log } from "../src/observe/log.ts";
+import { Metrics } from "../src/observe/metrics.ts";
 import type { JobConsensus } from "../src/scheduler/job_state_machine.ts";
+import type { LeadershipTermParts } from "../src/scheduler/leadership_term.ts";
 
 export const ignore = (): void => {};
 
@@ -54,3 +56,36 @@
     ...changes,
   };
 }
+
+/** A call that a test does not expect. */
+export const notExpected = (): Promise<never> =>
+  Promise.reject(new Error("not called"));
+
+/** Dependencies of a leadership term without VM API and advisor. */
+export function termParts(
+  changes:
+    & Pick<LeadershipTermParts, "consensus">
+    & Partial<LeadershipTermParts>,
+): LeadershipTermParts {
+  return {
+    settings: WORKER_SETTINGS,
+    term: 7,
+    holder: "n1",
+    retentionMs: 60_000,
+    vmClient: undefined,
+    advisorClient: undefined,
+    client: {
+      start: notExpected,
+      stop: notExpected,
+      pace: notExpected,
+      renew: notExpected,
+      disconnect: ignore,
+    },
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
+    metrics: new Metrics(),
+    isConfirmedLeader: () => true,
+    measure: (_, run) => run(),
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/daemon/test/simulated_fleet.ts
@@ -0,0 +1,196 @@
+/**
+ * A fleet of workers for tests of a leadership term: tasks end after a while, and some crash the worker that starts
+ * them. Time is that of fake timers.
+ *
+ * @module
+ */
+import type {
+  JobStore,
+  ListedEnd,
+  ListedRun,
+  Worker,
+} from "@quetzalcove/core/scheduling";
+import type {
+  CalledWorker,
+  RenewalAnswer,
+  RunOrder,
+  StartOrder,
+  WorkerClient,
+  WorkerRenewal,
+} from "../src/scheduler/platform_clients.ts";
+
+/** Behaviour of the fleet, in milliseconds. */
+export interface FleetBehaviour {
+  /** Duration of a task that ends. */
+  taskMs: number;
+  /** Time from the start of a crashing task to the crash. */
+  crashAfterMs: number;
+  /** Time from a crash to the report of the next incarnation. */
+  downMs: number;
+  /** Whether a task crashes the worker that starts it. */
+  crashes: (task: string) => boolean;
+}
+
+/** One-way delay of a call. */
+const DELAY_MS = 2;
+
+class SimulatedWorker {
+  isUp = true;
+  readonly running = new Map<string, ListedRun>();
+  readonly ended: ListedEnd[] = [];
+  endCount = 0;
+
+  end(task: string, run: number, how: ListedEnd["how"]): void {
+    if (this.isUp && this.running.get(task)?.run === run) {
+      this.running.delete(task);
+      this.endCount += 1;
+      this.ended.push({
+        number: this.endCount,
+        task,
+        run,
+        how,
+        checkpoint: "",
+      });
+    }
+  }
+}
+
+export class SimulatedFleet implements WorkerClient {
+  /** Starts that workers executed. */
+  readonly starts: { task: string; run: number; worker: string }[] = [];
+  /** Starts that were sent to workers that had crashed. */
+  readonly startsOnCrashed: string[] = [];
+  crashes = 0;
+  readonly #jobStore: JobStore;
+  readonly #behaviour: FleetBehaviour;
+  readonly #workers = new Map<string, SimulatedWorker>();
+  /** Worker that answers at an address. */
+  readonly #atAddress = new Map<string, string>();
+
+  constructor(
+    jobStore: JobStore,
+    workers: readonly Worker[],
+    behaviour: FleetBehaviour,
+  ) {
+    this.#jobStore = jobStore;
+    this.#behaviour = behaviour;
+    workers.forEach((worker) => this.#boot(worker));
+  }
+
+  /** How often the runs of a task were started. */
+  startsOf(task: string): number {
+    return this.starts.filter((start) => start.task === task).length;
+  }
+
+  async start(
+    { id, address }: CalledWorker,
+    { task, run }: StartOrder,
+  ): ReturnType<WorkerClient["start"]> {
+    await delay(DELAY_MS);
+    const worker = this.#workerAt(id, address);
+    if (typeof worker === "string") {
+      if (worker === "no_answer") {
+        this.startsOnCrashed.push(task);
+      }
+      return { answer: worker, clockMs: undefined };
+    }
+    const { taskMs, crashAfterMs, crashes } = this.#behaviour;
+    this.starts.push({ task, run, worker: id });
+    worker.running.set(task, {
+      task,
+      run,
+      checkpoint: "",
+      percent: 0,
+      gauge: 0,
+    });
+    if (crashes(task)) {
+      setTimeout(() => this.crash(id), crashAfterMs);
+    } else {
+      setTimeout(() => worker.end(task, run, "done"), taskMs);
+    }
+    const clockMs = Date.now();
+    await delay(DELAY_MS);
+    return { answer: "started", clockMs };
+  }
+
+  async stop(
+    { id, address }: CalledWorker,
+    { task, run }: RunOrder,
+  ): ReturnType<WorkerClient["stop"]> {
+    await delay(DELAY_MS);
+    const worker = this.#workerAt(id, address);
+    if (typeof worker === "string") {
+      return { answer: false, clockMs: undefined };
+    }
+    worker.end(task, run, "stopped");
+    return { answer: true, clockMs: Date.now() };
+  }
+
+  pace(): ReturnType<WorkerClient["pace"]> {
+    return Promise.resolve({ answer: true, clockMs: undefined });
+  }
+
+  async renew(
+    { id, address }: CalledWorker,
+    { waitMs, seenEnds }: WorkerRenewal,
+  ): Promise<RenewalAnswer> {
+    const until = Date.now() + waitMs;
+    do {
+      await delay(DELAY_MS);
+      const worker = this.#workerAt(id, address);
+      if (worker === "no_answer") {
+        return { kind: "no_answer", reason: "other side closed" };
+      }
+      if (worker === "other_worker") {
+        return { kind: "other_worker" };
+      }
+      const ended = worker.ended.filter(({ number }) => number > seenEnds);
+      if (ended.length > 0 || Date.now() >= until) {
+        const running = [...worker.running.values()];
+        return {
+          kind: "listing",
+          listing: { running, ended },
+          clockMs: Date.now(),
+        };
+      }
+    } while (true);
+  }
+
+  disconnect(): void {}
+
+  /** Crashes a worker; its next incarnation reports after a while. */
+  crash(id: string): void {
+    const worker = this.#workers.get(id);
+    const record = this.#jobStore.workers.get(id);
+    if (worker?.isUp !== true || record === undefined) {
+      return;
+    }
+    this.crashes += 1;
+    worker.isUp = false;
+    setTimeout(() => {
+      const next = { ...record, id: `${id}+` };
+      this.#boot(next);
+      this.#jobStore.apply({ kind: "join", workers: [next] });
+    }, this.#behaviour.downMs);
+  }
+
+  #boot({ id, address }: Worker): void {
+    this.#workers.set(id, new SimulatedWorker());
+    this.#atAddress.set(address, id);
+  }
+
+  #workerAt(
+    id: string,
+    address: string,
+  ): SimulatedWorker | "no_answer" | "other_worker" {
+    if (this.#atAddress.get(address) !== id) {
+      return "other_worker";
+    }
+    const worker = this.#workers.get(id);
+    return worker?.isUp === true ? worker : "no_answer";
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
