Job store: a task that crashes its workers is given up, and its job fails

Cause: a run that was lost with its worker left no trace; only failures that a worker reports count as attempts. Change: the job store counts the crashes that a task may have caused, across leaders. Its job fails after two with a confirmed start if no other run can have caused the second one; after four if starts were not confirmed, or whatever ran beside it. A task that has run for 200 ms since is cleared. A crash is certain only if another incarnation answers, so a worker that was cut off counts as a possible one.

--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -64,7 +64,7 @@
 
 /** A run that may have crashed its worker. */
 export const CrashSuspect = RunKey.extend({
-  /** Whether the worker confirmed the start of the run. */
+  /** Whether the worker confirmed the start of the run, and certainly crashed. */
   isConfirmed: z.boolean(),
 });
 export type CrashSuspect = z.infer<typeof CrashSuspect>;
@@ -104,6 +104,8 @@
     ends: z.array(RunEnd),
     /** Runs that are known never to have started and never to start. */
     dropped: z.array(RunKey),
+    /** Runs that have run for a while, so that their tasks are no suspects of earlier crashes. */
+    cleared: z.array(RunKey).optional(),
     atMs: z.number(),
   }),
   z.object({ kind: z.literal("join"), workers: z.array(Worker) }),
--- a/packages/core/src/scheduling/crash_suspects.ts
+++ b/packages/core/src/scheduling/crash_suspects.ts
@@ -3,17 +3,26 @@
  *
  * Some tasks crash each worker that starts them, and what ran beside them is lost too. Such a task crashes a worker
  * soon after its start, so runs that are known to have run for a while are not suspects. A suspected task is on
- * probation after its next start: until it has run for a while, its worker gets no other run. At the next crash it is
- * the only suspect, or is cleared.
+ * probation after its next start: until it has run for a while, its worker gets no other run. If that worker crashes
+ * too, no other run can be the cause, and the task is given up.
  *
  * @module
  */
 import type { CrashSuspect } from "./command.ts";
-import type { RunRecord } from "./job_record.ts";
+import type { RunRecord, Suspicion } from "./job_record.ts";
 
 /** Time after its start in which a task that crashes workers has done so. */
 export const PROBATION_MS = 200;
 
+/** Crashes with a confirmed start after which a task is given up if it alone can have caused the last one. */
+const MAX_ATTRIBUTED_CRASHES = 2;
+
+/** The same where some of the starts were not confirmed, so that fewer workers may have crashed. */
+const MAX_POSSIBLE_CRASHES = 4;
+
+/** Crashes with a confirmed start after which a task is given up, whatever started beside it. */
+const MAX_CONFIRMED_CRASHES = 4;
+
 /** What is known of a run's start, and for how long it is known to have run. */
 export interface RunEvidence {
   /** `unanswered`: the start was sent, and may have been executed. */
@@ -25,25 +34,39 @@
 export interface LostRun {
   run: RunRecord;
   evidence: RunEvidence;
-  /** Whether its task was a suspect before. */
-  wasSuspected: boolean;
 }
 
-/**
- * The runs that may have crashed their worker; none if all are known to have run for a while. Those whose tasks were
- * suspects before come first: while they are on probation, nothing else starts beside them.
- */
+/** The runs that may have crashed their worker; none if all are known to have run for a while. */
 export function crashSuspects(runs: readonly LostRun[]): CrashSuspect[] {
-  const possible = runs.filter(({ evidence }) =>
-    evidence.start !== "unsent" && evidence.survivedMs < PROBATION_MS
-  );
-  const suspectedBefore = possible.filter(({ wasSuspected }) => wasSuspected);
-  return (suspectedBefore.length > 0 ? suspectedBefore : possible).map(
-    ({ run: { task, run, worker }, evidence }) => ({
+  return runs
+    .filter(({ evidence }) =>
+      evidence.start !== "unsent" && evidence.survivedMs < PROBATION_MS
+    )
+    .map(({ run: { task, run, worker }, evidence }) => ({
       task,
       run,
       worker,
       isConfirmed: evidence.start === "confirmed",
-    }),
-  );
+    }));
+}
+
+/** The suspicion against a task after one more crash. */
+export function addCrash(
+  suspicion: Suspicion | undefined,
+  isConfirmed: boolean,
+): Suspicion {
+  return {
+    crashes: (suspicion?.crashes ?? 0) + 1,
+    confirmed: (suspicion?.confirmed ?? 0) + Number(isConfirmed),
+  };
+}
+
+/** Whether a task is given up; `isOnlySuspect` says whether nothing else can have caused the last crash. */
+export function isCrashLoop(
+  { crashes, confirmed }: Suspicion,
+  isOnlySuspect: boolean,
+): boolean {
+  return confirmed >= MAX_CONFIRMED_CRASHES ||
+    (isOnlySuspect &&
+      (confirmed >= MAX_ATTRIBUTED_CRASHES || crashes >= MAX_POSSIBLE_CRASHES));
 }
--- a/packages/core/src/scheduling/job_record.ts
+++ b/packages/core/src/scheduling/job_record.ts
@@ -8,6 +8,13 @@
 import type { Queue } from "./queue_plan.ts";
 import type { TaskPosition } from "./task_name.ts";
 
+/** Crashes of workers that the runs of a task may have caused. */
+export interface Suspicion {
+  crashes: number;
+  /** Those for which the worker had confirmed the start, and certainly crashed. */
+  confirmed: number;
+}
+
 /** One task of a round. */
 export interface TaskRecord {
   /** Number of the latest run; 0 before the first. */
@@ -15,8 +22,8 @@
   failures: number;
   /** Worker of the latest failure and its wall-clock time in milliseconds; undefined before the first failure. */
   lastFailure?: { worker: string; atMs: number } | undefined;
-  /** Number of crashes of workers that its runs may have caused; undefined for none. */
-  suspectedCrashes?: number | undefined;
+  /** Undefined if its runs cannot have crashed a worker. */
+  suspicion?: Suspicion | undefined;
   isDone: boolean;
   /** Latest checkpoint; empty for none. */
   checkpoint: string;
--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -17,6 +17,7 @@
   SubmittedJob,
   Worker,
 } from "./command.ts";
+import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
   type JobPolicy,
   type JobRecord,
@@ -109,6 +110,7 @@
         command.runs.forEach((run) => this.#placeRun(run));
         return Ok(APPLIED);
       case "settle":
+        command.cleared?.forEach((run) => this.#clearSuspicion(run));
         command.dropped.forEach((run) => this.#releaseRun(run));
         command.ends.forEach((end) => this.#endRun(end, command.atMs));
         return Ok(APPLIED);
@@ -116,7 +118,7 @@
         command.workers.forEach((worker) => this.#addWorker(worker));
         return Ok(APPLIED);
       case "lose":
-        command.suspects?.forEach((run) => this.#recordSuspect(run));
+        this.#recordCrash(command.suspects ?? [], command.atMs);
         command.workers.forEach((worker) =>
           this.#removeWorker(worker, command.haveEnded)
         );
@@ -164,7 +166,7 @@
 
   /** Whether a run's task may have crashed a worker. */
   isSuspected(run: RunRecord): boolean {
-    return this.taskOf(run)?.suspectedCrashes !== undefined;
+    return this.taskOf(run)?.suspicion !== undefined;
   }
 
   stepOf(run: Pick<RunRecord, "job" | "step">): StepSpec | undefined {
@@ -398,7 +400,7 @@
       return;
     }
     if (end.how === "failed" && wasActive) {
-      task.suspectedCrashes = undefined;
+      task.suspicion = undefined;
       task.failures += 1;
       task.lastFailure = { worker: end.worker, atMs };
       const failures = spec.gang
@@ -530,11 +532,37 @@
     this.#loads.delete(id);
   }
 
-  #recordSuspect(suspect: CrashSuspect): void {
-    const run = this.findRun(suspect);
+  /** Records a crash of a worker, and fails the jobs of tasks that crash each worker. */
+  #recordCrash(suspects: readonly CrashSuspect[], atMs: number): void {
+    const runs = suspects.flatMap((suspect) => {
+      const { isConfirmed } = suspect;
+      const run = this.findRun(suspect);
+      return run === undefined ? [] : [{ run, isConfirmed }];
+    });
+    // The members of a gang start together, so their crashes are those of one task.
+    const names = new Set(
+      runs.map(({ run }) =>
+        this.stepOf(run)?.gang === true ? stepName(run) : run.task
+      ),
+    );
+    for (const { run, isConfirmed } of runs) {
+      const job = this.jobs.get(run.job);
+      const task = this.taskOf(run);
+      if (job?.outcome !== "open" || task === undefined) {
+        continue;
+      }
+      task.suspicion = addCrash(task.suspicion, isConfirmed);
+      if (isCrashLoop(task.suspicion, names.size === 1)) {
+        this.#closeJob(job, "failed", atMs);
+      }
+    }
+  }
+
+  #clearSuspicion(key: RunKey): void {
+    const run = this.findRun(key);
     const task = run === undefined ? undefined : this.taskOf(run);
     if (task !== undefined) {
-      task.suspectedCrashes = (task.suspectedCrashes ?? 0) + 1;
+      task.suspicion = undefined;
     }
   }
 
--- a/packages/core/src/scheduling/run_survival.ts
+++ b/packages/core/src/scheduling/run_survival.ts
@@ -5,49 +5,50 @@
  */
 import type { ListedRun } from "./worker_orders.ts";
 
-interface Survival {
+interface Start {
   run: number;
-  /** Worker's clock at the answer to the start, or at the first listing that shows the run. */
-  since: number | undefined;
-  survivedMs: number;
+  /** Worker's clock at the answer to the start, or at the first listing that shows the run, in milliseconds. */
+  clockMs: number;
 }
 
 export class RunSurvival {
-  readonly #runs = new Map<string, Survival>();
+  readonly #starts = new Map<string, Start>();
+  /** Latest time on the worker's clock in any answer, in milliseconds. */
+  #latestClockMs = -Infinity;
 
-  /** Records that the worker started a run; `clockMs` is the worker's clock, if the answer had it. */
-  recordStart(task: string, run: number, clockMs: number | undefined): void {
-    if (this.#runs.get(task)?.run !== run) {
-      this.#runs.set(task, { run, since: clockMs, survivedMs: 0 });
+  /** Records that the worker answered when its clock showed `clockMs`. */
+  recordAnswer(clockMs: number): void {
+    this.#latestClockMs = Math.max(this.#latestClockMs, clockMs);
+  }
+
+  /** Records that a worker whose clock shows `clockMs` has a run. */
+  recordStart(task: string, run: number, clockMs: number): void {
+    this.recordAnswer(clockMs);
+    if (this.#starts.get(task)?.run !== run) {
+      this.#starts.set(task, { run, clockMs });
     }
   }
 
   /** Records the runs that the worker listed when its clock showed `clockMs`. */
   recordListing(running: readonly ListedRun[], clockMs: number): void {
-    for (const { task, run } of running) {
-      this.recordStart(task, run, clockMs);
-      const survival = this.#runs.get(task);
-      if (survival !== undefined) {
-        survival.since ??= clockMs;
-        survival.survivedMs = Math.max(
-          survival.survivedMs,
-          clockMs - survival.since,
-        );
-      }
-    }
+    running.forEach(({ task, run }) => this.recordStart(task, run, clockMs));
+    this.recordAnswer(clockMs);
   }
 
-  /** Time that a run is known to have run, in milliseconds; undefined if the worker has not confirmed its start. */
+  /**
+   * Time from the confirmed start of a run to the latest answer of its worker, in milliseconds; undefined if the start
+   * is not confirmed.
+   */
   survivedMs(task: string, run: number): number | undefined {
-    const survival = this.#runs.get(task);
-    return survival?.run === run ? survival.survivedMs : undefined;
+    const start = this.#starts.get(task);
+    return start?.run === run ? this.#latestClockMs - start.clockMs : undefined;
   }
 
   /** Deletes the runs that are not held any more. */
   retain(isHeld: (task: string, run: number) => boolean): void {
-    for (const [task, { run }] of this.#runs) {
+    for (const [task, { run }] of this.#starts) {
       if (!isHeld(task, run)) {
-        this.#runs.delete(task);
+        this.#starts.delete(task);
       }
     }
   }
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -20,6 +20,16 @@
 /** Maximum share of a pool's workers with runs on probation, so that other tasks still find workers. */
 const MAX_PROBATION_SHARE = 0.5;
 
+/** What speaks against placing some tasks on a worker. */
+export interface WorkerCondition {
+  /** Whether long-running tasks are better placed elsewhere. */
+  isDueForMaintenance?: boolean;
+  /** Whether a run on the worker is on probation; nothing else is placed beside it. */
+  hasRunOnProbation?: boolean;
+  /** Whether all runs on the worker have run for a while, so that a crash would not be attributed to them. */
+  isSettled?: () => boolean;
+}
+
 /** A candidate worker and its free resources during one placement pass. */
 export class CandidateWorker {
   readonly worker: Worker;
@@ -30,16 +40,20 @@
   #bestEffortRuns: number;
   /** Number of runs, with those planned. */
   runCount: number;
-  /** Whether a run here is or will be on probation. */
   hasRunOnProbation: boolean;
-  /** Whether long-running tasks are better placed elsewhere. */
   readonly isDueForMaintenance: boolean;
+  readonly isSettled: () => boolean;
 
   constructor(
     worker: Worker,
     load: WorkerLoad,
-    { isDueForMaintenance = false, hasRunOnProbation = false } = {},
+    {
+      isDueForMaintenance = false,
+      hasRunOnProbation = false,
+      isSettled = () => true,
+    }: WorkerCondition = {},
   ) {
+    this.isSettled = isSettled;
     this.isDueForMaintenance = isDueForMaintenance;
     this.hasRunOnProbation = hasRunOnProbation;
     this.runCount = load.runs.size;
@@ -283,7 +297,10 @@
   return best;
 }
 
-/** The candidate on which the fewest runs would be lost in a crash; undefined if too many have runs on probation. */
+/**
+ * The candidate on which a crash would tell most, and the fewest runs would be lost; undefined if too many have runs on
+ * probation.
+ */
 function chooseForProbation(
   step: WaitingStep,
   candidates: readonly CandidateWorker[],
@@ -297,12 +314,17 @@
     return undefined;
   }
   let best: CandidateWorker | undefined;
+  let isBestSettled = false;
   for (const candidate of candidates) {
-    if (
-      candidate.accepts(step) &&
-      (best === undefined || candidate.runCount < best.runCount)
-    ) {
+    if (!candidate.accepts(step)) {
+      continue;
+    }
+    const isSettled = candidate.isSettled();
+    const isBetter = best === undefined || (isSettled && !isBestSettled) ||
+      (isSettled === isBestSettled && candidate.runCount < best.runCount);
+    if (isBetter) {
       best = candidate;
+      isBestSettled = isSettled;
     }
   }
   return best;
@@ -330,7 +352,7 @@
 
 /** Whether a task may have crashed a worker. */
 function isSuspected(step: WaitingStep, index: number): boolean {
-  return taskOf(step, index)?.suspectedCrashes !== undefined;
+  return taskOf(step, index)?.suspicion !== undefined;
 }
 
 function fits(spec: StepSpec, free: Resources): boolean {
--- a/packages/core/test/scheduling_crash_suspects_test.ts
+++ b/packages/core/test/scheduling_crash_suspects_test.ts
@@ -4,6 +4,7 @@
   crashSuspects,
   type JobStore,
   type LostRun,
+  parseTaskName,
   placeStep,
   PROBATION_MS,
   type RunEvidence,
@@ -19,16 +20,11 @@
   worker,
 } from "./scheduling_fixture.ts";
 
-function lost(
-  index: number,
-  evidence: Partial<RunEvidence>,
-  wasSuspected = false,
-): LostRun {
+function lost(index: number, evidence: Partial<RunEvidence>): LostRun {
   const position = { job: "j", round: 0, step: 0, index };
   return {
     run: { ...position, task: `j.0.0.${index}`, run: 1, worker: "w1" },
     evidence: { start: "confirmed", survivedMs: 0, ...evidence },
-    wasSuspected,
   };
 }
 
@@ -36,20 +32,49 @@
   return crashSuspects(runs).map(({ task }) => task);
 }
 
-/** Loses worker w1 with runs of these tasks as suspects. */
-function crash(store: JobStore, ...tasks: string[]): void {
+/** Loses a worker with the latest runs of these tasks as suspects. */
+function crash(
+  store: JobStore,
+  on: string,
+  tasks: readonly string[],
+  isConfirmed = true,
+): void {
+  const runs = [...store.load(on).runs.values()];
+  const suspects = runs
+    .filter(({ task }) => tasks.includes(task))
+    .map(({ task, run: number }) => ({
+      ...run(task, number, on),
+      isConfirmed,
+    }));
   store.apply({
     kind: "lose",
-    workers: ["w1"],
+    workers: [on],
     haveEnded: true,
-    suspects: tasks.map((task) => ({
-      ...run(task, 1, "w1"),
-      isConfirmed: true,
-    })),
+    suspects,
     atMs: 1_000,
   });
 }
 
+/** Starts tasks on a new worker, which crashes with these suspects. */
+function startAndCrash(
+  store: JobStore,
+  on: string,
+  tasks: readonly string[],
+  isConfirmed = true,
+): void {
+  store.apply({ kind: "join", workers: [worker(on)] });
+  const runs = tasks.map((task) => {
+    const number = store.taskOf(parseTaskName(task)!)?.run ?? 0;
+    return run(task, number + 1, on);
+  });
+  place(store, ...runs);
+  crash(store, on, tasks, isConfirmed);
+}
+
+function outcomeOf(store: JobStore, job: string): string | undefined {
+  return store.jobs.get(job)?.outcome;
+}
+
 describe("the suspects of a crash", () => {
   it("are the runs that started shortly before, or may have", () => {
     expect(suspectedTasks(
@@ -60,15 +85,6 @@
     )).toEqual(["j.0.0.0", "j.0.0.1"]);
   });
 
-  it("are only those that were suspects before, if one of these was on probation", () => {
-    expect(suspectedTasks(lost(0, {}), lost(1, {}, true)))
-      .toEqual(["j.0.0.1"]);
-    expect(suspectedTasks(
-      lost(0, {}),
-      lost(1, { survivedMs: PROBATION_MS }, true),
-    )).toEqual(["j.0.0.0"]);
-  });
-
   it("are none if all runs are known to have run for a while", () => {
     expect(suspectedTasks(lost(0, { survivedMs: 5_000 }))).toEqual([]);
   });
@@ -84,7 +100,7 @@
       store,
       ...[0, 1, 2, 3].map((index) => run(`j.0.0.${index}`, 1, "w1")),
     );
-    crash(store, "j.0.0.0", "j.0.0.1", "j.0.0.2");
+    crash(store, "w1", ["j.0.0.0", "j.0.0.1", "j.0.0.2"]);
     const candidates = others.map((each) =>
       new CandidateWorker(each, store.load(each.id))
     );
@@ -105,7 +121,7 @@
     place(store, run("busy.0.0.0", 1, "w2"));
     submit(store, "j", spec(step()));
     place(store, run("j.0.0.0", 1, "w1"));
-    crash(store, "j.0.0.0");
+    crash(store, "w1", ["j.0.0.0"]);
     const candidates = others.map((each) =>
       new CandidateWorker(each, store.load(each.id))
     );
@@ -114,6 +130,24 @@
       .toEqual([run("j.0.0.0", 2, "w3")]);
   });
 
+  it("is placed on a worker whose runs would not be suspects, if there is one", () => {
+    const others = [worker("w2"), worker("w3")];
+    const store = newJobStore([worker("w1"), ...others]);
+    submit(store, "busy", spec(step()));
+    place(store, run("busy.0.0.0", 1, "w3"));
+    submit(store, "j", spec(step()));
+    place(store, run("j.0.0.0", 1, "w1"));
+    crash(store, "w1", ["j.0.0.0"]);
+    const candidates = others.map((each) =>
+      new CandidateWorker(each, store.load(each.id), {
+        isSettled: () => each.id === "w3",
+      })
+    );
+    const waiting = store.waiting.get("j.0.0");
+    expect(waiting && placeStep(waiting, candidates, 2_000))
+      .toEqual([run("j.0.0.0", 2, "w3")]);
+  });
+
   it("waits for a worker without a run on probation", () => {
     const store = newJobStore([worker("w1")]);
     submit(store, "j", spec(step()));
@@ -124,11 +158,27 @@
     expect(waiting && placeStep(waiting, [candidate], 0)).toEqual([]);
   });
 
+  it("is no suspect any more once it has run for a while", () => {
+    const store = newJobStore([worker("w1"), worker("w2")]);
+    submit(store, "j", spec(step()));
+    startAndCrash(store, "w3", ["j.0.0.0"]);
+    place(store, run("j.0.0.0", 2, "w2"));
+    const [second] = store.load("w2").runs.values();
+    store.apply({
+      kind: "settle",
+      ends: [],
+      dropped: [],
+      cleared: [run("j.0.0.0", 2, "w2")],
+      atMs: 1_000,
+    });
+    expect(second && store.isSuspected(second)).toBe(false);
+  });
+
   it("is no suspect any more once a worker reports that it failed", () => {
     const store = newJobStore([worker("w1"), worker("w2")]);
     submit(store, "j", spec(step()));
     place(store, run("j.0.0.0", 1, "w1"));
-    crash(store, "j.0.0.0");
+    crash(store, "w1", ["j.0.0.0"]);
     place(store, run("j.0.0.0", 2, "w2"));
     const [second] = store.load("w2").runs.values();
     expect(second && store.isSuspected(second)).toBe(true);
@@ -136,3 +186,57 @@
     expect(second && store.isSuspected(second)).toBe(false);
   });
 });
+
+describe("a job with a task under which workers crashed", () => {
+  // Guards against a crash loop, and against failing the jobs of tasks that were only beside the cause.
+  it("fails after two crashes if nothing else can have caused the second one", () => {
+    const store = newJobStore([]);
+    submit(store, "j", spec(step({ taskCount: 2 })));
+    startAndCrash(store, "w1", ["j.0.0.0", "j.0.0.1"]);
+    expect(outcomeOf(store, "j")).toBe("open");
+    startAndCrash(store, "w2", ["j.0.0.0"]);
+    expect(outcomeOf(store, "j")).toBe("failed");
+    expect(store.waiting.size).toBe(0);
+  });
+
+  it("goes on while other tasks can have caused the crashes, up to four", () => {
+    const store = newJobStore([]);
+    submit(store, "j", spec(step({ taskCount: 2 })));
+    for (const on of ["w1", "w2", "w3"]) {
+      startAndCrash(store, on, ["j.0.0.0", "j.0.0.1"]);
+    }
+    expect(outcomeOf(store, "j")).toBe("open");
+    startAndCrash(store, "w4", ["j.0.0.0", "j.0.0.1"]);
+    expect(outcomeOf(store, "j")).toBe("failed");
+  });
+
+  it("goes on after two crashes if its starts were not confirmed, up to four", () => {
+    const store = newJobStore([]);
+    submit(store, "j", spec(step()));
+    for (const on of ["w1", "w2", "w3"]) {
+      startAndCrash(store, on, ["j.0.0.0"], false);
+    }
+    expect(outcomeOf(store, "j")).toBe("open");
+    startAndCrash(store, "w4", ["j.0.0.0"], false);
+    expect(outcomeOf(store, "j")).toBe("failed");
+  });
+
+  it("fails if all members of a gang were the suspects of two crashes", () => {
+    const store = newJobStore([]);
+    submit(store, "j", spec(step({ taskCount: 2, gang: true })));
+    startAndCrash(store, "w1", ["j.0.0.0", "j.0.0.1"]);
+    expect(outcomeOf(store, "j")).toBe("open");
+    startAndCrash(store, "w2", ["j.0.0.0", "j.0.0.1"]);
+    expect(outcomeOf(store, "j")).toBe("failed");
+  });
+
+  it("stays cancelled if it was cancelled before the crash", () => {
+    const store = newJobStore([worker("w2")]);
+    submit(store, "j", spec(step()));
+    startAndCrash(store, "w1", ["j.0.0.0"]);
+    place(store, run("j.0.0.0", 2, "w2"));
+    store.apply({ kind: "cancel", ids: ["j"], atMs: 900 });
+    crash(store, "w2", ["j.0.0.0"]);
+    expect(outcomeOf(store, "j")).toBe("cancelled");
+  });
+});
--- a/packages/core/test/scheduling_run_survival_test.ts
+++ b/packages/core/test/scheduling_run_survival_test.ts
@@ -14,27 +14,25 @@
     expect(survival.survivedMs("j.0.0.0", 2)).toBeUndefined();
   });
 
-  it("is the time on the worker's clock from the start to the latest listing", () => {
+  it("is the time from the start to the worker's latest answer, whatever the order of answers", () => {
     const survival = new RunSurvival();
     survival.recordStart("j.0.0.0", 1, 500);
-    survival.recordListing([listed("j.0.0.0", 1)], 750);
-    survival.recordListing([listed("j.0.0.0", 1)], 700);
+    survival.recordAnswer(750);
+    survival.recordAnswer(700);
     expect(survival.survivedMs("j.0.0.0", 1)).toBe(250);
   });
 
-  it("counts from the first listing if the start had no clock reading", () => {
+  it("counts from the first listing if the start was not answered", () => {
     const survival = new RunSurvival();
-    survival.recordStart("j.0.0.0", 1, undefined);
     survival.recordListing([listed("j.0.0.0", 1)], 900);
-    expect(survival.survivedMs("j.0.0.0", 1)).toBe(0);
     survival.recordListing([listed("j.0.0.0", 1)], 1_000);
     expect(survival.survivedMs("j.0.0.0", 1)).toBe(100);
   });
 
   it("begins anew with the next run of the task", () => {
     const survival = new RunSurvival();
-    survival.recordListing([listed("j.0.0.0", 1)], 100);
-    survival.recordListing([listed("j.0.0.0", 2)], 900);
+    survival.recordStart("j.0.0.0", 1, 100);
+    survival.recordStart("j.0.0.0", 2, 900);
     expect(survival.survivedMs("j.0.0.0", 2)).toBe(0);
     survival.retain(() => false);
     expect(survival.survivedMs("j.0.0.0", 2)).toBeUndefined();
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -10,6 +10,7 @@
   crashSuspects,
   type JobStore,
   type LostRun,
+  parseTaskName,
   placeStep,
   poolDemands,
   type RunKey,
@@ -300,27 +301,40 @@
       atMs: clock.wall(),
     });
     this.#workersBeingRemoved.delete(id);
+    this.#logCrashLoops(suspects);
     this.wake();
   }
 
+  #logCrashLoops(suspects: readonly CrashSuspect[]): void {
+    for (const { task, run, worker } of suspects) {
+      const job = this.#jobStore.jobs.get(parseTaskName(task)?.job ?? "");
+      if (job?.outcome === "failed") {
+        this.#parts.log.warn("task.crash_loop", { task, runs: run, worker });
+      }
+    }
+  }
+
   #lostRuns(worker: string): LostRun[] {
     const session = this.#sessions.get(worker);
     return [...this.#jobStore.load(worker).runs.values()].map((run) => ({
       run,
       evidence: session?.evidenceOf(run) ??
         { start: "unanswered", survivedMs: 0 },
-      wasSuspected: this.#jobStore.isSuspected(run),
     }));
   }
 
-  /** Runs that may have crashed a worker. It is not certain that an unreachable one has crashed. */
+  /** Runs that may have crashed a worker, which is only certain if the loss is of that kind. */
   #suspectsOf(
     id: string,
     { kind }: WorkerLoss,
     lostRuns: readonly LostRun[],
   ): CrashSuspect[] {
     const isDraining = this.#jobStore.workers.get(id)?.draining === true;
-    if (isDraining || (kind !== "crashed" && kind !== "unreachable")) {
+    const wasSilent = this.#sessions.get(id)?.isSilent === true;
+    // An order for a VM whose worker did not answer any more may have found it crashed.
+    const mayHaveCrashed = kind === "crashed" || kind === "unreachable" ||
+      (kind === "ordered" && wasSilent);
+    if (isDraining || !mayHaveCrashed) {
       return [];
     }
     return crashSuspects(lostRuns).map((suspect) => ({
@@ -498,10 +512,11 @@
   }
 
   #candidateOf(worker: Worker): CandidateWorker {
+    const session = this.#sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
       isDueForMaintenance: this.#fleet?.isMaintenanceDue(worker) === true,
-      hasRunOnProbation:
-        this.#sessions.get(worker.id)?.hasRunOnProbation() === true,
+      hasRunOnProbation: session?.hasRunOnProbation === true,
+      isSettled: () => session?.isSettled() === true,
     });
   }
 
--- a/packages/daemon/src/scheduler/run_end_batcher.ts
+++ b/packages/daemon/src/scheduler/run_end_batcher.ts
@@ -22,11 +22,13 @@
   ends: RunEnd[];
   /** Runs that never started and never will. */
   dropped: RunKey[];
+  /** Runs whose tasks are no suspects of earlier crashes any more. */
+  cleared: RunKey[];
 }
 
 export class RunEndBatcher {
   readonly #parts: RunEndBatcherParts;
-  #pendingBatch: Batch = { ends: [], dropped: [] };
+  #pendingBatch: Batch = { ends: [], dropped: [], cleared: [] };
   /** Result of the pending batch; undefined while the batch is empty. */
   #pendingResult: Promise<Result<JobStoreOutput, Fault>> | undefined;
   /** Settles when the previous log entry is committed or has failed. */
@@ -36,13 +38,15 @@
     this.#parts = parts;
   }
 
-  /** Adds ended and dropped runs to the pending batch; resolves when they are committed or have failed. */
+  /** Adds ended, dropped and cleared runs to the pending batch; resolves when they are committed or have failed. */
   add(
     ends: readonly RunEnd[],
     dropped: readonly RunKey[],
+    cleared: readonly RunKey[] = [],
   ): Promise<Result<JobStoreOutput, Fault>> {
     this.#pendingBatch.ends.push(...ends);
     this.#pendingBatch.dropped.push(...dropped);
+    this.#pendingBatch.cleared.push(...cleared);
     if (this.#pendingResult === undefined) {
       this.#pendingResult = this.#lastCommit.then(() => this.#commit());
       this.#lastCommit = this.#pendingResult;
@@ -52,13 +56,14 @@
 
   #commit(): Promise<Result<JobStoreOutput, Fault>> {
     const { consensus, clock } = this.#parts;
-    const { ends, dropped } = this.#pendingBatch;
-    this.#pendingBatch = { ends: [], dropped: [] };
+    const { ends, dropped, cleared } = this.#pendingBatch;
+    this.#pendingBatch = { ends: [], dropped: [], cleared: [] };
     this.#pendingResult = undefined;
     return consensus.propose({
       kind: "settle",
       ends,
       dropped,
+      cleared,
       atMs: clock.wall(),
     });
   }
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -154,6 +154,11 @@
       now - this.#lastContactAt < this.#parts.settings.contactMs;
   }
 
+  /** Whether the last renewal got no answer. */
+  get isSilent(): boolean {
+    return this.#isSilent;
+  }
+
   /** Whether the worker answered a renewal that was sent after `at`, in monotonic milliseconds. */
   hasAnsweredSince(at: number): boolean {
     return this.#lastAnsweredSentAt > at;
@@ -178,18 +183,20 @@
   }
 
   /** Whether a run is on probation here, so that the worker must get no other run. */
-  hasRunOnProbation(): boolean {
-    const jobStore = this.#parts.consensus.state;
-    for (const run of this.#probation) {
-      const isOver = jobStore.findRun(run) === undefined ||
-        this.evidenceOf(run).survivedMs >= PROBATION_MS;
-      if (isOver) {
-        this.#probation.delete(run);
-      }
-    }
+  get hasRunOnProbation(): boolean {
     return this.#probation.size > 0;
   }
 
+  /** Whether all runs here are known to have run for a while. */
+  isSettled(): boolean {
+    const runs = this.#parts.consensus.state.load(this.worker.id).runs;
+    return [...runs.values()].every((run) => this.#hasSurvived(run));
+  }
+
+  #hasSurvived(run: RunRecord): boolean {
+    return this.evidenceOf(run).survivedMs >= PROBATION_MS;
+  }
+
   #watchIfSuspected(run: RunRecord): void {
     if (this.#parts.consensus.state.isSuspected(run)) {
       this.#probation.add(run);
@@ -271,6 +278,7 @@
         this.#lastAnsweredSentAt = sentAt;
         this.#recordContact(answer.clockMs, now);
         this.#survival.recordListing(answer.listing.running, answer.clockMs);
+        this.#endProbations();
         await this.#processListing(answer.listing, sentAt, now);
         return;
       case "other_worker":
@@ -315,6 +323,7 @@
   #recordContact(clockMs: number | undefined, now: number): void {
     this.#lastContactAt = now;
     if (clockMs !== undefined) {
+      this.#survival.recordAnswer(clockMs);
       this.#lease.recordClock({ workerMs: clockMs, receivedAt: now });
     }
   }
@@ -463,7 +472,9 @@
       this.#recordContact(clockMs, now);
     }
     if (answer === "started") {
-      this.#survival.recordStart(run.task, run.run, clockMs);
+      if (clockMs !== undefined) {
+        this.#survival.recordStart(run.task, run.run, clockMs);
+      }
       this.#startedRuns.set(run.task, {
         run: run.run,
         queue: job.queue,
@@ -472,7 +483,7 @@
       });
     }
     if (answer === "started" && this.#probation.has(run)) {
-      setTimeout(() => void this.#endProbation(), PROBATION_MS);
+      setTimeout(() => void this.#checkProbation(), PROBATION_MS);
     }
     const refused = this.#orders.recordStartAnswer(run, answer, now);
     if (answer !== "started") {
@@ -484,10 +495,9 @@
     }
   }
 
-  /** Lists the runs without waiting for an end, since a run on probation keeps others from its worker. */
-  async #endProbation(): Promise<void> {
-    const { client, settings, clock, term, isConfirmedLeader, onChange } =
-      this.#parts;
+  /** Asks for a listing without waiting for an end, since a run on probation keeps others from its worker. */
+  async #checkProbation(): Promise<void> {
+    const { client, settings, clock, term, isConfirmedLeader } = this.#parts;
     if (this.#stopped || !isConfirmedLeader()) {
       return;
     }
@@ -500,10 +510,31 @@
     });
     if (answer.kind === "listing") {
       this.#survival.recordListing(answer.listing.running, answer.clockMs);
-      onChange();
+      this.#endProbations();
     }
   }
 
+  /** Ends the probation of runs that have ended or have run for a while; the latter are cleared. */
+  #endProbations(): void {
+    const { consensus, runEndBatcher, onChange } = this.#parts;
+    const isHeld = (run: RunRecord): boolean =>
+      consensus.state.findRun(run) !== undefined;
+    const over = [...this.#probation].filter((run) =>
+      !isHeld(run) || this.#hasSurvived(run)
+    );
+    if (over.length === 0) {
+      return;
+    }
+    over.forEach((run) => this.#probation.delete(run));
+    const cleared = over.filter(isHeld).map(({ task, run, worker }) => ({
+      task,
+      run,
+      worker,
+    }));
+    void runEndBatcher.add([], [], cleared);
+    onChange();
+  }
+
   #permitOf(run: RunRecord): string {
     const { permit } = this.#parts;
     return permit(stepName(run), this.worker.id) ?? "";
