VM directory: a silent worker that the list shows gone is lost at once

Callers saw what ran beside a crashing task late by 3.3 s, and a pool short of workers for as long. Cause: a refused connection says nothing of what runs on a worker, so its runs waited until its next incarnation answered at its address or its lease had ended. Change: the list of VMs names the worker on each. It is read as soon as contact with a worker that has runs is lost. A worker that was in contact before and is silent has ended if a list that was requested later shows its VM without it. The list may lag, so the worker must have been in contact 500 ms before the request; one that answers is never dropped. The tests of lost workers failed before.

--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -21,10 +21,12 @@
 
 /** Dependencies of the fleet controller. */
 export interface FleetControllerParts
-  extends Omit<VmDirectoryParts, "hasAnsweredSince"> {
+  extends
+    Omit<VmDirectoryParts, "hasAnsweredSince" | "wasSilent" | "lastSilenceAt"> {
   rates: ArrivalRates;
   estimate: WorkEstimate;
   session: (worker: string) => WorkerSession | undefined;
+  sessions: () => Iterable<WorkerSession>;
   /** Whether a placement on a worker is still being committed. */
   hasPendingPlacement: (worker: string) => boolean;
 }
@@ -52,6 +54,9 @@
       ...parts,
       hasAnsweredSince: (worker, at) =>
         parts.session(worker)?.hasAnsweredSince(at) === true,
+      wasSilent: (worker, since, until) =>
+        parts.session(worker)?.wasSilent(since, until) === true,
+      lastSilenceAt: () => this.#lastSilenceAt(),
     });
     this.#maintenance = new MaintenanceController({ ...parts, vms: this.#vms });
   }
@@ -78,6 +83,19 @@
     return this.#maintenance.isMaintenanceDue(worker);
   }
 
+  #lastSilenceAt(): number | undefined {
+    let last: number | undefined;
+    for (const { silentSince, worker } of this.#parts.sessions()) {
+      if (
+        silentSince !== undefined && silentSince > (last ?? -Infinity) &&
+        this.#jobStore.load(worker.id).runs.size > 0
+      ) {
+        last = silentSince;
+      }
+    }
+    return last;
+  }
+
   /** Records that a job was accepted. */
   recordArrival(now: number): void {
     this.#firstArrivalAt = Math.min(this.#firstArrivalAt, now);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -103,9 +103,9 @@
       rates: this.#rates,
       estimate: this.#estimate,
       session: (worker) => this.#sessions.get(worker),
+      sessions: () => this.#sessions.values(),
       hasPendingPlacement: (worker) => this.#placementWorkers.has(worker),
-      removeWorker: (worker, reason) =>
-        this.#removeWorker(worker, { kind: "ordered", reason }),
+      removeWorker: (worker, loss) => this.#removeWorker(worker, loss),
       onChange: () => this.wake(),
     });
     this.#permits = parts.advisorClient && new PermitCache({
@@ -279,6 +279,9 @@
 
   async #removeWorker(id: string, loss: WorkerLoss): Promise<void> {
     const { log, consensus, clock } = this.#parts;
+    if (this.#workersBeingRemoved.has(id)) {
+      return;
+    }
     const lostRuns = this.#lostRuns(id);
     const suspects = this.#suspectsOf(id, loss, lostRuns);
     this.#sessions.get(id)?.stop();
@@ -330,7 +333,7 @@
     lostRuns: readonly LostRun[],
   ): CrashSuspect[] {
     const isDraining = this.#jobStore.workers.get(id)?.draining === true;
-    const wasSilent = this.#sessions.get(id)?.isSilent === true;
+    const wasSilent = this.#sessions.get(id)?.silentSince !== undefined;
     // An order for a VM whose worker did not answer any more may have found it crashed.
     const mayHaveCrashed = kind === "crashed" || kind === "unreachable" ||
       (kind === "ordered" && wasSilent);
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -88,6 +88,8 @@
   pool: string;
   state: "up" | "moving" | "upkeep" | "down";
   cores: number;
+  /** Worker on the VM; empty if there is none, undefined if the platform does not say. */
+  worker: string | undefined;
 }
 
 /** An order that concerns one VM. The fencing token rises with each order, whichever the VM. */
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -8,6 +8,7 @@
 import type { Log } from "../observe/log.ts";
 import type { JobConsensus } from "./job_state_machine.ts";
 import type { ListedVm, VmClient } from "./platform_clients.ts";
+import type { WorkerLoss } from "./worker_session.ts";
 import { type VmAction, VmOrders, type VmOrdersParts } from "./vm_orders.ts";
 
 /** Dependencies of the VM directory. */
@@ -18,8 +19,12 @@
   log: Log;
   /** Whether a worker answered a call that was sent after `at`, in monotonic milliseconds. */
   hasAnsweredSince: (worker: string, at: number) => boolean;
+  /** Whether a worker was in contact at some time before `since` and has not answered from then to `until`. */
+  wasSilent: (worker: string, since: number, until: number) => boolean;
+  /** When contact was last lost with a worker that has runs and is still silent; undefined if there is none. */
+  lastSilenceAt: () => number | undefined;
   /** Ends the session of a worker that has ended, and removes it from the job store. */
-  removeWorker: (worker: string, reason: string) => Promise<void>;
+  removeWorker: (worker: string, loss: WorkerLoss) => Promise<void>;
   onChange: () => void;
 }
 
@@ -38,7 +43,10 @@
   listedFrom: number;
 }
 
-/** Age at which the list of VMs is refreshed while moves or maintenance are in progress. */
+/** Age at which the list of VMs is refreshed when contact with a worker was lost since. */
+const MIN_REFRESH_MS = 200;
+
+/** Age at which it is refreshed while workers are silent, or moves or maintenance are in progress. */
 const ACTIVE_REFRESH_MS = 500;
 
 /** Age at which the list of VMs is refreshed otherwise. */
@@ -47,6 +55,9 @@
 /** Time after an order during which the list may still show the VM as before: one maintenance and the list's lag. */
 const MIN_ABSENCE_MS = 3_000;
 
+/** Time for which the list may show the worker on a VM as before. */
+const LIST_LAG_MS = 500;
+
 /** Back-off before a VM whose order was refused is chosen again: about one maintenance. */
 const REFUSED_BACKOFF_MS = 2_000;
 
@@ -149,18 +160,48 @@
       }
     }
     this.#detectReturns();
-    const ageMs = now - this.#listedAt;
-    const maxAgeMs = expectsChanges || this.#absences.size > 0
-      ? ACTIVE_REFRESH_MS
-      : IDLE_REFRESH_MS;
     if (
-      !this.#isRefreshing && ageMs >= maxAgeMs &&
+      !this.#isRefreshing &&
+      now - this.#listedAt >= this.#maxAgeMs(expectsChanges) &&
       this.#parts.isConfirmedLeader()
     ) {
       void this.#refreshList();
     }
   }
 
+  /** Age at which the list is refreshed. It tells whether a silent worker has ended. */
+  #maxAgeMs(expectsChanges: boolean): number {
+    const silenceAt = this.#parts.lastSilenceAt();
+    if (silenceAt !== undefined && silenceAt > this.#listedAt) {
+      return MIN_REFRESH_MS;
+    }
+    const isActive = expectsChanges || this.#absences.size > 0 ||
+      silenceAt !== undefined;
+    return isActive ? ACTIVE_REFRESH_MS : IDLE_REFRESH_MS;
+  }
+
+  /** Removes silent workers that the list, requested at `sentAt`, shows to have ended. */
+  #removeEndedWorkers(sentAt: number): void {
+    const { wasSilent, removeWorker } = this.#parts;
+    for (
+      const { id, vm, draining, hasLeft } of this.#jobStore.workers.values()
+    ) {
+      const listed = vm === undefined ? undefined : this.#listed.get(vm);
+      const hasEnded = listed?.worker !== undefined && listed.worker !== id;
+      if (hasEnded && wasSilent(id, sentAt - LIST_LAG_MS, sentAt)) {
+        const isOrdered = listed.state === "moving" ||
+          listed.state === "upkeep";
+        const kind = draining || hasLeft
+          ? "departed"
+          : isOrdered
+          ? "ordered"
+          : "crashed";
+        const reason = `its VM is listed as ${listed.state} without it`;
+        void removeWorker(id, { kind, reason });
+      }
+    }
+  }
+
   /**
    * Sends an order and, once it is carried out, records the absence and removes its workers, which the order has ended.
    * Returns whether it was carried out; undefined if the leadership term ended first. The answer is the same if the
@@ -189,7 +230,10 @@
         listedFrom,
       });
       for (const worker of absence.workers) {
-        await removeWorker(worker, `VM ${action.kind} order carried out`);
+        await removeWorker(worker, {
+          kind: "ordered",
+          reason: `VM ${action.kind} order carried out`,
+        });
       }
     } else if (answer !== undefined) {
       this.backOff(vm, now);
@@ -231,6 +275,7 @@
     }
     this.#listed = new Map(vms.map((vm) => [vm.vm, vm]));
     this.#listedAt = sentAt;
+    this.#removeEndedWorkers(sentAt);
     onChange();
   }
 }
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -111,8 +111,9 @@
   #lastAnsweredSentAt = -Infinity;
   /** Whether the worker has listed its runs in this leadership term. */
   #isVerified = false;
-  /** Whether the last renewal got no answer. */
-  #isSilent = false;
+  #firstContactAt = Infinity;
+  /** Since when renewals got no answer; undefined if the last one was answered. */
+  #silentSince: number | undefined;
   #pausedUntil = -Infinity;
   #stopped = false;
   readonly #stragglers: StragglerDetector;
@@ -154,9 +155,15 @@
       now - this.#lastContactAt < this.#parts.settings.contactMs;
   }
 
-  /** Whether the last renewal got no answer. */
-  get isSilent(): boolean {
-    return this.#isSilent;
+  /** When a renewal was first unanswered since the worker's last answer; undefined if the last one was answered. */
+  get silentSince(): number | undefined {
+    return this.#silentSince;
+  }
+
+  /** Whether the worker was in contact at some time before `since` and has not answered from then to `until`. */
+  wasSilent(since: number, until: number): boolean {
+    return this.#firstContactAt <= since && this.#lastContactAt <= until &&
+      this.#silentSince !== undefined && this.#silentSince <= until;
   }
 
   /** Whether the worker answered a renewal that was sent after `at`, in monotonic milliseconds. */
@@ -260,7 +267,7 @@
     const { client, settings, clock, term } = this.#parts;
     const sentAt = clock.monotonic();
     const leaseDeadlineMs = this.#leaseDeadlineFor(sentAt);
-    const wasSilent = this.#isSilent;
+    const wasSilent = this.#silentSince !== undefined;
     const mayWait = this.#isVerified && !wasSilent;
     const answer = await client.renew(this.worker, {
       fence: term,
@@ -309,8 +316,8 @@
   /** Logs when a worker stops answering and when it answers again. */
   #logContactChange(answer: RenewalAnswer, now: number): void {
     const isSilent = answer.kind === "no_answer";
-    if (isSilent !== this.#isSilent) {
-      this.#isSilent = isSilent;
+    if (isSilent !== (this.#silentSince !== undefined)) {
+      this.#silentSince = isSilent ? now : undefined;
       this.#parts.log.info(isSilent ? "worker.silent" : "worker.answers", {
         worker: this.worker.id,
         reason: isSilent ? answer.reason : undefined,
@@ -322,6 +329,7 @@
 
   #recordContact(clockMs: number | undefined, now: number): void {
     this.#lastContactAt = now;
+    this.#firstContactAt = Math.min(this.#firstContactAt, now);
     if (clockMs !== undefined) {
       this.#survival.recordAnswer(clockMs);
       this.#lease.recordClock({ workerMs: clockMs, receivedAt: now });
@@ -333,7 +341,7 @@
    * extended, so that its tasks can run elsewhere soon.
    */
   #leaseDeadlineFor(now: number): number | undefined {
-    if (!this.#isSilent) {
+    if (this.#silentSince === undefined) {
       this.#lease.extend(now);
     }
     return this.#lease.deadline;
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -75,6 +75,7 @@
               pool: "intake",
               state: "up" as const,
               cores: 4,
+              worker: undefined,
             })),
           ),
         move: () => Promise.resolve("done" as VmAnswer),
@@ -85,6 +86,8 @@
           return this.answer;
         },
       },
+      wasSilent: () => false,
+      lastSilenceAt: () => undefined,
       hasAnsweredSince: () => this.workersAnswer,
       hasPendingPlacement: () => false,
       session: () => ({ isInContact: () => true }) as never,
--- a/packages/daemon/test/vm_directory_test.ts
+++ b/packages/daemon/test/vm_directory_test.ts
@@ -21,6 +21,11 @@
 class Fixture {
   readonly jobStore: JobStore = newJobStore([]);
   readonly directory: VmDirectory;
+  /** When contact with the VM's worker began and ended; undefined while it is in contact. */
+  contactSince = -Infinity;
+  silentSince: number | undefined;
+  /** Losses of workers, with the times at which they were noticed. */
+  readonly losses: { worker: string; kind: string; at: number }[] = [];
   /** States of the VM, and when its list begins to show them. */
   readonly #history: { from: number; vm: ListedVm }[] = [];
 
@@ -35,8 +40,13 @@
       metrics: new Metrics(),
       isConfirmedLeader: () => true,
       hasAnsweredSince: () => true,
+      wasSilent: (_, since, until) =>
+        this.contactSince <= since && this.silentSince !== undefined &&
+        this.silentSince <= until,
+      lastSilenceAt: () => this.silentSince,
       onChange: ignore,
-      removeWorker: (id) => {
+      removeWorker: (id, { kind }) => {
+        this.losses.push({ worker: id, kind, at: Date.now() });
         this.jobStore.apply({
           kind: "lose",
           workers: [id],
@@ -63,12 +73,34 @@
   }
 
   #show(pool: string, state: ListedVm["state"], from: number): void {
-    this.#history.push({ from, vm: { vm: VM, pool, state, cores: 4 } });
+    this.show({ pool, state }, from);
+  }
+
+  /** Changes what the list shows of the VM from a time on. */
+  show(changes: Partial<ListedVm>, from: number): void {
+    const vm = {
+      vm: VM,
+      pool: "intake",
+      state: "up",
+      cores: 4,
+      worker: undefined,
+      ...changes,
+    } as const;
+    this.#history.push({ from, vm });
+  }
+
+  /** Refreshes the directory for some time. */
+  async refreshFor(durationMs: number): Promise<void> {
+    for (let ms = 0; ms < durationMs; ms += REFRESH_INTERVAL_MS) {
+      this.directory.refresh(Date.now(), false);
+      await vi.advanceTimersByTimeAsync(REFRESH_INTERVAL_MS);
+    }
   }
 
   #listedVm(): ListedVm {
     const shown = this.#history.filter(({ from }) => from <= Date.now()).at(-1);
-    return shown?.vm ?? { vm: VM, pool: "", state: "down", cores: 0 };
+    return shown?.vm ??
+      { vm: VM, pool: "", state: "down", cores: 0, worker: undefined };
   }
 
   /** Orders an action, and returns the time in milliseconds for which the VM is absent; Infinity if over 10 s. */
@@ -123,3 +155,73 @@
     expect(absenceMs).toBeGreaterThan(MOVE_MS + LIST_LAG_MS);
   });
 });
+
+describe("a worker that does not answer any more", () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** A worker that falls silent at second 5, and what the list shows of its VM from then on. */
+  async function silentWorker(changes: Partial<ListedVm>): Promise<Fixture> {
+    const fixture = new Fixture("intake");
+    fixture.jobStore.apply({
+      kind: "join",
+      workers: [worker("w1", { vm: VM })],
+    });
+    fixture.show({ worker: "w1" }, -Infinity);
+    fixture.show(changes, 5_000);
+    await fixture.refreshFor(5_000);
+    fixture.silentSince = Date.now();
+    return fixture;
+  }
+
+  // Guards against runs of a crashed worker that wait until its next incarnation answers.
+  it("is lost with the first list that shows its VM down", async () => {
+    const fixture = await silentWorker({ state: "down", worker: "" });
+    await fixture.refreshFor(400);
+    expect(fixture.losses.map(({ worker: id, kind }) => [id, kind]))
+      .toEqual([["w1", "crashed"]]);
+    expect(fixture.losses[0]?.at).toBeLessThan(5_300);
+  });
+
+  it("is lost if the list shows another worker on its VM", async () => {
+    const fixture = await silentWorker({ worker: "w2" });
+    await fixture.refreshFor(400);
+    expect(fixture.losses.map(({ kind }) => kind)).toEqual(["crashed"]);
+  });
+
+  it("is not taken for crashed if its VM is being moved", async () => {
+    const fixture = await silentWorker({ state: "moving", worker: "" });
+    await fixture.refreshFor(400);
+    expect(fixture.losses.map(({ kind }) => kind)).toEqual(["ordered"]);
+  });
+
+  it("is kept if the list shows it on its VM, or does not name workers", async () => {
+    for (const id of ["w1", undefined]) {
+      const fixture = await silentWorker({ worker: id });
+      await fixture.refreshFor(5_000);
+      expect(fixture.losses).toEqual([]);
+      vi.setSystemTime(0);
+    }
+  });
+
+  it("is kept if it answers again before the list arrives", async () => {
+    const fixture = await silentWorker({ state: "down", worker: "" });
+    fixture.silentSince = undefined;
+    await fixture.refreshFor(5_000);
+    expect(fixture.losses).toEqual([]);
+  });
+
+  it("is kept while the list may not show it yet", async () => {
+    const fixture = await silentWorker({ state: "down", worker: "" });
+    fixture.contactSince = 4_900;
+    await fixture.refreshFor(400);
+    expect(fixture.losses).toEqual([]);
+    await fixture.refreshFor(1_000);
+    expect(fixture.losses).toHaveLength(1);
+  });
+});
