Worker session: a silent worker gets no new runs

Cause: a worker counted as usable until it had been silent for 3 s. Change: it is usable again with the next renewal that it answers. Evidence: the new test failed before (usable while silent).

--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -145,8 +145,8 @@
 
   /** Whether the worker may get new runs. */
   isUsable(now: number): boolean {
-    return this.isInContact(now) && !this.worker.draining &&
-      now >= this.#pausedUntil;
+    return this.isInContact(now) && this.#silentSince === undefined &&
+      !this.worker.draining && now >= this.#pausedUntil;
   }
 
   /** Whether the worker has answered within `contactMs`. */
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -192,6 +192,19 @@
     expect(fixture.lostAt()).toBeLessThan(500 + CALL_TIMEOUT_MS + 1_500 + 100);
   });
 
+  // Guards against runs that are placed on a crashed worker and wait there until it is known to be lost.
+  it("gives a worker no new runs while it is silent", async () => {
+    const { client, session } = fixture;
+    await vi.advanceTimersByTimeAsync(500);
+    expect(session.isUsable(Date.now())).toBe(true);
+    client.isSilent = true;
+    await vi.advanceTimersByTimeAsync(CALL_TIMEOUT_MS + 1_500);
+    expect(session.isUsable(Date.now())).toBe(false);
+    client.isSilent = false;
+    await vi.advanceTimersByTimeAsync(CALL_TIMEOUT_MS + 500);
+    expect(session.isUsable(Date.now())).toBe(true);
+  });
+
   it("acknowledges run ends only once they are in the job store", async () => {
     const { client, jobStore } = fixture;
     await vi.advanceTimersByTimeAsync(500);
