Probation by job, and what is on probation is the first suspect of a crash

Cause: on full workers other starts of the last 200 ms hid the culprit, so a task went through up to six crashes; and each task of a suspected job took a worker of its own. Change: runs on probation are the only suspects, since what else runs there had started before and would have crashed the worker earlier; the tasks of one job are on probation together, and a crash is that of its job; probation takes 100 ms.

--- a/packages/core/src/scheduling/crash_suspects.ts
+++ b/packages/core/src/scheduling/crash_suspects.ts
@@ -3,8 +3,8 @@
  *
  * Some tasks crash each worker that starts them, and what ran beside them is lost too. Such a task crashes a worker
  * soon after its start, so runs that are known to have run for a while are not suspects. A suspected task is on
- * probation after its next start: until it has run for a while, its worker gets no other run. If that worker crashes
- * too, no other run can be the cause, and the task is given up.
+ * probation after its next start: until it has run for a while, its worker gets no run of another job. If that worker
+ * crashes too, no other job can be the cause, and the job is given up.
  *
  * @module
  */
@@ -12,9 +12,9 @@
 import type { RunRecord, Suspicion } from "./job_record.ts";
 
 /** Time after its start in which a task that crashes workers has done so. */
-export const PROBATION_MS = 200;
+export const PROBATION_MS = 100;
 
-/** Crashes with a confirmed start after which a task is given up if it alone can have caused the last one. */
+/** Crashes with a confirmed start after which a task is given up if only its job can have caused the last one. */
 const MAX_ATTRIBUTED_CRASHES = 2;
 
 /** The same where some of the starts were not confirmed, so that fewer workers may have crashed. */
@@ -34,20 +34,29 @@
 export interface LostRun {
   run: RunRecord;
   evidence: RunEvidence;
+  /** Whether its task was a suspect of an earlier crash. */
+  wasSuspected: boolean;
 }
 
-/** The runs that may have crashed their worker; none if all are known to have run for a while. */
+/**
+ * The runs that may have crashed their worker; none if all are known to have run for a while. Runs on probation come
+ * first: what else was there had started before them, and would have crashed the worker before.
+ */
 export function crashSuspects(runs: readonly LostRun[]): CrashSuspect[] {
-  return runs
-    .filter(({ evidence }) =>
-      evidence.start !== "unsent" && evidence.survivedMs < PROBATION_MS
-    )
-    .map(({ run: { task, run, worker }, evidence }) => ({
+  const possible = runs.filter(({ evidence }) =>
+    evidence.start !== "unsent" && evidence.survivedMs < PROBATION_MS
+  );
+  const onProbation = possible.filter(({ wasSuspected, evidence }) =>
+    wasSuspected && evidence.start === "confirmed"
+  );
+  return (onProbation.length > 0 ? onProbation : possible).map(
+    ({ run: { task, run, worker }, evidence }) => ({
       task,
       run,
       worker,
       isConfirmed: evidence.start === "confirmed",
-    }));
+    }),
+  );
 }
 
 /** The suspicion against a task after one more crash. */
@@ -61,7 +70,7 @@
   };
 }
 
-/** Whether a task is given up; `isOnlySuspect` says whether nothing else can have caused the last crash. */
+/** Whether a task is given up; `isOnlySuspect` says whether no other job can have caused the last crash. */
 export function isCrashLoop(
   { crashes, confirmed }: Suspicion,
   isOnlySuspect: boolean,
--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -539,12 +539,7 @@
       const run = this.findRun(suspect);
       return run === undefined ? [] : [{ run, isConfirmed }];
     });
-    // The members of a gang start together, so their crashes are those of one task.
-    const names = new Set(
-      runs.map(({ run }) =>
-        this.stepOf(run)?.gang === true ? stepName(run) : run.task
-      ),
-    );
+    const jobs = new Set(runs.map(({ run }) => run.job));
     for (const { run, isConfirmed } of runs) {
       const job = this.jobs.get(run.job);
       const task = this.taskOf(run);
@@ -552,7 +547,7 @@
         continue;
       }
       task.suspicion = addCrash(task.suspicion, isConfirmed);
-      if (isCrashLoop(task.suspicion, names.size === 1)) {
+      if (isCrashLoop(task.suspicion, jobs.size === 1)) {
         this.#closeJob(job, "failed", atMs);
       }
     }
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -24,8 +24,8 @@
 export interface WorkerCondition {
   /** Whether long-running tasks are better placed elsewhere. */
   isDueForMaintenance?: boolean;
-  /** Whether a run on the worker is on probation; nothing else is placed beside it. */
-  hasRunOnProbation?: boolean;
+  /** Job that has runs on probation on the worker; no other one gets runs beside them. */
+  jobOnProbation?: string | undefined;
   /** Whether all runs on the worker have run for a while, so that a crash would not be attributed to them. */
   isSettled?: () => boolean;
 }
@@ -40,7 +40,7 @@
   #bestEffortRuns: number;
   /** Number of runs, with those planned. */
   runCount: number;
-  hasRunOnProbation: boolean;
+  jobOnProbation: string | undefined;
   readonly isDueForMaintenance: boolean;
   readonly isSettled: () => boolean;
 
@@ -49,13 +49,13 @@
     load: WorkerLoad,
     {
       isDueForMaintenance = false,
-      hasRunOnProbation = false,
+      jobOnProbation,
       isSettled = () => true,
     }: WorkerCondition = {},
   ) {
     this.isSettled = isSettled;
     this.isDueForMaintenance = isDueForMaintenance;
-    this.hasRunOnProbation = hasRunOnProbation;
+    this.jobOnProbation = jobOnProbation;
     this.runCount = load.runs.size;
     const { capacity } = worker;
     const { reserved } = load;
@@ -72,8 +72,9 @@
 
   /** Whether a task of a step may run here. */
   accepts(step: WaitingStep): boolean {
-    const { spec, name } = step;
-    return !this.hasRunOnProbation && fits(spec, this.free) &&
+    const { spec, name, job } = step;
+    return (this.jobOnProbation ?? job.id) === job.id &&
+      fits(spec, this.free) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker);
   }
@@ -91,9 +92,11 @@
       : targetLatencyMs > 0 && this.#bestEffortRuns > 0;
   }
 
-  /** Reserves the resources of a task of a step. Nothing more is accepted beside a suspected task. */
-  reserve({ spec, name }: WaitingStep, isSuspected = false): void {
-    this.hasRunOnProbation ||= isSuspected;
+  /** Reserves the resources of a task of a step. Only tasks of its job are accepted beside a suspected one. */
+  reserve({ spec, name, job }: WaitingStep, isSuspected = false): void {
+    if (isSuspected) {
+      this.jobOnProbation = job.id;
+    }
     this.runCount += 1;
     const { cpuMilli, memoryMb, gpus } = reservation(spec);
     this.free.cpuMilli -= cpuMilli;
@@ -239,11 +242,11 @@
 
 /** Chooses a candidate for each task without reserving; undefined if the tasks do not all fit. */
 function chooseForAll(
-  { spec, name }: WaitingStep,
+  step: WaitingStep,
   indices: readonly number[],
   candidates: readonly CandidateWorker[],
 ): CandidateWorker[] | undefined {
-  const step = { spec, name } as WaitingStep;
+  const { spec } = step;
   const { cpuMilli, memoryMb, gpus } = reservation(spec);
   const chosen: CandidateWorker[] = [];
   for (const candidate of candidates) {
@@ -298,20 +301,25 @@
 }
 
 /**
- * The candidate on which a crash would tell most, and the fewest runs would be lost; undefined if too many have runs on
- * probation.
+ * A candidate that has runs of the same job on probation, or else the one on which a crash would tell most and the
+ * fewest runs would be lost; undefined if too many have runs on probation.
  */
 function chooseForProbation(
   step: WaitingStep,
   candidates: readonly CandidateWorker[],
 ): CandidateWorker | undefined {
+  const own = candidates.find((candidate) =>
+    candidate.jobOnProbation === step.job.id && candidate.accepts(step)
+  );
   const onProbation =
-    candidates.filter(({ hasRunOnProbation }) => hasRunOnProbation).length;
+    candidates.filter(({ jobOnProbation }) => jobOnProbation !== undefined)
+      .length;
   if (
-    onProbation > 0 &&
-    onProbation + 1 > MAX_PROBATION_SHARE * candidates.length
+    own !== undefined ||
+    (onProbation > 0 &&
+      onProbation + 1 > MAX_PROBATION_SHARE * candidates.length)
   ) {
-    return undefined;
+    return own;
   }
   let best: CandidateWorker | undefined;
   let isBestSettled = false;
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -323,6 +323,7 @@
       run,
       evidence: session?.evidenceOf(run) ??
         { start: "unanswered", survivedMs: 0 },
+      wasSuspected: this.#jobStore.isSuspected(run),
     }));
   }
 
@@ -518,7 +519,7 @@
     const session = this.#sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
       isDueForMaintenance: this.#fleet?.isMaintenanceDue(worker) === true,
-      hasRunOnProbation: session?.hasRunOnProbation === true,
+      jobOnProbation: session?.jobOnProbation,
       isSettled: () => session?.isSettled() === true,
     });
   }
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -189,9 +189,10 @@
     return { start: isUnsent ? "unsent" : "unanswered", survivedMs: 0 };
   }
 
-  /** Whether a run is on probation here, so that the worker must get no other run. */
-  get hasRunOnProbation(): boolean {
-    return this.#probation.size > 0;
+  /** Job that has runs on probation here, so that the worker must get no run of another one. */
+  get jobOnProbation(): string | undefined {
+    const [run] = this.#probation;
+    return run?.job;
   }
 
   /** Whether all runs here are known to have run for a while. */
