Workers: a capacity that shrinks or grows while a worker runs is taken in

Cause: a report was recorded only if it was a worker's first or said that it drains, so runs were placed on, and refused by, capacity that was gone. Change: the latest report sets the capacity; reports carry the worker's number, and one that arrives after a later one changes nothing. Starts that are not yet sent are taken back while the runs of a worker reserve more than it has.

--- a/packages/core/src/scheduling/batch_job.ts
+++ b/packages/core/src/scheduling/batch_job.ts
@@ -16,6 +16,12 @@
 });
 export type Resources = z.infer<typeof Resources>;
 
+/** Whether two VMs have the same resources. */
+export function isSameCapacity(a: Resources, b: Resources): boolean {
+  return a.cpuMilli === b.cpuMilli && a.memoryMb === b.memoryMb &&
+    a.gpus === b.gpus;
+}
+
 /** One step: identical tasks that may start once the steps they depend on are done. */
 export const StepSpec = z.object({
   taskCount: z.number().int().positive(),
--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -36,6 +36,8 @@
   draining: z.boolean(),
   /** Whether it announced its final departure; once it stops answering, nothing runs on it. */
   hasLeft: z.boolean(),
+  /** Number of the report that this is from; later reports of a worker have higher numbers. Undefined if not numbered. */
+  reportNumber: z.number().int().optional(),
 });
 export type Worker = z.infer<typeof Worker>;
 
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -14,6 +14,7 @@
 export * from "./progress_watch.ts";
 export * from "./queue_plan.ts";
 export * from "./relay_choice.ts";
+export * from "./report_order.ts";
 export * from "./run_survival.ts";
 export * from "./scheduler_settings.ts";
 export * from "./task_name.ts";
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -15,7 +15,9 @@
   checkQueuePlan,
   findQueue,
   hasForwardDependency,
+  isSameCapacity,
   type Queue,
+  ReportOrder,
   type SubmittedJob,
   visibleState,
 } from "@quetzalcove/core/scheduling";
@@ -62,6 +64,7 @@
 export class LeaderApi {
   readonly #parts: LeaderApiParts;
   readonly #submissions: SubmissionBatcher;
+  readonly #reportOrder = new ReportOrder();
 
   constructor(parts: LeaderApiParts) {
     this.#parts = parts;
@@ -207,9 +210,14 @@
     const { consensus, log, onChange } = this.#parts;
     const { workers, plan } = consensus.state;
     const known = workers.get(worker.id);
-    // Reports may arrive out of order, so a draining worker stays draining.
+    const isLatest = this.#reportOrder.isLatest(
+      worker.id,
+      worker.reportNumber,
+      known?.reportNumber,
+    );
     const isChange = known === undefined ||
-      (worker.draining && !known.draining);
+      (worker.draining && !known.draining) ||
+      (isLatest && !isSameCapacity(worker.capacity, known.capacity));
     if (!isChange) {
       return Ok({});
     }
@@ -219,13 +227,24 @@
         fault("invalid", `Worker "${worker.id}" names no pool of the plan`),
       );
     }
-    const joined = await consensus.propose({ kind: "join", workers: [worker] });
+    // Reports may arrive out of order, so a draining worker stays draining.
+    const updated = known === undefined ? worker : {
+      ...worker,
+      capacity: isLatest ? worker.capacity : known.capacity,
+      draining: worker.draining || known.draining,
+      hasLeft: known.hasLeft,
+    };
+    const joined = await consensus.propose({
+      kind: "join",
+      workers: [updated],
+    });
     log.info("worker.reported", {
       worker: worker.id,
       vm: worker.vm,
       pool: worker.pool,
       address: worker.address,
       draining: worker.draining,
+      cpuMilli: updated.capacity.cpuMilli,
       outcome: joined.ok ? "recorded" : joined.val.kind,
     });
     onChange();
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -251,7 +251,7 @@
       return;
     }
     const now = this.#parts.clock.monotonic();
-    if (this.worker.draining) {
+    if (this.worker.draining || this.#isOvercommitted()) {
       this.#orders.stopPendingStarts(now);
     }
     for (const run of this.#orders.takeStops(now)) {
@@ -264,6 +264,14 @@
     }
   }
 
+  /** Whether the runs reserve more than the worker has, since its capacity shrank after they were placed. */
+  #isOvercommitted(): boolean {
+    const { capacity, id } = this.worker;
+    const { reserved } = this.#parts.consensus.state.load(id);
+    return reserved.cpuMilli > capacity.cpuMilli ||
+      reserved.memoryMb > capacity.memoryMb || reserved.gpus > capacity.gpus;
+  }
+
   async #renew(): Promise<void> {
     const { client, settings, clock, term } = this.#parts;
     const sentAt = clock.monotonic();
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -1,7 +1,16 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
-import { JobStore, type JobStoreCommand } from "@quetzalcove/core/scheduling";
-import { spec, step } from "../../core/test/scheduling_fixture.ts";
+import {
+  JobStore,
+  type JobStoreCommand,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
+import {
+  newJobStore,
+  spec,
+  step,
+  worker,
+} from "../../core/test/scheduling_fixture.ts";
 import { LeaderApi } from "../src/scheduler/leader_api.ts";
 import {
   consensusOf,
@@ -95,3 +104,59 @@
     });
   });
 });
+
+describe("the reports of a worker", () => {
+  const FULL = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+  const SHRUNK = { cpuMilli: 1_000, memoryMb: 1_000, gpus: 0 };
+
+  /** The worker in the job store after reports in this order. */
+  async function workerAfter(
+    ...reports: Partial<Worker>[]
+  ): Promise<Worker | undefined> {
+    const jobStore = newJobStore([]);
+    const leaderApi = new LeaderApi({
+      consensus: consensusOf(jobStore),
+      clock: TEST_CLOCK,
+      log: QUIET_LOG,
+      onChange: ignore,
+      onAccepted: ignore,
+    });
+    const report = leaderApi.handlers().get("report_worker");
+    for (const changes of reports) {
+      await report?.({ worker: worker("w1", changes) });
+    }
+    return jobStore.workers.get("w1");
+  }
+
+  // Guards against starts on a worker whose capacity shrank while it runs.
+  it("change its capacity", async () => {
+    const shrunk = await workerAfter(
+      { reportNumber: 1, capacity: FULL },
+      { reportNumber: 2, capacity: SHRUNK },
+    );
+    expect(shrunk?.capacity).toEqual(SHRUNK);
+    const grown = await workerAfter(
+      { reportNumber: 1, capacity: SHRUNK },
+      { reportNumber: 2, capacity: FULL },
+    );
+    expect(grown?.capacity).toEqual(FULL);
+  });
+
+  it("do not change its capacity if they arrive after a later one", async () => {
+    const found = await workerAfter(
+      { reportNumber: 1, capacity: SHRUNK },
+      { reportNumber: 3, capacity: SHRUNK },
+      { reportNumber: 2, capacity: FULL },
+    );
+    expect(found?.capacity).toEqual(SHRUNK);
+  });
+
+  it("leave it draining once it has said so", async () => {
+    const found = await workerAfter(
+      { reportNumber: 1 },
+      { reportNumber: 3, draining: true },
+      { reportNumber: 4, draining: false, capacity: SHRUNK },
+    );
+    expect(found).toMatchObject({ draining: true, capacity: SHRUNK });
+  });
+});
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -192,6 +192,31 @@
     expect(fixture.lostAt()).toBeLessThan(500 + CALL_TIMEOUT_MS + 1_500 + 100);
   });
 
+  // Guards against starts that bring a worker over a capacity that shrank after they were placed.
+  it("starts nothing more on a worker whose runs reserve more than its capacity", async () => {
+    const { client, session, jobStore } = fixture;
+    await vi.advanceTimersByTimeAsync(500);
+    client.isSilent = true;
+    submit(jobStore, "k", spec(step()));
+    place(jobStore, run("k.0.0.0", 1, "w1"));
+    session.start(
+      [...jobStore.load("w1").runs.values()].filter(({ job }) => job === "k"),
+    );
+    await vi.advanceTimersByTimeAsync(CALL_TIMEOUT_MS + 50);
+    session.worker = {
+      ...session.worker,
+      capacity: { cpuMilli: 1_000, memoryMb: 1_000, gpus: 0 },
+    };
+    // No start reached the worker.
+    client.starts.length = 0;
+    client.isSilent = false;
+    await vi.advanceTimersByTimeAsync(2_000);
+    session.sendDue();
+    await vi.advanceTimersByTimeAsync(500);
+    expect(client.starts.map(({ task }) => task)).not.toContain("k.0.0.0");
+    expect(client.stops).toContain("k.0.0.0");
+  });
+
   // Guards against runs that are placed on a crashed worker and wait there until it is known to be lost.
   it("gives a worker no new runs while it is silent", async () => {
     const { client, session } = fixture;
