Tests: temporary folders in memory where there is one

Cause: on this machine's disk deleting a file takes 52 to 67 ms (20 deletions each in three folders), creating and syncing one 0.3 ms. Change: the tests keep their folders in memory unless TMPDIR names another place. No check or bound changes.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -28,6 +28,7 @@
       "test/**/*_test.ts",
     ],
     exclude: ["test/torture/**", "**/node_modules/**", "**/dist/**"],
+    setupFiles: [source("test/harness/memory_folder.ts")],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 3,
