Raft: a restarted replica counts its first election timeout from the start of its process

Cause: a replica that starts waits an election timeout before it helps to elect, as an earlier process may have answered a leader; it counted from the time at which it had read its log. Change: it counts from the start of its process, before which that answer was sent. The time from an answer to a vote is as long as before, so leases and relayed orders are as safe. Evidence: the new test failed before (no leader after 300 ms).

--- a/packages/core/src/raft/open.ts
+++ b/packages/core/src/raft/open.ts
@@ -11,7 +11,6 @@
   emptyOutbox,
   type RaftTuning,
   type Replica,
-  resetElectionTimer,
 } from "./replica.ts";
 
 /** Options of a replica. */
@@ -20,16 +19,20 @@
   stored: StoredState;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
+  /** When this process started, in milliseconds; the present time if it is undefined. */
+  processStart?: number;
   tuning?: Partial<RaftTuning>;
 }
 
 /** A follower without a leader, with the stored term, vote and log. */
 export function openReplica(
-  { replica: id, stored, random, tuning }: RaftOptions,
+  { replica: id, stored, random, tuning, processStart }: RaftOptions,
   now: number,
 ): Replica {
+  const contactAt = processStart ?? now;
+  const { electionMs } = { ...DEFAULT_TUNING, ...tuning };
   const log = new Log(stored);
-  const replica: Replica = {
+  return {
     id,
     tuning: { ...DEFAULT_TUNING, ...tuning },
     random,
@@ -38,9 +41,10 @@
     role: "follower",
     hardState: hardStateOf(stored, log),
     leader: undefined,
-    // It may have answered a leader right before it stopped and must not help elect another within an election timeout.
-    leaderContactAt: now,
-    electionAt: now,
+    // An earlier process may have answered a leader right before this one started, so this replica must not help elect
+    // another within an election timeout of that.
+    leaderContactAt: contactAt,
+    electionAt: Math.max(now, contactAt + electionMs) + electionMs * random(),
     granted: new Set(),
     refused: new Set(),
     leadership: undefined,
@@ -52,8 +56,6 @@
     pendingWrites: [],
     outputCount: 0,
   };
-  resetElectionTimer(replica);
-  return replica;
 }
 
 /** Raises the term to that of the log, which a crash between storing a snapshot and its hard state can leave ahead. */
--- a/packages/core/test/raft_group.ts
+++ b/packages/core/test/raft_group.ts
@@ -80,12 +80,23 @@
     return group;
   }
 
-  start(entry: string, stored: StoredState): void {
+  /** Starts a replica; its process started at `processStart`. */
+  start(
+    entry: string,
+    stored: StoredState,
+    processStart: number = this.now,
+  ): void {
     const replica = idOf(entry);
     // Later replicas time out first, so that votes are not split and the most complete log does not win by chance.
     const timeoutFraction = 1 / (2 + this.nodes.size);
     const raft = new Raft(
-      { replica, stored, random: () => timeoutFraction, tuning: this.#tuning },
+      {
+        replica,
+        stored,
+        random: () => timeoutFraction,
+        tuning: this.#tuning,
+        processStart,
+      },
       this.now,
     );
     this.nodes.set(entry, {
@@ -101,10 +112,10 @@
     return this.nodes.get(entry)!;
   }
 
-  /** Starts a replica again from what it stored. */
-  restart(entry: string): void {
+  /** Starts a replica again from what it stored; it took `bootMs` to read that. */
+  restart(entry: string, bootMs = 0): void {
     const { stored } = this.node(entry);
-    this.start(entry, structuredClone(stored));
+    this.start(entry, structuredClone(stored), this.now - bootMs);
   }
 
   change(entry: string, change: MembershipChange): void {
--- a/packages/core/test/scheduling_takeover_test.ts
+++ b/packages/core/test/scheduling_takeover_test.ts
@@ -34,4 +34,21 @@
     expect(group.leaders).toEqual(["a"]);
     expect(group.node("a").raft.status.term).toBe(term);
   });
+
+  // Guards against a group that waits a whole election timeout after the time that its processes took to start.
+  it("is replaced soon after all replicas were killed and took a while to start", () => {
+    const group = defaultGroup();
+    REPLICAS.forEach((entry) => group.restart(entry, 400));
+    group.advance(300);
+    expect(group.leaders).toHaveLength(1);
+  });
+
+  it("is not replaced within an election timeout of the start of its followers' processes", () => {
+    const group = defaultGroup();
+    const { term } = group.node("a").raft.status;
+    REPLICAS.forEach((entry) => group.restart(entry, 400));
+    group.advance(90);
+    expect(group.leaders).toEqual([]);
+    expect(group.node("a").raft.status.term).toBe(term);
+  });
 });
--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -96,7 +96,7 @@
 
   constructor(parts: RaftDriverParts<S, C, O>) {
     this.#parts = parts;
-    this.#raft = openRaft(parts, parts.stored);
+    this.#raft = openRaft(parts, parts.stored, parts.clock.processStart());
     this.#barriers = new ReadBarriers(parts.settings.raft.electionMinMs);
     const { snapshot } = parts.stored;
     this.#state = snapshot === undefined
@@ -458,9 +458,11 @@
     "settings" | "replica" | "random" | "clock"
   >,
   stored: StoredState,
+  processStart?: number,
 ): Raft {
   return new Raft({
     replica,
+    processStart,
     stored,
     random,
     tuning: {
--- a/packages/daemon/test/permit_cache_test.ts
+++ b/packages/daemon/test/permit_cache_test.ts
@@ -9,6 +9,7 @@
   worker,
 } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
+import { TEST_CLOCK } from "./scheduler_fixture.ts";
 import { PermitCache } from "../src/scheduler/permit_cache.ts";
 import type { Advice } from "../src/scheduler/platform_clients.ts";
 
@@ -36,7 +37,7 @@
         return new Promise((settle) => resolve = settle);
       },
     },
-    clock: { monotonic: () => clock.now, wall: () => 0, processor: () => 0 },
+    clock: { ...TEST_CLOCK, monotonic: () => clock.now, wall: () => 0 },
     log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
     metrics: new Metrics(),
     onChange: ignore,
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -25,6 +25,7 @@
   monotonic: () => Date.now(),
   wall: () => Date.now(),
   processor: () => 0,
+  processStart: () => Date.now(),
 };
 
 export const WORKER_SETTINGS = {
