--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -27,8 +27,8 @@
   electionMinMs: DurationMs.default(500).describe(
     "Shortest time without a leader before an election; above the pauses of a throttled VM.",
   ),
-  snapshotEveryEntries: Count.default(20_000).describe(
-    "Log entries between two snapshots; about five minutes at peak load.",
+  snapshotEveryEntries: Count.default(2_000).describe(
+    "Log entries between two snapshots, which a restarted replica applies before it can lead.",
   ),
   voters: Count.default(5).describe(
     "Voters to keep; five survive the loss of two disks.",
