Leader: a crash loop is logged and counted only for the job that it ends

Cause: a suspect whose job had failed before was logged as a crash loop too. Change: only jobs that were open before the crash; quetzalcove_crash_loops_total counts them.

--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -4,7 +4,7 @@
  * Many small steps share a pool. Tasks are packed on the fullest worker that can take them (best fit), so that wide
  * steps still find empty workers and idle VMs can leave the pool. A worker that fails every task always has free
  * capacity, so a task is not retried for a while on the worker on which it failed. A task that may have crashed a worker
- * is placed where the fewest runs would be lost with it, and nothing else beside it while it is on probation.
+ * is placed where the fewest runs would be lost with it, and no other job beside it while it is on probation.
  *
  * @module
  */
@@ -20,7 +20,7 @@
 /** Maximum share of a pool's workers with runs on probation, so that other tasks still find workers. */
 const MAX_PROBATION_SHARE = 0.5;
 
-/** What speaks against placing some tasks on a worker. */
+/** Conditions of a worker that restrict what is placed on it. */
 export interface WorkerCondition {
   /** Whether long-running tasks are better placed elsewhere. */
   isDueForMaintenance?: boolean;
@@ -301,8 +301,8 @@
 }
 
 /**
- * A candidate that has runs of the same job on probation, or else the one on which a crash would tell most and the
- * fewest runs would be lost; undefined if too many have runs on probation.
+ * A candidate that has runs of the same job on probation, or else one where no other run could be taken for the cause of
+ * a crash and the fewest would be lost in it; undefined if too many have runs on probation.
  */
 function chooseForProbation(
   step: WaitingStep,
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -8,6 +8,7 @@
   CandidateWorker,
   type CrashSuspect,
   crashSuspects,
+  type JobRecord,
   type JobStore,
   type LostRun,
   parseTaskName,
@@ -295,6 +296,9 @@
       runs: lostRuns.length,
     });
     this.#logLostRuns(lostRuns, suspects);
+    const openSuspects = suspects.filter(({ task }) =>
+      this.#jobOf(task)?.outcome === "open"
+    );
     this.#workersBeingRemoved.add(id);
     await consensus.propose({
       kind: "lose",
@@ -304,15 +308,21 @@
       atMs: clock.wall(),
     });
     this.#workersBeingRemoved.delete(id);
-    this.#logCrashLoops(suspects);
+    this.#logCrashLoops(openSuspects);
     this.wake();
   }
 
-  #logCrashLoops(suspects: readonly CrashSuspect[]): void {
-    for (const { task, run, worker } of suspects) {
-      const job = this.#jobStore.jobs.get(parseTaskName(task)?.job ?? "");
-      if (job?.outcome === "failed") {
-        this.#parts.log.warn("task.crash_loop", { task, runs: run, worker });
+  #jobOf(task: string): JobRecord | undefined {
+    return this.#jobStore.jobs.get(parseTaskName(task)?.job ?? "");
+  }
+
+  /** Logs the tasks whose job was open before a crash and has failed by it. */
+  #logCrashLoops(openSuspects: readonly CrashSuspect[]): void {
+    const { log, metrics } = this.#parts;
+    for (const { task, run, worker } of openSuspects) {
+      if (this.#jobOf(task)?.outcome === "failed") {
+        metrics.count("quetzalcove_crash_loops_total");
+        log.warn("task.crash_loop", { task, run, worker });
       }
     }
   }
