--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -6,12 +6,7 @@
 import {
   ArrivalRates,
   CandidateWorker,
-  type CrashSuspect,
-  crashSuspects,
-  type JobRecord,
   type JobStore,
-  type LostRun,
-  parseTaskName,
   placeStep,
   poolDemands,
   type RunKey,
@@ -31,6 +26,7 @@
 import type { AdvisorClient, VmClient } from "./platform_clients.ts";
 import { RunEndBatcher } from "./run_end_batcher.ts";
 import type { LeadershipTermStatus } from "./status.ts";
+import { WorkerLosses } from "./worker_losses.ts";
 import {
   type WorkerLoss,
   WorkerSession,
@@ -78,12 +74,11 @@
   readonly #estimate = new WorkEstimate();
   readonly #health = new WorkerHealth();
   readonly #runEndBatcher: RunEndBatcher;
+  readonly #losses: WorkerLosses;
   readonly #fleet: FleetController | undefined;
   readonly #permits: PermitCache | undefined;
   #passDue = false;
   #isPlacing = false;
-  /** Workers whose removal is not committed yet; the job store still holds them. */
-  readonly #workersBeingRemoved = new Set<string>();
   /** Workers of the placements being committed. */
   #placementWorkers = new Set<string>();
   #stopped = false;
@@ -94,6 +89,7 @@
   constructor(parts: LeadershipTermParts) {
     this.#parts = parts;
     this.#runEndBatcher = new RunEndBatcher(parts);
+    this.#losses = new WorkerLosses(parts);
     const now = parts.clock.monotonic();
     this.#rates = new ArrivalRates(now);
     this.#prunedAt = now;
@@ -256,7 +252,7 @@
     for (const worker of workers.values()) {
       if (
         !this.#sessions.has(worker.id) &&
-        !this.#workersBeingRemoved.has(worker.id)
+        !this.#losses.isPending(worker.id)
       ) {
         this.#openSession(worker);
       }
@@ -279,103 +275,17 @@
   }
 
   async #removeWorker(id: string, loss: WorkerLoss): Promise<void> {
-    const { log, consensus, clock } = this.#parts;
-    if (this.#workersBeingRemoved.has(id)) {
+    if (this.#losses.isPending(id)) {
       return;
     }
-    const lostRuns = this.#lostRuns(id);
-    const suspects = this.#suspectsOf(id, loss, lostRuns);
-    this.#sessions.get(id)?.stop();
+    const session = this.#sessions.get(id);
+    session?.stop();
     this.#sessions.delete(id);
     this.#health.remove(id);
-    const { kind, reason } = loss;
-    log.warn("worker.lost", {
-      worker: id,
-      kind,
-      reason,
-      runs: lostRuns.length,
-    });
-    this.#logLostRuns(lostRuns, suspects);
-    const openSuspects = suspects.filter(({ task }) =>
-      this.#jobOf(task)?.outcome === "open"
-    );
-    this.#workersBeingRemoved.add(id);
-    await consensus.propose({
-      kind: "lose",
-      workers: [id],
-      haveEnded: kind !== "unreachable",
-      suspects,
-      atMs: clock.wall(),
-    });
-    this.#workersBeingRemoved.delete(id);
-    this.#logCrashLoops(openSuspects);
+    await this.#losses.remove(id, loss, session);
     this.wake();
   }
 
-  #jobOf(task: string): JobRecord | undefined {
-    return this.#jobStore.jobs.get(parseTaskName(task)?.job ?? "");
-  }
-
-  /** Logs the tasks whose job was open before a crash and has failed by it. */
-  #logCrashLoops(openSuspects: readonly CrashSuspect[]): void {
-    const { log, metrics } = this.#parts;
-    for (const { task, run, worker } of openSuspects) {
-      if (this.#jobOf(task)?.outcome === "failed") {
-        metrics.count("quetzalcove_crash_loops_total");
-        log.warn("task.crash_loop", { task, run, worker });
-      }
-    }
-  }
-
-  #lostRuns(worker: string): LostRun[] {
-    const session = this.#sessions.get(worker);
-    return [...this.#jobStore.load(worker).runs.values()].map((run) => ({
-      run,
-      evidence: session?.evidenceOf(run) ??
-        { start: "unanswered", survivedMs: 0 },
-      wasSuspected: this.#jobStore.isSuspected(run),
-    }));
-  }
-
-  /** Runs that may have crashed a worker, which is only certain if the loss is of that kind. */
-  #suspectsOf(
-    id: string,
-    { kind }: WorkerLoss,
-    lostRuns: readonly LostRun[],
-  ): CrashSuspect[] {
-    const isDraining = this.#jobStore.workers.get(id)?.draining === true;
-    const wasSilent = this.#sessions.get(id)?.silentSince !== undefined;
-    // An order for a VM whose worker did not answer any more may have found it crashed.
-    const mayHaveCrashed = kind === "crashed" || kind === "unreachable" ||
-      (kind === "ordered" && wasSilent);
-    if (isDraining || !mayHaveCrashed) {
-      return [];
-    }
-    return crashSuspects(lostRuns).map((suspect) => ({
-      ...suspect,
-      isConfirmed: suspect.isConfirmed && kind === "crashed",
-    }));
-  }
-
-  #logLostRuns(
-    lostRuns: readonly LostRun[],
-    suspects: readonly CrashSuspect[],
-  ): void {
-    const { log, metrics } = this.#parts;
-    const suspected = new Set(suspects.map(({ task }) => task));
-    for (const { run: { task, run, worker }, evidence } of lostRuns) {
-      metrics.count("quetzalcove_runs_lost_total");
-      log.info("run.lost", {
-        task,
-        run,
-        worker,
-        start: evidence.start,
-        survivedMs: evidence.survivedMs,
-        suspect: suspected.has(task),
-      });
-    }
-  }
-
   #stopUnwantedRuns(): void {
     for (const run of this.#jobStore.runsToStop) {
       this.#sessions.get(run.worker)?.requestStop(run);
