--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -275,12 +275,20 @@
       { maxLength: 2 },
     ),
     dropped: fc.array(runKeys(), { maxLength: 1 }),
+    cleared: fc.array(runKeys(), { maxLength: 1 }),
     atMs: fc.constant(2),
   }) as fc.Arbitrary<JobStoreCommand>,
   fc.record({
     kind: fc.constant("lose" as const),
     workers: fc.constantFrom("w1", "w2").map((id) => [id]),
     haveEnded: fc.boolean(),
+    suspects: fc.array(
+      fc.tuple(runKeys(), fc.boolean()).map(([key, isConfirmed]) => ({
+        ...key,
+        isConfirmed,
+      })),
+      { maxLength: 3 },
+    ),
     atMs: fc.constant(3),
   }),
   fc.constant<JobStoreCommand>({
