--- a/packages/daemon/test/crashing_task_test.ts
+++ b/packages/daemon/test/crashing_task_test.ts
@@ -1,5 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { visibleState, type Worker } from "@quetzalcove/core/scheduling";
+import {
+  type JobStore,
+  visibleState,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
 import {
   newJobStore,
   spec,
@@ -26,26 +30,32 @@
   );
 }
 
-const CRASHES = {
-  taskMs: 600,
-  crashAfterMs: 10,
-  downMs: 3_200,
-  crashes: (task: string) => task.startsWith("crasher."),
-};
+/** A leadership term on four workers, with a job that crashes each worker that starts it and an ordinary one. */
+async function startTerm(): Promise<
+  { term: LeadershipTerm; fleet: SimulatedFleet; jobStore: JobStore }
+> {
+  const fleetWorkers = workers(4);
+  const jobStore = newJobStore(fleetWorkers);
+  const fleet = new SimulatedFleet(jobStore, fleetWorkers, {
+    taskMs: 600,
+    crashAfterMs: 10,
+    downMs: 3_200,
+    crashes: (task) => task.startsWith("crasher."),
+  });
+  const term = new LeadershipTerm(
+    termParts({ consensus: consensusOf(jobStore), client: fleet }),
+  );
+  await term.start();
+  await vi.advanceTimersByTimeAsync(500);
+  submit(jobStore, "crasher", spec(step()));
+  submit(jobStore, "other", spec(step({ taskCount: 3 })));
+  return { term, fleet, jobStore };
+}
 
 describe("a task beside one that crashes its worker", () => {
   // Guards against tasks that are lost again and again because they are placed beside the one that crashes workers.
   it("is lost once at most, and ends soon", async () => {
-    const fleetWorkers = workers(4);
-    const jobStore = newJobStore(fleetWorkers);
-    const fleet = new SimulatedFleet(jobStore, fleetWorkers, CRASHES);
-    const term = new LeadershipTerm(
-      termParts({ consensus: consensusOf(jobStore), client: fleet }),
-    );
-    await term.start();
-    await vi.advanceTimersByTimeAsync(500);
-    submit(jobStore, "crasher", spec(step()));
-    submit(jobStore, "other", spec(step({ taskCount: 3 })));
+    const { term, fleet, jobStore } = await startTerm();
     await vi.advanceTimersByTimeAsync(10_000);
     const other = jobStore.jobs.get("other");
     expect(other && visibleState(other)).toBe("completed");
@@ -59,16 +69,7 @@
 describe("a task that crashes each worker that starts it", () => {
   // Guards against a crash loop: one task that is started again and again, on one worker after the other.
   it("is given up after a few crashes, and its job fails", async () => {
-    const fleetWorkers = workers(4);
-    const jobStore = newJobStore(fleetWorkers);
-    const fleet = new SimulatedFleet(jobStore, fleetWorkers, CRASHES);
-    const term = new LeadershipTerm(
-      termParts({ consensus: consensusOf(jobStore), client: fleet }),
-    );
-    await term.start();
-    await vi.advanceTimersByTimeAsync(500);
-    submit(jobStore, "crasher", spec(step()));
-    submit(jobStore, "other", spec(step({ taskCount: 3 })));
+    const { term, fleet, jobStore } = await startTerm();
     await vi.advanceTimersByTimeAsync(60_000);
     const states = [...jobStore.jobs.values()].map(visibleState);
     expect(states).toEqual(["failed", "completed"]);
--- a/packages/daemon/test/simulated_fleet.ts
+++ b/packages/daemon/test/simulated_fleet.ts
@@ -58,9 +58,6 @@
 export class SimulatedFleet implements WorkerClient {
   /** Starts that workers executed. */
   readonly starts: { task: string; run: number; worker: string }[] = [];
-  /** Starts that were sent to workers that had crashed. */
-  readonly startsOnCrashed: string[] = [];
-  crashes = 0;
   readonly #jobStore: JobStore;
   readonly #behaviour: FleetBehaviour;
   readonly #workers = new Map<string, SimulatedWorker>();
@@ -89,9 +86,6 @@
     await delay(DELAY_MS);
     const worker = this.#workerAt(id, address);
     if (typeof worker === "string") {
-      if (worker === "no_answer") {
-        this.startsOnCrashed.push(task);
-      }
       return { answer: worker, clockMs: undefined };
     }
     const { taskMs, crashAfterMs, crashes } = this.#behaviour;
@@ -165,7 +159,6 @@
     if (worker?.isUp !== true || record === undefined) {
       return;
     }
-    this.crashes += 1;
     worker.isUp = false;
     setTimeout(() => {
       const next = { ...record, id: `${id}+` };
