Scheduler: customers in the queue plan, owners of jobs, the placement pass in a module of its own

Cause: the job store and the placement know no owner of a job, so neither keys nor caps nor shares have a place. The placement pass was part of the leadership term and could not be tested without one.

Change: the queue plan holds customers (digests of keys, weight, cap), queues say whether they allow anonymous calls, and a job has an owner. The job store counts what the runs of each customer reserve, in total and by pool. Plans stored by the previous version are read with no customers.

Nothing is decided by the new fields yet.

--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -45,6 +45,8 @@
   id: z.string(),
   queue: z.string(),
   pool: z.string(),
+  /** Name of the customer that submitted it; undefined for an anonymous job. */
+  customer: z.string().optional(),
   spec: BatchJobSpec,
 });
 export type SubmittedJob = z.infer<typeof SubmittedJob>;
--- a/packages/core/src/scheduling/job_record.ts
+++ b/packages/core/src/scheduling/job_record.ts
@@ -49,6 +49,8 @@
   id: string;
   queue: string;
   pool: string;
+  /** Undefined for an anonymous job. */
+  customer?: string | undefined;
   terms: JobPolicy;
   /** Undefined once the job has ended and nothing of it runs. */
   spec: BatchJobSpec | undefined;
@@ -84,7 +86,7 @@
 }
 
 export function newJob(
-  { id, queue, pool, spec }: SubmittedJob,
+  { id, queue, pool, customer, spec }: SubmittedJob,
   policy: JobPolicy,
   acceptedAtMs: number,
 ): JobRecord {
@@ -92,6 +94,7 @@
     id,
     queue,
     pool,
+    customer,
     terms: policy,
     spec,
     outcome: "open",
--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -29,7 +29,8 @@
   type TaskRecord,
   type WaitingStep,
 } from "./job_record.ts";
-import { emptyQueuePlan, type QueuePlan } from "./queue_plan.ts";
+import { CustomerUsage } from "./customer_usage.ts";
+import { emptyQueuePlan, type QueuePlan, upgradePlan } from "./queue_plan.ts";
 import {
   parseTaskName,
   stepName,
@@ -85,6 +86,8 @@
   readonly repeated = new Set<JobRecord>();
   /** Jobs that ended since the list was last emptied; bounded, and not part of the replicated state. */
   readonly justEnded: JobRecord[] = [];
+  /** What each customer's runs reserve. */
+  readonly customerUsage = new CustomerUsage();
   readonly #loads = new Map<string, WorkerLoad>();
   /** Number of accepted jobs that have not started, without repeated ones, by queue. */
   readonly #unstarted = new Map<string, number>();
@@ -188,7 +191,7 @@
   static decode(text: string): JobStore {
     const snapshot = JSON.parse(text) as JobStoreSnapshot;
     const store = new JobStore();
-    store.plan = snapshot.plan;
+    store.plan = upgradePlan(snapshot.plan);
     snapshot.workers.forEach((worker) => store.workers.set(worker.id, worker));
     snapshot.waves.forEach((record) => store.waves.set(record.wave.id, record));
     snapshot.endedWorkers.forEach((id) => store.#endedWorkers.add(id));
@@ -230,6 +233,7 @@
     }
     const record = { ...position, task: taskName(position), run, worker };
     this.load(worker).add(record, spec);
+    this.customerUsage.add(job, spec);
     if (job.outcome !== "open" || isDone) {
       this.runsToStop.add(record);
     }
@@ -237,7 +241,7 @@
 
   #replacePlan(plan: QueuePlan): JobStoreOutput {
     if (plan.version > this.plan.version) {
-      this.plan = plan;
+      this.plan = upgradePlan(plan);
     }
     return { kind: "planned", version: this.plan.version };
   }
@@ -326,6 +330,7 @@
     task.run = key.run;
     task.worker = key.worker;
     this.load(key.worker).add({ ...position, ...key }, spec);
+    this.customerUsage.add(job, spec);
     job.activeRuns += 1;
     if (!job.hasStarted) {
       job.hasStarted = true;
@@ -356,6 +361,7 @@
       return;
     }
     this.load(run.worker).remove(run, spec);
+    this.customerUsage.remove(job, spec);
     this.runsToStop.delete(run);
     task.worker = undefined;
     job.activeRuns -= 1;
--- /dev/null
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -0,0 +1,70 @@
+/**
+ * One placement pass: the waiting steps in their order, and the runs placed for each.
+ *
+ * @module
+ */
+import type { RunKey } from "./command.ts";
+import type { WaitingStep } from "./job_record.ts";
+import {
+  type CandidateWorker,
+  placeStep,
+  UnplaceableDemands,
+} from "./task_placement.ts";
+import { sortByUrgency } from "./urgency.ts";
+import type { WorkEstimate } from "./work_estimate.ts";
+
+/** What a placement pass decides on. */
+export interface PlacementInput {
+  waiting: Iterable<WaitingStep>;
+  estimate: WorkEstimate;
+  /** Workers that may get new runs, by pool. */
+  candidates: ReadonlyMap<string, CandidateWorker[]>;
+  /** Whether the advisor permits a step on a worker; asked only for advised queues. */
+  isPermitted: (step: string, worker: string) => boolean;
+}
+
+/** Runs placed for one step. */
+export interface StepPlacement {
+  step: WaitingStep;
+  runs: RunKey[];
+}
+
+export interface PlacementPass {
+  /** All waiting steps, most urgent first. */
+  steps: WaitingStep[];
+  placements: StepPlacement[];
+}
+
+/** Chooses workers for the waiting steps. `wallNow` is the wall-clock time in milliseconds. */
+export function runPlacementPass(
+  input: PlacementInput,
+  wallNow: number,
+): PlacementPass {
+  const steps = sortByUrgency(input.waiting, input.estimate, wallNow);
+  const unplaceable = new UnplaceableDemands();
+  const placements: StepPlacement[] = [];
+  for (const step of steps) {
+    if (unplaceable.covers(step)) {
+      continue;
+    }
+    const runs = placeStep(step, candidatesFor(step, input), wallNow);
+    if (runs.length < step.indices.size) {
+      unplaceable.record(step);
+    }
+    if (runs.length > 0) {
+      placements.push({ step, runs });
+    }
+  }
+  return { steps, placements };
+}
+
+/** Candidate workers of the step's pool; for an advised queue only those with a permit. */
+function candidatesFor(
+  { name, job }: WaitingStep,
+  { candidates, isPermitted }: PlacementInput,
+): CandidateWorker[] {
+  const poolCandidates = candidates.get(job.pool) ?? [];
+  return job.terms.advised
+    ? poolCandidates.filter(({ worker }) => isPermitted(name, worker.id))
+    : poolCandidates;
+}
--- a/packages/core/src/scheduling/queue_plan.ts
+++ b/packages/core/src/scheduling/queue_plan.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { type Fault, fault } from "../fault.ts";
 import { Err, Ok, type Result } from "../result.ts";
+import { Customer } from "./customer.ts";
 
 /** A queue: requests under one host and path prefix become jobs on one pool. */
 export const Queue = z.object({
@@ -24,6 +25,8 @@
   timeoutMs: z.number().positive(),
   /** Whether an external advisor decides which workers may run a step. */
   advised: z.boolean(),
+  /** Whether calls without an API key are allowed although the plan has customers. */
+  allowsAnonymous: z.boolean().default(false),
 });
 export type Queue = z.infer<typeof Queue>;
 
@@ -41,13 +44,24 @@
   version: z.number().int().nonnegative(),
   queues: z.array(Queue),
   pools: z.array(PoolPlan),
+  /** Empty if callers are not told apart. */
+  customers: z.array(Customer).default([]),
   /** The document as the operator sent it, returned unchanged. */
   source: z.string(),
 });
 export type QueuePlan = z.infer<typeof QueuePlan>;
 
 export function emptyQueuePlan(): QueuePlan {
-  return { version: 0, queues: [], pools: [], source: "" };
+  return { version: 0, queues: [], pools: [], customers: [], source: "" };
+}
+
+/** Adds the fields that a plan stored by an earlier version does not have. */
+export function upgradePlan(plan: z.input<typeof QueuePlan>): QueuePlan {
+  return {
+    ...plan,
+    queues: plan.queues.map((queue) => ({ allowsAnonymous: false, ...queue })),
+    customers: plan.customers ?? [],
+  };
 }
 
 /** Checks references and uniqueness; the fault names the first invalid queue. */
--- a/packages/core/test/scheduling_fixture.ts
+++ b/packages/core/test/scheduling_fixture.ts
@@ -51,6 +51,7 @@
     targetLatencyMs: 600,
     timeoutMs: 3_000,
     advised: false,
+    allowsAnonymous: false,
     ...changes,
   };
 }
@@ -86,6 +87,7 @@
         { name: "charts", enforcesCapacity: true, standby: false },
         { name: "spare", enforcesCapacity: true, standby: true },
       ],
+      customers: [],
       source: "{}",
     },
   });
--- a/packages/core/test/scheduling_simulation.ts
+++ b/packages/core/test/scheduling_simulation.ts
@@ -142,6 +142,7 @@
           })),
           { name: STANDBY, enforcesCapacity: true, standby: true },
         ],
+        customers: [],
         source: "{}",
       },
     });
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -7,14 +7,12 @@
   ArrivalRates,
   CandidateWorker,
   type JobStore,
-  placeStep,
   poolDemands,
   type RunKey,
+  runPlacementPass,
   type RunRecord,
-  sortByUrgency,
+  type StepPlacement,
   type SubmittedJob,
-  UnplaceableDemands,
-  type WaitingStep,
   type Worker,
   WorkerHealth,
   WorkEstimate,
@@ -376,21 +374,16 @@
     for (const [pool, workers] of this.#usableWorkers(now)) {
       candidates.set(pool, workers.map((worker) => this.#candidateOf(worker)));
     }
-    const stepsByUrgency = sortByUrgency(
-      this.#jobStore.waiting.values(),
-      this.#estimate,
-      this.#parts.clock.wall(),
-    );
-    const unplaceable = new UnplaceableDemands();
-    const runs = stepsByUrgency.flatMap((step) =>
-      unplaceable.covers(step) ? [] : this.#placeStep(
-        step,
-        this.#candidatesFor(step, candidates, now),
-        unplaceable,
-      )
-    );
+    const { steps, placements } = runPlacementPass({
+      waiting: this.#jobStore.waiting.values(),
+      estimate: this.#estimate,
+      candidates,
+      isPermitted: (step, worker) =>
+        this.#permits?.permit(step, worker, now) !== undefined,
+    }, this.#parts.clock.wall());
+    placements.forEach((placement) => this.#logPlacement(placement));
     this.#permits?.requestMissing(
-      stepsByUrgency,
+      steps,
       (step) =>
         (candidates.get(step.job.pool) ?? [])
           .filter((candidate) => candidate.accepts(step))
@@ -398,41 +391,16 @@
       (name) => this.#jobStore.waiting.has(name),
       now,
     );
-    return runs;
-  }
-
-  /** Candidate workers of the step's pool; for an advised queue only those with a permit. */
-  #candidatesFor(
-    { name, job }: WaitingStep,
-    candidates: ReadonlyMap<string, CandidateWorker[]>,
-    now: number,
-  ): CandidateWorker[] {
-    const poolCandidates = candidates.get(job.pool) ?? [];
-    return job.terms.advised
-      ? poolCandidates.filter(({ worker }) =>
-        this.#permits?.permit(name, worker.id, now) !== undefined
-      )
-      : poolCandidates;
+    return placements.flatMap(({ runs }) => runs);
   }
 
-  #placeStep(
-    step: WaitingStep,
-    candidates: readonly CandidateWorker[],
-    unplaceable: UnplaceableDemands,
-  ): RunKey[] {
-    const placed = placeStep(step, candidates, this.#parts.clock.wall());
-    if (placed.length < step.indices.size) {
-      unplaceable.record(step);
-    }
-    if (placed.length > 0) {
-      this.#parts.log.info("step.placed", {
-        step: step.name,
-        tasks: placed.length,
-        waiting: step.indices.size - placed.length,
-        workers: new Set(placed.map(({ worker }) => worker)).size,
-      });
-    }
-    return placed;
+  #logPlacement({ step, runs }: StepPlacement): void {
+    this.#parts.log.info("step.placed", {
+      step: step.name,
+      tasks: runs.length,
+      waiting: step.indices.size - runs.length,
+      workers: new Set(runs.map(({ worker }) => worker)).size,
+    });
   }
 
   #candidateOf(worker: Worker): CandidateWorker {
