--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -12,6 +12,7 @@
 /** The HTTP status by kind of failure. */
 export const FAULT_STATUS = {
   invalid: 400,
+  unauthenticated: 401,
   unknown_service: 404,
   not_found: 404,
   conflict: 409,
--- a/packages/core/src/scheduling/customer.ts
+++ b/packages/core/src/scheduling/customer.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import { z } from "zod";
+import { type Fault, fault } from "../fault.ts";
+import { Err, Ok, type Result } from "../result.ts";
 import { Resources } from "./batch_job.ts";
 
 export const Customer = z.object({
@@ -16,3 +18,27 @@
   cap: Resources,
 });
 export type Customer = z.infer<typeof Customer>;
+
+/** Checks that names and keys are unique. The fault names the customers, but neither a key nor a digest. */
+export function checkCustomers(
+  customers: readonly Customer[],
+): Result<void, Fault> {
+  const names = new Set<string>();
+  const owners = new Map<string, string>();
+  for (const { name, keyDigests } of customers) {
+    if (names.has(name)) {
+      return Err(fault("invalid", `Customer "${name}" is listed twice`));
+    }
+    names.add(name);
+    for (const keyDigest of keyDigests) {
+      const owner = owners.get(keyDigest) ?? name;
+      if (owner !== name) {
+        return Err(
+          fault("invalid", `Customers "${owner}" and "${name}" share a key`),
+        );
+      }
+      owners.set(keyDigest, name);
+    }
+  }
+  return Ok.EMPTY;
+}
--- /dev/null
+++ b/packages/core/src/scheduling/expiring_set.ts
@@ -0,0 +1,39 @@
+/**
+ * A bounded set whose members expire; when it is full, the member that was added longest ago is removed.
+ *
+ * @module
+ */
+export class ExpiringSet {
+  readonly #maxSize: number;
+  /** Time until which each member is kept, in milliseconds; last added last. */
+  readonly #expiries = new Map<string, number>();
+
+  constructor(maxSize: number) {
+    this.#maxSize = maxSize;
+  }
+
+  get size(): number {
+    return this.#expiries.size;
+  }
+
+  add(member: string, expiresAt: number): void {
+    this.#expiries.delete(member);
+    this.#expiries.set(member, expiresAt);
+    const [oldest] = this.#expiries.keys();
+    if (this.#expiries.size > this.#maxSize && oldest !== undefined) {
+      this.#expiries.delete(oldest);
+    }
+  }
+
+  delete(member: string): void {
+    this.#expiries.delete(member);
+  }
+
+  has(member: string, now: number): boolean {
+    const expiresAt = this.#expiries.get(member);
+    if (expiresAt !== undefined && now >= expiresAt) {
+      this.#expiries.delete(member);
+    }
+    return expiresAt !== undefined && now < expiresAt;
+  }
+}
--- a/packages/core/src/scheduling/queue_plan.ts
+++ b/packages/core/src/scheduling/queue_plan.ts
@@ -5,8 +5,8 @@
  */
 import { z } from "zod";
 import { type Fault, fault } from "../fault.ts";
-import { Err, Ok, type Result } from "../result.ts";
-import { Customer } from "./customer.ts";
+import { Err, type Result } from "../result.ts";
+import { checkCustomers, Customer } from "./customer.ts";
 
 /** A queue: requests under one host and path prefix become jobs on one pool. */
 export const Queue = z.object({
@@ -64,7 +64,7 @@
   };
 }
 
-/** Checks references and uniqueness; the fault names the first invalid queue. */
+/** Checks references and uniqueness; the fault names the first invalid queue or customer. */
 export function checkQueuePlan(plan: QueuePlan): Result<void, Fault> {
   const pools = new Set(plan.pools.map(({ name }) => name));
   const prefixes = new Set<string>();
@@ -85,7 +85,7 @@
     }
     prefixes.add(key);
   }
-  return Ok.EMPTY;
+  return checkCustomers(plan.customers);
 }
 
 /** The queue of a request: that of its host with the longest matching path prefix. */
