Leader client: a refusal after a lost attempt promises nothing

Cause: a submission whose first attempt timed out may be stored. If its key is withdrawn before the second attempt, that is refused as not run, and the entry passed this on as if it held for the whole call.

Change: after an attempt that may have taken effect, the outcome "not run" of a later one becomes "unknown". Faults that only a confirmed leader gives tell who leads.

--- a/packages/daemon/src/entry/leader_client.ts
+++ b/packages/daemon/src/entry/leader_client.ts
@@ -3,7 +3,13 @@
  *
  * @module
  */
-import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
+import {
+  Err,
+  type Fault,
+  fault,
+  type FaultKind,
+  type Result,
+} from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
 import { withTimeout } from "../timeout.ts";
 import type { Handlers } from "../link/connection.ts";
@@ -46,6 +52,12 @@
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 3_000;
 
+/**
+ * Faults that only a confirmed leader gives. If they did not tell the leader, a flood of refused calls would take turns
+ * in searching for it while valid calls wait.
+ */
+const LEADER_FAULTS: readonly FaultKind[] = ["unauthenticated", "over_quota"];
+
 export class LeaderClient {
   readonly #parts: LeaderClientParts;
   #leader: string | undefined;
@@ -99,7 +111,7 @@
         ? await this.#searchLeader(method, params, leftMs)
         : await this.#callAt(this.#leader, method, params, leftMs);
       if (last.ok || !isLeadershipFault(last.val)) {
-        return last;
+        return mayHaveRun ? last.mapErr(withoutPromise) : last;
       }
       mayHaveRun ||= last.val.outcome !== "not run";
     }
@@ -141,7 +153,7 @@
   ): Promise<Result<unknown, Fault>> {
     const timeoutMs = Math.min(leftMs, ATTEMPT_TIMEOUT_MS);
     const result = await this.#send(replica, method, params, timeoutMs);
-    if (result.ok) {
+    if (result.ok || LEADER_FAULTS.includes(result.val.kind)) {
       this.#leader = replica;
     } else if (
       isLeadershipFault(result.val) &&
@@ -216,6 +228,11 @@
     cause.kind === "timeout";
 }
 
+/** A refusal of the last attempt does not tell whether an earlier one took effect. */
+function withoutPromise(cause: Fault): Fault {
+  return cause.outcome === "not run" ? { ...cause, outcome: "unknown" } : cause;
+}
+
 function notSentFault(message: string): Fault {
   return fault("no_leader", message, { outcome: "not run" });
 }
