Leader, entries: API keys and owners of jobs

Cause: every caller may submit, read and cancel every job, also where the plan has customers.

Change: entries read the key of the authorization header and send its digest with submissions, readings and cancellations. The leader decides on the committed plan after its leadership was confirmed. The owner is stored with the job; to another customer a job does not exist, and a submission under its id is a conflict, also when both come together.

--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -12,10 +12,13 @@
   type Result,
 } from "@quetzalcove/core";
 import {
+  type CallerAccess,
   checkQueuePlan,
+  decideAccess,
   findQueue,
   hasForwardDependency,
   isSameCapacity,
+  isVisibleTo,
   type Queue,
   ReportOrder,
   type SubmittedJob,
@@ -127,14 +130,14 @@
   }
 
   async #submit(
-    { host, path, spec }: Params<"submit_job">,
+    { spec, ...call }: Params<"submit_job">,
   ): Promise<Result<unknown, Fault>> {
     const { consensus, log } = this.#parts;
-    const found = this.#findQueue(host, path);
-    if (found.err) {
-      return found;
+    const admitted = this.#admit(call);
+    if (admitted.err) {
+      return admitted;
     }
-    const { queue, rest: id } = found.val;
+    const { queue, rest: id, access } = admitted.val;
     if (!JOB_ID_PATTERN.test(id) || hasForwardDependency(spec)) {
       return Err(
         fault("invalid", `Job "${id}" of queue "${queue.name}" is malformed`, {
@@ -143,16 +146,25 @@
       );
     }
     if (consensus.state.jobs.has(id)) {
-      return Ok({});
+      return this.#checkOwner(id, access);
     }
-    const job: SubmittedJob = { id, queue: queue.name, pool: queue.pool, spec };
-    const stored = await this.#submissions.add(job);
+    const job: SubmittedJob = {
+      id,
+      queue: queue.name,
+      pool: queue.pool,
+      customer: access.customer,
+      spec,
+    };
+    const committed = await this.#submissions.add(job);
+    // Another customer's job with this id may have been stored first.
+    const stored = committed.andThen(() => this.#checkOwner(id, access));
     if (stored.ok) {
       this.#parts.onAccepted(job);
     }
     log.info("job.submitted", {
       job: id,
       queue: queue.name,
+      customer: access.customer,
       plan: consensus.state.plan.version,
       tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
       outcome: stored.ok ? "accepted" : stored.val.kind,
@@ -160,18 +172,26 @@
     return stored;
   }
 
+  /** Refuses a submission under the id of a job that does not exist for the caller. */
+  #checkOwner(id: string, access: CallerAccess): Result<unknown, Fault> {
+    const job = this.#parts.consensus.state.jobs.get(id);
+    return job === undefined || isVisibleTo(access, job) ? Ok({}) : Err(
+      fault("conflict", `Job id "${id}" is in use`, { outcome: "not run" }),
+    );
+  }
+
   #readQueue(
-    { host, path }: Params<"read_queue">,
+    call: Params<"read_queue">,
   ): Promise<Result<QueueResult, Fault>> {
     const { state } = this.#parts.consensus;
-    const result = this.#findQueue(host, path).map(
-      ({ queue, rest }): QueueResult => {
+    const result = this.#admit(call).map(
+      ({ queue, rest, access }): QueueResult => {
         if (rest === "") {
           const pendingJobs = state.pendingJobs(queue.name);
           return { kind: "queue", pendingJobs };
         }
         const job = state.jobs.get(rest);
-        return job === undefined
+        return job === undefined || !isVisibleTo(access, job)
           ? { kind: "no_job" }
           : { kind: "job", state: visibleState(job) };
       },
@@ -180,15 +200,16 @@
   }
 
   async #cancel(
-    { host, path }: Params<"cancel_job">,
+    call: Params<"cancel_job">,
   ): Promise<Result<CancelResult, Fault>> {
     const { consensus, clock, log, onChange } = this.#parts;
-    const found = this.#findQueue(host, path);
-    if (found.err) {
-      return found;
+    const admitted = this.#admit(call);
+    if (admitted.err) {
+      return admitted;
     }
-    const id = found.val.rest;
-    if (!consensus.state.jobs.has(id)) {
+    const { rest: id, access } = admitted.val;
+    const job = consensus.state.jobs.get(id);
+    if (job === undefined || !isVisibleTo(access, job)) {
       return Ok({ isKnown: false });
     }
     const cancelled = await consensus.propose({
@@ -326,22 +347,30 @@
     return Promise.resolve(Ok({ isCompleted }));
   }
 
-  #findQueue(
-    host: string,
-    path: string,
-  ): Result<{ queue: Queue; rest: string }, Fault> {
+  /** Finds the queue of a call, and decides on the committed plan whether the call is allowed. */
+  #admit(
+    { host, path, keyDigest }: Params<"read_queue">,
+  ): Result<{ queue: Queue; rest: string; access: CallerAccess }, Fault> {
     const { plan } = this.#parts.consensus.state;
     if (plan.version === 0) {
       return Err(noPlanFault());
     }
     const queue = findQueue(plan, host, path);
+    const decided = decideAccess(plan, queue, keyDigest);
+    if (decided.err) {
+      return decided;
+    }
     return queue === undefined
       ? Err(
         fault("unknown_service", `No queue serves "${host}${path}"`, {
           outcome: "not run",
         }),
       )
-      : Ok({ queue, rest: path.slice(queue.pathPrefix.length) });
+      : Ok({
+        queue,
+        rest: path.slice(queue.pathPrefix.length),
+        access: decided.val,
+      });
   }
 }
 
--- a/packages/daemon/src/scheduler/methods.ts
+++ b/packages/daemon/src/scheduler/methods.ts
@@ -15,12 +15,18 @@
 /** Host and path of a request, which name a queue or a job of it. */
 const QueuePath = z.object({ host: z.string(), path: z.string() });
 
+/** A customer's call. */
+const CustomerCall = QueuePath.extend({
+  /** SHA-256 digest of the caller's API key, in hexadecimal; undefined for a call without a key. */
+  keyDigest: z.string().optional(),
+});
+
 /** Schemas of the parameters, by method. */
 export const METHOD_PARAMS = {
-  submit_job: QueuePath.extend({ spec: BatchJobSpec }),
+  submit_job: CustomerCall.extend({ spec: BatchJobSpec }),
   /** The state of a job, or the number of pending jobs of its queue. */
-  read_queue: QueuePath,
-  cancel_job: QueuePath,
+  read_queue: CustomerCall,
+  cancel_job: CustomerCall,
   report_worker: z.object({ worker: Worker }),
   leave_worker: z.object({ id: z.string() }),
   replace_plan: z.object({ plan: QueuePlan }),
@@ -30,6 +36,8 @@
 } as const;
 
 export type Method = keyof typeof METHOD_PARAMS;
+/** Methods of customers' calls. */
+export type CustomerMethod = "submit_job" | "read_queue" | "cancel_job";
 export type Params<M extends Method> = z.infer<(typeof METHOD_PARAMS)[M]>;
 
 /** Result of `read_queue`. */
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -8,6 +8,7 @@
 export { hostAndPort } from "../net.ts";
 export { errorMessage, type Log, openLog } from "../observe/log.ts";
 export { wait } from "../waiting.ts";
+export { CustomerClient } from "./customer_client.ts";
 export * from "./methods.ts";
 export { SchedulerNode } from "./node.ts";
 export * from "./platform_clients.ts";
