--- a/packages/core/src/scheduling/call_allowance.ts
+++ b/packages/core/src/scheduling/call_allowance.ts
@@ -1,5 +1,5 @@
 /**
- * A token bucket: how many calls are allowed per second, after a burst of one second's calls.
+ * A token bucket: how many calls may be made per second, and at once after a pause.
  *
  * @module
  */
@@ -7,18 +7,20 @@
 
 export class CallAllowance {
   readonly #callsPerS: number;
+  readonly #burst: number;
   #left: number;
   #updatedAt = -Infinity;
 
-  constructor(callsPerS: number) {
+  constructor(callsPerS: number, burst: number) {
     this.#callsPerS = callsPerS;
-    this.#left = callsPerS;
+    this.#burst = burst;
+    this.#left = burst;
   }
 
-  /** Takes one call from the allowance; returns whether there was one left. */
+  /** Takes one call from the allowance; returns whether there was one left. Times are in milliseconds. */
   take(now: number): boolean {
     const gained = (now - this.#updatedAt) / MS_PER_S * this.#callsPerS;
-    this.#left = Math.min(this.#callsPerS, this.#left + Math.max(0, gained));
+    this.#left = Math.min(this.#burst, this.#left + Math.max(0, gained));
     this.#updatedAt = Math.max(now, this.#updatedAt);
     if (this.#left < 1) {
       return false;
