--- a/packages/core/test/scheduling_fixture.ts
+++ b/packages/core/test/scheduling_fixture.ts
@@ -5,8 +5,10 @@
  */
 import {
   type BatchJobSpec,
+  type Customer,
   JobStore,
   type Queue,
+  type QueuePlan,
   type RunKey,
   type StepSpec,
   type SubmittedJob,
@@ -71,6 +73,34 @@
   };
 }
 
+/** A customer without limits. */
+export function customer(name: string, ...keyDigests: string[]): Customer {
+  return {
+    name,
+    keyDigests,
+    weight: 1,
+    cap: { cpuMilli: 0, memoryMb: 0, gpus: 0 },
+  };
+}
+
+/** A plan with the given customers and queues; one default queue if none is given. */
+export function planOf(
+  customers: Customer[],
+  ...queues: Queue[]
+): QueuePlan {
+  return {
+    version: 1,
+    queues: queues.length === 0 ? [queue()] : queues,
+    pools: [
+      { name: "intake", enforcesCapacity: true, standby: false },
+      { name: "charts", enforcesCapacity: true, standby: false },
+      { name: "spare", enforcesCapacity: true, standby: true },
+    ],
+    customers,
+    source: "{}",
+  };
+}
+
 /** A job store with the given workers and queues; one default queue if none is given. */
 export function newJobStore(
   workers: readonly Worker[],
@@ -79,17 +109,7 @@
   const store = new JobStore();
   store.apply({
     kind: "plan",
-    plan: {
-      version: 1,
-      queues: queues.length === 0 ? [queue()] : queues,
-      pools: [
-        { name: "intake", enforcesCapacity: true, standby: false },
-        { name: "charts", enforcesCapacity: true, standby: false },
-        { name: "spare", enforcesCapacity: true, standby: true },
-      ],
-      customers: [],
-      source: "{}",
-    },
+    plan: planOf([], ...queues),
   });
   store.apply({ kind: "join", workers: [...workers] });
   return store;
--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -1,14 +1,19 @@
+import { readFileSync } from "node:fs";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import {
+  decideAccess,
   JobStore,
   type JobStoreCommand,
   visibleState,
 } from "@quetzalcove/core/scheduling";
 import {
+  customer,
   end,
   newJobStore,
   place,
+  planOf,
+  queue,
   run,
   spec,
   step,
@@ -211,6 +216,92 @@
   });
 });
 
+describe("the owner of a job", () => {
+  // Guards against owners that are lost with a leader whose successor starts from a snapshot, as soon as a job has ended.
+  it("is kept in a snapshot while the job is open, and when it has ended", () => {
+    const store = newJobStore([worker("w1")]);
+    for (const id of ["open", "ended", "unowned"]) {
+      const owner = id === "unowned" ? undefined : "acme";
+      const submitted = { id, queue: "reports", pool: "intake" };
+      store.apply({
+        kind: "submit",
+        jobs: [{ ...submitted, customer: owner, spec: spec(step()) }],
+        atMs: 0,
+      });
+    }
+    store.apply({ kind: "cancel", ids: ["ended"], atMs: 1 });
+    const restored = JobStore.decode(store.encode());
+    const owners = ["open", "ended", "unowned"].map((id) =>
+      restored.jobs.get(id)?.customer
+    );
+    expect(owners).toEqual(["acme", "acme", undefined]);
+  });
+
+  // Guards against a change of owner by a submission of another customer under the same id.
+  it("is the customer whose submission comes first in the log", () => {
+    const store = newJobStore([worker("w1")]);
+    const submitted = { id: "j", queue: "reports", pool: "intake" };
+    store.apply({
+      kind: "submit",
+      jobs: ["acme", "blue"].map((owner) => ({
+        ...submitted,
+        customer: owner,
+        spec: spec(step()),
+      })),
+      atMs: 0,
+    });
+    expect(store.jobs.get("j")?.customer).toBe("acme");
+  });
+});
+
+/** Commands and the snapshot after them, as the version before customers wrote them (7549cb4). */
+const BEFORE_CUSTOMERS = JSON.parse(
+  readFileSync(
+    new URL("stored_before_customers.json", import.meta.url),
+    "utf8",
+  ),
+) as { commands: JobStoreCommand[]; snapshot: unknown };
+
+describe.each([
+  ["a snapshot", () => {
+    return JobStore.decode(JSON.stringify(BEFORE_CUSTOMERS.snapshot));
+  }],
+  ["a log", () => {
+    const store = new JobStore();
+    BEFORE_CUSTOMERS.commands.forEach((each) => store.apply(each));
+    return store;
+  }],
+])("%s of the version before customers", (_, load) => {
+  // Guards against a replica that does not start, or refuses every call, after an update of the program.
+  it("loads as a plan without customers and jobs without owners, which go on", () => {
+    const store = load();
+    expect(store.plan.customers).toEqual([]);
+    expect(store.plan.queues.map((each) => each.allowsAnonymous))
+      .toEqual([false]);
+    expect(decideAccess(store.plan, queue(), undefined).ok).toBe(true);
+    expect([...store.jobs.values()].map((each) => each.customer))
+      .toEqual([undefined, undefined]);
+    expect(stateOf(store, "done")).toBe("completed");
+    end(store, run("j.0.0.0", 1, "w1"), "done");
+    place(store, run("j.0.0.1", 1, "w1"));
+    end(store, run("j.0.0.1", 1, "w1"), "done");
+    place(store, run("j.0.1.0", 1, "w1"));
+    end(store, run("j.0.1.0", 1, "w1"), "done");
+    expect(stateOf(store, "j")).toBe("completed");
+  });
+
+  it("checks keys from the first plan with customers on", () => {
+    const store = load();
+    const plan = { ...planOf([customer("acme", "a")]), version: 2 };
+    store.apply({ kind: "plan", plan });
+    const restored = JobStore.decode(store.encode());
+    const isAllowed = (keyDigest: string | undefined): boolean =>
+      decideAccess(restored.plan, queue(), keyDigest).ok;
+    expect([isAllowed("a"), isAllowed("x"), isAllowed(undefined)])
+      .toEqual([true, false, false]);
+  });
+});
+
 describe("a maintenance wave", () => {
   it("counts a VM as down from the time its order is recorded until its maintenance is refused or done", () => {
     const store = newJobStore([worker("w1")]);
--- a/packages/daemon/test/leader_client_test.ts
+++ b/packages/daemon/test/leader_client_test.ts
@@ -42,6 +42,36 @@
     });
   });
 
+  // Guards against a promise that a job never runs while an earlier attempt may have stored it.
+  it("has an unknown outcome if an attempt is refused after one that may have taken effect", async () => {
+    const clock = fakeClock();
+    const refused = fault("unauthenticated", "The API key is unknown", {
+      outcome: "not run",
+    });
+    const answers: Fault[] = [fault("timeout", "No answer in time"), refused];
+    const link = {
+      request: (): Promise<Result<unknown, Fault>> => {
+        clock.now += 60;
+        return Promise.resolve(Err(answers.shift() ?? refused));
+      },
+    } as unknown as Link;
+    const client = new LeaderClient({
+      entry: "e1",
+      local: undefined,
+      links: new Map([["e2", link]]),
+      clock,
+    });
+    const outcomes: unknown[] = [];
+    for (let i = 0; i < 2; i++) {
+      const result = await client.call("submit", {}, 1_000);
+      outcomes.push(result.err && [result.val.kind, result.val.outcome]);
+    }
+    expect(outcomes).toEqual([
+      ["unauthenticated", "unknown"],
+      ["unauthenticated", "not run"],
+    ]);
+  });
+
   it("has the outcome not run if no attempt can have taken effect", async () => {
     const clock = fakeClock();
     const link = {
@@ -117,6 +147,26 @@
   });
 });
 
+describe("a leader that refuses a call", () => {
+  // Guards against valid calls that wait while a flood of refused calls takes turns in searching for the leader.
+  it("is known to lead, so that no further call searches for it", async () => {
+    const clock = fakeClock();
+    const linkTo = (answer: Fault): Link =>
+      ({ request: () => Promise.resolve(Err(answer)) }) as unknown as Link;
+    const client = new LeaderClient({
+      entry: "e1",
+      local: undefined,
+      links: new Map([
+        ["e2", linkTo(notRun)],
+        ["e3", linkTo(fault("unauthenticated", "The API key is unknown"))],
+      ]),
+      clock,
+    });
+    await client.call("read_queue", {}, 1_000);
+    expect(client.leader).toBe("e3");
+  });
+});
+
 describe("calls while no replica leads", () => {
   /** A client of replicas that all answer `not_leader` after 10 ms of the fake clock, naming the hint if given. */
   function clientWithoutLeader(hint?: string): {
