--- a/packages/daemon/test/customer_client_test.ts
+++ b/packages/daemon/test/customer_client_test.ts
@@ -116,6 +116,25 @@
     },
   );
 
+  // Guards against callers that stay refused after a plan without customers has replaced one with customers.
+  it("serves 40 callers whose keys it refused within 2 s once the plan has no customers", async () => {
+    const callers = Array.from({ length: 40 }, (_, i) => `old${i}`);
+    for (const caller of callers) {
+      await entry.call(caller);
+    }
+    entry.plan = planOf([]);
+    entry.advance(1_000);
+    const answers = await Promise.all(callers.map((each) => entry.call(each)));
+    expect(answers.filter((answer) => answer === "unauthenticated"))
+      .toEqual([]);
+    entry.advance(1_000);
+    for (const caller of callers) {
+      answers.push(await entry.call(caller));
+    }
+    expect(answers.slice(-callers.length))
+      .toEqual(callers.map(() => "accepted"));
+  });
+
   // Guards against digests as labels, which would also make the number of series unbounded.
   it("counts its refusals by reason only", async () => {
     for (let i = 0; i < 300; i++) {
