Job store: waiting index, maintenance waves, ended jobs and ended workers in modules of their own

Change: waiting_index.ts, maintenance_waves.ts, ended_jobs.ts and ended_workers.ts hold what their names say; the store applies commands and delegates. Behaviour, encoding and public members are unchanged; `waiting` and `waves` are read-only views now.

--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -11,7 +11,6 @@
   CrashSuspect,
   JobStoreCommand,
   JobStoreOutput,
-  MaintenanceWave,
   RunEnd,
   RunKey,
   SubmittedJob,
@@ -30,24 +29,14 @@
   type WaitingStep,
 } from "./job_record.ts";
 import { CustomerUsage } from "./customer_usage.ts";
+import { EndedJobs } from "./ended_jobs.ts";
+import { EndedWorkers } from "./ended_workers.ts";
+import { MaintenanceWaves, type WaveRecord } from "./maintenance_waves.ts";
 import { emptyQueuePlan, type QueuePlan, upgradePlan } from "./queue_plan.ts";
-import {
-  parseTaskName,
-  stepName,
-  taskName,
-  type TaskPosition,
-} from "./task_name.ts";
+import { parseTaskName, taskName, type TaskPosition } from "./task_name.ts";
+import { WaitingIndex } from "./waiting_index.ts";
 import { WorkerLoad } from "./worker_load.ts";
 
-/** A maintenance wave and its progress. */
-export interface WaveRecord {
-  wave: MaintenanceWave;
-  /** VMs whose maintenance was ordered and has not ended, each with the worker that ran on it. */
-  down: { vm: string; worker: string | undefined }[];
-  /** VMs whose maintenance has ended, or that left the fleet. */
-  done: string[];
-}
-
 /** The persisted state of the store, as JSON; the indexes are rebuilt from it. */
 interface JobStoreSnapshot {
   plan: QueuePlan;
@@ -65,36 +54,39 @@
   advised: false,
 };
 
-/** Maximum number of ended workers kept to recognize their stale reports, which arrive within seconds. */
-const MAX_ENDED_WORKERS = 4_096;
-
-/** Bound of `justEnded`; a follower never empties the list. */
-const MAX_JUST_ENDED = 256;
-
 const APPLIED: JobStoreOutput = { kind: "applied" };
 
 export class JobStore {
   plan: QueuePlan = emptyQueuePlan();
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, Worker>();
-  readonly waves = new Map<number, WaveRecord>();
-  /** Steps with tasks that may be placed, oldest first. */
-  readonly waiting = new Map<string, WaitingStep>();
   /** Active runs that must be stopped: their job has ended or their task is done. */
   readonly runsToStop = new Set<RunRecord>();
   /** Open jobs with a repetition. */
   readonly repeated = new Set<JobRecord>();
-  /** Jobs that ended since the list was last emptied; bounded, and not part of the replicated state. */
-  readonly justEnded: JobRecord[] = [];
   /** What each customer's runs reserve. */
   readonly customerUsage = new CustomerUsage();
   readonly #loads = new Map<string, WorkerLoad>();
   /** Number of accepted jobs that have not started, without repeated ones, by queue. */
   readonly #unstarted = new Map<string, number>();
-  /** Workers that have ended permanently, oldest first. */
-  readonly #endedWorkers = new Set<string>();
-  /** Jobs that have ended, oldest first. */
-  readonly #endedJobs = new Set<JobRecord>();
+  readonly #waiting = new WaitingIndex();
+  readonly #waves = new MaintenanceWaves();
+  readonly #endedWorkers = new EndedWorkers();
+  readonly #endedJobs = new EndedJobs();
+
+  /** Steps with tasks that may be placed, oldest first. */
+  get waiting(): ReadonlyMap<string, WaitingStep> {
+    return this.#waiting.steps;
+  }
+
+  get waves(): ReadonlyMap<number, WaveRecord> {
+    return this.#waves.records;
+  }
+
+  /** Jobs that ended since the list was last emptied; bounded, and not part of the replicated state. */
+  get justEnded(): JobRecord[] {
+    return this.#endedJobs.recent;
+  }
 
   /** Applies one command in place; commands that no longer apply are ignored. */
   apply(command: JobStoreCommand): Result<JobStoreOutput, Fault> {
@@ -130,10 +122,10 @@
         this.#deleteEndedJobs(command.endedBeforeMs);
         return Ok(APPLIED);
       case "wave":
-        this.#startWave(command.wave);
+        this.#waves.start(command.wave);
         return Ok(APPLIED);
       case "upkeep":
-        this.#recordMaintenance(command);
+        this.#waves.record(command);
         return Ok(APPLIED);
     }
   }
@@ -182,7 +174,7 @@
       jobs: [...this.jobs.values()],
       workers: [...this.workers.values()],
       waves: [...this.waves.values()],
-      endedWorkers: [...this.#endedWorkers],
+      endedWorkers: [...this.#endedWorkers.ids],
     };
     return JSON.stringify(snapshot);
   }
@@ -193,7 +185,7 @@
     const store = new JobStore();
     store.plan = upgradePlan(snapshot.plan);
     snapshot.workers.forEach((worker) => store.workers.set(worker.id, worker));
-    snapshot.waves.forEach((record) => store.waves.set(record.wave.id, record));
+    snapshot.waves.forEach((record) => store.#waves.restore(record));
     snapshot.endedWorkers.forEach((id) => store.#endedWorkers.add(id));
     snapshot.jobs.forEach((job) => store.#restoreJob(job));
     return store;
@@ -203,7 +195,7 @@
     this.jobs.set(job.id, job);
     const isOpen = job.outcome === "open";
     if (!isOpen) {
-      this.#endedJobs.add(job);
+      this.#endedJobs.restore(job);
     } else if (job.spec?.repeat !== undefined) {
       this.repeated.add(job);
     } else if (!job.hasStarted) {
@@ -216,7 +208,7 @@
           this.#restoreRun(job, { job: job.id, round, step, index }, task)
         );
         if (isOpen) {
-          this.#updateWaiting(job, round, step);
+          this.#waiting.update(job, round, step);
         }
       });
     }
@@ -271,32 +263,7 @@
     }
     job.opened += 1;
     job.rounds[round] = newRound(job.spec.steps);
-    job.spec.steps.forEach((_, step) => this.#updateWaiting(job, round, step));
-  }
-
-  /** Lists a step in `waiting` if its dependencies are done and one of its unfinished tasks has no active run. */
-  #updateWaiting(job: JobRecord, round: number, step: number): void {
-    const record = job.rounds[round];
-    const spec = job.spec?.steps[step];
-    if (record === undefined || spec === undefined) {
-      return;
-    }
-    if (spec.dependsOn.some((other) => record.left[other] !== 0)) {
-      return;
-    }
-    const tasks = record.tasks[step] ?? [];
-    const indices = new Set<number>();
-    tasks.forEach((task, index) => {
-      if (!task.isDone && task.worker === undefined) {
-        indices.add(index);
-      }
-    });
-    const name = stepName({ job: job.id, round, step });
-    if (indices.size > 0) {
-      this.waiting.set(name, { name, job, round, step, spec, indices });
-    } else {
-      this.waiting.delete(name);
-    }
+    job.spec.steps.forEach((_, step) => this.#waiting.update(job, round, step));
   }
 
   #cancelJobs(ids: readonly string[], atMs: number): JobStoreOutput {
@@ -338,14 +305,7 @@
         this.#countUnstarted(job, -1);
       }
     }
-    this.#removeWaiting(stepName(position), position.index);
-  }
-
-  #removeWaiting(name: string, index: number): void {
-    const waiting = this.waiting.get(name);
-    if (waiting?.indices.delete(index) && waiting.indices.size === 0) {
-      this.waiting.delete(name);
-    }
+    this.#waiting.removeTask(position);
   }
 
   /** Frees the resources of a run; its task waits again unless it is done or its job has ended. */
@@ -366,7 +326,7 @@
     task.worker = undefined;
     job.activeRuns -= 1;
     if (job.outcome === "open") {
-      this.#updateWaiting(job, run.round, run.step);
+      this.#waiting.update(job, run.round, run.step);
     } else {
       this.#discardDetails(job);
     }
@@ -400,7 +360,7 @@
         this.#markDone(record, position.step, member)
       );
       // A late report may complete a task that already waits for its next run.
-      this.#updateWaiting(job, position.round, position.step);
+      this.#waiting.update(job, position.round, position.step);
       this.#releaseRun(end);
       this.#afterTaskDone(job, position.round, position.step, atMs);
       return;
@@ -442,10 +402,10 @@
     if (record.left[step] !== 0) {
       return;
     }
-    this.waiting.delete(stepName({ job: job.id, round, step }));
+    this.#waiting.removeStep(job, round, step);
     job.spec.steps.forEach((spec, other) => {
       if (spec.dependsOn.includes(step)) {
-        this.#updateWaiting(job, round, other);
+        this.#waiting.update(job, round, other);
       }
     });
     if (record.left.every((left) => left === 0)) {
@@ -488,11 +448,10 @@
     job.endedAtMs = atMs;
     this.repeated.delete(job);
     this.#endedJobs.add(job);
-    this.#recordEnded(job);
     for (const [key, record] of Object.entries(job.rounds)) {
       const round = Number(key);
       record.tasks.forEach((tasks, step) => {
-        this.waiting.delete(stepName({ job: job.id, round, step }));
+        this.#waiting.removeStep(job, round, step);
         tasks.forEach((task, index) =>
           this.#requestStop({ job: job.id, round, step, index }, task)
         );
@@ -501,13 +460,6 @@
     this.#discardDetails(job);
   }
 
-  #recordEnded(job: JobRecord): void {
-    if (this.justEnded.length >= MAX_JUST_ENDED) {
-      this.justEnded.shift();
-    }
-    this.justEnded.push(job);
-  }
-
   /** Keeps only the outcome of a job that has ended and has no active runs. */
   #discardDetails(job: JobRecord): void {
     if (job.outcome !== "open" && job.activeRuns === 0) {
@@ -526,10 +478,6 @@
     this.workers.delete(id);
     if (hasEnded) {
       this.#endedWorkers.add(id);
-      const [oldest] = this.#endedWorkers;
-      if (this.#endedWorkers.size > MAX_ENDED_WORKERS && oldest !== undefined) {
-        this.#endedWorkers.delete(oldest);
-      }
     }
     const load = this.#loads.get(id);
     for (const run of [...load?.runs.values() ?? []]) {
@@ -568,33 +516,8 @@
   }
 
   #deleteEndedJobs(endedBeforeMs: number): void {
-    for (const job of this.#endedJobs) {
-      const isOld = (job.endedAtMs ?? 0) < endedBeforeMs;
-      if (isOld && job.activeRuns === 0) {
-        this.#endedJobs.delete(job);
-        this.jobs.delete(job.id);
-      }
-    }
-  }
-
-  #startWave(wave: MaintenanceWave): void {
-    if (!this.waves.has(wave.id)) {
-      this.waves.set(wave.id, { wave, down: [], done: [] });
-    }
-  }
-
-  #recordMaintenance(
-    { wave, vm, phase, worker }: Extract<JobStoreCommand, { kind: "upkeep" }>,
-  ): void {
-    const record = this.waves.get(wave);
-    if (record === undefined || record.done.includes(vm)) {
-      return;
-    }
-    record.down = record.down.filter((other) => other.vm !== vm);
-    if (phase === "begun") {
-      record.down.push({ vm, worker });
-    } else if (phase !== "refused") {
-      record.done.push(vm);
+    for (const { id } of this.#endedJobs.removeOlder(endedBeforeMs)) {
+      this.jobs.delete(id);
     }
   }
 
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -10,6 +10,7 @@
 export * from "./customer_usage.ts";
 export * from "./demand_trend.ts";
 export * from "./job_store.ts";
+export * from "./maintenance_waves.ts";
 export * from "./job_record.ts";
 export * from "./best_effort_speed.ts";
 export * from "./placement_pass.ts";
