Bench: scenario "scheduling", duration of a placement pass

Change: `npm run bench -- scheduling` measures passes with 0, 20 and 330 customers in turns, construction of the candidates included. Customers have no effect on the pass yet.

--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -9,6 +9,7 @@
 import { placement } from "./placement/scenario.ts";
 import { ROUTING } from "./routing/mod.ts";
 import type { Scenario } from "./scenario.ts";
+import { scheduling } from "./scheduling/scenario.ts";
 import { sweep } from "./sweep/scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
 
@@ -18,6 +19,7 @@
   ...ROUTING,
   WAVES,
   placement,
+  scheduling,
   capacity,
   live,
   sweep,
