Dominant share in a module of its own, for any set of resources

Cause: customers of the scheduler are to share a pool by their dominant share, and the definition was tied to the sizes of placement/.

Change: dominant_share.ts takes any two records of amounts; placement/ uses it. Behaviour is unchanged.

--- a/packages/core/src/placement/fair_share.ts
+++ b/packages/core/src/placement/fair_share.ts
@@ -1,24 +1,9 @@
 /**
- * Order in which teams place jobs: by their dominant share of quota, after "Dominant Resource Fairness" (Ghodsi et al.,
- * NSDI 2011).
+ * Order in which teams place jobs: by their dominant share of quota.
  *
  * @module
  */
 import type { JobQueue } from "./job_index.ts";
-import type { Size } from "./size.ts";
-
-/** Largest share of its quota that a team holds, over all resources. */
-export function dominantShare(held: Size, quota: Size): number {
-  return Math.max(
-    ratio(held.millicores, quota.millicores),
-    ratio(held.memoryMb, quota.memoryMb),
-    ratio(held.accelerators, quota.accelerators),
-  );
-}
-
-function ratio(part: number, whole: number): number {
-  return part === 0 ? 0 : part / whole;
-}
 
 /** A queue and the position up to which it was read. */
 export interface QueueCursor {
--- a/packages/core/src/placement/queue_placement.ts
+++ b/packages/core/src/placement/queue_placement.ts
@@ -3,15 +3,12 @@
  *
  * @module
  */
+import { dominantShare } from "../dominant_share.ts";
 import type { Priority } from "../names.ts";
 import type { State } from "../state.ts";
 import { nextRunId } from "./apply.ts";
 import { isNearDeadline } from "./deadline.ts";
-import {
-  dominantShare,
-  FairShareOrder,
-  type QueueCursor,
-} from "./fair_share.ts";
+import { FairShareOrder, type QueueCursor } from "./fair_share.ts";
 import {
   componentMax,
   componentMin,
