Scheduler: caps and shares of customers in the placement pass and the job store

Customers had a cap and a weight in the plan that decided nothing, so the excess of one customer made the jobs of all others in its pool late.

Change: customer_limits.ts has the rule of the cap, customer_shares.ts the entitlements (weighted max-min fairness over dominant shares), placement_order.ts the turns of the steps and the reason for which tasks wait. The pass counts what it has planned; the job store applies the same rule to each placement in log order, so that two leaders cannot exceed a cap together, and the leader logs runs that were refused (`runs.refused`). A gang that never fits the cap is refused at submission (`over_quota`, not run). Without customers in the plan the pass is the former one. The use of a pool counts reservations, so best-effort tasks take no share of cores; the cap counts demands.

--- a/packages/core/src/scheduling/customer_usage.ts
+++ b/packages/core/src/scheduling/customer_usage.ts
@@ -1,31 +1,40 @@
 /**
- * Resources that the runs of each customer reserve, across all workers and by pool.
+ * Resources of the runs of each customer, across all workers and by pool.
  *
  * A run counts from its placement until its end is certain, so that runs that are being stopped, are on silent workers
  * or were started late still count.
  *
  * @module
  */
-import type { Resources, StepSpec } from "./batch_job.ts";
+import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
 import type { JobRecord } from "./job_record.ts";
+import { isNothing, NO_RESOURCES, plus } from "./resource_sum.ts";
 
 type Owned = Pick<JobRecord, "customer" | "pool">;
 
+/** Name of a customer; undefined for the anonymous jobs together. */
+export type Owner = JobRecord["customer"];
+
 export class CustomerUsage {
-  readonly #total = new Map<string, Resources>();
-  readonly #byPool = new Map<string, Map<string, Resources>>();
+  readonly #total = new Map<Owner, Resources>();
+  readonly #byPool = new Map<string, Map<Owner, Resources>>();
 
-  /** What the runs of a customer reserve in all pools. */
+  /** What the runs of a customer demand in all pools. Counts against its cap. */
   of(customer: string): Readonly<Resources> {
-    return this.#total.get(customer) ?? NOTHING;
+    return this.#total.get(customer) ?? NO_RESOURCES;
+  }
+
+  /** What the runs of a customer reserve in one pool. Counts as its share of the pool. */
+  inPool(customer: Owner, pool: string): Readonly<Resources> {
+    return this.#byPool.get(pool)?.get(customer) ?? NO_RESOURCES;
   }
 
-  /** What the runs of a customer reserve in one pool. */
-  inPool(customer: string, pool: string): Readonly<Resources> {
-    return this.#byPool.get(pool)?.get(customer) ?? NOTHING;
+  /** Owners that have runs in a pool, and what these reserve. */
+  ownersIn(pool: string): Iterable<readonly [Owner, Readonly<Resources>]> {
+    return this.#byPool.get(pool) ?? [];
   }
 
-  /** Counts a run of a job; anonymous jobs are not counted. */
+  /** Counts a run of a job. */
   add(job: Owned, spec: StepSpec): void {
     this.#count(job, spec, 1);
   }
@@ -35,29 +44,26 @@
     this.#count(job, spec, -1);
   }
 
-  #count({ customer, pool }: Owned, { demand }: StepSpec, by: 1 | -1): void {
-    if (customer === undefined) {
-      return;
+  #count({ customer, pool }: Owned, spec: StepSpec, by: 1 | -1): void {
+    const ownersInPool = this.#byPool.get(pool) ?? new Map<Owner, Resources>();
+    this.#byPool.set(pool, ownersInPool);
+    addTo(ownersInPool, customer, reservation(spec), by);
+    if (customer !== undefined) {
+      addTo(this.#total, customer, spec.demand, by);
     }
-    const customersOfPool = this.#byPool.get(pool) ?? new Map();
-    this.#byPool.set(pool, customersOfPool);
-    addTo(this.#total, customer, demand, by);
-    addTo(customersOfPool, customer, demand, by);
   }
 }
 
-const NOTHING: Readonly<Resources> = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
-
 function addTo(
-  usage: Map<string, Resources>,
-  customer: string,
-  { cpuMilli, memoryMb, gpus }: Resources,
+  usage: Map<Owner, Resources>,
+  owner: Owner,
+  demand: Resources,
   by: 1 | -1,
 ): void {
-  const before = usage.get(customer) ?? NOTHING;
-  usage.set(customer, {
-    cpuMilli: before.cpuMilli + by * cpuMilli,
-    memoryMb: before.memoryMb + by * memoryMb,
-    gpus: before.gpus + by * gpus,
-  });
+  const sum = plus(usage.get(owner) ?? NO_RESOURCES, demand, by);
+  if (isNothing(sum)) {
+    usage.delete(owner);
+  } else {
+    usage.set(owner, sum);
+  }
 }
--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -28,12 +28,18 @@
   type TaskRecord,
   type WaitingStep,
 } from "./job_record.ts";
+import { CustomerLimits } from "./customer_limits.ts";
 import { CustomerUsage } from "./customer_usage.ts";
 import { EndedJobs } from "./ended_jobs.ts";
 import { EndedWorkers } from "./ended_workers.ts";
 import { MaintenanceWaves, type WaveRecord } from "./maintenance_waves.ts";
 import { emptyQueuePlan, type QueuePlan, upgradePlan } from "./queue_plan.ts";
-import { parseTaskName, taskName, type TaskPosition } from "./task_name.ts";
+import {
+  parseTaskName,
+  stepName,
+  taskName,
+  type TaskPosition,
+} from "./task_name.ts";
 import { WaitingIndex } from "./waiting_index.ts";
 import { WorkerLoad } from "./worker_load.ts";
 
@@ -46,6 +52,15 @@
   endedWorkers: string[];
 }
 
+/** A run that may be placed, and what it belongs to. */
+interface PlaceableRun {
+  key: RunKey;
+  position: TaskPosition;
+  job: JobRecord;
+  task: TaskRecord;
+  spec: StepSpec;
+}
+
 const DEFAULT_POLICY: JobPolicy = {
   priority: 0,
   maxAttempts: 1,
@@ -102,7 +117,7 @@
         command.rounds.forEach(({ job, round }) => this.#openRound(job, round));
         return Ok(APPLIED);
       case "place":
-        command.runs.forEach((run) => this.#placeRun(run));
+        this.#placeRuns(command.runs);
         return Ok(APPLIED);
       case "settle":
         command.cleared?.forEach((run) => this.#clearSuspicion(run));
@@ -279,19 +294,51 @@
     return { kind: "cancelled", unknown };
   }
 
-  #placeRun(key: RunKey): void {
+  /** Places the runs that the caps of their customers allow at this point of the log; a gang whole or not at all. */
+  #placeRuns(keys: readonly RunKey[]): void {
+    const limits = new CustomerLimits(this.plan.customers, this.customerUsage);
+    const gangs = new Map<string, PlaceableRun[]>();
+    for (const key of keys) {
+      const run = this.#placeableRun(key);
+      if (run?.spec.gang === true) {
+        const gang = `${stepName(run.position)} ${key.run}`;
+        gangs.set(gang, [...gangs.get(gang) ?? [], run]);
+      } else if (run !== undefined && limits.startable(run, 1) === 1) {
+        this.#placeRun(run);
+      }
+    }
+    for (const runs of gangs.values()) {
+      const [first] = runs;
+      if (
+        first !== undefined &&
+        limits.startable(first, runs.length) === runs.length
+      ) {
+        runs.forEach((run) => this.#placeRun(run));
+      }
+    }
+  }
+
+  /** The task of a run that may be placed; undefined if the run no longer applies. */
+  #placeableRun(key: RunKey): PlaceableRun | undefined {
     const position = parseTaskName(key.task);
     const job = position === undefined
       ? undefined
       : this.jobs.get(position.job);
     if (position === undefined || job?.outcome !== "open") {
-      return;
+      return undefined;
     }
     const task = this.taskOf(position);
     const spec = job.spec?.steps[position.step];
     const isFree = task !== undefined && !task.isDone &&
       task.worker === undefined && key.run > task.run;
-    if (!isFree || spec === undefined || !this.workers.has(key.worker)) {
+    return isFree && spec !== undefined && this.workers.has(key.worker)
+      ? { key, position, job, task, spec }
+      : undefined;
+  }
+
+  #placeRun({ key, position, job, task, spec }: PlaceableRun): void {
+    if (key.run <= task.run) {
+      // The command names the task twice.
       return;
     }
     task.run = key.run;
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -3,14 +3,26 @@
  *
  * @module
  */
+import type { Resources } from "./batch_job.ts";
 import type { RunKey } from "./command.ts";
+import type { Customer } from "./customer.ts";
+import { CustomerLimits } from "./customer_limits.ts";
+import { CustomerShares } from "./customer_shares.ts";
+import type { CustomerUsage } from "./customer_usage.ts";
 import type { WaitingStep } from "./job_record.ts";
+import {
+  placeByShare,
+  placeByUrgency,
+  type PlaceTasks,
+  type StepWait,
+} from "./placement_order.ts";
+import { NO_RESOURCES, plus } from "./resource_sum.ts";
 import {
   type CandidateWorker,
   placeStep,
   UnplaceableDemands,
 } from "./task_placement.ts";
-import { sortByUrgency } from "./urgency.ts";
+import { rankByUrgency } from "./urgency.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /** What a placement pass decides on. */
@@ -21,6 +33,8 @@
   candidates: ReadonlyMap<string, CandidateWorker[]>;
   /** Whether the advisor permits a step on a worker; asked only for advised queues. */
   isPermitted: (step: string, worker: string) => boolean;
+  /** Customers of the queue plan and what they use; undefined or empty if callers are not told apart. */
+  customers?: { planned: readonly Customer[]; usage: CustomerUsage };
 }
 
 /** Runs placed for one step. */
@@ -33,6 +47,8 @@
   /** All waiting steps, most urgent first. */
   steps: WaitingStep[];
   placements: StepPlacement[];
+  /** Steps of which tasks keep waiting, and why. */
+  waits: StepWait[];
 }
 
 /** Chooses workers for the waiting steps. `wallNow` is the wall-clock time in milliseconds. */
@@ -40,22 +56,56 @@
   input: PlacementInput,
   wallNow: number,
 ): PlacementPass {
-  const steps = sortByUrgency(input.waiting, input.estimate, wallNow);
+  const ranked = rankByUrgency(input.waiting, input.estimate, wallNow);
+  const steps = ranked.map(({ step }) => step);
   const unplaceable = new UnplaceableDemands();
-  const placements: StepPlacement[] = [];
-  for (const step of steps) {
+  const placements = new Map<WaitingStep, RunKey[]>();
+  const place: PlaceTasks = (step, { from, count }) => {
     if (unplaceable.covers(step)) {
-      continue;
+      return 0;
     }
-    const runs = placeStep(step, candidatesFor(step, input), wallNow);
-    if (runs.length < step.indices.size) {
+    const indices = [...step.indices].slice(from, from + count);
+    const runs = placeStep(step, candidatesFor(step, input), wallNow, indices);
+    if (runs.length < count) {
       unplaceable.record(step);
     }
     if (runs.length > 0) {
-      placements.push({ step, runs });
+      placements.set(step, [...placements.get(step) ?? [], ...runs]);
     }
+    return runs.length;
+  };
+  const { customers } = input;
+  const waits = customers === undefined || customers.planned.length === 0
+    ? placeByUrgency(ranked, place)
+    : placeByShare(ranked, {
+      limits: new CustomerLimits(customers.planned, customers.usage),
+      shares: new CustomerShares({
+        customers: customers.planned,
+        usage: customers.usage,
+        waiting: steps,
+        capacities: capacitiesOf(input),
+      }),
+    }, place);
+  return {
+    steps,
+    placements: Array.from(placements, ([step, runs]) => ({ step, runs })),
+    waits,
+  };
+}
+
+/** Resources of the candidate workers, by pool. */
+function capacitiesOf({ candidates }: PlacementInput): Map<string, Resources> {
+  const capacities = new Map<string, Resources>();
+  for (const [pool, inPool] of candidates) {
+    capacities.set(
+      pool,
+      inPool.reduce(
+        (sum, { worker }) => plus(sum, worker.capacity, 1),
+        NO_RESOURCES,
+      ),
+    );
   }
-  return { steps, placements };
+  return capacities;
 }
 
 /** Candidate workers of the step's pool; for an advised queue only those with a permit. */
--- /dev/null
+++ b/packages/core/src/scheduling/resource_sum.ts
@@ -0,0 +1,29 @@
+/**
+ * Arithmetic on resources.
+ *
+ * @module
+ */
+import type { Resources } from "./batch_job.ts";
+
+export const NO_RESOURCES: Readonly<Resources> = {
+  cpuMilli: 0,
+  memoryMb: 0,
+  gpus: 0,
+};
+
+/** Resources plus a number of times others. */
+export function plus(
+  { cpuMilli, memoryMb, gpus }: Readonly<Resources>,
+  each: Readonly<Resources>,
+  count: number,
+): Resources {
+  return {
+    cpuMilli: cpuMilli + count * each.cpuMilli,
+    memoryMb: memoryMb + count * each.memoryMb,
+    gpus: gpus + count * each.gpus,
+  };
+}
+
+export function isNothing({ cpuMilli, memoryMb, gpus }: Resources): boolean {
+  return cpuMilli === 0 && memoryMb === 0 && gpus === 0;
+}
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -145,21 +145,21 @@
 }
 
 /**
- * Chooses workers for as many tasks of a step as fit; all or none for a gang. `wallNow` is the wall-clock time in
- * milliseconds.
+ * Chooses workers for as many of the given tasks of a step as fit; all or none for a gang. `wallNow` is the wall-clock
+ * time in milliseconds.
  */
 export function placeStep(
   step: WaitingStep,
   candidates: readonly CandidateWorker[],
   wallNow: number,
+  indices: readonly number[] = [...step.indices],
 ): RunKey[] {
-  const indices = [...step.indices];
   const hasSuspects = indices.some((index) => isSuspected(step, index));
   if (!step.spec.gang && (!step.spec.sameRack || hasSuspects)) {
     return placeTasks(step, indices, candidates, wallNow);
   }
   if (step.spec.gang && indices.length < step.spec.taskCount) {
-    // Some members of the previous run have not ended.
+    // Some members of the previous run have not ended, or may not start.
     return [];
   }
   return placeTogether(step, indices, candidates, wallNow);
--- a/packages/core/src/scheduling/urgency.ts
+++ b/packages/core/src/scheduling/urgency.ts
@@ -10,7 +10,7 @@
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /** A waiting step with its sort keys. */
-interface RankedStep {
+export interface RankedStep {
   step: WaitingStep;
   /** Whether its job misses its objective even if the step starts now. */
   isLate: boolean;
@@ -27,11 +27,25 @@
   estimate: WorkEstimate,
   wallNow: number,
 ): WaitingStep[] {
+  return rankByUrgency(waiting, estimate, wallNow).map(({ step }) => step);
+}
+
+/** The same with the sort keys. */
+export function rankByUrgency(
+  waiting: Iterable<WaitingStep>,
+  estimate: WorkEstimate,
+  wallNow: number,
+): RankedStep[] {
   const ranked = Array.from(waiting, (step): RankedStep => {
     const startBy = latestStart(step, estimate);
     return { step, startBy, isLate: startBy < wallNow };
   });
-  return ranked.sort(compareSteps).map(({ step }) => step);
+  return ranked.sort(compareSteps);
+}
+
+/** Whether two steps differ at most in priority and latest start, so that the shares of customers order them. */
+export function hasEqualUrgency(a: RankedStep, b: RankedStep): boolean {
+  return endsByItself(a) === endsByItself(b) && a.isLate === b.isLate;
 }
 
 /** Whether a job misses its objective even if the step starts now. `wallNow` is in wall-clock milliseconds. */
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -12,6 +12,7 @@
   type Result,
 } from "@quetzalcove/core";
 import {
+  checkGangs,
   checkQueuePlan,
   findQueue,
   hasForwardDependency,
@@ -146,6 +147,10 @@
       return Ok({});
     }
     const job: SubmittedJob = { id, queue: queue.name, pool: queue.pool, spec };
+    const allowed = this.#checkCap(job);
+    if (allowed.err) {
+      return allowed;
+    }
     const stored = await this.#submissions.add(job);
     if (stored.ok) {
       this.#parts.onAccepted(job);
@@ -160,6 +165,19 @@
     return stored;
   }
 
+  /** Refuses a job that the cap of its customer can never allow to run. */
+  #checkCap({ id, customer, spec }: SubmittedJob): Result<void, Fault> {
+    const { consensus, log } = this.#parts;
+    const allowed = checkGangs(
+      spec,
+      consensus.state.plan.customers.find(({ name }) => name === customer),
+    );
+    if (allowed.err) {
+      log.info("job.refused", { job: id, customer, reason: "cap" });
+    }
+    return allowed;
+  }
+
   #readQueue(
     { host, path }: Params<"read_queue">,
   ): Promise<Result<QueueResult, Fault>> {
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -380,6 +380,10 @@
       candidates,
       isPermitted: (step, worker) =>
         this.#permits?.permit(step, worker, now) !== undefined,
+      customers: {
+        planned: this.#jobStore.plan.customers,
+        usage: this.#jobStore.customerUsage,
+      },
     }, this.#parts.clock.wall());
     placements.forEach((placement) => this.#logPlacement(placement));
     this.#permits?.requestMissing(
@@ -412,7 +416,9 @@
     });
   }
 
+  /** Orders the runs that were placed; the job store refuses those that no longer apply or that a cap forbids. */
   #sendStarts(runs: readonly RunKey[]): void {
+    const refused: RunKey[] = [];
     const byWorker = new Map<string, RunRecord[]>();
     for (const key of runs) {
       const run = this.#jobStore.findRun(key);
@@ -420,8 +426,16 @@
         const workerRuns = byWorker.get(key.worker) ?? [];
         workerRuns.push(run);
         byWorker.set(key.worker, workerRuns);
+      } else {
+        refused.push(key);
       }
     }
+    if (refused.length > 0) {
+      this.#parts.log.info("runs.refused", {
+        runs: refused.length,
+        first: refused[0]?.task,
+      });
+    }
     byWorker.forEach((workerRuns, worker) =>
       this.#sessions.get(worker)?.start(workerRuns)
     );
