--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -13,6 +13,7 @@
 } from "@quetzalcove/core";
 import {
   type CallerAccess,
+  checkGangs,
   checkQueuePlan,
   decideAccess,
   findQueue,
@@ -155,6 +156,10 @@
       customer: access.customer,
       spec,
     };
+    const allowed = this.#checkCap(job);
+    if (allowed.err) {
+      return allowed;
+    }
     const committed = await this.#submissions.add(job);
     // Another customer's job with this id may have been stored first.
     const stored = committed.andThen(() => this.#checkOwner(id, access));
@@ -180,6 +185,19 @@
     );
   }
 
+  /** Refuses a job that the cap of its customer can never allow to run. */
+  #checkCap({ id, customer, spec }: SubmittedJob): Result<void, Fault> {
+    const { consensus, log } = this.#parts;
+    const allowed = checkGangs(
+      spec,
+      consensus.state.plan.customers.find(({ name }) => name === customer),
+    );
+    if (allowed.err) {
+      log.info("job.refused", { job: id, customer, reason: "cap" });
+    }
+    return allowed;
+  }
+
   #readQueue(
     call: Params<"read_queue">,
   ): Promise<Result<QueueResult, Fault>> {
