Fleet: the cores of the fleet are divided among pools, and busy VMs reclaimed

Cause: when two queues peak one after the other, the pool of the first one keeps nearly all VMs until its last late job is done. VMs move only when they are idle, and a pool with a backlog never has an idle VM.

Change: pool_allocation.ts divides the cores max-min fairly, first for arrivals and for jobs that can still meet their objective, then for late ones. vm_reclaim.ts chooses busy VMs of a pool over its part, which get no new runs and move when idle. Both only with the setting pools.reclaim; without it moves are as before.

--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pool_demand.ts
@@ -8,6 +8,7 @@
  */
 import type { StepSpec } from "./batch_job.ts";
 import type { DemandTrend } from "./demand_trend.ts";
+import type { WaitingStep } from "./job_record.ts";
 import type { JobStore } from "./job_store.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
@@ -81,10 +82,23 @@
   waiting: number;
   /** Cores that keep up with the arrivals and start the backlog in time. */
   wanted: number;
+  /** The part of `wanted` for arrivals and for waiting tasks whose job can still meet its objective. */
+  urgent: number;
   /** VMs without which a waiting step cannot be spread as it asks for. */
   vms: number;
 }
 
+/** Work of waiting steps; the urgent part is of jobs that can still meet their objective. */
+interface Backlog {
+  coreMs: number;
+  urgentCores: number;
+  urgentCoreMs: number;
+}
+
+function emptyBacklog(): Backlog {
+  return { coreMs: 0, urgentCores: 0, urgentCoreMs: 0 };
+}
+
 /** Raises what pools want to the forecast of their demand. */
 export function anticipate(
   demands: ReadonlyMap<string, PoolDemand>,
@@ -97,16 +111,23 @@
   }
 }
 
-/** Demand of each pool of the queue plan. */
+/** Demand of each pool of the queue plan. `isUrgent` tells whether the job of a step can still meet its objective. */
 export function poolDemands(
   jobStore: JobStore,
   rates: ArrivalRates,
   estimate: WorkEstimate,
   now: number,
+  isUrgent: (step: WaitingStep) => boolean = () => true,
 ): Map<string, PoolDemand> {
   const demands = new Map<string, PoolDemand>();
   for (const { name } of jobStore.plan.pools) {
-    demands.set(name, { reserved: 0, waiting: 0, wanted: 0, vms: 0 });
+    demands.set(name, {
+      reserved: 0,
+      waiting: 0,
+      wanted: 0,
+      urgent: 0,
+      vms: 0,
+    });
   }
   for (const worker of jobStore.workers.values()) {
     const demand = demands.get(worker.pool);
@@ -114,24 +135,35 @@
       demand.reserved += jobStore.load(worker.id).reserved.cpuMilli / 1_000;
     }
   }
-  const backlogs = new Map<string, number>();
-  for (const { job, spec, indices } of jobStore.waiting.values()) {
+  const backlogs = new Map<string, Backlog>();
+  for (const step of jobStore.waiting.values()) {
+    const { job, spec, indices } = step;
     const demand = demands.get(job.pool);
     if (demand !== undefined) {
       const cores = indices.size * spec.demand.cpuMilli / 1_000;
       demand.waiting += cores;
       demand.vms = Math.max(demand.vms, vmsForSpread(spec));
-      const ms = estimate.taskMs(job.queue, spec.estimatedMs);
-      backlogs.set(job.pool, (backlogs.get(job.pool) ?? 0) + cores * ms);
+      const coreMs = cores * estimate.taskMs(job.queue, spec.estimatedMs);
+      const backlog = backlogs.get(job.pool) ?? emptyBacklog();
+      backlogs.set(job.pool, backlog);
+      backlog.coreMs += coreMs;
+      if (isUrgent(step)) {
+        backlog.urgentCores += cores;
+        backlog.urgentCoreMs += coreMs;
+      }
     }
   }
   for (const [pool, demand] of demands) {
-    const catchUp = (backlogs.get(pool) ?? 0) / CATCH_UP_MS;
+    const backlog = backlogs.get(pool) ?? emptyBacklog();
+    const catchUp = backlog.coreMs / CATCH_UP_MS;
     const arriving = rates.rate(pool, now);
     demand.wanted = Math.max(
       demand.reserved + Math.min(demand.waiting, catchUp),
       arriving + catchUp,
     );
+    const urgent = arriving +
+      Math.min(backlog.urgentCores, backlog.urgentCoreMs / CATCH_UP_MS);
+    demand.urgent = Math.min(urgent, demand.wanted);
   }
   return demands;
 }
--- a/packages/core/src/scheduling/pool_moves.ts
+++ b/packages/core/src/scheduling/pool_moves.ts
@@ -26,6 +26,8 @@
   /** Number of these workers and VMs. */
   vms: number;
   idle: IdleVm[];
+  /** Its part of a fleet that is too small for all demand, in cores; undefined if it may have what it wants. */
+  allocated?: number | undefined;
 }
 
 export interface Move {
@@ -53,7 +55,7 @@
     moves.push({ vm: idle.vm, from: source.name, to });
   };
   for (const pool of byShortage(active)) {
-    while (shortage(pool) > 0 || pool.vms < pool.demand.vms) {
+    while (missingCores(pool) > 0 || pool.vms < pool.demand.vms) {
       const found = findSurplusVm(pool, active, moved) ??
         findIdleVm(standbyPools, moved);
       if (found === undefined) {
@@ -80,18 +82,23 @@
   return moves;
 }
 
+/** Cores with which a pool can start as much as it wants to. */
+export function neededCores(wanted: number): number {
+  return wanted / USABLE_SHARE;
+}
+
 /** Number of cores that a pool lacks; negative if it has a surplus. */
-function shortage({ demand, cores }: PoolState): number {
-  return demand.wanted / USABLE_SHARE - cores;
+export function missingCores({ demand, allocated, cores }: PoolState): number {
+  return Math.min(neededCores(demand.wanted), allocated ?? Infinity) - cores;
 }
 
 /** Whether a pool has enough cores and VMs without an idle VM of its own. */
 function isSurplus(pool: PoolState, { cores }: IdleVm): boolean {
-  return shortage(pool) + cores <= 0 && pool.vms > pool.demand.vms;
+  return missingCores(pool) + cores <= 0 && pool.vms > pool.demand.vms;
 }
 
 function byShortage(pools: readonly PoolState[]): PoolState[] {
-  return [...pools].sort((a, b) => shortage(b) - shortage(a));
+  return [...pools].sort((a, b) => missingCores(b) - missingCores(a));
 }
 
 interface SourceVm {
--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -97,6 +97,12 @@
   maxConnections: Count.default(2_000).describe("Connections of callers."),
 });
 
+const Pools = z.strictObject({
+  reclaim: z.boolean().default(false).describe(
+    "Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective.",
+  ),
+});
+
 export const SchedulerSettings = z.strictObject({
   cluster: Name.describe("Name of the cluster; links refuse another one."),
   node: Name.describe("Name of this node in logs and orders."),
@@ -115,6 +121,7 @@
   raft: Raft.prefault({}).describe("Replication."),
   link: Link.prefault({}).describe("Connections between nodes."),
   workers: WorkerSettings.prefault({}).describe("Orders to workers."),
+  pools: Pools.prefault({}).describe("Division of VMs among pools."),
   fleet: Address.nullable().default(null).describe(
     "Where the platform lists and moves VMs; null where it does not.",
   ),
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -35,7 +35,7 @@
   return {
     name,
     standby,
-    demand: { reserved: 0, waiting: 0, wanted, vms: 0 },
+    demand: { reserved: 0, waiting: 0, wanted, urgent: 0, vms: 0 },
     cores: vms * CORES,
     vms,
     idle: idleVms,
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -4,11 +4,16 @@
  * @module
  */
 import {
+  allocateCores,
   anticipate,
   type ArrivalRates,
+  type BusyVm,
   chooseMoves,
+  chooseReclaims,
   DemandTrend,
+  isLate,
   type JobStore,
+  neededCores,
   type PoolDemand,
   poolDemands,
   type PoolState,
@@ -23,6 +28,8 @@
 export interface FleetControllerParts
   extends
     Omit<VmDirectoryParts, "hasAnsweredSince" | "wasSilent" | "lastSilenceAt"> {
+  /** Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective. */
+  reclaimsBusyVms: boolean;
   rates: ArrivalRates;
   estimate: WorkEstimate;
   session: (worker: string) => WorkerSession | undefined;
@@ -42,6 +49,8 @@
   readonly #maintenance: MaintenanceController;
   readonly #trend = new DemandTrend();
   readonly #idleSince = new Map<string, number>();
+  /** Busy VMs that get no new runs, so that they can be moved to another pool. */
+  #reclaimed: ReadonlySet<string> = new Set();
   /**
    * When the first job arrived in this leadership term. VMs count as idle only from then on, because demand is unknown
    * before.
@@ -71,6 +80,13 @@
 
   /** Whether a worker must get no new runs because its VM is about to be moved or taken down. */
   isCordoned(worker: Worker): boolean {
+    const { vm } = worker;
+    return this.#isLeaving(worker) ||
+      (vm !== undefined && this.#reclaimed.has(vm));
+  }
+
+  /** Whether the VM of a worker is certain to be moved or taken down. */
+  #isLeaving(worker: Worker): boolean {
     const { vm } = worker;
     return this.#maintenance.isDraining(worker) ||
       (vm !== undefined &&
@@ -129,30 +145,98 @@
   }
 
   #startMoves(now: number): void {
-    const { rates, estimate, log } = this.#parts;
-    const demands = poolDemands(this.#jobStore, rates, estimate, now);
-    anticipate(demands, this.#trend, now);
-    for (const { vm, from, to } of chooseMoves(this.#pools(demands, now))) {
+    const pools = this.#pools(this.#demands(now), now);
+    if (this.#parts.reclaimsBusyVms) {
+      allocate(pools);
+    }
+    const moves = chooseMoves(pools);
+    if (this.#parts.reclaimsBusyVms) {
+      this.#updateReclaims(pools);
+    }
+    for (const { vm, from, to } of moves) {
       if (this.#vms.pendingMoves >= MAX_PENDING_MOVES) {
         return;
       }
-      const demand = demands.get(to);
-      log.info("vm.moves", {
-        vm,
-        from,
-        to,
-        wanted: Math.round(demand?.wanted ?? 0),
-        waiting: Math.round(demand?.waiting ?? 0),
+      this.#move(vm, from, to, pools);
+    }
+  }
+
+  #demands(now: number): Map<string, PoolDemand> {
+    const { rates, estimate, clock } = this.#parts;
+    const wallNow = clock.wall();
+    const demands = poolDemands(
+      this.#jobStore,
+      rates,
+      estimate,
+      now,
+      (step) => step.spec.lasting || !isLate(step, estimate, wallNow),
+    );
+    anticipate(demands, this.#trend, now);
+    return demands;
+  }
+
+  #move(
+    vm: string,
+    from: string,
+    to: string,
+    pools: readonly PoolState[],
+  ): void {
+    const target = pools.find(({ name }) => name === to);
+    this.#parts.log.info("vm.moves", {
+      vm,
+      from,
+      to,
+      wanted: Math.round(target?.demand.wanted ?? 0),
+      waiting: Math.round(target?.demand.waiting ?? 0),
+    });
+    const worker = this.#vms.workerOn(vm);
+    const cores = (worker?.capacity.cpuMilli ?? 0) / MILLICORES_PER_CORE ||
+      (this.#vms.find(vm)?.cores ?? 0);
+    const action = { kind: "move", pool: to } as const;
+    const absence = { pool: to, cores, workers: this.#vms.workersOn(vm) };
+    void this.#vms.order(vm, action, absence);
+  }
+
+  #updateReclaims(pools: readonly PoolState[]): void {
+    const before = this.#reclaimed;
+    this.#reclaimed = chooseReclaims(pools, this.#busyVms());
+    const added = [...this.#reclaimed].filter((vm) => !before.has(vm)).length;
+    if (added > 0) {
+      this.#parts.log.info("vms.reclaimed", {
+        added,
+        total: this.#reclaimed.size,
+        allocated: pools.filter(({ standby }) => !standby).map((pool) =>
+          `${pool.name}:${Math.round(pool.allocated ?? 0)}`
+        ).join(","),
       });
-      const worker = this.#vms.workerOn(vm);
-      const cores = (worker?.capacity.cpuMilli ?? 0) / MILLICORES_PER_CORE ||
-        (this.#vms.find(vm)?.cores ?? 0);
-      const action = { kind: "move", pool: to } as const;
-      const absence = { pool: to, cores, workers: this.#vms.workersOn(vm) };
-      void this.#vms.order(vm, action, absence);
     }
   }
 
+  /** VMs on which all runs end by themselves. */
+  #busyVms(): BusyVm[] {
+    const busyVms: BusyVm[] = [];
+    for (const worker of this.#jobStore.workers.values()) {
+      const { id, vm, pool, capacity, draining } = worker;
+      const { runs, reserved } = this.#jobStore.load(id);
+      if (
+        vm !== undefined && !draining && runs.size > 0 &&
+        !this.#isLeaving(worker) && this.#vms.workerOn(vm)?.id === id &&
+        [...runs.values()].every((run) =>
+          this.#jobStore.stepOf(run)?.lasting === false
+        )
+      ) {
+        busyVms.push({
+          vm,
+          pool,
+          cores: capacity.cpuMilli / MILLICORES_PER_CORE,
+          reservedCores: reserved.cpuMilli / MILLICORES_PER_CORE,
+          isReclaimed: this.#reclaimed.has(vm),
+        });
+      }
+    }
+    return busyVms;
+  }
+
   #pools(demands: ReadonlyMap<string, PoolDemand>, now: number): PoolState[] {
     const pools = new Map<string, PoolState>();
     for (const { name, standby } of this.#jobStore.plan.pools) {
@@ -170,7 +254,7 @@
     }
     for (const worker of this.#jobStore.workers.values()) {
       const pool = pools.get(worker.pool);
-      if (pool !== undefined && !worker.draining && !this.isCordoned(worker)) {
+      if (pool !== undefined && !worker.draining && !this.#isLeaving(worker)) {
         this.#addWorker(pool, worker, now);
       }
     }
@@ -215,3 +299,22 @@
     }
   }
 }
+
+/** Divides the cores of all pools, those in standby included, by what the pools can use. */
+function allocate(pools: readonly PoolState[]): void {
+  const cores = pools.reduce(
+    (total, { standby, cores: held, idle }) =>
+      total + (standby ? idle.reduce((sum, vm) => sum + vm.cores, 0) : held),
+    0,
+  );
+  const active = pools.filter(({ standby }) => !standby);
+  const allocated = allocateCores(
+    active.map(({ name, demand }) => ({
+      pool: name,
+      urgent: neededCores(demand.urgent),
+      total: neededCores(demand.wanted),
+    })),
+    cores,
+  );
+  active.forEach((pool) => pool.allocated = allocated.get(pool.name));
+}
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -38,6 +38,8 @@
     "onChange" | "onLost" | "estimate" | "health" | "permit" | "runEndBatcher"
   > {
   retentionMs: number;
+  /** Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective. */
+  reclaimsBusyVms: boolean;
   /** Undefined if the platform has no VM API. */
   vmClient: VmClient | undefined;
   /** Undefined if no advisor is configured. */
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -311,6 +311,7 @@
       holder: settings.node,
       settings: settings.workers,
       retentionMs: settings.retentionMs,
+      reclaimsBusyVms: settings.pools.reclaim,
       consensus: replica,
       createRouter: (term) =>
         new CallRouter({
--- a/packages/daemon/test/leader_controller_test.ts
+++ b/packages/daemon/test/leader_controller_test.ts
@@ -40,6 +40,7 @@
     advisorClient: undefined,
     holder: "n1",
     retentionMs: 60_000,
+    reclaimsBusyVms: false,
     clock: TEST_CLOCK,
     log: QUIET_LOG,
     metrics: new Metrics(),
