Fleet: only a pool that starves takes busy VMs, and only from one far over its part

Draining and moving a VM costs about two seconds of it.

Change: a pool takes busy VMs while it holds less than 0.6 of its part, from pools with more than 1.25 of theirs.

--- a/packages/core/src/scheduling/pool_moves.ts
+++ b/packages/core/src/scheduling/pool_moves.ts
@@ -87,9 +87,14 @@
   return wanted / USABLE_SHARE;
 }
 
+/** Cores that a pool should have: what it needs, or its part of a fleet that is too small. */
+export function targetCores({ demand, allocated }: PoolState): number {
+  return Math.min(neededCores(demand.wanted), allocated ?? Infinity);
+}
+
 /** Number of cores that a pool lacks; negative if it has a surplus. */
-export function missingCores({ demand, allocated, cores }: PoolState): number {
-  return Math.min(neededCores(demand.wanted), allocated ?? Infinity) - cores;
+export function missingCores(pool: PoolState): number {
+  return targetCores(pool) - pool.cores;
 }
 
 /** Whether a pool has enough cores and VMs without an idle VM of its own. */
--- a/packages/core/src/scheduling/vm_reclaim.ts
+++ b/packages/core/src/scheduling/vm_reclaim.ts
@@ -6,7 +6,16 @@
  *
  * @module
  */
-import { missingCores, type PoolState } from "./pool_moves.ts";
+import { missingCores, type PoolState, targetCores } from "./pool_moves.ts";
+
+/**
+ * Share of its part below which a pool takes busy VMs of others. To drain and move a VM costs about two seconds of it,
+ * half of a usual peak, so smaller differences are left to idle VMs.
+ */
+const STARVED_SHARE = 0.6;
+
+/** Share of its part above which a pool gives up busy VMs; keeps VMs from moving back and forth. */
+const GENEROUS_SHARE = 1.25;
 
 /** A VM with runs, all of which end by themselves. */
 export interface BusyVm {
@@ -20,8 +29,8 @@
 }
 
 /**
- * Chooses VMs to reclaim for the pools that are short after the moves of idle VMs. Those with the least work go first,
- * since they are idle soonest.
+ * Chooses VMs to reclaim for the pools that have far less than their part after the moves of idle VMs. Those with the
+ * least work go first, since they are idle soonest.
  */
 export function chooseReclaims(
   pools: readonly PoolState[],
@@ -29,7 +38,7 @@
 ): Set<string> {
   const active = pools.filter(({ standby }) => !standby);
   const needed = active.reduce(
-    (total, pool) => total + Math.max(0, missingCores(pool)),
+    (total, pool) => total + Math.max(0, missingForShare(pool, STARVED_SHARE)),
     0,
   );
   const chosen = new Set<string>();
@@ -38,7 +47,7 @@
     missingCores(a) - missingCores(b)
   );
   for (const pool of bySurplus) {
-    let surplus = -missingCores(pool);
+    let surplus = -missingForShare(pool, GENEROUS_SHARE);
     let spareVms = pool.vms - pool.demand.vms;
     for (const { vm, cores } of byEffort(busyVms, pool.name)) {
       if (promised >= needed || surplus < cores || spareVms <= 0) {
@@ -53,6 +62,11 @@
   return chosen;
 }
 
+/** Cores that a pool lacks to hold a share of its part; negative if it holds more. */
+function missingForShare(pool: PoolState, share: number): number {
+  return share * targetCores(pool) - pool.cores;
+}
+
 function byEffort(busyVms: readonly BusyVm[], pool: string): BusyVm[] {
   return busyVms.filter((busy) => busy.pool === pool).sort((a, b) =>
     Number(b.isReclaimed) - Number(a.isReclaimed) ||
