--- a/packages/core/src/scheduling/vm_reclaim.ts
+++ b/packages/core/src/scheduling/vm_reclaim.ts
@@ -8,14 +8,11 @@
  */
 import { missingCores, type PoolState, targetCores } from "./pool_moves.ts";
 
-/**
- * Share of its part below which a pool takes busy VMs of others. To drain and move a VM costs about two seconds of it,
- * half of a usual peak, so smaller differences are left to idle VMs.
- */
-const STARVED_SHARE = 0.6;
+/** Share of its part below which a pool takes busy VMs of others; idle VMs make up for smaller differences. */
+const STARVED_SHARE = 0.9;
 
 /** Share of its part above which a pool gives up busy VMs; keeps VMs from moving back and forth. */
-const GENEROUS_SHARE = 1.25;
+const GENEROUS_SHARE = 1.1;
 
 /** A VM with runs, all of which end by themselves. */
 export interface BusyVm {
@@ -29,7 +26,7 @@
 }
 
 /**
- * Chooses VMs to reclaim for the pools that have far less than their part after the moves of idle VMs. Those with the
+ * Chooses VMs to reclaim for the pools that have less than their part after the moves of idle VMs. Those with the
  * least work go first, since they are idle soonest.
  */
 export function chooseReclaims(
