Worker client: starts, stops and renewals without an answer are sent again on another connection

Cause: workers leave some orders unanswered, and an unanswered order holds up those behind it on its pipelined connection. A lost start cost its deadline and a back-off, about 0.6 s, more than half of the slack of a job of short tasks.

A refusal of the second copy leaves the run in doubt, since the first may still be executed. Only with the setting workers.hedgeAfterMs.

--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -69,6 +69,9 @@
   orderTimeoutMs: DurationMs.default(300).describe(
     "Deadline of an order to a worker, after which it is sent again; a worker carries it out once.",
   ),
+  hedgeAfterMs: DurationMs.nullable().default(null).describe(
+    "Time without an answer after which a start, stop or renewal is sent again on another connection; null for never.",
+  ),
   stopMs: DurationMs.default(200).describe(
     "Longest time that a worker takes to stop a run, from the platform.",
   ),
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -34,6 +34,7 @@
   renewalWaitMs: 1_500,
   callTimeoutMs: 1_000,
   orderTimeoutMs: 300,
+  hedgeAfterMs: null,
   stopMs: 200,
   contactMs: 3_000,
   relayFromWorkers: 64,
