Fleet: pools ask for no VMs for tasks that a customer's cap keeps from starting

Cause: a customer that sends many times its usual is held at its cap, but its waiting tasks and its arrivals counted as demand, so that VMs were moved to a pool that could not use them.

Change: the demand of a pool counts the waiting tasks that may start under the caps, and arrivals up to the caps of those who send them. Without customers the demand is as before.

--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pool_demand.ts
@@ -27,6 +27,7 @@
 interface Arrival {
   at: number;
   coreMs: () => number;
+  customer: string | undefined;
 }
 
 /** Arrival rates of work by pool. */
@@ -40,9 +41,14 @@
   }
 
   /** Records the arrival of a job. `coreMs` estimates what it needs in total, in core-milliseconds, at any later time. */
-  record(pool: string, coreMs: () => number, now: number): void {
+  record(
+    pool: string,
+    coreMs: () => number,
+    now: number,
+    customer?: string,
+  ): void {
     const recent = this.#recent(pool, now);
-    recent.push({ at: now, coreMs });
+    recent.push({ at: now, coreMs, customer });
     this.#arrivals.set(pool, recent);
   }
 
@@ -68,6 +74,11 @@
     return (sum - largest) / Math.max(minSpanMs, now - first.at);
   }
 
+  /** Customers with recent arrivals; undefined among them for anonymous jobs. */
+  customers(pool: string, now: number): Set<string | undefined> {
+    return new Set(this.#recent(pool, now).map(({ customer }) => customer));
+  }
+
   #recent(pool: string, now: number): Arrival[] {
     const all = this.#arrivals.get(pool) ?? [];
     return all.filter(({ at }) => now - at < WINDOW_MS);
@@ -111,13 +122,29 @@
   }
 }
 
-/** Demand of each pool of the queue plan. `isUrgent` tells whether the job of a step can still meet its objective. */
+/** Conditions that limit what of the waiting and arriving work a pool can use. */
+export interface DemandLimits {
+  /** Whether the job of a step can still meet its objective. */
+  isUrgent: (step: WaitingStep) => boolean;
+  /** Number of waiting tasks of a step that may start now. */
+  startable: (step: WaitingStep) => number;
+  /** Cores that a customer may use; Infinity without a limit. */
+  capCores: (customer: string | undefined) => number;
+}
+
+const NO_LIMITS: DemandLimits = {
+  isUrgent: () => true,
+  startable: ({ indices }) => indices.size,
+  capCores: () => Infinity,
+};
+
+/** Demand of each pool of the queue plan. */
 export function poolDemands(
   jobStore: JobStore,
   rates: ArrivalRates,
   estimate: WorkEstimate,
   now: number,
-  isUrgent: (step: WaitingStep) => boolean = () => true,
+  limits = NO_LIMITS,
 ): Map<string, PoolDemand> {
   const demands = new Map<string, PoolDemand>();
   for (const { name } of jobStore.plan.pools) {
@@ -137,17 +164,17 @@
   }
   const backlogs = new Map<string, Backlog>();
   for (const step of jobStore.waiting.values()) {
-    const { job, spec, indices } = step;
+    const { job, spec } = step;
     const demand = demands.get(job.pool);
     if (demand !== undefined) {
-      const cores = indices.size * spec.demand.cpuMilli / 1_000;
+      const cores = limits.startable(step) * spec.demand.cpuMilli / 1_000;
       demand.waiting += cores;
       demand.vms = Math.max(demand.vms, vmsForSpread(spec));
       const coreMs = cores * estimate.taskMs(job.queue, spec.estimatedMs);
       const backlog = backlogs.get(job.pool) ?? emptyBacklog();
       backlogs.set(job.pool, backlog);
       backlog.coreMs += coreMs;
-      if (isUrgent(step)) {
+      if (limits.isUrgent(step)) {
         backlog.urgentCores += cores;
         backlog.urgentCoreMs += coreMs;
       }
@@ -156,7 +183,10 @@
   for (const [pool, demand] of demands) {
     const backlog = backlogs.get(pool) ?? emptyBacklog();
     const catchUp = backlog.coreMs / CATCH_UP_MS;
-    const arriving = rates.rate(pool, now);
+    const arriving = Math.min(
+      rates.rate(pool, now),
+      sumOf(rates.customers(pool, now), limits.capCores),
+    );
     demand.wanted = Math.max(
       demand.reserved + Math.min(demand.waiting, catchUp),
       arriving + catchUp,
@@ -168,6 +198,14 @@
   return demands;
 }
 
+function sumOf<T>(items: Iterable<T>, value: (item: T) => number): number {
+  let sum = 0;
+  for (const item of items) {
+    sum += value(item);
+  }
+  return sum;
+}
+
 /** Number of VMs over which a step must be spread. */
 function vmsForSpread({ taskCount, maxPerWorker }: StepSpec): number {
   return maxPerWorker === 0 ? 0 : Math.ceil(taskCount / maxPerWorker);
--- a/packages/core/test/scheduling_reclaim_test.ts
+++ b/packages/core/test/scheduling_reclaim_test.ts
@@ -6,6 +6,7 @@
   type BusyVm,
   chooseMoves,
   chooseReclaims,
+  type DemandLimits,
   poolDemands,
   type PoolState,
   WorkEstimate,
@@ -21,6 +22,12 @@
 
 const CORES = 32;
 
+const UNLIMITED: DemandLimits = {
+  isUrgent: () => true,
+  startable: ({ indices }) => indices.size,
+  capCores: () => Infinity,
+};
+
 function pool(name: string, changes: Partial<PoolState> = {}): PoolState {
   const vms = changes.vms ?? 0;
   return {
@@ -116,12 +123,42 @@
       new ArrivalRates(0),
       new WorkEstimate(),
       10_000,
-      ({ job }) => job.id === "new",
+      { ...UNLIMITED, isUrgent: ({ job }) => job.id === "new" },
     ).get("intake") ?? { wanted: 0, urgent: 0 };
     expect({ wanted, urgent }).toEqual({ wanted: 14, urgent: 4 });
   });
 });
 
+// Guards against VMs that are moved to a pool for a customer at its cap, whose tasks cannot start there.
+describe("the demand of a pool whose customer is at its cap", () => {
+  it("counts only the waiting tasks that may start", () => {
+    const store = newJobStore([worker("w1")], queue());
+    submit(store, "hot", spec(step({ taskCount: 10 })), 9_000);
+    const demands = poolDemands(
+      store,
+      new ArrivalRates(0),
+      new WorkEstimate(),
+      10_000,
+      { ...UNLIMITED, startable: () => 3 },
+    );
+    expect(demands.get("intake")).toMatchObject({ waiting: 3, wanted: 3 });
+  });
+
+  it("counts arrivals up to the caps of those who send them", () => {
+    const store = newJobStore([worker("w1")], queue());
+    const rates = new ArrivalRates(-10_000);
+    for (let at = 0; at < 1_000; at += 100) {
+      rates.record("intake", () => 8_000, at, at < 500 ? "hot" : "calm");
+    }
+    const wanted = (capCores: number): number | undefined =>
+      poolDemands(store, rates, new WorkEstimate(), 900, {
+        ...UNLIMITED,
+        capCores: () => capCores,
+      }).get("intake")?.wanted;
+    expect([wanted(Infinity), wanted(20)]).toEqual([80, 40]);
+  });
+});
+
 describe("reclaiming busy VMs", () => {
   const hoarding = pool("hoarding", {
     vms: 6,
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -10,6 +10,7 @@
   type BusyVm,
   chooseMoves,
   chooseReclaims,
+  CustomerLimits,
   DemandTrend,
   isLate,
   type JobStore,
@@ -17,6 +18,7 @@
   type PoolDemand,
   poolDemands,
   type PoolState,
+  type QueuePlan,
   type Worker,
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -164,13 +166,17 @@
   #demands(now: number): Map<string, PoolDemand> {
     const { rates, estimate, clock } = this.#parts;
     const wallNow = clock.wall();
-    const demands = poolDemands(
-      this.#jobStore,
-      rates,
-      estimate,
-      now,
-      (step) => step.spec.lasting || !isLate(step, estimate, wallNow),
-    );
+    const { plan, customerUsage } = this.#jobStore;
+    const caps = new CustomerLimits(plan.customers, customerUsage);
+    const demands = poolDemands(this.#jobStore, rates, estimate, now, {
+      isUrgent: (step) => step.spec.lasting || !isLate(step, estimate, wallNow),
+      startable: (step) => {
+        const count = caps.startable(step, step.indices.size);
+        caps.addPlanned(step, count);
+        return count;
+      },
+      capCores: (customer) => capCores(plan, customer),
+    });
     anticipate(demands, this.#trend, now);
     return demands;
   }
@@ -300,6 +306,14 @@
   }
 }
 
+/** Cores that a customer may use; Infinity without a limit. */
+function capCores(plan: QueuePlan, customer: string | undefined): number {
+  const cap = plan.customers.find(({ name }) => name === customer)?.cap;
+  return cap === undefined || cap.cpuMilli === 0
+    ? Infinity
+    : cap.cpuMilli / MILLICORES_PER_CORE;
+}
+
 /** Divides the cores of all pools, those in standby included, by what the pools can use. */
 function allocate(pools: readonly PoolState[]): void {
   const cores = pools.reduce(
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -184,7 +184,7 @@
       const now = this.#parts.clock.monotonic();
       const coreMs = (): number => this.#estimate.jobCoreMs(record);
       if (coreMs() > 0) {
-        this.#rates.record(job.pool, coreMs, now);
+        this.#rates.record(job.pool, coreMs, now, job.customer);
         this.#fleet?.recordArrival(now);
       }
     }
