--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -12,13 +12,17 @@
   runPlacementPass,
   type RunRecord,
   type StepPlacement,
+  type StepWait,
   type SubmittedJob,
+  type WaitingStep,
+  type WaitReason,
   type Worker,
   WorkerHealth,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
 import { logBacklogs } from "./backlog_log.ts";
+import { logCustomerWaits } from "./customer_wait_log.ts";
 import { FleetController } from "./fleet_controller.ts";
 import { PermitCache } from "./permit_cache.ts";
 import type { AdvisorClient, VmClient } from "./platform_clients.ts";
@@ -60,7 +64,7 @@
 /** Interval at which jobs past their retention time are removed from the job store. */
 const PRUNE_INTERVAL_MS = 10_000;
 
-/** Interval at which backlogs are logged while steps wait. */
+/** Interval at which backlogs, and the customers that wait, are logged while steps wait. */
 const BACKLOG_LOG_INTERVAL_MS = 500;
 
 export class LeadershipTerm implements Component {
@@ -82,6 +86,7 @@
   #stopped = false;
   #prunedAt: number;
   #backlogLoggedAt = -Infinity;
+  #customerWaitsLoggedAt = -Infinity;
   #nextPassAt = -Infinity;
 
   constructor(parts: LeadershipTermParts) {
@@ -374,7 +379,7 @@
     for (const [pool, workers] of this.#usableWorkers(now)) {
       candidates.set(pool, workers.map((worker) => this.#candidateOf(worker)));
     }
-    const { steps, placements } = runPlacementPass({
+    const { steps, placements, waits } = runPlacementPass({
       waiting: this.#jobStore.waiting.values(),
       estimate: this.#estimate,
       candidates,
@@ -385,7 +390,8 @@
         usage: this.#jobStore.customerUsage,
       },
     }, this.#parts.clock.wall());
-    placements.forEach((placement) => this.#logPlacement(placement));
+    this.#logPlacements(placements, waits);
+    this.#logCustomerWaits(waits, now);
     this.#permits?.requestMissing(
       steps,
       (step) =>
@@ -398,13 +404,32 @@
     return placements.flatMap(({ runs }) => runs);
   }
 
-  #logPlacement({ step, runs }: StepPlacement): void {
-    this.#parts.log.info("step.placed", {
-      step: step.name,
-      tasks: runs.length,
-      waiting: step.indices.size - runs.length,
-      workers: new Set(runs.map(({ worker }) => worker)).size,
-    });
+  #logPlacements(
+    placements: readonly StepPlacement[],
+    waits: readonly StepWait[],
+  ): void {
+    if (placements.length === 0) {
+      return;
+    }
+    const reasons = new Map<WaitingStep, WaitReason>(
+      waits.map(({ step, reason }) => [step, reason]),
+    );
+    for (const { step, runs } of placements) {
+      this.#parts.log.info("step.placed", {
+        step: step.name,
+        tasks: runs.length,
+        waiting: step.indices.size - runs.length,
+        workers: new Set(runs.map(({ worker }) => worker)).size,
+        reason: reasons.get(step),
+      });
+    }
+  }
+
+  #logCustomerWaits(waits: readonly StepWait[], now: number): void {
+    if (now - this.#customerWaitsLoggedAt >= BACKLOG_LOG_INTERVAL_MS) {
+      this.#customerWaitsLoggedAt = now;
+      logCustomerWaits(waits, this.#parts.log);
+    }
   }
 
   #candidateOf(worker: Worker): CandidateWorker {
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -4,12 +4,20 @@
   JobStoreOutput,
 } from "@quetzalcove/core/scheduling";
 import { newJobStore, worker } from "../../core/test/scheduling_fixture.ts";
+import {
+  coreCap,
+  customer,
+  newSharedStore,
+  planCustomers,
+  submitFor,
+} from "../../core/test/scheduling_customers_fixture.ts";
 import type { WorkerClient } from "../src/scheduler/platform_clients.ts";
 import { LeadershipTerm } from "../src/scheduler/leadership_term.ts";
 import {
   consensusOf,
   ignore,
   notExpected,
+  QUIET_LOG,
   termParts,
 } from "./scheduler_fixture.ts";
 
@@ -80,3 +88,59 @@
     await leadershipTerm.stop();
   });
 });
+
+describe("a placement that the job store refuses", () => {
+  // Guards against orders for runs that a cap refused because the plan changed while the placement was committed.
+  it("starts only the runs that were placed, and logs the others", async () => {
+    const jobStore = newSharedStore(
+      [worker("w1")],
+      customer("a", { cap: coreCap(4) }),
+    );
+    submitFor(jobStore, "a", "j", { taskCount: 4 });
+    const started = new Set<string>();
+    const refused: unknown[] = [];
+    const term = new LeadershipTerm(termParts({
+      consensus: consensusOf(jobStore, {
+        propose: (command: JobStoreCommand) => {
+          if (command.kind === "place" && jobStore.plan.version === 2) {
+            planCustomers(jobStore, customer("a", { cap: coreCap(1) }));
+          }
+          return Promise.resolve(
+            jobStore.apply(command).map((output): JobStoreOutput => output),
+          );
+        },
+      }),
+      client: {
+        start: (_, { task }) => {
+          started.add(task);
+          return new Promise(ignore);
+        },
+        stop: notExpected,
+        pace: notExpected,
+        renew: () =>
+          new Promise((resolve) =>
+            setTimeout(() =>
+              resolve({
+                kind: "listing",
+                listing: { running: [], ended: [] },
+                clockMs: Date.now(),
+              }), 50)
+          ),
+        disconnect: ignore,
+      },
+      log: {
+        ...QUIET_LOG,
+        info: (event, fields) => {
+          if (event === "runs.refused") {
+            refused.push(fields);
+          }
+        },
+      },
+    }));
+    await term.start();
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(refused).toEqual([{ runs: 3, first: "j.0.0.1" }]);
+    expect([...started]).toEqual(["j.0.0.0"]);
+    await term.stop();
+  });
+});
