--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -171,8 +171,10 @@
     const demands = poolDemands(this.#jobStore, rates, estimate, now, {
       isUrgent: (step) => step.spec.lasting || !isLate(step, estimate, wallNow),
       startable: (step) => {
-        const count = caps.startable(step, step.indices.size);
-        caps.addPlanned(step, count);
+        const limit = caps.of(step.job.customer);
+        const count = limit?.startable(step.spec, step.indices.size) ??
+          step.indices.size;
+        limit?.addPlanned(step.spec, count);
         return count;
       },
       capCores: (customer) => capCores(plan, customer),
