Scheduler: worker session split along its jobs

Change, behaviour unchanged: contact and lease (worker_contact.ts), orders (order_sender.ts), probation (run_probation.ts) and what is learned from run ends (run_end_recorder.ts) are classes of their own. The renewal loop and the check of a probation share one call. lossOfEnded decides alone whether a draining worker counts as departed; the VM directory uses it too.

--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -25,11 +25,9 @@
 import { RunEndBatcher } from "./run_end_batcher.ts";
 import type { LeadershipTermStatus } from "./status.ts";
 import { WorkerLosses } from "./worker_losses.ts";
-import {
-  type WorkerLoss,
-  WorkerSession,
-  type WorkerSessionParts,
-} from "./worker_session.ts";
+import type { WorkerLoss } from "./worker_loss.ts";
+import { WorkerSession } from "./worker_session.ts";
+import type { WorkerSessionParts } from "./worker_session_parts.ts";
 
 /** Dependencies of a leadership term. */
 export interface LeadershipTermParts extends
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -8,7 +8,7 @@
 import type { Log } from "../observe/log.ts";
 import type { JobConsensus } from "./job_state_machine.ts";
 import type { ListedVm, VmClient } from "./platform_clients.ts";
-import type { WorkerLoss } from "./worker_session.ts";
+import { lossOfEnded, type WorkerLoss } from "./worker_loss.ts";
 import { type VmAction, VmOrders, type VmOrdersParts } from "./vm_orders.ts";
 
 /** Dependencies of the VM directory. */
@@ -183,21 +183,15 @@
   /** Removes silent workers that the list, requested at `sentAt`, shows to have ended. */
   #removeEndedWorkers(sentAt: number): void {
     const { wasSilent, removeWorker } = this.#parts;
-    for (
-      const { id, vm, draining, hasLeft } of this.#jobStore.workers.values()
-    ) {
+    for (const worker of this.#jobStore.workers.values()) {
+      const { id, vm } = worker;
       const listed = vm === undefined ? undefined : this.#listed.get(vm);
       const hasEnded = listed?.worker !== undefined && listed.worker !== id;
       if (hasEnded && wasSilent(id, sentAt - LIST_LAG_MS, sentAt)) {
         const isOrdered = listed.state === "moving" ||
           listed.state === "upkeep";
-        const kind = draining || hasLeft
-          ? "departed"
-          : isOrdered
-          ? "ordered"
-          : "crashed";
         const reason = `its VM is listed as ${listed.state} without it`;
-        void removeWorker(id, { kind, reason });
+        void removeWorker(id, lossOfEnded(worker, reason, isOrdered));
       }
     }
   }
--- a/packages/daemon/src/scheduler/worker_losses.ts
+++ b/packages/daemon/src/scheduler/worker_losses.ts
@@ -15,7 +15,8 @@
 import type { Log } from "../observe/log.ts";
 import type { Metrics } from "../observe/metrics.ts";
 import type { JobConsensus } from "./job_state_machine.ts";
-import type { WorkerLoss, WorkerSession } from "./worker_session.ts";
+import type { WorkerLoss } from "./worker_loss.ts";
+import type { WorkerSession } from "./worker_session.ts";
 
 /** Dependencies of the removal of workers. */
 export interface WorkerLossesParts {
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -5,73 +5,26 @@
  */
 import {
   type Listing,
-  parseTaskName,
-  PROBATION_MS,
   type RunEnd,
   type RunEvidence,
-  type RunKey,
-  type RunOutcome,
   type RunRecord,
-  RunSurvival,
-  type StartAnswer,
-  stepName,
   type Worker,
-  type WorkerHealth,
   WorkerOrders,
-  type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
-import type { Clock } from "../clock.ts";
-import type { Log } from "../observe/log.ts";
-import type { Metrics } from "../observe/metrics.ts";
 import { wait } from "../waiting.ts";
-import type { JobConsensus } from "./job_state_machine.ts";
-import { WorkerLease } from "./worker_lease.ts";
+import { OrderSender, UNANSWERED_BACKOFF_MS } from "./order_sender.ts";
 import { Pacer } from "./pacer.ts";
-import type { RenewalAnswer, WorkerClient } from "./platform_clients.ts";
-import type { RunEndBatcher } from "./run_end_batcher.ts";
-import type { SchedulerSettings } from "@quetzalcove/core/scheduling";
+import type { RenewalAnswer } from "./platform_clients.ts";
+import { RunEndRecorder } from "./run_end_recorder.ts";
+import { RunProbation } from "./run_probation.ts";
 import { StragglerDetector } from "./straggler_detector.ts";
-
-/** Dependencies that all sessions of a leadership term share. */
-export interface WorkerSessionParts {
-  settings: SchedulerSettings["workers"];
-  term: number;
-  consensus: JobConsensus;
-  /** Commits the run ends that workers list. */
-  runEndBatcher: RunEndBatcher;
-  client: WorkerClient;
-  clock: Clock;
-  log: Log;
-  metrics: Metrics;
-  /** Task durations, learned from the runs that ended. */
-  estimate: WorkEstimate;
-  health: WorkerHealth;
-  /** The advisor's permit for running a step on a worker; undefined if there is none or it has expired. */
-  permit: (step: string, worker: string) => string | undefined;
-  /** Whether this node is certain to be the leader still. */
-  isConfirmedLeader: () => boolean;
-  /** Called when capacity was freed or the worker became usable. */
-  onChange: () => void;
-  /** Called when the worker certainly has no runs any more. */
-  onLost: (worker: string, loss: WorkerLoss) => void;
-}
-
-/** Why a worker has no runs any more. */
-export interface WorkerLoss {
-  /**
-   * `crashed`: it ended without an announcement. `departed`: it had announced its end. `ordered`: an order for its VM
-   * ended it. `unreachable`: its lease has ended, and it may still answer later.
-   */
-  kind: "crashed" | "departed" | "ordered" | "unreachable";
-  reason: string;
-}
+import { WorkerContact } from "./worker_contact.ts";
+import { lossOfEnded, type WorkerLoss } from "./worker_loss.ts";
+import type { WorkerSessionParts } from "./worker_session_parts.ts";
 
 /** Percentage at which a worker lists a long-running task once it is ready. */
 const READY_PERCENT = 100;
 
-/** Back-off after an unanswered order or renewal: several round trips of a slow link. */
-const UNANSWERED_BACKOFF_MS = 250;
-
 /**
  * Longest wait of a renewal at a worker with runs that end by themselves. If its answer is lost, ends are noticed only
  * with the next one.
@@ -84,49 +37,25 @@
 /** Delay before a retry while leadership is not confirmed. */
 const UNCONFIRMED_DELAY_MS = 20;
 
-/** How long a worker that refused an order because it is unhealthy gets no new runs. */
-const UNHEALTHY_PAUSE_MS = 2_000;
-
-/** How long a worker without the free resources that the job store expects gets no new runs; a renewal corrects that. */
-const NO_ROOM_PAUSE_MS = 200;
-
-/** A run that the worker confirmed as started; kept to learn its duration. */
-interface StartedRun {
-  run: number;
-  queue: string;
-  estimatedMs: number;
-  /** Monotonic time of the start, in milliseconds. */
-  startedAt: number;
-}
-
 export class WorkerSession {
   worker: Worker;
   readonly #parts: WorkerSessionParts;
   readonly #orders: WorkerOrders;
-  readonly #lease: WorkerLease;
+  readonly #sender: OrderSender;
+  readonly #contact: WorkerContact;
+  readonly #probation: RunProbation;
+  readonly #recorder: RunEndRecorder;
+  readonly #stragglers: StragglerDetector;
+  readonly #pacer: Pacer;
   /** Number of the latest run end that is committed. */
   #lastCommittedEnd = 0;
-  #lastContactAt = -Infinity;
-  /** When the last renewal that was answered had been sent. */
-  #lastAnsweredSentAt = -Infinity;
   /** Whether the worker has listed its runs in this leadership term. */
   #isVerified = false;
-  #firstContactAt = Infinity;
-  /** Since when renewals got no answer; undefined if the last one was answered. */
-  #silentSince: number | undefined;
-  #pausedUntil = -Infinity;
   #stopped = false;
-  readonly #stragglers: StragglerDetector;
-  readonly #pacer: Pacer;
-  /** Runs that this session started, by task. */
-  readonly #startedRuns = new Map<string, StartedRun>();
-  readonly #survival = new RunSurvival();
-  /** Runs of suspected tasks that may still be on probation. */
-  readonly #probation = new Set<RunRecord>();
   #lastListing: Listing = { running: [], ended: [] };
 
   constructor(worker: Worker, parts: WorkerSessionParts) {
-    const { settings, clock } = parts;
+    const { settings, clock, consensus } = parts;
     const now = clock.monotonic();
     this.worker = worker;
     this.#parts = parts;
@@ -136,39 +65,53 @@
     });
     this.#pacer = new Pacer(parts);
     this.#stragglers = new StragglerDetector(parts.estimate);
-    this.#lease = new WorkerLease(settings.leaseMs, now);
-    for (const run of parts.consensus.state.load(worker.id).runs.values()) {
+    this.#contact = new WorkerContact(settings, now);
+    this.#recorder = new RunEndRecorder(worker.id, parts);
+    this.#probation = new RunProbation({
+      ...parts,
+      isUnsent: (run) => this.#orders.isUnsent(run),
+    });
+    this.#sender = new OrderSender(this.#orders, {
+      ...parts,
+      worker: () => this.worker,
+      recorder: this.#recorder,
+      probation: this.#probation,
+      isVerified: () => this.#isVerified,
+      leaseDeadlineFor: (at) => this.#contact.leaseDeadlineFor(at),
+      onAnswer: (clockMs, at) => this.#recordAnswer(clockMs, at),
+      onReplaced: () => this.#reportReplaced(),
+      checkProbation: () => void this.#checkProbation(),
+    });
+    for (const run of consensus.state.load(worker.id).runs.values()) {
       this.#orders.add(run, now, true);
-      this.#watchIfSuspected(run);
+      this.#probation.add(run);
     }
   }
 
   /** Whether the worker may get new runs. */
   isUsable(now: number): boolean {
-    return this.isInContact(now) && this.#silentSince === undefined &&
-      !this.worker.draining && now >= this.#pausedUntil;
+    return this.isInContact(now) && this.silentSince === undefined &&
+      !this.worker.draining && !this.#sender.isPaused(now);
   }
 
-  /** Whether the worker has answered within `contactMs`. */
+  /** Whether the worker has listed its runs and has answered within `contactMs`. */
   isInContact(now: number): boolean {
-    return this.#isVerified &&
-      now - this.#lastContactAt < this.#parts.settings.contactMs;
+    return this.#isVerified && this.#contact.hasAnsweredRecently(now);
   }
 
   /** When a renewal was first unanswered since the worker's last answer; undefined if the last one was answered. */
   get silentSince(): number | undefined {
-    return this.#silentSince;
+    return this.#contact.silentSince;
   }
 
   /** Whether the worker was in contact at some time before `since` and has not answered from then to `until`. */
   wasSilent(since: number, until: number): boolean {
-    return this.#firstContactAt <= since && this.#lastContactAt <= until &&
-      this.#silentSince !== undefined && this.#silentSince <= until;
+    return this.#contact.wasSilent(since, until);
   }
 
   /** Whether the worker answered a renewal that was sent after `at`, in monotonic milliseconds. */
   hasAnsweredSince(at: number): boolean {
-    return this.#lastAnsweredSentAt > at;
+    return this.#contact.hasAnsweredSince(at);
   }
 
   /** Whether a long-running task is ready: its worker is in contact and listed it so. */
@@ -181,34 +124,18 @@
 
   /** What is known of the start of a run and of how long it ran. */
   evidenceOf(run: RunRecord): RunEvidence {
-    const survivedMs = this.#survival.survivedMs(run.task, run.run);
-    if (survivedMs !== undefined) {
-      return { start: "confirmed", survivedMs };
-    }
-    const isUnsent = this.#orders.isUnsent(run);
-    return { start: isUnsent ? "unsent" : "unanswered", survivedMs: 0 };
+    return this.#probation.evidenceOf(run);
   }
 
   /** Job that has runs on probation here, so that the worker must get no run of another one. */
   get jobOnProbation(): string | undefined {
-    const [run] = this.#probation;
-    return run?.job;
+    return this.#probation.job;
   }
 
   /** Whether all runs here are known to have run for a while. */
   isSettled(): boolean {
     const runs = this.#parts.consensus.state.load(this.worker.id).runs;
-    return [...runs.values()].every((run) => this.#hasSurvived(run));
-  }
-
-  #hasSurvived(run: RunRecord): boolean {
-    return this.evidenceOf(run).survivedMs >= PROBATION_MS;
-  }
-
-  #watchIfSuspected(run: RunRecord): void {
-    if (this.#parts.consensus.state.isSuspected(run)) {
-      this.#probation.add(run);
-    }
+    return [...runs.values()].every((run) => this.#probation.hasSurvived(run));
   }
 
   /** Renews the lease until the session is stopped. */
@@ -224,6 +151,7 @@
 
   stop(): void {
     this.#stopped = true;
+    this.#sender.stop();
     this.#parts.client.disconnect(this.worker);
   }
 
@@ -232,69 +160,38 @@
     const now = this.#parts.clock.monotonic();
     runs.forEach((run) => {
       this.#orders.add(run, now);
-      this.#watchIfSuspected(run);
+      this.#probation.add(run);
     });
     this.sendDue();
   }
 
   /** Requests the stop of a run that is no longer wanted. */
   requestStop(run: RunRecord): void {
-    this.#orders.requestStop(run, this.#parts.clock.monotonic());
+    this.#sender.requestStop(run);
   }
 
   /** Sends the orders that are due, if leadership is confirmed. */
   sendDue(): void {
-    if (
-      !this.#orders.hasUnsent || this.#stopped ||
-      !this.#parts.isConfirmedLeader()
-    ) {
-      return;
-    }
-    const now = this.#parts.clock.monotonic();
-    if (this.worker.draining || this.#isOvercommitted()) {
-      this.#orders.stopPendingStarts(now);
-    }
-    for (const run of this.#orders.takeStops(now)) {
-      void this.#sendStop(run);
-    }
-    if (this.#isVerified) {
-      for (const run of this.#orders.takeStarts(now)) {
-        void this.#sendStart(run);
-      }
-    }
-  }
-
-  /** Whether the runs reserve more than the worker has, since its capacity shrank after they were placed. */
-  #isOvercommitted(): boolean {
-    const { capacity, id } = this.worker;
-    const { reserved } = this.#parts.consensus.state.load(id);
-    return reserved.cpuMilli > capacity.cpuMilli ||
-      reserved.memoryMb > capacity.memoryMb || reserved.gpus > capacity.gpus;
+    this.#sender.sendDue();
   }
 
   async #renew(): Promise<void> {
-    const { client, settings, clock, term } = this.#parts;
+    const { settings, clock, term } = this.#parts;
     const sentAt = clock.monotonic();
-    const leaseDeadlineMs = this.#leaseDeadlineFor(sentAt);
-    const wasSilent = this.#silentSince !== undefined;
+    const wasSilent = this.silentSince !== undefined;
     const mayWait = this.#isVerified && !wasSilent;
-    const answer = await client.renew(this.worker, {
-      fence: term,
-      leaseDeadlineMs,
-      seenEnds: this.#lastCommittedEnd,
-      waitMs: mayWait ? this.#renewalWaitMs() : 0,
-      timeoutMs: wasSilent
-        ? settings.callTimeoutMs
-        : Math.min(PROMPT_ANSWER_MS, settings.callTimeoutMs),
-    });
-    this.#logContactChange(answer, clock.monotonic());
+    const answer = await this.#callRenewal(
+      sentAt,
+      mayWait ? this.#renewalWaitMs() : 0,
+      wasSilent ? settings.callTimeoutMs : PROMPT_ANSWER_MS,
+    );
     const now = clock.monotonic();
+    this.#recordRenewal(answer, now);
     switch (answer.kind) {
       case "listing":
-        this.#lastAnsweredSentAt = sentAt;
-        this.#recordContact(answer.clockMs, now);
-        this.#survival.recordListing(answer.listing.running, answer.clockMs);
-        this.#endProbations();
+        this.#contact.recordListing(sentAt);
+        this.#recordAnswer(answer.clockMs, now);
+        this.#probation.recordListing(answer.listing.running, answer.clockMs);
         await this.#processListing(answer.listing, sentAt, now);
         return;
       case "other_worker":
@@ -312,6 +209,22 @@
     }
   }
 
+  /** Renews the lease; `waitMs` is how long the worker may wait for an end, `timeoutMs` the deadline beyond that. */
+  #callRenewal(
+    now: number,
+    waitMs: number,
+    timeoutMs: number,
+  ): Promise<RenewalAnswer> {
+    const { client, settings, term } = this.#parts;
+    return client.renew(this.worker, {
+      fence: term,
+      leaseDeadlineMs: this.#contact.leaseDeadlineFor(now),
+      seenEnds: this.#lastCommittedEnd,
+      waitMs,
+      timeoutMs: Math.min(timeoutMs, settings.callTimeoutMs),
+    });
+  }
+
   #renewalWaitMs(): number {
     const { consensus, settings } = this.#parts;
     const jobStore = consensus.state;
@@ -322,38 +235,24 @@
       : settings.renewalWaitMs;
   }
 
-  /** Logs when a worker stops answering and when it answers again. */
-  #logContactChange(answer: RenewalAnswer, now: number): void {
-    const isSilent = answer.kind === "no_answer";
-    if (isSilent !== (this.#silentSince !== undefined)) {
-      this.#silentSince = isSilent ? now : undefined;
-      this.#parts.log.info(isSilent ? "worker.silent" : "worker.answers", {
+  /** Records whether a renewal was answered, and logs when that changes. */
+  #recordRenewal(answer: RenewalAnswer, now: number): void {
+    const isAnswered = answer.kind !== "no_answer";
+    if (this.#contact.recordRenewal(isAnswered, now)) {
+      this.#parts.log.info(isAnswered ? "worker.answers" : "worker.silent", {
         worker: this.worker.id,
-        reason: isSilent ? answer.reason : undefined,
-        heardMsAgo: Math.round(now - this.#lastContactAt),
-        leaseLeftMs: Math.round(this.#lease.endsBy - now),
+        reason: isAnswered ? undefined : answer.reason,
+        heardMsAgo: Math.round(now - this.#contact.lastAnswerAt),
+        leaseLeftMs: Math.round(this.#contact.leaseEndsBy - now),
       });
     }
   }
 
-  #recordContact(clockMs: number | undefined, now: number): void {
-    this.#lastContactAt = now;
-    this.#firstContactAt = Math.min(this.#firstContactAt, now);
+  #recordAnswer(clockMs: number | undefined, now: number): void {
+    this.#contact.recordAnswer(clockMs, now);
     if (clockMs !== undefined) {
-      this.#survival.recordAnswer(clockMs);
-      this.#lease.recordClock({ workerMs: clockMs, receivedAt: now });
-    }
-  }
-
-  /**
-   * The lease deadline for an order sent now, on the worker's clock. The lease of a worker that does not answer is not
-   * extended, so that its tasks can run elsewhere soon.
-   */
-  #leaseDeadlineFor(now: number): number | undefined {
-    if (this.#silentSince === undefined) {
-      this.#lease.extend(now);
+      this.#probation.recordAnswer(clockMs);
     }
-    return this.#lease.deadline;
   }
 
   async #processListing(
@@ -366,25 +265,13 @@
     const { id } = this.worker;
     this.#lastListing = listing;
     this.#orders.retain((run) => jobStore.findRun(run) !== undefined);
-    this.#survival.retain((task, run) =>
+    this.#probation.retain((task, run) =>
       jobStore.findRun({ task, run, worker: id }) !== undefined
     );
-    const { dropped, strays } = this.#orders.reconcile(
-      listing,
-      sentAt,
-      now,
-    );
-    if (!this.#isVerified) {
-      this.#isVerified = true;
-      this.#parts.log.info("worker.verified", {
-        worker: id,
-        running: listing.running.length,
-      });
-      this.#parts.onChange();
-    }
+    this.#verify(listing);
+    const dropped = this.#sender.reconcile(listing, sentAt, now);
     this.#stopStuckRuns(listing, now);
     this.#pacer.update(this.worker, listing, now);
-    strays.forEach(({ task, run }) => void this.#stopStray(task, run));
     const ends = listing.ended.map(({ task, run, how, checkpoint }): RunEnd => {
       return { task, run, worker: id, how, checkpoint };
     });
@@ -395,7 +282,7 @@
           (highest, { number }) => Math.max(highest, number),
           this.#lastCommittedEnd,
         );
-        this.#recordEnds(ends, dropped);
+        this.#recorder.recordEnds(ends, dropped);
       } else {
         await wait(UNCONFIRMED_DELAY_MS);
       }
@@ -403,6 +290,17 @@
     this.sendDue();
   }
 
+  #verify({ running }: Listing): void {
+    if (!this.#isVerified) {
+      this.#isVerified = true;
+      this.#parts.log.info("worker.verified", {
+        worker: this.worker.id,
+        running: running.length,
+      });
+      this.#parts.onChange();
+    }
+  }
+
   /** Stops runs that are stuck, so that they run elsewhere, and gives the worker no new runs for a while. */
   #stopStuckRuns({ running }: Listing, now: number): void {
     const { consensus, health, log, metrics } = this.#parts;
@@ -425,200 +323,34 @@
     }
   }
 
-  #recordEnds(ends: readonly RunEnd[], dropped: readonly RunKey[]): void {
-    const { metrics, log, onChange } = this.#parts;
-    for (const { task, run, worker, how } of ends) {
-      metrics.count("quetzalcove_runs_ended_total", { how });
-      this.#recordDuration(task, run, how);
-      this.#recordHealth(task, how);
-      if (how !== "done") {
-        log.info("run.ended", { task, run, worker, how });
-      }
-    }
-    for (const { task, run, worker } of dropped) {
-      log.info("run.dropped", { task, run, worker, reason: "never started" });
-    }
-    onChange();
-  }
-
-  #recordHealth(task: string, how: RunOutcome): void {
-    const { health, clock, log } = this.#parts;
-    const job = parseTaskName(task)?.job ?? "";
-    const { id } = this.worker;
-    if (health.recordEnd(id, job, how, clock.monotonic())) {
-      log.warn("worker.paused", { worker: id, reason: "runs fail there" });
-    }
-  }
-
-  #recordDuration(task: string, run: number, how: RunOutcome): void {
-    const startedRun = this.#startedRuns.get(task);
-    this.#startedRuns.delete(task);
-    if (startedRun?.run === run && how === "done") {
-      const { estimate, clock } = this.#parts;
-      const tookMs = clock.monotonic() - startedRun.startedAt;
-      estimate.observe(startedRun.queue, startedRun.estimatedMs, tookMs);
-    }
-  }
-
-  async #sendStart(run: RunRecord): Promise<void> {
-    const { client, consensus, clock, term, metrics, runEndBatcher } =
-      this.#parts;
-    const jobStore = consensus.state;
-    const job = jobStore.jobs.get(run.job);
-    const task = jobStore.taskOf(run);
-    const isWanted = jobStore.findRun(run) !== undefined &&
-      job?.outcome === "open" && job.spec !== undefined && task !== undefined;
-    const sentAt = clock.monotonic();
-    const leaseDeadlineMs = this.#leaseDeadlineFor(sentAt);
-    if (!isWanted || leaseDeadlineMs === undefined) {
-      this.#orders.requestStop(run, sentAt);
-      return;
-    }
-    const { answer, clockMs } = await client.start(this.worker, {
-      task: run.task,
-      run: run.run,
-      text: job.spec?.text ?? "",
-      leaseDeadlineMs,
-      fence: term,
-      checkpoint: task.checkpoint,
-      permit: this.#permitOf(run),
-    });
-    const now = clock.monotonic();
-    metrics.observe("quetzalcove_start_order_seconds", now - sentAt);
-    if (answer !== "no_answer") {
-      this.#recordContact(clockMs, now);
-    }
-    if (answer === "started") {
-      if (clockMs !== undefined) {
-        this.#survival.recordStart(run.task, run.run, clockMs);
-      }
-      this.#startedRuns.set(run.task, {
-        run: run.run,
-        queue: job.queue,
-        estimatedMs: job.spec?.steps[run.step]?.estimatedMs ?? 0,
-        startedAt: now,
-      });
-    }
-    if (answer === "started" && this.#probation.has(run)) {
-      setTimeout(() => void this.#checkProbation(), PROBATION_MS);
-    }
-    const refused = this.#orders.recordStartAnswer(run, answer, now);
-    if (answer !== "started") {
-      this.#handleRefusal(run, answer, now);
-    }
-    if (refused !== undefined) {
-      await runEndBatcher.add([], [refused]);
-      this.#parts.onChange();
-    }
-  }
-
   /** Asks for a listing without waiting for an end, since a run on probation keeps others from its worker. */
   async #checkProbation(): Promise<void> {
-    const { client, settings, clock, term, isConfirmedLeader } = this.#parts;
+    const { clock, isConfirmedLeader } = this.#parts;
     if (this.#stopped || !isConfirmedLeader()) {
       return;
     }
-    const answer = await client.renew(this.worker, {
-      fence: term,
-      leaseDeadlineMs: this.#leaseDeadlineFor(clock.monotonic()),
-      seenEnds: this.#lastCommittedEnd,
-      waitMs: 0,
-      timeoutMs: Math.min(PROMPT_ANSWER_MS, settings.callTimeoutMs),
-    });
-    if (answer.kind === "listing") {
-      this.#survival.recordListing(answer.listing.running, answer.clockMs);
-      this.#endProbations();
-    }
-  }
-
-  /** Ends the probation of runs that have ended or have run for a while; the latter are cleared. */
-  #endProbations(): void {
-    const { consensus, runEndBatcher, onChange } = this.#parts;
-    const isHeld = (run: RunRecord): boolean =>
-      consensus.state.findRun(run) !== undefined;
-    const over = [...this.#probation].filter((run) =>
-      !isHeld(run) || this.#hasSurvived(run)
+    const answer = await this.#callRenewal(
+      clock.monotonic(),
+      0,
+      PROMPT_ANSWER_MS,
     );
-    if (over.length === 0) {
-      return;
-    }
-    over.forEach((run) => this.#probation.delete(run));
-    const cleared = over.filter(isHeld).map(({ task, run, worker }) => ({
-      task,
-      run,
-      worker,
-    }));
-    void runEndBatcher.add([], [], cleared);
-    onChange();
-  }
-
-  #permitOf(run: RunRecord): string {
-    const { permit } = this.#parts;
-    return permit(stepName(run), this.worker.id) ?? "";
-  }
-
-  #handleRefusal(run: RunRecord, answer: StartAnswer, now: number): void {
-    const { log, metrics } = this.#parts;
-    const { task, worker } = run;
-    metrics.count("quetzalcove_starts_refused_total", { answer });
-    log.warn("run.not_started", { task, run: run.run, worker, answer });
-    if (answer === "other_worker") {
-      this.#reportReplaced();
-    } else if (answer === "unwell") {
-      this.#pausedUntil = now + UNHEALTHY_PAUSE_MS;
-    } else if (answer === "no_room") {
-      this.#pausedUntil = now + NO_ROOM_PAUSE_MS;
-    }
-  }
-
-  async #sendStop(run: RunRecord): Promise<void> {
-    const { task, run: number } = run;
-    const isAnswered = await this.#stopRun(task, number);
-    this.#orders.recordStopAnswer(
-      run,
-      isAnswered,
-      this.#parts.clock.monotonic(),
-    );
-  }
-
-  async #stopStray(task: string, run: number): Promise<void> {
-    const isAnswered = await this.#stopRun(task, run);
-    this.#parts.log.warn("run.stray_stopped", {
-      task,
-      run,
-      worker: this.worker.id,
-      answered: isAnswered,
-    });
-  }
-
-  async #stopRun(task: string, run: number): Promise<boolean> {
-    const { client, clock, term } = this.#parts;
-    const order = { task, run, fence: term };
-    const { answer, clockMs } = await client.stop(this.worker, order);
-    if (answer) {
-      this.#recordContact(clockMs, clock.monotonic());
+    if (answer.kind === "listing") {
+      this.#probation.recordListing(answer.listing.running, answer.clockMs);
     }
-    return answer;
   }
 
   #handleSilence(now: number, reason: string): void {
-    const { contactMs } = this.#parts.settings;
     this.#parts.metrics.count("quetzalcove_renewals_unanswered_total");
-    const hasExpired = now > this.#lease.endsBy &&
-      now - this.#lastContactAt > contactMs;
     if (this.worker.hasLeft) {
       this.#reportLost({ kind: "departed", reason });
-    } else if (hasExpired) {
+    } else if (this.#contact.hasExpired(now)) {
       this.#reportLost({ kind: "unreachable", reason });
     }
   }
 
   #reportReplaced(): void {
-    const { draining, hasLeft } = this.worker;
-    this.#reportLost({
-      kind: draining || hasLeft ? "departed" : "crashed",
-      reason: "another worker has its address",
-    });
+    const reason = "another worker has its address";
+    this.#reportLost(lossOfEnded(this.worker, reason));
   }
 
   #reportLost(loss: WorkerLoss): void {
--- /dev/null
+++ b/packages/daemon/src/scheduler/worker_session_parts.ts
@@ -0,0 +1,40 @@
+/**
+ * Dependencies that all sessions of a leadership term share.
+ *
+ * @module
+ */
+import type {
+  SchedulerSettings,
+  WorkerHealth,
+  WorkEstimate,
+} from "@quetzalcove/core/scheduling";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../observe/log.ts";
+import type { Metrics } from "../observe/metrics.ts";
+import type { JobConsensus } from "./job_state_machine.ts";
+import type { WorkerClient } from "./platform_clients.ts";
+import type { RunEndBatcher } from "./run_end_batcher.ts";
+import type { WorkerLoss } from "./worker_loss.ts";
+
+export interface WorkerSessionParts {
+  settings: SchedulerSettings["workers"];
+  term: number;
+  consensus: JobConsensus;
+  /** Commits the run ends that workers list. */
+  runEndBatcher: RunEndBatcher;
+  client: WorkerClient;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  /** Task durations, learned from the runs that ended. */
+  estimate: WorkEstimate;
+  health: WorkerHealth;
+  /** The advisor's permit for running a step on a worker; undefined if there is none or it has expired. */
+  permit: (step: string, worker: string) => string | undefined;
+  /** Whether this node is certain to be the leader still. */
+  isConfirmedLeader: () => boolean;
+  /** Called when capacity was freed or the worker became usable. */
+  onChange: () => void;
+  /** Called when the worker certainly has no runs any more. */
+  onLost: (worker: string, loss: WorkerLoss) => void;
+}
