Platform: records, heartbeats and rows of another writer name no usable worker

Cause: one unreadable record lost a whole page of the list of VMs, one unreadable row a whole listing.

Change: records and rows are read one by one. A record that names its VM makes it known and unusable (state unknown); while a record names none, no VM of a wave counts as gone. A row that cannot be read makes the listing incomplete: what it does not show is neither stopped nor dropped.

--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -51,6 +51,8 @@
 export interface Listing {
   running: ListedRun[];
   ended: ListedEnd[];
+  /** Rows that could not be read; undefined for none. If there are any, a run that is not listed may still run. */
+  unreadableRows?: number | undefined;
 }
 
 /** Result of comparing a listing with the orders. */
@@ -229,10 +231,14 @@
     const ended = new Set(
       listing.ended.map(({ task, run }) => `${task} ${run}`),
     );
+    const hasUnreadableRows = (listing.unreadableRows ?? 0) > 0;
     const dropped: RunKey[] = [];
     for (const [task, order] of this.#orders) {
       const isListed = running.get(task) === order.run.run ||
         ended.has(`${task} ${order.run.run}`);
+      if (!isListed && hasUnreadableRows) {
+        continue;
+      }
       if (this.#reconcileOrder(order, isListed, requestedAt, now)) {
         this.#remove(task);
         dropped.push(keyOf(order.run));
--- a/packages/daemon/src/scheduler/call_relay/call_relay.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_relay.ts
@@ -224,7 +224,7 @@
   if (answer.kind !== "listing") {
     return { ...answer, call };
   }
-  const { running, ended } = answer.listing;
+  const { running, ended, unreadableRows } = answer.listing;
   return {
     kind: "listing",
     call,
@@ -235,5 +235,6 @@
     ended: ended.map((
       { number, task, run, how, checkpoint },
     ) => [number, task, run, how, checkpoint]),
+    unreadableRows,
   };
 }
--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -411,6 +411,7 @@
           ended: outcome.ended.map((
             [number, task, run, how, checkpoint],
           ) => ({ number, task, run, how, checkpoint })),
+          unreadableRows: outcome.unreadableRows,
         },
       };
     case "other_worker":
--- a/packages/daemon/src/scheduler/call_relay/messages.ts
+++ b/packages/daemon/src/scheduler/call_relay/messages.ts
@@ -107,6 +107,7 @@
     clockMs: z.number(),
     running: z.array(RunningRow),
     ended: z.array(EndedRow),
+    unreadableRows: Count.optional(),
   }),
   Answer.extend({ kind: z.literal("other_worker") }),
   Answer.extend({ kind: z.literal("fenced") }),
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -209,6 +209,12 @@
   ): Promise<Result<unknown, Fault>> {
     const { consensus, log, onChange } = this.#parts;
     const { workers, plan } = consensus.state;
+    const hasPool = plan.pools.some(({ name }) => name === worker.pool);
+    if (plan.version > 0 && !hasPool) {
+      return Err(
+        fault("invalid", `Worker "${worker.id}" names no pool of the plan`),
+      );
+    }
     const known = workers.get(worker.id);
     const isLatest = this.#reportOrder.isLatest(
       worker.id,
@@ -221,12 +227,6 @@
     if (!isChange) {
       return Ok({});
     }
-    const hasPool = plan.pools.some(({ name }) => name === worker.pool);
-    if (plan.version > 0 && !hasPool) {
-      return Err(
-        fault("invalid", `Worker "${worker.id}" names no pool of the plan`),
-      );
-    }
     // Reports may arrive out of order, so a draining worker stays draining.
     const updated = known === undefined ? worker : {
       ...worker,
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -147,7 +147,7 @@
         vms.workerOn(vm) !== undefined;
       if (isKnown) {
         due.push(this.#dueVm(vm, busyPools, now));
-      } else if (vms.listedAt > seenAt) {
+      } else if (vms.listedAt > seenAt && vms.isMissing(vm)) {
         void this.#recordPhase(wave.id, vm, "gone", undefined);
       }
     }
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -86,12 +86,20 @@
 export interface ListedVm {
   vm: string;
   pool: string;
-  state: "up" | "moving" | "upkeep" | "down";
+  /** `unknown` if its record cannot be read; then only its name is known. */
+  state: "up" | "moving" | "upkeep" | "down" | "unknown";
   cores: number;
   /** Worker on the VM; empty if there is none, undefined if the platform does not say. */
   worker: string | undefined;
 }
 
+/** The platform's list of VMs. */
+export interface VmList {
+  vms: ListedVm[];
+  /** Records that do not name their VM; if there are any, a VM that is not listed may still exist. */
+  unnamedRecords: number;
+}
+
 /** An order that concerns one VM. The fencing token rises with each order, whichever the VM. */
 export interface VmOrder {
   vm: string;
@@ -116,7 +124,7 @@
 /** Client for the platform's VM API. Every call ends by its deadline. */
 export interface VmClient {
   /** All VMs, or undefined when the list could not be read in full. */
-  list(): Promise<ListedVm[] | undefined>;
+  list(): Promise<VmList | undefined>;
   move(order: VmOrder, pool: string): Promise<VmAnswer>;
   maintain(order: VmOrder, wave: number): Promise<VmAnswer>;
 }
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -66,6 +66,7 @@
   readonly #orders: VmOrders;
   #listed = new Map<string, ListedVm>();
   #listedAt = -Infinity;
+  #unnamedRecords = 0;
   #isRefreshing = false;
   readonly #absences = new Map<string, Absence>();
   readonly #backOffUntil = new Map<string, number>();
@@ -94,6 +95,12 @@
     return this.#listedAt !== -Infinity;
   }
 
+  /** Whether a VM is certainly not in the list as last read. */
+  isMissing(vm: string): boolean {
+    return this.isLoaded && this.#unnamedRecords === 0 &&
+      !this.#listed.has(vm);
+  }
+
   /** Number of moves that may still be carried out. */
   get pendingMoves(): number {
     return this.#orders.pendingMoves;
@@ -259,15 +266,16 @@
     const { client, clock, log, onChange } = this.#parts;
     this.#isRefreshing = true;
     const sentAt = clock.monotonic();
-    const vms = await client.list();
+    const list = await client.list();
     this.#isRefreshing = false;
-    if (vms === undefined) {
+    if (list === undefined) {
       log.warn("fleet.list_failed", {
         ageMs: Math.round(sentAt - this.#listedAt),
       });
       return;
     }
-    this.#listed = new Map(vms.map((vm) => [vm.vm, vm]));
+    this.#listed = new Map(list.vms.map((vm) => [vm.vm, vm]));
+    this.#unnamedRecords = list.unnamedRecords;
     this.#listedAt = sentAt;
     this.#removeEndedWorkers(sentAt);
     onChange();
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -288,6 +288,14 @@
       }
     }
     this.sendDue();
+    if ((listing.unreadableRows ?? 0) > 0) {
+      this.#parts.log.warn("listing.rows_unreadable", {
+        worker: id,
+        rows: listing.unreadableRows,
+      });
+      // An unreadable end stays listed, so that the worker answers the next renewal at once.
+      await wait(UNANSWERED_BACKOFF_MS);
+    }
   }
 
   #verify({ running }: Listing): void {
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -159,4 +159,13 @@
     );
     expect(found).toMatchObject({ draining: true, capacity: SHRUNK });
   });
+
+  // Guards against a worker that is changed by a report of another writer under its id.
+  it("change nothing if they name no pool of the plan", async () => {
+    const found = await workerAfter(
+      { reportNumber: 1 },
+      { reportNumber: 2, pool: "nowhere", draining: true, capacity: SHRUNK },
+    );
+    expect(found).toMatchObject({ draining: false, capacity: FULL });
+  });
 });
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -35,6 +35,8 @@
   answer: VmAnswer = "done";
   /** VMs that the platform lists. */
   listed = [VM];
+  /** Records of the list that name no VM. */
+  unnamedRecords = 0;
   /** Called while an order is in progress. */
   duringOrder: () => void = ignore;
 
@@ -69,15 +71,16 @@
       },
       client: {
         list: () =>
-          Promise.resolve(
-            this.listed.map((vm) => ({
+          Promise.resolve({
+            vms: this.listed.map((vm) => ({
               vm,
               pool: "intake",
               state: "up" as const,
               cores: 4,
               worker: undefined,
             })),
-          ),
+            unnamedRecords: this.unnamedRecords,
+          }),
         move: () => Promise.resolve("done" as VmAnswer),
         maintain: async ({ vm }: { vm: string }): Promise<VmAnswer> => {
           this.duringOrder();
@@ -240,6 +243,17 @@
     expect(fixture.wave?.done).toEqual([VM]);
   });
 
+  // Guards against maintenance that is taken for needless because the record of its VM cannot be read.
+  it("is not left out while a record of the list names no VM", async () => {
+    fixture.listed = [];
+    fixture.unnamedRecords = 1;
+    await fixture.reconcile();
+    await vi.advanceTimersByTimeAsync(2_000);
+    await fixture.reconcile();
+    await fixture.reconcile();
+    expect(fixture.wave?.done).toEqual([]);
+  });
+
   describe("that an earlier leader recorded, on a VM whose worker crashed since", () => {
     beforeEach(() => {
       fixture.recordBegun("w1");
--- a/packages/daemon/test/vm_directory_test.ts
+++ b/packages/daemon/test/vm_directory_test.ts
@@ -56,7 +56,8 @@
         return Promise.resolve();
       },
       client: {
-        list: () => Promise.resolve([this.#listedVm()]),
+        list: () =>
+          Promise.resolve({ vms: [this.#listedVm()], unnamedRecords: 0 }),
         move: (_order, to) => {
           this.#show(to, "moving", Date.now() + LIST_LAG_MS);
           this.#show(to, "up", Date.now() + MOVE_MS + LIST_LAG_MS);
