--- a/packages/core/src/scheduling/command.ts
+++ b/packages/core/src/scheduling/command.ts
@@ -38,6 +38,8 @@
   hasLeft: z.boolean(),
   /** Number of the report that this is from; later reports of a worker have higher numbers. Undefined if not numbered. */
   reportNumber: z.number().int().optional(),
+  /** When this life of the worker began, in Unix milliseconds; undefined where the platform does not say. */
+  bornAtMs: z.number().int().optional(),
 });
 export type Worker = z.infer<typeof Worker>;
 
@@ -119,6 +121,10 @@
     workers: z.array(z.string()),
     /** Whether they have ended permanently, so that reports of theirs that arrive later are stale. */
     haveEnded: z.boolean(),
+    /** Births of the lives that were lost, by worker; a worker with a later one is kept. */
+    births: z.record(z.string(), z.number().int()).optional(),
+    /** Runs that ended with the earlier life of a worker that restarted under its id, and is kept. */
+    runs: z.array(RunKey).optional(),
     /** Runs that may have crashed a worker; undefined if no worker crashed. */
     suspects: z.array(CrashSuspect).optional(),
     atMs: z.number(),
@@ -132,8 +138,9 @@
     wave: z.number().int(),
     vm: z.string(),
     phase: z.enum(["begun", "refused", "done", "gone"]),
-    /** Worker on the VM before its maintenance, if any. */
+    /** Worker on the VM before its maintenance, if any, and its birth. */
     worker: z.string().optional(),
+    bornAtMs: z.number().int().optional(),
   }),
 ]);
 export type JobStoreCommand = z.infer<typeof JobStoreCommand>;
--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -37,13 +37,19 @@
   taskName,
   type TaskPosition,
 } from "./task_name.ts";
+import { isLaterLife } from "./worker_life.ts";
 import { WorkerLoad } from "./worker_load.ts";
 
 /** A maintenance wave and its progress. */
 export interface WaveRecord {
   wave: MaintenanceWave;
   /** VMs whose maintenance was ordered and has not ended, each with the worker that ran on it. */
-  down: { vm: string; worker: string | undefined }[];
+  down: {
+    vm: string;
+    worker: string | undefined;
+    /** Birth of the worker, in Unix milliseconds. */
+    bornAtMs?: number | undefined;
+  }[];
   /** VMs whose maintenance has ended, or that left the fleet. */
   done: string[];
 }
@@ -54,7 +60,13 @@
   jobs: JobRecord[];
   workers: Worker[];
   waves: WaveRecord[];
-  endedWorkers: string[];
+  endedWorkers: (string | EndedLife)[];
+}
+
+/** A life of a worker that has ended; snapshots without births hold the id alone. */
+interface EndedLife {
+  id: string;
+  bornAtMs: number;
 }
 
 const DEFAULT_POLICY: JobPolicy = {
@@ -91,8 +103,8 @@
   readonly #loads = new Map<string, WorkerLoad>();
   /** Number of accepted jobs that have not started, without repeated ones, by queue. */
   readonly #unstarted = new Map<string, number>();
-  /** Workers that have ended permanently, oldest first. */
-  readonly #endedWorkers = new Set<string>();
+  /** Births of the workers that have ended permanently, oldest first; undefined where the platform does not say. */
+  readonly #endedWorkers = new Map<string, number | undefined>();
   /** Jobs that have ended, oldest first. */
   readonly #endedJobs = new Set<JobRecord>();
 
@@ -123,8 +135,13 @@
       case "lose":
         this.#recordCrash(command.suspects ?? [], command.atMs);
         command.workers.forEach((worker) =>
-          this.#removeWorker(worker, command.haveEnded)
+          this.#removeWorker(
+            worker,
+            command.haveEnded,
+            command.births?.[worker],
+          )
         );
+        command.runs?.forEach((run) => this.#releaseRun(run));
         return Ok(APPLIED);
       case "forget":
         this.#deleteEndedJobs(command.endedBeforeMs);
@@ -182,7 +199,9 @@
       jobs: [...this.jobs.values()],
       workers: [...this.workers.values()],
       waves: [...this.waves.values()],
-      endedWorkers: [...this.#endedWorkers],
+      endedWorkers: [...this.#endedWorkers].map(([id, bornAtMs]) =>
+        bornAtMs === undefined ? id : { id, bornAtMs }
+      ),
     };
     return JSON.stringify(snapshot);
   }
@@ -194,7 +213,11 @@
     store.plan = upgradePlan(snapshot.plan);
     snapshot.workers.forEach((worker) => store.workers.set(worker.id, worker));
     snapshot.waves.forEach((record) => store.waves.set(record.wave.id, record));
-    snapshot.endedWorkers.forEach((id) => store.#endedWorkers.add(id));
+    snapshot.endedWorkers.forEach((ended) =>
+      typeof ended === "string"
+        ? store.#endedWorkers.set(ended, undefined)
+        : store.#endedWorkers.set(ended.id, ended.bornAtMs)
+    );
     snapshot.jobs.forEach((job) => store.#restoreJob(job));
     return store;
   }
@@ -516,17 +539,33 @@
     }
   }
 
+  /** Adds or updates a worker. A life that has ended, or is earlier than the known one, is ignored. */
   #addWorker(worker: Worker): void {
-    if (!this.#endedWorkers.has(worker.id)) {
-      this.workers.set(worker.id, worker);
+    const { id, bornAtMs } = worker;
+    const known = this.workers.get(id)?.bornAtMs;
+    if (!this.#hasEnded(worker) && !isLaterLife(bornAtMs, known)) {
+      this.#endedWorkers.delete(id);
+      this.workers.set(id, { ...worker, bornAtMs: bornAtMs ?? known });
     }
   }
 
-  #removeWorker(id: string, hasEnded: boolean): void {
+  /** Whether this life of a worker has ended. A worker of which no birth was known may come back with one. */
+  #hasEnded({ id, bornAtMs }: Worker): boolean {
+    const endedBirth = this.#endedWorkers.get(id);
+    return this.#endedWorkers.has(id) &&
+      (bornAtMs === undefined ||
+        (endedBirth !== undefined && bornAtMs <= endedBirth));
+  }
+
+  #removeWorker(id: string, hasEnded: boolean, lostBirth?: number): void {
+    const birth = this.workers.get(id)?.bornAtMs;
+    if (isLaterLife(lostBirth, birth)) {
+      return;
+    }
     this.workers.delete(id);
     if (hasEnded) {
-      this.#endedWorkers.add(id);
-      const [oldest] = this.#endedWorkers;
+      this.#endedWorkers.set(id, birth ?? this.#endedWorkers.get(id));
+      const [oldest] = this.#endedWorkers.keys();
       if (this.#endedWorkers.size > MAX_ENDED_WORKERS && oldest !== undefined) {
         this.#endedWorkers.delete(oldest);
       }
@@ -584,7 +623,10 @@
   }
 
   #recordMaintenance(
-    { wave, vm, phase, worker }: Extract<JobStoreCommand, { kind: "upkeep" }>,
+    { wave, vm, phase, worker, bornAtMs }: Extract<
+      JobStoreCommand,
+      { kind: "upkeep" }
+    >,
   ): void {
     const record = this.waves.get(wave);
     if (record === undefined || record.done.includes(vm)) {
@@ -592,7 +634,7 @@
     }
     record.down = record.down.filter((other) => other.vm !== vm);
     if (phase === "begun") {
-      record.down.push({ vm, worker });
+      record.down.push({ vm, worker, bornAtMs });
     } else if (phase !== "refused") {
       record.done.push(vm);
     }
--- a/packages/core/src/scheduling/report_order.ts
+++ b/packages/core/src/scheduling/report_order.ts
@@ -3,19 +3,38 @@
  *
  * @module
  */
+import type { Worker } from "./command.ts";
 
 /** Maximum number of workers kept; those that reported longest ago are evicted first. */
 const MAX_WORKERS = 8_192;
 
+/** The latest report of a worker. Each life numbers its reports from 1. */
+interface LatestReport {
+  bornAtMs: number | undefined;
+  number: number;
+}
+
+type Report = Pick<Worker, "id" | "bornAtMs" | "reportNumber">;
+
 export class ReportOrder {
-  /** Highest number of a report, by worker. */
-  readonly #latest = new Map<string, number>();
+  readonly #latest = new Map<string, LatestReport>();
 
-  /** Records a report; returns whether no later one of its worker arrived before. `known` is a number seen elsewhere. */
-  isLatest(worker: string, reportNumber = 0, known = 0): boolean {
-    const latest = Math.max(known, this.#latest.get(worker) ?? 0);
-    this.#latest.delete(worker);
-    this.#latest.set(worker, Math.max(latest, reportNumber));
+  /**
+   * Records a report; returns whether no later one of this life of the worker arrived before. `known` is the worker as
+   * stored.
+   */
+  isLatest(
+    { id, bornAtMs, reportNumber = 0 }: Report,
+    known?: Report,
+  ): boolean {
+    const stored = known?.bornAtMs === bornAtMs ? known?.reportNumber ?? 0 : 0;
+    const seen = this.#latest.get(id);
+    const latest = Math.max(
+      stored,
+      seen?.bornAtMs === bornAtMs ? seen?.number ?? 0 : 0,
+    );
+    this.#latest.delete(id);
+    this.#latest.set(id, { bornAtMs, number: Math.max(latest, reportNumber) });
     const [oldest] = this.#latest.keys();
     if (this.#latest.size > MAX_WORKERS && oldest !== undefined) {
       this.#latest.delete(oldest);
--- a/packages/core/src/scheduling/worker_lease.ts
+++ b/packages/core/src/scheduling/worker_lease.ts
@@ -7,6 +7,8 @@
  * @module
  */
 
+import { LONGEST_ORDER_DELAY_MS } from "./unanswered_starts.ts";
+
 /** A reading of a worker's clock. */
 export interface ClockReading {
   /** Time on the worker's clock, in milliseconds. */
@@ -36,6 +38,14 @@
     Math.max(0, deadlineMs - workerMs) / SLOWEST_CLOCK_RATE;
 }
 
+/**
+ * Local monotonic time by which the lease of a worker that restarted has ended if it is not renewed. Its clock started
+ * anew, so the deadline of an order to its earlier life, carried out late, may grant the longest lease.
+ */
+export function restartedLeaseEndsBy(now: number, maxLeaseMs: number): number {
+  return now + LONGEST_ORDER_DELAY_MS + maxLeaseMs / SLOWEST_CLOCK_RATE;
+}
+
 /** Local monotonic time by which leases of an earlier leader have expired, whose leadership ended by a given time. */
 export function inheritedLeaseEndsBy(
   leadershipEndedAt: number,
--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -75,6 +75,8 @@
 interface Order {
   run: RunRecord;
   phase: Phase;
+  /** Time before which a listing does not prove that the run never starts. */
+  undecidedUntil: number;
 }
 
 /** Delays that govern the retry of orders, in milliseconds. */
@@ -107,10 +109,18 @@
       !order.phase.inDoubt;
   }
 
-  /** Adds a placed run to be started; `inDoubt` if an earlier leader may already have ordered its start. */
-  add(run: RunRecord, now: number, inDoubt = false): void {
+  /**
+   * Adds a placed run to be started; `inDoubt` if an earlier leader may already have ordered its start. The run is not
+   * dropped before `undecidedUntil`, while a start that was sent to an earlier life of the worker may be carried out.
+   */
+  add(
+    run: RunRecord,
+    now: number,
+    inDoubt = false,
+    undecidedUntil = -Infinity,
+  ): void {
     if (this.#orders.get(run.task)?.run.run !== run.run) {
-      this.#add(run, { kind: "start_due", at: now, inDoubt });
+      this.#add(run, { kind: "start_due", at: now, inDoubt }, undecidedUntil);
     }
   }
 
@@ -250,9 +260,9 @@
     return { dropped, strays };
   }
 
-  #add(run: RunRecord, phase: Phase): void {
+  #add(run: RunRecord, phase: Phase, undecidedUntil = -Infinity): void {
     this.#remove(run.task);
-    const order = { run, phase };
+    const order = { run, phase, undecidedUntil };
     this.#orders.set(run.task, order);
     this.#setPhase(order, phase);
   }
@@ -297,7 +307,8 @@
       this.#setPhase(order, { kind: "stop_due", at: now });
     }
     return phase.kind === "stopped" &&
-      requestedAt > phase.since + this.#delays.stopMs;
+      requestedAt > phase.since + this.#delays.stopMs &&
+      requestedAt > order.undecidedUntil;
   }
 }
 
--- a/packages/daemon/src/scheduler/call_relay/call_relay.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_relay.ts
@@ -236,5 +236,6 @@
       { number, task, run, how, checkpoint },
     ) => [number, task, run, how, checkpoint]),
     unreadableRows,
+    bornAtMs: answer.bornAtMs,
   };
 }
--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -404,6 +404,7 @@
       return {
         kind: "listing",
         clockMs: outcome.clockMs,
+        bornAtMs: outcome.bornAtMs,
         listing: {
           running: outcome.running.map((
             [task, run, checkpoint, percent, gauge],
--- a/packages/daemon/src/scheduler/call_relay/messages.ts
+++ b/packages/daemon/src/scheduler/call_relay/messages.ts
@@ -108,6 +108,7 @@
     running: z.array(RunningRow),
     ended: z.array(EndedRow),
     unreadableRows: Count.optional(),
+    bornAtMs: Count.optional(),
   }),
   Answer.extend({ kind: z.literal("other_worker") }),
   Answer.extend({ kind: z.literal("fenced") }),
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -15,6 +15,7 @@
   checkQueuePlan,
   findQueue,
   hasForwardDependency,
+  isLaterLife,
   isSameCapacity,
   type Queue,
   ReportOrder,
@@ -216,20 +217,23 @@
       );
     }
     const known = workers.get(worker.id);
-    const isLatest = this.#reportOrder.isLatest(
-      worker.id,
-      worker.reportNumber,
-      known?.reportNumber,
-    );
-    const isChange = known === undefined ||
+    if (isLaterLife(worker.bornAtMs, known?.bornAtMs)) {
+      // Delayed: the worker has restarted since.
+      return Ok({});
+    }
+    const hasRestarted = isLaterLife(known?.bornAtMs, worker.bornAtMs);
+    const isLatest = this.#reportOrder.isLatest(worker, known);
+    const isChange = known === undefined || hasRestarted ||
+      (known.bornAtMs === undefined && worker.bornAtMs !== undefined) ||
       (worker.draining && !known.draining) ||
       (isLatest && !isSameCapacity(worker.capacity, known.capacity));
     if (!isChange) {
       return Ok({});
     }
     // Reports may arrive out of order, so a draining worker stays draining.
-    const updated = known === undefined ? worker : {
+    const updated = known === undefined || hasRestarted ? worker : {
       ...worker,
+      bornAtMs: worker.bornAtMs ?? known.bornAtMs,
       capacity: isLatest ? worker.capacity : known.capacity,
       draining: worker.draining || known.draining,
       hasLeft: known.hasLeft,
@@ -245,6 +249,8 @@
       address: worker.address,
       draining: worker.draining,
       cpuMilli: updated.capacity.cpuMilli,
+      bornAtMs: updated.bornAtMs,
+      restarted: hasRestarted,
       outcome: joined.ok ? "recorded" : joined.val.kind,
     });
     onChange();
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -6,13 +6,16 @@
 import {
   ArrivalRates,
   CandidateWorker,
+  isLaterLife,
   type JobStore,
+  LONGEST_ORDER_DELAY_MS,
   poolDemands,
   type RunKey,
   runPlacementPass,
   type RunRecord,
   type StepPlacement,
   type SubmittedJob,
+  UnansweredStarts,
   type Worker,
   WorkerHealth,
   WorkEstimate,
@@ -26,14 +29,21 @@
 import type { LeadershipTermStatus } from "./status.ts";
 import { WorkerLosses } from "./worker_losses.ts";
 import type { WorkerLoss } from "./worker_loss.ts";
-import { WorkerSession } from "./worker_session.ts";
+import { type EarlierLife, WorkerSession } from "./worker_session.ts";
 import type { WorkerSessionParts } from "./worker_session_parts.ts";
 
 /** Dependencies of a leadership term. */
 export interface LeadershipTermParts extends
   Omit<
     WorkerSessionParts,
-    "onChange" | "onLost" | "estimate" | "health" | "permit" | "runEndBatcher"
+    | "onBirth"
+    | "onChange"
+    | "onLost"
+    | "estimate"
+    | "health"
+    | "permit"
+    | "runEndBatcher"
+    | "unansweredStarts"
   > {
   retentionMs: number;
   /** Undefined if the platform has no VM API. */
@@ -71,6 +81,9 @@
   readonly #health = new WorkerHealth();
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
+  readonly #unansweredStarts = new UnansweredStarts();
+  /** When the latest session with each worker ended, in monotonic milliseconds; kept while its orders may arrive. */
+  readonly #sessionEndedAt = new Map<string, number>();
   readonly #fleet: FleetController | undefined;
   readonly #permits: PermitCache | undefined;
   #passDue = false;
@@ -240,7 +253,9 @@
       const worker = workers.get(id);
       if (worker === undefined) {
         session.stop();
-        this.#sessions.delete(id);
+        this.#removeSession(id);
+      } else if (isLaterLife(session.worker.bornAtMs, worker.bornAtMs)) {
+        this.#replaceSession(session, worker);
       } else {
         session.worker = worker;
       }
@@ -255,7 +270,59 @@
     }
   }
 
-  #openSession(worker: Worker): void {
+  /** Opens a session with the next life of a worker. */
+  #replaceSession(session: WorkerSession, worker: Worker): void {
+    const { id, draining } = session.worker;
+    session.supersede();
+    this.#removeSession(id);
+    this.#health.remove(id);
+    this.#openSession(worker, {
+      evidenceOf: (run) => session.evidenceOf(run),
+      release: async (ended, repeated) => {
+        const isReleased = await this.#losses.release(
+          { worker: id, wasDraining: draining, ended, repeated },
+          session,
+        );
+        this.wake();
+        return isReleased;
+      },
+    });
+  }
+
+  #removeSession(id: string): void {
+    this.#sessions.delete(id);
+    this.#sessionEndedAt.set(id, this.#parts.clock.monotonic());
+  }
+
+  /** Stores the birth that a listing named: that of a worker of which none was known, or that of its next life. */
+  async #recordBirth(id: string, bornAtMs: number): Promise<void> {
+    const known = this.#jobStore.workers.get(id);
+    const isNews = known !== undefined && (known.bornAtMs === undefined ||
+      isLaterLife(known.bornAtMs, bornAtMs));
+    if (isNews) {
+      const isRestart = known.bornAtMs !== undefined;
+      const worker = isRestart
+        ? {
+          ...known,
+          bornAtMs,
+          draining: false,
+          hasLeft: false,
+          reportNumber: undefined,
+        }
+        : { ...known, bornAtMs };
+      this.#parts.log.info("worker.born", { worker: id, bornAtMs, isRestart });
+      const joined = await this.#parts.consensus.propose({
+        kind: "join",
+        workers: [worker],
+      });
+      if (!joined.ok && isRestart) {
+        this.#removeSession(id);
+      }
+    }
+    this.wake();
+  }
+
+  #openSession(worker: Worker, earlier?: EarlierLife): void {
     const session = new WorkerSession(worker, {
       ...this.#parts,
       runEndBatcher: this.#runEndBatcher,
@@ -263,9 +330,11 @@
       health: this.#health,
       permit: (step, id) =>
         this.#permits?.permit(step, id, this.#parts.clock.monotonic()),
+      unansweredStarts: this.#unansweredStarts,
+      onBirth: (id, bornAtMs) => void this.#recordBirth(id, bornAtMs),
       onChange: () => this.wake(),
       onLost: (id, loss) => void this.#removeWorker(id, loss),
-    });
+    }, { earlier, hasRestarted: this.#sessionEndedAt.has(worker.id) });
     this.#sessions.set(worker.id, session);
     void session.run();
   }
@@ -276,7 +345,7 @@
     }
     const session = this.#sessions.get(id);
     session?.stop();
-    this.#sessions.delete(id);
+    this.#removeSession(id);
     this.#health.remove(id);
     await this.#losses.remove(id, loss, session);
     this.wake();
@@ -339,11 +408,21 @@
     const { consensus, clock, retentionMs } = this.#parts;
     if (now - this.#prunedAt >= PRUNE_INTERVAL_MS) {
       this.#prunedAt = now;
+      this.#unansweredStarts.prune(now);
+      this.#forgetEndedSessions(now);
       const endedBeforeMs = clock.wall() - retentionMs;
       void consensus.propose({ kind: "forget", endedBeforeMs });
     }
   }
 
+  #forgetEndedSessions(now: number): void {
+    for (const [id, endedAt] of this.#sessionEndedAt) {
+      if (now - endedAt > LONGEST_ORDER_DELAY_MS) {
+        this.#sessionEndedAt.delete(id);
+      }
+    }
+  }
+
   /** Commits placements of waiting tasks, then orders their runs. */
   async #place(now: number): Promise<void> {
     if (this.#isPlacing || this.#jobStore.waiting.size === 0) {
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -5,6 +5,7 @@
  */
 import {
   type DueVm,
+  isLaterLife,
   type JobStore,
   planMaintenance,
   type RunRecord,
@@ -23,6 +24,12 @@
   session: (worker: string) => WorkerSession | undefined;
 }
 
+/** Id and birth of the worker on a VM, if there is one. */
+interface NamedLife {
+  id?: string | undefined;
+  bornAtMs?: number | undefined;
+}
+
 type MaintenancePhase = "begun" | "refused" | "done" | "gone";
 
 export class MaintenanceController {
@@ -91,7 +98,7 @@
   /** Records VMs that are back from maintenance, and repeats orders that an earlier leader may have sent. */
   #finishMaintenance({ wave, down }: WaveRecord, now: number): void {
     const { vms } = this.#parts;
-    for (const { vm, worker } of down) {
+    for (const { vm, worker, bornAtMs } of down) {
       if (this.#starting.has(vm)) {
         continue;
       }
@@ -101,8 +108,10 @@
         void this.#recordDone(wave.id, vm);
       } else if (!isConfirmed && vms.isEligible(vm, now)) {
         // Any other worker may have started after the maintenance; if it still answers later, it did.
-        const before = worker === undefined ? [] : [worker];
-        void this.#maintain(wave.id, vm, worker, before);
+        const current = this.#jobStore.workers.get(worker ?? "");
+        const hasRestarted = isLaterLife(bornAtMs, current?.bornAtMs);
+        const before = worker === undefined || hasRestarted ? [] : [worker];
+        void this.#maintain(wave.id, vm, { id: worker, bornAtMs }, before);
       }
     }
   }
@@ -112,12 +121,7 @@
     const key = maintenanceKey(wave, vm);
     if (!this.#recordingDone.has(key)) {
       this.#recordingDone.add(key);
-      await this.#recordPhase(
-        wave,
-        vm,
-        "done",
-        this.#parts.vms.workerOn(vm)?.id,
-      );
+      await this.#recordPhase(wave, vm, "done", this.#parts.vms.workerOn(vm));
       this.#recordingDone.delete(key);
     }
   }
@@ -148,7 +152,7 @@
       if (isKnown) {
         due.push(this.#dueVm(vm, busyPools, now));
       } else if (vms.listedAt > seenAt && vms.isMissing(vm)) {
-        void this.#recordPhase(wave.id, vm, "gone", undefined);
+        void this.#recordPhase(wave.id, vm, "gone");
       }
     }
     const plan = planMaintenance({
@@ -164,7 +168,7 @@
       }
     }
     for (const vm of plan.takeDown) {
-      void this.#maintain(wave.id, vm, vms.workerOn(vm)?.id);
+      void this.#maintain(wave.id, vm, vms.workerOn(vm));
     }
   }
 
@@ -198,7 +202,7 @@
   async #maintain(
     wave: number,
     vm: string,
-    worker: string | undefined,
+    worker: NamedLife | undefined,
     knownBefore?: readonly string[],
   ): Promise<void> {
     const { vms, clock } = this.#parts;
@@ -227,7 +231,7 @@
     if (isDone === true) {
       this.#confirmedDone.add(maintenanceKey(wave, vm));
     } else if (isDone === false && knownBefore === undefined) {
-      await this.#recordPhase(wave, vm, "refused", workers.at(-1));
+      await this.#recordPhase(wave, vm, "refused", { id: workers.at(-1) });
     }
     // The refusal of a repeated order says nothing about the first one, so the VM keeps counting as down.
   }
@@ -236,7 +240,7 @@
     wave: number,
     vm: string,
     phase: MaintenancePhase,
-    worker: string | undefined,
+    { id: worker, bornAtMs }: NamedLife = {},
   ): Promise<boolean> {
     const { consensus, log, onChange } = this.#parts;
     const recorded = await consensus.propose({
@@ -245,6 +249,7 @@
       vm,
       phase,
       worker,
+      bornAtMs,
     });
     log.info("upkeep.noted", { wave, vm, phase, worker, stored: recorded.ok });
     onChange();
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -7,12 +7,14 @@
   type Listing,
   PROBATION_MS,
   type Reconciliation,
+  type RunKey,
   type RunRecord,
   type StartAnswer,
   stepName,
   type Worker,
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
+import { wait } from "../waiting.ts";
 import type { RunEndRecorder } from "./run_end_recorder.ts";
 import type { RunProbation } from "./run_probation.ts";
 import type { WorkerSessionParts } from "./worker_session_parts.ts";
@@ -30,6 +32,7 @@
     | "log"
     | "metrics"
     | "permit"
+    | "unansweredStarts"
     | "isConfirmedLeader"
     | "onChange"
   > {
@@ -62,6 +65,7 @@
   readonly #orders: WorkerOrders;
   #pausedUntil = -Infinity;
   #stopped = false;
+  #isSuperseded = false;
 
   constructor(orders: WorkerOrders, parts: OrderSenderParts) {
     this.#orders = orders;
@@ -77,6 +81,28 @@
     this.#stopped = true;
   }
 
+  /** Stops sending, and ignores the answers to starts: they may be those of the worker's next life. */
+  supersede(): void {
+    this.#stopped = true;
+    this.#isSuperseded = true;
+  }
+
+  /** Stops runs that the worker does not hold, so that it never carries out a late start of theirs. */
+  forestall(runs: readonly RunKey[]): void {
+    runs.forEach((run) => void this.#forestall(run));
+  }
+
+  async #forestall({ task, run }: RunKey): Promise<void> {
+    const { log, worker, isConfirmedLeader } = this.#parts;
+    while (!this.#stopped) {
+      if (isConfirmedLeader() && await this.#stopRun(task, run)) {
+        log.info("run.forestalled", { task, run, worker: worker().id });
+        return;
+      }
+      await wait(UNANSWERED_BACKOFF_MS);
+    }
+  }
+
   /** Requests the stop of a run that is no longer wanted. */
   requestStop(run: RunRecord): void {
     this.#orders.requestStop(run, this.#parts.clock.monotonic());
@@ -124,6 +150,7 @@
   async #sendStart(run: RunRecord): Promise<void> {
     const { client, consensus, clock, term, metrics, runEndBatcher } =
       this.#parts;
+    const { unansweredStarts } = this.#parts;
     const jobStore = consensus.state;
     const job = jobStore.jobs.get(run.job);
     const task = jobStore.taskOf(run);
@@ -135,6 +162,7 @@
       this.#orders.requestStop(run, sentAt);
       return;
     }
+    unansweredStarts.recordSent(run, sentAt);
     const { answer, clockMs } = await client.start(this.#parts.worker(), {
       task: run.task,
       run: run.run,
@@ -144,9 +172,13 @@
       checkpoint: task.checkpoint,
       permit: this.#permitOf(run),
     });
+    if (this.#isSuperseded) {
+      return;
+    }
     const now = clock.monotonic();
     metrics.observe("quetzalcove_start_order_seconds", now - sentAt);
     if (answer !== "no_answer") {
+      unansweredStarts.recordAnswered(run, sentAt);
       this.#parts.onAnswer(clockMs, now);
     }
     if (answer === "started") {
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -55,7 +55,13 @@
 }
 
 export type RenewalAnswer =
-  | { kind: "listing"; listing: Listing; clockMs: number }
+  | {
+    kind: "listing";
+    listing: Listing;
+    clockMs: number;
+    /** Birth of the worker that answered, in Unix milliseconds; undefined where the platform does not say. */
+    bornAtMs?: number | undefined;
+  }
   /** Another worker now has the address. */
   | { kind: "other_worker" }
   | { kind: "fenced" }
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import type { JobStore, Worker } from "@quetzalcove/core/scheduling";
+import {
+  isLaterLife,
+  type JobStore,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../observe/log.ts";
 import type { JobConsensus } from "./job_state_machine.ts";
@@ -35,6 +39,8 @@
   cores: number;
   /** Workers that the order ended; the job store may still hold them for a moment. */
   workers: readonly string[];
+  /** Births of these workers when it was sent; one that restarted since is another one. */
+  births: ReadonlyMap<string, number | undefined>;
   /** Workers that reported while the order was in progress: ended by it, unless it had been carried out earlier. */
   unconfirmed: readonly string[];
   /** When the order was answered, in monotonic milliseconds. */
@@ -131,6 +137,10 @@
       .map(({ id }) => id);
   }
 
+  #birthOf(worker: string): number | undefined {
+    return this.#jobStore.workers.get(worker)?.bornAtMs;
+  }
+
   /** Whether an order for a VM may still be carried out. */
   hasPendingOrder(vm: string): boolean {
     return this.#orders.hasPendingOrder(vm);
@@ -214,23 +224,27 @@
     absence: Pick<Absence, "pool" | "cores" | "workers">,
   ): Promise<boolean | undefined> {
     const { clock, removeWorker } = this.#parts;
+    const births = new Map(
+      absence.workers.map((id) => [id, this.#birthOf(id)]),
+    );
     const answer = await this.#orders.order(vm, action);
     const now = clock.monotonic();
     if (answer === "done") {
-      const unconfirmed = this.workersOn(vm).filter((id) =>
-        !absence.workers.includes(id)
-      );
+      const hasEnded = (id: string): boolean =>
+        births.has(id) && !isLaterLife(births.get(id), this.#birthOf(id));
+      const unconfirmed = this.workersOn(vm).filter((id) => !hasEnded(id));
       // Only a VM that was in the standby pool before can be listed there before it is back.
       const isNewToStandby = action.kind === "move" &&
         this.isStandby(action.pool);
       const listedFrom = isNewToStandby ? now : now + MIN_ABSENCE_MS;
       this.#absences.set(vm, {
         ...absence,
+        births,
         unconfirmed,
         answeredAt: now,
         listedFrom,
       });
-      for (const worker of absence.workers) {
+      for (const worker of absence.workers.filter(hasEnded)) {
         await removeWorker(worker, {
           kind: "ordered",
           reason: `VM ${action.kind} order carried out`,
@@ -246,13 +260,14 @@
   #detectReturns(): void {
     const { hasAnsweredSince } = this.#parts;
     for (const [vm, absence] of this.#absences) {
-      const { answeredAt, listedFrom, workers, unconfirmed } = absence;
+      const { answeredAt, listedFrom, births, unconfirmed } = absence;
       const current = this.workerOn(vm);
       const listedVm = this.#listed.get(vm);
       const isBack = current === undefined
         ? this.#listedAt > listedFrom && listedVm?.state === "up" &&
           this.isStandby(listedVm.pool)
-        : !workers.includes(current.id) &&
+        : (!births.has(current.id) ||
+          isLaterLife(births.get(current.id), current.bornAtMs)) &&
           (!unconfirmed.includes(current.id) ||
             hasAnsweredSince(current.id, answeredAt));
       if (isBack) {
--- a/packages/daemon/src/scheduler/worker_contact.ts
+++ b/packages/daemon/src/scheduler/worker_contact.ts
@@ -3,17 +3,11 @@
  *
  * @module
  */
-import { WorkerLease } from "./worker_lease.ts";
-
-/** Durations that govern the contact with a worker, in milliseconds. */
-export interface ContactTimes {
-  leaseMs: number;
-  /** Silence after which a worker is not in contact. */
-  contactMs: number;
-}
+import type { WorkerLease } from "./worker_lease.ts";
 
 export class WorkerContact {
-  readonly #times: ContactTimes;
+  /** Silence after which the worker is not in contact, in milliseconds. */
+  readonly #contactMs: number;
   readonly #lease: WorkerLease;
   #lastAnswerAt = -Infinity;
   #firstAnswerAt = Infinity;
@@ -21,9 +15,9 @@
   #lastAnsweredSentAt = -Infinity;
   #silentSince: number | undefined;
 
-  constructor(times: ContactTimes, now: number) {
-    this.#times = times;
-    this.#lease = new WorkerLease(times.leaseMs, now);
+  constructor(contactMs: number, lease: WorkerLease) {
+    this.#contactMs = contactMs;
+    this.#lease = lease;
   }
 
   /** When a renewal was first unanswered since the worker's last answer; undefined if the last one was answered. */
@@ -42,13 +36,13 @@
 
   /** Whether the worker has answered within `contactMs`. */
   hasAnsweredRecently(now: number): boolean {
-    return now - this.#lastAnswerAt < this.#times.contactMs;
+    return now - this.#lastAnswerAt < this.#contactMs;
   }
 
   /** Whether the worker has not answered within `contactMs` and its lease has ended. */
   hasExpired(now: number): boolean {
     return now > this.#lease.endsBy &&
-      now - this.#lastAnswerAt > this.#times.contactMs;
+      now - this.#lastAnswerAt > this.#contactMs;
   }
 
   /** Whether the worker was in contact at some time before `since` and has not answered from then to `until`. */
--- a/packages/daemon/src/scheduler/worker_lease.ts
+++ b/packages/daemon/src/scheduler/worker_lease.ts
@@ -8,6 +8,7 @@
   inheritedLeaseEndsBy,
   leaseDeadline,
   leaseEndsBy,
+  restartedLeaseEndsBy,
 } from "@quetzalcove/core/scheduling";
 
 export class WorkerLease {
@@ -17,10 +18,24 @@
   #deadline: number | undefined;
   #endsBy: number;
 
-  /** Assumes that an earlier leader granted a lease just before `now`, when this leadership term began. */
-  constructor(leaseMs: number, now: number) {
+  /** `endsBy` is the time by which a lease has ended that was granted before. */
+  constructor(leaseMs: number, endsBy: number) {
     this.#leaseMs = leaseMs;
-    this.#endsBy = inheritedLeaseEndsBy(now, leaseMs);
+    this.#endsBy = endsBy;
+  }
+
+  /** Assumes that an earlier leader granted a lease just before `now`, when this leadership term began. */
+  static inherited(leaseMs: number, now: number): WorkerLease {
+    return new WorkerLease(leaseMs, inheritedLeaseEndsBy(now, leaseMs));
+  }
+
+  /** The lease of a worker that restarted at `now` or shortly before. */
+  static restarted(
+    leaseMs: number,
+    maxLeaseMs: number,
+    now: number,
+  ): WorkerLease {
+    return new WorkerLease(leaseMs, restartedLeaseEndsBy(now, maxLeaseMs));
   }
 
   /** Monotonic time of this node by which the lease has ended for certain, in milliseconds. */
--- a/packages/daemon/src/scheduler/worker_losses.ts
+++ b/packages/daemon/src/scheduler/worker_losses.ts
@@ -10,6 +10,7 @@
   type JobStore,
   type LostRun,
   parseTaskName,
+  type RunRecord,
 } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../observe/log.ts";
@@ -26,6 +27,17 @@
   metrics: Metrics;
 }
 
+/** An earlier life of a worker that restarted under its id. */
+export interface EndedLife {
+  worker: string;
+  /** Whether it had announced its end, so that no run crashed it. */
+  wasDraining: boolean;
+  /** Runs that ended with it. */
+  ended: readonly RunRecord[];
+  /** Runs that it may have started and that the next life may still start, so that they stay placed there. */
+  repeated: readonly RunRecord[];
+}
+
 export class WorkerLosses {
   readonly #parts: WorkerLossesParts;
   /** Workers whose removal is not committed yet; the job store still holds them. */
@@ -52,14 +64,14 @@
     const suspects = this.#suspectsOf(worker, loss, lostRuns, session);
     log.warn("worker.lost", { worker, kind, reason, runs: lostRuns.length });
     this.#logLostRuns(lostRuns, suspects);
-    const openSuspects = suspects.filter(({ task }) =>
-      this.#jobOf(task)?.outcome === "open"
-    );
+    const openSuspects = this.#openSuspects(suspects);
+    const bornAtMs = this.#jobStore.workers.get(worker)?.bornAtMs;
     this.#pending.add(worker);
     await consensus.propose({
       kind: "lose",
       workers: [worker],
       haveEnded: kind !== "unreachable",
+      births: bornAtMs === undefined ? {} : { [worker]: bornAtMs },
       suspects,
       atMs: clock.wall(),
     });
@@ -67,6 +79,39 @@
     this.#logCrashLoops(openSuspects);
   }
 
+  /** Releases the runs that ended with the earlier life of a worker; resolves with whether that is committed. */
+  async release(
+    { worker, wasDraining, ended, repeated }: EndedLife,
+    session: WorkerSession,
+  ): Promise<boolean> {
+    const { consensus, clock, metrics } = this.#parts;
+    metrics.count("quetzalcove_workers_restarted_total");
+    const lostRuns = ended.map((run) => this.#lostRun(run, session));
+    const repeatedRuns = repeated.map((run) => this.#lostRun(run, session));
+    const suspects = wasDraining
+      ? []
+      : crashSuspects([...lostRuns, ...repeatedRuns]);
+    this.#logLostRuns(lostRuns, suspects);
+    if (ended.length + suspects.length === 0) {
+      return true;
+    }
+    const openSuspects = this.#openSuspects(suspects);
+    const committed = await consensus.propose({
+      kind: "lose",
+      workers: [],
+      haveEnded: false,
+      runs: ended.map(({ task, run }) => ({ task, run, worker })),
+      suspects,
+      atMs: clock.wall(),
+    });
+    this.#logCrashLoops(openSuspects);
+    return committed.ok;
+  }
+
+  #openSuspects(suspects: readonly CrashSuspect[]): CrashSuspect[] {
+    return suspects.filter(({ task }) => this.#jobOf(task)?.outcome === "open");
+  }
+
   get #jobStore(): JobStore {
     return this.#parts.consensus.state;
   }
@@ -76,12 +121,18 @@
   }
 
   #lostRuns(worker: string, session: WorkerSession | undefined): LostRun[] {
-    return [...this.#jobStore.load(worker).runs.values()].map((run) => ({
+    return [...this.#jobStore.load(worker).runs.values()].map((run) =>
+      this.#lostRun(run, session)
+    );
+  }
+
+  #lostRun(run: RunRecord, session: WorkerSession | undefined): LostRun {
+    return {
       run,
       evidence: session?.evidenceOf(run) ??
         { start: "unanswered", survivedMs: 0 },
       wasSuspected: this.#jobStore.isSuspected(run),
-    }));
+    };
   }
 
   /** Runs that may have crashed a worker, which is only certain if the loss is of that kind. */
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -4,10 +4,13 @@
  * @module
  */
 import {
+  isLaterLife,
   type Listing,
+  LONGEST_ORDER_DELAY_MS,
   type RunEnd,
   type RunEvidence,
   type RunRecord,
+  sortEarlierRuns,
   type Worker,
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
@@ -19,9 +22,14 @@
 import { RunProbation } from "./run_probation.ts";
 import { StragglerDetector } from "./straggler_detector.ts";
 import { WorkerContact } from "./worker_contact.ts";
+import { WorkerLease } from "./worker_lease.ts";
 import { lossOfEnded, type WorkerLoss } from "./worker_loss.ts";
 import type { WorkerSessionParts } from "./worker_session_parts.ts";
 
+function hasUnreadableRows({ unreadableRows = 0 }: Listing): boolean {
+  return unreadableRows > 0;
+}
+
 /** Percentage at which a worker lists a long-running task once it is ready. */
 const READY_PERCENT = 100;
 
@@ -37,6 +45,20 @@
 /** Delay before a retry while leadership is not confirmed. */
 const UNCONFIRMED_DELAY_MS = 20;
 
+/** The earlier life of a worker that restarted under its id. */
+export interface EarlierLife {
+  /** What is known of the start of a run in that life, and of how long it ran. */
+  evidenceOf: (run: RunRecord) => RunEvidence;
+  /**
+   * Releases the runs that ended with it, and records those that may have crashed it, among them the runs that are
+   * started again; resolves with whether that is committed.
+   */
+  release: (
+    ended: readonly RunRecord[],
+    repeated: readonly RunRecord[],
+  ) => Promise<boolean>;
+}
+
 export class WorkerSession {
   worker: Worker;
   readonly #parts: WorkerSessionParts;
@@ -52,9 +74,20 @@
   /** Whether the worker has listed its runs in this leadership term. */
   #isVerified = false;
   #stopped = false;
+  #isSuperseded = false;
+  /** Undefined once a listing of this life has told which runs ended with the earlier one. */
+  #earlier: EarlierLife | undefined;
   #lastListing: Listing = { running: [], ended: [] };
 
-  constructor(worker: Worker, parts: WorkerSessionParts) {
+  /** `hasRestarted` if the worker had an earlier life in this term; `earlier` if that life may have had runs. */
+  constructor(
+    worker: Worker,
+    parts: WorkerSessionParts,
+    { hasRestarted = false, earlier }: {
+      hasRestarted?: boolean;
+      earlier?: EarlierLife | undefined;
+    } = {},
+  ) {
     const { settings, clock, consensus } = parts;
     const now = clock.monotonic();
     this.worker = worker;
@@ -65,7 +98,14 @@
     });
     this.#pacer = new Pacer(parts);
     this.#stragglers = new StragglerDetector(parts.estimate);
-    this.#contact = new WorkerContact(settings, now);
+    this.#earlier = earlier;
+    const { leaseMs, maxLeaseMs, contactMs } = settings;
+    this.#contact = new WorkerContact(
+      contactMs,
+      hasRestarted
+        ? WorkerLease.restarted(leaseMs, maxLeaseMs, now)
+        : WorkerLease.inherited(leaseMs, now),
+    );
     this.#recorder = new RunEndRecorder(worker.id, parts);
     this.#probation = new RunProbation({
       ...parts,
@@ -82,8 +122,20 @@
       onReplaced: () => this.#reportReplaced(),
       checkProbation: () => void this.#checkProbation(),
     });
-    for (const run of consensus.state.load(worker.id).runs.values()) {
-      this.#orders.add(run, now, true);
+    if (earlier === undefined) {
+      const runs = consensus.state.load(worker.id).runs.values();
+      this.#adopt([...runs], now);
+    }
+  }
+
+  /** Takes over runs whose start an earlier leader or life may have received. */
+  #adopt(
+    runs: readonly RunRecord[],
+    now: number,
+    undecidedUntil = -Infinity,
+  ): void {
+    for (const run of runs) {
+      this.#orders.add(run, now, true, undecidedUntil);
       this.#probation.add(run);
     }
   }
@@ -124,7 +176,7 @@
 
   /** What is known of the start of a run and of how long it ran. */
   evidenceOf(run: RunRecord): RunEvidence {
-    return this.#probation.evidenceOf(run);
+    return this.#earlier?.evidenceOf(run) ?? this.#probation.evidenceOf(run);
   }
 
   /** Job that has runs on probation here, so that the worker must get no run of another one. */
@@ -155,6 +207,13 @@
     this.#parts.client.disconnect(this.worker);
   }
 
+  /** Ends the session since its worker restarted: answers that arrive later may be those of another life. */
+  supersede(): void {
+    this.#isSuperseded = true;
+    this.#sender.supersede();
+    this.stop();
+  }
+
   /** Orders runs whose placement is committed. */
   start(runs: readonly RunRecord[]): void {
     const now = this.#parts.clock.monotonic();
@@ -185,7 +244,14 @@
       mayWait ? this.#renewalWaitMs() : 0,
       wasSilent ? settings.callTimeoutMs : PROMPT_ANSWER_MS,
     );
+    if (this.#isSuperseded) {
+      return;
+    }
     const now = clock.monotonic();
+    if (answer.kind === "listing" && this.#isOtherLife(answer.bornAtMs)) {
+      await wait(UNCONFIRMED_DELAY_MS);
+      return;
+    }
     this.#recordRenewal(answer, now);
     switch (answer.kind) {
       case "listing":
@@ -209,6 +275,25 @@
     }
   }
 
+  /**
+   * Whether an answer is that of another life of the worker. A later one ends the session; the answer of an earlier one
+   * is stale.
+   */
+  #isOtherLife(bornAtMs: number | undefined): boolean {
+    const known = this.worker.bornAtMs;
+    if (bornAtMs === undefined || bornAtMs === known) {
+      return false;
+    }
+    const isLater = isLaterLife(known, bornAtMs);
+    if (isLater) {
+      this.supersede();
+    }
+    if (isLater || known === undefined) {
+      this.#parts.onBirth(this.worker.id, bornAtMs);
+    }
+    return known !== undefined;
+  }
+
   /** Renews the lease; `waitMs` is how long the worker may wait for an end, `timeoutMs` the deadline beyond that. */
   #callRenewal(
     now: number,
@@ -263,6 +348,11 @@
     const { consensus, runEndBatcher } = this.#parts;
     const jobStore = consensus.state;
     const { id } = this.worker;
+    if (this.#earlier !== undefined && hasUnreadableRows(listing)) {
+      await this.#backOffUnreadable(listing);
+      return;
+    }
+    this.#settleEarlierLife(listing, now);
     this.#lastListing = listing;
     this.#orders.retain((run) => jobStore.findRun(run) !== undefined);
     this.#probation.retain((task, run) =>
@@ -288,16 +378,54 @@
       }
     }
     this.sendDue();
-    if ((listing.unreadableRows ?? 0) > 0) {
-      this.#parts.log.warn("listing.rows_unreadable", {
-        worker: id,
-        rows: listing.unreadableRows,
-      });
-      // An unreadable end stays listed, so that the worker answers the next renewal at once.
-      await wait(UNANSWERED_BACKOFF_MS);
+    if (hasUnreadableRows(listing)) {
+      await this.#backOffUnreadable(listing);
     }
   }
 
+  /** Waits after a listing with unreadable rows: an unreadable end stays listed, so the next renewal does not wait. */
+  async #backOffUnreadable({ unreadableRows }: Listing): Promise<void> {
+    const worker = this.worker.id;
+    const event = { worker, rows: unreadableRows };
+    this.#parts.log.warn("listing.rows_unreadable", event);
+    await wait(UNANSWERED_BACKOFF_MS);
+  }
+
+  /** Decides by the first listing of this life what becomes of the runs of the earlier one. */
+  #settleEarlierLife(listing: Listing, now: number): void {
+    const earlier = this.#earlier;
+    if (earlier === undefined) {
+      return;
+    }
+    const { consensus, unansweredStarts, log } = this.#parts;
+    const { id } = this.worker;
+    const isUnsent = (run: RunRecord): boolean =>
+      earlier.evidenceOf(run).start === "unsent";
+    const { unsent, kept, repeated, ended, forestalled } = sortEarlierRuns(
+      [...consensus.state.load(id).runs.values()],
+      listing,
+      { isUnsent, mayArrive: unansweredStarts.mayArrive(id, now) },
+    );
+    this.#earlier = undefined;
+    this.start(unsent);
+    this.#adopt(kept, now);
+    this.#adopt(repeated, now, now + LONGEST_ORDER_DELAY_MS);
+    this.#sender.forestall(forestalled);
+    log.warn("worker.restarted", {
+      worker: id,
+      kept: unsent.length + kept.length,
+      repeated: repeated.length,
+      ended: ended.length,
+      forestalled: forestalled.length,
+    });
+    void earlier.release(ended, repeated).then((isReleased) => {
+      if (!isReleased) {
+        // They stay placed here, so they are started again under their numbers.
+        this.#adopt(ended, this.#parts.clock.monotonic());
+      }
+    });
+  }
+
   #verify({ running }: Listing): void {
     if (!this.#isVerified) {
       this.#isVerified = true;
@@ -342,7 +470,9 @@
       0,
       PROMPT_ANSWER_MS,
     );
-    if (answer.kind === "listing") {
+    const isCurrent = answer.kind === "listing" && !this.#isSuperseded &&
+      !this.#isOtherLife(answer.bornAtMs);
+    if (isCurrent) {
       this.#probation.recordListing(answer.listing.running, answer.clockMs);
     }
   }
--- a/packages/daemon/src/scheduler/worker_session_parts.ts
+++ b/packages/daemon/src/scheduler/worker_session_parts.ts
@@ -5,6 +5,7 @@
  */
 import type {
   SchedulerSettings,
+  UnansweredStarts,
   WorkerHealth,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -35,6 +36,10 @@
   isConfirmedLeader: () => boolean;
   /** Called when capacity was freed or the worker became usable. */
   onChange: () => void;
+  /** Starts of this leadership term that got no answer, of all workers and their lives. */
+  unansweredStarts: UnansweredStarts;
+  /** Called when a listing names the birth of a worker that had none, or that of a later life. */
+  onBirth: (worker: string, bornAtMs: number) => void;
   /** Called when the worker certainly has no runs any more. */
   onLost: (worker: string, loss: WorkerLoss) => void;
 }
--- a/packages/daemon/test/call_relay_test.ts
+++ b/packages/daemon/test/call_relay_test.ts
@@ -56,6 +56,7 @@
     return Promise.resolve({
       kind: "listing",
       clockMs: 8,
+      bornAtMs: 1_764_860_000_000,
       listing: {
         running: [
           { task: "job.0.0.0", run: 1, checkpoint: "c", percent: 9, gauge: 10 },
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -168,4 +168,21 @@
     );
     expect(found).toMatchObject({ draining: false, capacity: FULL });
   });
+
+  // Guards against a delayed report of an earlier life that undoes the worker's restart, and against first reports of the
+  // new one that are taken for late because they are numbered from 1 again.
+  it("count for the life that they name", async () => {
+    const found = await workerAfter(
+      { bornAtMs: 5, reportNumber: 400, draining: true, hasLeft: true },
+      { bornAtMs: 9, reportNumber: 1, capacity: SHRUNK },
+      { bornAtMs: 5, reportNumber: 401, draining: true },
+      { bornAtMs: 9, reportNumber: 2, capacity: FULL },
+    );
+    expect(found).toMatchObject({
+      bornAtMs: 9,
+      draining: false,
+      hasLeft: false,
+      capacity: FULL,
+    });
+  });
 });
--- a/packages/daemon/test/simulated_fleet.ts
+++ b/packages/daemon/test/simulated_fleet.ts
@@ -29,17 +29,28 @@
   downMs: number;
   /** Whether a task crashes the worker that starts it. */
   crashes: (task: string) => boolean;
+  /** Whether workers restart under their ids, and whether a report tells so; new incarnations by default. */
+  restarts?: "reported" | "unreported";
 }
 
 /** One-way delay of a call. */
 const DELAY_MS = 2;
 
+/** Clock of a worker when it starts, in milliseconds. */
+const FIRST_CLOCK_MS = 1_000;
+
 class SimulatedWorker {
   isUp = true;
+  readonly bornAtMs = Date.now();
   readonly running = new Map<string, ListedRun>();
   readonly ended: ListedEnd[] = [];
   endCount = 0;
 
+  /** Its clock, which starts anew with each life. */
+  get clockMs(): number {
+    return Date.now() - this.bornAtMs + FIRST_CLOCK_MS;
+  }
+
   end(task: string, run: number, how: ListedEnd["how"]): void {
     if (this.isUp && this.running.get(task)?.run === run) {
       this.running.delete(task);
@@ -102,7 +113,7 @@
     } else {
       setTimeout(() => worker.end(task, run, "done"), taskMs);
     }
-    const clockMs = Date.now();
+    const { clockMs } = worker;
     await delay(DELAY_MS);
     return { answer: "started", clockMs };
   }
@@ -117,7 +128,7 @@
       return { answer: false, clockMs: undefined };
     }
     worker.end(task, run, "stopped");
-    return { answer: true, clockMs: Date.now() };
+    return { answer: true, clockMs: worker.clockMs };
   }
 
   pace(): ReturnType<WorkerClient["pace"]> {
@@ -144,7 +155,8 @@
         return {
           kind: "listing",
           listing: { running, ended },
-          clockMs: Date.now(),
+          clockMs: worker.clockMs,
+          bornAtMs: this.#behaviour.restarts && worker.bornAtMs,
         };
       }
     } while (true);
@@ -161,9 +173,14 @@
     }
     worker.isUp = false;
     setTimeout(() => {
-      const next = { ...record, id: `${id}+` };
+      const { restarts } = this.#behaviour;
+      const next = restarts === undefined
+        ? { ...record, id: `${id}+` }
+        : { ...record, bornAtMs: Date.now() };
       this.#boot(next);
-      this.#jobStore.apply({ kind: "join", workers: [next] });
+      if (restarts !== "unreported") {
+        this.#jobStore.apply({ kind: "join", workers: [next] });
+      }
     }, this.#behaviour.downMs);
   }
 
--- a/packages/daemon/test/vm_directory_test.ts
+++ b/packages/daemon/test/vm_directory_test.ts
@@ -157,6 +157,29 @@
   });
 });
 
+describe("a VM whose worker comes back under its id", () => {
+  // Guards against a VM that counts as away for ever since its worker kept its id.
+  it("is back, and the new life is not removed with the earlier one", async () => {
+    vi.useFakeTimers({ now: 0 });
+    const fixture = new Fixture("intake");
+    const join = (bornAtMs: number): void => {
+      const workers = [worker("w1", { vm: VM, bornAtMs })];
+      fixture.jobStore.apply({ kind: "join", workers });
+    };
+    join(5);
+    const workers = fixture.directory.workersOn(VM);
+    const action = { kind: "upkeep", wave: 1 } as const;
+    const absence = { pool: "intake", cores: 4, workers };
+    await fixture.directory.order(VM, action, absence);
+    expect(fixture.directory.isAbsent(VM)).toBe(true);
+    join(6);
+    await fixture.refreshFor(200);
+    expect(fixture.directory.isAbsent(VM)).toBe(false);
+    expect(fixture.jobStore.workers.has("w1")).toBe(true);
+    vi.useRealTimers();
+  });
+});
+
 describe("a worker that does not answer any more", () => {
   beforeEach(() => {
     vi.useFakeTimers({ now: 0 });
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -2,6 +2,7 @@
 import {
   type JobStore,
   type ListedEnd,
+  UnansweredStarts,
   WorkerHealth,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -38,6 +39,8 @@
   isSilent = false;
   /** Whether the answer to the next renewal is lost. */
   losesNextAnswer = false;
+  /** Time that the answers to starts take. */
+  startAnswerMs = 1;
   readonly renewals: WorkerRenewal[] = [];
   readonly starts: StartOrder[] = [];
   readonly stops: string[] = [];
@@ -50,6 +53,7 @@
       { answer: "started", clockMs: undefined },
       { answer: "no_answer", clockMs: undefined },
       CALL_TIMEOUT_MS,
+      this.startAnswerMs,
     );
   }
 
@@ -122,6 +126,7 @@
   session: WorkerSession;
   client: ScriptedWorker;
   jobStore: JobStore;
+  unansweredStarts: UnansweredStarts;
   lostAt: () => number | undefined;
 }
 
@@ -130,6 +135,7 @@
   submit(jobStore, "j", spec(step({ lasting: true })));
   place(jobStore, run("j.0.0.0", 1, "w1"));
   const client = new ScriptedWorker();
+  const unansweredStarts = new UnansweredStarts();
   let lostAt: number | undefined;
   const consensus = consensusOf(jobStore);
   const session = new WorkerSession(worker("w1"), {
@@ -149,11 +155,13 @@
     health: new WorkerHealth(),
     permit: () => undefined,
     isConfirmedLeader: () => true,
+    unansweredStarts,
+    onBirth: () => {},
     onChange: () => {},
     onLost: () => lostAt = Date.now(),
   });
   void session.run();
-  return { session, client, jobStore, lostAt: () => lostAt };
+  return { session, client, jobStore, unansweredStarts, lostAt: () => lostAt };
 }
 
 describe("a session with a worker", () => {
@@ -303,6 +311,23 @@
     ]);
   });
 
+  // Guards against a start that the next life of a worker answered, and that is taken for one of the earlier life.
+  it("ignores the answer to a start once its worker is known to have restarted", async () => {
+    const { client, session, jobStore, unansweredStarts } = fixture;
+    await vi.advanceTimersByTimeAsync(500);
+    expect(unansweredStarts.mayArrive("w1", Date.now())).toEqual([]);
+    client.startAnswerMs = 200;
+    submit(jobStore, "k", spec(step()));
+    const key = run("k.0.0.0", 1, "w1");
+    place(jobStore, key);
+    const placed = jobStore.findRun(key);
+    session.start(placed === undefined ? [] : [placed]);
+    await vi.advanceTimersByTimeAsync(100);
+    session.supersede();
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(unansweredStarts.mayArrive("w1", Date.now())).toEqual([key]);
+  });
+
   it("counts a long-running task as ready only while its worker answers", async () => {
     const { client, session, jobStore } = fixture;
     await vi.advanceTimersByTimeAsync(500);
