Scheduler: less waiting for orders that get no answer

Cause: a worker that answers renewals and leaves orders unanswered went on getting runs. A repeated order waited 250 ms after its deadline had passed. A run that was stopped was given back only after a renewal that waits up to 500 ms, or 1.5 s, for ends. Starts that were never sent were stopped, and waited for a listing.

Change: a worker with an unanswered order gets no new runs until it answers one or lists the run. Starts that were not sent to it, or to one that leaves, are given back at once. An order is repeated at once if its deadline took longer than the back-off, which now counts from the sending. While it is not known of some run whether it runs, renewals wait at most 100 ms.

Two tests of the back-off in scheduling_orders_test.ts held its old beginning; they now hold that it counts from the sending.

--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -66,10 +66,10 @@
 /** `inDoubt`: an earlier start of this run got no answer and may still be executed. */
 type Phase =
   | { kind: "start_due"; at: number; inDoubt: boolean }
-  | { kind: "starting"; inDoubt: boolean }
+  | { kind: "starting"; inDoubt: boolean; sentAt: number }
   | { kind: "running"; since: number }
   | { kind: "stop_due"; at: number }
-  | { kind: "stopping" }
+  | { kind: "stopping"; sentAt: number }
   | { kind: "stopped"; since: number };
 
 interface Order {
@@ -81,7 +81,7 @@
 
 /** Delays that govern the retry of orders, in milliseconds. */
 export interface RetryDelays {
-  /** Delay after an order without an answer; about two round trips on a slow link. */
+  /** Shortest interval of an order that gets no answer; about two round trips on a slow link. */
   unansweredMs: number;
   /** Longest time that a worker takes to stop a run; from the platform. */
   stopMs: number;
@@ -92,6 +92,10 @@
   readonly #orders = new Map<string, Order>();
   /** Orders that are to be sent, now or later: those whose phase is `start_due` or `stop_due`. */
   readonly #unsent = new Set<Order>();
+  /** Orders whose latest sending got no answer, and of which no listing has told since that they were carried out. */
+  readonly #unanswered = new Set<Order>();
+  /** Orders of which it is not known whether their run runs: starts in doubt, and stops. */
+  readonly #undecided = new Set<Order>();
 
   constructor(delays: RetryDelays) {
     this.#delays = delays;
@@ -102,6 +106,16 @@
     return this.#unsent.size > 0;
   }
 
+  /** Whether the worker leaves orders unanswered; it may carry them out much later. */
+  get hasUnanswered(): boolean {
+    return this.#unanswered.size > 0;
+  }
+
+  /** Whether a listing is awaited to tell of some run whether it runs. */
+  get hasUndecided(): boolean {
+    return this.#undecided.size > 0;
+  }
+
   /** Whether the start of a run was certainly not sent. */
   isUnsent({ task, run }: RunRecord): boolean {
     const order = this.#orders.get(task);
@@ -143,7 +157,7 @@
     }
   }
 
-  /** Replaces starts that wait for their first or next attempt by stops, for a worker that gets no more work. */
+  /** Replaces starts that wait for their next attempt by stops, for a worker that gets no more work. */
   stopPendingStarts(now: number): void {
     for (const order of this.#unsent) {
       if (order.phase.kind === "start_due") {
@@ -152,13 +166,23 @@
     }
   }
 
+  /** Removes the starts that were certainly not sent, and returns their runs, which never start. */
+  takeUnsent(): RunKey[] {
+    const unsent = [...this.#unsent].filter(({ phase }) =>
+      phase.kind === "start_due" && !phase.inDoubt
+    );
+    unsent.forEach(({ run }) => this.#remove(run.task));
+    return unsent.map(({ run }) => keyOf(run));
+  }
+
   /** Returns the runs whose start is due and marks them as being started. */
   takeStarts(now: number): RunRecord[] {
     const due: RunRecord[] = [];
     for (const order of this.#unsent) {
       const { phase } = order;
       if (phase.kind === "start_due" && phase.at <= now) {
-        this.#setPhase(order, { kind: "starting", inDoubt: phase.inDoubt });
+        const { inDoubt } = phase;
+        this.#setPhase(order, { kind: "starting", inDoubt, sentAt: now });
         due.push(order.run);
       }
     }
@@ -170,7 +194,7 @@
     const due: RunRecord[] = [];
     for (const order of this.#unsent) {
       if (order.phase.kind === "stop_due" && order.phase.at <= now) {
-        this.#setPhase(order, { kind: "stopping" });
+        this.#setPhase(order, { kind: "stopping", sentAt: now });
         due.push(order.run);
       }
     }
@@ -187,17 +211,24 @@
     if (order?.run.run !== run.run || order.phase.kind !== "starting") {
       return undefined;
     }
-    const { inDoubt } = order.phase;
+    const { inDoubt, sentAt } = order.phase;
+    this.#setAnswered(order, answer !== "no_answer");
     switch (answer) {
       case "started":
         this.#setPhase(order, { kind: "running", since: now });
         return undefined;
       case "no_answer":
+        this.#setPhase(order, {
+          kind: "start_due",
+          at: this.#repeatAt(sentAt, now),
+          inDoubt: true,
+        });
+        return undefined;
       case "expired":
         this.#setPhase(order, {
           kind: "start_due",
           at: now + this.#delays.unansweredMs,
-          inDoubt: inDoubt || answer === "no_answer",
+          inDoubt,
         });
         return undefined;
       case "superseded":
@@ -223,14 +254,29 @@
     if (order?.run.run !== run.run || order.phase.kind !== "stopping") {
       return;
     }
+    const { sentAt } = order.phase;
+    this.#setAnswered(order, isAnswered);
     this.#setPhase(
       order,
       isAnswered
         ? { kind: "stopped", since: now }
-        : { kind: "stop_due", at: now + this.#delays.unansweredMs },
+        : { kind: "stop_due", at: this.#repeatAt(sentAt, now) },
     );
   }
 
+  /** When an order that was sent at a time and got no answer is repeated: at once if its deadline took long enough. */
+  #repeatAt(sentAt: number, now: number): number {
+    return Math.max(now, sentAt + this.#delays.unansweredMs);
+  }
+
+  #setAnswered(order: Order, isAnswered: boolean): void {
+    if (isAnswered) {
+      this.#unanswered.delete(order);
+    } else {
+      this.#unanswered.add(order);
+    }
+  }
+
   /** Reconciles the orders with a listing that was requested at `requestedAt`. */
   reconcile(
     listing: Listing,
@@ -272,6 +318,8 @@
     if (order !== undefined) {
       this.#orders.delete(task);
       this.#unsent.delete(order);
+      this.#unanswered.delete(order);
+      this.#undecided.delete(order);
     }
   }
 
@@ -282,6 +330,11 @@
     } else {
       this.#unsent.delete(order);
     }
+    if (isUndecidedPhase(phase)) {
+      this.#undecided.add(order);
+    } else {
+      this.#undecided.delete(order);
+    }
   }
 
   /** Updates one order; returns whether its run is known never to start any more. */
@@ -294,6 +347,7 @@
     const { phase } = order;
     if (isListed) {
       if (phase.kind === "start_due") {
+        this.#unanswered.delete(order);
         this.#setPhase(order, { kind: "running", since: now });
       } else if (
         phase.kind === "stopped" &&
@@ -312,6 +366,18 @@
   }
 }
 
+function isUndecidedPhase(phase: Phase): boolean {
+  switch (phase.kind) {
+    case "start_due":
+    case "starting":
+      return phase.inDoubt;
+    case "running":
+      return false;
+    default:
+      return true;
+  }
+}
+
 function isActivePhase({ kind }: Phase): boolean {
   return kind === "start_due" || kind === "starting" || kind === "running";
 }
--- a/packages/core/test/scheduling_orders_test.ts
+++ b/packages/core/test/scheduling_orders_test.ts
@@ -79,12 +79,44 @@
     expect(unsent).toEqual([false, true, false, true, false, true, false]);
   });
 
-  it("is retried under the same run number when it gets no answer", () => {
+  it("is retried under the same run number when it gets no answer, at once if that took a while", () => {
     const { orders, run } = unanswered();
-    expect(orders.takeStarts(1_100)).toEqual([]);
+    expect(orders.takeStarts(999)).toEqual([]);
+    expect(orders.takeStarts(1_000)).toEqual([run]);
+    // A refused connection, which is no reason to try again and again.
+    orders.recordStartAnswer(run, "no_answer", 1_005);
+    expect(orders.takeStarts(1_249)).toEqual([]);
     expect(orders.takeStarts(1_250)).toEqual([run]);
   });
 
+  // Guards against more runs on a worker that answers renewals and leaves orders unanswered.
+  it("counts as unanswered until the worker answers one, or lists its run", () => {
+    const { orders, run } = unanswered();
+    const states = [orders.hasUnanswered];
+    orders.takeStarts(1_000);
+    states.push(orders.hasUnanswered);
+    orders.reconcile(listing(), 1_100, 1_110);
+    states.push(orders.hasUnanswered);
+    orders.recordStartAnswer(run, "started", 1_200);
+    states.push(orders.hasUnanswered);
+    expect(states).toEqual([true, true, true, false]);
+    const listed = unanswered().orders;
+    listed.reconcile(listing([1]), 1_100, 1_110);
+    expect(listed.hasUnanswered).toBe(false);
+  });
+
+  it("that was not sent can be taken back, and one in doubt cannot", () => {
+    const { orders } = unanswered();
+    const other = { ...record(), task: "j.0.0.1" };
+    orders.add(other, 1_000);
+    orders.add({ ...record(), task: "j.0.0.2" }, 1_000, true);
+    expect(orders.takeUnsent()).toEqual([
+      { task: "j.0.0.1", run: 1, worker: "w1" },
+    ]);
+    expect(orders.takeStarts(2_000).map(({ task }) => task))
+      .toEqual(["j.0.0.0", "j.0.0.2"]);
+  });
+
   it("is dropped at once when refused for lack of resources", () => {
     const orders = new WorkerOrders(DELAYS);
     const run = record();
@@ -130,6 +162,9 @@
     orders.requestStop(run, 0);
     expect(orders.takeStops(0)).toEqual([run]);
     orders.recordStopAnswer(run, false, 1_000);
+    expect(orders.takeStops(999)).toEqual([]);
+    expect(orders.takeStops(1_000)).toEqual([run]);
+    orders.recordStopAnswer(run, false, 1_005);
     expect(orders.takeStops(1_249)).toEqual([]);
     expect(orders.takeStops(1_250)).toEqual([run]);
   });
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -72,9 +72,9 @@
     this.#parts = parts;
   }
 
-  /** Whether the worker refused an order just now and gets no new runs for a while. */
+  /** Whether the worker leaves orders unanswered, or refused one just now, and gets no new runs for a while. */
   isPaused(now: number): boolean {
-    return now < this.#pausedUntil;
+    return now < this.#pausedUntil || this.#orders.hasUnanswered;
   }
 
   stop(): void {
@@ -115,7 +115,11 @@
       return;
     }
     const now = clock.monotonic();
-    if (worker().draining || this.#isOvercommitted()) {
+    const isClosed = worker().draining || this.#isOvercommitted();
+    if (isClosed || this.#orders.hasUnanswered) {
+      void this.#dropUnsent();
+    }
+    if (isClosed) {
       this.#orders.stopPendingStarts(now);
     }
     for (const run of this.#orders.takeStops(now)) {
@@ -139,6 +143,24 @@
     return dropped;
   }
 
+  /** Releases the runs whose start was not sent, so that they run elsewhere. */
+  async #dropUnsent(): Promise<void> {
+    const { runEndBatcher, consensus, clock, log, onChange } = this.#parts;
+    const dropped = this.#orders.takeUnsent();
+    if (dropped.length === 0) {
+      return;
+    }
+    dropped.forEach(({ task, run, worker }) =>
+      log.info("run.dropped", { task, run, worker, reason: "not sent" })
+    );
+    const committed = await runEndBatcher.add([], dropped);
+    if (committed.err) {
+      const held = dropped.flatMap((key) => consensus.state.findRun(key) ?? []);
+      held.forEach((run) => this.#orders.add(run, clock.monotonic()));
+    }
+    onChange();
+  }
+
   /** Whether the runs reserve more than the worker has, since its capacity shrank after they were placed. */
   #isOvercommitted(): boolean {
     const { capacity, id } = this.#parts.worker();
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -39,6 +39,9 @@
  */
 const BUSY_WAIT_MS = 500;
 
+/** The same while it is not known of some run whether it runs: the next listing tells, or allows to place it elsewhere. */
+const UNDECIDED_WAIT_MS = 100;
+
 /** Deadline of a renewal beyond its wait: some round trips of a slow link. A worker that missed it gets longer. */
 const PROMPT_ANSWER_MS = 400;
 
@@ -315,9 +318,12 @@
     const jobStore = consensus.state;
     const runs = [...jobStore.load(this.worker.id).runs.values()];
     const isBusy = runs.some((run) => jobStore.stepOf(run)?.lasting === false);
-    return isBusy
-      ? Math.min(BUSY_WAIT_MS, settings.renewalWaitMs)
+    const waitMs = this.#orders.hasUndecided
+      ? UNDECIDED_WAIT_MS
+      : isBusy
+      ? BUSY_WAIT_MS
       : settings.renewalWaitMs;
+    return Math.min(waitMs, settings.renewalWaitMs);
   }
 
   /** Records whether a renewal was answered, and logs when that changes. */
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -2,6 +2,7 @@
 import {
   type JobStore,
   type ListedEnd,
+  type RunRecord,
   UnansweredStarts,
   WorkerHealth,
   WorkEstimate,
@@ -33,12 +34,23 @@
 
 const LEASE_MS = 4_000;
 const CALL_TIMEOUT_MS = 1_000;
+const ORDER_TIMEOUT_MS = 300;
+
+/** Times at which the worker answers orders again, in different phases of renewals and repeated orders. */
+const TIMES = Array.from({ length: 20 }, (_, i) => 1_500 + 50 * i);
+
+/** Longest time to give back a stopped run: a repeated order, the time that a stop takes, and a short renewal. */
+const MAX_GIVE_BACK_MS = 700;
 
 /** A worker that answers calls; while `isSilent`, they time out instead. */
 class ScriptedWorker implements WorkerClient {
   isSilent = false;
   /** Whether the answer to the next renewal is lost. */
   losesNextAnswer = false;
+  /** Whether orders get no answer and are not carried out, although renewals are answered. */
+  losesOrders = false;
+  /** Whether renewals take as long as they may wait, instead of 50 ms. */
+  waitsForEnds = false;
   /** Time that the answers to starts take. */
   startAnswerMs = 1;
   readonly renewals: WorkerRenewal[] = [];
@@ -48,6 +60,9 @@
   ended: ListedEnd[] = [];
 
   start(_: unknown, order: StartOrder): ReturnType<WorkerClient["start"]> {
+    if (this.losesOrders) {
+      return this.#silence({ answer: "no_answer", clockMs: undefined });
+    }
     this.starts.push(order);
     return this.#answerOr(
       { answer: "started", clockMs: undefined },
@@ -60,6 +75,9 @@
   stop(_: unknown, { task }: { task: string }): ReturnType<
     WorkerClient["stop"]
   > {
+    if (this.losesOrders) {
+      return this.#silence({ answer: false, clockMs: undefined });
+    }
     this.stops.push(task);
     return this.#answerOr(
       { answer: true, clockMs: undefined },
@@ -82,7 +100,8 @@
         setTimeout(() => resolve(silence), timeoutMs)
       );
     }
-    return this.#answerOr(this.#listing(), silence, timeoutMs, 50);
+    const answerMs = this.waitsForEnds ? Math.max(1, renewal.waitMs) : 50;
+    return this.#answerOr(this.#listing(), silence, timeoutMs, answerMs);
   }
 
   disconnect(): void {}
@@ -108,6 +127,11 @@
     };
   }
 
+  async #silence<T>(silence: T): Promise<T> {
+    await new Promise((resolve) => setTimeout(resolve, ORDER_TIMEOUT_MS));
+    return silence;
+  }
+
   async #answerOr<T>(
     answer: T,
     silence: T,
@@ -311,6 +335,74 @@
     ]);
   });
 
+  describe("that answers renewals and no orders", () => {
+    const key = run("k.0.0.0", 1, "w1");
+    let placed: RunRecord;
+
+    beforeEach(async () => {
+      const { client, session, jobStore } = fixture;
+      await vi.advanceTimersByTimeAsync(500);
+      submit(jobStore, "k", spec(step()));
+      place(jobStore, key);
+      placed = jobStore.findRun(key)!;
+      client.losesOrders = true;
+      session.start([placed]);
+    });
+
+    /** Time until a condition holds, while orders are sent with each pass; Infinity if over 10 s. */
+    async function timeUntil(isMet: () => boolean): Promise<number> {
+      const since = Date.now();
+      while (!isMet()) {
+        if (Date.now() - since > 10_000) {
+          return Infinity;
+        }
+        await vi.advanceTimersByTimeAsync(50);
+        fixture.session.sendDue();
+      }
+      return Date.now() - since;
+    }
+
+    // Guards against ever more runs that wait behind orders without an answer.
+    it("gets no new runs until it answers one", async () => {
+      const { client, session } = fixture;
+      await vi.advanceTimersByTimeAsync(ORDER_TIMEOUT_MS + 10);
+      expect(session.isUsable(Date.now())).toBe(false);
+      client.losesOrders = false;
+      const tookMs = await timeUntil(() => session.isUsable(Date.now()));
+      expect(tookMs).toBeLessThanOrEqual(ORDER_TIMEOUT_MS + 50);
+    });
+
+    it("gives back a run whose start was not sent", async () => {
+      const { session, jobStore } = fixture;
+      await vi.advanceTimersByTimeAsync(ORDER_TIMEOUT_MS + 10);
+      submit(jobStore, "m", spec(step()));
+      const unsent = run("m.0.0.0", 1, "w1");
+      place(jobStore, unsent);
+      session.start([jobStore.findRun(unsent)!]);
+      await vi.advanceTimersByTimeAsync(50);
+      expect(jobStore.findRun(unsent)).toBeUndefined();
+      expect(jobStore.findRun(key)).toBe(placed);
+    });
+
+    // Guards against a run that is known not to run only after a renewal that waits for the end of another one.
+    it.each(TIMES)(
+      "gives back a stopped run soon if it answers again after %i ms",
+      async (answersAt) => {
+        const { client, session, jobStore } = fixture;
+        client.waitsForEnds = true;
+        await timeUntil(() => Date.now() >= 1_000);
+        session.requestStop(placed);
+        session.sendDue();
+        await timeUntil(() => Date.now() >= answersAt);
+        client.losesOrders = false;
+        const tookMs = await timeUntil(() =>
+          jobStore.findRun(key) === undefined
+        );
+        expect(tookMs).toBeLessThanOrEqual(MAX_GIVE_BACK_MS);
+      },
+    );
+  });
+
   // Guards against a start that the next life of a worker answered, and that is taken for one of the earlier life.
   it("ignores the answer to a start once its worker is known to have restarted", async () => {
     const { client, session, jobStore, unansweredStarts } = fixture;
