--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -31,7 +31,7 @@
 import { CustomerLimits } from "./customer_limits.ts";
 import { CustomerUsage } from "./customer_usage.ts";
 import { EndedJobs } from "./ended_jobs.ts";
-import { EndedWorkers } from "./ended_workers.ts";
+import { type EndedLife, EndedWorkers } from "./ended_workers.ts";
 import { MaintenanceWaves, type WaveRecord } from "./maintenance_waves.ts";
 import { emptyQueuePlan, type QueuePlan, upgradePlan } from "./queue_plan.ts";
 import {
@@ -41,6 +41,7 @@
   type TaskPosition,
 } from "./task_name.ts";
 import { WaitingIndex } from "./waiting_index.ts";
+import { isLaterLife } from "./worker_life.ts";
 import { WorkerLoad } from "./worker_load.ts";
 
 /** The persisted state of the store, as JSON; the indexes are rebuilt from it. */
@@ -49,7 +50,7 @@
   jobs: JobRecord[];
   workers: Worker[];
   waves: WaveRecord[];
-  endedWorkers: string[];
+  endedWorkers: EndedLife[];
 }
 
 /** A run that may be placed, and what it belongs to. */
@@ -130,8 +131,13 @@
       case "lose":
         this.#recordCrash(command.suspects ?? [], command.atMs);
         command.workers.forEach((worker) =>
-          this.#removeWorker(worker, command.haveEnded)
+          this.#removeWorker(
+            worker,
+            command.haveEnded,
+            command.births?.[worker],
+          )
         );
+        command.runs?.forEach((run) => this.#releaseRun(run));
         return Ok(APPLIED);
       case "forget":
         this.#deleteEndedJobs(command.endedBeforeMs);
@@ -189,7 +195,7 @@
       jobs: [...this.jobs.values()],
       workers: [...this.workers.values()],
       waves: [...this.waves.values()],
-      endedWorkers: [...this.#endedWorkers.ids],
+      endedWorkers: [...this.#endedWorkers.lives],
     };
     return JSON.stringify(snapshot);
   }
@@ -201,7 +207,9 @@
     store.plan = upgradePlan(snapshot.plan);
     snapshot.workers.forEach((worker) => store.workers.set(worker.id, worker));
     snapshot.waves.forEach((record) => store.#waves.restore(record));
-    snapshot.endedWorkers.forEach((id) => store.#endedWorkers.add(id));
+    snapshot.endedWorkers.forEach((ended) =>
+      store.#endedWorkers.restore(ended)
+    );
     snapshot.jobs.forEach((job) => store.#restoreJob(job));
     return store;
   }
@@ -520,16 +528,24 @@
     }
   }
 
+  /** Adds or updates a worker. A life that has ended, or is earlier than the known one, is ignored. */
   #addWorker(worker: Worker): void {
-    if (!this.#endedWorkers.has(worker.id)) {
-      this.workers.set(worker.id, worker);
+    const { id, bornAtMs } = worker;
+    const known = this.workers.get(id)?.bornAtMs;
+    if (!this.#endedWorkers.has(worker) && !isLaterLife(bornAtMs, known)) {
+      this.#endedWorkers.delete(id);
+      this.workers.set(id, { ...worker, bornAtMs: bornAtMs ?? known });
     }
   }
 
-  #removeWorker(id: string, hasEnded: boolean): void {
+  #removeWorker(id: string, hasEnded: boolean, lostBirth?: number): void {
+    const birth = this.workers.get(id)?.bornAtMs;
+    if (isLaterLife(lostBirth, birth)) {
+      return;
+    }
     this.workers.delete(id);
     if (hasEnded) {
-      this.#endedWorkers.add(id);
+      this.#endedWorkers.add(id, birth);
     }
     const load = this.#loads.get(id);
     for (const run of [...load?.runs.values() ?? []]) {
--- a/packages/core/src/scheduling/maintenance_waves.ts
+++ b/packages/core/src/scheduling/maintenance_waves.ts
@@ -9,7 +9,12 @@
 export interface WaveRecord {
   wave: MaintenanceWave;
   /** VMs whose maintenance was ordered and has not ended, each with the worker that ran on it. */
-  down: { vm: string; worker: string | undefined }[];
+  down: {
+    vm: string;
+    worker: string | undefined;
+    /** Birth of the worker, in Unix milliseconds. */
+    bornAtMs?: number | undefined;
+  }[];
   /** VMs whose maintenance has ended, or that left the fleet. */
   done: string[];
 }
@@ -30,7 +35,10 @@
 
   /** Records the progress of one VM. */
   record(
-    { wave, vm, phase, worker }: Extract<JobStoreCommand, { kind: "upkeep" }>,
+    { wave, vm, phase, worker, bornAtMs }: Extract<
+      JobStoreCommand,
+      { kind: "upkeep" }
+    >,
   ): void {
     const record = this.records.get(wave);
     if (record === undefined || record.done.includes(vm)) {
@@ -38,7 +46,7 @@
     }
     record.down = record.down.filter((other) => other.vm !== vm);
     if (phase === "begun") {
-      record.down.push({ vm, worker });
+      record.down.push({ vm, worker, bornAtMs });
     } else if (phase !== "refused") {
       record.done.push(vm);
     }
--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -21,6 +21,7 @@
   AnswerWithClock,
   CalledWorker,
   RenewalAnswer,
+  StartReply,
   WorkerClient,
 } from "../platform_clients.ts";
 import { FrameBatcher } from "./frame_batcher.ts";
@@ -171,9 +172,7 @@
         if (this.#isForDirectCall(outcome)) {
           return await direct.start(worker, order);
         }
-        return outcome.kind === "start"
-          ? { answer: outcome.answer, clockMs: outcome.clockMs }
-          : { answer: "no_answer", clockMs: undefined };
+        return startReply(outcome);
       },
       stop: async (worker, order) => {
         const { task, run } = order;
@@ -398,12 +397,23 @@
     : { answer: false, clockMs: undefined };
 }
 
+function startReply(outcome: Outcome): StartReply {
+  if (outcome.kind !== "start") {
+    return { answer: "no_answer", clockMs: undefined };
+  }
+  const { answer, clockMs, isCopyInDoubt } = outcome;
+  return isCopyInDoubt === true
+    ? { answer, clockMs, isCopyInDoubt }
+    : { answer, clockMs };
+}
+
 function renewalAnswer(outcome: Outcome): RenewalAnswer {
   switch (outcome.kind) {
     case "listing":
       return {
         kind: "listing",
         clockMs: outcome.clockMs,
+        bornAtMs: outcome.bornAtMs,
         listing: {
           running: outcome.running.map((
             [task, run, checkpoint, percent, gauge],
@@ -411,6 +421,7 @@
           ended: outcome.ended.map((
             [number, task, run, how, checkpoint],
           ) => ({ number, task, run, how, checkpoint })),
+          unreadableRows: outcome.unreadableRows,
         },
       };
     case "other_worker":
--- a/packages/daemon/src/scheduler/call_relay/messages.ts
+++ b/packages/daemon/src/scheduler/call_relay/messages.ts
@@ -95,6 +95,8 @@
       "no_answer",
     ]),
     clockMs: ClockMs,
+    /** Whether another copy of the start may still be carried out. */
+    isCopyInDoubt: z.boolean().optional(),
   }),
   /** Answer to a stop or a change of pace. */
   Answer.extend({
@@ -107,6 +109,8 @@
     clockMs: z.number(),
     running: z.array(RunningRow),
     ended: z.array(EndedRow),
+    unreadableRows: Count.optional(),
+    bornAtMs: Count.optional(),
   }),
   Answer.extend({ kind: z.literal("other_worker") }),
   Answer.extend({ kind: z.literal("fenced") }),
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -18,6 +18,7 @@
   decideAccess,
   findQueue,
   hasForwardDependency,
+  isLaterLife,
   isSameCapacity,
   isVisibleTo,
   type Queue,
@@ -248,27 +249,30 @@
   ): Promise<Result<unknown, Fault>> {
     const { consensus, log, onChange } = this.#parts;
     const { workers, plan } = consensus.state;
-    const known = workers.get(worker.id);
-    const isLatest = this.#reportOrder.isLatest(
-      worker.id,
-      worker.reportNumber,
-      known?.reportNumber,
-    );
-    const isChange = known === undefined ||
-      (worker.draining && !known.draining) ||
-      (isLatest && !isSameCapacity(worker.capacity, known.capacity));
-    if (!isChange) {
-      return Ok({});
-    }
     const hasPool = plan.pools.some(({ name }) => name === worker.pool);
     if (plan.version > 0 && !hasPool) {
       return Err(
         fault("invalid", `Worker "${worker.id}" names no pool of the plan`),
       );
     }
+    const known = workers.get(worker.id);
+    if (isLaterLife(worker.bornAtMs, known?.bornAtMs)) {
+      // Delayed: the worker has restarted since.
+      return Ok({});
+    }
+    const hasRestarted = isLaterLife(known?.bornAtMs, worker.bornAtMs);
+    const isLatest = this.#reportOrder.isLatest(worker, known);
+    const isChange = known === undefined || hasRestarted ||
+      (known.bornAtMs === undefined && worker.bornAtMs !== undefined) ||
+      (worker.draining && !known.draining) ||
+      (isLatest && !isSameCapacity(worker.capacity, known.capacity));
+    if (!isChange) {
+      return Ok({});
+    }
     // Reports may arrive out of order, so a draining worker stays draining.
-    const updated = known === undefined ? worker : {
+    const updated = known === undefined || hasRestarted ? worker : {
       ...worker,
+      bornAtMs: worker.bornAtMs ?? known.bornAtMs,
       capacity: isLatest ? worker.capacity : known.capacity,
       draining: worker.draining || known.draining,
       hasLeft: known.hasLeft,
@@ -284,6 +288,8 @@
       address: worker.address,
       draining: worker.draining,
       cpuMilli: updated.capacity.cpuMilli,
+      bornAtMs: updated.bornAtMs,
+      restarted: hasRestarted,
       outcome: joined.ok ? "recorded" : joined.val.kind,
     });
     onChange();
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -54,8 +54,20 @@
   clockMs: number | undefined;
 }
 
+/** Answer to a start. */
+export interface StartReply extends AnswerWithClock<StartAnswer> {
+  /** Whether another copy of the start got no answer, so that it may still be carried out by a later life. */
+  isCopyInDoubt?: boolean | undefined;
+}
+
 export type RenewalAnswer =
-  | { kind: "listing"; listing: Listing; clockMs: number }
+  | {
+    kind: "listing";
+    listing: Listing;
+    clockMs: number;
+    /** Birth of the worker that answered, in Unix milliseconds; undefined where the platform does not say. */
+    bornAtMs?: number | undefined;
+  }
   /** Another worker now has the address. */
   | { kind: "other_worker" }
   | { kind: "fenced" }
@@ -66,7 +78,7 @@
   start(
     worker: CalledWorker,
     order: StartOrder,
-  ): Promise<AnswerWithClock<StartAnswer>>;
+  ): Promise<StartReply>;
   stop(
     worker: CalledWorker,
     order: RunOrder,
@@ -86,12 +98,20 @@
 export interface ListedVm {
   vm: string;
   pool: string;
-  state: "up" | "moving" | "upkeep" | "down";
+  /** `unknown` if its record cannot be read; then only its name is known. */
+  state: "up" | "moving" | "upkeep" | "down" | "unknown";
   cores: number;
   /** Worker on the VM; empty if there is none, undefined if the platform does not say. */
   worker: string | undefined;
 }
 
+/** The platform's list of VMs. */
+export interface VmList {
+  vms: ListedVm[];
+  /** Records that do not name their VM; if there are any, a VM that is not listed may still exist. */
+  unnamedRecords: number;
+}
+
 /** An order that concerns one VM. The fencing token rises with each order, whichever the VM. */
 export interface VmOrder {
   vm: string;
@@ -116,7 +136,7 @@
 /** Client for the platform's VM API. Every call ends by its deadline. */
 export interface VmClient {
   /** All VMs, or undefined when the list could not be read in full. */
-  list(): Promise<ListedVm[] | undefined>;
+  list(): Promise<VmList | undefined>;
   move(order: VmOrder, pool: string): Promise<VmAnswer>;
   maintain(order: VmOrder, wave: number): Promise<VmAnswer>;
 }
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -3,12 +3,16 @@
  *
  * @module
  */
-import type { JobStore, Worker } from "@quetzalcove/core/scheduling";
+import {
+  isLaterLife,
+  type JobStore,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../observe/log.ts";
 import type { JobConsensus } from "./job_state_machine.ts";
 import type { ListedVm, VmClient } from "./platform_clients.ts";
-import type { WorkerLoss } from "./worker_session.ts";
+import { lossOfEnded, type WorkerLoss } from "./worker_loss.ts";
 import { type VmAction, VmOrders, type VmOrdersParts } from "./vm_orders.ts";
 
 /** Dependencies of the VM directory. */
@@ -35,6 +39,8 @@
   cores: number;
   /** Workers that the order ended; the job store may still hold them for a moment. */
   workers: readonly string[];
+  /** Births of these workers when it was sent; one that restarted since is another one. */
+  births: ReadonlyMap<string, number | undefined>;
   /** Workers that reported while the order was in progress: ended by it, unless it had been carried out earlier. */
   unconfirmed: readonly string[];
   /** When the order was answered, in monotonic milliseconds. */
@@ -66,6 +72,7 @@
   readonly #orders: VmOrders;
   #listed = new Map<string, ListedVm>();
   #listedAt = -Infinity;
+  #unnamedRecords = 0;
   #isRefreshing = false;
   readonly #absences = new Map<string, Absence>();
   readonly #backOffUntil = new Map<string, number>();
@@ -94,6 +101,12 @@
     return this.#listedAt !== -Infinity;
   }
 
+  /** Whether a VM is certainly not in the list as last read. */
+  isMissing(vm: string): boolean {
+    return this.isLoaded && this.#unnamedRecords === 0 &&
+      !this.#listed.has(vm);
+  }
+
   /** Number of moves that may still be carried out. */
   get pendingMoves(): number {
     return this.#orders.pendingMoves;
@@ -124,6 +137,10 @@
       .map(({ id }) => id);
   }
 
+  #birthOf(worker: string): number | undefined {
+    return this.#jobStore.workers.get(worker)?.bornAtMs;
+  }
+
   /** Whether an order for a VM may still be carried out. */
   hasPendingOrder(vm: string): boolean {
     return this.#orders.hasPendingOrder(vm);
@@ -183,21 +200,15 @@
   /** Removes silent workers that the list, requested at `sentAt`, shows to have ended. */
   #removeEndedWorkers(sentAt: number): void {
     const { wasSilent, removeWorker } = this.#parts;
-    for (
-      const { id, vm, draining, hasLeft } of this.#jobStore.workers.values()
-    ) {
+    for (const worker of this.#jobStore.workers.values()) {
+      const { id, vm } = worker;
       const listed = vm === undefined ? undefined : this.#listed.get(vm);
       const hasEnded = listed?.worker !== undefined && listed.worker !== id;
       if (hasEnded && wasSilent(id, sentAt - LIST_LAG_MS, sentAt)) {
         const isOrdered = listed.state === "moving" ||
           listed.state === "upkeep";
-        const kind = draining || hasLeft
-          ? "departed"
-          : isOrdered
-          ? "ordered"
-          : "crashed";
         const reason = `its VM is listed as ${listed.state} without it`;
-        void removeWorker(id, { kind, reason });
+        void removeWorker(id, lossOfEnded(worker, reason, isOrdered));
       }
     }
   }
@@ -213,23 +224,27 @@
     absence: Pick<Absence, "pool" | "cores" | "workers">,
   ): Promise<boolean | undefined> {
     const { clock, removeWorker } = this.#parts;
+    const births = new Map(
+      absence.workers.map((id) => [id, this.#birthOf(id)]),
+    );
     const answer = await this.#orders.order(vm, action);
     const now = clock.monotonic();
     if (answer === "done") {
-      const unconfirmed = this.workersOn(vm).filter((id) =>
-        !absence.workers.includes(id)
-      );
+      const hasEnded = (id: string): boolean =>
+        births.has(id) && !isLaterLife(births.get(id), this.#birthOf(id));
+      const unconfirmed = this.workersOn(vm).filter((id) => !hasEnded(id));
       // Only a VM that was in the standby pool before can be listed there before it is back.
       const isNewToStandby = action.kind === "move" &&
         this.isStandby(action.pool);
       const listedFrom = isNewToStandby ? now : now + MIN_ABSENCE_MS;
       this.#absences.set(vm, {
         ...absence,
+        births,
         unconfirmed,
         answeredAt: now,
         listedFrom,
       });
-      for (const worker of absence.workers) {
+      for (const worker of absence.workers.filter(hasEnded)) {
         await removeWorker(worker, {
           kind: "ordered",
           reason: `VM ${action.kind} order carried out`,
@@ -245,13 +260,14 @@
   #detectReturns(): void {
     const { hasAnsweredSince } = this.#parts;
     for (const [vm, absence] of this.#absences) {
-      const { answeredAt, listedFrom, workers, unconfirmed } = absence;
+      const { answeredAt, listedFrom, births, unconfirmed } = absence;
       const current = this.workerOn(vm);
       const listedVm = this.#listed.get(vm);
       const isBack = current === undefined
         ? this.#listedAt > listedFrom && listedVm?.state === "up" &&
           this.isStandby(listedVm.pool)
-        : !workers.includes(current.id) &&
+        : (!births.has(current.id) ||
+          isLaterLife(births.get(current.id), current.bornAtMs)) &&
           (!unconfirmed.includes(current.id) ||
             hasAnsweredSince(current.id, answeredAt));
       if (isBack) {
@@ -265,15 +281,16 @@
     const { client, clock, log, onChange } = this.#parts;
     this.#isRefreshing = true;
     const sentAt = clock.monotonic();
-    const vms = await client.list();
+    const list = await client.list();
     this.#isRefreshing = false;
-    if (vms === undefined) {
+    if (list === undefined) {
       log.warn("fleet.list_failed", {
         ageMs: Math.round(sentAt - this.#listedAt),
       });
       return;
     }
-    this.#listed = new Map(vms.map((vm) => [vm.vm, vm]));
+    this.#listed = new Map(list.vms.map((vm) => [vm.vm, vm]));
+    this.#unnamedRecords = list.unnamedRecords;
     this.#listedAt = sentAt;
     this.#removeEndedWorkers(sentAt);
     onChange();
