--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -51,6 +51,8 @@
   outcome: Outcome.optional(),
   /** How long the caller should wait before a retry, in milliseconds. */
   retryAfterMs: z.number().int().nonnegative().optional(),
+  /** For `over_quota`: how long after it was issued an entry may repeat the fault to the same customer and queue. */
+  repeatForMs: z.number().int().nonnegative().optional(),
   /** The configuration version in force, for `stale_version`. */
   version: z.number().int().optional(),
   /** The id of the current leader, for `not_leader`. */
@@ -73,3 +75,8 @@
 export function statusOf(kind: FaultKind): number {
   return FAULT_STATUS[kind];
 }
+
+/** Whether a fault promises that what was asked for was not done; any other fault leaves the outcome unknown. */
+export function isRefusal({ kind, outcome }: Fault): boolean {
+  return statusOf(kind) < 500 || outcome === "not run";
+}
