--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -12,6 +12,7 @@
 /** The HTTP status by kind of failure. */
 export const FAULT_STATUS = {
   invalid: 400,
+  unauthenticated: 401,
   unknown_service: 404,
   not_found: 404,
   conflict: 409,
@@ -78,5 +79,6 @@
 
 /** Whether a fault promises that what was asked for was not done; any other fault leaves the outcome unknown. */
 export function isRefusal({ kind, outcome }: Fault): boolean {
-  return statusOf(kind) < 500 || outcome === "not run";
+  return outcome === "not run" ||
+    (outcome !== "unknown" && statusOf(kind) < 500);
 }
