Leader: admission control of customers, their status and metrics

Cause: the admission decisions are not called, and operators cannot see why a customer waits or is refused.

Change: AdmissionController holds the rates and backlogs of one leadership term. Backlogs are computed at most each 100 ms and only where the plan has customers; jobs accepted meanwhile are added. `#submit` asks it after it has answered repeats of stored jobs; a repeat of a job that is being committed is not refused either. `/status` and `quetzalcove-node status` list the customers; metrics have at most 21 customer labels (Metrics.collect reads them on export, so labels of withdrawn customers disappear). Refusals are logged as one line per customer and second.

Result: admission_test and the tests of the leader's API, term and controller, of customers' calls and of the wire pass (103 tests).

--- a/packages/core/src/scheduling/customer_admission.ts
+++ b/packages/core/src/scheduling/customer_admission.ts
@@ -23,9 +23,9 @@
 
 const MS_PER_S = 1_000;
 
-/** Time between two retries of one customer: a pass of the placement at least, and some within the bounds at most. */
+/** Bounds of the time between two retries of a customer: a placement pass, and a twentieth of the shortest spread. */
 const MIN_RETRY_SPACING_MS = 20;
-const MAX_RETRY_SPACING_MS = 500;
+const MAX_RETRY_SPACING_MS = 100;
 
 /** Pairs of customer and pool whose retries are spread; several times those of a deployment. */
 const MAX_RETRY_KEYS = 4_096;
--- a/packages/core/src/scheduling/pool_backlog.ts
+++ b/packages/core/src/scheduling/pool_backlog.ts
@@ -165,22 +165,18 @@
   ): void {
     const demand = reservation(spec);
     const durationMs = this.#durationMs(queue, spec);
-    for (const resource of RESOURCES) {
-      // A pool without accelerators never runs a task that needs one, so this task keeps nothing else waiting.
-      const lacksResource = demand[resource] > 0 && capacity[resource] === 0;
-      if (lacksResource && capacity.cpuMilli > 0) {
-        return;
-      }
-    }
-    for (const resource of RESOURCES) {
-      const startable = tasks * startableShare * demand[resource];
-      waiting[resource] += startable;
-      work[resource] += startable * durationMs;
+    if (lacksResource(capacity, demand)) {
+      return;
     }
+    addTo(waiting, demand, tasks * startableShare);
+    addTo(work, demand, tasks * startableShare * durationMs);
     if (customer !== undefined) {
-      const ownWork = customerWork.get(customer) ?? noResources();
-      customerWork.set(customer, ownWork);
-      addTo(ownWork, scale(demand, tasks * durationMs));
+      let ownWork = customerWork.get(customer);
+      if (ownWork === undefined) {
+        ownWork = noResources();
+        customerWork.set(customer, ownWork);
+      }
+      addTo(ownWork, demand, tasks * durationMs);
     }
   }
 
@@ -243,7 +239,7 @@
   for (const { id, capacity: ofWorker } of workers) {
     addTo(capacity, ofWorker);
     addTo(free, ofWorker);
-    addTo(free, scale(jobStore.load(id).reserved, -1));
+    addTo(free, jobStore.load(id).reserved, -1);
   }
   return {
     capacity,
@@ -257,6 +253,13 @@
   };
 }
 
+/** A pool without accelerators never runs a task that needs one, so this task keeps nothing else waiting. */
+function lacksResource(capacity: Resources, demand: Resources): boolean {
+  return capacity.cpuMilli > 0 &&
+    (demand.gpus > 0 && capacity.gpus === 0 ||
+      demand.memoryMb > 0 && capacity.memoryMb === 0);
+}
+
 function hasBacklog({ waiting, free }: PoolState): boolean {
   return RESOURCES.some((resource) =>
     waiting[resource] > Math.max(0, free[resource])
--- a/packages/core/src/scheduling/queue_plan.ts
+++ b/packages/core/src/scheduling/queue_plan.ts
@@ -88,6 +88,20 @@
   return checkCustomers(plan.customers);
 }
 
+/**
+ * Whether a queue's path prefix is a directory and every job directly below it belongs to the queue, so that the
+ * directory of a job's path tells its queue.
+ */
+export function ownsDirectory({ queues }: QueuePlan, queue: Queue): boolean {
+  const { host, pathPrefix } = queue;
+  const isShared = queues.some((other) => {
+    const rest = other.pathPrefix.slice(pathPrefix.length);
+    return other.host === host && other.pathPrefix.startsWith(pathPrefix) &&
+      rest !== "" && !rest.includes("/");
+  });
+  return pathPrefix.endsWith("/") && !isShared;
+}
+
 /** The queue of a request: that of its host with the longest matching path prefix. */
 export function findQueue(
   { queues }: QueuePlan,
--- a/packages/core/src/scheduling/refusal_cache.ts
+++ b/packages/core/src/scheduling/refusal_cache.ts
@@ -26,7 +26,7 @@
 /** A submission as an entry sees it before it knows the queue. */
 export interface EntrySubmission {
   /** Digest of the caller's key. */
-  keyDigest: string | undefined;
+  keyDigest?: string | undefined;
   host: string;
   path: string;
 }
--- a/packages/core/src/scheduling/resource_sums.ts
+++ b/packages/core/src/scheduling/resource_sums.ts
@@ -11,10 +11,11 @@
   return { cpuMilli: 0, memoryMb: 0, gpus: 0 };
 }
 
-export function addTo(sum: Resources, resources: Resources): void {
-  for (const resource of RESOURCES) {
-    sum[resource] += resources[resource];
-  }
+/** Adds a multiple to a sum in place; called for each waiting step, so it allocates nothing. */
+export function addTo(sum: Resources, resources: Resources, times = 1): void {
+  sum.cpuMilli += resources.cpuMilli * times;
+  sum.memoryMb += resources.memoryMb * times;
+  sum.gpus += resources.gpus * times;
 }
 
 export function scale(resources: Resources, factor: number): Resources {
--- a/packages/core/src/scheduling/startable_shares.ts
+++ b/packages/core/src/scheduling/startable_shares.ts
@@ -5,7 +5,7 @@
  */
 import { reservation, type Resources } from "./batch_job.ts";
 import type { JobStore } from "./job_store.ts";
-import { addTo, noResources, RESOURCES, scale } from "./resource_sums.ts";
+import { addTo, noResources, RESOURCES } from "./resource_sums.ts";
 
 /**
  * Share of a customer's waiting tasks that its cap allows to start. Tasks that wait for their customer's cap do not
@@ -20,7 +20,7 @@
       if (job.customer !== undefined) {
         const demand = demands.get(job.customer) ?? noResources();
         demands.set(job.customer, demand);
-        addTo(demand, scale(reservation(spec), indices.size));
+        addTo(demand, reservation(spec), indices.size);
       }
     }
     for (const { name, cap } of plan.customers) {
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -12,6 +12,14 @@
 /** Highest duration that a histogram tracks: ten minutes. Longer ones are recorded as this. */
 const MAX_DURATION_US = 600_000_000;
 
+/** One value of a metric that is collected on export. */
+export interface Sample {
+  name: string;
+  type: "counter" | "gauge";
+  labels: Labels;
+  value: number;
+}
+
 interface Series<T> {
   values: Map<string, T>;
 }
@@ -20,6 +28,7 @@
   readonly #counters = new Map<string, Series<number>>();
   readonly #gauges = new Map<string, Series<() => number>>();
   readonly #histograms = new Map<string, Series<Histogram>>();
+  readonly #collectors: (() => Iterable<Sample>)[] = [];
 
   /** Adds to a counter. */
   count(name: string, labels: Labels = {}, by = 1): void {
@@ -43,6 +52,11 @@
     );
   }
 
+  /** Registers metrics whose labels change; they are read on each export, ordered by name. */
+  collect(read: () => Iterable<Sample>): void {
+    this.#collectors.push(read);
+  }
+
   /** Records a duration in milliseconds in a histogram. */
   observe(name: string, durationMs: number, labels: Labels = {}): void {
     const series = getOrCreateSeries(this.#histograms, name);
@@ -66,6 +80,7 @@
     return [
       ...this.#counterLines(),
       ...this.#gaugeLines(),
+      ...this.#collectedLines(),
       ...this.#histogramLines(),
       "",
     ].join("\n");
@@ -89,6 +104,19 @@
     }
   }
 
+  *#collectedLines(): Generator<string> {
+    for (const read of this.#collectors) {
+      let lastName = "";
+      for (const { name, type, labels, value } of read()) {
+        if (name !== lastName) {
+          yield `# TYPE ${name} ${type}`;
+          lastName = name;
+        }
+        yield `${name}${inBraces(formatLabels(labels))} ${value}`;
+      }
+    }
+  }
+
   *#histogramLines(): Generator<string> {
     for (const [name, series] of this.#histograms) {
       yield `# TYPE ${name} summary`;
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -49,6 +49,8 @@
   onChange: () => void;
   /** Called with each job that was accepted. */
   onAccepted: (job: SubmittedJob) => void;
+  /** Accepts or refuses a job that is not stored. */
+  accept: (job: SubmittedJob) => Result<void, Fault>;
 }
 
 type MethodHandlers = {
@@ -67,6 +69,8 @@
 export class LeaderApi {
   readonly #parts: LeaderApiParts;
   readonly #submissions: SubmissionBatcher;
+  /** Jobs that are being committed. */
+  readonly #pendingJobs = new Set<string>();
   readonly #reportOrder = new ReportOrder();
 
   constructor(parts: LeaderApiParts) {
@@ -155,7 +159,7 @@
       customer: access.customer,
       spec,
     };
-    const committed = await this.#submissions.add(job);
+    const committed = await this.#commit(job);
     // Another customer's job with this id may have been stored first.
     const stored = committed.andThen(() => this.#checkOwner(id, access));
     if (stored.ok) {
@@ -172,6 +176,21 @@
     return stored;
   }
 
+  /** Stores a job if it is admitted. A repeat of one that is being stored may not be refused as not run. */
+  async #commit(job: SubmittedJob): Promise<Result<unknown, Fault>> {
+    if (this.#pendingJobs.has(job.id)) {
+      return await this.#submissions.add(job);
+    }
+    const accepted = this.#parts.accept(job);
+    if (accepted.err) {
+      return accepted;
+    }
+    this.#pendingJobs.add(job.id);
+    const committed = await this.#submissions.add(job);
+    this.#pendingJobs.delete(job.id);
+    return committed;
+  }
+
   /** Refuses a submission under the id of a job that does not exist for the caller. */
   #checkOwner(id: string, access: CallerAccess): Result<unknown, Fault> {
     const job = this.#parts.consensus.state.jobs.get(id);
--- a/packages/daemon/src/scheduler/leader_controller.ts
+++ b/packages/daemon/src/scheduler/leader_controller.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import type { SubmittedJob } from "@quetzalcove/core/scheduling";
-import { Err, type Fault, fault, type Result } from "@quetzalcove/core";
+import { Err, type Fault, fault, Ok, type Result } from "@quetzalcove/core";
 import type { Component } from "../lifecycle.ts";
 import type { CallRouter } from "./call_relay/mod.ts";
+import type { CustomerStatus } from "./customer_status.ts";
 import type { LeadershipTermStatus } from "./status.ts";
 import { LeadershipTerm, type LeadershipTermParts } from "./leadership_term.ts";
 
@@ -44,6 +45,16 @@
     this.#activeTerm?.wake();
   }
 
+  /** Accepts or refuses a submission; all are accepted until the term has started. */
+  accept(job: SubmittedJob): Result<void, Fault> {
+    return this.#activeTerm?.admission.accept(job) ?? Ok.EMPTY;
+  }
+
+  /** Status of the customers; empty on a node that does not lead. */
+  describeCustomers(): CustomerStatus[] {
+    return this.#activeTerm?.admission.describe() ?? [];
+  }
+
   /** Records that a job was accepted. */
   recordArrival(job: SubmittedJob): void {
     this.#activeTerm?.recordArrival(job);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -18,6 +18,7 @@
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
+import { AdmissionController } from "./admission_controller.ts";
 import { logBacklogs } from "./backlog_log.ts";
 import { FleetController } from "./fleet_controller.ts";
 import { PermitCache } from "./permit_cache.ts";
@@ -73,6 +74,7 @@
   readonly #health = new WorkerHealth();
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
+  readonly admission: AdmissionController;
   readonly #fleet: FleetController | undefined;
   readonly #permits: PermitCache | undefined;
   #passDue = false;
@@ -88,6 +90,10 @@
     this.#parts = parts;
     this.#runEndBatcher = new RunEndBatcher(parts);
     this.#losses = new WorkerLosses(parts);
+    this.admission = new AdmissionController({
+      ...parts,
+      estimate: this.#estimate,
+    });
     const now = parts.clock.monotonic();
     this.#rates = new ArrivalRates(now);
     this.#prunedAt = now;
@@ -141,6 +147,7 @@
     );
     return {
       term: this.#parts.term,
+      customers: this.admission.describe(),
       pools: [...demands].map(([name, { reserved, waiting, wanted }]) => {
         const sessions = [...this.#sessions.values()].filter(({ worker }) =>
           worker.pool === name
@@ -225,6 +232,9 @@
     this.#logEndedJobs();
     this.#logBacklogs(now);
     const { measure } = this.#parts;
+    measure("admission", () => {
+      this.admission.refresh(() => this.#usableWorkers(now), now);
+    });
     measure("fleet", () => this.#fleet?.reconcile(now));
     measure("orders", () => {
       this.#sessions.forEach((session) => session.sendDue());
@@ -382,6 +392,7 @@
         this.#permits?.permit(step, worker, now) !== undefined,
     }, this.#parts.clock.wall());
     placements.forEach((placement) => this.#logPlacement(placement));
+    this.admission.recordPlacements(placements, now);
     this.#permits?.requestMissing(
       steps,
       (step) =>
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -12,4 +12,5 @@
 export * from "./methods.ts";
 export { SchedulerNode } from "./node.ts";
 export * from "./platform_clients.ts";
+export type { CustomerStatus } from "./customer_status.ts";
 export { NodeStatus } from "./status.ts";
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -36,6 +36,7 @@
 import type { ReplicaFolder } from "../replica_folder.ts";
 import { leadershipConfirmer } from "./leadership_confirmer.ts";
 import { CallRelay, CallRouter, RELAY_METHODS } from "./call_relay/mod.ts";
+import { registerCustomerMetrics } from "./customer_metrics.ts";
 import { jobStateMachine } from "./job_state_machine.ts";
 import {
   type GroupDescription,
@@ -274,7 +275,12 @@
       log,
       onChange: () => leaderController.wake(),
       onAccepted: (job) => leaderController.recordArrival(job),
+      accept: (job) => leaderController.accept(job),
     });
+    registerCustomerMetrics(
+      this.metrics,
+      () => leaderController.describeCustomers(),
+    );
     const callRelay = new CallRelay({
       host,
       consensus: replica,
--- a/packages/daemon/src/scheduler/status.ts
+++ b/packages/daemon/src/scheduler/status.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { z } from "zod";
+import { CustomerStatus } from "./customer_status.ts";
 
 const Count = z.number().int();
 
@@ -25,6 +26,8 @@
   /** Hosts of the replicas that relay calls to workers. */
   relays: z.array(z.string()).default([]),
   pools: z.array(PoolStatus),
+  /** Customers of the plan, the largest weight first. */
+  customers: z.array(CustomerStatus).default([]),
 });
 export type LeadershipTermStatus = z.infer<typeof LeadershipTermStatus>;
 
--- a/packages/daemon/test/customer_calls_test.ts
+++ b/packages/daemon/test/customer_calls_test.ts
@@ -75,6 +75,7 @@
       log,
       onChange: ignore,
       onAccepted: ({ id }) => this.arrivals.push(id),
+      accept: () => Ok.EMPTY,
     });
     if (plan !== undefined) {
       jobStore.apply({ kind: "plan", plan });
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -46,6 +46,7 @@
     log: QUIET_LOG,
     onChange: ignore,
     onAccepted: ignore,
+    accept: () => Ok.EMPTY,
   });
   const handler = leaderApi.handlers().get("submit_job");
   return {
@@ -120,6 +121,7 @@
       log: QUIET_LOG,
       onChange: ignore,
       onAccepted: ignore,
+      accept: () => Ok.EMPTY,
     });
     const report = leaderApi.handlers().get("report_worker");
     for (const changes of reports) {
