Entries: pass on repeats of jobs that were accepted through another entry

Cause: a caller whose call was lost with one entry repeats it at another. If that entry holds a refusal of the customer, it answered "not run" for a job that may be stored.

Change: a refusal that entries may repeat names the jobs of the customer that the leader accepted in the last 6 s (twice the callers' deadline), as hashes of their ids. An entry passes these on. A leader that does not know them all, in the first 6 s of its term or above a thousand jobs, lets no entry repeat its refusals.

--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -52,8 +52,13 @@
   outcome: Outcome.optional(),
   /** How long the caller should wait before a retry, in milliseconds. */
   retryAfterMs: z.number().int().nonnegative().optional(),
-  /** For `over_quota`: how long after it was issued an entry may repeat the fault to the same customer and queue. */
-  repeatForMs: z.number().int().nonnegative().optional(),
+  /** For `over_quota`: how an entry may repeat the fault to the same customer and queue. */
+  repeat: z.object({
+    /** For how long after the fault was issued, in milliseconds. */
+    forMs: z.number().int().nonnegative(),
+    /** Marks of the ids of jobs that were accepted and whose submission may be repeated. */
+    exceptMarks: z.array(z.string()),
+  }).optional(),
   /** The configuration version in force, for `stale_version`. */
   version: z.number().int().optional(),
   /** The id of the current leader, for `not_leader`. */
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -23,6 +23,7 @@
 export * from "./task_placement.ts";
 export * from "./progress_watch.ts";
 export * from "./queue_plan.ts";
+export * from "./recent_submissions.ts";
 export * from "./refusal_cache.ts";
 export * from "./refusal_counts.ts";
 export * from "./relay_choice.ts";
--- a/packages/core/src/scheduling/refusal_cache.ts
+++ b/packages/core/src/scheduling/refusal_cache.ts
@@ -7,6 +7,7 @@
  */
 import { type Fault, isRefusal } from "../fault.ts";
 import type { Result } from "../result.ts";
+import { markOf } from "./recent_submissions.ts";
 import { RetrySlots } from "./retry_slots.ts";
 
 /** Longest time for which a refusal is repeated after it was issued, whatever the leader says. */
@@ -34,6 +35,8 @@
 interface CachedRefusal {
   fault: Fault;
   until: number;
+  /** Marks of jobs that the leader has accepted, perhaps through another entry. */
+  acceptedMarks: ReadonlySet<string>;
 }
 
 /** A submission that this entry has passed on. */
@@ -64,10 +67,11 @@
       this.#refusals.delete(key);
       return undefined;
     }
-    if (this.#mayBeStored(submission, now)) {
+    const { fault, acceptedMarks } = cached;
+    const isAccepted = acceptedMarks.has(markOf(jobIdOf(submission)));
+    if (isAccepted || this.#mayBeStored(submission, now)) {
       return undefined;
     }
-    const { fault } = cached;
     const retryAfterMs = this.#slots.next(
       key,
       fault.retryAfterMs ?? 0,
@@ -82,10 +86,10 @@
     if (submission.keyDigest === undefined) {
       return;
     }
-    const id = idOf(submission);
-    const earlier = this.#sent.get(id);
-    this.#sent.delete(id);
-    this.#sent.set(id, {
+    const name = nameOf(submission);
+    const earlier = this.#sent.get(name);
+    this.#sent.delete(name);
+    this.#sent.set(name, {
       until: now + SUBMISSION_RETENTION_MS,
       callsInProgress: (earlier?.callsInProgress ?? 0) + 1,
       mayBeStored: earlier?.mayBeStored ?? false,
@@ -104,14 +108,14 @@
     calledAt: number,
     now: number,
   ): void {
-    const sent = this.#sent.get(idOf(submission));
+    const sent = this.#sent.get(nameOf(submission));
     const wasRefused = answer.err && isRefusal(answer.val);
     if (sent !== undefined) {
       sent.callsInProgress -= 1;
       sent.mayBeStored ||= !wasRefused;
       // The refusal of a repeat says nothing about earlier calls.
       if (!sent.mayBeStored && sent.callsInProgress === 0) {
-        this.#sent.delete(idOf(submission));
+        this.#sent.delete(nameOf(submission));
       }
     }
     if (!answer.err) {
@@ -137,12 +141,14 @@
     now: number,
   ): void {
     const key = keyOf(submission);
-    const until = calledAt + Math.min(MAX_REPEAT_MS, fault.repeatForMs ?? 0);
-    if (key === undefined || until <= now) {
+    const { repeat, ...once } = fault;
+    const until = calledAt + Math.min(MAX_REPEAT_MS, repeat?.forMs ?? 0);
+    if (key === undefined || repeat === undefined || until <= now) {
       return;
     }
+    const acceptedMarks = new Set(repeat.exceptMarks);
     this.#refusals.delete(key);
-    this.#refusals.set(key, { fault, until });
+    this.#refusals.set(key, { fault: once, until, acceptedMarks });
     removeOldest(this.#refusals, MAX_REFUSALS);
   }
 
@@ -154,7 +160,7 @@
       }
       this.#sent.delete(id);
     }
-    return now < this.#forgottenUntil || this.#sent.has(idOf(submission));
+    return now < this.#forgottenUntil || this.#sent.has(nameOf(submission));
   }
 }
 
@@ -172,7 +178,11 @@
   return path.slice(0, path.lastIndexOf("/") + 1);
 }
 
-function idOf({ host, path }: EntrySubmission): string {
+function jobIdOf({ path }: EntrySubmission): string {
+  return path.slice(path.lastIndexOf("/") + 1);
+}
+
+function nameOf({ host, path }: EntrySubmission): string {
   return `${host} ${path}`;
 }
 
--- a/packages/core/test/scheduling_refusal_cache_test.ts
+++ b/packages/core/test/scheduling_refusal_cache_test.ts
@@ -2,14 +2,17 @@
 import { Err, fault, Ok } from "@quetzalcove/core";
 import {
   type EntrySubmission,
+  markOf,
+  RecentSubmissions,
   RefusalCache,
   RefusalCounts,
+  REPEAT_HORIZON_MS,
 } from "@quetzalcove/core/scheduling";
 
 const REFUSAL = fault("over_quota", "Customer beyond its weight", {
   outcome: "not run",
   retryAfterMs: 1_200,
-  repeatForMs: 500,
+  repeat: { forMs: 500, exceptMarks: [] },
 });
 const UNCLEAR = fault("timeout", "No answer", { outcome: "unknown" });
 
@@ -69,7 +72,7 @@
 
   it("does not repeat a refusal that the leader does not let it repeat", () => {
     const cache = new RefusalCache();
-    const { repeatForMs: _, ...once } = REFUSAL;
+    const { repeat: _, ...once } = REFUSAL;
     cache.recordCall(submission("a"), 0);
     cache.recordAnswer(submission("a"), Err(once), 0, 10);
     expect(cache.find(submission("b"), 20)).toBeUndefined();
@@ -102,6 +105,22 @@
     expect(cache.find(submission("b"), 40)?.kind).toBe("over_quota");
   });
 
+  // Guards against the same where the first call, without an answer, was made at another entry.
+  it("is passed on by an entry that learns of it from the leader", () => {
+    const recent = new RecentSubmissions(-Infinity);
+    recent.record("acme", "x", 0);
+    const exceptMarks = recent.marks("acme", 5_999);
+    const refusal = {
+      ...REFUSAL,
+      repeat: { forMs: 500, exceptMarks: exceptMarks ?? [] },
+    };
+    const cache = new RefusalCache();
+    cache.recordCall(submission("a"), 5_999);
+    cache.recordAnswer(submission("a"), Err(refusal), 5_999, 6_000);
+    expect(cache.find(submission("x"), 6_010)).toBeUndefined();
+    expect(cache.find(submission("b"), 6_010)?.kind).toBe("over_quota");
+  });
+
   it("is passed on while the first call is in progress", () => {
     const cache = new RefusalCache();
     cache.recordCall(submission("x"), 0);
@@ -126,6 +145,31 @@
   });
 });
 
+describe("the submissions that a leader names to entries", () => {
+  it("are those that callers may still repeat", () => {
+    const recent = new RecentSubmissions(-Infinity);
+    recent.record("acme", "old", 0);
+    recent.record("acme", "new", 1);
+    recent.record("other", "theirs", 1);
+    expect(recent.marks("acme", REPEAT_HORIZON_MS)).toEqual([markOf("new")]);
+  });
+
+  // Guards against refusals of repeats of jobs that the leader before has accepted.
+  it("are unknown at the beginning of a term", () => {
+    const recent = new RecentSubmissions(100);
+    expect(recent.marks("acme", 100 + REPEAT_HORIZON_MS - 1)).toBeUndefined();
+    expect(recent.marks("acme", 100 + REPEAT_HORIZON_MS)).toEqual([]);
+  });
+
+  it("are not named if they are too many", () => {
+    const recent = new RecentSubmissions(-Infinity);
+    for (let i = 0; i < 1_001; i++) {
+      recent.record("acme", `j${i}`, 0);
+    }
+    expect(recent.marks("acme", 0)).toBeUndefined();
+  });
+});
+
 // Guards against repeats of another entry's unclear calls, whose callers come here after the loss of a leader.
 it("a call without a clear answer ends all refusals of an entry", () => {
   const cache = cacheAfterRefusal();
--- a/packages/daemon/src/scheduler/admission_controller.ts
+++ b/packages/daemon/src/scheduler/admission_controller.ts
@@ -9,6 +9,7 @@
   MAX_REPEAT_MS,
   ownsDirectory,
   PoolBacklogs,
+  RecentSubmissions,
   RefusalCounts,
   startSlackMs,
   type StepPlacement,
@@ -53,13 +54,16 @@
   readonly #parts: AdmissionControllerParts;
   readonly #admission: CustomerAdmission;
   readonly #backlogs: PoolBacklogs;
+  readonly #recent: RecentSubmissions;
   readonly #counts = new Map<string, SubmissionCounts>();
   readonly #refusals = new RefusalCounts<RefusalDetails>();
   #refreshedAt = -Infinity;
 
   constructor(parts: AdmissionControllerParts) {
     this.#parts = parts;
-    this.#admission = new CustomerAdmission(parts.clock.monotonic());
+    const now = parts.clock.monotonic();
+    this.#admission = new CustomerAdmission(now);
+    this.#recent = new RecentSubmissions(now);
     this.#backlogs = new PoolBacklogs(parts.estimate);
   }
 
@@ -109,6 +113,7 @@
     if (decision.kind === "accept") {
       counts.accepted += 1;
       this.#backlogs.addJob(job);
+      this.#recent.record(customer.name, job.id, now);
       return Ok.EMPTY;
     }
     const { retryAfterMs } = decision;
@@ -121,6 +126,9 @@
       slackMs: Math.round(slackMs),
       retryAfterMs,
     });
+    const exceptMarks = ownsDirectory(plan, queue)
+      ? this.#recent.marks(customer.name, now)
+      : undefined;
     return Err(fault(
       "over_quota",
       `Customer "${customer.name}" exceeds its weight of ${customer.weight}/s and pool "${pool}" has a backlog`,
@@ -128,7 +136,9 @@
         outcome: "not run",
         remedy: "Submit the job again after the given time",
         retryAfterMs,
-        ...ownsDirectory(plan, queue) && { repeatForMs: MAX_REPEAT_MS },
+        ...exceptMarks !== undefined && {
+          repeat: { forMs: MAX_REPEAT_MS, exceptMarks },
+        },
       },
     ));
   }
--- a/packages/daemon/test/admission_test.ts
+++ b/packages/daemon/test/admission_test.ts
@@ -5,6 +5,7 @@
   type JobStoreCommand,
   ownsDirectory,
   RATE_WINDOW_MS,
+  REPEAT_HORIZON_MS,
   type SubmittedJob,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -41,7 +42,7 @@
 const REFUSAL = fault("over_quota", "Customer beyond its weight", {
   outcome: "not run",
   retryAfterMs: 1_200,
-  repeatForMs: 500,
+  repeat: { forMs: 500, exceptMarks: [] },
 });
 
 beforeEach(() => {
@@ -93,9 +94,10 @@
   return store;
 }
 
-/** A controller one window after its term began, and the lines that it logs. */
+/** A controller some time after its term began, and the lines that it logs. */
 async function controllerOf(
   store: JobStore,
+  ageMs = REPEAT_HORIZON_MS,
 ): Promise<{
   controller: AdmissionController;
   refresh: () => void;
@@ -108,7 +110,7 @@
     log: { ...QUIET_LOG, warn: (event, fields) => lines.push([event, fields]) },
     estimate: new WorkEstimate(),
   });
-  await vi.advanceTimersByTimeAsync(RATE_WINDOW_MS);
+  await vi.advanceTimersByTimeAsync(ageMs);
   const refresh = (): void => {
     const workers = new Map([["intake", [...store.workers.values()]]]);
     controller.refresh(() => workers, Date.now());
@@ -143,6 +145,16 @@
     expect(results.at(-1)?.val).toMatchSnapshot();
   });
 
+  // Guards against entries that refuse repeats of jobs which the leader before has accepted.
+  it("lets no entry repeat its refusals until it knows what was accepted lately", async () => {
+    const store = fullStore(40);
+    const { controller } = await controllerOf(store, RATE_WINDOW_MS);
+    const results = await submitMany(controller, "hot", 10);
+    const { val } = results.at(-1) ?? {};
+    expect(val).toMatchObject({ kind: "over_quota", outcome: "not run" });
+    expect(val).not.toHaveProperty("repeat");
+  });
+
   it("accepts the same from a customer that sends no more than its weight", async () => {
     const { controller } = await controllerOf(fullStore(40));
     await submitMany(controller, "hot", 20);
