Tests: a hot customer that goes quiet, in the model of a pool

Cause: that it is accepted again when the backlog has drained was only shown for one decision.

Change: the model plays it: a customer at six times its weight goes quiet, and its refused callers try again.

Result: passes; the last refusal comes less than 1.8 s after the customer went quiet, and all refused jobs are accepted at a retry.

--- a/packages/core/test/scheduling_admission_test.ts
+++ b/packages/core/test/scheduling_admission_test.ts
@@ -139,6 +139,29 @@
   });
 });
 
+describe("a customer at six times its weight that goes quiet", () => {
+  // Guards against a customer that is refused for what it sent before, though nothing waits any more.
+  it("is accepted again as soon as the backlog has drained", () => {
+    const loads = loadsWith(1).map((load, i): CustomerLoad => ({
+      ...load,
+      // The others send a quarter as much then, so that the backlog drains in spite of the retries.
+      rate: (now) =>
+        now < HOT_UNTIL_MS ? load.rate(now) : i === 0 ? 0 : WEIGHT / 4,
+    }));
+    // The last retry comes 5 s after the last refusal.
+    const { hot } = play(1, { loads, durationMs: 17_000 });
+    const { submitted = 0, accepted = 0, refusedAt = [], retryAt = [] } =
+      hot[0] ?? {};
+    const lastRefusal = Math.max(...refusedAt);
+    expect(lastRefusal).toBeGreaterThan(HOT_UNTIL_MS - 500);
+    // A backlog of 0.9 s of the capacity of 80 jobs a second drains at 80 less some 36 jobs a second.
+    expect(lastRefusal).toBeLessThan(HOT_UNTIL_MS + 1_800);
+    expect(retryAt.filter((at) => at > lastRefusal).length)
+      .toBeGreaterThan(20);
+    expect(accepted).toBe(submitted);
+  });
+});
+
 describe("a change of leader while customers are refused", () => {
   // Guards against refusals based on rates that the new leader cannot know.
   it("refuses nobody in the first window, and refuses again after it", () => {
