--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/job_store.ts
@@ -350,7 +350,7 @@
   }
 
   #placeRun({ key, position, job, task, spec }: PlaceableRun): void {
-    if (key.run <= task.run) {
+    if (task.worker !== undefined || key.run <= task.run) {
       // The command names the task twice.
       return;
     }
--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -422,6 +422,15 @@
   };
 }
 
+// Guards against resources that stay reserved for ever. Found by the next property (seed 1809366573).
+it("places a gang once if one command names two runs of it", () => {
+  const store = newJobStore([worker("w1")]);
+  submit(store, "j", spec(step({ gang: true })));
+  place(store, run("j.0.0.0", 1, "w1"), run("j.0.0.0", 2, "w1"));
+  expect(store.load("w1").reserved.cpuMilli).toBe(1_000);
+  expect(store.taskOf({ job: "j", round: 0, step: 0, index: 0 })?.run).toBe(1);
+});
+
 describe("any sequence of commands", () => {
   it("leaves a store that is restored from its encoding, indexes included", () => {
     fc.assert(fc.property(fc.array(command, { maxLength: 40 }), (commands) => {
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -24,6 +24,7 @@
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
+import { AdmissionController } from "./admission_controller.ts";
 import { logBacklogs } from "./backlog_log.ts";
 import { logCustomerWaits } from "./customer_wait_log.ts";
 import { FleetController } from "./fleet_controller.ts";
@@ -90,6 +91,7 @@
   readonly #unansweredStarts = new UnansweredStarts();
   /** When the latest session with each worker ended, in monotonic milliseconds; kept while its orders may arrive. */
   readonly #sessionEndedAt = new Map<string, number>();
+  readonly admission: AdmissionController;
   readonly #fleet: FleetController | undefined;
   readonly #permits: PermitCache | undefined;
   #passDue = false;
@@ -106,6 +108,10 @@
     this.#parts = parts;
     this.#runEndBatcher = new RunEndBatcher(parts);
     this.#losses = new WorkerLosses(parts);
+    this.admission = new AdmissionController({
+      ...parts,
+      estimate: this.#estimate,
+    });
     const now = parts.clock.monotonic();
     this.#rates = new ArrivalRates(now);
     this.#prunedAt = now;
@@ -159,6 +165,7 @@
     );
     return {
       term: this.#parts.term,
+      customers: this.admission.describe(),
       pools: [...demands].map(([name, { reserved, waiting, wanted }]) => {
         const sessions = [...this.#sessions.values()].filter(({ worker }) =>
           worker.pool === name
@@ -243,6 +250,9 @@
     this.#logEndedJobs();
     this.#logBacklogs(now);
     const { measure } = this.#parts;
+    measure("admission", () => {
+      this.admission.refresh(() => this.#usableWorkers(now), now);
+    });
     measure("fleet", () => this.#fleet?.reconcile(now));
     measure("orders", () => {
       this.#sessions.forEach((session) => session.sendDue());
@@ -471,6 +481,7 @@
     }, this.#parts.clock.wall());
     this.#logPlacements(placements, waits);
     this.#logCustomerWaits(waits, now);
+    this.admission.recordPlacements(placements, now);
     this.#permits?.requestMissing(
       steps,
       (step) =>
