Placement pass: shares are looked up while the steps are ranked; cheaper ranking and racks

Change: rankByUrgency takes the function that returns a step's share, so one loop reads each step. A step of a customer that has its entitlement is deferred without a look at its tasks. The critical path of a job is computed once for its first step, and racks are grouped without copying their list for each worker.

--- a/packages/core/src/scheduling/customer_shares.ts
+++ b/packages/core/src/scheduling/customer_shares.ts
@@ -95,10 +95,15 @@
     this.#compare();
   }
 
-  /** Number of tasks that bring it to its entitlement; 0 if it has that already. */
+  /** Whether it has less than its entitlement. */
+  get isBelow(): boolean {
+    return this.#isBelow;
+  }
+
+  /** Number of tasks that bring it to its entitlement; at least 1 while it has less. */
   tasksWithin(spec: StepSpec): number {
-    if (!this.#isBelow || this.#entitlement === Infinity) {
-      return this.#isBelow ? Infinity : 0;
+    if (this.#entitlement === Infinity) {
+      return Infinity;
     }
     const demand = reservation(spec);
     const count = Math.min(
@@ -176,25 +181,32 @@
   }
 }
 
-/** The share of the owner of each step, in the order of the steps. */
-export function sharesOf(
-  steps: Iterable<WaitingStep>,
-  input: SharesInput,
-): CustomerShare[] {
-  const pools = new Map<string, PoolShares>();
-  const shares = Array.from(steps, (step): CustomerShare => {
+/** Shares of one pass. */
+export class CustomerShares {
+  readonly #input: SharesInput;
+  readonly #pools = new Map<string, PoolShares>();
+
+  constructor(input: SharesInput) {
+    this.#input = input;
+  }
+
+  /** Adds a waiting step to what its owner wants, and returns the owner's share of the pool. */
+  add(step: WaitingStep): CustomerShare {
     const { pool, customer } = step.job;
-    let inPool = pools.get(pool);
+    let inPool = this.#pools.get(pool);
     if (inPool === undefined) {
-      inPool = new PoolShares(pool, input);
-      pools.set(pool, inPool);
+      inPool = new PoolShares(pool, this.#input);
+      this.#pools.set(pool, inPool);
     }
     const share = inPool.of(customer);
     share.addWaiting(step);
     return share;
-  });
-  pools.forEach((inPool) => inPool.divide());
-  return shares;
+  }
+
+  /** Sets the entitlements, once all steps are added. */
+  divide(): void {
+    this.#pools.forEach((inPool) => inPool.divide());
+  }
 }
 
 /**
--- a/packages/core/src/scheduling/placement_order.ts
+++ b/packages/core/src/scheduling/placement_order.ts
@@ -58,13 +58,9 @@
   wait: StepWait | undefined;
 }
 
-/**
- * Gives each step its turn by urgency and by the share of its customer, as far as caps allow. `shares` has the share of
- * each step's owner by the step's position.
- */
+/** Gives each step its turn by urgency and by the share of its owner, as far as caps allow. */
 export function placeByShare(
   ranked: readonly RankedStep[],
-  shares: readonly CustomerShare[],
   place: PlaceTasks,
 ): StepWait[] {
   const waits: StepWait[] = [];
@@ -82,19 +78,24 @@
     deferred = [];
   };
   let urgencyClass = -Infinity;
-  for (const { step, position, urgencyClass: current } of ranked) {
+  for (const { step, share, urgencyClass: current } of ranked) {
     if (current !== urgencyClass) {
       placeDeferred();
       urgencyClass = current;
     }
-    const share = shares[position];
     if (share === undefined) {
       continue;
     }
+    if (!share.isBelow) {
+      deferred.push({ step, share, from: 0, wait: undefined });
+      continue;
+    }
     const count = tasksWithin(share, step);
-    const wait = count === 0
-      ? undefined
-      : offer(step, { share, from: 0, count, reason: "capacity" }, place);
+    const wait = offer(
+      step,
+      { share, from: 0, count, reason: "capacity" },
+      place,
+    );
     if (wait !== undefined) {
       waits.push(wait);
     }
@@ -135,10 +136,11 @@
 }
 
 /** Number of waiting tasks that bring a customer to its entitlement; all or none if they should run together. */
-function tasksWithin(share: CustomerShare, step: WaitingStep): number {
-  const { spec, indices } = step;
-  const count = share.tasksWithin(spec);
-  return count > 0 && (spec.gang || spec.sameRack)
+function tasksWithin(
+  share: CustomerShare,
+  { spec, indices }: WaitingStep,
+): number {
+  return spec.gang || spec.sameRack
     ? indices.size
-    : Math.min(indices.size, count);
+    : Math.min(indices.size, share.tasksWithin(spec));
 }
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -7,7 +7,7 @@
 import type { RunKey } from "./command.ts";
 import type { Customer } from "./customer.ts";
 import { CustomerLimits } from "./customer_limits.ts";
-import { type CustomerShare, sharesOf } from "./customer_shares.ts";
+import { CustomerShares } from "./customer_shares.ts";
 import type { CustomerUsage } from "./customer_usage.ts";
 import type { WaitingStep } from "./job_record.ts";
 import {
@@ -62,8 +62,14 @@
   input: PlacementInput,
   wallNow: number,
 ): PlacementPass {
-  const waiting = [...input.waiting];
-  const ranked = rankByUrgency(waiting, input.estimate, wallNow);
+  const shares = sharesIn(input);
+  const ranked = rankByUrgency(
+    input.waiting,
+    input.estimate,
+    wallNow,
+    shares && ((step) => shares.add(step)),
+  );
+  shares?.divide();
   const unplaceable = new UnplaceableDemands();
   const placements = new Map<WaitingStep, RunKey[]>();
   const place: PlaceTasks = (step, from, count) => {
@@ -81,10 +87,9 @@
     }
     return runs.length;
   };
-  const { customers } = input;
-  const waits = customers === undefined || customers.planned.length === 0
+  const waits = shares === undefined
     ? placeByUrgency(ranked, place)
-    : placeByShare(ranked, sharesIn(input, waiting, customers), place);
+    : placeByShare(ranked, place);
   return {
     steps: ranked.map(({ step }) => step),
     placements: Array.from(placements, ([step, runs]) => ({ step, runs })),
@@ -92,12 +97,15 @@
   };
 }
 
+/** The shares of the plan's customers; undefined if callers are not told apart. */
 function sharesIn(
-  { candidates }: PlacementInput,
-  waiting: readonly WaitingStep[],
-  { planned, usage }: CustomersInput,
-): CustomerShare[] {
-  return sharesOf(waiting, {
+  { candidates, customers }: PlacementInput,
+): CustomerShares | undefined {
+  if (customers === undefined || customers.planned.length === 0) {
+    return undefined;
+  }
+  const { planned, usage } = customers;
+  return new CustomerShares({
     weights: new Map(planned.map(({ name, weight }) => [name, weight])),
     limits: new CustomerLimits(planned, usage),
     usage,
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -221,7 +221,12 @@
   const racks = new Map<string, CandidateWorker[]>();
   for (const candidate of candidates) {
     const rack = rackOf(candidate.worker);
-    racks.set(rack, [...racks.get(rack) ?? [], candidate]);
+    const inRack = racks.get(rack);
+    if (inRack === undefined) {
+      racks.set(rack, [candidate]);
+    } else {
+      inRack.push(candidate);
+    }
   }
   const byFreeCpu = [...racks.values()].sort((a, b) => freeCpu(b) - freeCpu(a));
   for (const group of [...byFreeCpu, candidates]) {
--- a/packages/core/src/scheduling/urgency.ts
+++ b/packages/core/src/scheduling/urgency.ts
@@ -6,14 +6,15 @@
  *
  * @module
  */
+import type { CustomerShare } from "./customer_shares.ts";
 import type { JobRecord, WaitingStep } from "./job_record.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /** A waiting step with its sort keys, lowest first. They are computed once, since a sort compares each step often. */
 export interface RankedStep {
   step: WaitingStep;
-  /** Position among the waiting steps before they were sorted. */
-  position: number;
+  /** Share of its owner in the pool; undefined if callers are not told apart. */
+  share: CustomerShare | undefined;
   /** Class of steps that go before all of higher classes; the shares of customers order the steps within one. */
   urgencyClass: number;
   priority: number;
@@ -33,17 +34,18 @@
   return rankByUrgency(waiting, estimate, wallNow).map(({ step }) => step);
 }
 
-/** The same with the sort keys. */
+/** The same with the sort keys. `shareOf` is called once for each step, before they are sorted. */
 export function rankByUrgency(
   waiting: Iterable<WaitingStep>,
   estimate: WorkEstimate,
   wallNow: number,
+  shareOf?: (step: WaitingStep) => CustomerShare,
 ): RankedStep[] {
-  const ranked = Array.from(waiting, (step, position): RankedStep => {
+  const ranked = Array.from(waiting, (step): RankedStep => {
     const startBy = latestStart(step, estimate);
     return {
       step,
-      position,
+      share: shareOf?.(step),
       urgencyClass: urgencyClass(step, startBy < wallNow),
       priority: step.job.terms.priority,
       startBy,
@@ -67,20 +69,29 @@
   round: number,
   estimate: WorkEstimate,
 ): number {
-  const repeat = job.spec?.repeat;
+  return deadlineOf(job, round, estimate.criticalPathMs(job));
+}
+
+function deadlineOf(
+  { spec, acceptedAtMs, terms }: JobRecord,
+  round: number,
+  criticalPathMs: number,
+): number {
+  const repeat = spec?.repeat;
   const from = repeat === undefined
-    ? job.acceptedAtMs
+    ? acceptedAtMs
     : repeat.startAtMs + round * repeat.intervalMs;
-  const { slackFactor, targetLatencyMs } = job.terms;
-  return from + slackFactor * estimate.criticalPathMs(job) + targetLatencyMs;
+  const { slackFactor, targetLatencyMs } = terms;
+  return from + slackFactor * criticalPathMs + targetLatencyMs;
 }
 
 function latestStart(
   { job, round, step }: WaitingStep,
   estimate: WorkEstimate,
 ): number {
-  return objectiveDeadline(job, round, estimate) -
-    estimate.criticalPathMs(job, step);
+  const wholeMs = estimate.criticalPathMs(job);
+  const restMs = step === 0 ? wholeMs : estimate.criticalPathMs(job, step);
+  return deadlineOf(job, round, wholeMs) - restMs;
 }
 
 /**
