Scheduler: reservations for large steps and waits for a rack, off by default

Cause: small steps fill every gap, so tasks that need most of a worker wait long, and those that are late wait without bound; a step whose data rack is full goes elsewhere at once, where it takes twice as long.

Change: expected ends of runs (run_ends, worker_timeline) from the time of placement and the estimate, re-estimated while a run overruns. reservation_plan gives the most urgent large steps the workers where they start earliest; less urgent steps use these only if they end before or fit beside. The large step that has waited longest, beyond 3 s, holds its worker against all; after one more second whatever the estimates say. rack_wait leaves tasks waiting for their rack while an end there is expected sooner than a remote run costs. The pass calls look-ahead only if its input has one.

The score of a worker is a function now; best fit by CPU stays.

--- /dev/null
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -0,0 +1,290 @@
+/**
+ * Look-ahead in placement: reservations for large steps, and waits for the rack of the data.
+ *
+ * One leadership term keeps the reservations and wait times between its passes; after a change of leader they start
+ * anew.
+ *
+ * @module
+ */
+import { reservation } from "./batch_job.ts";
+import { BlockedDemands } from "./blocked_demands.ts";
+import type { RunKey } from "./command.ts";
+import type { WaitingStep } from "./job_record.ts";
+import { countWaiting } from "./rack_wait.ts";
+import {
+  planReservations,
+  type Reservation,
+  RESERVATION_LIMITS,
+  type ReservationLimits,
+} from "./reservation_plan.ts";
+import { ReservedRoom } from "./reserved_room.ts";
+import {
+  type ExpectedEnd,
+  expectedEnds,
+  TaskDurations,
+  type TimedRun,
+} from "./run_ends.ts";
+import { type CandidateWorker, placeStep } from "./task_placement.ts";
+import { taskName } from "./task_name.ts";
+import { WaitTimes } from "./wait_times.ts";
+import type { WorkEstimate } from "./work_estimate.ts";
+import { WorkerTimeline } from "./worker_timeline.ts";
+
+/** What look-ahead needs to know beside the waiting steps and the workers. */
+export interface LookAheadParts {
+  estimate: WorkEstimate;
+  /** Factor by which a task takes longer away from the rack of its data. */
+  remoteFactor: number;
+  /** Runs on a worker that have not ended. */
+  runsOn: (worker: string) => Iterable<TimedRun>;
+  limits?: ReservationLimits;
+}
+
+/** What one pass decides on. */
+export interface LookAheadInput {
+  /** All waiting steps, most urgent first. */
+  steps: readonly WaitingStep[];
+  /** Workers that may get new runs, by pool. */
+  candidates: ReadonlyMap<string, readonly CandidateWorker[]>;
+  /** Workers that may get runs of a step. */
+  candidatesFor: (step: WaitingStep) => readonly CandidateWorker[];
+  /** Time until the latest start of a step that still meets its job's objective, in milliseconds. */
+  slackMs: (step: WaitingStep) => number;
+}
+
+export class LookAhead {
+  readonly #parts: LookAheadParts;
+  readonly #waits = new WaitTimes();
+  #reservations = new Map<string, Reservation[]>();
+
+  constructor(parts: LookAheadParts) {
+    this.#parts = parts;
+  }
+
+  /** Reservations of the last pass, by pool. */
+  get reservations(): ReadonlyMap<string, readonly Reservation[]> {
+    return this.#reservations;
+  }
+
+  /** Plans the reservations of a pass. */
+  begin(input: LookAheadInput, now: number): LookAheadPass {
+    const { limits = RESERVATION_LIMITS } = this.#parts;
+    this.#waits.update(input.steps, now);
+    const pass = new LookAheadPass(this.#parts, this.#waits, now);
+    const byPool = new Map<string, WaitingStep[]>();
+    for (const step of input.steps) {
+      const steps = byPool.get(step.job.pool) ?? [];
+      steps.push(step);
+      byPool.set(step.job.pool, steps);
+    }
+    const reservations = new Map<string, Reservation[]>();
+    for (const [pool, waiting] of byPool) {
+      const workers = input.candidates.get(pool) ?? [];
+      const plan = planReservations({
+        waiting,
+        workers,
+        candidates: input.candidatesFor,
+        timeline: (worker) => pass.timeline(worker),
+        waitedMs: (step) => this.#waits.waitedMs(step, now),
+        slackMs: input.slackMs,
+        backlogMs: pass.backlogMs(waiting, workers),
+        earlier: this.#reservations.get(pool) ?? [],
+        limits,
+      }, now);
+      if (plan.length > 0) {
+        reservations.set(pool, plan);
+        pass.reserve(plan, workers);
+      }
+    }
+    this.#reservations = reservations;
+    return pass;
+  }
+}
+
+/** Look-ahead during one placement pass. */
+export class LookAheadPass {
+  readonly #parts: LookAheadParts;
+  readonly #waits: WaitTimes;
+  readonly #now: number;
+  readonly #durations: TaskDurations;
+  readonly #timelines = new Map<string, WorkerTimeline>();
+  /** Expected ends of the runs that this pass placed, by worker. */
+  readonly #placed = new Map<string, ExpectedEnd[]>();
+  /** Reserved workers by step. */
+  readonly #rooms = new Map<string, ReservedRoom[]>();
+  /** Number of times that a reservation turned a step away. */
+  #refusals = 0;
+  readonly #blocked: BlockedDemands;
+
+  constructor(parts: LookAheadParts, waits: WaitTimes, now: number) {
+    this.#parts = parts;
+    this.#waits = waits;
+    this.#now = now;
+    this.#durations = new TaskDurations(parts.estimate, parts.remoteFactor);
+    this.#blocked = new BlockedDemands((step) => this.#durations.nearMs(step));
+  }
+
+  /** The free resources of a worker over time. */
+  timeline(candidate: CandidateWorker): WorkerTimeline {
+    const { worker, free } = candidate;
+    let timeline = this.#timelines.get(worker.id);
+    if (timeline === undefined) {
+      const ends = expectedEnds(
+        this.#parts.runsOn(worker.id),
+        worker.labels,
+        this.#durations,
+        this.#now,
+      );
+      ends.push(...this.#placed.get(worker.id) ?? []);
+      timeline = new WorkerTimeline(free, ends, this.#now);
+      this.#timelines.set(worker.id, timeline);
+    }
+    return timeline;
+  }
+
+  /** Time in which the workers of a pool, all of them idle, could do the waiting work, in milliseconds. */
+  backlogMs(
+    waiting: readonly WaitingStep[],
+    workers: readonly CandidateWorker[],
+  ): number {
+    const cpuMilli = workers.reduce(
+      (sum, { worker }) => sum + worker.capacity.cpuMilli,
+      0,
+    );
+    const work = waiting.reduce((sum, step) => {
+      const each = this.#durations.nearMs(step) *
+        reservation(step.spec).cpuMilli;
+      return sum + (step.spec.lasting ? 0 : step.indices.size * each);
+    }, 0);
+    return cpuMilli === 0 ? Infinity : work / cpuMilli;
+  }
+
+  /** Puts a plan of reservations into effect. */
+  reserve(
+    plan: readonly Reservation[],
+    workers: readonly CandidateWorker[],
+  ): void {
+    const byId = new Map(workers.map((each) => [each.worker.id, each]));
+    for (const each of plan) {
+      const candidate = byId.get(each.worker);
+      if (candidate === undefined) {
+        continue;
+      }
+      // The timeline is without the reserved resources, which are claimed.
+      const spare = this.timeline(candidate).freeAt(each.startsAt);
+      const room = new ReservedRoom(
+        each,
+        spare,
+        {
+          expectedMs: (step) =>
+            this.#durations.expectedMs(step, candidate.worker.labels),
+          onRefusal: () => this.#refusals += 1,
+        },
+        this.#now,
+      );
+      candidate.reservedRoom = room;
+      const rooms = this.#rooms.get(each.step) ?? [];
+      rooms.push(room);
+      this.#rooms.set(each.step, rooms);
+    }
+  }
+
+  /** Whether a step needs no attempt, since one that needs no more found no worker. */
+  covers(step: WaitingStep): boolean {
+    return !this.#rooms.has(step.name) && this.#blocked.covers(step);
+  }
+
+  /** Places tasks of a step; those that had better wait for the rack of their data are left waiting. */
+  place(
+    step: WaitingStep,
+    candidates: readonly CandidateWorker[],
+    wallNow: number,
+  ): RunKey[] {
+    const refusalsBefore = this.#refusals;
+    const { runs, waiting } = this.#placeNear(step, candidates, wallNow);
+    if (runs.length + waiting < step.indices.size) {
+      this.#blocked.record(step, this.#refusals > refusalsBefore);
+    }
+    this.#rooms.get(step.name)?.forEach((room) => room.activate());
+    return runs;
+  }
+
+  #placeNear(
+    step: WaitingStep,
+    candidates: readonly CandidateWorker[],
+    wallNow: number,
+  ): { runs: RunKey[]; waiting: number } {
+    const { dataRack } = step.spec;
+    const near = mayWaitForRack(step)
+      ? candidates.filter(({ worker }) => worker.labels.includes(dataRack))
+      : [];
+    if (near.length === 0) {
+      return { runs: this.#placeAny(step, candidates, wallNow), waiting: 0 };
+    }
+    const runs = this.#placeAny(step, near, wallNow);
+    const placed = new Set(runs.map(({ task }) => task));
+    const left = [...step.indices].filter((index) =>
+      !placed.has(taskOf(step, index))
+    );
+    const waiting = left.length === 0 ? 0 : countWaiting(step, {
+      tasks: left.length,
+      waitedMs: this.#waits.waitedMs(step, this.#now),
+      remoteCostMs: this.#durations.remoteCostMs(step),
+      timelines: near.map((candidate) => this.timeline(candidate)),
+    }, this.#now);
+    const rest = new Set(left.slice(waiting));
+    if (rest.size > 0) {
+      const remaining = { ...step, indices: rest };
+      runs.push(...this.#placeAny(remaining, candidates, wallNow));
+    }
+    return { runs, waiting };
+  }
+
+  #placeAny(
+    step: WaitingStep,
+    candidates: readonly CandidateWorker[],
+    wallNow: number,
+  ): RunKey[] {
+    const runs = placeStep(step, candidates, wallNow);
+    const demand = reservation(step.spec);
+    for (const { worker } of runs) {
+      const labels = candidates.find((each) => each.worker.id === worker)
+        ?.worker.labels ?? [];
+      const at = this.#now + this.#durations.expectedMs(step, labels);
+      const end = { at, demand };
+      const timeline = this.#timelines.get(worker);
+      if (timeline === undefined) {
+        const ends = this.#placed.get(worker) ?? [];
+        ends.push(end);
+        this.#placed.set(worker, ends);
+      } else {
+        timeline.addRun(end);
+      }
+    }
+    return runs;
+  }
+}
+
+/**
+ * Whether the rack of the data alone decides where the tasks go: other preferences, and tasks that failed or crashed
+ * somewhere, are left to the usual choice.
+ */
+function mayWaitForRack(
+  { spec, job, round, step, indices }: WaitingStep,
+): boolean {
+  if (
+    spec.dataRack === "" || spec.gang || spec.sameRack || spec.lasting ||
+    spec.fills || spec.targetLatencyMs > 0
+  ) {
+    return false;
+  }
+  const tasks = job.rounds[round]?.tasks[step];
+  return [...indices].every((index) =>
+    tasks?.[index]?.lastFailure === undefined &&
+    tasks?.[index]?.suspicion === undefined
+  );
+}
+
+function taskOf({ job, round, step }: WaitingStep, index: number): string {
+  return taskName({ job: job.id, round, step, index });
+}
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -5,12 +5,13 @@
  */
 import type { RunKey } from "./command.ts";
 import type { WaitingStep } from "./job_record.ts";
+import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
 import {
   type CandidateWorker,
   placeStep,
   UnplaceableDemands,
 } from "./task_placement.ts";
-import { sortByUrgency } from "./urgency.ts";
+import { latestStart, sortByUrgency } from "./urgency.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /** What a placement pass decides on. */
@@ -21,6 +22,8 @@
   candidates: ReadonlyMap<string, CandidateWorker[]>;
   /** Whether the advisor permits a step on a worker; asked only for advised queues. */
   isPermitted: (step: string, worker: string) => boolean;
+  /** Plans for large steps and full racks; undefined for none. */
+  lookAhead?: ((input: LookAheadInput) => LookAheadPass) | undefined;
 }
 
 /** Runs placed for one step. */
@@ -42,13 +45,21 @@
 ): PlacementPass {
   const steps = sortByUrgency(input.waiting, input.estimate, wallNow);
   const unplaceable = new UnplaceableDemands();
+  const lookAhead = input.lookAhead?.({
+    steps,
+    candidates: input.candidates,
+    candidatesFor: (step) => candidatesFor(step, input),
+    slackMs: (step) => latestStart(step, input.estimate) - wallNow,
+  });
   const placements: StepPlacement[] = [];
   for (const step of steps) {
-    if (unplaceable.covers(step)) {
+    if (lookAhead?.covers(step) ?? unplaceable.covers(step)) {
       continue;
     }
-    const runs = placeStep(step, candidatesFor(step, input), wallNow);
-    if (runs.length < step.indices.size) {
+    const stepCandidates = candidatesFor(step, input);
+    const runs = lookAhead?.place(step, stepCandidates, wallNow) ??
+      placeStep(step, stepCandidates, wallNow);
+    if (lookAhead === undefined && runs.length < step.indices.size) {
       unplaceable.record(step);
     }
     if (runs.length > 0) {
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -11,6 +11,8 @@
 import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
 import type { RunKey, Worker } from "./command.ts";
 import type { TaskRecord, WaitingStep } from "./job_record.ts";
+import { type FitScore, leastFreeCpu } from "./fit_score.ts";
+import type { ReservedRoom } from "./reserved_room.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 
@@ -28,6 +30,8 @@
   jobOnProbation?: string | undefined;
   /** Whether all runs on the worker have run for a while, so that a crash would not be attributed to them. */
   isSettled?: () => boolean;
+  /** How well a task fits into free resources; by default, the fullest worker fits best. */
+  fitScore?: FitScore;
 }
 
 /** A candidate worker and its free resources during one placement pass. */
@@ -43,6 +47,9 @@
   jobOnProbation: string | undefined;
   readonly isDueForMaintenance: boolean;
   readonly isSettled: () => boolean;
+  /** Room that is reserved here for a step; undefined for none. */
+  reservedRoom: ReservedRoom | undefined;
+  readonly #fitScore: FitScore;
 
   constructor(
     worker: Worker,
@@ -51,9 +58,11 @@
       isDueForMaintenance = false,
       jobOnProbation,
       isSettled = () => true,
+      fitScore = leastFreeCpu,
     }: WorkerCondition = {},
   ) {
     this.isSettled = isSettled;
+    this.#fitScore = fitScore;
     this.isDueForMaintenance = isDueForMaintenance;
     this.jobOnProbation = jobOnProbation;
     this.runCount = load.runs.size;
@@ -76,7 +85,13 @@
     return (this.jobOnProbation ?? job.id) === job.id &&
       fits(spec, this.free) &&
       hasLabel(this.worker, spec.requiredLabel) &&
-      (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker);
+      (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker) &&
+      (this.reservedRoom?.admits(step) ?? true);
+  }
+
+  /** How well a task of a step fits into the free resources; the lower, the better. */
+  scoreOf({ spec }: WaitingStep): number {
+    return this.#fitScore(reservation(spec), this.free, this.worker.capacity);
   }
 
   /** Whether a task of a step could run here if the worker were idle. */
@@ -93,11 +108,13 @@
   }
 
   /** Reserves the resources of a task of a step. Only tasks of its job are accepted beside a suspected one. */
-  reserve({ spec, name, job }: WaitingStep, isSuspected = false): void {
+  reserve(step: WaitingStep, isSuspected = false): void {
+    const { spec, name, job } = step;
     if (isSuspected) {
       this.jobOnProbation = job.id;
     }
     this.runCount += 1;
+    this.reservedRoom?.record(step);
     const { cpuMilli, memoryMb, gpus } = reservation(spec);
     this.free.cpuMilli -= cpuMilli;
     this.free.memoryMb -= memoryMb;
@@ -273,7 +290,7 @@
 
 /**
  * Prefers, in this order, candidates without interference, those not due for maintenance if the task is long-running,
- * those on the rack of its data, and those with the least free CPU.
+ * those on the rack of its data, and those where the task fits best.
  */
 function chooseCandidate(
   step: WaitingStep,
@@ -282,6 +299,7 @@
   const { dataRack, lasting } = step.spec;
   let best: CandidateWorker | undefined;
   let bestRank = 0;
+  let bestScore = 0;
   for (const candidate of candidates) {
     if (!candidate.accepts(step)) {
       continue;
@@ -290,11 +308,13 @@
       !candidate.worker.labels.includes(dataRack);
     const rank = 4 * Number(candidate.wouldInterfere(step.spec)) +
       2 * Number(lasting && candidate.isDueForMaintenance) + Number(isFar);
+    const score = candidate.scoreOf(step);
     const isBetter = best === undefined || rank < bestRank ||
-      (rank === bestRank && candidate.free.cpuMilli < best.free.cpuMilli);
+      (rank === bestRank && score < bestScore);
     if (isBetter) {
       best = candidate;
       bestRank = rank;
+      bestScore = score;
     }
   }
   return best;
