--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -8,6 +8,7 @@
 import { live } from "./live/live.ts";
 import { placement } from "./placement/scenario.ts";
 import { ROUTING } from "./routing/mod.ts";
+import { LOOK_AHEAD } from "./scheduling/look_ahead.ts";
 import type { Scenario } from "./scenario.ts";
 import { sweep } from "./sweep/scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
@@ -18,6 +19,7 @@
   ...ROUTING,
   WAVES,
   placement,
+  ...LOOK_AHEAD,
   capacity,
   live,
   sweep,
