Scheduler: setting placement.lookAhead, for plans with customers by default

Cause: earlier deployments must be placed as before, and new ones with look-ahead.

Change: settings `placement.lookAhead` (never, customers, always) and `placement.remoteFactor`; the leadership term records when its runs were placed and logs `step.holds` when a large step that has waited too long gets a worker.

--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -80,6 +80,16 @@
   ),
 });
 
+const PlacementSettings = z.strictObject({
+  lookAhead: z.enum(["never", "customers", "always"]).default("customers")
+    .describe(
+      "Whether large steps reserve workers and tasks wait for the rack of their data: for plans with customers, always or never.",
+    ),
+  remoteFactor: z.number().min(1).default(2).describe(
+    "Factor by which a task takes longer away from the rack of its data.",
+  ),
+});
+
 const Limits = z.strictObject({
   maxHeaderBytes: Bytes.default(16_384).describe("Largest request header."),
   maxBodyBytes: Bytes.default(1_048_576).describe(
@@ -115,6 +125,7 @@
   raft: Raft.prefault({}).describe("Replication."),
   link: Link.prefault({}).describe("Connections between nodes."),
   workers: WorkerSettings.prefault({}).describe("Orders to workers."),
+  placement: PlacementSettings.prefault({}).describe("Choice of workers."),
   fleet: Address.nullable().default(null).describe(
     "Where the platform lists and moves VMs; null where it does not.",
   ),
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -7,12 +7,16 @@
   ArrivalRates,
   CandidateWorker,
   type JobStore,
+  LookAhead,
   poolDemands,
   type RunKey,
   runPlacementPass,
   type RunRecord,
+  RunStarts,
+  type SchedulerSettings,
   type StepPlacement,
   type SubmittedJob,
+  type TimedRun,
   type Worker,
   WorkerHealth,
   WorkEstimate,
@@ -38,6 +42,7 @@
     "onChange" | "onLost" | "estimate" | "health" | "permit" | "runEndBatcher"
   > {
   retentionMs: number;
+  placement: SchedulerSettings["placement"];
   /** Undefined if the platform has no VM API. */
   vmClient: VmClient | undefined;
   /** Undefined if no advisor is configured. */
@@ -71,6 +76,8 @@
   readonly #rates: ArrivalRates;
   readonly #estimate = new WorkEstimate();
   readonly #health = new WorkerHealth();
+  readonly #runStarts: RunStarts;
+  readonly #lookAhead: LookAhead;
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
   readonly #fleet: FleetController | undefined;
@@ -91,6 +98,12 @@
     const now = parts.clock.monotonic();
     this.#rates = new ArrivalRates(now);
     this.#prunedAt = now;
+    this.#runStarts = new RunStarts(now);
+    this.#lookAhead = new LookAhead({
+      estimate: this.#estimate,
+      remoteFactor: parts.placement.remoteFactor,
+      runsOn: (worker) => this.#runsOn(worker),
+    });
     this.#ticker = ticker("passes", PASS_INTERVAL_MS, () => this.#pass());
     this.#fleet = parts.vmClient && new FleetController({
       ...parts,
@@ -380,8 +393,12 @@
       candidates,
       isPermitted: (step, worker) =>
         this.#permits?.permit(step, worker, now) !== undefined,
+      lookAhead: this.#looksAhead
+        ? (input) => this.#lookAhead.begin(input, now)
+        : undefined,
     }, this.#parts.clock.wall());
     placements.forEach((placement) => this.#logPlacement(placement));
+    this.#logHolds(now);
     this.#permits?.requestMissing(
       steps,
       (step) =>
@@ -394,6 +411,40 @@
     return placements.flatMap(({ runs }) => runs);
   }
 
+  /** Logs the workers that were given to a large step which has waited too long. */
+  #logHolds(now: number): void {
+    for (const plan of this.#lookAhead.reservations.values()) {
+      for (const { step, worker, startsAt, since, isHeld } of plan) {
+        if (isHeld && since === now) {
+          const startsInMs = Math.round(startsAt - now);
+          this.#parts.log.info("step.holds", { step, worker, startsInMs });
+        }
+      }
+    }
+  }
+
+  /** Whether placement considers what will end soon. */
+  get #looksAhead(): boolean {
+    const { lookAhead } = this.#parts.placement;
+    return lookAhead === "always" ||
+      (lookAhead === "customers" && this.#jobStore.plan.customers.length > 0);
+  }
+
+  /** Runs on a worker, for their expected ends. */
+  #runsOn(worker: string): TimedRun[] {
+    const jobStore = this.#jobStore;
+    const runs: TimedRun[] = [];
+    for (const run of jobStore.load(worker).runs.values()) {
+      const job = jobStore.jobs.get(run.job);
+      const spec = jobStore.stepOf(run);
+      if (job !== undefined && spec !== undefined) {
+        const startedAt = this.#runStarts.of(run);
+        runs.push({ step: { job, spec }, startedAt });
+      }
+    }
+    return runs;
+  }
+
   #logPlacement({ step, runs }: StepPlacement): void {
     this.#parts.log.info("step.placed", {
       step: step.name,
@@ -414,11 +465,13 @@
 
   #sendStarts(runs: readonly RunKey[]): void {
     const byWorker = new Map<string, RunRecord[]>();
+    const now = this.#parts.clock.monotonic();
     for (const key of runs) {
       const run = this.#jobStore.findRun(key);
       if (run !== undefined) {
         const workerRuns = byWorker.get(key.worker) ?? [];
         workerRuns.push(run);
+        this.#runStarts.record(run, now);
         byWorker.set(key.worker, workerRuns);
       }
     }
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -311,6 +311,7 @@
       holder: settings.node,
       settings: settings.workers,
       retentionMs: settings.retentionMs,
+      placement: settings.placement,
       consensus: replica,
       createRouter: (term) =>
         new CallRouter({
--- a/packages/daemon/test/leader_controller_test.ts
+++ b/packages/daemon/test/leader_controller_test.ts
@@ -40,6 +40,7 @@
     advisorClient: undefined,
     holder: "n1",
     retentionMs: 60_000,
+    placement: { lookAhead: "customers", remoteFactor: 2 },
     clock: TEST_CLOCK,
     log: QUIET_LOG,
     metrics: new Metrics(),
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -73,6 +73,7 @@
     term: 7,
     holder: "n1",
     retentionMs: 60_000,
+    placement: { lookAhead: "customers", remoteFactor: 2 },
     vmClient: undefined,
     advisorClient: undefined,
     client: {
