--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -9,6 +9,7 @@
 import { placement } from "./placement/scenario.ts";
 import { ROUTING } from "./routing/mod.ts";
 import { LOOK_AHEAD } from "./scheduling/look_ahead.ts";
+import { passCost } from "./scheduling/pass_cost.ts";
 import type { Scenario } from "./scenario.ts";
 import { sweep } from "./sweep/scenario.ts";
 import { WAVES } from "./waves/scenario.ts";
@@ -20,6 +21,7 @@
   WAVES,
   placement,
   ...LOOK_AHEAD,
+  passCost,
   capacity,
   live,
   sweep,
--- a/bench/src/scheduling/pool_simulation.ts
+++ b/bench/src/scheduling/pool_simulation.ts
@@ -199,8 +199,7 @@
     );
     const wantsRack = random() < (kind.rackShare ?? 0);
     const dataRack = wantsRack ? "r0" : "";
-    const spec: StepSpec = {
-      ...STEP,
+    const spec = newStep({
       taskCount: kind.tasks,
       demand: {
         cpuMilli: 1_000 * cores,
@@ -210,7 +209,7 @@
       estimatedMs: guessMs,
       gang: kind.isGang ?? false,
       dataRack,
-    };
+    });
     this.#store.apply({
       kind: "submit",
       jobs: [{
@@ -388,6 +387,11 @@
   source: "{}",
 };
 
+/** A step with defaults for what a load does not set. */
+export function newStep(changes: Partial<StepSpec>): StepSpec {
+  return { ...STEP, ...changes };
+}
+
 const STEP: StepSpec = {
   taskCount: 1,
   demand: { cpuMilli: 0, memoryMb: 0, gpus: 0 },
--- a/packages/core/src/scheduling/blocked_demands.ts
+++ b/packages/core/src/scheduling/blocked_demands.ts
@@ -7,23 +7,35 @@
 import { reservation } from "./batch_job.ts";
 import type { WaitingStep } from "./job_record.ts";
 
-/** A demand and the expected duration of its tasks. */
+/** A demand, and the number of reservations before whose start its tasks are expected to end. */
 type Demand = readonly [
   cpuMilli: number,
   memoryMb: number,
   gpus: number,
-  durationMs: number,
+  admissions: number,
 ];
 
 /** Maximum number of demands kept for one pool and label; more would cost more than they save. */
 const MAX_DEMANDS = 16;
 
+/** Expected duration of a step's tasks on the best and on the worst worker, in milliseconds. */
+export interface DurationRange {
+  shortestMs: number;
+  longestMs: number;
+}
+
 export class BlockedDemands {
-  readonly #durationMs: (step: WaitingStep) => number;
+  readonly #durations: (step: WaitingStep) => DurationRange;
+  readonly #gaps: (pool: string) => readonly number[];
   readonly #blocked = new Map<string, Demand[]>();
 
-  constructor(durationMs: (step: WaitingStep) => number) {
-    this.#durationMs = durationMs;
+  /** `gaps`: times until the starts of the pool's reservations that let shorter tasks in. */
+  constructor(
+    durations: (step: WaitingStep) => DurationRange,
+    gaps: (pool: string) => readonly number[],
+  ) {
+    this.#durations = durations;
+    this.#gaps = gaps;
   }
 
   /** Records a step of which a task found no worker; `isReserved` if a reservation was among the causes. */
@@ -40,7 +52,10 @@
       return;
     }
     // Without reservations, a shorter task finds no worker either.
-    const demand = this.#demandOf(step, isReserved ? undefined : 0);
+    const admissions = isReserved
+      ? this.#admissions(step, "longestMs")
+      : Infinity;
+    const demand = demandOf(step, admissions);
     const key = keyOf(step);
     const others = (this.#blocked.get(key) ?? []).filter((other) =>
       !isAtLeast(other, demand)
@@ -51,29 +66,37 @@
     this.#blocked.set(key, others);
   }
 
-  /** Whether a step needs at least as much, for at least as long, as one that found no worker. */
+  /** Whether a step needs no less than one that found no worker, and is let in by no more reservations. */
   covers(step: WaitingStep): boolean {
     const blocked = this.#blocked.get(keyOf(step));
     if (blocked === undefined) {
       return false;
     }
-    const demand = this.#demandOf(step);
+    const demand = demandOf(step, this.#admissions(step, "shortestMs"));
     return blocked.some((other) => isAtLeast(demand, other));
   }
 
-  #demandOf(
-    step: WaitingStep,
-    durationMs: number = this.#durationMs(step),
-  ): Demand {
-    const { cpuMilli, memoryMb, gpus } = reservation(step.spec);
-    return [cpuMilli, memoryMb, gpus, durationMs];
+  /** Number of reservations before whose start a task of a step is expected to end. */
+  #admissions(step: WaitingStep, duration: keyof DurationRange): number {
+    const gaps = this.#gaps(step.job.pool);
+    if (gaps.length === 0) {
+      return 0;
+    }
+    const durationMs = this.#durations(step)[duration];
+    return gaps.filter((gap) => durationMs <= gap).length;
   }
 }
 
+function demandOf({ spec }: WaitingStep, admissions: number): Demand {
+  const { cpuMilli, memoryMb, gpus } = reservation(spec);
+  return [cpuMilli, memoryMb, gpus, admissions];
+}
+
 function keyOf({ job, spec }: WaitingStep): string {
   return `${job.pool} ${spec.requiredLabel}`;
 }
 
+/** Whether a demand needs no less than another and is let in by no more reservations. */
 function isAtLeast(a: Demand, b: Demand): boolean {
-  return a[0] >= b[0] && a[1] >= b[1] && a[2] >= b[2] && a[3] >= b[3];
+  return a[0] >= b[0] && a[1] >= b[1] && a[2] >= b[2] && a[3] <= b[3];
 }
--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -10,7 +10,7 @@
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { RunKey } from "./command.ts";
 import type { WaitingStep } from "./job_record.ts";
-import { countWaiting } from "./rack_wait.ts";
+import { countWaiting, maxRackWaitMs } from "./rack_wait.ts";
 import {
   planReservations,
   type Reservation,
@@ -87,7 +87,7 @@
         timeline: (worker) => pass.timeline(worker),
         waitedMs: (step) => this.#waits.waitedMs(step, now),
         slackMs: input.slackMs,
-        backlogMs: pass.backlogMs(waiting, workers),
+        isBacklogged: pass.isBacklogged(waiting, workers, limits.maxBacklogMs),
         earlier: this.#reservations.get(pool) ?? [],
         limits,
       }, now);
@@ -114,6 +114,13 @@
   readonly #rooms = new Map<string, ReservedRoom[]>();
   /** Number of times that a reservation turned a step away. */
   #refusals = 0;
+  /** Candidates by rack, for each list of candidates. */
+  readonly #racks = new WeakMap<
+    readonly CandidateWorker[],
+    Map<string, readonly CandidateWorker[]>
+  >();
+  /** Times until the starts of reservations that let shorter tasks in, by pool. */
+  readonly #gaps = new Map<string, number[]>();
   readonly #blocked: BlockedDemands;
 
   constructor(parts: LookAheadParts, waits: WaitTimes, now: number) {
@@ -121,7 +128,10 @@
     this.#waits = waits;
     this.#now = now;
     this.#durations = new TaskDurations(parts.estimate, parts.remoteFactor);
-    this.#blocked = new BlockedDemands((step) => this.#durations.nearMs(step));
+    this.#blocked = new BlockedDemands(
+      (step) => this.#durations.range(step),
+      (pool) => this.#gaps.get(pool) ?? [],
+    );
   }
 
   /** The free resources of a worker over time. */
@@ -142,21 +152,25 @@
     return timeline;
   }
 
-  /** Time in which the workers of a pool, all of them idle, could do the waiting work, in milliseconds. */
-  backlogMs(
+  /** Whether the workers of a pool, all of them idle, would need longer than a time for the waiting work. */
+  isBacklogged(
     waiting: readonly WaitingStep[],
     workers: readonly CandidateWorker[],
-  ): number {
+    maxMs: number,
+  ): boolean {
     const cpuMilli = workers.reduce(
       (sum, { worker }) => sum + worker.capacity.cpuMilli,
       0,
     );
-    const work = waiting.reduce((sum, step) => {
-      const each = this.#durations.nearMs(step) *
-        reservation(step.spec).cpuMilli;
-      return sum + (step.spec.lasting ? 0 : step.indices.size * each);
-    }, 0);
-    return cpuMilli === 0 ? Infinity : work / cpuMilli;
+    let left = maxMs * cpuMilli;
+    return waiting.some((step) => {
+      const { spec, indices } = step;
+      if (!spec.lasting) {
+        left -= this.#durations.nearMs(step) * indices.size *
+          reservation(spec).cpuMilli;
+      }
+      return left < 0;
+    });
   }
 
   /** Puts a plan of reservations into effect. */
@@ -183,6 +197,12 @@
         this.#now,
       );
       candidate.reservedRoom = room;
+      if (!each.isStrict) {
+        const { pool } = candidate.worker;
+        const gaps = this.#gaps.get(pool) ?? [];
+        gaps.push(each.startsAt - this.#now);
+        this.#gaps.set(pool, gaps);
+      }
       const rooms = this.#rooms.get(each.step) ?? [];
       rooms.push(room);
       this.#rooms.set(each.step, rooms);
@@ -215,9 +235,13 @@
     wallNow: number,
   ): { runs: RunKey[]; waiting: number } {
     const { dataRack } = step.spec;
-    const near = mayWaitForRack(step)
-      ? candidates.filter(({ worker }) => worker.labels.includes(dataRack))
-      : [];
+    const maxWaitMs = mayWaitForRack(step)
+      ? maxRackWaitMs(
+        this.#durations.remoteCostMs(step),
+        this.#waits.waitedMs(step, this.#now),
+      )
+      : 0;
+    const near = maxWaitMs > 0 ? this.#onRack(dataRack, candidates) : [];
     if (near.length === 0) {
       return { runs: this.#placeAny(step, candidates, wallNow), waiting: 0 };
     }
@@ -226,20 +250,37 @@
     const left = [...step.indices].filter((index) =>
       !placed.has(taskOf(step, index))
     );
-    const waiting = left.length === 0 ? 0 : countWaiting(step, {
+    // Where no worker has room, there is nothing to decide.
+    const hasRoom = left.length > 0 &&
+      candidates.some((candidate) => candidate.accepts(step));
+    const waiting = !hasRoom ? 0 : countWaiting(step, {
       tasks: left.length,
-      waitedMs: this.#waits.waitedMs(step, this.#now),
-      remoteCostMs: this.#durations.remoteCostMs(step),
+      maxWaitMs,
       timelines: near.map((candidate) => this.timeline(candidate)),
     }, this.#now);
     const rest = new Set(left.slice(waiting));
-    if (rest.size > 0) {
+    if (hasRoom && rest.size > 0) {
       const remaining = { ...step, indices: rest };
       runs.push(...this.#placeAny(remaining, candidates, wallNow));
     }
     return { runs, waiting };
   }
 
+  /** The candidates on a rack. */
+  #onRack(
+    rack: string,
+    candidates: readonly CandidateWorker[],
+  ): readonly CandidateWorker[] {
+    const racks = this.#racks.get(candidates) ?? new Map();
+    this.#racks.set(candidates, racks);
+    let onRack = racks.get(rack);
+    if (onRack === undefined) {
+      onRack = candidates.filter(({ worker }) => worker.labels.includes(rack));
+      racks.set(rack, onRack);
+    }
+    return onRack;
+  }
+
   #placeAny(
     step: WaitingStep,
     candidates: readonly CandidateWorker[],
--- a/packages/core/src/scheduling/rack_wait.ts
+++ b/packages/core/src/scheduling/rack_wait.ts
@@ -20,25 +20,23 @@
 export interface RackWait {
   /** Number of its tasks without a worker. */
   tasks: number;
-  /** Time for which the step has waited for the rack. */
-  waitedMs: number;
-  /** Additional time that a task takes elsewhere. */
-  remoteCostMs: number;
+  maxWaitMs: number;
   /** Workers on the rack. */
   timelines: readonly WorkerTimeline[];
 }
 
+/** Longest time that a step that has waited for `waitedMs` may go on waiting for a rack. */
+export function maxRackWaitMs(remoteCostMs: number, waitedMs: number): number {
+  return Math.min(MAX_RACK_WAIT_MS, MAX_WAIT_SHARE * remoteCostMs) - waitedMs;
+}
+
 /** Number of tasks of a step that had better wait for the rack; their room is claimed in the timelines. */
 export function countWaiting(
   { spec }: Pick<WaitingStep, "spec">,
-  { tasks, waitedMs, remoteCostMs, timelines }: RackWait,
+  { tasks, maxWaitMs, timelines }: RackWait,
   now: number,
 ): number {
   const demand = reservation(spec);
-  const maxWaitMs = Math.min(
-    MAX_RACK_WAIT_MS,
-    MAX_WAIT_SHARE * remoteCostMs,
-  ) - waitedMs;
   for (let waiting = 0; waiting < tasks; waiting++) {
     let earliest: WorkerTimeline | undefined;
     let startsAt = now + maxWaitMs;
--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/reservation_plan.ts
@@ -34,7 +34,10 @@
   maxHeldSteps: number;
   /** Share of the largest worker, in some resource, from which a task is large. */
   largeShare: number;
-  /** Backlog above which only the oldest large steps get room, since each core that idles delays the whole backlog. */
+  /**
+   * Backlog above which only the oldest large steps get room, since each core that idles delays the whole backlog: the
+   * time in which the pool, if it were idle, could do the waiting work.
+   */
   maxBacklogMs: number;
 }
 
@@ -57,6 +60,9 @@
 /** Advantage in expected start for which a reservation changes its worker, so that workers under it can empty. */
 const MIN_GAIN_MS = 200;
 
+/** Durations do not matter where no reservation is in effect. */
+const ANY_DURATION = { shortestMs: 0, longestMs: 0 };
+
 /** A worker that is reserved for tasks of a step. */
 export interface Reservation {
   step: string;
@@ -86,8 +92,8 @@
   waitedMs: (step: WaitingStep) => number;
   /** Time until the latest start of a step that still meets its job's objective, in milliseconds. */
   slackMs: (step: WaitingStep) => number;
-  /** Time in which the pool, if it were idle, could do the waiting work, in milliseconds. */
-  backlogMs: number;
+  /** Whether the backlog exceeds its limit. */
+  isBacklogged: boolean;
   /** The plan of the previous pass. */
   earlier: readonly Reservation[];
   limits: ReservationLimits;
@@ -113,7 +119,7 @@
   for (const step of held) {
     plan.push(...reservationsOf(step, input, plan, Infinity, true, now));
   }
-  if (input.backlogMs > limits.maxBacklogMs) {
+  if (input.isBacklogged) {
     return plan;
   }
   const maxWorkers = Math.max(
@@ -157,7 +163,7 @@
 function blockedCheck(
   { candidates }: ReservationInput,
 ): (step: WaitingStep) => boolean {
-  const blocked = new BlockedDemands(() => 0);
+  const blocked = new BlockedDemands(() => ANY_DURATION, () => []);
   return (step) => {
     if (blocked.covers(step)) {
       return true;
--- a/packages/core/src/scheduling/run_ends.ts
+++ b/packages/core/src/scheduling/run_ends.ts
@@ -75,6 +75,14 @@
     return this.nearMs(step) * (isFar ? this.#remoteFactor : 1);
   }
 
+  /** Expected durations on the rack of the data and elsewhere. */
+  range(step: TimedStep): { shortestMs: number; longestMs: number } {
+    const shortestMs = this.nearMs(step);
+    const isFar = step.spec.dataRack !== "";
+    const longestMs = shortestMs * (isFar ? this.#remoteFactor : 1);
+    return { shortestMs, longestMs };
+  }
+
   /** Additional time that a task takes away from the rack of its data, in milliseconds. */
   remoteCostMs(step: TimedStep): number {
     return this.nearMs(step) * (this.#remoteFactor - 1);
--- a/packages/core/src/scheduling/wait_times.ts
+++ b/packages/core/src/scheduling/wait_times.ts
@@ -9,23 +9,33 @@
   since: number;
   /** Number of waiting tasks when last seen. */
   tasks: number;
+  seenAt: number;
 }
 
 export class WaitTimes {
-  #waits = new Map<string, Wait>();
+  readonly #waits = new Map<string, Wait>();
 
   /** Records the steps that wait now, and forgets all others. */
-  update(waiting: Iterable<WaitingStep>, now: number): void {
-    const waits = new Map<string, Wait>();
+  update(waiting: readonly WaitingStep[], now: number): void {
     for (const { name, indices } of waiting) {
-      const known = this.#waits.get(name);
-      const hasProgressed = known === undefined || indices.size < known.tasks;
-      waits.set(name, {
-        since: hasProgressed ? now : known.since,
-        tasks: indices.size,
-      });
+      const wait = this.#waits.get(name);
+      if (wait === undefined) {
+        this.#waits.set(name, { since: now, tasks: indices.size, seenAt: now });
+        continue;
+      }
+      if (indices.size < wait.tasks) {
+        wait.since = now;
+      }
+      wait.tasks = indices.size;
+      wait.seenAt = now;
+    }
+    if (this.#waits.size > waiting.length) {
+      for (const [name, { seenAt }] of this.#waits) {
+        if (seenAt < now) {
+          this.#waits.delete(name);
+        }
+      }
     }
-    this.#waits = waits;
   }
 
   /** Time since a step began to wait or last got a run, in milliseconds. */
--- a/packages/core/test/scheduling_look_ahead_test.ts
+++ b/packages/core/test/scheduling_look_ahead_test.ts
@@ -7,6 +7,7 @@
   expectedEnd,
   type JobStore,
   LookAhead,
+  maxRackWaitMs,
   type PlacementPass,
   planReservations,
   type Reservation,
@@ -214,7 +215,7 @@
       timeline: (each) => timelines.get(each) as WorkerTimeline,
       waitedMs: () => 0,
       slackMs: () => 10_000,
-      backlogMs: 0,
+      isBacklogged: false,
       earlier: [],
       limits: { ...RESERVATION_LIMITS, maxWorkerShare: 1 },
       ...changes,
@@ -281,7 +282,7 @@
     expect(limited({ maxSteps: 2, maxWorkerShare: 1 })).toBe(2);
     expect(limited({ maxSteps: 9, maxWorkerShare: 0.75 })).toBe(3);
     expect(limited({ maxSteps: 9, maxWorkerShare: 0 })).toBe(1);
-    expect(plan(store, { backlogMs: 10_000 })).toEqual([]);
+    expect(plan(store, { isBacklogged: true })).toEqual([]);
   });
 
   it("reserves nothing for a start that is too late for the objective", () => {
@@ -416,8 +417,7 @@
     const count = (remoteCostMs: number, waitedMs = 0): number =>
       countWaiting(waiting, {
         tasks: 5,
-        waitedMs,
-        remoteCostMs,
+        maxWaitMs: maxRackWaitMs(remoteCostMs, waitedMs),
         timelines: [timeline()],
       }, 0);
     expect([100, 500, 1_000, 5_000].map((cost) => count(cost))).toEqual(
@@ -430,7 +430,10 @@
 describe("blocked demands", () => {
   it("cover steps that need no less, and for no less time where a reservation was the cause", () => {
     const store = newJobStore([]);
-    const blocked = new BlockedDemands(({ spec: own }) => own.estimatedMs);
+    const blocked = new BlockedDemands(
+      ({ spec: { estimatedMs: ms } }) => ({ shortestMs: ms, longestMs: ms }),
+      () => [450, 900],
+    );
     const of = (id: string, count: number, estimatedMs: number): WaitingStep =>
       submitStep(store, id, { demand: cores(count), estimatedMs });
     blocked.record(of("a", 2, 500), true);
