--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -8,6 +8,8 @@
 import { live } from "./live/live.ts";
 import { placement } from "./placement/scenario.ts";
 import { ROUTING } from "./routing/mod.ts";
+import { LOOK_AHEAD } from "./scheduling/look_ahead.ts";
+import { passCost } from "./scheduling/pass_cost.ts";
 import type { Scenario } from "./scenario.ts";
 import { scheduling } from "./scheduling/scenario.ts";
 import { sweep } from "./sweep/scenario.ts";
@@ -20,6 +22,8 @@
   WAVES,
   placement,
   scheduling,
+  ...LOOK_AHEAD,
+  passCost,
   capacity,
   live,
   sweep,
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -10,6 +10,7 @@
 import { CustomerShares } from "./customer_shares.ts";
 import type { CustomerUsage } from "./customer_usage.ts";
 import type { WaitingStep } from "./job_record.ts";
+import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
 import {
   placeByShare,
   placeByUrgency,
@@ -22,7 +23,7 @@
   placeStep,
   UnplaceableDemands,
 } from "./task_placement.ts";
-import { rankByUrgency } from "./urgency.ts";
+import { latestStart, rankByUrgency, type RankedStep } from "./urgency.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /** What a placement pass decides on. */
@@ -35,6 +36,8 @@
   isPermitted: (step: string, worker: string) => boolean;
   /** Undefined if callers are not told apart. */
   customers?: CustomersInput | undefined;
+  /** Plans for large steps and full racks; undefined for none. */
+  lookAhead?: ((input: LookAheadInput) => LookAheadPass) | undefined;
 }
 
 export interface CustomersInput {
@@ -70,16 +73,24 @@
     shares && ((step) => shares.add(step)),
   );
   shares?.divide();
+  const steps = ranked.map(({ step }) => step);
   const unplaceable = new UnplaceableDemands();
+  const lookAhead = input.lookAhead?.({
+    steps: ranked.filter(mayStart).map(({ step }) => step),
+    candidates: input.candidates,
+    candidatesFor: (step) => candidatesFor(step, input),
+    slackMs: (step) => latestStart(step, input.estimate) - wallNow,
+  });
   const placements = new Map<WaitingStep, RunKey[]>();
   const place: PlaceTasks = (step, from, count) => {
-    if (unplaceable.covers(step)) {
+    if (lookAhead?.covers(step) ?? unplaceable.covers(step)) {
       return 0;
     }
-    const all = [...step.indices];
-    const indices = count === all.length ? all : all.slice(from, from + count);
-    const runs = placeStep(step, candidatesFor(step, input), wallNow, indices);
-    if (runs.length < count) {
+    const part = partOf(step, from, count);
+    const stepCandidates = candidatesFor(step, input);
+    const runs = lookAhead?.place(part, stepCandidates, wallNow) ??
+      placeStep(part, stepCandidates, wallNow);
+    if (lookAhead === undefined && runs.length < count) {
       unplaceable.record(step);
     }
     if (runs.length > 0) {
@@ -91,12 +102,27 @@
     ? placeByUrgency(ranked, place)
     : placeByShare(ranked, place);
   return {
-    steps: ranked.map(({ step }) => step),
+    steps,
     placements: Array.from(placements, ([step, runs]) => ({ step, runs })),
     waits,
   };
 }
 
+/** Whether the cap of its customer lets a task of a step start; others reserve no room. */
+function mayStart({ step, share }: RankedStep): boolean {
+  const { spec, indices } = step;
+  return share?.limit === undefined ||
+    share.limit.startable(spec, indices.size) > 0;
+}
+
+/** A step with `count` of its waiting tasks, after the first `from`. */
+function partOf(step: WaitingStep, from: number, count: number): WaitingStep {
+  const indices = [...step.indices];
+  return count === indices.length
+    ? step
+    : { ...step, indices: new Set(indices.slice(from, from + count)) };
+}
+
 /** The shares of the plan's customers; undefined if callers are not told apart. */
 function sharesIn(
   { candidates, customers }: PlacementInput,
--- a/packages/core/src/scheduling/urgency.ts
+++ b/packages/core/src/scheduling/urgency.ts
@@ -85,7 +85,8 @@
   return from + slackFactor * criticalPathMs + targetLatencyMs;
 }
 
-function latestStart(
+/** Latest start of a step that still meets its job's objective, in wall-clock milliseconds. */
+export function latestStart(
   { job, round, step }: WaitingStep,
   estimate: WorkEstimate,
 ): number {
--- /dev/null
+++ b/packages/core/src/scheduling/wait_times.ts
@@ -0,0 +1,45 @@
+/**
+ * How long steps have waited since they last got a run, as the leader of one term has seen it.
+ *
+ * @module
+ */
+import type { WaitingStep } from "./job_record.ts";
+
+interface Wait {
+  since: number;
+  /** Number of waiting tasks when last seen. */
+  tasks: number;
+  seenAt: number;
+}
+
+export class WaitTimes {
+  readonly #waits = new Map<string, Wait>();
+
+  /** Records the steps that wait now, and forgets all others. */
+  update(waiting: readonly WaitingStep[], now: number): void {
+    for (const { name, indices } of waiting) {
+      const wait = this.#waits.get(name);
+      if (wait === undefined) {
+        this.#waits.set(name, { since: now, tasks: indices.size, seenAt: now });
+        continue;
+      }
+      if (indices.size < wait.tasks) {
+        wait.since = now;
+      }
+      wait.tasks = indices.size;
+      wait.seenAt = now;
+    }
+    if (this.#waits.size > waiting.length) {
+      for (const [name, { seenAt }] of this.#waits) {
+        if (seenAt < now) {
+          this.#waits.delete(name);
+        }
+      }
+    }
+  }
+
+  /** Time since a step began to wait or last got a run, in milliseconds. */
+  waitedMs({ name }: WaitingStep, now: number): number {
+    return now - (this.#waits.get(name)?.since ?? now);
+  }
+}
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -9,13 +9,17 @@
   isLaterLife,
   type JobStore,
   LONGEST_ORDER_DELAY_MS,
+  LookAhead,
   poolDemands,
   type RunKey,
   runPlacementPass,
   type RunRecord,
+  RunStarts,
+  type SchedulerSettings,
   type StepPlacement,
   type StepWait,
   type SubmittedJob,
+  type TimedRun,
   UnansweredStarts,
   type WaitingStep,
   type WaitReason,
@@ -53,6 +57,7 @@
   retentionMs: number;
   /** Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective. */
   reclaimsBusyVms: boolean;
+  placement: SchedulerSettings["placement"];
   /** Undefined if the platform has no VM API. */
   vmClient: VmClient | undefined;
   /** Undefined if no advisor is configured. */
@@ -86,6 +91,8 @@
   readonly #rates: ArrivalRates;
   readonly #estimate = new WorkEstimate();
   readonly #health = new WorkerHealth();
+  readonly #runStarts: RunStarts;
+  readonly #lookAhead: LookAhead;
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
   readonly #unansweredStarts = new UnansweredStarts();
@@ -115,6 +122,12 @@
     const now = parts.clock.monotonic();
     this.#rates = new ArrivalRates(now);
     this.#prunedAt = now;
+    this.#runStarts = new RunStarts(now);
+    this.#lookAhead = new LookAhead({
+      estimate: this.#estimate,
+      remoteFactor: parts.placement.remoteFactor,
+      runsOn: (worker) => this.#runsOn(worker),
+    });
     this.#ticker = ticker("passes", PASS_INTERVAL_MS, () => this.#pass());
     this.#fleet = parts.vmClient && new FleetController({
       ...parts,
@@ -478,10 +491,14 @@
         planned: this.#jobStore.plan.customers,
         usage: this.#jobStore.customerUsage,
       },
+      lookAhead: this.#looksAhead
+        ? (input) => this.#lookAhead.begin(input, now)
+        : undefined,
     }, this.#parts.clock.wall());
     this.#logPlacements(placements, waits);
     this.#logCustomerWaits(waits, now);
     this.admission.recordPlacements(placements, now);
+    this.#logHolds(now);
     this.#permits?.requestMissing(
       steps,
       (step) =>
@@ -522,6 +539,40 @@
     }
   }
 
+  /** Logs the workers that were given to a large step which has waited too long. */
+  #logHolds(now: number): void {
+    for (const plan of this.#lookAhead.reservations.values()) {
+      for (const { step, worker, startsAt, since, isHeld } of plan) {
+        if (isHeld && since === now) {
+          const startsInMs = Math.round(startsAt - now);
+          this.#parts.log.info("step.holds", { step, worker, startsInMs });
+        }
+      }
+    }
+  }
+
+  /** Whether placement considers what will end soon. */
+  get #looksAhead(): boolean {
+    const { lookAhead } = this.#parts.placement;
+    return lookAhead === "always" ||
+      (lookAhead === "customers" && this.#jobStore.plan.customers.length > 0);
+  }
+
+  /** Runs on a worker, for their expected ends. */
+  #runsOn(worker: string): TimedRun[] {
+    const jobStore = this.#jobStore;
+    const runs: TimedRun[] = [];
+    for (const run of jobStore.load(worker).runs.values()) {
+      const job = jobStore.jobs.get(run.job);
+      const spec = jobStore.stepOf(run);
+      if (job !== undefined && spec !== undefined) {
+        const startedAt = this.#runStarts.of(run);
+        runs.push({ step: { job, spec }, startedAt });
+      }
+    }
+    return runs;
+  }
+
   #candidateOf(worker: Worker): CandidateWorker {
     const session = this.#sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
@@ -535,11 +586,13 @@
   #sendStarts(runs: readonly RunKey[]): void {
     const refused: RunKey[] = [];
     const byWorker = new Map<string, RunRecord[]>();
+    const now = this.#parts.clock.monotonic();
     for (const key of runs) {
       const run = this.#jobStore.findRun(key);
       if (run !== undefined) {
         const workerRuns = byWorker.get(key.worker) ?? [];
         workerRuns.push(run);
+        this.#runStarts.record(run, now);
         byWorker.set(key.worker, workerRuns);
       } else {
         refused.push(key);
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -318,6 +318,7 @@
       settings: settings.workers,
       retentionMs: settings.retentionMs,
       reclaimsBusyVms: settings.pools.reclaim,
+      placement: settings.placement,
       consensus: replica,
       createRouter: (term) =>
         new CallRouter({
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -75,6 +75,7 @@
     holder: "n1",
     retentionMs: 60_000,
     reclaimsBusyVms: false,
+    placement: { lookAhead: "customers", remoteFactor: 2 },
     vmClient: undefined,
     advisorClient: undefined,
     client: {
