Scheduler: speeds of workers are estimated, and urgent steps avoid slow ones

Cause: servers slow down by up to eight times and look healthy, so steps without slack became late there, and the durations there were taken for those of their queue.

Change: worker_speed.ts compares the durations of runs, ended or by their listed progress, with the expected ones, by worker and job, relative to the pool. At least three runs of two jobs are needed; the lower median of jobs counts, so one long job never decides. Observations expire after 15 s; the worker is then retried with one task at a time. Placement prefers workers that are not slow; a step that would become late on a slow one is not placed there, one that is late anyway is. A queue's estimate does not learn from slow workers. The estimate is that of one leadership term; a new leader learns it from the progress in two listings, half an expected duration apart.

Without false alarms placement is identical (property test).

--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -10,6 +10,11 @@
   placeStep,
   UnplaceableDemands,
 } from "./task_placement.ts";
+import {
+  isSlow,
+  poolsWithSlowWorkers,
+  withoutTooSlow,
+} from "./slow_workers.ts";
 import { sortByUrgency } from "./urgency.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
@@ -42,14 +47,28 @@
 ): PlacementPass {
   const steps = sortByUrgency(input.waiting, input.estimate, wallNow);
   const unplaceable = new UnplaceableDemands();
+  const unplaceableOnFast = new UnplaceableDemands();
+  const slowPools = poolsWithSlowWorkers(input.candidates);
   const placements: StepPlacement[] = [];
   for (const step of steps) {
     if (unplaceable.covers(step)) {
       continue;
     }
-    const runs = placeStep(step, candidatesFor(step, input), wallNow);
-    if (runs.length < step.indices.size) {
+    const permitted = candidatesFor(step, input);
+    const candidates = slowPools.has(step.job.pool)
+      ? withoutTooSlow(step, permitted, input.estimate, wallNow)
+      : permitted;
+    // Another step may still be placed on a worker that is too slow for this one.
+    const isRestricted = candidates.length < permitted.length;
+    const needsFast = isRestricted && !candidates.some(isSlow);
+    if (needsFast && unplaceableOnFast.covers(step)) {
+      continue;
+    }
+    const runs = placeStep(step, candidates, wallNow);
+    if (runs.length < step.indices.size && !isRestricted) {
       unplaceable.record(step);
+    } else if (runs.length < step.indices.size && needsFast) {
+      unplaceableOnFast.record(step);
     }
     if (runs.length > 0) {
       placements.push({ step, runs });
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -13,6 +13,7 @@
 import type { TaskRecord, WaitingStep } from "./job_record.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
+import type { Slowness } from "./worker_speed.ts";
 
 /** Time for which a task avoids the worker on which it failed; as long as one or two tasks on another worker. */
 const AVOID_FAILED_WORKER_MS = 1_500;
@@ -26,6 +27,8 @@
   isDueForMaintenance?: boolean;
   /** Job that has runs on probation on the worker; no other one gets runs beside them. */
   jobOnProbation?: string | undefined;
+  /** How slow the worker is; undefined if it is not known to be slow. */
+  slowness?: Slowness | undefined;
   /** Whether all runs on the worker have run for a while, so that a crash would not be attributed to them. */
   isSettled?: () => boolean;
 }
@@ -42,6 +45,7 @@
   runCount: number;
   jobOnProbation: string | undefined;
   readonly isDueForMaintenance: boolean;
+  readonly slowness: Slowness | undefined;
   readonly isSettled: () => boolean;
 
   constructor(
@@ -50,9 +54,11 @@
     {
       isDueForMaintenance = false,
       jobOnProbation,
+      slowness,
       isSettled = () => true,
     }: WorkerCondition = {},
   ) {
+    this.slowness = slowness;
     this.isSettled = isSettled;
     this.isDueForMaintenance = isDueForMaintenance;
     this.jobOnProbation = jobOnProbation;
@@ -74,6 +80,7 @@
   accepts(step: WaitingStep): boolean {
     const { spec, name, job } = step;
     return (this.jobOnProbation ?? job.id) === job.id &&
+      (this.slowness?.isProbed !== true || this.runCount === 0) &&
       fits(spec, this.free) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker);
@@ -272,7 +279,7 @@
 }
 
 /**
- * Prefers, in this order, candidates without interference, those not due for maintenance if the task is long-running,
+ * Prefers, in this order, candidates that are not slow, those without interference, those not due for maintenance if the task is long-running,
  * those on the rack of its data, and those with the least free CPU.
  */
 function chooseCandidate(
@@ -288,7 +295,8 @@
     }
     const isFar = dataRack !== "" &&
       !candidate.worker.labels.includes(dataRack);
-    const rank = 4 * Number(candidate.wouldInterfere(step.spec)) +
+    const rank = 8 * Number(candidate.slowness !== undefined) +
+      4 * Number(candidate.wouldInterfere(step.spec)) +
       2 * Number(lasting && candidate.isDueForMaintenance) + Number(isFar);
     const isBetter = best === undefined || rank < bestRank ||
       (rank === bestRank && candidate.free.cpuMilli < best.free.cpuMilli);
--- a/packages/core/src/scheduling/urgency.ts
+++ b/packages/core/src/scheduling/urgency.ts
@@ -57,7 +57,8 @@
   return from + slackFactor * estimate.criticalPathMs(job) + targetLatencyMs;
 }
 
-function latestStart(
+/** Latest start of a step that still meets the objective of its job, in wall-clock milliseconds. */
+export function latestStart(
   { job, round, step }: WaitingStep,
   estimate: WorkEstimate,
 ): number {
--- a/packages/core/test/scheduling_simulation.ts
+++ b/packages/core/test/scheduling_simulation.ts
@@ -12,6 +12,7 @@
   CandidateWorker,
   chooseMoves,
   DemandTrend,
+  type JobRecord,
   JobStore,
   type Move,
   placeStep,
@@ -20,9 +21,11 @@
   type PoolState,
   type Queue,
   type RunKey,
+  runPlacementPass,
   sortByUrgency,
   type StepSpec,
   type Worker,
+  type WorkerSpeed,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { queue, step, worker } from "./scheduling_fixture.ts";
@@ -55,6 +58,10 @@
   estimate?: WorkEstimate;
   /** Trend of demand; that of the core by default. */
   trend?: DemandTrend;
+  /** How many times longer tasks take on a VM; 1 by default. */
+  slowFactor?: (vm: string, now: number) => number;
+  /** Estimate of workers' speeds; none by default. */
+  speed?: WorkerSpeed;
   /** Mean ratio of submitters' guesses to durations; 1 by default. */
   guessFactor?: number;
 }
@@ -72,6 +79,8 @@
 
 const TICK_MS = 20;
 const MOVE_MS = 1_500;
+/** Interval of the progress that workers list. */
+const PROGRESS_MS = 200;
 const WINDOW_MS = 2_000;
 const STANDBY = "spare";
 /** Share of a burst in which demand rises, and share in which it falls. */
@@ -115,6 +124,10 @@
   readonly #trend: DemandTrend;
   readonly #vms = new Map<string, Vm>();
   readonly #endsByTime = new Map<number, { run: RunKey; tookMs: number }[]>();
+  readonly #running = new Map<
+    string,
+    { run: RunKey; tookMs: number; startedAt: number }
+  >();
   readonly #idleSince = new Map<string, number>();
   readonly #arrivals = new Map<string, Arrival>();
   #vmSeconds = 0;
@@ -156,6 +169,7 @@
     for (let now = 0; now < lengthMs; now += TICK_MS) {
       this.#submitArrivals(now);
       this.#endRuns(now);
+      this.#recordProgress(now);
       this.#startWorkers(now);
       this.#moveVms(now);
       this.#placeTasks(now);
@@ -242,10 +256,11 @@
       atMs: now,
     });
     for (const { run, tookMs } of ends) {
+      this.#running.delete(run.task);
       const job = this.#jobStore.jobs.get(run.task.split(".")[0] ?? "");
       const arrival = this.#arrivals.get(job?.id ?? "");
       if (job !== undefined && arrival !== undefined) {
-        this.#estimate.observe(job.queue, arrival.guessMs, tookMs);
+        this.#observe(job, run, arrival.guessMs, tookMs, now);
       }
     }
     for (const job of this.#jobStore.justEnded.splice(0)) {
@@ -256,6 +271,45 @@
     }
   }
 
+  /** Records the progress of the runs that have run for half of their expected duration. */
+  #recordProgress(now: number): void {
+    const { speed } = this.#config;
+    if (speed === undefined || now % PROGRESS_MS !== 0) {
+      return;
+    }
+    for (const { run, tookMs, startedAt } of this.#running.values()) {
+      const id = run.task.split(".")[0] ?? "";
+      const job = this.#jobStore.jobs.get(id);
+      const guessMs = this.#arrivals.get(id)?.guessMs ?? 0;
+      const expectedMs = this.#estimate.taskMs(job?.queue ?? "", guessMs);
+      const isTelling = now - startedAt >= Math.max(300, expectedMs / 2);
+      if (job !== undefined && isTelling) {
+        const { worker: on, task, run: number } = run;
+        const { pool } = job;
+        const observed = { worker: on, pool, task, run: number, job: id };
+        speed.record({ ...observed, expectedMs, tookMs }, now);
+      }
+    }
+  }
+
+  #observe(
+    { id, queue: name, pool }: JobRecord,
+    { worker: on, task, run }: RunKey,
+    guessMs: number,
+    tookMs: number,
+    now: number,
+  ): void {
+    const { speed } = this.#config;
+    const expectedMs = this.#estimate.taskMs(name, guessMs);
+    speed?.record(
+      { worker: on, pool, task, run, job: id, expectedMs, tookMs },
+      now,
+    );
+    if ((speed?.factor(on) ?? 1) === 1) {
+      this.#estimate.observe(name, guessMs, tookMs);
+    }
+  }
+
   #startWorkers(now: number): void {
     for (const vm of this.#vms.values()) {
       const isDue = vm.worker === undefined && vm.pool !== STANDBY &&
@@ -352,29 +406,45 @@
     const candidates = new Map<string, CandidateWorker[]>();
     for (const { pool, worker: own } of this.#vms.values()) {
       if (own !== undefined) {
-        const candidate = new CandidateWorker(own, this.#jobStore.load(own.id));
+        const slowness = this.#config.speed?.slownessOf(own.id, now);
+        const load = this.#jobStore.load(own.id);
+        const candidate = new CandidateWorker(own, load, { slowness });
         candidates.set(pool, [...candidates.get(pool) ?? [], candidate]);
       }
     }
-    const steps = sortByUrgency(
-      this.#jobStore.waiting.values(),
-      this.#estimate,
-      now,
-    );
-    const runs = steps.flatMap((each) =>
-      placeStep(each, candidates.get(each.job.pool) ?? [], now)
-    );
+    const runs = this.#choosePlacements(candidates, now);
     this.#jobStore.apply({ kind: "place", runs });
     for (const run of runs) {
       const arrival = this.#arrivals.get(run.task.split(".")[0] ?? "");
-      const tookMs = (arrival?.taskMs ?? 0) * this.#logNormal(TASK_SPREAD);
+      const { slowFactor = () => 1 } = this.#config;
+      const vm = this.#jobStore.workers.get(run.worker)?.vm ?? "";
+      const tookMs = (arrival?.taskMs ?? 0) * this.#logNormal(TASK_SPREAD) *
+        slowFactor(vm, now);
       const endsAt = now + TICK_MS * Math.max(1, Math.round(tookMs / TICK_MS));
       const ends = this.#endsByTime.get(endsAt) ?? [];
       ends.push({ run, tookMs });
+      this.#running.set(run.task, { run, tookMs, startedAt: now });
       this.#endsByTime.set(endsAt, ends);
     }
   }
 
+  #choosePlacements(
+    candidates: ReadonlyMap<string, CandidateWorker[]>,
+    now: number,
+  ): RunKey[] {
+    const waiting = this.#jobStore.waiting.values();
+    const estimate = this.#estimate;
+    if (this.#config.speed !== undefined) {
+      const input = { waiting, estimate, candidates, isPermitted: () => true };
+      return runPlacementPass(input, now).placements.flatMap(({ runs }) =>
+        runs
+      );
+    }
+    return sortByUrgency(waiting, estimate, now).flatMap((each) =>
+      placeStep(each, candidates.get(each.job.pool) ?? [], now)
+    );
+  }
+
   /** A log-normal factor of mean 1 (Box-Muller transform). */
   #logNormal(spread: number): number {
     const radius = Math.sqrt(-2 * Math.log(1 - this.#random()));
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -18,6 +18,7 @@
   UnansweredStarts,
   type Worker,
   WorkerHealth,
+  WorkerSpeed,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
@@ -41,6 +42,7 @@
     | "onLost"
     | "estimate"
     | "health"
+    | "speed"
     | "permit"
     | "runEndBatcher"
     | "unansweredStarts"
@@ -79,6 +81,7 @@
   readonly #rates: ArrivalRates;
   readonly #estimate = new WorkEstimate();
   readonly #health = new WorkerHealth();
+  readonly #speed = new WorkerSpeed();
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
   readonly #unansweredStarts = new UnansweredStarts();
@@ -276,6 +279,7 @@
     session.supersede();
     this.#removeSession(id);
     this.#health.remove(id);
+    this.#speed.remove(id);
     this.#openSession(worker, {
       evidenceOf: (run) => session.evidenceOf(run),
       release: async (ended, repeated) => {
@@ -328,6 +332,7 @@
       runEndBatcher: this.#runEndBatcher,
       estimate: this.#estimate,
       health: this.#health,
+      speed: this.#speed,
       permit: (step, id) =>
         this.#permits?.permit(step, id, this.#parts.clock.monotonic()),
       unansweredStarts: this.#unansweredStarts,
@@ -347,6 +352,7 @@
     session?.stop();
     this.#removeSession(id);
     this.#health.remove(id);
+    this.#speed.remove(id);
     await this.#losses.remove(id, loss, session);
     this.wake();
   }
@@ -449,7 +455,10 @@
   #choosePlacements(now: number): RunKey[] {
     const candidates = new Map<string, CandidateWorker[]>();
     for (const [pool, workers] of this.#usableWorkers(now)) {
-      candidates.set(pool, workers.map((worker) => this.#candidateOf(worker)));
+      candidates.set(
+        pool,
+        workers.map((worker) => this.#candidateOf(worker, now)),
+      );
     }
     const { steps, placements } = runPlacementPass({
       waiting: this.#jobStore.waiting.values(),
@@ -480,11 +489,12 @@
     });
   }
 
-  #candidateOf(worker: Worker): CandidateWorker {
+  #candidateOf(worker: Worker, now: number): CandidateWorker {
     const session = this.#sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
       isDueForMaintenance: this.#fleet?.isMaintenanceDue(worker) === true,
       jobOnProbation: session?.jobOnProbation,
+      slowness: this.#speed.slownessOf(worker.id, now),
       isSettled: () => session?.isSettled() === true,
     });
   }
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -109,7 +109,7 @@
         ? WorkerLease.restarted(leaseMs, maxLeaseMs, now)
         : WorkerLease.inherited(leaseMs, now),
     );
-    this.#recorder = new RunEndRecorder(worker.id, parts);
+    this.#recorder = new RunEndRecorder(() => this.worker, parts);
     this.#probation = new RunProbation({
       ...parts,
       isUnsent: (run) => this.#orders.isUnsent(run),
@@ -367,6 +367,7 @@
     this.#verify(listing);
     const dropped = this.#sender.reconcile(listing, sentAt, now);
     this.#stopStuckRuns(listing, now);
+    this.#recorder.recordProgress(listing.running, now);
     this.#pacer.update(this.worker, listing, now);
     const ends = listing.ended.map(({ task, run, how, checkpoint }): RunEnd => {
       return { task, run, worker: id, how, checkpoint };
--- a/packages/daemon/src/scheduler/worker_session_parts.ts
+++ b/packages/daemon/src/scheduler/worker_session_parts.ts
@@ -7,6 +7,7 @@
   SchedulerSettings,
   UnansweredStarts,
   WorkerHealth,
+  WorkerSpeed,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
@@ -30,6 +31,8 @@
   /** Task durations, learned from the runs that ended. */
   estimate: WorkEstimate;
   health: WorkerHealth;
+  /** Speeds of workers, learned from the runs that ended or are in progress. */
+  speed: WorkerSpeed;
   /** The advisor's permit for running a step on a worker; undefined if there is none or it has expired. */
   permit: (step: string, worker: string) => string | undefined;
   /** Whether this node is certain to be the leader still. */
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -5,6 +5,7 @@
   type RunRecord,
   UnansweredStarts,
   WorkerHealth,
+  WorkerSpeed,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import {
@@ -177,6 +178,7 @@
     metrics: new Metrics(),
     estimate: new WorkEstimate(),
     health: new WorkerHealth(),
+    speed: new WorkerSpeed(),
     permit: () => undefined,
     isConfirmedLeader: () => true,
     unansweredStarts,
