--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -23,6 +23,11 @@
   placeStep,
   UnplaceableDemands,
 } from "./task_placement.ts";
+import {
+  isSlow,
+  poolsWithSlowWorkers,
+  withoutTooSlow,
+} from "./slow_workers.ts";
 import { latestStart, rankByUrgency, type RankedStep } from "./urgency.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
@@ -74,25 +79,21 @@
   );
   shares?.divide();
   const steps = ranked.map(({ step }) => step);
-  const unplaceable = new UnplaceableDemands();
   const lookAhead = input.lookAhead?.({
     steps: ranked.filter(mayStart).map(({ step }) => step),
     candidates: input.candidates,
     candidatesFor: (step) => candidatesFor(step, input),
     slackMs: (step) => latestStart(step, input.estimate) - wallNow,
   });
+  const placeTasks = lookAhead === undefined
+    ? withoutLookAhead(input, wallNow)
+    : (step: WaitingStep) =>
+      lookAhead.covers(step)
+        ? []
+        : lookAhead.place(step, candidatesFor(step, input), wallNow);
   const placements = new Map<WaitingStep, RunKey[]>();
   const place: PlaceTasks = (step, from, count) => {
-    if (lookAhead?.covers(step) ?? unplaceable.covers(step)) {
-      return 0;
-    }
-    const part = partOf(step, from, count);
-    const stepCandidates = candidatesFor(step, input);
-    const runs = lookAhead?.place(part, stepCandidates, wallNow) ??
-      placeStep(part, stepCandidates, wallNow);
-    if (lookAhead === undefined && runs.length < count) {
-      unplaceable.record(step);
-    }
+    const runs = placeTasks(partOf(step, from, count));
     if (runs.length > 0) {
       placements.set(step, [...placements.get(step) ?? [], ...runs]);
     }
@@ -108,6 +109,38 @@
   };
 }
 
+/** Places the tasks of one step after the other, by the capacity that is free now. */
+function withoutLookAhead(
+  input: PlacementInput,
+  wallNow: number,
+): (step: WaitingStep) => RunKey[] {
+  const unplaceable = new UnplaceableDemands();
+  const unplaceableOnFast = new UnplaceableDemands();
+  const slowPools = poolsWithSlowWorkers(input.candidates);
+  return (step) => {
+    if (unplaceable.covers(step)) {
+      return [];
+    }
+    const permitted = candidatesFor(step, input);
+    const candidates = slowPools.has(step.job.pool)
+      ? withoutTooSlow(step, permitted, input.estimate, wallNow)
+      : permitted;
+    // Another step may still be placed on a worker that is too slow for this one.
+    const isRestricted = candidates.length < permitted.length;
+    const needsFast = isRestricted && !candidates.some(isSlow);
+    if (needsFast && unplaceableOnFast.covers(step)) {
+      return [];
+    }
+    const runs = placeStep(step, candidates, wallNow);
+    if (runs.length < step.indices.size && !isRestricted) {
+      unplaceable.record(step);
+    } else if (runs.length < step.indices.size && needsFast) {
+      unplaceableOnFast.record(step);
+    }
+    return runs;
+  };
+}
+
 /** Whether the cap of its customer lets a task of a step start; others reserve no room. */
 function mayStart({ step, share }: RankedStep): boolean {
   const { spec, indices } = step;
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -15,6 +15,7 @@
 import type { ReservedRoom } from "./reserved_room.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
+import type { Slowness } from "./worker_speed.ts";
 
 /** Time for which a task avoids the worker on which it failed; as long as one or two tasks on another worker. */
 const AVOID_FAILED_WORKER_MS = 1_500;
@@ -28,6 +29,8 @@
   isDueForMaintenance?: boolean;
   /** Job that has runs on probation on the worker; no other one gets runs beside them. */
   jobOnProbation?: string | undefined;
+  /** How slow the worker is; undefined if it is not known to be slow. */
+  slowness?: Slowness | undefined;
   /** Whether all runs on the worker have run for a while, so that a crash would not be attributed to them. */
   isSettled?: () => boolean;
   /** How well a task fits into free resources; by default, the fullest worker fits best. */
@@ -46,6 +49,7 @@
   runCount: number;
   jobOnProbation: string | undefined;
   readonly isDueForMaintenance: boolean;
+  readonly slowness: Slowness | undefined;
   readonly isSettled: () => boolean;
   /** Room that is reserved here for a step; undefined for none. */
   reservedRoom: ReservedRoom | undefined;
@@ -57,10 +61,12 @@
     {
       isDueForMaintenance = false,
       jobOnProbation,
+      slowness,
       isSettled = () => true,
       fitScore = leastFreeCpu,
     }: WorkerCondition = {},
   ) {
+    this.slowness = slowness;
     this.isSettled = isSettled;
     this.#fitScore = fitScore;
     this.isDueForMaintenance = isDueForMaintenance;
@@ -83,6 +89,7 @@
   accepts(step: WaitingStep): boolean {
     const { spec, name, job } = step;
     return (this.jobOnProbation ?? job.id) === job.id &&
+      (this.slowness?.isProbed !== true || this.runCount === 0) &&
       fits(spec, this.free) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker) &&
@@ -293,8 +300,8 @@
 }
 
 /**
- * Prefers, in this order, candidates without interference, those not due for maintenance if the task is long-running,
- * those on the rack of its data, and those where the task fits best.
+ * Prefers, in this order, candidates that are not slow, those without interference, those not due for maintenance if the
+ * task is long-running, those on the rack of its data, and those where the task fits best.
  */
 function chooseCandidate(
   step: WaitingStep,
@@ -310,7 +317,8 @@
     }
     const isFar = dataRack !== "" &&
       !candidate.worker.labels.includes(dataRack);
-    const rank = 4 * Number(candidate.wouldInterfere(step.spec)) +
+    const rank = 8 * Number(candidate.slowness !== undefined) +
+      4 * Number(candidate.wouldInterfere(step.spec)) +
       2 * Number(lasting && candidate.isDueForMaintenance) + Number(isFar);
     const score = candidate.scoreOf(step);
     const isBetter = best === undefined || rank < bestRank ||
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -25,6 +25,7 @@
   type WaitReason,
   type Worker,
   WorkerHealth,
+  WorkerSpeed,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { type Component, ticker } from "../lifecycle.ts";
@@ -50,6 +51,7 @@
     | "onLost"
     | "estimate"
     | "health"
+    | "speed"
     | "permit"
     | "runEndBatcher"
     | "unansweredStarts"
@@ -93,6 +95,7 @@
   readonly #health = new WorkerHealth();
   readonly #runStarts: RunStarts;
   readonly #lookAhead: LookAhead;
+  readonly #speed = new WorkerSpeed();
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
   readonly #unansweredStarts = new UnansweredStarts();
@@ -306,6 +309,7 @@
     session.supersede();
     this.#removeSession(id);
     this.#health.remove(id);
+    this.#speed.remove(id);
     this.#openSession(worker, {
       evidenceOf: (run) => session.evidenceOf(run),
       release: async (ended, repeated) => {
@@ -358,6 +362,7 @@
       runEndBatcher: this.#runEndBatcher,
       estimate: this.#estimate,
       health: this.#health,
+      speed: this.#speed,
       permit: (step, id) =>
         this.#permits?.permit(step, id, this.#parts.clock.monotonic()),
       unansweredStarts: this.#unansweredStarts,
@@ -377,6 +382,7 @@
     session?.stop();
     this.#removeSession(id);
     this.#health.remove(id);
+    this.#speed.remove(id);
     await this.#losses.remove(id, loss, session);
     this.wake();
   }
@@ -479,7 +485,10 @@
   #choosePlacements(now: number): RunKey[] {
     const candidates = new Map<string, CandidateWorker[]>();
     for (const [pool, workers] of this.#usableWorkers(now)) {
-      candidates.set(pool, workers.map((worker) => this.#candidateOf(worker)));
+      candidates.set(
+        pool,
+        workers.map((worker) => this.#candidateOf(worker, now)),
+      );
     }
     const { steps, placements, waits } = runPlacementPass({
       waiting: this.#jobStore.waiting.values(),
@@ -573,11 +582,12 @@
     return runs;
   }
 
-  #candidateOf(worker: Worker): CandidateWorker {
+  #candidateOf(worker: Worker, now: number): CandidateWorker {
     const session = this.#sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
       isDueForMaintenance: this.#fleet?.isMaintenanceDue(worker) === true,
       jobOnProbation: session?.jobOnProbation,
+      slowness: this.#speed.slownessOf(worker.id, now),
       isSettled: () => session?.isSettled() === true,
     });
   }
