Node program: started with V8's code cache

An entry VM has a third of a core, and compiling the bundle took a third of the processor time of a start.

Change: the bundle is a classic script, run by a small loader with a code cache that the build writes. V8 compiles it as before if the cache does not fit.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,4 +1,8 @@
-// Bundles the platform program into one file: npm run bundle [-- --outdir FOLDER]
+// Bundles the platform program, with V8's code cache beside it: npm run bundle [-- --outdir FOLDER]
+import { execFileSync } from "node:child_process";
+import { copyFileSync } from "node:fs";
+import { join, resolve } from "node:path";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
 import { build } from "esbuild";
@@ -30,10 +34,11 @@
   absWorkingDir: root,
   entryPoints: { "quetzalcove-node": "platform/src/main.ts" },
   outdir: values.outdir,
-  outExtension: { ".js": ".mjs" },
+  outExtension: { ".js": ".cjs" },
   bundle: true,
   platform: "node",
-  format: "esm",
+  // The code cache covers classic scripts only.
+  format: "cjs",
   target: "node20",
   minifySyntax: true,
   legalComments: "none",
@@ -44,9 +49,10 @@
     "@quetzalcove/daemon/scheduler": "./packages/daemon/src/scheduler/mod.ts",
     "@quetzalcove/core": "./packages/core/src/mod.ts",
   },
-  // CommonJS dependencies call require() for built-in modules at run time.
-  banner: {
-    js:
-      'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
-  },
+});
+
+const program = join(resolve(root, values.outdir), "quetzalcove-node.mjs");
+copyFileSync(join(root, "platform/src/code_cache_loader.mjs"), program);
+execFileSync(process.execPath, [program, "--write-code-cache"], {
+  stdio: ["ignore", "ignore", "inherit"],
 });
