Scheduler: index of free CPU for best fit; cheaper bookkeeping of look-ahead

Change: candidates of a pool are kept sorted by free CPU, so that best fit starts at the first worker with enough and ends at the first without a drawback; blocked demands are keyed by pool, then label; wait times are kept for large steps and steps with a data rack only.

--- a/packages/core/src/scheduling/blocked_demands.ts
+++ b/packages/core/src/scheduling/blocked_demands.ts
@@ -27,7 +27,8 @@
 export class BlockedDemands {
   readonly #durations: (step: WaitingStep) => DurationRange;
   readonly #gaps: (pool: string) => readonly number[];
-  readonly #blocked = new Map<string, Demand[]>();
+  /** By pool and required label; nested, since a joined key for each step of each pass is costly. */
+  readonly #blocked = new Map<string, Map<string, Demand[]>>();
 
   /** `gaps`: times until the starts of the pool's reservations that let shorter tasks in. */
   constructor(
@@ -56,19 +57,21 @@
       ? this.#admissions(step, "longestMs")
       : Infinity;
     const demand = demandOf(step, admissions);
-    const key = keyOf(step);
-    const others = (this.#blocked.get(key) ?? []).filter((other) =>
+    const labels = this.#blocked.get(job.pool) ?? new Map<string, Demand[]>();
+    this.#blocked.set(job.pool, labels);
+    const others = (labels.get(spec.requiredLabel) ?? []).filter((other) =>
       !isAtLeast(other, demand)
     );
     if (others.length < MAX_DEMANDS) {
       others.push(demand);
     }
-    this.#blocked.set(key, others);
+    labels.set(spec.requiredLabel, others);
   }
 
   /** Whether a step needs no less than one that found no worker, and is let in by no more reservations. */
   covers(step: WaitingStep): boolean {
-    const blocked = this.#blocked.get(keyOf(step));
+    const blocked = this.#blocked.get(step.job.pool)
+      ?.get(step.spec.requiredLabel);
     if (blocked === undefined) {
       return false;
     }
@@ -92,10 +95,6 @@
   return [cpuMilli, memoryMb, gpus, admissions];
 }
 
-function keyOf({ job, spec }: WaitingStep): string {
-  return `${job.pool} ${spec.requiredLabel}`;
-}
-
 /** Whether a demand needs no less than another and is let in by no more reservations. */
 function isAtLeast(a: Demand, b: Demand): boolean {
   return a[0] >= b[0] && a[1] >= b[1] && a[2] >= b[2] && a[3] <= b[3];
--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -6,12 +6,15 @@
  *
  * @module
  */
-import { reservation } from "./batch_job.ts";
+import { reservation, type Resources } from "./batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { RunKey } from "./command.ts";
+import { freeRoomIndexOf } from "./free_room_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import { countWaiting, maxRackWaitMs } from "./rack_wait.ts";
 import {
+  isLarge,
+  largestCapacity,
   planReservations,
   type Reservation,
   RESERVATION_LIMITS,
@@ -69,25 +72,34 @@
   /** Plans the reservations of a pass. */
   begin(input: LookAheadInput, now: number): LookAheadPass {
     const { limits = RESERVATION_LIMITS } = this.#parts;
-    this.#waits.update(input.steps, now);
     const pass = new LookAheadPass(this.#parts, this.#waits, now);
-    const byPool = new Map<string, WaitingStep[]>();
+    const pools = new Map<string, PoolBacklog>();
+    for (const [pool, workers] of input.candidates) {
+      const largest = largestCapacity(workers);
+      const cpuMilli = workers.reduce(
+        (sum, { worker }) => sum + worker.capacity.cpuMilli,
+        0,
+      );
+      const spareWork = limits.maxBacklogMs * cpuMilli;
+      pools.set(pool, { workers, largest, spareWork, large: [] });
+    }
     for (const step of input.steps) {
-      const steps = byPool.get(step.job.pool) ?? [];
-      steps.push(step);
-      byPool.set(step.job.pool, steps);
+      const pool = pools.get(step.job.pool);
+      if (pool !== undefined) {
+        this.#record(step, pool, pass, now);
+      }
     }
+    this.#waits.prune(now);
     const reservations = new Map<string, Reservation[]>();
-    for (const [pool, waiting] of byPool) {
-      const workers = input.candidates.get(pool) ?? [];
+    for (const [pool, { workers, large, spareWork }] of pools) {
       const plan = planReservations({
-        waiting,
+        waiting: large,
         workers,
         candidates: input.candidatesFor,
         timeline: (worker) => pass.timeline(worker),
         waitedMs: (step) => this.#waits.waitedMs(step, now),
         slackMs: input.slackMs,
-        isBacklogged: pass.isBacklogged(waiting, workers, limits.maxBacklogMs),
+        isBacklogged: spareWork < 0,
         earlier: this.#reservations.get(pool) ?? [],
         limits,
       }, now);
@@ -99,6 +111,35 @@
     this.#reservations = reservations;
     return pass;
   }
+
+  /** Adds a step to the backlog of its pool, and records its wait if that matters. */
+  #record(
+    step: WaitingStep,
+    pool: PoolBacklog,
+    pass: LookAheadPass,
+    now: number,
+  ): void {
+    const { limits = RESERVATION_LIMITS } = this.#parts;
+    if (pool.spareWork >= 0) {
+      pool.spareWork -= pass.workOf(step);
+    }
+    const isLargeStep = isLarge(step, pool.largest, limits.largeShare);
+    if (isLargeStep) {
+      pool.large.push(step);
+    }
+    if (isLargeStep || step.spec.dataRack !== "") {
+      this.#waits.record(step, now);
+    }
+  }
+}
+
+/** What waits in front of a pool. */
+interface PoolBacklog {
+  workers: readonly CandidateWorker[];
+  largest: Resources;
+  /** Work up to the limit of the backlog, in millicores times milliseconds; negative beyond it. */
+  spareWork: number;
+  large: WaitingStep[];
 }
 
 /** Look-ahead during one placement pass. */
@@ -152,25 +193,11 @@
     return timeline;
   }
 
-  /** Whether the workers of a pool, all of them idle, would need longer than a time for the waiting work. */
-  isBacklogged(
-    waiting: readonly WaitingStep[],
-    workers: readonly CandidateWorker[],
-    maxMs: number,
-  ): boolean {
-    const cpuMilli = workers.reduce(
-      (sum, { worker }) => sum + worker.capacity.cpuMilli,
-      0,
-    );
-    let left = maxMs * cpuMilli;
-    return waiting.some((step) => {
-      const { spec, indices } = step;
-      if (!spec.lasting) {
-        left -= this.#durations.nearMs(step) * indices.size *
-          reservation(spec).cpuMilli;
-      }
-      return left < 0;
-    });
+  /** Expected work of a step, in millicores times milliseconds; 0 for long-running tasks. */
+  workOf(step: WaitingStep): number {
+    const { spec, indices } = step;
+    return spec.lasting ? 0 : this.#durations.nearMs(step) * indices.size *
+      reservation(spec).cpuMilli;
   }
 
   /** Puts a plan of reservations into effect. */
@@ -252,7 +279,7 @@
     );
     // Where no worker has room, there is nothing to decide.
     const hasRoom = left.length > 0 &&
-      candidates.some((candidate) => candidate.accepts(step));
+      anyAccepts(step, candidates);
     const waiting = !hasRoom ? 0 : countWaiting(step, {
       tasks: left.length,
       maxWaitMs,
@@ -306,6 +333,20 @@
   }
 }
 
+function anyAccepts(
+  step: WaitingStep,
+  candidates: readonly CandidateWorker[],
+): boolean {
+  const { cpuMilli } = reservation(step.spec);
+  const index = freeRoomIndexOf(candidates);
+  for (const candidate of index?.from(cpuMilli) ?? candidates) {
+    if (candidate.accepts(step)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /**
  * Whether the rack of the data alone decides where the tasks go: other preferences, and tasks that failed or crashed
  * somewhere, are left to the usual choice.
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -33,6 +33,7 @@
 export * from "./work_estimate.ts";
 export * from "./blocked_demands.ts";
 export * from "./fit_score.ts";
+export * from "./free_room_index.ts";
 export * from "./look_ahead.ts";
 export * from "./rack_wait.ts";
 export * from "./reservation_plan.ts";
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RunKey } from "./command.ts";
+import { indexFreeRoom } from "./free_room_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
 import {
@@ -44,6 +45,7 @@
   wallNow: number,
 ): PlacementPass {
   const steps = sortByUrgency(input.waiting, input.estimate, wallNow);
+  input.candidates.forEach(indexFreeRoom);
   const unplaceable = new UnplaceableDemands();
   const lookAhead = input.lookAhead?.({
     steps,
--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/reservation_plan.ts
@@ -81,7 +81,7 @@
 
 /** What reservations of one pool are planned on. */
 export interface ReservationInput {
-  /** Waiting steps, most urgent first. */
+  /** Waiting steps, most urgent first; only large ones matter. */
   waiting: readonly WaitingStep[];
   /** Workers that may get runs of a step. */
   candidates: (step: WaitingStep) => readonly CandidateWorker[];
@@ -112,7 +112,10 @@
   now: number,
 ): Reservation[] {
   const { limits, workers } = input;
-  const large = largeSteps(input);
+  const largest = largestCapacity(workers);
+  const large = input.waiting.filter((step) =>
+    isLarge(step, largest, limits.largeShare) && isWhole(step)
+  );
   const isBlocked = blockedCheck(input);
   const plan: Reservation[] = [];
   const held = new Set(oldestOf(large, input));
@@ -144,19 +147,17 @@
   return plan;
 }
 
-/** Steps with large tasks, and large gangs, most urgent first. */
-function largeSteps(
-  { waiting, workers, limits }: ReservationInput,
-): WaitingStep[] {
+/** The most of each resource that a worker has. */
+export function largestCapacity(
+  workers: readonly CandidateWorker[],
+): Resources {
   const largest: Resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
   for (const { worker: { capacity } } of workers) {
     largest.cpuMilli = Math.max(largest.cpuMilli, capacity.cpuMilli);
     largest.memoryMb = Math.max(largest.memoryMb, capacity.memoryMb);
     largest.gpus = Math.max(largest.gpus, capacity.gpus);
   }
-  return waiting.filter((step) =>
-    isLarge(step, largest, limits.largeShare) && isWhole(step)
-  );
+  return largest;
 }
 
 /** Whether no task of a step can start now; a step that needs no less than a blocked one is not tried. */
@@ -177,7 +178,7 @@
 }
 
 /** Whether a task needs a large share of the largest worker, or a gang as much together. */
-function isLarge(
+export function isLarge(
   { spec }: WaitingStep,
   largest: Resources,
   share: number,
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -12,6 +12,7 @@
 import type { RunKey, Worker } from "./command.ts";
 import type { TaskRecord, WaitingStep } from "./job_record.ts";
 import { type FitScore, leastFreeCpu } from "./fit_score.ts";
+import { type FreeRoomIndex, freeRoomIndexOf } from "./free_room_index.ts";
 import type { ReservedRoom } from "./reserved_room.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
@@ -49,6 +50,8 @@
   readonly isSettled: () => boolean;
   /** Room that is reserved here for a step; undefined for none. */
   reservedRoom: ReservedRoom | undefined;
+  /** Index that lists the candidate by its free CPU; undefined for none. */
+  roomIndex: FreeRoomIndex | undefined;
   readonly #fitScore: FitScore;
 
   constructor(
@@ -89,6 +92,10 @@
       (this.reservedRoom?.admits(step) ?? true);
   }
 
+  get isScoredByFreeCpu(): boolean {
+    return this.#fitScore === leastFreeCpu;
+  }
+
   /** How well a task of a step fits into the free resources; the lower, the better. */
   scoreOf({ spec }: WaitingStep): number {
     return this.#fitScore(reservation(spec), this.free, this.worker.capacity);
@@ -116,7 +123,14 @@
     this.runCount += 1;
     this.reservedRoom?.record(step);
     const { cpuMilli, memoryMb, gpus } = reservation(spec);
-    this.free.cpuMilli -= cpuMilli;
+    const takeCpu = (): void => {
+      this.free.cpuMilli -= cpuMilli;
+    };
+    if (this.roomIndex === undefined) {
+      takeCpu();
+    } else {
+      this.roomIndex.update(this, takeCpu);
+    }
     this.free.memoryMb -= memoryMb;
     this.free.gpus -= gpus;
     this.#planned.set(name, (this.#planned.get(name) ?? 0) + 1);
@@ -300,7 +314,9 @@
   let best: CandidateWorker | undefined;
   let bestRank = 0;
   let bestScore = 0;
-  for (const candidate of candidates) {
+  const index = freeRoomIndexOf(candidates);
+  const { cpuMilli } = reservation(step.spec);
+  for (const candidate of index?.from(cpuMilli) ?? candidates) {
     if (!candidate.accepts(step)) {
       continue;
     }
@@ -316,6 +332,10 @@
       bestRank = rank;
       bestScore = score;
     }
+    if (index !== undefined && bestRank === 0) {
+      // All that follow have more free CPU.
+      break;
+    }
   }
   return best;
 }
--- a/packages/core/src/scheduling/wait_times.ts
+++ b/packages/core/src/scheduling/wait_times.ts
@@ -15,25 +15,25 @@
 export class WaitTimes {
   readonly #waits = new Map<string, Wait>();
 
-  /** Records the steps that wait now, and forgets all others. */
-  update(waiting: readonly WaitingStep[], now: number): void {
-    for (const { name, indices } of waiting) {
-      const wait = this.#waits.get(name);
-      if (wait === undefined) {
-        this.#waits.set(name, { since: now, tasks: indices.size, seenAt: now });
-        continue;
-      }
-      if (indices.size < wait.tasks) {
-        wait.since = now;
-      }
-      wait.tasks = indices.size;
-      wait.seenAt = now;
+  /** Records that a step waits now. */
+  record({ name, indices }: WaitingStep, now: number): void {
+    const wait = this.#waits.get(name);
+    if (wait === undefined) {
+      this.#waits.set(name, { since: now, tasks: indices.size, seenAt: now });
+      return;
+    }
+    if (indices.size < wait.tasks) {
+      wait.since = now;
     }
-    if (this.#waits.size > waiting.length) {
-      for (const [name, { seenAt }] of this.#waits) {
-        if (seenAt < now) {
-          this.#waits.delete(name);
-        }
+    wait.tasks = indices.size;
+    wait.seenAt = now;
+  }
+
+  /** Forgets the steps that were not recorded at present. */
+  prune(now: number): void {
+    for (const [name, { seenAt }] of this.#waits) {
+      if (seenAt < now) {
+        this.#waits.delete(name);
       }
     }
   }
