Scheduler: steps of runs are looked up once for their expected ends

Cause: each pass looked up job and step of every run on a wanted rack again, a sixth of the CPU samples of look-ahead.

Change: RunStarts keeps the step of a run beside its start.

--- a/bench/src/scheduling/pass_cost.ts
+++ b/bench/src/scheduling/pass_cost.ts
@@ -17,6 +17,7 @@
   RunStarts,
   type StepSpec,
   type TimedRun,
+  type TimedStep,
   type Worker,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -198,7 +199,7 @@
       const run = this.#store.findRun(key);
       if (run !== undefined) {
         this.#running.add(run);
-        this.#starts.record(run, now);
+        this.#starts.record(run, this.#stepOf(run) as TimedStep, now);
       }
     }
   }
@@ -231,15 +232,15 @@
   }
 
   #runsOn(worker: string): TimedRun[] {
-    const runs: TimedRun[] = [];
-    for (const run of this.#store.load(worker).runs.values()) {
-      const job = this.#store.jobs.get(run.job);
-      const spec = job?.spec?.steps[run.step];
-      if (job !== undefined && spec !== undefined) {
-        const startedAt = this.#starts.of(run);
-        runs.push({ step: { job, spec }, startedAt });
-      }
-    }
-    return runs;
+    return this.#starts.of(
+      this.#store.load(worker).runs.values(),
+      (run) => this.#stepOf(run),
+    );
+  }
+
+  #stepOf(run: RunRecord): TimedStep | undefined {
+    const job = this.#store.jobs.get(run.job);
+    const spec = this.#store.stepOf(run);
+    return job === undefined || spec === undefined ? undefined : { job, spec };
   }
 }
--- a/bench/src/scheduling/pool_simulation.ts
+++ b/bench/src/scheduling/pool_simulation.ts
@@ -16,6 +16,8 @@
   type RunRecord,
   RunStarts,
   type StepSpec,
+  type TimedRun,
+  type TimedStep,
   type Worker,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -157,17 +159,17 @@
     };
   }
 
-  #runsOn(worker: string): {
-    step: { job: { queue: string }; spec: StepSpec };
-    startedAt: number;
-  }[] {
-    return [...this.#store.load(worker).runs.values()].flatMap((run) => {
-      const job = this.#store.jobs.get(run.job);
-      const spec = job?.spec?.steps[run.step];
-      return job === undefined || spec === undefined
-        ? []
-        : [{ step: { job, spec }, startedAt: this.#starts.of(run) }];
-    });
+  #runsOn(worker: string): TimedRun[] {
+    return this.#starts.of(
+      this.#store.load(worker).runs.values(),
+      (run) => this.#stepOf(run),
+    );
+  }
+
+  #stepOf(run: RunRecord): TimedStep | undefined {
+    const job = this.#store.jobs.get(run.job);
+    const spec = this.#store.stepOf(run);
+    return job === undefined || spec === undefined ? undefined : { job, spec };
   }
 
   #submitArrivals(now: number): void {
@@ -303,7 +305,8 @@
     const isFar = job.dataRack !== "" && !labels.includes(job.dataRack);
     job.waitMs ??= now - job.submittedAt;
     job.isFar ||= isFar;
-    this.#starts.record(this.#store.findRun(run) as RunRecord, now);
+    const record = this.#store.findRun(run) as RunRecord;
+    this.#starts.record(record, this.#stepOf(record) as TimedStep, now);
     const tookMs = job.taskMs * (isFar ? REMOTE_FACTOR : 1);
     const endsAt = now + TICK_MS * Math.max(1, Math.round(tookMs / TICK_MS));
     const ends = this.#ends.get(endsAt) ?? [];
--- a/packages/core/src/scheduling/run_ends.ts
+++ b/packages/core/src/scheduling/run_ends.ts
@@ -35,18 +35,42 @@
 export class RunStarts {
   readonly #termStartedAt: number;
   /** Keyed by the record in the job store, so that ended runs need no removal. */
-  readonly #startedAt = new WeakMap<RunRecord, number>();
+  readonly #runs = new WeakMap<RunRecord, TimedRun>();
 
   constructor(termStartedAt: number) {
     this.#termStartedAt = termStartedAt;
   }
 
-  record(run: RunRecord, now: number): void {
-    this.#startedAt.set(run, now);
+  /** Records a run that was placed now. */
+  record(run: RunRecord, step: TimedStep, now: number): void {
+    this.#runs.set(run, { step, startedAt: now });
   }
 
-  of(run: RunRecord): number {
-    return this.#startedAt.get(run) ?? this.#termStartedAt;
+  /** The runs with their steps and starts. `stepOf` is asked once for each run of an earlier leader. */
+  of(
+    runs: Iterable<RunRecord>,
+    stepOf: (run: RunRecord) => TimedStep | undefined,
+  ): TimedRun[] {
+    const timed: TimedRun[] = [];
+    for (const run of runs) {
+      const known = this.#runs.get(run) ?? this.#addEarlier(run, stepOf(run));
+      if (known !== undefined) {
+        timed.push(known);
+      }
+    }
+    return timed;
+  }
+
+  #addEarlier(
+    run: RunRecord,
+    step: TimedStep | undefined,
+  ): TimedRun | undefined {
+    if (step === undefined) {
+      return undefined;
+    }
+    const timed = { step, startedAt: this.#termStartedAt };
+    this.#runs.set(run, timed);
+    return timed;
   }
 }
 
--- a/packages/core/test/scheduling_look_ahead_test.ts
+++ b/packages/core/test/scheduling_look_ahead_test.ts
@@ -63,12 +63,12 @@
   starts: RunStarts,
 ): (id: string) => TimedRun[] {
   return (id) =>
-    [...store.load(id).runs.values()].flatMap((each) => {
+    starts.of(store.load(id).runs.values(), (each) => {
       const job = store.jobs.get(each.job);
       const own = store.stepOf(each);
       return job === undefined || own === undefined
-        ? []
-        : [{ step: { job, spec: own }, startedAt: starts.of(each) }];
+        ? undefined
+        : { job, spec: own };
     });
 }
 
@@ -131,8 +131,11 @@
   it("counts from the start of the term for runs of an earlier leader", () => {
     const starts = new RunStarts(500);
     const own = {} as RunRecord;
-    starts.record(own, 900);
-    expect([starts.of(own), starts.of({} as RunRecord)]).toEqual([900, 500]);
+    const timed = { job: { queue: "q" }, spec: step() };
+    starts.record(own, timed, 900);
+    const runs = starts.of([own, {} as RunRecord], () => timed);
+    expect(runs.map(({ startedAt }) => startedAt)).toEqual([900, 500]);
+    expect(starts.of([{} as RunRecord], () => undefined)).toEqual([]);
   });
 
   it("is later for a task away from the rack of its data, and never for a long-running one", () => {
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -17,6 +17,7 @@
   type StepPlacement,
   type SubmittedJob,
   type TimedRun,
+  type TimedStep,
   type Worker,
   WorkerHealth,
   WorkEstimate,
@@ -432,17 +433,16 @@
 
   /** Runs on a worker, for their expected ends. */
   #runsOn(worker: string): TimedRun[] {
-    const jobStore = this.#jobStore;
-    const runs: TimedRun[] = [];
-    for (const run of jobStore.load(worker).runs.values()) {
-      const job = jobStore.jobs.get(run.job);
-      const spec = jobStore.stepOf(run);
-      if (job !== undefined && spec !== undefined) {
-        const startedAt = this.#runStarts.of(run);
-        runs.push({ step: { job, spec }, startedAt });
-      }
-    }
-    return runs;
+    return this.#runStarts.of(
+      this.#jobStore.load(worker).runs.values(),
+      (run) => this.#timedStepOf(run),
+    );
+  }
+
+  #timedStepOf(run: RunRecord): TimedStep | undefined {
+    const job = this.#jobStore.jobs.get(run.job);
+    const spec = this.#jobStore.stepOf(run);
+    return job === undefined || spec === undefined ? undefined : { job, spec };
   }
 
   #logPlacement({ step, runs }: StepPlacement): void {
@@ -471,7 +471,10 @@
       if (run !== undefined) {
         const workerRuns = byWorker.get(key.worker) ?? [];
         workerRuns.push(run);
-        this.#runStarts.record(run, now);
+        const step = this.#timedStepOf(run);
+        if (step !== undefined) {
+          this.#runStarts.record(run, step, now);
+        }
         byWorker.set(key.worker, workerRuns);
       }
     }
