Scheduler: a large step that can never start keeps no other from holding a worker

Cause: the oldest large step took the only hold of its pool also if it fits nowhere, for example a gang larger than the pool; the next one then starved.

Change: a step counts as holding only if it got workers; gangs that do not fit on idle workers are left out, and at most 16 steps are tried.

--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/reservation_plan.ts
@@ -60,6 +60,12 @@
 /** Advantage in expected start for which a reservation changes its worker, so that workers under it can empty. */
 const MIN_GAIN_MS = 200;
 
+/**
+ * Maximum number of old steps tried for one hold. A step whose room long-running tasks take cannot hold any, and must
+ * not keep the next one from it.
+ */
+const MAX_HOLD_ATTEMPTS = 16;
+
 /** Durations do not matter where no reservation is in effect. */
 const ANY_DURATION = { shortestMs: 0, longestMs: 0 };
 
@@ -118,9 +124,16 @@
   );
   const isBlocked = blockedCheck(input);
   const plan: Reservation[] = [];
-  const held = new Set(oldestOf(large, input));
-  for (const step of held) {
-    plan.push(...reservationsOf(step, input, plan, Infinity, true, now));
+  const held = new Set<WaitingStep>();
+  for (const step of oldestOf(large, input)) {
+    if (held.size === limits.maxHeldSteps) {
+      break;
+    }
+    const made = reservationsOf(step, input, plan, Infinity, true, now);
+    if (made.length > 0) {
+      held.add(step);
+      plan.push(...made);
+    }
   }
   if (input.isBacklogged) {
     return plan;
@@ -190,6 +203,23 @@
     (gpus > 0 && tasks * gpus >= share * largest.gpus);
 }
 
+/** Whether a task, or all tasks of a gang, would fit on idle workers. */
+function fitsWhenIdle(
+  step: WaitingStep,
+  candidates: readonly CandidateWorker[],
+): boolean {
+  let left = step.spec.gang ? step.spec.taskCount : 1;
+  for (const candidate of candidates) {
+    if (candidate.acceptsWhenIdle(step)) {
+      left -= tasksAt(step, candidate.worker.capacity);
+    }
+    if (left <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Whether no member of an earlier run of a gang is left. */
 function isWhole({ spec, indices }: WaitingStep): boolean {
   return !spec.gang || indices.size === spec.taskCount;
@@ -232,10 +262,10 @@
     }))
     .filter(({ ms, step }) =>
       ms >= limits.holdAfterMs &&
-      candidates(step).some((candidate) => candidate.acceptsWhenIdle(step))
+      fitsWhenIdle(step, candidates(step))
     )
     .sort((a, b) => Number(a.isNew) - Number(b.isNew) || b.ms - a.ms)
-    .slice(0, limits.maxHeldSteps)
+    .slice(0, MAX_HOLD_ATTEMPTS)
     .map(({ step }) => step);
 }
 
--- a/packages/core/test/scheduling_look_ahead_test.ts
+++ b/packages/core/test/scheduling_look_ahead_test.ts
@@ -295,6 +295,15 @@
     expect(plan(store, { slackMs: () => 1_100 })).toHaveLength(1);
   });
 
+  it("lets the next step hold a worker if the oldest can never start", () => {
+    const store = fullPool();
+    submitStep(store, "gang", { demand: cores(4), taskCount: 5, gang: true });
+    submitStep(store, "large", { demand: cores(4) });
+    expect(plan(store, { waitedMs: () => 10_000 })).toMatchObject([
+      { step: "large.0.0", worker: "w1", isHeld: true },
+    ]);
+  });
+
   it("moves to another worker once its lifetime is over, but a hold stays", () => {
     const store = fullPool();
     submitStep(store, "large", { demand: cores(4) });
