--- a/bench/src/scheduling/pass_cost.ts
+++ b/bench/src/scheduling/pass_cost.ts
@@ -1,8 +1,11 @@
 /**
  * CPU time of a placement pass on a large fleet, with and without look-ahead.
  *
+ * CPU time of the process, with its garbage collector, and not elapsed time, which other work on the machine prolongs.
+ *
  * @module
  */
+import process from "node:process";
 import {
   CandidateWorker,
   JobStore,
@@ -14,6 +17,7 @@
   RunStarts,
   type StepSpec,
   type TimedRun,
+  type TimedStep,
   type Worker,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -81,7 +85,7 @@
 function measure(
   pools: number,
   lookAhead: "off" | "on",
-  { seed, quick, clock }: RunOptions,
+  { seed, quick }: RunOptions,
 ): Row {
   const fleet = new Fleet(pools, createRandom(seed));
   const histogram = build({ numberOfSignificantValueDigits: 3 });
@@ -90,11 +94,11 @@
   for (let pass = 0; pass < passes; pass++) {
     const now = pass * PASS_MS;
     fleet.advance(now);
-    const startedAt = clock();
+    const before = process.cpuUsage();
     const runs = fleet.pass(now, lookAhead === "on");
-    const tookMs = clock() - startedAt;
+    const { user, system } = process.cpuUsage(before);
     if (pass >= WARM_UP) {
-      histogram.recordValue(1_000 * tookMs);
+      histogram.recordValue(user + system);
       placed += runs.length;
     }
     fleet.place(runs, now);
@@ -195,7 +199,7 @@
       const run = this.#store.findRun(key);
       if (run !== undefined) {
         this.#running.add(run);
-        this.#starts.record(run, now);
+        this.#starts.record(run, this.#stepOf(run) as TimedStep, now);
       }
     }
   }
@@ -228,15 +232,15 @@
   }
 
   #runsOn(worker: string): TimedRun[] {
-    const runs: TimedRun[] = [];
-    for (const run of this.#store.load(worker).runs.values()) {
-      const job = this.#store.jobs.get(run.job);
-      const spec = job?.spec?.steps[run.step];
-      if (job !== undefined && spec !== undefined) {
-        const startedAt = this.#starts.of(run);
-        runs.push({ step: { job, spec }, startedAt });
-      }
-    }
-    return runs;
+    return this.#starts.of(
+      this.#store.load(worker).runs.values(),
+      (run) => this.#stepOf(run),
+    );
+  }
+
+  #stepOf(run: RunRecord): TimedStep | undefined {
+    const job = this.#store.jobs.get(run.job);
+    const spec = this.#store.stepOf(run);
+    return job === undefined || spec === undefined ? undefined : { job, spec };
   }
 }
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -54,6 +54,7 @@
 export * from "./work_estimate.ts";
 export * from "./blocked_demands.ts";
 export * from "./fit_score.ts";
+export * from "./free_room_index.ts";
 export * from "./look_ahead.ts";
 export * from "./rack_wait.ts";
 export * from "./reservation_plan.ts";
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -9,6 +9,7 @@
 import { CustomerLimits } from "./customer_limits.ts";
 import { CustomerShares } from "./customer_shares.ts";
 import type { CustomerUsage } from "./customer_usage.ts";
+import { indexFreeRoom } from "./free_room_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
 import {
@@ -79,6 +80,7 @@
   );
   shares?.divide();
   const steps = ranked.map(({ step }) => step);
+  input.candidates.forEach(indexFreeRoom);
   const lookAhead = input.lookAhead?.({
     steps: ranked.filter(mayStart).map(({ step }) => step),
     candidates: input.candidates,
--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/reservation_plan.ts
@@ -60,6 +60,12 @@
 /** Advantage in expected start for which a reservation changes its worker, so that workers under it can empty. */
 const MIN_GAIN_MS = 200;
 
+/**
+ * Maximum number of old steps tried for one hold. A step whose room long-running tasks take cannot hold any, and must
+ * not keep the next one from it.
+ */
+const MAX_HOLD_ATTEMPTS = 16;
+
 /** Durations do not matter where no reservation is in effect. */
 const ANY_DURATION = { shortestMs: 0, longestMs: 0 };
 
@@ -81,7 +87,7 @@
 
 /** What reservations of one pool are planned on. */
 export interface ReservationInput {
-  /** Waiting steps, most urgent first. */
+  /** Waiting steps, most urgent first; only large ones matter. */
   waiting: readonly WaitingStep[];
   /** Workers that may get runs of a step. */
   candidates: (step: WaitingStep) => readonly CandidateWorker[];
@@ -112,12 +118,22 @@
   now: number,
 ): Reservation[] {
   const { limits, workers } = input;
-  const large = largeSteps(input);
+  const largest = largestCapacity(workers);
+  const large = input.waiting.filter((step) =>
+    isLarge(step, largest, limits.largeShare) && isWhole(step)
+  );
   const isBlocked = blockedCheck(input);
   const plan: Reservation[] = [];
-  const held = new Set(oldestOf(large, input));
-  for (const step of held) {
-    plan.push(...reservationsOf(step, input, plan, Infinity, true, now));
+  const held = new Set<WaitingStep>();
+  for (const step of oldestOf(large, input)) {
+    if (held.size === limits.maxHeldSteps) {
+      break;
+    }
+    const made = reservationsOf(step, input, plan, Infinity, true, now);
+    if (made.length > 0) {
+      held.add(step);
+      plan.push(...made);
+    }
   }
   if (input.isBacklogged) {
     return plan;
@@ -144,19 +160,17 @@
   return plan;
 }
 
-/** Steps with large tasks, and large gangs, most urgent first. */
-function largeSteps(
-  { waiting, workers, limits }: ReservationInput,
-): WaitingStep[] {
+/** The most of each resource that a worker has. */
+export function largestCapacity(
+  workers: readonly CandidateWorker[],
+): Resources {
   const largest: Resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
   for (const { worker: { capacity } } of workers) {
     largest.cpuMilli = Math.max(largest.cpuMilli, capacity.cpuMilli);
     largest.memoryMb = Math.max(largest.memoryMb, capacity.memoryMb);
     largest.gpus = Math.max(largest.gpus, capacity.gpus);
   }
-  return waiting.filter((step) =>
-    isLarge(step, largest, limits.largeShare) && isWhole(step)
-  );
+  return largest;
 }
 
 /** Whether no task of a step can start now; a step that needs no less than a blocked one is not tried. */
@@ -177,7 +191,7 @@
 }
 
 /** Whether a task needs a large share of the largest worker, or a gang as much together. */
-function isLarge(
+export function isLarge(
   { spec }: WaitingStep,
   largest: Resources,
   share: number,
@@ -189,6 +203,23 @@
     (gpus > 0 && tasks * gpus >= share * largest.gpus);
 }
 
+/** Whether a task, or all tasks of a gang, would fit on idle workers. */
+function fitsWhenIdle(
+  step: WaitingStep,
+  candidates: readonly CandidateWorker[],
+): boolean {
+  let left = step.spec.gang ? step.spec.taskCount : 1;
+  for (const candidate of candidates) {
+    if (candidate.acceptsWhenIdle(step)) {
+      left -= tasksAt(step, candidate.worker.capacity);
+    }
+    if (left <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Whether no member of an earlier run of a gang is left. */
 function isWhole({ spec, indices }: WaitingStep): boolean {
   return !spec.gang || indices.size === spec.taskCount;
@@ -231,10 +262,10 @@
     }))
     .filter(({ ms, step }) =>
       ms >= limits.holdAfterMs &&
-      candidates(step).some((candidate) => candidate.acceptsWhenIdle(step))
+      fitsWhenIdle(step, candidates(step))
     )
     .sort((a, b) => Number(a.isNew) - Number(b.isNew) || b.ms - a.ms)
-    .slice(0, limits.maxHeldSteps)
+    .slice(0, MAX_HOLD_ATTEMPTS)
     .map(({ step }) => step);
 }
 
--- a/packages/core/test/scheduling_look_ahead_test.ts
+++ b/packages/core/test/scheduling_look_ahead_test.ts
@@ -63,12 +63,12 @@
   starts: RunStarts,
 ): (id: string) => TimedRun[] {
   return (id) =>
-    [...store.load(id).runs.values()].flatMap((each) => {
+    starts.of(store.load(id).runs.values(), (each) => {
       const job = store.jobs.get(each.job);
       const own = store.stepOf(each);
       return job === undefined || own === undefined
-        ? []
-        : [{ step: { job, spec: own }, startedAt: starts.of(each) }];
+        ? undefined
+        : { job, spec: own };
     });
 }
 
@@ -131,8 +131,11 @@
   it("counts from the start of the term for runs of an earlier leader", () => {
     const starts = new RunStarts(500);
     const own = {} as RunRecord;
-    starts.record(own, 900);
-    expect([starts.of(own), starts.of({} as RunRecord)]).toEqual([900, 500]);
+    const timed = { job: { queue: "q" }, spec: step() };
+    starts.record(own, timed, 900);
+    const runs = starts.of([own, {} as RunRecord], () => timed);
+    expect(runs.map(({ startedAt }) => startedAt)).toEqual([900, 500]);
+    expect(starts.of([{} as RunRecord], () => undefined)).toEqual([]);
   });
 
   it("is later for a task away from the rack of its data, and never for a long-running one", () => {
@@ -292,6 +295,15 @@
     expect(plan(store, { slackMs: () => 1_100 })).toHaveLength(1);
   });
 
+  it("lets the next step hold a worker if the oldest can never start", () => {
+    const store = fullPool();
+    submitStep(store, "gang", { demand: cores(4), taskCount: 5, gang: true });
+    submitStep(store, "large", { demand: cores(4) });
+    expect(plan(store, { waitedMs: () => 10_000 })).toMatchObject([
+      { step: "large.0.0", worker: "w1", isHeld: true },
+    ]);
+  });
+
   it("moves to another worker once its lifetime is over, but a hold stays", () => {
     const store = fullPool();
     submitStep(store, "large", { demand: cores(4) });
@@ -450,12 +462,12 @@
     const store = newJobStore([]);
     const waiting = submitStep(store, "j", { taskCount: 3 });
     const waits = new WaitTimes();
-    waits.update([waiting], 0);
-    waits.update([waiting], 500);
+    waits.record(waiting, 0);
+    waits.record(waiting, 500);
     expect(waits.waitedMs(waiting, 600)).toBe(600);
-    waits.update([{ ...waiting, indices: new Set([1, 2]) }], 700);
+    waits.record({ ...waiting, indices: new Set([1, 2]) }, 700);
     expect(waits.waitedMs(waiting, 900)).toBe(200);
-    waits.update([], 1_000);
+    waits.prune(1_000);
     expect(waits.waitedMs(waiting, 1_000)).toBe(0);
   });
 });
@@ -473,9 +485,9 @@
     at: fc.nat(3_000),
   });
   return fc.record({
-    sizes: fc.array(fc.constantFrom(16, 32), { minLength: 1, maxLength: 8 }),
-    running: fc.array(stepOf, { maxLength: 20 }),
-    waiting: fc.array(stepOf, { minLength: 1, maxLength: 30 }),
+    sizes: fc.array(fc.constantFrom(16, 32), { minLength: 1, maxLength: 24 }),
+    running: fc.array(stepOf, { maxLength: 60 }),
+    waiting: fc.array(stepOf, { minLength: 1, maxLength: 60 }),
   }).map(({ sizes, running, waiting }) => {
     const store = newJobStore(sizes.map((size, index) =>
       worker(`w${index}`, {
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -43,6 +43,12 @@
 /** Maximum number of moves in progress: half of what the platform accepts per second. */
 const MAX_PENDING_MOVES = 32;
 
+/**
+ * Interval between decisions on moves where busy VMs are reclaimed. They look at every waiting step, and a VM takes more
+ * than a second to move.
+ */
+const RECLAIM_INTERVAL_MS = 100;
+
 const MILLICORES_PER_CORE = 1_000;
 
 export class FleetController {
@@ -53,6 +59,7 @@
   readonly #idleSince = new Map<string, number>();
   /** Busy VMs that get no new runs, so that they can be moved to another pool. */
   #reclaimed: ReadonlySet<string> = new Set();
+  #movesDueAt = -Infinity;
   /**
    * When the first job arrived in this leadership term. VMs count as idle only from then on, because demand is unknown
    * before.
@@ -125,7 +132,12 @@
     this.#vms.refresh(now, this.#maintenance.hasOpenWaves);
     if (this.#vms.isLoaded) {
       this.#maintenance.reconcile(now);
-      this.#startMoves(now);
+      if (now >= this.#movesDueAt) {
+        this.#movesDueAt = this.#parts.reclaimsBusyVms
+          ? now + RECLAIM_INTERVAL_MS
+          : now;
+        this.#startMoves(now);
+      }
     }
   }
 
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -20,6 +20,7 @@
   type StepWait,
   type SubmittedJob,
   type TimedRun,
+  type TimedStep,
   UnansweredStarts,
   type WaitingStep,
   type WaitReason,
@@ -569,17 +570,16 @@
 
   /** Runs on a worker, for their expected ends. */
   #runsOn(worker: string): TimedRun[] {
-    const jobStore = this.#jobStore;
-    const runs: TimedRun[] = [];
-    for (const run of jobStore.load(worker).runs.values()) {
-      const job = jobStore.jobs.get(run.job);
-      const spec = jobStore.stepOf(run);
-      if (job !== undefined && spec !== undefined) {
-        const startedAt = this.#runStarts.of(run);
-        runs.push({ step: { job, spec }, startedAt });
-      }
-    }
-    return runs;
+    return this.#runStarts.of(
+      this.#jobStore.load(worker).runs.values(),
+      (run) => this.#timedStepOf(run),
+    );
+  }
+
+  #timedStepOf(run: RunRecord): TimedStep | undefined {
+    const job = this.#jobStore.jobs.get(run.job);
+    const spec = this.#jobStore.stepOf(run);
+    return job === undefined || spec === undefined ? undefined : { job, spec };
   }
 
   #candidateOf(worker: Worker, now: number): CandidateWorker {
@@ -602,7 +602,10 @@
       if (run !== undefined) {
         const workerRuns = byWorker.get(key.worker) ?? [];
         workerRuns.push(run);
-        this.#runStarts.record(run, now);
+        const step = this.#timedStepOf(run);
+        if (step !== undefined) {
+          this.#runStarts.record(run, step, now);
+        }
         byWorker.set(key.worker, workerRuns);
       } else {
         refused.push(key);
