Scheduler: leadership term split along its jobs

Change: PlacementController (candidates, look-ahead input, run starts, commit and order of placements), PlacementLog (lines about placements, customer waits and holds) and WorkerSessions (opening, replacing and closing of sessions, births, losses, usable workers). BACKLOG_LOG_INTERVAL_MS moved to backlog_log.ts, where both users find it. Behaviour, log events and their fields are unchanged; LeadershipTerm keeps its public interface.

--- a/packages/daemon/src/scheduler/backlog_log.ts
+++ b/packages/daemon/src/scheduler/backlog_log.ts
@@ -22,6 +22,9 @@
   estimate: WorkEstimate;
 }
 
+/** Interval at which backlogs, and the customers that wait, are logged while steps wait. */
+export const BACKLOG_LOG_INTERVAL_MS = 500;
+
 const MILLICORES_PER_CORE = 1_000;
 
 /** Logs one line for each pool in which steps wait. `wallNow` is the wall-clock time in milliseconds. */
--- /dev/null
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -0,0 +1,207 @@
+/**
+ * Runs placement passes, commits the placements that they choose, and orders their runs.
+ *
+ * @module
+ */
+import {
+  CandidateWorker,
+  type JobStore,
+  LookAhead,
+  type RunKey,
+  runPlacementPass,
+  type RunRecord,
+  RunStarts,
+  type SchedulerSettings,
+  type TimedRun,
+  type TimedStep,
+  type Worker,
+  type WorkerSpeed,
+  type WorkEstimate,
+} from "@quetzalcove/core/scheduling";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../observe/log.ts";
+import type { AdmissionController } from "./admission_controller.ts";
+import type { FleetController } from "./fleet_controller.ts";
+import type { JobConsensus } from "./job_state_machine.ts";
+import type { PermitCache } from "./permit_cache.ts";
+import { PlacementLog } from "./placement_log.ts";
+import type { WorkerSessions } from "./worker_sessions.ts";
+
+/** Dependencies of a placement controller. */
+export interface PlacementControllerParts {
+  consensus: JobConsensus;
+  clock: Clock;
+  log: Log;
+  placement: SchedulerSettings["placement"];
+  estimate: WorkEstimate;
+  speed: WorkerSpeed;
+  admission: AdmissionController;
+  sessions: WorkerSessions;
+  /** Undefined if the platform has no VM API. */
+  fleet: FleetController | undefined;
+  /** Undefined if no advisor is configured. */
+  permits: PermitCache | undefined;
+  /** Runs a synchronous function and adds its duration to an activity of the process. */
+  measure: <T>(activity: string, run: () => T) => T;
+  /** Called when placements were committed. */
+  onChange: () => void;
+}
+
+export class PlacementController {
+  readonly #parts: PlacementControllerParts;
+  readonly #log: PlacementLog;
+  readonly #runStarts: RunStarts;
+  readonly #lookAhead: LookAhead;
+  #isPlacing = false;
+  /** Workers of the placements being committed. */
+  #pendingWorkers = new Set<string>();
+  #stopped = false;
+
+  constructor(parts: PlacementControllerParts) {
+    this.#parts = parts;
+    this.#log = new PlacementLog(parts.log);
+    this.#runStarts = new RunStarts(parts.clock.monotonic());
+    this.#lookAhead = new LookAhead({
+      estimate: parts.estimate,
+      remoteFactor: parts.placement.remoteFactor,
+      runsOn: (worker) => this.#runsOn(worker),
+    });
+  }
+
+  get #jobStore(): JobStore {
+    return this.#parts.consensus.state;
+  }
+
+  /** Orders no more runs, also not those of placements being committed. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Whether a placement on a worker is still being committed. */
+  hasPending(worker: string): boolean {
+    return this.#pendingWorkers.has(worker);
+  }
+
+  /** Commits placements of waiting tasks, then orders their runs. */
+  async place(now: number): Promise<void> {
+    if (this.#isPlacing || this.#jobStore.waiting.size === 0) {
+      return;
+    }
+    const { consensus, measure, onChange } = this.#parts;
+    const runs = measure("placement", () => this.#choosePlacements(now));
+    if (runs.length === 0) {
+      return;
+    }
+    this.#isPlacing = true;
+    this.#pendingWorkers = new Set(runs.map(({ worker }) => worker));
+    const placed = await consensus.propose({ kind: "place", runs });
+    this.#isPlacing = false;
+    this.#pendingWorkers.clear();
+    if (placed.ok && !this.#stopped) {
+      this.#sendStarts(runs);
+      onChange();
+    }
+  }
+
+  #choosePlacements(now: number): RunKey[] {
+    const { admission, clock, estimate, permits, sessions } = this.#parts;
+    const candidates = new Map<string, CandidateWorker[]>();
+    for (const [pool, workers] of sessions.usableWorkers(now)) {
+      candidates.set(
+        pool,
+        workers.map((worker) => this.#candidateOf(worker, now)),
+      );
+    }
+    const { steps, placements, waits } = runPlacementPass({
+      waiting: this.#jobStore.waiting.values(),
+      estimate,
+      candidates,
+      isPermitted: (step, worker) =>
+        permits?.permit(step, worker, now) !== undefined,
+      customers: {
+        planned: this.#jobStore.plan.customers,
+        usage: this.#jobStore.customerUsage,
+      },
+      lookAhead: this.#looksAhead
+        ? (input) => this.#lookAhead.begin(input, now)
+        : undefined,
+    }, clock.wall());
+    this.#log.logPlacements(placements, waits);
+    this.#log.logCustomerWaits(waits, now);
+    admission.recordPlacements(placements, now);
+    this.#log.logHolds(this.#lookAhead.reservations, now);
+    permits?.requestMissing(
+      steps,
+      (step) =>
+        (candidates.get(step.job.pool) ?? [])
+          .filter((candidate) => candidate.accepts(step))
+          .map(({ worker }) => worker),
+      (name) => this.#jobStore.waiting.has(name),
+      now,
+    );
+    return placements.flatMap(({ runs }) => runs);
+  }
+
+  /** Whether placement considers what will end soon. */
+  get #looksAhead(): boolean {
+    const { lookAhead } = this.#parts.placement;
+    return lookAhead === "always" ||
+      (lookAhead === "customers" && this.#jobStore.plan.customers.length > 0);
+  }
+
+  /** Runs on a worker, for their expected ends. */
+  #runsOn(worker: string): TimedRun[] {
+    return this.#runStarts.of(
+      this.#jobStore.load(worker).runs.values(),
+      (run) => this.#timedStepOf(run),
+    );
+  }
+
+  #timedStepOf(run: RunRecord): TimedStep | undefined {
+    const job = this.#jobStore.jobs.get(run.job);
+    const spec = this.#jobStore.stepOf(run);
+    return job === undefined || spec === undefined ? undefined : { job, spec };
+  }
+
+  #candidateOf(worker: Worker, now: number): CandidateWorker {
+    const { fleet, sessions, speed } = this.#parts;
+    const session = sessions.get(worker.id);
+    return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
+      isDueForMaintenance: fleet?.isMaintenanceDue(worker) === true,
+      jobOnProbation: session?.jobOnProbation,
+      slowness: speed.slownessOf(worker.id, now),
+      isSettled: () => session?.isSettled() === true,
+    });
+  }
+
+  /** Orders the runs that were placed; the job store refuses those that no longer apply or that a cap forbids. */
+  #sendStarts(runs: readonly RunKey[]): void {
+    const { clock, log, sessions } = this.#parts;
+    const refused: RunKey[] = [];
+    const byWorker = new Map<string, RunRecord[]>();
+    const now = clock.monotonic();
+    for (const key of runs) {
+      const run = this.#jobStore.findRun(key);
+      if (run !== undefined) {
+        const workerRuns = byWorker.get(key.worker) ?? [];
+        workerRuns.push(run);
+        const step = this.#timedStepOf(run);
+        if (step !== undefined) {
+          this.#runStarts.record(run, step, now);
+        }
+        byWorker.set(key.worker, workerRuns);
+      } else {
+        refused.push(key);
+      }
+    }
+    if (refused.length > 0) {
+      log.info("runs.refused", {
+        runs: refused.length,
+        first: refused[0]?.task,
+      });
+    }
+    byWorker.forEach((workerRuns, worker) =>
+      sessions.get(worker)?.start(workerRuns)
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/worker_sessions.ts
@@ -0,0 +1,214 @@
+/**
+ * Sessions of a leader with all workers: opens, replaces and closes them as workers join, restart and are lost.
+ *
+ * @module
+ */
+import {
+  isLaterLife,
+  type JobStore,
+  LONGEST_ORDER_DELAY_MS,
+  UnansweredStarts,
+  type Worker,
+} from "@quetzalcove/core/scheduling";
+import { RunEndBatcher } from "./run_end_batcher.ts";
+import { WorkerLosses } from "./worker_losses.ts";
+import type { WorkerLoss } from "./worker_loss.ts";
+import { type EarlierLife, WorkerSession } from "./worker_session.ts";
+import type { WorkerSessionParts } from "./worker_session_parts.ts";
+
+/** Dependencies of the sessions with all workers. */
+export interface WorkerSessionsParts extends
+  Omit<
+    WorkerSessionParts,
+    "onBirth" | "onLost" | "runEndBatcher" | "unansweredStarts"
+  > {
+  /** Whether a worker must get no new runs because its VM is about to be moved or taken down. */
+  isCordoned: (worker: Worker) => boolean;
+}
+
+export class WorkerSessions {
+  readonly #parts: WorkerSessionsParts;
+  readonly #sessions = new Map<string, WorkerSession>();
+  readonly #runEndBatcher: RunEndBatcher;
+  readonly #losses: WorkerLosses;
+  readonly #unansweredStarts = new UnansweredStarts();
+  /** When the latest session with each worker ended, in monotonic milliseconds; kept while its orders may arrive. */
+  readonly #endedAt = new Map<string, number>();
+
+  constructor(parts: WorkerSessionsParts) {
+    this.#parts = parts;
+    this.#runEndBatcher = new RunEndBatcher(parts);
+    this.#losses = new WorkerLosses(parts);
+  }
+
+  get #jobStore(): JobStore {
+    return this.#parts.consensus.state;
+  }
+
+  get(worker: string): WorkerSession | undefined {
+    return this.#sessions.get(worker);
+  }
+
+  values(): IterableIterator<WorkerSession> {
+    return this.#sessions.values();
+  }
+
+  stop(): void {
+    this.#sessions.forEach((session) => session.stop());
+    this.#sessions.clear();
+  }
+
+  /** Workers that may get new runs, by pool. Untrusted ones, where runs fail or hang, only if the pool has no other. */
+  usableWorkers(now: number): Map<string, Worker[]> {
+    const { health, isCordoned } = this.#parts;
+    const pools = new Map<string, Worker[]>();
+    const untrusted: Worker[] = [];
+    for (const session of this.#sessions.values()) {
+      const { worker } = session;
+      if (!session.isUsable(now) || isCordoned(worker)) {
+        continue;
+      }
+      if (health.isTrusted(worker.id, now)) {
+        const trusted = pools.get(worker.pool) ?? [];
+        trusted.push(worker);
+        pools.set(worker.pool, trusted);
+      } else {
+        untrusted.push(worker);
+      }
+    }
+    for (const worker of untrusted) {
+      if (!pools.has(worker.pool)) {
+        pools.set(worker.pool, [worker]);
+      }
+    }
+    return pools;
+  }
+
+  /** Brings the sessions in line with the workers of the job store. */
+  sync(): void {
+    const { workers } = this.#jobStore;
+    for (const [id, session] of this.#sessions) {
+      const worker = workers.get(id);
+      if (worker === undefined) {
+        session.stop();
+        this.#close(id);
+      } else if (isLaterLife(session.worker.bornAtMs, worker.bornAtMs)) {
+        this.#replace(session, worker);
+      } else {
+        session.worker = worker;
+      }
+    }
+    for (const worker of workers.values()) {
+      if (
+        !this.#sessions.has(worker.id) &&
+        !this.#losses.isPending(worker.id)
+      ) {
+        this.#open(worker);
+      }
+    }
+  }
+
+  /** Sends the orders that are due, to all workers. */
+  sendDue(): void {
+    this.#sessions.forEach((session) => session.sendDue());
+  }
+
+  /** Orders the stop of runs that are no longer wanted. */
+  stopUnwantedRuns(): void {
+    for (const run of this.#jobStore.runsToStop) {
+      this.#sessions.get(run.worker)?.requestStop(run);
+    }
+  }
+
+  /** Closes the session with a lost worker and removes the worker from the job store. */
+  async removeWorker(id: string, loss: WorkerLoss): Promise<void> {
+    if (this.#losses.isPending(id)) {
+      return;
+    }
+    const { health, speed, onChange } = this.#parts;
+    const session = this.#sessions.get(id);
+    session?.stop();
+    this.#close(id);
+    health.remove(id);
+    speed.remove(id);
+    await this.#losses.remove(id, loss, session);
+    onChange();
+  }
+
+  /** Discards what is known of orders that can no longer arrive. */
+  prune(now: number): void {
+    this.#unansweredStarts.prune(now);
+    for (const [id, endedAt] of this.#endedAt) {
+      if (now - endedAt > LONGEST_ORDER_DELAY_MS) {
+        this.#endedAt.delete(id);
+      }
+    }
+  }
+
+  #open(worker: Worker, earlier?: EarlierLife): void {
+    const session = new WorkerSession(worker, {
+      ...this.#parts,
+      runEndBatcher: this.#runEndBatcher,
+      unansweredStarts: this.#unansweredStarts,
+      onBirth: (id, bornAtMs) => void this.#recordBirth(id, bornAtMs),
+      onLost: (id, loss) => void this.removeWorker(id, loss),
+    }, { earlier, hasRestarted: this.#endedAt.has(worker.id) });
+    this.#sessions.set(worker.id, session);
+    void session.run();
+  }
+
+  /** Opens a session with the next life of a worker. */
+  #replace(session: WorkerSession, worker: Worker): void {
+    const { health, speed, onChange } = this.#parts;
+    const { id, draining } = session.worker;
+    session.supersede();
+    this.#close(id);
+    health.remove(id);
+    speed.remove(id);
+    this.#open(worker, {
+      evidenceOf: (run) => session.evidenceOf(run),
+      release: async (ended, repeated) => {
+        const isReleased = await this.#losses.release(
+          { worker: id, wasDraining: draining, ended, repeated },
+          session,
+        );
+        onChange();
+        return isReleased;
+      },
+    });
+  }
+
+  #close(id: string): void {
+    this.#sessions.delete(id);
+    this.#endedAt.set(id, this.#parts.clock.monotonic());
+  }
+
+  /** Stores the birth that a listing named: that of a worker of which none was known, or that of its next life. */
+  async #recordBirth(id: string, bornAtMs: number): Promise<void> {
+    const { consensus, log, onChange } = this.#parts;
+    const known = this.#jobStore.workers.get(id);
+    const isNews = known !== undefined && (known.bornAtMs === undefined ||
+      isLaterLife(known.bornAtMs, bornAtMs));
+    if (isNews) {
+      const isRestart = known.bornAtMs !== undefined;
+      const worker = isRestart
+        ? {
+          ...known,
+          bornAtMs,
+          draining: false,
+          hasLeft: false,
+          reportNumber: undefined,
+        }
+        : { ...known, bornAtMs };
+      log.info("worker.born", { worker: id, bornAtMs, isRestart });
+      const joined = await consensus.propose({
+        kind: "join",
+        workers: [worker],
+      });
+      if (!joined.ok && isRestart) {
+        this.#close(id);
+      }
+    }
+    onChange();
+  }
+}
