--- a/packages/core/src/scheduling/customer_limits.ts
+++ b/packages/core/src/scheduling/customer_limits.ts
@@ -52,14 +52,28 @@
 export class CustomerLimit {
   readonly cap: Readonly<Resources>;
   #usage: Readonly<Resources>;
+  #isHeld = false;
 
   constructor(cap: Readonly<Resources>, usage: Readonly<Resources>) {
     this.cap = cap;
     this.#usage = usage;
   }
 
+  /** Whether the cap allows a gang when nothing else of its customer runs; a cap may be lowered below accepted gangs. */
+  couldAllow({ demand, taskCount }: StepSpec): boolean {
+    return startableTasks(NO_RESOURCES, demand, this.cap) >= taskCount;
+  }
+
+  /** Lets nothing more start in this pass, so that what runs makes room for a gang. */
+  hold(): void {
+    this.#isHeld = true;
+  }
+
   /** Number of tasks out of `count` that may start; all or none for a gang. */
   startable({ gang, demand }: StepSpec, count: number): number {
+    if (this.#isHeld) {
+      return 0;
+    }
     const allowed = startableTasks(this.#usage, demand, this.cap);
     if (allowed >= count) {
       return count;
--- a/packages/core/src/scheduling/placement_order.ts
+++ b/packages/core/src/scheduling/placement_order.ts
@@ -124,6 +124,10 @@
 ): StepWait | undefined {
   const { spec } = step;
   const allowed = share.limit?.startable(spec, count) ?? count;
+  if (spec.gang && allowed === 0 && share.limit?.couldAllow(spec) === true) {
+    // Smaller steps of the same customer would take the room under its cap for ever.
+    share.limit.hold();
+  }
   const placed = allowed === 0 ? 0 : place(step, from, allowed);
   if (placed > 0) {
     share.addPlanned(spec, placed);
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -152,10 +152,11 @@
 
 /** A step with `count` of its waiting tasks, after the first `from`. */
 function partOf(step: WaitingStep, from: number, count: number): WaitingStep {
-  const indices = [...step.indices];
-  return count === indices.length
-    ? step
-    : { ...step, indices: new Set(indices.slice(from, from + count)) };
+  if (count === step.indices.size) {
+    return step;
+  }
+  const indices = [...step.indices].slice(from, from + count);
+  return { ...step, indices: new Set(indices) };
 }
 
 /** The shares of the plan's customers; undefined if callers are not told apart. */
--- a/packages/core/test/scheduling_customers_test.ts
+++ b/packages/core/test/scheduling_customers_test.ts
@@ -37,6 +37,21 @@
     ]).toEqual([true, false, true, false]);
   });
 
+  // Guards against a gang that waits for ever because smaller steps of its customer take each room under the cap.
+  it("keeps the room under it for a gang that has its turn first", () => {
+    const store = newSharedStore(
+      workers(4),
+      customer("a", { cap: coreCap(4) }),
+    );
+    submitFor(store, "a", "running", { taskCount: 2 });
+    placeWaiting(store);
+    submitFor(store, "a", "gang", { taskCount: 4, gang: true });
+    submitFor(store, "a", "small", { taskCount: 2 });
+    expect(placeWaiting(store)).toEqual([]);
+    planCustomers(store, customer("a", { cap: coreCap(3) }));
+    expect(placeWaiting(store)).toEqual(["small.0.0.0"]);
+  });
+
   it("lets a task that is larger than the cap run alone", () => {
     const cap = coreCap(0.5);
     expect([
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -176,12 +176,15 @@
   }
 
   #demands(now: number): Map<string, PoolDemand> {
-    const { rates, estimate, clock } = this.#parts;
+    const { rates, estimate, clock, reclaimsBusyVms } = this.#parts;
     const wallNow = clock.wall();
     const { plan, customerUsage } = this.#jobStore;
     const caps = new CustomerLimits(plan.customers, customerUsage);
     const demands = poolDemands(this.#jobStore, rates, estimate, now, {
-      isUrgent: (step) => step.spec.lasting || !isLate(step, estimate, wallNow),
+      // Only the division of the fleet's cores needs it, and it costs two critical paths for each step.
+      isUrgent: (step) =>
+        reclaimsBusyVms &&
+        (step.spec.lasting || !isLate(step, estimate, wallNow)),
       startable: (step) => {
         const limit = caps.of(step.job.customer);
         const count = limit?.startable(step.spec, step.indices.size) ??
--- a/packages/daemon/src/scheduler/worker_losses.ts
+++ b/packages/daemon/src/scheduler/worker_losses.ts
@@ -65,7 +65,10 @@
     log.warn("worker.lost", { worker, kind, reason, runs: lostRuns.length });
     this.#logLostRuns(lostRuns, suspects);
     const openSuspects = this.#openSuspects(suspects);
-    const bornAtMs = this.#jobStore.workers.get(worker)?.bornAtMs;
+    // The job store may hold the next life already.
+    const bornAtMs = session === undefined
+      ? this.#jobStore.workers.get(worker)?.bornAtMs
+      : session.worker.bornAtMs;
     this.#pending.add(worker);
     await consensus.propose({
       kind: "lose",
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -375,10 +375,7 @@
     if (ends.length > 0 || dropped.length > 0) {
       const committed = await runEndBatcher.add(ends, dropped);
       if (committed.ok) {
-        this.#lastCommittedEnd = listing.ended.reduce(
-          (highest, { number }) => Math.max(highest, number),
-          this.#lastCommittedEnd,
-        );
+        this.#lastCommittedEnd = lastReadEnd(listing, this.#lastCommittedEnd);
         this.#recorder.recordEnds(ends, dropped);
       } else {
         await wait(UNCONFIRMED_DELAY_MS);
@@ -406,8 +403,9 @@
     }
     const { consensus, unansweredStarts, log } = this.#parts;
     const { id } = this.worker;
+    // Runs that were placed since belong to this session.
     const isUnsent = (run: RunRecord): boolean =>
-      earlier.evidenceOf(run).start === "unsent";
+      this.#orders.isUnsent(run) || earlier.evidenceOf(run).start === "unsent";
     const { unsent, kept, repeated, ended, forestalled } = sortEarlierRuns(
       [...consensus.state.load(id).runs.values()],
       listing,
@@ -505,3 +503,19 @@
     }
   }
 }
+
+/**
+ * Number up to which the worker may forget its ends. It forgets all below, so with unreadable rows the number ends before
+ * the first one that is missing.
+ */
+function lastReadEnd(listing: Listing, committed: number): number {
+  const numbers = listing.ended.map(({ number }) => number)
+    .filter((number) => number > committed).sort((a, b) => a - b);
+  if (!hasUnreadableRows(listing)) {
+    return numbers.at(-1) ?? committed;
+  }
+  return numbers.reduce(
+    (last, number) => number === last + 1 ? number : last,
+    committed,
+  );
+}
--- a/packages/daemon/src/scheduler/worker_sessions.ts
+++ b/packages/daemon/src/scheduler/worker_sessions.ts
@@ -26,14 +26,21 @@
   isCordoned: (worker: Worker) => boolean;
 }
 
+/** A session that has ended, and the birth of the worker's life that it was with. */
+interface EndedSession {
+  /** In monotonic milliseconds. */
+  endedAt: number;
+  bornAtMs: number | undefined;
+}
+
 export class WorkerSessions {
   readonly #parts: WorkerSessionsParts;
   readonly #sessions = new Map<string, WorkerSession>();
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
   readonly #unansweredStarts = new UnansweredStarts();
-  /** When the latest session with each worker ended, in monotonic milliseconds; kept while its orders may arrive. */
-  readonly #endedAt = new Map<string, number>();
+  /** The latest session with each worker that has ended; kept while its orders may arrive. */
+  readonly #ended = new Map<string, EndedSession>();
 
   constructor(parts: WorkerSessionsParts) {
     this.#parts = parts;
@@ -138,9 +145,9 @@
   /** Discards what is known of orders that can no longer arrive. */
   prune(now: number): void {
     this.#unansweredStarts.prune(now);
-    for (const [id, endedAt] of this.#endedAt) {
+    for (const [id, { endedAt }] of this.#ended) {
       if (now - endedAt > LONGEST_ORDER_DELAY_MS) {
-        this.#endedAt.delete(id);
+        this.#ended.delete(id);
       }
     }
   }
@@ -152,7 +159,13 @@
       unansweredStarts: this.#unansweredStarts,
       onBirth: (id, bornAtMs) => void this.#recordBirth(id, bornAtMs),
       onLost: (id, loss) => void this.removeWorker(id, loss),
-    }, { earlier, hasRestarted: this.#endedAt.has(worker.id) });
+    }, {
+      earlier,
+      hasRestarted: isLaterLife(
+        this.#ended.get(worker.id)?.bornAtMs,
+        worker.bornAtMs,
+      ),
+    });
     this.#sessions.set(worker.id, session);
     void session.run();
   }
@@ -179,8 +192,10 @@
   }
 
   #close(id: string): void {
+    const bornAtMs = this.#sessions.get(id)?.worker.bornAtMs;
     this.#sessions.delete(id);
-    this.#endedAt.set(id, this.#parts.clock.monotonic());
+    const endedAt = this.#parts.clock.monotonic();
+    this.#ended.set(id, { endedAt, bornAtMs });
   }
 
   /** Stores the birth that a listing named: that of a worker of which none was known, or that of its next life. */
