Test: no end above an unreadable one is acknowledged

Cause: the fix had no test. Change: one, with a listing of ends 1 and 3 and an unreadable row. Result: it passes; without the fix the worker is told to forget end 3.

--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -59,6 +59,7 @@
   readonly stops: string[] = [];
   /** Run ends that it lists. */
   ended: ListedEnd[] = [];
+  unreadableRows: number | undefined;
 
   start(_: unknown, order: StartOrder): ReturnType<WorkerClient["start"]> {
     if (this.losesOrders) {
@@ -123,7 +124,11 @@
       }));
     return {
       kind: "listing",
-      listing: { running, ended: this.ended },
+      listing: {
+        running,
+        ended: this.ended,
+        unreadableRows: this.unreadableRows,
+      },
       clockMs: 1_000_000 + Date.now(),
     };
   }
@@ -284,6 +289,17 @@
       .toBe(1);
   });
 
+  // Guards against a run that was done and runs again: the worker forgets all ends below the acknowledged one.
+  it("acknowledges no end above one that could not be read", async () => {
+    const { client } = fixture;
+    await vi.advanceTimersByTimeAsync(500);
+    const end = { task: "j.0.0.0", run: 1, how: "failed", checkpoint: "" };
+    client.ended = [1, 3].map((number) => ({ number, ...end } as ListedEnd));
+    client.unreadableRows = 1;
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(client.renewals.at(-1)?.seenEnds).toBe(1);
+  });
+
   it("commits the end of a run within the duration of a task although an answer is lost", async () => {
     const { client, session, jobStore } = fixture;
     submit(jobStore, "k", spec(step()));
