Straggler detector: a run that comes back to a slow worker is stopped ever later

The only worker of their pool was slow; each run of both jobs was stopped at 27 % after 1.1 s and started there again, 48 times. A worker that is not trusted gets runs all the same if its pool has no other, and durations on slow workers are no longer learned, so the expectation never grew.

Change: each stop doubles the time that the task may take on that worker.

--- a/packages/daemon/src/scheduler/straggler_detector.ts
+++ b/packages/daemon/src/scheduler/straggler_detector.ts
@@ -19,9 +19,20 @@
   percent: number;
 }
 
+/** Factor by which a task may take longer on this worker after each of its runs that was stopped here as too slow. */
+const PATIENCE_FACTOR = 2;
+
+/** Maximum number of tasks whose stops are kept; the oldest are evicted first. */
+const MAX_STOPPED_TASKS = 1_024;
+
 export class StragglerDetector {
   readonly #progress = new ProgressWatch();
   readonly #estimate: WorkEstimate;
+  /**
+   * Times that each task was stopped here. Where its pool has no better worker, a task that is longer than expected would
+   * otherwise be started and stopped here for ever.
+   */
+  readonly #stops = new Map<string, number>();
 
   constructor(estimate: WorkEstimate) {
     this.#estimate = estimate;
@@ -42,12 +53,23 @@
     // One slow job may just have a wrong estimate; slow runs of several jobs indicate a slow worker.
     const jobs = new Set(slow.map(({ task }) => parseTaskName(task)?.job));
     const stuck = jobs.size > 1 ? [...stalled, ...slow] : stalled;
+    stuck.forEach(({ task }) => this.#recordStop(task));
     return stuck.flatMap(({ task, run: number, percent }) => {
       const run = jobStore.findRun({ task, run: number, worker });
       return run === undefined ? [] : [{ run, percent }];
     });
   }
 
+  #recordStop(task: string): void {
+    const stops = (this.#stops.get(task) ?? 0) + 1;
+    this.#stops.delete(task);
+    this.#stops.set(task, stops);
+    const [oldest] = this.#stops.keys();
+    if (this.#stops.size > MAX_STOPPED_TASKS && oldest !== undefined) {
+      this.#stops.delete(oldest);
+    }
+  }
+
   #expectationOf(
     { task }: ListedRun,
     jobStore: JobStore,
@@ -62,7 +84,8 @@
       return undefined;
     }
     return {
-      expectedMs: this.#estimate.taskMs(job.queue, spec.estimatedMs),
+      expectedMs: this.#estimate.taskMs(job.queue, spec.estimatedMs) *
+        PATIENCE_FACTOR ** (this.#stops.get(task) ?? 0),
       resumes: (jobStore.taskOf(position)?.checkpoint ?? "") !== "",
     };
   }
