--- a/packages/core/src/scheduling/customer_shares.ts
+++ b/packages/core/src/scheduling/customer_shares.ts
@@ -118,9 +118,9 @@
     resource: keyof Resources,
     { [resource]: each }: Readonly<Resources>,
   ): number {
-    const room = this.#entitlement * this.#capacity[resource] -
+    const left = this.#entitlement * this.#capacity[resource] -
       this.#held[resource];
-    return each === 0 ? Infinity : Math.ceil(room / each - TOLERANCE);
+    return each === 0 ? Infinity : Math.ceil(left / each - TOLERANCE);
   }
 
   #compare(): void {
--- a/packages/core/src/scheduling/free_room_index.ts
+++ b/packages/core/src/scheduling/free_cpu_index.ts
@@ -6,7 +6,7 @@
  */
 import type { CandidateWorker } from "./task_placement.ts";
 
-export class FreeRoomIndex {
+export class FreeCpuIndex {
   /** By free CPU, then by position in the list of candidates. */
   readonly #sorted: CandidateWorker[];
   readonly #position = new Map<CandidateWorker, number>();
@@ -63,22 +63,22 @@
   }
 }
 
-const INDEXES = new WeakMap<readonly CandidateWorker[], FreeRoomIndex>();
+const INDEXES = new WeakMap<readonly CandidateWorker[], FreeCpuIndex>();
 
 /** Indexes a list of candidates for one pass, if all are scored by their free CPU. */
-export function indexFreeRoom(candidates: readonly CandidateWorker[]): void {
+export function indexFreeCpu(candidates: readonly CandidateWorker[]): void {
   if (candidates.every((candidate) => candidate.isScoredByFreeCpu)) {
-    const index = new FreeRoomIndex(candidates);
+    const index = new FreeCpuIndex(candidates);
     INDEXES.set(candidates, index);
     for (const candidate of candidates) {
-      candidate.roomIndex = index;
+      candidate.cpuIndex = index;
     }
   }
 }
 
 /** The index of a list of candidates; undefined for lists without one. */
-export function freeRoomIndexOf(
+export function freeCpuIndexOf(
   candidates: readonly CandidateWorker[],
-): FreeRoomIndex | undefined {
+): FreeCpuIndex | undefined {
   return INDEXES.get(candidates);
 }
--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -9,7 +9,7 @@
 import { reservation, type Resources } from "./batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { RunKey } from "./command.ts";
-import { freeRoomIndexOf } from "./free_room_index.ts";
+import { freeCpuIndexOf } from "./free_cpu_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import { countWaiting, maxRackWaitMs } from "./rack_wait.ts";
 import {
@@ -20,7 +20,7 @@
   RESERVATION_LIMITS,
   type ReservationLimits,
 } from "./reservation_plan.ts";
-import { ReservedRoom } from "./reserved_room.ts";
+import { ReservedCapacity } from "./reserved_capacity.ts";
 import {
   type ExpectedEnd,
   expectedEnds,
@@ -152,7 +152,7 @@
   /** Expected ends of the runs that this pass placed, by worker. */
   readonly #placed = new Map<string, ExpectedEnd[]>();
   /** Reserved workers by step. */
-  readonly #rooms = new Map<string, ReservedRoom[]>();
+  readonly #reserved = new Map<string, ReservedCapacity[]>();
   /** Number of times that a reservation turned a step away. */
   #refusals = 0;
   /** Candidates by rack, for each list of candidates. */
@@ -213,7 +213,7 @@
       }
       // The timeline is without the reserved resources, which are claimed.
       const spare = this.timeline(candidate).freeAt(each.startsAt);
-      const room = new ReservedRoom(
+      const capacity = new ReservedCapacity(
         each,
         spare,
         {
@@ -223,22 +223,22 @@
         },
         this.#now,
       );
-      candidate.reservedRoom = room;
+      candidate.reservedCapacity = capacity;
       if (!each.isStrict) {
         const { pool } = candidate.worker;
         const gaps = this.#gaps.get(pool) ?? [];
         gaps.push(each.startsAt - this.#now);
         this.#gaps.set(pool, gaps);
       }
-      const rooms = this.#rooms.get(each.step) ?? [];
-      rooms.push(room);
-      this.#rooms.set(each.step, rooms);
+      const reserved = this.#reserved.get(each.step) ?? [];
+      reserved.push(capacity);
+      this.#reserved.set(each.step, reserved);
     }
   }
 
   /** Whether a step needs no attempt, since one that needs no more found no worker. */
   covers(step: WaitingStep): boolean {
-    return !this.#rooms.has(step.name) && this.#blocked.covers(step);
+    return !this.#reserved.has(step.name) && this.#blocked.covers(step);
   }
 
   /** Places tasks of a step; those that had better wait for the rack of their data are left waiting. */
@@ -252,7 +252,7 @@
     if (runs.length + waiting < step.indices.size) {
       this.#blocked.record(step, this.#refusals > refusalsBefore);
     }
-    this.#rooms.get(step.name)?.forEach((room) => room.activate());
+    this.#reserved.get(step.name)?.forEach((capacity) => capacity.activate());
     return runs;
   }
 
@@ -277,7 +277,7 @@
     const left = [...step.indices].filter((index) =>
       !placed.has(taskOf(step, index))
     );
-    // Where no worker has room, there is nothing to decide.
+    // Where no worker has capacity, there is nothing to decide.
     const hasRoom = left.length > 0 &&
       anyAccepts(step, candidates);
     const waiting = !hasRoom ? 0 : countWaiting(step, {
@@ -338,7 +338,7 @@
   candidates: readonly CandidateWorker[],
 ): boolean {
   const { cpuMilli } = reservation(step.spec);
-  const index = freeRoomIndexOf(candidates);
+  const index = freeCpuIndexOf(candidates);
   for (const candidate of index?.from(cpuMilli) ?? candidates) {
     if (candidate.accepts(step)) {
       return true;
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -9,7 +9,7 @@
 import { CustomerLimits } from "./customer_limits.ts";
 import { CustomerShares } from "./customer_shares.ts";
 import type { CustomerUsage } from "./customer_usage.ts";
-import { indexFreeRoom } from "./free_room_index.ts";
+import { indexFreeCpu } from "./free_cpu_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
 import {
@@ -80,7 +80,7 @@
   );
   shares?.divide();
   const steps = ranked.map(({ step }) => step);
-  input.candidates.forEach(indexFreeRoom);
+  input.candidates.forEach(indexFreeCpu);
   const lookAhead = input.lookAhead?.({
     steps: ranked.filter(mayStart).map(({ step }) => step),
     candidates: input.candidates,
@@ -143,7 +143,7 @@
   };
 }
 
-/** Whether the cap of its customer lets a task of a step start; others reserve no room. */
+/** Whether the cap of its customer lets a task of a step start; others reserve no capacity. */
 function mayStart({ step, share }: RankedStep): boolean {
   const { spec, indices } = step;
   return share?.limit === undefined ||
--- a/packages/core/src/scheduling/rack_wait.ts
+++ b/packages/core/src/scheduling/rack_wait.ts
@@ -1,7 +1,7 @@
 /**
  * The wait of tasks for the rack that holds their data.
  *
- * Elsewhere a task takes longer. Waiting pays off only if the rack has room for it sooner than that costs. Tasks that
+ * Elsewhere a task takes longer. Waiting pays off only if the rack has capacity for it sooner than that costs. Tasks that
  * wait for the same rack share the expected ends there, each in its turn, and none waits longer than a bound.
  *
  * @module
@@ -16,7 +16,7 @@
 /** Share of the cost of a remote run that the expected wait may take, since ends are expected with an error. */
 const MAX_WAIT_SHARE = 0.8;
 
-/** What is known of a step that found no room on the rack of its data. */
+/** What is known of a step that found no capacity on the rack of its data. */
 export interface RackWait {
   /** Number of its tasks without a worker. */
   tasks: number;
@@ -30,7 +30,7 @@
   return Math.min(MAX_RACK_WAIT_MS, MAX_WAIT_SHARE * remoteCostMs) - waitedMs;
 }
 
-/** Number of tasks of a step that had better wait for the rack; their room is claimed in the timelines. */
+/** Number of tasks of a step that had better wait for the rack; their capacity is claimed in the timelines. */
 export function countWaiting(
   { spec }: Pick<WaitingStep, "spec">,
   { tasks, maxWaitMs, timelines }: RackWait,
--- a/packages/core/src/scheduling/reserved_room.ts
+++ b/packages/core/src/scheduling/reserved_capacity.ts
@@ -1,5 +1,5 @@
 /**
- * Room on a worker that is reserved for a step, during one placement pass.
+ * Capacity of a worker that is reserved for a step, during one placement pass.
  *
  * @module
  */
@@ -8,18 +8,18 @@
 import type { Reservation } from "./reservation_plan.ts";
 import { addTo, covers } from "./worker_timeline.ts";
 
-export interface ReservedRoomParts {
+export interface ReservedCapacityParts {
   /** Expected duration of a task on the worker, in milliseconds. */
   expectedMs: (step: WaitingStep) => number;
   /** Called when a step is turned away. */
   onRefusal: () => void;
 }
 
-export class ReservedRoom {
+export class ReservedCapacity {
   readonly #reservation: Reservation;
   /** Resources beside the reserved ones at the expected start. */
   readonly #spare: Resources;
-  readonly #parts: ReservedRoomParts;
+  readonly #parts: ReservedCapacityParts;
   readonly #now: number;
   #isActive: boolean;
 
@@ -27,7 +27,7 @@
   constructor(
     reservation: Reservation,
     spare: Resources,
-    parts: ReservedRoomParts,
+    parts: ReservedCapacityParts,
     now: number,
   ) {
     this.#reservation = reservation;
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -12,8 +12,8 @@
 import type { RunKey, Worker } from "./command.ts";
 import type { TaskRecord, WaitingStep } from "./job_record.ts";
 import { type FitScore, leastFreeCpu } from "./fit_score.ts";
-import { type FreeRoomIndex, freeRoomIndexOf } from "./free_room_index.ts";
-import type { ReservedRoom } from "./reserved_room.ts";
+import { type FreeCpuIndex, freeCpuIndexOf } from "./free_cpu_index.ts";
+import type { ReservedCapacity } from "./reserved_capacity.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 import type { Slowness } from "./worker_speed.ts";
@@ -52,10 +52,10 @@
   readonly isDueForMaintenance: boolean;
   readonly slowness: Slowness | undefined;
   readonly isSettled: () => boolean;
-  /** Room that is reserved here for a step; undefined for none. */
-  reservedRoom: ReservedRoom | undefined;
+  /** Capacity that is reserved here for a step; undefined for none. */
+  reservedCapacity: ReservedCapacity | undefined;
   /** Index that lists the candidate by its free CPU; undefined for none. */
-  roomIndex: FreeRoomIndex | undefined;
+  cpuIndex: FreeCpuIndex | undefined;
   readonly #fitScore: FitScore;
 
   constructor(
@@ -96,7 +96,7 @@
       fits(spec, this.free) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker) &&
-      (this.reservedRoom?.admits(step) ?? true);
+      (this.reservedCapacity?.admits(step) ?? true);
   }
 
   get isScoredByFreeCpu(): boolean {
@@ -128,15 +128,15 @@
       this.jobOnProbation = job.id;
     }
     this.runCount += 1;
-    this.reservedRoom?.record(step);
+    this.reservedCapacity?.record(step);
     const { cpuMilli, memoryMb, gpus } = reservation(spec);
     const takeCpu = (): void => {
       this.free.cpuMilli -= cpuMilli;
     };
-    if (this.roomIndex === undefined) {
+    if (this.cpuIndex === undefined) {
       takeCpu();
     } else {
-      this.roomIndex.update(this, takeCpu);
+      this.cpuIndex.update(this, takeCpu);
     }
     this.free.memoryMb -= memoryMb;
     this.free.gpus -= gpus;
@@ -325,7 +325,7 @@
   let best: CandidateWorker | undefined;
   let bestRank = 0;
   let bestScore = 0;
-  const index = freeRoomIndexOf(candidates);
+  const index = freeCpuIndexOf(candidates);
   const { cpuMilli } = reservation(step.spec);
   for (const candidate of index?.from(cpuMilli) ?? candidates) {
     if (!candidate.accepts(step)) {
