Node program: a code cache for the flags of each role

Cause: V8 rejects a code cache that was written under other flags, so the roles, which limit their heap, compiled the program as before.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -52,7 +52,14 @@
 });
 
 const program = join(resolve(root, values.outdir), "quetzalcove-node.mjs");
+/** Flags of the roles in deploy/system.toml; V8 takes a code cache only under the flags that it was written with. */
+const ROLE_FLAGS = [
+  ["--max-old-space-size=160"],
+  ["--max-old-space-size=200"],
+];
 copyFileSync(join(root, "platform/src/code_cache_loader.mjs"), program);
-execFileSync(process.execPath, [program, "--write-code-cache"], {
-  stdio: ["ignore", "ignore", "inherit"],
-});
+for (const flags of ROLE_FLAGS) {
+  execFileSync(process.execPath, [...flags, program, "--write-code-cache"], {
+    stdio: ["ignore", "ignore", "inherit"],
+  });
+}
