--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/scheduler_settings.ts
@@ -72,6 +72,12 @@
   hedgeAfterMs: DurationMs.nullable().default(null).describe(
     "Time without an answer after which a start, stop or renewal is sent again on another connection; null for never.",
   ),
+  pauseUnanswered: z.boolean().default(false).describe(
+    "Whether a worker that leaves an order unanswered gets no new runs until it answers one.",
+  ),
+  avoidSlow: z.boolean().default(false).describe(
+    "Whether workers whose runs take longer than on other workers get only work that has slack.",
+  ),
   stopMs: DurationMs.default(200).describe(
     "Longest time that a worker takes to stop a run, from the platform.",
   ),
--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -83,6 +83,8 @@
 export interface RetryDelays {
   /** Shortest interval of an order that gets no answer; about two round trips on a slow link. */
   unansweredMs: number;
+  /** Whether an unanswered order counts its delay from its sending, as new runs are withheld meanwhile. */
+  pausesUnanswered: boolean;
   /** Longest time that a worker takes to stop a run; from the platform. */
   stopMs: number;
 }
@@ -264,9 +266,12 @@
     );
   }
 
-  /** When an order that was sent at a time and got no answer is repeated: at once if its deadline took long enough. */
+  /** When an order that was sent at a time and got no answer is repeated. */
   #repeatAt(sentAt: number, now: number): number {
-    return Math.max(now, sentAt + this.#delays.unansweredMs);
+    const { pausesUnanswered, unansweredMs } = this.#delays;
+    return pausesUnanswered
+      ? Math.max(now, sentAt + unansweredMs)
+      : now + unansweredMs;
   }
 
   #setAnswered(order: Order, isAnswered: boolean): void {
--- a/packages/core/test/scheduling_late_orders_test.ts
+++ b/packages/core/test/scheduling_late_orders_test.ts
@@ -6,7 +6,7 @@
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
 
-const DELAYS = { unansweredMs: 250, stopMs: 200 };
+const DELAYS = { unansweredMs: 250, pausesUnanswered: true, stopMs: 200 };
 const ORDER_TIMEOUT_MS = 300;
 const ROUND_TRIP_MS = 10;
 
--- a/packages/core/test/scheduling_orders_test.ts
+++ b/packages/core/test/scheduling_orders_test.ts
@@ -7,7 +7,7 @@
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
 
-const DELAYS = { unansweredMs: 250, stopMs: 200 };
+const DELAYS = { unansweredMs: 250, pausesUnanswered: true, stopMs: 200 };
 
 function record(number = 1): RunRecord {
   return {
--- a/packages/core/test/scheduling_restart_test.ts
+++ b/packages/core/test/scheduling_restart_test.ts
@@ -23,7 +23,7 @@
 } from "./scheduling_fixture.ts";
 
 const TASK = "j.0.0.0";
-const DELAYS = { unansweredMs: 250, stopMs: 200 };
+const DELAYS = { unansweredMs: 250, pausesUnanswered: true, stopMs: 200 };
 
 function record(number: number): RunRecord {
   const position = { job: "j", round: 0, step: 0, index: 0 };
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -84,7 +84,7 @@
   constructor(parts: LeadershipTermParts) {
     this.#parts = parts;
     const estimate = this.#estimate;
-    const speed = new WorkerSpeed();
+    const speed = new WorkerSpeed(parts.settings.avoidSlow);
     const onChange = (): void => this.wake();
     this.admission = new AdmissionController({ ...parts, estimate });
     const now = parts.clock.monotonic();
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -74,7 +74,8 @@
 
   /** Whether the worker leaves orders unanswered, or refused one just now, and gets no new runs for a while. */
   isPaused(now: number): boolean {
-    return now < this.#pausedUntil || this.#orders.hasUnanswered;
+    return now < this.#pausedUntil ||
+      (this.#parts.settings.pauseUnanswered && this.#orders.hasUnanswered);
   }
 
   stop(): void {
@@ -110,13 +111,14 @@
 
   /** Sends the orders that are due, if leadership is confirmed. */
   sendDue(): void {
-    const { clock, worker, isVerified, isConfirmedLeader } = this.#parts;
+    const { clock, settings, worker, isVerified, isConfirmedLeader } = this
+      .#parts;
     if (!this.#orders.hasUnsent || this.#stopped || !isConfirmedLeader()) {
       return;
     }
     const now = clock.monotonic();
     const isClosed = worker().draining || this.#isOvercommitted();
-    if (isClosed || this.#orders.hasUnanswered) {
+    if (isClosed || (settings.pauseUnanswered && this.#orders.hasUnanswered)) {
       void this.#dropUnsent();
     }
     if (isClosed) {
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -97,6 +97,7 @@
     this.#parts = parts;
     this.#orders = new WorkerOrders({
       unansweredMs: UNANSWERED_BACKOFF_MS,
+      pausesUnanswered: settings.pauseUnanswered,
       stopMs: settings.stopMs,
     });
     this.#pacer = new Pacer(parts);
@@ -318,7 +319,7 @@
     const jobStore = consensus.state;
     const runs = [...jobStore.load(this.worker.id).runs.values()];
     const isBusy = runs.some((run) => jobStore.stepOf(run)?.lasting === false);
-    const waitMs = this.#orders.hasUndecided
+    const waitMs = settings.pauseUnanswered && this.#orders.hasUndecided
       ? UNDECIDED_WAIT_MS
       : isBusy
       ? BUSY_WAIT_MS
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -35,6 +35,8 @@
   callTimeoutMs: 1_000,
   orderTimeoutMs: 300,
   hedgeAfterMs: null,
+  pauseUnanswered: true,
+  avoidSlow: true,
   stopMs: 200,
   contactMs: 3_000,
   relayFromWorkers: 64,
