--- a/packages/core/test/scheduling_orders_test.ts
+++ b/packages/core/test/scheduling_orders_test.ts
@@ -51,6 +51,20 @@
 }
 
 describe("a start", () => {
+  // Guards against a delay that runs from the sending where a worker without answers gets new runs meanwhile.
+  it.each([[true, 300], [false, 550]])(
+    "that is sent at 0 ms and unanswered at 300 ms is repeated, with a pause of new runs %s, at %s ms",
+    (pausesUnanswered, dueAt) => {
+      const orders = new WorkerOrders({ ...DELAYS, pausesUnanswered });
+      const run = record();
+      orders.add(run, 0);
+      orders.takeStarts(0);
+      orders.recordStartAnswer(run, "no_answer", 300);
+      expect(orders.takeStarts(dueAt - 1)).toEqual([]);
+      expect(orders.takeStarts(dueAt)).toHaveLength(1);
+    },
+  );
+
   it("is sent once while its answer is awaited", () => {
     const orders = new WorkerOrders(DELAYS);
     orders.add(record(), 0);
--- a/packages/core/test/scheduling_worker_speed_test.ts
+++ b/packages/core/test/scheduling_worker_speed_test.ts
@@ -51,6 +51,16 @@
 }
 
 describe("a worker", () => {
+  // Guards against deployments that leave `workers.avoidSlow` off and are placed differently all the same.
+  it("is never slow if slow workers are not avoided", () => {
+    const speed = new WorkerSpeed(false);
+    const changes = ["a", "b", "c"].flatMap((on) => record(speed, on, [1, 1]));
+    changes.push(...record(speed, "w1", [6, 6, 6, 6, 6, 6]));
+    expect(changes.filter((change) => change !== undefined)).toEqual([]);
+    expect(speed.slownessOf("w1", 600)).toBeUndefined();
+    expect(speed.factor("w1")).toBe(1);
+  });
+
   // Guards against a healthy worker that gets no work since one job took far longer than it was guessed to.
   it("is not slow because of a single long job, however many tasks it has", () => {
     const speed = ordinaryPool();
