Share the arithmetic on resources and the grouping by rack

Comparing, adding and counting resources stood in the timeline, the reservation plan, the placement of tasks, the load of a worker and the order sender; all call resource_sum.ts now. The look-ahead grouped workers by rack and looked for failed or suspected tasks by code of its own; both call what the placement uses (byRack, waiting_tasks.ts).

--- a/packages/core/src/scheduling/blocked_demands.ts
+++ b/packages/core/src/scheduling/blocked_demands.ts
@@ -6,6 +6,7 @@
  */
 import { reservation } from "./batch_job.ts";
 import type { WaitingStep } from "./job_record.ts";
+import { onlyLacksResources } from "./waiting_tasks.ts";
 
 /** A demand, and the number of reservations before whose start its tasks are expected to end. */
 type Demand = readonly [
@@ -41,17 +42,10 @@
 
   /** Records a step of which a task found no worker; `isReserved` if a reservation was among the causes. */
   record(step: WaitingStep, isReserved: boolean): void {
-    const { spec, job, round, indices } = step;
-    const tasks = job.rounds[round]?.tasks[step.step];
-    const onlyLacksRoom = !spec.gang && !spec.sameRack &&
-      spec.maxPerWorker === 0 && !job.terms.advised &&
-      [...indices].every((index) =>
-        tasks?.[index]?.lastFailure === undefined &&
-        tasks?.[index]?.suspicion === undefined
-      );
-    if (!onlyLacksRoom) {
+    if (!onlyLacksResources(step)) {
       return;
     }
+    const { spec, job } = step;
     // Without reservations, a shorter task finds no worker either.
     const admissions = isReserved
       ? this.#admissions(step, "longestMs")
--- a/packages/core/src/scheduling/customer_shares.ts
+++ b/packages/core/src/scheduling/customer_shares.ts
@@ -74,8 +74,8 @@
   }
 
   addHeld(held: Readonly<Resources>): void {
-    addInPlace(this.#held, held, 1);
-    addInPlace(this.#wanted, held, 1);
+    addInPlace(this.#held, held);
+    addInPlace(this.#wanted, held);
   }
 
   addWaiting({ spec, indices }: WaitingStep): void {
--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -30,6 +30,7 @@
 import { type CandidateWorker, placeStep } from "./task_placement.ts";
 import { taskName } from "./task_name.ts";
 import { WaitTimes } from "./wait_times.ts";
+import { hasFaultyRuns } from "./waiting_tasks.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 import { WorkerTimeline } from "./worker_timeline.ts";
 
@@ -275,7 +276,7 @@
     const runs = this.#placeAny(step, near, wallNow);
     const placed = new Set(runs.map(({ task }) => task));
     const left = [...step.indices].filter((index) =>
-      !placed.has(taskOf(step, index))
+      !placed.has(nameOfTask(step, index))
     );
     // Where no worker has capacity, there is nothing to decide.
     const hasRoom = left.length > 0 &&
@@ -351,22 +352,13 @@
  * Whether the rack of the data alone decides where the tasks go: other preferences, and tasks that failed or crashed
  * somewhere, are left to the usual choice.
  */
-function mayWaitForRack(
-  { spec, job, round, step, indices }: WaitingStep,
-): boolean {
-  if (
-    spec.dataRack === "" || spec.gang || spec.sameRack || spec.lasting ||
-    spec.fills || spec.targetLatencyMs > 0
-  ) {
-    return false;
-  }
-  const tasks = job.rounds[round]?.tasks[step];
-  return [...indices].every((index) =>
-    tasks?.[index]?.lastFailure === undefined &&
-    tasks?.[index]?.suspicion === undefined
-  );
+function mayWaitForRack(step: WaitingStep): boolean {
+  const { spec } = step;
+  return spec.dataRack !== "" && !spec.gang && !spec.sameRack &&
+    !spec.lasting && !spec.fills && spec.targetLatencyMs <= 0 &&
+    !hasFaultyRuns(step);
 }
 
-function taskOf({ job, round, step }: WaitingStep, index: number): string {
+function nameOfTask({ job, round, step }: WaitingStep, index: number): string {
   return taskName({ job: job.id, round, step, index });
 }
--- a/packages/core/src/scheduling/mod.ts
+++ b/packages/core/src/scheduling/mod.ts
@@ -57,6 +57,7 @@
 export * from "./free_cpu_index.ts";
 export * from "./look_ahead.ts";
 export * from "./rack_wait.ts";
+export * from "./resource_sum.ts";
 export * from "./reservation_plan.ts";
 export * from "./reserved_capacity.ts";
 export * from "./run_ends.ts";
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -182,7 +182,7 @@
   const capacities = new Map<string, Resources>();
   for (const [pool, inPool] of candidates) {
     const capacity = { ...NO_RESOURCES };
-    inPool.forEach(({ worker }) => addInPlace(capacity, worker.capacity, 1));
+    inPool.forEach(({ worker }) => addInPlace(capacity, worker.capacity));
     capacities.set(pool, capacity);
   }
   return capacities;
--- a/packages/core/src/scheduling/pool_backlog.ts
+++ b/packages/core/src/scheduling/pool_backlog.ts
@@ -131,7 +131,7 @@
         ? 0
         : work[resource] * beyond / waiting[resource] / drain[resource];
     });
-    const ownWork = state.customerWork.get(customer) ?? { ...NO_RESOURCES };
+    const ownWork = state.customerWork.get(customer) ?? NO_RESOURCES;
     const ownDrain = this.#customerDrainRate(pool, customer, state, now);
     const ownWaits = RESOURCES.map((resource) =>
       ownWork[resource] === 0 ? 0 : ownWork[resource] / ownDrain[resource]
@@ -141,7 +141,7 @@
 
   /** Time in which the customer's share of the pool works off a job, in milliseconds. */
   drainMs({ pool, queue, customer, spec }: SubmittedJob): number {
-    const drain = this.#pools.get(pool)?.drain ?? { ...NO_RESOURCES };
+    const drain = this.#pools.get(pool)?.drain ?? NO_RESOURCES;
     const share = this.#weightShares.get(customer ?? "") ?? 1;
     return max(RESOURCES.map((resource) => {
       const work = spec.steps.reduce(
--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/reservation_plan.ts
@@ -13,8 +13,9 @@
 import { reservation, type Resources } from "./batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { WaitingStep } from "./job_record.ts";
-import type { CandidateWorker } from "./task_placement.ts";
-import { countFitting, type WorkerTimeline } from "./worker_timeline.ts";
+import { byRack, type CandidateWorker } from "./task_placement.ts";
+import { countFitting, scale } from "./resource_sum.ts";
+import type { WorkerTimeline } from "./worker_timeline.ts";
 
 /** Bounds of the reservations of one pool. */
 export interface ReservationLimits {
@@ -320,7 +321,7 @@
     const { id } = candidate.worker;
     const before = earlier.get(id);
     const since = before?.isHeld === isHeld ? before.since : now;
-    const demand = times(reservation(step.spec), tasks);
+    const demand = scale(reservation(step.spec), tasks);
     input.timeline(candidate).claim(demand);
     return {
       step: step.name,
@@ -377,19 +378,6 @@
   return best;
 }
 
-function byRack(
-  candidates: readonly CandidateWorker[],
-): Map<string, CandidateWorker[]> {
-  const racks = new Map<string, CandidateWorker[]>();
-  for (const candidate of candidates) {
-    const rack = candidate.worker.labels[1] ?? "";
-    const workers = racks.get(rack) ?? [];
-    workers.push(candidate);
-    racks.set(rack, workers);
-  }
-  return racks;
-}
-
 /** Earliest time at which all tasks fit on a group of workers; Infinity if they never do. */
 function earliestTogether(
   step: WaitingStep,
@@ -452,14 +440,3 @@
     countFitting(free, reservation(spec)),
   );
 }
-
-function times(
-  { cpuMilli, memoryMb, gpus }: Resources,
-  factor: number,
-): Resources {
-  return {
-    cpuMilli: factor * cpuMilli,
-    memoryMb: factor * memoryMb,
-    gpus: factor * gpus,
-  };
-}
--- a/packages/core/src/scheduling/reserved_capacity.ts
+++ b/packages/core/src/scheduling/reserved_capacity.ts
@@ -6,7 +6,7 @@
 import { reservation, type Resources } from "./batch_job.ts";
 import type { WaitingStep } from "./job_record.ts";
 import type { Reservation } from "./reservation_plan.ts";
-import { addTo, covers } from "./worker_timeline.ts";
+import { addInPlace, covers } from "./resource_sum.ts";
 
 export interface ReservedCapacityParts {
   /** Expected duration of a task on the worker, in milliseconds. */
@@ -56,7 +56,7 @@
   /** Counts a run that was placed on the worker. */
   record(step: WaitingStep): void {
     if (step.name !== this.#reservation.step && !this.#endsBefore(step)) {
-      addTo(this.#spare, reservation(step.spec), -1);
+      addInPlace(this.#spare, reservation(step.spec), -1);
     }
   }
 
--- a/packages/core/src/scheduling/resource_sum.ts
+++ b/packages/core/src/scheduling/resource_sum.ts
@@ -37,6 +37,26 @@
   total.gpus += count * gpus;
 }
 
+/** Whether free resources cover a demand. */
+export function covers(
+  free: Readonly<Resources>,
+  demand: Readonly<Resources>,
+): boolean {
+  return free.cpuMilli >= demand.cpuMilli &&
+    free.memoryMb >= demand.memoryMb && free.gpus >= demand.gpus;
+}
+
+/** Number of tasks with a demand that fit into free resources. */
+export function countFitting(free: Resources, each: Resources): number {
+  const count = (have: number, need: number): number =>
+    need === 0 ? Infinity : Math.max(0, Math.floor(have / need));
+  return Math.min(
+    count(free.cpuMilli, each.cpuMilli),
+    count(free.memoryMb, each.memoryMb),
+    count(free.gpus, each.gpus),
+  );
+}
+
 export function isNothing({ cpuMilli, memoryMb, gpus }: Resources): boolean {
   return cpuMilli === 0 && memoryMb === 0 && gpus === 0;
 }
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -14,6 +14,8 @@
 import { type FitScore, leastFreeCpu } from "./fit_score.ts";
 import { type FreeCpuIndex, freeCpuIndexOf } from "./free_cpu_index.ts";
 import type { ReservedCapacity } from "./reserved_capacity.ts";
+import { addInPlace, countFitting, covers, plus } from "./resource_sum.ts";
+import { isSuspected, onlyLacksResources, taskOf } from "./waiting_tasks.ts";
 import { taskName } from "./task_name.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 import type { Slowness } from "./worker_speed.ts";
@@ -75,17 +77,11 @@
     this.isDueForMaintenance = isDueForMaintenance;
     this.jobOnProbation = jobOnProbation;
     this.runCount = load.runs.size;
-    const { capacity } = worker;
-    const { reserved } = load;
     this.worker = worker;
     this.#load = load;
     this.#latencySensitiveRuns = load.latencySensitiveRuns;
     this.#bestEffortRuns = load.bestEffortRuns;
-    this.free = {
-      cpuMilli: capacity.cpuMilli - reserved.cpuMilli,
-      memoryMb: capacity.memoryMb - reserved.memoryMb,
-      gpus: capacity.gpus - reserved.gpus,
-    };
+    this.free = plus(worker.capacity, load.reserved, -1);
   }
 
   /** Whether a task of a step may run here. */
@@ -93,7 +89,7 @@
     const { spec, name, job } = step;
     return (this.jobOnProbation ?? job.id) === job.id &&
       (this.slowness?.isProbed !== true || this.runCount === 0) &&
-      fits(spec, this.free) &&
+      covers(this.free, reservation(spec)) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker) &&
       (this.reservedCapacity?.admits(step) ?? true);
@@ -111,7 +107,8 @@
   /** Whether a task of a step could run here if the worker were idle. */
   acceptsWhenIdle({ spec }: WaitingStep): boolean {
     const { capacity } = this.worker;
-    return fits(spec, capacity) && hasLabel(this.worker, spec.requiredLabel);
+    return covers(capacity, reservation(spec)) &&
+      hasLabel(this.worker, spec.requiredLabel);
   }
 
   /** Whether best-effort and latency-sensitive tasks would run together, which raises the latency of the latter. */
@@ -129,17 +126,12 @@
     }
     this.runCount += 1;
     this.reservedCapacity?.record(step);
-    const { cpuMilli, memoryMb, gpus } = reservation(spec);
-    const takeCpu = (): void => {
-      this.free.cpuMilli -= cpuMilli;
-    };
+    const take = (): void => addInPlace(this.free, reservation(spec), -1);
     if (this.cpuIndex === undefined) {
-      takeCpu();
+      take();
     } else {
-      this.cpuIndex.update(this, takeCpu);
+      this.cpuIndex.update(this, take);
     }
-    this.free.memoryMb -= memoryMb;
-    this.free.gpus -= gpus;
     this.#planned.set(name, (this.#planned.get(name) ?? 0) + 1);
     this.#latencySensitiveRuns += spec.targetLatencyMs > 0 ? 1 : 0;
     this.#bestEffortRuns += spec.fills ? 1 : 0;
@@ -157,15 +149,8 @@
 
   /** Records a step with tasks that could not be placed, if a lack of free resources was the only cause. */
   record(step: WaitingStep): void {
-    const { spec, job, indices } = step;
-    const onlyLacksResources = !spec.gang && !spec.sameRack &&
-      spec.maxPerWorker === 0 &&
-      !job.terms.advised &&
-      [...indices].every((index) =>
-        taskOf(step, index)?.lastFailure === undefined &&
-        !isSuspected(step, index)
-      );
-    if (onlyLacksResources) {
+    const { spec, job } = step;
+    if (onlyLacksResources(step)) {
       const inPool = this.#smallest.get(job.pool) ?? new Map();
       inPool.set(spec.requiredLabel, reservation(spec));
       this.#smallest.set(job.pool, inPool);
@@ -175,9 +160,7 @@
   /** Whether a step needs at least as much as one that could not be placed. */
   covers({ spec, job }: WaitingStep): boolean {
     const smallest = this.#smallest.get(job.pool)?.get(spec.requiredLabel);
-    const { cpuMilli, memoryMb, gpus } = reservation(spec);
-    return smallest !== undefined && cpuMilli >= smallest.cpuMilli &&
-      memoryMb >= smallest.memoryMb && gpus >= smallest.gpus;
+    return smallest !== undefined && covers(reservation(spec), smallest);
   }
 }
 
@@ -256,17 +239,9 @@
   candidates: readonly CandidateWorker[],
   wallNow: number,
 ): RunKey[] {
-  const racks = new Map<string, CandidateWorker[]>();
-  for (const candidate of candidates) {
-    const rack = rackOf(candidate.worker);
-    const inRack = racks.get(rack);
-    if (inRack === undefined) {
-      racks.set(rack, [candidate]);
-    } else {
-      inRack.push(candidate);
-    }
-  }
-  const byFreeCpu = [...racks.values()].sort((a, b) => freeCpu(b) - freeCpu(a));
+  const byFreeCpu = [...byRack(candidates).values()].sort((a, b) =>
+    freeCpu(b) - freeCpu(a)
+  );
   for (const group of [...byFreeCpu, candidates]) {
     const chosen = chooseForAll(step, indices, group);
     if (chosen !== undefined) {
@@ -289,16 +264,14 @@
   candidates: readonly CandidateWorker[],
 ): CandidateWorker[] | undefined {
   const { spec } = step;
-  const { cpuMilli, memoryMb, gpus } = reservation(spec);
+  const demand = reservation(spec);
   const chosen: CandidateWorker[] = [];
   for (const candidate of candidates) {
     if (!candidate.accepts(step)) {
       continue;
     }
     const fitting = Math.min(
-      countThatFit(candidate.free.cpuMilli, cpuMilli),
-      countThatFit(candidate.free.memoryMb, memoryMb),
-      countThatFit(candidate.free.gpus, gpus),
+      countFitting(candidate.free, demand),
       spec.maxPerWorker === 0 ? Infinity : spec.maxPerWorker,
       indices.length - chosen.length,
     );
@@ -309,10 +282,6 @@
   return chosen.length === indices.length ? chosen : undefined;
 }
 
-function countThatFit(free: number, each: number): number {
-  return each === 0 ? Infinity : Math.floor(free / each);
-}
-
 /**
  * Prefers, in this order, candidates that are not slow, those without interference, those not due for maintenance if the
  * task is long-running, those on the rack of its data, and those where the task fits best.
@@ -403,24 +372,6 @@
   };
 }
 
-function taskOf(
-  { job, round, step }: WaitingStep,
-  index: number,
-): TaskRecord | undefined {
-  return job.rounds[round]?.tasks[step]?.[index];
-}
-
-/** Whether a task may have crashed a worker. */
-function isSuspected(step: WaitingStep, index: number): boolean {
-  return taskOf(step, index)?.suspicion !== undefined;
-}
-
-function fits(spec: StepSpec, free: Resources): boolean {
-  const { cpuMilli, memoryMb, gpus } = reservation(spec);
-  return free.cpuMilli >= cpuMilli && free.memoryMb >= memoryMb &&
-    free.gpus >= gpus;
-}
-
 /** The members of a gang share one run number. */
 function nextGangRun({ job, round, step }: WaitingStep): number {
   const tasks = job.rounds[round]?.tasks[step] ?? [];
@@ -435,6 +386,23 @@
   return required === "" || labels.includes(required);
 }
 
+/** Candidates by rack. */
+export function byRack(
+  candidates: readonly CandidateWorker[],
+): Map<string, CandidateWorker[]> {
+  const racks = new Map<string, CandidateWorker[]>();
+  for (const candidate of candidates) {
+    const rack = rackOf(candidate.worker);
+    const inRack = racks.get(rack);
+    if (inRack === undefined) {
+      racks.set(rack, [candidate]);
+    } else {
+      inRack.push(candidate);
+    }
+  }
+  return racks;
+}
+
 /** Labels are the kind of the VM, then its rack. */
 function rackOf({ labels }: Worker): string {
   return labels[1] ?? "";
--- a/packages/core/src/scheduling/worker_load.ts
+++ b/packages/core/src/scheduling/worker_load.ts
@@ -5,12 +5,13 @@
  */
 import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
 import type { RunRecord } from "./job_record.ts";
+import { addInPlace, NO_RESOURCES } from "./resource_sum.ts";
 import { stepName } from "./task_name.ts";
 
 export class WorkerLoad {
   readonly runs = new Map<string, RunRecord>();
   /** Resources that the runs reserve. */
-  readonly reserved: Resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+  readonly reserved: Resources = { ...NO_RESOURCES };
   latencySensitiveRuns = 0;
   bestEffortRuns = 0;
   readonly #byStep = new Map<string, number>();
@@ -31,10 +32,7 @@
   }
 
   #count(run: RunRecord, spec: StepSpec, by: 1 | -1): void {
-    const { cpuMilli, memoryMb, gpus } = reservation(spec);
-    this.reserved.cpuMilli += by * cpuMilli;
-    this.reserved.memoryMb += by * memoryMb;
-    this.reserved.gpus += by * gpus;
+    addInPlace(this.reserved, reservation(spec), by);
     this.latencySensitiveRuns += spec.targetLatencyMs > 0 ? by : 0;
     this.bestEffortRuns += spec.fills ? by : 0;
     const name = stepName(run);
--- a/packages/core/src/scheduling/worker_timeline.ts
+++ b/packages/core/src/scheduling/worker_timeline.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Resources } from "./batch_job.ts";
+import { addInPlace, covers } from "./resource_sum.ts";
 import type { ExpectedEnd } from "./run_ends.ts";
 
 export class WorkerTimeline {
@@ -31,7 +32,7 @@
       if (at > time || at === Infinity) {
         break;
       }
-      addTo(free, demand, 1);
+      addInPlace(free, demand);
     }
     return free;
   }
@@ -46,7 +47,7 @@
       if (at === Infinity) {
         break;
       }
-      addTo(free, freed, 1);
+      addInPlace(free, freed);
       if (covers(free, demand)) {
         return at;
       }
@@ -56,40 +57,13 @@
 
   /** Sets resources aside for a task that waits for them. */
   claim(demand: Resources): void {
-    addTo(this.#free, demand, -1);
+    addInPlace(this.#free, demand, -1);
   }
 
   /** Adds a run that starts now. */
   addRun(end: ExpectedEnd): void {
-    addTo(this.#free, end.demand, -1);
+    addInPlace(this.#free, end.demand, -1);
     const later = this.#ends.findIndex(({ at }) => at > end.at);
     this.#ends.splice(later === -1 ? this.#ends.length : later, 0, end);
   }
 }
-
-/** Whether free resources cover a demand. */
-export function covers(free: Resources, demand: Resources): boolean {
-  return free.cpuMilli >= demand.cpuMilli &&
-    free.memoryMb >= demand.memoryMb && free.gpus >= demand.gpus;
-}
-
-/** Number of tasks with a demand that fit into free resources. */
-export function countFitting(free: Resources, each: Resources): number {
-  const count = (have: number, need: number): number =>
-    need === 0 ? Infinity : Math.max(0, Math.floor(have / need));
-  return Math.min(
-    count(free.cpuMilli, each.cpuMilli),
-    count(free.memoryMb, each.memoryMb),
-    count(free.gpus, each.gpus),
-  );
-}
-
-export function addTo(
-  total: Resources,
-  { cpuMilli, memoryMb, gpus }: Resources,
-  times: number,
-): void {
-  total.cpuMilli += times * cpuMilli;
-  total.memoryMb += times * memoryMb;
-  total.gpus += times * gpus;
-}
--- a/packages/daemon/src/scheduler/customer_status.ts
+++ b/packages/daemon/src/scheduler/customer_status.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import type {
-  Customer,
-  JobStore,
-  Resources,
+import {
+  type Customer,
+  type JobStore,
+  RESOURCES,
+  type Resources,
 } from "@quetzalcove/core/scheduling";
 import { z } from "zod";
 
@@ -77,7 +78,8 @@
 }
 
 function shareOf(cap: Customer["cap"], usage: Readonly<Resources>): number {
-  const keys = Object.keys(cap) as (keyof Resources)[];
-  const shares = keys.map((key) => cap[key] === 0 ? 0 : usage[key] / cap[key]);
+  const shares = RESOURCES.map((resource) =>
+    cap[resource] === 0 ? 0 : usage[resource] / cap[resource]
+  );
   return Math.round(Math.max(...shares) * 100) / 100;
 }
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  covers,
   type Listing,
   PROBATION_MS,
   type Reconciliation,
@@ -167,8 +168,7 @@
   #isOvercommitted(): boolean {
     const { capacity, id } = this.#parts.worker();
     const { reserved } = this.#parts.consensus.state.load(id);
-    return reserved.cpuMilli > capacity.cpuMilli ||
-      reserved.memoryMb > capacity.memoryMb || reserved.gpus > capacity.gpus;
+    return !covers(capacity, reserved);
   }
 
   async #sendStart(run: RunRecord): Promise<void> {
