Decide on the pause of a worker in one place

The setting workers.pauseUnanswered was read at each use of the unanswered orders, beside a copy of it in the orders. Only the orders read it now, and the sender and the session ask them. No behaviour changes; the tests keep their assertions and call the getter by its new name.

--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -83,7 +83,10 @@
 export interface RetryDelays {
   /** Shortest interval of an order that gets no answer; about two round trips on a slow link. */
   unansweredMs: number;
-  /** Whether an unanswered order counts its delay from its sending, as new runs are withheld meanwhile. */
+  /**
+   * Whether a worker gets no new runs while it leaves orders unanswered. An unanswered order is then repeated sooner: its
+   * delay counts from its sending.
+   */
   pausesUnanswered: boolean;
   /** Longest time that a worker takes to stop a run; from the platform. */
   stopMs: number;
@@ -108,14 +111,14 @@
     return this.#unsent.size > 0;
   }
 
-  /** Whether the worker leaves orders unanswered; it may carry them out much later. */
-  get hasUnanswered(): boolean {
-    return this.#unanswered.size > 0;
+  /** Whether the worker leaves orders unanswered, which it may carry out much later, and gets no new runs meanwhile. */
+  get isPaused(): boolean {
+    return this.#delays.pausesUnanswered && this.#unanswered.size > 0;
   }
 
-  /** Whether a listing is awaited to tell of some run whether it runs. */
-  get hasUndecided(): boolean {
-    return this.#undecided.size > 0;
+  /** Whether the pause may end once a listing tells of some run whether it runs. */
+  get awaitsListing(): boolean {
+    return this.#delays.pausesUnanswered && this.#undecided.size > 0;
   }
 
   /** Whether the start of a run was certainly not sent. */
--- a/packages/core/test/scheduling_orders_test.ts
+++ b/packages/core/test/scheduling_orders_test.ts
@@ -106,17 +106,17 @@
   // Guards against more runs on a worker that answers renewals and leaves orders unanswered.
   it("counts as unanswered until the worker answers one, or lists its run", () => {
     const { orders, run } = unanswered();
-    const states = [orders.hasUnanswered];
+    const states = [orders.isPaused];
     orders.takeStarts(1_000);
-    states.push(orders.hasUnanswered);
+    states.push(orders.isPaused);
     orders.reconcile(listing(), 1_100, 1_110);
-    states.push(orders.hasUnanswered);
+    states.push(orders.isPaused);
     orders.recordStartAnswer(run, "started", 1_200);
-    states.push(orders.hasUnanswered);
+    states.push(orders.isPaused);
     expect(states).toEqual([true, true, true, false]);
     const listed = unanswered().orders;
     listed.reconcile(listing([1]), 1_100, 1_110);
-    expect(listed.hasUnanswered).toBe(false);
+    expect(listed.isPaused).toBe(false);
   });
 
   it("that was not sent can be taken back, and one in doubt cannot", () => {
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -24,7 +24,6 @@
 export interface OrderSenderParts extends
   Pick<
     WorkerSessionParts,
-    | "settings"
     | "term"
     | "consensus"
     | "runEndBatcher"
@@ -75,8 +74,7 @@
 
   /** Whether the worker leaves orders unanswered, or refused one just now, and gets no new runs for a while. */
   isPaused(now: number): boolean {
-    return now < this.#pausedUntil ||
-      (this.#parts.settings.pauseUnanswered && this.#orders.hasUnanswered);
+    return now < this.#pausedUntil || this.#orders.isPaused;
   }
 
   stop(): void {
@@ -112,14 +110,13 @@
 
   /** Sends the orders that are due, if leadership is confirmed. */
   sendDue(): void {
-    const { clock, settings, worker, isVerified, isConfirmedLeader } = this
-      .#parts;
+    const { clock, worker, isVerified, isConfirmedLeader } = this.#parts;
     if (!this.#orders.hasUnsent || this.#stopped || !isConfirmedLeader()) {
       return;
     }
     const now = clock.monotonic();
     const isClosed = worker().draining || this.#isOvercommitted();
-    if (isClosed || (settings.pauseUnanswered && this.#orders.hasUnanswered)) {
+    if (isClosed || this.#orders.isPaused) {
       void this.#dropUnsent();
     }
     if (isClosed) {
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -319,7 +319,7 @@
     const jobStore = consensus.state;
     const runs = [...jobStore.load(this.worker.id).runs.values()];
     const isBusy = runs.some((run) => jobStore.stepOf(run)?.lasting === false);
-    const waitMs = settings.pauseUnanswered && this.#orders.hasUndecided
+    const waitMs = this.#orders.awaitsListing
       ? UNDECIDED_WAIT_MS
       : isBusy
       ? BUSY_WAIT_MS
