Use one expected duration of tasks, and watch progress only where it is used

The recorder of run ends had the factor for remote data as a constant of its own, beside placement.remoteFactor; both are 2 unless set otherwise. It uses TaskDurations, as the look-ahead does. The step of a run was looked up by the same code in four places; they call timedStepOf.

--- a/bench/src/scheduling/pass_cost.ts
+++ b/bench/src/scheduling/pass_cost.ts
@@ -18,6 +18,7 @@
   type StepSpec,
   type TimedRun,
   type TimedStep,
+  timedStepOf,
   type Worker,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -199,7 +200,11 @@
       const run = this.#store.findRun(key);
       if (run !== undefined) {
         this.#running.add(run);
-        this.#starts.record(run, this.#stepOf(run) as TimedStep, now);
+        this.#starts.record(
+          run,
+          timedStepOf(this.#store, run) as TimedStep,
+          now,
+        );
       }
     }
   }
@@ -234,13 +239,7 @@
   #runsOn(worker: string): TimedRun[] {
     return this.#starts.of(
       this.#store.load(worker).runs.values(),
-      (run) => this.#stepOf(run),
+      (run) => timedStepOf(this.#store, run),
     );
   }
-
-  #stepOf(run: RunRecord): TimedStep | undefined {
-    const job = this.#store.jobs.get(run.job);
-    const spec = this.#store.stepOf(run);
-    return job === undefined || spec === undefined ? undefined : { job, spec };
-  }
 }
--- a/bench/src/scheduling/pool_simulation.ts
+++ b/bench/src/scheduling/pool_simulation.ts
@@ -18,6 +18,7 @@
   type StepSpec,
   type TimedRun,
   type TimedStep,
+  timedStepOf,
   type Worker,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -162,16 +163,10 @@
   #runsOn(worker: string): TimedRun[] {
     return this.#starts.of(
       this.#store.load(worker).runs.values(),
-      (run) => this.#stepOf(run),
+      (run) => timedStepOf(this.#store, run),
     );
   }
 
-  #stepOf(run: RunRecord): TimedStep | undefined {
-    const job = this.#store.jobs.get(run.job);
-    const spec = this.#store.stepOf(run);
-    return job === undefined || spec === undefined ? undefined : { job, spec };
-  }
-
   #submitArrivals(now: number): void {
     const { workers, cores, demand } = this.#load;
     const all = Array.from(
@@ -306,7 +301,11 @@
     job.waitMs ??= now - job.submittedAt;
     job.isFar ||= isFar;
     const record = this.#store.findRun(run) as RunRecord;
-    this.#starts.record(record, this.#stepOf(record) as TimedStep, now);
+    this.#starts.record(
+      record,
+      timedStepOf(this.#store, record) as TimedStep,
+      now,
+    );
     const tookMs = job.taskMs * (isFar ? REMOTE_FACTOR : 1);
     const endsAt = now + TICK_MS * Math.max(1, Math.round(tookMs / TICK_MS));
     const ends = this.#ends.get(endsAt) ?? [];
--- a/packages/core/src/scheduling/run_ends.ts
+++ b/packages/core/src/scheduling/run_ends.ts
@@ -5,6 +5,7 @@
  */
 import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
 import type { JobRecord, RunRecord } from "./job_record.ts";
+import type { JobStore } from "./job_store.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /**
@@ -19,6 +20,16 @@
   spec: StepSpec;
 }
 
+/** The step of a run; undefined if the job store no longer has it. */
+export function timedStepOf(
+  jobStore: JobStore,
+  run: Pick<RunRecord, "job" | "step">,
+): TimedStep | undefined {
+  const job = jobStore.jobs.get(run.job);
+  const spec = jobStore.stepOf(run);
+  return job === undefined || spec === undefined ? undefined : { job, spec };
+}
+
 /** The expected end of a run and the resources that it frees. */
 export interface ExpectedEnd {
   /** Infinity for a long-running task. */
--- a/packages/core/src/scheduling/worker_speed.ts
+++ b/packages/core/src/scheduling/worker_speed.ts
@@ -70,14 +70,15 @@
 }
 
 export class WorkerSpeed {
-  readonly #isEnabled: boolean;
+  /** Whether runs are judged at all. */
+  readonly isEnabled: boolean;
   readonly #workers = new Map<string, WorkerRecord>();
   /** Latest ratios of the runs of each pool, oldest first. */
   readonly #pools = new Map<string, number[]>();
 
   /** If not enabled, no worker is judged slow. */
   constructor(isEnabled = true) {
-    this.#isEnabled = isEnabled;
+    this.isEnabled = isEnabled;
   }
 
   /** How slow a worker is; undefined if it is not known to be slow. */
@@ -97,7 +98,7 @@
   /** Records a run, which replaces an earlier record of it; returns whether the worker's speed is judged anew. */
   record(run: RunSpeed, now: number): SpeedChange {
     const { worker, pool, task, run: number, job, expectedMs, tookMs } = run;
-    if (!this.#isEnabled) {
+    if (!this.isEnabled) {
       return undefined;
     }
     const ratio = Math.min(
--- a/packages/core/test/scheduling_look_ahead_test.ts
+++ b/packages/core/test/scheduling_look_ahead_test.ts
@@ -22,6 +22,7 @@
   type StepSpec,
   TaskDurations,
   type TimedRun,
+  timedStepOf,
   type WaitingStep,
   WaitTimes,
   WorkerTimeline,
@@ -63,13 +64,10 @@
   starts: RunStarts,
 ): (id: string) => TimedRun[] {
   return (id) =>
-    starts.of(store.load(id).runs.values(), (each) => {
-      const job = store.jobs.get(each.job);
-      const own = store.stepOf(each);
-      return job === undefined || own === undefined
-        ? undefined
-        : { job, spec: own };
-    });
+    starts.of(
+      store.load(id).runs.values(),
+      (each) => timedStepOf(store, each),
+    );
 }
 
 /** One pass with look-ahead at a time, which is also that on the wall clock. */
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -7,7 +7,6 @@
   ArrivalRates,
   type JobStore,
   poolDemands,
-  type SchedulerSettings,
   type SubmittedJob,
   WorkerHealth,
   WorkerSpeed,
@@ -41,7 +40,6 @@
   retentionMs: number;
   /** Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective. */
   reclaimsBusyVms: boolean;
-  placement: SchedulerSettings["placement"];
   /** Undefined if the platform has no VM API. */
   vmClient: VmClient | undefined;
   /** Undefined if no advisor is configured. */
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -13,7 +13,7 @@
   RunStarts,
   type SchedulerSettings,
   type TimedRun,
-  type TimedStep,
+  timedStepOf,
   type Worker,
   type WorkerSpeed,
   type WorkEstimate,
@@ -153,16 +153,10 @@
   #runsOn(worker: string): TimedRun[] {
     return this.#runStarts.of(
       this.#jobStore.load(worker).runs.values(),
-      (run) => this.#timedStepOf(run),
+      (run) => timedStepOf(this.#jobStore, run),
     );
   }
 
-  #timedStepOf(run: RunRecord): TimedStep | undefined {
-    const job = this.#jobStore.jobs.get(run.job);
-    const spec = this.#jobStore.stepOf(run);
-    return job === undefined || spec === undefined ? undefined : { job, spec };
-  }
-
   #candidateOf(worker: Worker, now: number): CandidateWorker {
     const { fleet, sessions, speed } = this.#parts;
     const session = sessions.get(worker.id);
@@ -185,7 +179,7 @@
       if (run !== undefined) {
         const workerRuns = byWorker.get(key.worker) ?? [];
         workerRuns.push(run);
-        const step = this.#timedStepOf(run);
+        const step = timedStepOf(this.#jobStore, run);
         if (step !== undefined) {
           this.#runStarts.record(run, step, now);
         }
--- a/packages/daemon/src/scheduler/run_end_recorder.ts
+++ b/packages/daemon/src/scheduler/run_end_recorder.ts
@@ -10,6 +10,8 @@
   type RunKey,
   type RunOutcome,
   type RunRecord,
+  TaskDurations,
+  timedStepOf,
   type Worker,
 } from "@quetzalcove/core/scheduling";
 import type { WorkerSessionParts } from "./worker_session_parts.ts";
@@ -24,12 +26,10 @@
   | "estimate"
   | "health"
   | "speed"
+  | "placement"
   | "onChange"
 >;
 
-/** How many times longer a task takes where its data is not, from the platform. */
-const REMOTE_FACTOR = 2;
-
 /** Share of the expected duration, and time, after which the progress of a run tells of the speed of its worker. */
 const MIN_WATCHED_SHARE = 0.5;
 const MIN_WATCHED_MS = 300;
@@ -55,6 +55,7 @@
 export class RunEndRecorder {
   readonly #parts: RunEndRecorderParts;
   readonly #worker: () => Worker;
+  readonly #durations: TaskDurations;
   /** Runs that this session started, by task. */
   readonly #startedRuns = new Map<string, StartedRun>();
   /** First known progress of the runs that the worker lists, by task. */
@@ -63,6 +64,8 @@
   constructor(worker: () => Worker, parts: RunEndRecorderParts) {
     this.#worker = worker;
     this.#parts = parts;
+    const { estimate, placement } = parts;
+    this.#durations = new TaskDurations(estimate, placement.remoteFactor);
   }
 
   /** Records that the worker confirmed the start of a run. */
@@ -85,6 +88,9 @@
 
   /** Learns the worker's speed from the progress that it lists, also of runs that an earlier leader started. */
   recordProgress(running: readonly ListedRun[], now: number): void {
+    if (!this.#parts.speed.isEnabled) {
+      return;
+    }
     const listed = new Set(running.map(({ task }) => task));
     for (const task of this.#progress.keys()) {
       if (!listed.has(task)) {
@@ -112,19 +118,12 @@
   /** Expected duration of a run here; undefined if its duration tells nothing of the worker's speed. */
   #expectedMs(task: string, run: number): number | undefined {
     const { id, labels } = this.#worker();
-    const { consensus: { state }, estimate } = this.#parts;
+    const { state } = this.#parts.consensus;
     const record = state.findRun({ task, run, worker: id });
-    const spec = record && state.stepOf(record);
-    const queue = record && state.jobs.get(record.job)?.queue;
-    if (
-      spec === undefined || queue === undefined || spec.lasting ||
-      spec.fills || spec.gang
-    ) {
-      return undefined;
-    }
-    const isFar = spec.dataRack !== "" && !labels.includes(spec.dataRack);
-    return estimate.taskMs(queue, spec.estimatedMs) *
-      (isFar ? REMOTE_FACTOR : 1);
+    const step = record && timedStepOf(state, record);
+    const isTelling = step !== undefined && !step.spec.lasting &&
+      !step.spec.fills && !step.spec.gang;
+    return isTelling ? this.#durations.expectedMs(step, labels) : undefined;
   }
 
   #recordSpeed(
--- a/packages/daemon/src/scheduler/worker_session_parts.ts
+++ b/packages/daemon/src/scheduler/worker_session_parts.ts
@@ -20,6 +20,7 @@
 
 export interface WorkerSessionParts {
   settings: SchedulerSettings["workers"];
+  placement: SchedulerSettings["placement"];
   term: number;
   consensus: JobConsensus;
   /** Commits the run ends that workers list. */
--- a/packages/daemon/test/leader_controller_test.ts
+++ b/packages/daemon/test/leader_controller_test.ts
@@ -6,6 +6,7 @@
 import {
   consensusOf,
   ignore,
+  PLACEMENT_SETTINGS,
   QUIET_LOG,
   TEST_CLOCK,
   WORKER_SETTINGS,
@@ -41,7 +42,7 @@
     holder: "n1",
     retentionMs: 60_000,
     reclaimsBusyVms: false,
-    placement: { lookAhead: "customers", remoteFactor: 2 },
+    placement: PLACEMENT_SETTINGS,
     clock: TEST_CLOCK,
     log: QUIET_LOG,
     metrics: new Metrics(),
--- a/packages/daemon/test/run_end_recorder_test.ts
+++ b/packages/daemon/test/run_end_recorder_test.ts
@@ -19,6 +19,7 @@
 import {
   consensusOf,
   ignore,
+  PLACEMENT_SETTINGS,
   QUIET_LOG,
   TEST_CLOCK,
 } from "./scheduler_fixture.ts";
@@ -40,6 +41,7 @@
     estimate: this.estimate,
     health: new WorkerHealth(),
     speed: this.speed,
+    placement: PLACEMENT_SETTINGS,
     onChange: ignore,
   });
 
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -42,6 +42,11 @@
   relayFromWorkers: 64,
 } as const;
 
+export const PLACEMENT_SETTINGS = {
+  lookAhead: "customers",
+  remoteFactor: 2,
+} as const;
+
 /** Consensus on a leader whose proposals are committed at once; `changes` replaces members. */
 export function consensusOf(
   jobStore: JobStore,
@@ -77,7 +82,7 @@
     holder: "n1",
     retentionMs: 60_000,
     reclaimsBusyVms: false,
-    placement: { lookAhead: "customers", remoteFactor: 2 },
+    placement: PLACEMENT_SETTINGS,
     vmClient: undefined,
     advisorClient: undefined,
     client: {
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -28,6 +28,7 @@
 import { WorkerSession } from "../src/scheduler/worker_session.ts";
 import {
   consensusOf,
+  PLACEMENT_SETTINGS,
   QUIET_LOG,
   TEST_CLOCK,
   WORKER_SETTINGS,
@@ -169,6 +170,7 @@
   let lostAt: number | undefined;
   const consensus = consensusOf(jobStore);
   const session = new WorkerSession(worker("w1"), {
+    placement: PLACEMENT_SETTINGS,
     settings: {
       ...WORKER_SETTINGS,
       leaseMs: LEASE_MS,
