--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./admin_api.ts";
 export * from "./announcement.ts";
 export * from "./configuration.ts";
+export * from "./eviction.ts";
 export * from "./fault.ts";
 export * from "./fleet.ts";
 export * from "./inventory.ts";
--- a/packages/core/src/scheduling/customer_rates.ts
+++ b/packages/core/src/scheduling/customer_rates.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { evictUntil } from "../eviction.ts";
 
 /** Length of the window; covers several submissions of a customer with a small weight. */
 export const RATE_WINDOW_MS = 2_000;
@@ -29,12 +30,10 @@
   /** Times within the window. */
   #recent(customer: string, now: number): number[] {
     const times = this.#times.get(customer) ?? [];
-    const first = times.findIndex((at) => now - at < RATE_WINDOW_MS);
-    if (first === -1) {
+    evictUntil(times, (at) => now - at < RATE_WINDOW_MS);
+    if (times.length === 0) {
       this.#times.delete(customer);
-      return [];
     }
-    times.splice(0, first);
     return times;
   }
 }
--- a/packages/core/src/scheduling/ended_workers.ts
+++ b/packages/core/src/scheduling/ended_workers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { evictOldest } from "../eviction.ts";
 import type { Worker } from "./command.ts";
 
 /** Maximum number of ended workers kept; stale reports arrive within seconds. */
@@ -40,10 +41,7 @@
   /** Records the end of a life; without a birth, the one known before stays. */
   add(id: string, bornAtMs: number | undefined): void {
     this.#births.set(id, bornAtMs ?? this.#births.get(id));
-    const [oldest] = this.#births.keys();
-    if (this.#births.size > MAX_ENDED_WORKERS && oldest !== undefined) {
-      this.#births.delete(oldest);
-    }
+    evictOldest(this.#births, MAX_ENDED_WORKERS);
   }
 
   /** Forgets the ended lives of a worker that has come back. */
--- a/packages/core/src/scheduling/expiring_set.ts
+++ b/packages/core/src/scheduling/expiring_set.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { evictOldest } from "../eviction.ts";
+
 export class ExpiringSet {
   readonly #maxSize: number;
   /** Time until which each member is kept, in milliseconds; last added last. */
@@ -19,10 +21,7 @@
   add(member: string, expiresAt: number): void {
     this.#expiries.delete(member);
     this.#expiries.set(member, expiresAt);
-    const [oldest] = this.#expiries.keys();
-    if (this.#expiries.size > this.#maxSize && oldest !== undefined) {
-      this.#expiries.delete(oldest);
-    }
+    evictOldest(this.#expiries, this.#maxSize);
   }
 
   delete(member: string): void {
--- a/packages/core/src/scheduling/recent_submissions.ts
+++ b/packages/core/src/scheduling/recent_submissions.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { evictUntil } from "../eviction.ts";
 import { fnv1a } from "../hash.ts";
 
 /** Time within which callers repeat a call without an answer; twice their deadline of 3 s. */
@@ -52,8 +53,7 @@
 
   #recent(customer: string, now: number): RecentSubmission[] {
     const all = this.#byCustomer.get(customer) ?? [];
-    const first = all.findIndex(({ at }) => now - at < REPEAT_HORIZON_MS);
-    all.splice(0, first === -1 ? all.length : first);
+    evictUntil(all, ({ at }) => now - at < REPEAT_HORIZON_MS);
     return all;
   }
 }
--- a/packages/core/src/scheduling/refusal_cache.ts
+++ b/packages/core/src/scheduling/refusal_cache.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { evictOldest } from "../eviction.ts";
 import { type Fault, isRefusal } from "../fault.ts";
 import type { Result } from "../result.ts";
 import { markOf } from "./recent_submissions.ts";
@@ -94,11 +95,8 @@
       callsInProgress: (earlier?.callsInProgress ?? 0) + 1,
       mayBeStored: earlier?.mayBeStored ?? false,
     });
-    const [oldest] = this.#sent.values();
-    if (this.#sent.size > MAX_SUBMISSIONS && oldest !== undefined) {
-      this.#forgottenUntil = oldest.until;
-      removeOldest(this.#sent, MAX_SUBMISSIONS);
-    }
+    const forgotten = evictOldest(this.#sent, MAX_SUBMISSIONS);
+    this.#forgottenUntil = forgotten?.until ?? this.#forgottenUntil;
   }
 
   /** Records the answer to a submission that was passed on at `calledAt`. */
@@ -149,7 +147,7 @@
     const acceptedMarks = new Set(repeat.exceptMarks);
     this.#refusals.delete(key);
     this.#refusals.set(key, { fault: once, until, acceptedMarks });
-    removeOldest(this.#refusals, MAX_REFUSALS);
+    evictOldest(this.#refusals, MAX_REFUSALS);
   }
 
   /** Whether a submission may have been stored by an earlier call of this entry. */
@@ -185,10 +183,3 @@
 function nameOf({ host, path }: EntrySubmission): string {
   return `${host} ${path}`;
 }
-
-function removeOldest(map: Map<string, unknown>, maxSize: number): void {
-  const [oldest] = map.keys();
-  if (map.size > maxSize && oldest !== undefined) {
-    map.delete(oldest);
-  }
-}
--- a/packages/core/src/scheduling/report_order.ts
+++ b/packages/core/src/scheduling/report_order.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { evictOldest } from "../eviction.ts";
 import type { Worker } from "./command.ts";
 
 /** Maximum number of workers kept; those that reported longest ago are evicted first. */
@@ -35,10 +36,7 @@
     );
     this.#latest.delete(id);
     this.#latest.set(id, { bornAtMs, number: Math.max(latest, reportNumber) });
-    const [oldest] = this.#latest.keys();
-    if (this.#latest.size > MAX_WORKERS && oldest !== undefined) {
-      this.#latest.delete(oldest);
-    }
+    evictOldest(this.#latest, MAX_WORKERS);
     return reportNumber >= latest;
   }
 }
--- a/packages/core/src/scheduling/retry_slots.ts
+++ b/packages/core/src/scheduling/retry_slots.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { evictOldest } from "../eviction.ts";
 
 /** Bounds of Retry-After; callers wait whole seconds, and a backlog may drain sooner than estimated. */
 export const MIN_RETRY_AFTER_MS = 1_000;
@@ -39,10 +40,7 @@
     const slot = isWithinBounds ? Math.max(first, following) : first;
     this.#last.delete(key);
     this.#last.set(key, slot);
-    const [oldest] = this.#last.keys();
-    if (this.#last.size > this.#maxKeys && oldest !== undefined) {
-      this.#last.delete(oldest);
-    }
+    evictOldest(this.#last, this.#maxKeys);
     return Math.round(slot - now);
   }
 }
--- a/packages/core/src/scheduling/start_rates.ts
+++ b/packages/core/src/scheduling/start_rates.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { evictUntil } from "../eviction.ts";
 import type { Resources } from "./batch_job.ts";
 import { addInPlace, NO_RESOURCES, scale } from "./resource_sum.ts";
 
@@ -62,8 +63,7 @@
 
   #recent(pool: string, now: number): Start[] {
     const starts = this.#starts.get(pool) ?? [];
-    const first = starts.findIndex(({ at }) => now - at < WINDOW_MS);
-    starts.splice(0, first === -1 ? starts.length : first);
+    evictUntil(starts, ({ at }) => now - at < WINDOW_MS);
     return starts;
   }
 }
--- a/packages/core/src/scheduling/task_name.ts
+++ b/packages/core/src/scheduling/task_name.ts
@@ -1,5 +1,5 @@
 /**
- * Names of tasks and steps: JOB.ROUND.STEP.INDEX and JOB.ROUND.STEP.
+ * Names of tasks and steps, JOB.ROUND.STEP.INDEX and JOB.ROUND.STEP, and of the runs of a task.
  *
  * @module
  */
@@ -39,3 +39,8 @@
 ): string {
   return `${job}.${round}.${step}`;
 }
+
+/** Name of a run, by which runs are told apart on one worker. */
+export function runName({ task, run }: { task: string; run: number }): string {
+  return `${task} ${run}`;
+}
--- a/packages/core/src/scheduling/unanswered_starts.ts
+++ b/packages/core/src/scheduling/unanswered_starts.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { RunKey } from "./command.ts";
+import { runName } from "./task_name.ts";
 
 /** Longest time after which an order without an answer is carried out: 12 s by the platform, and 1 s at a relay. */
 export const LONGEST_ORDER_DELAY_MS = 13_000;
@@ -28,15 +29,15 @@
       runs = new Map();
       this.#workers.set(worker, runs);
     }
-    const name = `${task} ${run}`;
+    const name = runName({ task, run });
     const copies = runs.get(name) ?? { key: { task, run, worker }, sentAt: [] };
     copies.sentAt.push(sentAt);
     runs.set(name, copies);
   }
 
   /** Records that the copy sent at a time was answered. */
-  recordAnswered({ task, run, worker }: RunKey, sentAt: number): void {
-    this.#retain(worker, `${task} ${run}`, (at) => at !== sentAt);
+  recordAnswered(key: RunKey, sentAt: number): void {
+    this.#retain(key.worker, runName(key), (at) => at !== sentAt);
   }
 
   /** Runs with a start that a worker may still carry out. */
--- a/packages/core/src/scheduling/worker_health.ts
+++ b/packages/core/src/scheduling/worker_health.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { evictOldest } from "../eviction.ts";
 import type { RunOutcome } from "./command.ts";
 
 /** Jobs that must fail on a worker, without a completed task in between, before it is paused. */
@@ -82,10 +83,7 @@
 
   #recordFirstFailure(job: string, worker: string): void {
     this.#failedFirstOn.set(job, worker);
-    const [oldest] = this.#failedFirstOn.keys();
-    if (this.#failedFirstOn.size > MAX_FAILED_JOBS && oldest !== undefined) {
-      this.#failedFirstOn.delete(oldest);
-    }
+    evictOldest(this.#failedFirstOn, MAX_FAILED_JOBS);
   }
 
   #retractFailure(worker: string, job: string, now: number): void {
--- a/packages/core/src/scheduling/worker_life.ts
+++ b/packages/core/src/scheduling/worker_life.ts
@@ -5,6 +5,7 @@
  */
 import type { RunKey } from "./command.ts";
 import type { RunRecord } from "./job_record.ts";
+import { runName } from "./task_name.ts";
 import type { Listing } from "./worker_orders.ts";
 
 /**
@@ -55,18 +56,18 @@
   { running, ended }: Listing,
   { isUnsent, mayArrive }: EarlierStarts,
 ): EarlierRuns {
-  const listed = new Set([...running, ...ended].map(keyOf));
-  const arriving = new Set(mayArrive.map(keyOf));
-  const held = new Set(runs.map(keyOf));
+  const listed = new Set([...running, ...ended].map(runName));
+  const arriving = new Set(mayArrive.map(runName));
+  const held = new Set(runs.map(runName));
   const sorted: EarlierRuns = {
     unsent: [],
     kept: [],
     repeated: [],
     ended: [],
-    forestalled: mayArrive.filter((run) => !held.has(keyOf(run))),
+    forestalled: mayArrive.filter((run) => !held.has(runName(run))),
   };
   for (const run of runs) {
-    const key = keyOf(run);
+    const key = runName(run);
     if (arriving.has(key)) {
       sorted.repeated.push(run);
     } else if (listed.has(key)) {
@@ -79,7 +80,3 @@
   }
   return sorted;
 }
-
-function keyOf({ task, run }: { task: string; run: number }): string {
-  return `${task} ${run}`;
-}
--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/worker_orders.ts
@@ -8,6 +8,7 @@
  */
 import type { RunKey, RunOutcome } from "./command.ts";
 import type { RunRecord } from "./job_record.ts";
+import { runName } from "./task_name.ts";
 
 /** Answer of a worker to a start order. */
 export type StartAnswer =
@@ -292,14 +293,12 @@
     now: number,
   ): Reconciliation {
     const running = new Map(listing.running.map((row) => [row.task, row.run]));
-    const ended = new Set(
-      listing.ended.map(({ task, run }) => `${task} ${run}`),
-    );
+    const ended = new Set(listing.ended.map(runName));
     const hasUnreadableRows = (listing.unreadableRows ?? 0) > 0;
     const dropped: RunKey[] = [];
     for (const [task, order] of this.#orders) {
       const isListed = running.get(task) === order.run.run ||
-        ended.has(`${task} ${order.run.run}`);
+        ended.has(runName(order.run));
       if (!isListed && hasUnreadableRows) {
         continue;
       }
--- a/packages/core/src/scheduling/worker_speed.ts
+++ b/packages/core/src/scheduling/worker_speed.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { runName } from "./task_name.ts";
 
 /** Age at which an observation expires; some ten tasks. */
 const WINDOW_MS = 15_000;
@@ -108,7 +109,7 @@
     const record = this.#workers.get(worker) ??
       { runs: new Map<string, Observation>(), slow: undefined };
     this.#workers.set(worker, record);
-    const key = `${task} ${number}`;
+    const key = runName({ task, run: number });
     if (!record.runs.has(key)) {
       this.#recordInPool(pool, ratio);
     }
--- a/packages/daemon/src/agents/platform_agent_client.ts
+++ b/packages/daemon/src/agents/platform_agent_client.ts
@@ -8,6 +8,7 @@
   type AgentCall,
   type AgentOrder,
   AgentOrderAnswer,
+  evictOldest,
   type OperationStatus,
 } from "@quetzalcove/core";
 import { Agent, request } from "undici";
@@ -93,9 +94,6 @@
   #recordStatus(operation: string, status: OperationStatus): void {
     this.#statuses.delete(operation);
     this.#statuses.set(operation, status);
-    const [oldest] = this.#statuses.keys();
-    if (this.#statuses.size > MAX_STATUSES && oldest !== undefined) {
-      this.#statuses.delete(oldest);
-    }
+    evictOldest(this.#statuses, MAX_STATUSES);
   }
 }
--- a/packages/daemon/src/scheduler/pacer.ts
+++ b/packages/daemon/src/scheduler/pacer.ts
@@ -8,6 +8,7 @@
   type Listing,
   nextSpeedPercent,
   parseTaskName,
+  runName,
   type StepSpec,
   type TailLatency,
   type Worker,
@@ -73,7 +74,7 @@
   }
 
   async #send(worker: Worker, { task, run }: ListedRun): Promise<void> {
-    const key = `${task} ${run}`;
+    const key = runName({ task, run });
     const percent = this.#percent;
     const applied = this.#appliedPercents.get(key) ?? FULL_SPEED_PERCENT;
     if (applied === percent) {
--- a/packages/daemon/src/scheduler/straggler_detector.ts
+++ b/packages/daemon/src/scheduler/straggler_detector.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { evictOldest } from "@quetzalcove/core";
 import {
   type Expectation,
   type JobStore,
@@ -64,10 +65,7 @@
     const stops = (this.#stops.get(task) ?? 0) + 1;
     this.#stops.delete(task);
     this.#stops.set(task, stops);
-    const [oldest] = this.#stops.keys();
-    if (this.#stops.size > MAX_STOPPED_TASKS && oldest !== undefined) {
-      this.#stops.delete(oldest);
-    }
+    evictOldest(this.#stops, MAX_STOPPED_TASKS);
   }
 
   #expectationOf(
