Look up the workers of a pass once in the look-ahead

For each task that was placed, the look-ahead searched all candidates for the worker's labels, and for each pool with reservations it made a map of its workers.

--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -73,7 +73,12 @@
   /** Plans the reservations of a pass. */
   begin(input: LookAheadInput, now: number): LookAheadPass {
     const { limits = RESERVATION_LIMITS } = this.#parts;
-    const pass = new LookAheadPass(this.#parts, this.#waits, now);
+    const pass = new LookAheadPass(
+      this.#parts,
+      this.#waits,
+      [...input.candidates.values()].flat(),
+      now,
+    );
     const pools = new Map<string, PoolBacklog>();
     for (const [pool, workers] of input.candidates) {
       const largest = largestCapacity(workers);
@@ -106,7 +111,7 @@
       }, now);
       if (plan.length > 0) {
         reservations.set(pool, plan);
-        pass.reserve(plan, workers);
+        pass.reserve(plan);
       }
     }
     this.#reservations = reservations;
@@ -147,6 +152,7 @@
 export class LookAheadPass {
   readonly #parts: LookAheadParts;
   readonly #waits: WaitTimes;
+  readonly #workers: ReadonlyMap<string, CandidateWorker>;
   readonly #now: number;
   readonly #durations: TaskDurations;
   readonly #timelines = new Map<string, WorkerTimeline>();
@@ -165,9 +171,16 @@
   readonly #gaps = new Map<string, number[]>();
   readonly #blocked: BlockedDemands;
 
-  constructor(parts: LookAheadParts, waits: WaitTimes, now: number) {
+  /** `workers` are the candidates of all pools. */
+  constructor(
+    parts: LookAheadParts,
+    waits: WaitTimes,
+    workers: readonly CandidateWorker[],
+    now: number,
+  ) {
     this.#parts = parts;
     this.#waits = waits;
+    this.#workers = new Map(workers.map((each) => [each.worker.id, each]));
     this.#now = now;
     this.#durations = new TaskDurations(parts.estimate, parts.remoteFactor);
     this.#blocked = new BlockedDemands(
@@ -202,13 +215,9 @@
   }
 
   /** Puts a plan of reservations into effect. */
-  reserve(
-    plan: readonly Reservation[],
-    workers: readonly CandidateWorker[],
-  ): void {
-    const byId = new Map(workers.map((each) => [each.worker.id, each]));
+  reserve(plan: readonly Reservation[]): void {
     for (const each of plan) {
-      const candidate = byId.get(each.worker);
+      const candidate = this.#workers.get(each.worker);
       if (candidate === undefined) {
         continue;
       }
@@ -279,8 +288,7 @@
       !placed.has(nameOfTask(step, index))
     );
     // Where no worker has capacity, there is nothing to decide.
-    const hasRoom = left.length > 0 &&
-      anyAccepts(step, candidates);
+    const hasRoom = left.length > 0 && anyAccepts(step, candidates);
     const waiting = !hasRoom ? 0 : countWaiting(step, {
       tasks: left.length,
       maxWaitMs,
@@ -317,8 +325,7 @@
     const runs = placeStep(step, candidates, wallNow);
     const demand = reservation(step.spec);
     for (const { worker } of runs) {
-      const labels = candidates.find((each) => each.worker.id === worker)
-        ?.worker.labels ?? [];
+      const labels = this.#workers.get(worker)?.worker.labels ?? [];
       const at = this.#now + this.#durations.expectedMs(step, labels);
       const end = { at, demand };
       const timeline = this.#timelines.get(worker);
--- a/packages/daemon/src/scheduler/customer_metrics.ts
+++ b/packages/daemon/src/scheduler/customer_metrics.ts
@@ -29,11 +29,12 @@
   const named = customers.filter(({ name }) => name !== OTHER)
     .slice(0, MAX_CUSTOMER_LABELS);
   const others = customers.filter((customer) => !named.includes(customer));
-  const groups: [label: string, members: readonly CustomerStatus[]][] = [
-    ...named.map((customer) =>
-      [customer.name, [customer]] as [string, CustomerStatus[]]
-    ),
-  ];
+  const groups = named.map((
+    customer,
+  ): [label: string, members: readonly CustomerStatus[]] => [
+    customer.name,
+    [customer],
+  ]);
   if (others.length > 0) {
     groups.push([OTHER, others]);
   }
