--- a/bench/src/scheduling/fleet_load.ts
+++ b/bench/src/scheduling/fleet_load.ts
@@ -14,6 +14,7 @@
   type Worker,
 } from "@quetzalcove/core/scheduling";
 import { below, createRandom, type Random } from "../placement/random.ts";
+import { newStep } from "./new_step.ts";
 
 export interface LoadOptions {
   seed: number;
@@ -107,7 +108,7 @@
     const cores = RESERVED_CORES[below(random, RESERVED_CORES.length)] ?? 0;
     const job = newJob(`b${i}`, POOLS.indexOf(worker.pool), {
       owner: ownerOf(i, customers),
-      step: newStep({ demand: demandOf(cores) }),
+      step: newStep({ demand: demandOf(cores), estimatedMs: 1_000 }),
     });
     store.apply({ kind: "submit", jobs: [job], atMs: 0 });
     runs.push({ task: `b${i}.0.0.0`, run: 1, worker: worker.id });
@@ -188,25 +189,3 @@
     gpus: 0,
   };
 }
-
-function newStep(changes: Partial<StepSpec>): StepSpec {
-  return {
-    taskCount: 1,
-    demand: demandOf(1),
-    estimatedMs: 1_000,
-    dependsOn: [],
-    checkpoints: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: "",
-    dataRack: "",
-    maxPerWorker: 0,
-    allowsCopies: false,
-    lasting: false,
-    image: "",
-    targetLatencyMs: 0,
-    fills: false,
-    maxUnavailable: undefined,
-    ...changes,
-  };
-}
--- a/bench/src/scheduling/pass_cost.ts
+++ b/bench/src/scheduling/pass_cost.ts
@@ -7,7 +7,6 @@
  */
 import process from "node:process";
 import {
-  CandidateWorker,
   JobStore,
   LookAhead,
   type PlacementInput,
@@ -30,7 +29,8 @@
   type RunOptions,
   type Scenario,
 } from "../scenario.ts";
-import { newStep } from "./pool_simulation.ts";
+import { candidatesOf } from "./fleet_load.ts";
+import { newStep } from "./new_step.ts";
 
 const WORKERS = 1_500;
 const WAITING = 5_000;
@@ -172,20 +172,10 @@
   }
 
   pass(now: number, looksAhead: boolean): RunKey[] {
-    const candidates = new Map<string, CandidateWorker[]>();
-    for (const worker of this.#store.workers.values()) {
-      const candidate = new CandidateWorker(
-        worker,
-        this.#store.load(worker.id),
-      );
-      const own = candidates.get(worker.pool) ?? [];
-      own.push(candidate);
-      candidates.set(worker.pool, own);
-    }
     const input: PlacementInput = {
       waiting: this.#store.waiting.values(),
       estimate: this.#estimate,
-      candidates,
+      candidates: candidatesOf(this.#store),
       isPermitted: () => true,
     };
     if (looksAhead) {
--- a/bench/src/scheduling/pool_simulation.ts
+++ b/bench/src/scheduling/pool_simulation.ts
@@ -15,7 +15,6 @@
   runPlacementPass,
   type RunRecord,
   RunStarts,
-  type StepSpec,
   type TimedRun,
   type TimedStep,
   timedStepOf,
@@ -23,6 +22,7 @@
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { below, createRandom, type Random } from "../placement/random.ts";
+import { newStep } from "./new_step.ts";
 
 const TICK_MS = 20;
 const POOL = "pool";
@@ -388,26 +388,3 @@
   customers: [],
   source: "{}",
 };
-
-/** A step with defaults for what a load does not set. */
-export function newStep(changes: Partial<StepSpec>): StepSpec {
-  return { ...STEP, ...changes };
-}
-
-const STEP: StepSpec = {
-  taskCount: 1,
-  demand: { cpuMilli: 0, memoryMb: 0, gpus: 0 },
-  estimatedMs: 0,
-  dependsOn: [],
-  checkpoints: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: "",
-  dataRack: "",
-  maxPerWorker: 0,
-  allowsCopies: false,
-  lasting: false,
-  image: "",
-  targetLatencyMs: 0,
-  fills: false,
-};
--- a/packages/daemon/test/leader_client_test.ts
+++ b/packages/daemon/test/leader_client_test.ts
@@ -19,22 +19,32 @@
 
 const notRun = fault("not_leader", "Another one leads", { outcome: "not run" });
 
+/** A client of one other replica, which gives some faults and then one for ever, each after 60 ms. */
+function clientWithFaults(
+  clock: ReturnType<typeof fakeClock>,
+  first: readonly Fault[],
+  then: Fault,
+): LeaderClient {
+  const faults = [...first];
+  const link = {
+    request: (): Promise<Result<unknown, Fault>> => {
+      clock.now += 60;
+      return Promise.resolve(Err(faults.shift() ?? then));
+    },
+  } as unknown as Link;
+  return new LeaderClient({
+    entry: "e1",
+    local: undefined,
+    links: new Map([["e2", link]]),
+    clock,
+  });
+}
+
 describe("a call at the leader", () => {
   it("has an unknown outcome if an earlier attempt may have taken effect", async () => {
     const clock = fakeClock();
-    const answers: Fault[] = [fault("timeout", "No answer in time"), notRun];
-    const link = {
-      request: (): Promise<Result<unknown, Fault>> => {
-        clock.now += 60;
-        return Promise.resolve(Err(answers.shift() ?? notRun));
-      },
-    } as unknown as Link;
-    const client = new LeaderClient({
-      entry: "e1",
-      local: undefined,
-      links: new Map([["e2", link]]),
-      clock,
-    });
+    const timeout = fault("timeout", "No answer in time");
+    const client = clientWithFaults(clock, [timeout], notRun);
     const result = await client.call("propose", {}, 100);
     expect(result.err && result.val).toMatchObject({
       kind: "not_leader",
@@ -48,19 +58,8 @@
     const refused = fault("unauthenticated", "The API key is unknown", {
       outcome: "not run",
     });
-    const answers: Fault[] = [fault("timeout", "No answer in time"), refused];
-    const link = {
-      request: (): Promise<Result<unknown, Fault>> => {
-        clock.now += 60;
-        return Promise.resolve(Err(answers.shift() ?? refused));
-      },
-    } as unknown as Link;
-    const client = new LeaderClient({
-      entry: "e1",
-      local: undefined,
-      links: new Map([["e2", link]]),
-      clock,
-    });
+    const timeout = fault("timeout", "No answer in time");
+    const client = clientWithFaults(clock, [timeout], refused);
     const outcomes: unknown[] = [];
     for (let i = 0; i < 2; i++) {
       const result = await client.call("submit", {}, 1_000);
@@ -74,18 +73,7 @@
 
   it("has the outcome not run if no attempt can have taken effect", async () => {
     const clock = fakeClock();
-    const link = {
-      request: (): Promise<Result<unknown, Fault>> => {
-        clock.now += 60;
-        return Promise.resolve(Err(notRun));
-      },
-    } as unknown as Link;
-    const client = new LeaderClient({
-      entry: "e1",
-      local: undefined,
-      links: new Map([["e2", link]]),
-      clock,
-    });
+    const client = clientWithFaults(clock, [], notRun);
     const result = await client.call("propose", {}, 100);
     expect(result.err && result.val.outcome).toBe("not run");
   });
