--- a/packages/core/src/scheduling/planned_workers.ts
+++ b/packages/core/src/scheduling/planned_workers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { reservation } from "./batch_job.ts";
+import { reservation, type Resources } from "./batch_job.ts";
 import type { WaitingStep } from "./job_record.ts";
 import type { Reservation, ReservationInput } from "./reservation_plan.ts";
 import { countFitting } from "./resource_sum.ts";
