Elections: wait for the lease, not for an election timeout, after a restart

Cause: after a loss of all processes each voter waited a whole election timeout from its start, and then a random part of another, for a leader that was lost with it: 0.45 s from the last start to the first entry. Change: a process that has heard no leader since it started refuses others only while a leader may hold a lease by answers of its earlier process (0.26 s from its start), and then asks for pre-votes each heartbeat or two. Found by the fuzz test, which now checks leases and restarts all replicas but an isolated leader: an only voter elected itself while the leader that had removed itself still held its lease.

--- a/packages/core/src/raft/election.ts
+++ b/packages/core/src/raft/election.ts
@@ -23,14 +23,19 @@
   setHardState,
 } from "./replica.ts";
 
-/** Starts a pre-vote after the election timeout, or at once if this replica is the only voter. */
+/**
+ * Starts a pre-vote after the election timeout, or earlier if this replica is the only voter. A leader that has just
+ * removed itself may still hold its lease, so that an only voter waits for its end, unless there was never another.
+ */
 export function tickElection(replica: Replica): void {
   if (!isVoter(replica)) {
     return;
   }
-  const isOnlyVoter = votersOf(replica.log.membership).length === 1;
-  const isFollower = replica.role === "follower";
-  if ((isOnlyVoter && isFollower) || replica.now >= replica.electionAt) {
+  const { log, role, now, electionAt } = replica;
+  const isOnlyVoter = votersOf(log.membership).length === 1;
+  const mayLeadAlone = isOnlyVoter && role === "follower" &&
+    (log.hadOneVoter || !hasRecentLeader(replica));
+  if (mayLeadAlone || now >= electionAt) {
     startPreVote(replica);
   }
 }
--- a/packages/core/src/raft/log.ts
+++ b/packages/core/src/raft/log.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Membership } from "./member.ts";
-import { emptyMembership } from "./member.ts";
+import { emptyMembership, votersOf } from "./member.ts";
 import type { LogEntry, Snapshot, StoredState } from "./record.ts";
 import { sizeOf } from "./record.ts";
 
@@ -70,6 +70,14 @@
     return this.#memberships.at(-1)?.membership ?? emptyMembership();
   }
 
+  /** Whether the log goes back to the start of the group and never had a second voter, which might have led. */
+  get hadOneVoter(): boolean {
+    return this.#base.index === 0 &&
+      this.#memberships.every(({ membership }) =>
+        votersOf(membership).length <= 1
+      );
+  }
+
   /** Index of the entry or snapshot that holds the membership in force. */
   get membershipIndex(): number {
     return this.#memberships.at(-1)?.index ?? 0;
--- a/packages/core/src/raft/open.ts
+++ b/packages/core/src/raft/open.ts
@@ -24,17 +24,21 @@
   tuning?: Partial<RaftTuning>;
 }
 
+/** Largest difference of the clock rates of two machines; a lease may last longer on this replica's clock by this. */
+const MAX_CLOCK_DRIFT = 0.02;
+
 /** A follower without a leader, with the stored term, vote and log. */
 export function openReplica(
   { replica: id, stored, random, tuning, processStart }: RaftOptions,
   now: number,
 ): Replica {
-  const contactAt = processStart ?? now;
-  const { electionMs } = { ...DEFAULT_TUNING, ...tuning };
+  const tuned = { ...DEFAULT_TUNING, ...tuning };
+  const leaseEndsAt = (processStart ?? now) +
+    tuned.leaseMs * (1 + MAX_CLOCK_DRIFT);
   const log = new Log(stored);
   return {
     id,
-    tuning: { ...DEFAULT_TUNING, ...tuning },
+    tuning: tuned,
     random,
     log,
     now,
@@ -42,9 +46,10 @@
     hardState: hardStateOf(stored, log),
     leader: undefined,
     // An earlier process may have answered a leader right before this one started, so this replica must not help elect
-    // another within an election timeout of that.
-    leaderContactAt: contactAt,
-    electionAt: Math.max(now, contactAt + electionMs) + electionMs * random(),
+    // another while that leader may hold a lease by this answer.
+    leaderContactAt: leaseEndsAt - tuned.electionMs,
+    hasHeardLeader: false,
+    electionAt: Math.max(now, leaseEndsAt) + tuned.heartbeatMs * random(),
     granted: new Set(),
     refused: new Set(),
     leadership: undefined,
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -16,6 +16,8 @@
   heartbeatMs: number;
   /** Minimum election timeout; the actual one is random, up to twice as long. */
   electionMs: number;
+  /** How long a leader may rely on a round that a quorum confirmed, from the start of the round; below `electionMs`. */
+  leaseMs: number;
   /** Number of entries in memory above which a compaction is due. */
   maxLogEntries: number;
   /** Size of the entries in memory above which a compaction is due. */
@@ -35,6 +37,7 @@
 export const DEFAULT_TUNING: RaftTuning = {
   heartbeatMs: 250,
   electionMs: 1_000,
+  leaseMs: 500,
   maxLogEntries: 4_096,
   maxLogSize: 4_194_304,
   trailingEntries: 256,
@@ -103,6 +106,8 @@
   leader: ReplicaId | undefined;
   /** When a message from the leader last arrived. */
   leaderContactAt: number;
+  /** Whether a leader has sent a message to this process. */
+  hasHeardLeader: boolean;
   /** When the next election starts. */
   electionAt: number;
   /** Voters that granted and refused their vote in the current pre-vote or election. */
@@ -178,9 +183,15 @@
   replica.commit = Math.max(replica.commit, bounded);
 }
 
+/**
+ * Schedules the next election. A process that has heard no leader since it started tries after some heartbeats: the
+ * leader may have been lost with the process, as when all machines lose power. If there is one after all, the voters in
+ * contact with it refuse the pre-vote.
+ */
 export function resetElectionTimer(replica: Replica): void {
-  const { electionMs } = replica.tuning;
-  replica.electionAt = replica.now + electionMs * (1 + replica.random());
+  const { now, random, hasHeardLeader, tuning } = replica;
+  const timeoutMs = hasHeardLeader ? tuning.electionMs : tuning.heartbeatMs;
+  replica.electionAt = now + timeoutMs * (1 + random());
 }
 
 /** Becomes a follower, in a new term if it is higher. */
@@ -206,6 +217,7 @@
   }
   replica.leader = leader;
   replica.leaderContactAt = replica.now;
+  replica.hasHeardLeader = true;
   resetElectionTimer(replica);
 }
 
--- a/packages/core/test/raft_checker.ts
+++ b/packages/core/test/raft_checker.ts
@@ -96,6 +96,14 @@
     }
   }
 
+  /** No replica is elected while a leader of an earlier term holds its lease. */
+  checkLeases(term: number, holders: readonly { id: string }[]): void {
+    assertProperty(
+      holders.length === 0,
+      `lease: term ${term} begins while ${holders[0]?.id} holds a lease`,
+    );
+  }
+
   /** A replica votes for at most one candidate in a term, also across crashes. */
   checkVote(message: RaftMessage): void {
     const isVote = message.kind === "vote_answer" && message.granted;
--- a/packages/core/test/raft_fuzz_test.ts
+++ b/packages/core/test/raft_fuzz_test.ts
@@ -58,6 +58,12 @@
     arbitrary: fc.record({ kind: kind("restart"), node: nodeChoice }),
     weight: 6,
   },
+  {
+    arbitrary: fc.record({ kind: kind("crash_all"), kept: fc.nat(9) }),
+    weight: 1,
+  },
+  { arbitrary: fc.record({ kind: kind("restart_all") }), weight: 2 },
+  { arbitrary: fc.record({ kind: kind("restart_others") }), weight: 2 },
   {
     arbitrary: fc.record({ kind: kind("lose_disk"), node: nodeChoice }),
     weight: 1,
--- a/packages/core/test/raft_group.ts
+++ b/packages/core/test/raft_group.ts
@@ -88,7 +88,9 @@
   ): void {
     const replica = idOf(entry);
     // Later replicas time out first, so that votes are not split and the most complete log does not win by chance.
-    const timeoutFraction = 1 / (2 + this.nodes.size);
+    const known = [...this.nodes.keys()].indexOf(entry);
+    const position = known === -1 ? this.nodes.size : known;
+    const timeoutFraction = 1 / (2 + position);
     const raft = new Raft(
       {
         replica,
--- a/packages/core/test/raft_node.ts
+++ b/packages/core/test/raft_node.ts
@@ -17,10 +17,14 @@
 import type { Checker, VoterDisk } from "./raft_checker.ts";
 import { adoptSnapshot, membershipOf, termAt, writeTo } from "./raft_disk.ts";
 
+const ELECTION_MS = 400;
+const LEASE_MS = 200;
+
 /** Low limits, so that short runs reach compaction, snapshot chunks and split appends. */
 const TUNING: Partial<RaftTuning> = {
   heartbeatMs: 100,
-  electionMs: 400,
+  electionMs: ELECTION_MS,
+  leaseMs: LEASE_MS,
   trailingEntries: 2,
   window: { messages: 3, size: 1_000 },
   maxAppendSize: 100,
@@ -38,6 +42,8 @@
   disks: (ids: readonly string[]) => VoterDisk[];
   /** Called with the read indices that a leader confirmed. */
   onReadsConfirmed: (reads: RaftOutput["reads"]) => void;
+  /** Called when a replica leads, with its term. */
+  onLeader: (term: number) => void;
 }
 
 interface StateMachine {
@@ -66,6 +72,10 @@
   readonly #proposals = new Map<number, { id: string; term: number }>();
   /** Reads that wait until their index is applied on this replica. */
   #reads: { id: string; index: number }[] = [];
+  /** When reads were requested at this replica. */
+  readonly #readTimes = new Map<string, number>();
+  /** Term in which this replica may hold a lease, and when the lease ends. */
+  #lease = { term: 0, endsAt: -Infinity, isGiven: true };
 
   constructor(
     name: { id: string; entry: string },
@@ -88,6 +98,20 @@
     return this.raft?.status.role === "leader";
   }
 
+  /** Whether this replica leads an earlier term and counts on it that no other replica has been elected. */
+  holdsLeaseBefore(term: number): boolean {
+    const status = this.raft?.status;
+    return status?.role === "leader" && status.term < term &&
+      this.#lease.term === status.term &&
+      this.#environment.now() < this.#lease.endsAt;
+  }
+
+  /** Ends the lease for a transfer, after which another replica may be elected at any time in this term. */
+  endLease(): void {
+    const term = this.raft?.status.term ?? this.#lease.term;
+    this.#lease = { term, endsAt: -Infinity, isGiven: false };
+  }
+
   restart(): void {
     if (this.raft !== undefined || this.isDiskLost) {
       return;
@@ -112,6 +136,8 @@
     this.#unsynced = [];
     this.#proposals.clear();
     this.#reads = [];
+    this.#readTimes.clear();
+    this.#lease = { term: 0, endsAt: -Infinity, isGiven: true };
   }
 
   tick(): void {
@@ -144,7 +170,10 @@
   /** Asks for a read index. */
   read(id: string): void {
     this.#environment.checker.recordInvocation(id, "read");
-    this.raft?.readIndex(id, this.#environment.now());
+    const now = this.#environment.now();
+    if (this.raft?.readIndex(id, now).ok) {
+      this.#readTimes.set(id, now);
+    }
     this.processOutput();
   }
 
@@ -195,14 +224,32 @@
       if (this.isLeader) {
         const { term } = this.raft.status;
         this.#environment.checker.checkLeader(this.id, term, this.#pageCache);
+        this.#environment.onLeader(term);
       }
       this.#send(output.messages);
       this.#apply(output);
       this.#serveReady();
+      this.#extendLease(output.reads);
       this.#environment.onReadsConfirmed(output.reads);
     }
   }
 
+  /** Extends the lease by a confirmed round, as the driver does. */
+  #extendLease(reads: RaftOutput["reads"]): void {
+    const { term } = this.raft!.status;
+    if (this.#lease.term !== term) {
+      this.#lease = { term, endsAt: -Infinity, isGiven: true };
+    }
+    for (const { context } of reads) {
+      const requestedAt = this.#readTimes.get(context);
+      this.#readTimes.delete(context);
+      if (requestedAt !== undefined && this.#lease.isGiven) {
+        const endsAt = requestedAt + LEASE_MS;
+        this.#lease.endsAt = Math.max(this.#lease.endsAt, endsAt);
+      }
+    }
+  }
+
   #send(messages: readonly RaftMessage[]): void {
     messages.forEach((message) => this.#environment.checker.checkVote(message));
     this.#environment.send(messages);
--- a/packages/core/test/raft_simulation.ts
+++ b/packages/core/test/raft_simulation.ts
@@ -36,6 +36,11 @@
   /** `kept` selects how many of the unsynced writes reach the disk. */
   | { kind: "crash"; node: number; kept: number }
   | { kind: "restart"; node: number }
+  /** Isolates a leader right after it confirmed its leadership, and restarts all others. */
+  | { kind: "restart_others" }
+  /** Ends all processes at once; `kept` selects how many of the unsynced writes reach the disks. */
+  | { kind: "crash_all"; kept: number }
+  | { kind: "restart_all" }
   | { kind: "lose_disk"; node: number }
   | { kind: "repair" }
   | { kind: "remove"; node: number }
@@ -85,6 +90,12 @@
         return this.#repair();
       case "heal":
         return this.#heal();
+      case "crash_all":
+        return this.#nodes.forEach((node, i) => node.crash(action.kept + i));
+      case "restart_others":
+        return this.#restartOthers();
+      case "restart_all":
+        return this.#nodes.forEach((node) => node.restart());
       case "partition":
         return this.#network.separate(
           this.#nodes.map(({ id }) => id),
@@ -127,6 +138,7 @@
       case "change":
         return this.#changeAt(node, action);
       case "transfer":
+        this.#leader?.endLease();
         this.#leader?.raft?.transferLeadership(node.id, this.#now);
         return this.#leader?.processOutput();
       case "isolate":
@@ -147,6 +159,23 @@
     }
   }
 
+  #restartOthers(): void {
+    const leader = this.#leader;
+    if (leader === undefined) {
+      return;
+    }
+    leader.read(`${this.#newId("r")}:0`);
+    this.#run({ steps: 1, lossPercent: 0 });
+    this.#network.separate(
+      this.#nodes.map(({ id }) => id),
+      (id) => id === leader.id,
+    );
+    for (const node of this.#nodes.filter((other) => other !== leader)) {
+      node.crash(0);
+      node.restart();
+    }
+  }
+
   get #leader(): SimulatedNode | undefined {
     const leaders = this.#nodes.filter((node) => node.isLeader);
     return leaders.sort((a, b) => b.raft!.status.term - a.raft!.status.term)[0];
@@ -194,6 +223,11 @@
       disks: (ids) => this.#nodes.filter((node) => ids.includes(node.id)),
       onReadsConfirmed: (reads) =>
         reads.forEach(({ context, index }) => this.#serveRead(context, index)),
+      onLeader: (term) =>
+        this.checker.checkLeases(
+          term,
+          this.#nodes.filter((node) => node.holdsLeaseBefore(term)),
+        ),
     };
     this.#nodes.push(new SimulatedNode({ id, entry }, stored(id), environment));
   }
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -104,6 +104,55 @@
   });
 });
 
+describe("processes that restart", () => {
+  const LEASE_MS = 500;
+  /** Several pre-votes, a heartbeat or two apart. */
+  const ELECTION_MS = 750;
+
+  test("elect a leader soon after the lease of a leader that was lost with them", () => {
+    const group = Group.of(THREE);
+    group.propose("e1", "a");
+    THREE.forEach((entry) => group.restart(entry));
+    group.advance(LEASE_MS);
+    expect(group.leaders).toEqual([]);
+    group.advance(ELECTION_MS);
+    expect(group.leaders).toHaveLength(1);
+    expect(group.node("e2").applied).toEqual(["a"]);
+  });
+
+  test("elect a leader soon after a majority is back", () => {
+    const group = Group.of(THREE);
+    THREE.forEach((entry) => group.restart(entry));
+    group.isLost = () => true;
+    group.advance(20_000);
+    group.isLost = ({ from, to }) => from === idOf("e3") || to === idOf("e3");
+    group.advance(ELECTION_MS);
+    expect(group.leaders).toHaveLength(1);
+  });
+
+  test("do not elect another leader while one may hold a lease by their earlier answers", () => {
+    const group = Group.of(THREE);
+    const { raft } = group.node("e1");
+    raft.readIndex("r1", group.now).unwrap();
+    group.settle();
+    isolate(group, "e1");
+    group.restart("e2");
+    group.restart("e3");
+    group.advance(LEASE_MS);
+    expect(group.leaders).toEqual(["e1"]);
+  });
+
+  test("do not disturb a leader that is in contact with the others", () => {
+    const group = Group.of(THREE);
+    const { term } = group.node("e1").raft.status;
+    group.isLost = ({ from, to }) => from === idOf("e1") && to === idOf("e3");
+    group.restart("e3");
+    group.advance(20_000);
+    expect(group.leaders).toEqual(["e1"]);
+    expect(group.node("e1").raft.status.term).toBe(term);
+  });
+});
+
 describe("replication", () => {
   test("overwrites entries that a deposed leader did not commit", () => {
     const group = Group.of(THREE);
@@ -425,6 +474,18 @@
     expect(group.node("e1").raft.status.term).toBe(term);
   });
 
+  test("an only voter that is left waits for the lease of the leader that removed itself", () => {
+    const group = Group.of(["e1", "e2"]);
+    // The leader does not hear that its removal is committed.
+    group.isLost = ({ to }) => to === idOf("e1");
+    group.change("e1", { kind: "remove", replica: idOf("e1") });
+    isolate(group, "e1");
+    group.advance(900);
+    expect(group.leaders).toEqual(["e1"]);
+    group.advance(200);
+    expect(group.leaders).toContain("e2");
+  });
+
   test("a leader that removes itself steps down in favour of another", () => {
     const group = Group.of(THREE);
     group.change("e1", { kind: "remove", replica: idOf("e1") });
--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -65,6 +65,9 @@
 /** Longest time that a proposal waits for the log write in progress: more than a sync of a healthy disk takes. */
 const MAX_PROPOSAL_WAIT_MS = 10;
 
+/** Duration of the leader lease, as a share of the minimum election timeout. */
+const LEASE_SHARE = 0.5;
+
 /** Interval of Raft ticks, as a share of the heartbeat interval. */
 const TICK_INTERVAL_SHARE = 0.25;
 
@@ -97,7 +100,7 @@
   constructor(parts: RaftDriverParts<S, C, O>) {
     this.#parts = parts;
     this.#raft = openRaft(parts, parts.stored, parts.clock.processStart());
-    this.#barriers = new ReadBarriers(parts.settings.raft.electionMinMs);
+    this.#barriers = new ReadBarriers(leaseMsOf(parts.settings));
     const { snapshot } = parts.stored;
     this.#state = snapshot === undefined
       ? parts.stateMachine.empty()
@@ -452,6 +455,10 @@
   }
 }
 
+function leaseMsOf({ raft }: RaftDriverSettings): number {
+  return raft.electionMinMs * LEASE_SHARE;
+}
+
 function openRaft(
   { settings, replica, random, clock }: Pick<
     RaftDriverParts<never, never, never>,
@@ -468,6 +475,7 @@
     tuning: {
       heartbeatMs: settings.raft.heartbeatMs,
       electionMs: settings.raft.electionMinMs,
+      leaseMs: leaseMsOf(settings),
       maxLogEntries: settings.raft.snapshotEveryEntries,
     },
   }, clock.monotonic());
--- a/packages/daemon/src/consensus/read_barriers.ts
+++ b/packages/daemon/src/consensus/read_barriers.ts
@@ -20,9 +20,6 @@
   settle: (result: Result<void, Fault>) => void;
 }
 
-/** Duration of the lease, as a share of the minimum election timeout. */
-const LEASE_SHARE = 0.5;
-
 /**
  * Difference between the progress of the two clocks that counts as a suspension of the process, during which the
  * monotonic clock stands still. A step of the wall clock is mistaken for one and only costs another round.
@@ -39,9 +36,9 @@
   #leaseStartedAt: ClockTimes = { monotonic: 0, wall: 0 };
   #mayHoldLease = true;
 
-  /** `electionMinMs` is the minimum election timeout, in milliseconds. */
-  constructor(electionMinMs: number) {
-    this.#leaseMs = electionMinMs * LEASE_SHARE;
+  /** `leaseMs` is the duration of the lease, from the request of the read whose round grants it. */
+  constructor(leaseMs: number) {
+    this.#leaseMs = leaseMs;
   }
 
   /** Whether the lease is valid, so that leadership needs no confirmation. */
--- a/packages/daemon/test/read_barriers_test.ts
+++ b/packages/daemon/test/read_barriers_test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from "vitest";
 import { ReadBarriers } from "../src/consensus/read_barriers.ts";
 
-const MIN_ELECTION_TIMEOUT_MS = 800;
+const LEASE_MS = 400;
 const ignore = (): void => {};
 
 /** Barriers with one confirmed round, whose read was requested at 1,000 ms. */
 function confirmedBarriers(): ReadBarriers {
-  const barriers = new ReadBarriers(MIN_ELECTION_TIMEOUT_MS);
+  const barriers = new ReadBarriers(LEASE_MS);
   const context = barriers.nextContext();
   const requestedAt = { monotonic: 1_000, wall: 50_000 };
   barriers.add(context, { requestedAt, settle: ignore });
@@ -15,7 +15,7 @@
 }
 
 describe("the leader lease of a confirmed round", () => {
-  it("lasts for part of an election timeout", () => {
+  it("lasts from the request of the read", () => {
     const barriers = confirmedBarriers();
     expect(barriers.hasLease({ monotonic: 1_399, wall: 50_399 })).toBe(true);
     expect(barriers.hasLease({ monotonic: 1_400, wall: 50_400 })).toBe(false);
