Links: open them at the start, and search for the group at once

Cause: a message on a link that is not open yet is lost. So the first pre-vote after a restart only opened the links, and an entry that started beside the replicas asked one of them every 500 ms, each for the first time: three of six entries were ready 1.5 s after the leader.

--- a/packages/daemon/src/link/link.ts
+++ b/packages/daemon/src/link/link.ts
@@ -30,6 +30,12 @@
 /** Delay between attempts to connect. */
 const RECONNECT_DELAY_MS = 200;
 
+/**
+ * Deadline of an attempt to connect: some round trips of a long link. A host that was off or cut off when an attempt began
+ * answers it only after TCP's first retransmission, a second later.
+ */
+const CONNECT_TIMEOUT_MS = 500;
+
 export class Link implements Component {
   readonly name: string;
   readonly peer: string;
@@ -84,11 +90,11 @@
   }
 
   #connect(): void {
-    const { address, localHost, settings } = this.#parts;
+    const { address, localHost } = this.#parts;
     const { host, port } = hostAndPort(address);
     const socket = connect({ host, port, localAddress: localHost });
     this.#socket = socket;
-    const connectTimer = setTimeout(() => socket.destroy(), settings.idleMs);
+    const connectTimer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
     socket.once("connect", () => {
       clearTimeout(connectTimer);
       this.#openConnection(socket);
--- a/packages/daemon/src/link/link_pool.ts
+++ b/packages/daemon/src/link/link_pool.ts
@@ -51,9 +51,13 @@
     return this.#knownHosts;
   }
 
-  /** Replaces the known hosts of replicas, and closes the links to all other hosts. */
+  /**
+   * Replaces the known hosts of replicas: opens links to them, since a message on a link that is not open yet is lost, and
+   * closes the links to all other hosts.
+   */
   setKnownHosts(hosts: readonly string[]): void {
     this.#knownHosts = hosts;
+    hosts.forEach((host) => this.get(host));
     for (const [host, link] of this.#links) {
       if (!hosts.includes(host)) {
         this.#links.delete(host);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -59,6 +59,9 @@
 /** Shortest pause after a pass, so that the changes of some round trips share one pass and one log entry. */
 const MIN_PASS_PAUSE_MS = 20;
 
+/** Time before the latest end that the earlier leader knew of within which it may have logged none. */
+const UNLOGGED_ENDS_MS = 1_000;
+
 /** Interval at which jobs past their retention time are removed from the job store. */
 const PRUNE_INTERVAL_MS = 10_000;
 
@@ -134,6 +137,7 @@
   start(): Promise<void> {
     const { log, term } = this.#parts;
     log.info("tenure.started", { term, workers: this.#jobStore.workers.size });
+    this.#skipLoggedEnds();
     this.#sessions.sync();
     return this.#ticker.start();
   }
@@ -247,6 +251,16 @@
     }
   }
 
+  /** Skips the ends that an earlier leader logged; this leader has more urgent work. */
+  #skipLoggedEnds(): void {
+    const { justEnded } = this.#jobStore;
+    const latest = Math.max(...justEnded.map((job) => job.endedAtMs ?? 0));
+    const unlogged = justEnded.filter(({ endedAtMs = 0 }) =>
+      endedAtMs > latest - UNLOGGED_ENDS_MS
+    );
+    justEnded.splice(0, justEnded.length, ...unlogged);
+  }
+
   #logEndedJobs(): void {
     for (const job of this.#jobStore.justEnded.splice(0)) {
       this.#parts.log.info("job.ended", {
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -249,6 +249,7 @@
     });
     this.#replica = replica;
     this.#leaderClient = this.#createLeaderClient(true);
+    this.#linkPool.setKnownHosts(this.#firstKnownHosts(replica));
     const membershipController = new DynamicMembershipController({
       replica,
       self: {
@@ -308,6 +309,16 @@
     ];
   }
 
+  /** The other members as of the last shutdown; the seeds if this replica's folder is new. */
+  #firstKnownHosts(replica: JobReplica): string[] {
+    const { host, seeds } = this.#parts.settings;
+    const members = replica.replicas().map(({ entry }) => entry);
+    const known = members.length > 0
+      ? members
+      : seeds.map((seed) => hostAndPort(seed).host);
+    return known.filter((other) => other !== host);
+  }
+
   #createLeaderController(replica: JobReplica): LeaderController {
     const { settings, log, workerClient, vmClient, advisorClient } =
       this.#parts;
--- a/packages/daemon/src/scheduler/replica_discovery.ts
+++ b/packages/daemon/src/scheduler/replica_discovery.ts
@@ -20,6 +20,9 @@
 /** Interval between polls: half the interval of the load balancer's readiness checks. */
 const POLL_INTERVAL_MS = 500;
 
+/** Interval between polls while no replica with a leader answers, so that callers wait no longer than for the leader. */
+const SEARCH_INTERVAL_MS = 100;
+
 const POLL_TIMEOUT_MS = 450;
 
 /** Time without an answer from any replica after which the entry node counts as disconnected: three polls. */
@@ -35,10 +38,12 @@
 export class ReplicaDiscovery implements Component {
   readonly name = "directory";
   readonly #linkPool: LinkPool;
+  readonly #seeds: readonly string[];
   readonly #log: Log;
   readonly #clock: Pick<Clock, "monotonic">;
   readonly #ticker: Component;
   #pollCount = 0;
+  #polledAt = -Infinity;
   #answeredAt = -Infinity;
   #leaderSeenAt = -Infinity;
 
@@ -51,11 +56,16 @@
     this.#linkPool = linkPool;
     this.#clock = clock;
     this.#log = log;
-    linkPool.setKnownHosts(seeds);
-    this.#ticker = ticker("directory", POLL_INTERVAL_MS, () => this.#poll());
+    this.#seeds = seeds;
+    this.#ticker = ticker(
+      "directory",
+      SEARCH_INTERVAL_MS,
+      () => this.#pollIfDue(),
+    );
   }
 
   start(): Promise<void> {
+    this.#linkPool.setKnownHosts(this.#seeds);
     return this.#ticker.start();
   }
 
@@ -70,13 +80,23 @@
       now - this.#leaderSeenAt < LEADERLESS_AFTER_MS;
   }
 
-  async #poll(): Promise<void> {
-    const known = [...this.#linkPool.keys()];
+  async #pollIfDue(): Promise<void> {
+    const now = this.#clock.monotonic();
+    const isDue = now - this.#polledAt >= POLL_INTERVAL_MS ||
+      !this.isConnected || this.#leaderSeenAt < this.#answeredAt;
+    // A replica whose link is not open would fail the poll at once.
+    const known = [...this.#linkPool.keys()].filter((host) =>
+      this.#linkPool.get(host).isOpen
+    );
     const host = known[this.#pollCount % known.length];
-    this.#pollCount += 1;
-    if (host === undefined) {
-      return;
+    if (isDue && host !== undefined) {
+      this.#pollCount += 1;
+      this.#polledAt = now;
+      await this.#poll(host);
     }
+  }
+
+  async #poll(host: string): Promise<void> {
     const answer = await this.#linkPool.get(host)
       .request("describe_group", {}, POLL_TIMEOUT_MS);
     const group = answer.andThen((value) =>
