--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./command.ts";
 export * from "./failure.ts";
+export * from "./log_line.ts";
 export * from "./program.ts";
 export * from "./reference.ts";
 export * from "./register.ts";
