--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -121,11 +121,18 @@
     this.client = this.#createClient();
   }
 
-  /** Waits until the other replicas have agreed to relay calls, or did not answer in time. */
+  /**
+   * Asks the other replicas to relay calls. With so many workers that relays are used, waits until they have agreed, or
+   * did not answer in time, as a replica that was lost with the earlier leader.
+   */
   async start(): Promise<void> {
-    await Promise.all(
-      this.#parts.candidates().map(({ host }) => this.#open(host)),
+    const { candidates, relayFromWorkers, workerCount } = this.#parts;
+    const opened = Promise.all(
+      candidates().map(({ host }) => this.#open(host)),
     );
+    if (areRelaysWorthwhile(workerCount(), relayFromWorkers, false)) {
+      await opened;
+    }
     this.#chooseRelays();
     await this.#ticker.start();
   }
--- a/packages/daemon/test/call_relay_test.ts
+++ b/packages/daemon/test/call_relay_test.ts
@@ -399,3 +399,39 @@
     expect(fixture.relayed.calls).toHaveLength(1);
   });
 });
+
+describe("the start of a term", () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** Whether the router has started by `ms` although the other replica was lost with the earlier leader. */
+  async function hasStartedBy(ms: number, workers: number): Promise<boolean> {
+    const fixture = new Fixture();
+    fixture.workerCount = workers;
+    fixture.isLinkSilent = true;
+    let hasStarted = false;
+    const started = fixture.router.start().then(() => {
+      hasStarted = true;
+    });
+    await vi.advanceTimersByTimeAsync(ms);
+    const result = hasStarted;
+    await vi.advanceTimersByTimeAsync(1_000);
+    await started;
+    await fixture.router.stop();
+    return result;
+  }
+
+  it("does not wait for a lost replica if so few workers need no relay", async () => {
+    expect(await hasStartedBy(0, 63)).toBe(true);
+  });
+
+  it("waits for the replicas if their relays will be used", async () => {
+    expect(await hasStartedBy(0, 64)).toBe(false);
+    expect(await hasStartedBy(100, 64)).toBe(true);
+  });
+});
