--- a/bench/src/placement/baselines.ts
+++ b/bench/src/placement/baselines.ts
@@ -6,6 +6,7 @@
  */
 import {
   type AgentReport,
+  groupBy,
   type JobChange,
   Placement,
   type PlacementDecision,
@@ -144,17 +145,7 @@
       subtract(freeVm.size, run?.size);
     }
   }
-  return groupByPool(byVm.values());
-}
-
-function groupByPool(vms: Iterable<FreeCapacity>): Map<string, FreeCapacity[]> {
-  const groups = new Map<string, FreeCapacity[]>();
-  for (const freeVm of vms) {
-    const group = groups.get(freeVm.pool) ?? [];
-    groups.set(freeVm.pool, group);
-    group.push(freeVm);
-  }
-  return groups;
+  return groupBy(byVm.values(), ({ pool }) => pool);
 }
 
 function fits(required: Size, available: Size): boolean {
--- a/bench/src/scheduling/fleet_load.ts
+++ b/bench/src/scheduling/fleet_load.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { groupBy } from "@quetzalcove/core";
 import {
   CandidateWorker,
   type Customer,
@@ -80,13 +81,11 @@
 
 /** Candidate workers by pool, as at the start of a pass. */
 export function candidatesOf(store: JobStore): Map<string, CandidateWorker[]> {
-  const candidates = new Map<string, CandidateWorker[]>();
-  for (const worker of store.workers.values()) {
-    const inPool = candidates.get(worker.pool) ?? [];
-    inPool.push(new CandidateWorker(worker, store.load(worker.id)));
-    candidates.set(worker.pool, inPool);
-  }
-  return candidates;
+  const candidates = Array.from(
+    store.workers.values(),
+    (worker) => new CandidateWorker(worker, store.load(worker.id)),
+  );
+  return groupBy(candidates, ({ worker }) => worker.pool);
 }
 
 /** A tenth of the customers own half of the jobs. */
--- a/packages/cli/src/commands/vms.ts
+++ b/packages/cli/src/commands/vms.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Vms, type VmView } from "@quetzalcove/core";
+import { groupBy, Vms, type VmView } from "@quetzalcove/core";
 import type { Command, CommandResult, Invocation } from "../command.ts";
 import {
   compareNames,
@@ -11,7 +11,6 @@
   formatDuration,
   formatTable,
 } from "../format.ts";
-import { groupBy } from "../group_by.ts";
 
 export const VMS: Command = {
   name: "vms",
--- a/packages/cli/src/cross_check.ts
+++ b/packages/cli/src/cross_check.ts
@@ -6,6 +6,7 @@
 import {
   Err,
   type Finding,
+  groupBy,
   invalid,
   type Inventory,
   Ok,
@@ -15,7 +16,6 @@
 } from "@quetzalcove/core";
 import { fail, type Failure } from "./failure.ts";
 import { compareNames, formatCount } from "./format.ts";
-import { groupBy } from "./group_by.ts";
 import type { InputFile } from "./input_files.ts";
 
 type FileOfKind<K extends InputFile["kind"]> = Extract<InputFile, { kind: K }>;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./eviction.ts";
 export * from "./fault.ts";
 export * from "./fleet.ts";
+export * from "./group_by.ts";
 export * from "./inventory.ts";
 export * from "./json_text.ts";
 export * from "./ledger.ts";
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -8,6 +8,7 @@
 export type { Allowance } from "./allowances.ts";
 export type { ServiceDescription, TargetDescription } from "./description.ts";
 export { RenewalSchedule } from "./renewal_schedule.ts";
+export { RetryBudget, type RetryBudgetTerms } from "./retry_budget.ts";
 export { Router } from "./router.ts";
 export {
   type SlotAllocation,
--- a/packages/core/src/routing/retry_budget.ts
+++ b/packages/core/src/routing/retry_budget.ts
@@ -5,19 +5,36 @@
  * @module
  */
 
-/** Retries earned per request. */
-const RETRIES_PER_REQUEST = 0.1;
+/** How a budget grows. */
+export interface RetryBudgetTerms {
+  /** Retries earned per request. */
+  retriesPerRequest: number;
+  /** Maximum number of unused retries. */
+  maxBalance: number;
+  /** Retries that are available before the first request. */
+  initialBalance: number;
+}
 
-/** Maximum number of unused retries. */
-const MAX_BALANCE = 10;
+/** Terms of one service at one entry. */
+const SERVICE_TERMS: RetryBudgetTerms = {
+  retriesPerRequest: 0.1,
+  maxBalance: 10,
+  initialBalance: 1,
+};
 
-/** Retry budget of one service at one entry. */
 export class RetryBudget {
-  #balance = 1;
+  readonly #terms: RetryBudgetTerms;
+  #balance: number;
+
+  constructor(terms = SERVICE_TERMS) {
+    this.#terms = terms;
+    this.#balance = terms.initialBalance;
+  }
 
   /** Records the first attempt of a request. */
   deposit(): void {
-    this.#balance = Math.min(MAX_BALANCE, this.#balance + RETRIES_PER_REQUEST);
+    const { maxBalance, retriesPerRequest } = this.#terms;
+    this.#balance = Math.min(maxBalance, this.#balance + retriesPerRequest);
   }
 
   /** Takes one retry if the budget allows it. */
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/task_placement.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { groupBy } from "../group_by.ts";
 import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
 import type { RunKey, Worker } from "./command.ts";
 import type { TaskRecord, WaitingStep } from "./job_record.ts";
@@ -390,17 +391,7 @@
 export function byRack(
   candidates: readonly CandidateWorker[],
 ): Map<string, CandidateWorker[]> {
-  const racks = new Map<string, CandidateWorker[]>();
-  for (const candidate of candidates) {
-    const rack = rackOf(candidate.worker);
-    const inRack = racks.get(rack);
-    if (inRack === undefined) {
-      racks.set(rack, [candidate]);
-    } else {
-      inRack.push(candidate);
-    }
-  }
-  return racks;
+  return groupBy(candidates, ({ worker }) => rackOf(worker));
 }
 
 /** Labels are the kind of the VM, then its rack. */
--- a/packages/daemon/src/leader/queries.ts
+++ b/packages/daemon/src/leader/queries.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import {
-  type Announcement,
   attemptOf,
   type Explanation,
+  groupBy,
   type Hold,
   JobFilter,
   listJobs,
@@ -119,7 +119,7 @@
 }
 
 function vms({ state, termState }: QueryContext): unknown {
-  const byVm = groupByVm(termState.targets.targets());
+  const byVm = groupBy(termState.targets.targets(), ({ vm }) => vm);
   const rackZones = new Map(
     state.inventory.racks.map((rack) => [rack.name, rack.zone]),
   );
@@ -143,14 +143,6 @@
   return { vms: rows, unknownTargets };
 }
 
-function groupByVm(targets: Announcement[]): Map<string, Announcement[]> {
-  const byVm = new Map<string, Announcement[]>();
-  for (const target of targets) {
-    byVm.set(target.vm, [...(byVm.get(target.vm) ?? []), target]);
-  }
-  return byVm;
-}
-
 function inFlightOf(vm: string, termState: LeaderTermState): number {
   return termState.leases.records().reduce(
     (sum, record) => sum + (record.inFlight[vm] ?? 0),
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { groupBy } from "@quetzalcove/core";
 import {
   CandidateWorker,
   type JobStore,
@@ -172,20 +173,18 @@
   #sendStarts(runs: readonly RunKey[]): void {
     const { clock, log, sessions } = this.#parts;
     const refused: RunKey[] = [];
-    const byWorker = new Map<string, RunRecord[]>();
+    const placed: RunRecord[] = [];
     const now = clock.monotonic();
     for (const key of runs) {
       const run = this.#jobStore.findRun(key);
-      if (run !== undefined) {
-        const workerRuns = byWorker.get(key.worker) ?? [];
-        workerRuns.push(run);
-        const step = timedStepOf(this.#jobStore, run);
-        if (step !== undefined) {
-          this.#runStarts.record(run, step, now);
-        }
-        byWorker.set(key.worker, workerRuns);
-      } else {
+      if (run === undefined) {
         refused.push(key);
+        continue;
+      }
+      placed.push(run);
+      const step = timedStepOf(this.#jobStore, run);
+      if (step !== undefined) {
+        this.#runStarts.record(run, step, now);
       }
     }
     if (refused.length > 0) {
@@ -194,7 +193,7 @@
         first: refused[0]?.task,
       });
     }
-    byWorker.forEach((workerRuns, worker) =>
+    groupBy(placed, ({ worker }) => worker).forEach((workerRuns, worker) =>
       sessions.get(worker)?.start(workerRuns)
     );
   }
