Elections: leave a first election the time for its votes

A process that had heard no leader gave up its election after a heartbeat or two; where votes take longer, each election ended before it was counted, and no leader was ever elected. Change: an election lasts half an election timeout at least; only pre-votes follow each other faster.

--- a/packages/core/src/raft/election.ts
+++ b/packages/core/src/raft/election.ts
@@ -23,6 +23,9 @@
   setHardState,
 } from "./replica.ts";
 
+/** Shortest election of a process that has heard no leader yet, as a share of the election timeout. */
+const FIRST_ELECTION_SHARE = 0.5;
+
 /**
  * Starts a pre-vote after the election timeout, or earlier if this replica is the only voter. A leader that has just
  * removed itself may still hold its lease, so that an only voter waits for its end, unless there was never another.
@@ -70,6 +73,7 @@
   setHardState(replica, { term, vote: replica.id });
   replica.role = "candidate";
   resetVotes(replica);
+  allowForElection(replica);
   const logEnd = lastPosition(replica);
   for (const to of otherVoters(replica)) {
     send(replica, {
@@ -81,6 +85,19 @@
   }
 }
 
+/**
+ * Gives an election the time for synced votes over a slow link before the next pre-vote. Pre-votes may follow each other
+ * faster than their answers, since an answer to one counts for the next.
+ */
+function allowForElection(replica: Replica): void {
+  const { now, random, tuning } = replica;
+  const leastMs = tuning.electionMs * FIRST_ELECTION_SHARE;
+  replica.electionAt = Math.max(
+    replica.electionAt,
+    now + leastMs * (1 + random()),
+  );
+}
+
 function resetVotes(replica: Replica): void {
   replica.leader = undefined;
   replica.granted = new Set();
--- a/packages/core/test/raft_group.ts
+++ b/packages/core/test/raft_group.ts
@@ -60,6 +60,11 @@
   /** Whether a message is lost. */
   isLost: (message: RaftMessage) => boolean = () => false;
   readonly sent: RaftMessage[] = [];
+  /** Source of random time-outs; undefined for fixed ones. */
+  random: (() => number) | undefined;
+  /** Time that each message takes, in milliseconds. */
+  delayMs = 0;
+  #delayed: { at: number; message: RaftMessage }[] = [];
   readonly #tuning: Partial<RaftTuning>;
 
   constructor(first: string, tuning: Partial<RaftTuning> = {}) {
@@ -95,7 +100,7 @@
       {
         replica,
         stored,
-        random: () => timeoutFraction,
+        random: () => this.random?.() ?? timeoutFraction,
         tuning: this.#tuning,
         processStart,
       },
@@ -135,6 +140,7 @@
     const end = this.now + ms;
     while (this.now < end) {
       this.now += 10;
+      this.#deliverDelayed();
       this.nodes.forEach(({ raft }) => raft.tick(this.now));
       this.settle();
     }
@@ -181,11 +187,25 @@
     node.lostReads.push(...lostReads);
   }
 
+  #deliverDelayed(): void {
+    const due = this.#delayed.filter(({ at }) => at <= this.now);
+    this.#delayed = this.#delayed.filter(({ at }) => at > this.now);
+    due.forEach(({ message }) => this.#receive(message));
+  }
+
   #deliver(message: RaftMessage): void {
     this.sent.push(message);
     if (this.isLost(message)) {
       return;
     }
+    if (this.delayMs > 0) {
+      this.#delayed.push({ at: this.now + this.delayMs, message });
+    } else {
+      this.#receive(message);
+    }
+  }
+
+  #receive(message: RaftMessage): void {
     for (const { raft } of this.nodes.values()) {
       if (raft.status.replica === message.to) {
         const copy = JSON.parse(JSON.stringify(message));
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -1,4 +1,6 @@
 import { RaftMessage, type RaftOutput } from "@quetzalcove/core";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { describe, expect, test } from "vitest";
 import { Group, idOf, memberNamed } from "./raft_group.ts";
 
@@ -142,6 +144,18 @@
     expect(group.leaders).toEqual(["e1"]);
   });
 
+  test("elect a leader although votes take longer than the interval of pre-votes", () => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const generator = xoroshiro128plus(seed);
+      const group = Group.of(THREE, { heartbeatMs: 100, electionMs: 1_000 });
+      group.random = () => uniformInt(generator, 0, 999) / 1_000;
+      THREE.forEach((entry) => group.restart(entry));
+      group.delayMs = 120;
+      group.advance(10_000);
+      expect(group.leaders).toHaveLength(1);
+    }
+  });
+
   test("do not disturb a leader that is in contact with the others", () => {
     const group = Group.of(THREE);
     const { term } = group.node("e1").raft.status;
