Scheduler node: name the other seeds once

Change: one getter; a poll that is not due ends first. No behaviour changes. Measured: tests of discovery and of the platform end to end pass.

--- a/packages/core/src/routing/retry_budget.ts
+++ b/packages/core/src/routing/retry_budget.ts
@@ -22,6 +22,7 @@
   initialBalance: 1,
 };
 
+/** Limits retries to a share of the requests; by default, on the terms of one service at one entry. */
 export class RetryBudget {
   readonly #terms: RetryBudgetTerms;
   #balance: number;
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -107,10 +107,9 @@
       localHost: host,
       hello: { cluster, entry: host },
     }, hostAndPort(listen.link).port);
-    const seeds = settings.seeds.map((seed) => hostAndPort(seed).host);
     this.#discovery = new ReplicaDiscovery(
       this.#linkPool,
-      seeds.filter((seed) => seed !== host),
+      this.#otherSeeds,
       this.#clock,
       log,
     );
@@ -311,12 +310,16 @@
 
   /** The other members as of the last shutdown; the seeds if this replica's folder is new. */
   #firstKnownHosts(replica: JobReplica): string[] {
-    const { host, seeds } = this.#parts.settings;
     const members = replica.replicas().map(({ entry }) => entry);
-    const known = members.length > 0
-      ? members
-      : seeds.map((seed) => hostAndPort(seed).host);
-    return known.filter((other) => other !== host);
+    return members.length > 0
+      ? members.filter((other) => other !== this.#parts.settings.host)
+      : this.#otherSeeds;
+  }
+
+  get #otherSeeds(): string[] {
+    const { host, seeds } = this.#parts.settings;
+    return seeds.map((seed) => hostAndPort(seed).host)
+      .filter((seed) => seed !== host);
   }
 
   #createLeaderController(replica: JobReplica): LeaderController {
--- a/packages/daemon/src/scheduler/replica_discovery.ts
+++ b/packages/daemon/src/scheduler/replica_discovery.ts
@@ -84,12 +84,15 @@
     const now = this.#clock.monotonic();
     const isDue = now - this.#polledAt >= POLL_INTERVAL_MS ||
       !this.isConnected || this.#leaderSeenAt < this.#answeredAt;
+    if (!isDue) {
+      return;
+    }
     // A replica whose link is not open would fail the poll at once.
     const known = [...this.#linkPool.keys()].filter((host) =>
       this.#linkPool.get(host).isOpen
     );
     const host = known[this.#pollCount % known.length];
-    if (isDue && host !== undefined) {
+    if (host !== undefined) {
       this.#pollCount += 1;
       this.#polledAt = now;
       await this.#poll(host);
