Elections: schedule the first one directly

The time of a first election was the maximum of two random times, of which the first never was the longer one where a heartbeat is at most a quarter of the election timeout. Change: the time is drawn once, and only if no leader has been heard. Both timers share scheduleElection. No behaviour changes at the shipped settings.

--- a/packages/core/src/raft/election.ts
+++ b/packages/core/src/raft/election.ts
@@ -19,6 +19,7 @@
   isVoter,
   type Replica,
   resetElectionTimer,
+  scheduleElection,
   send,
   setHardState,
 } from "./replica.ts";
@@ -73,7 +74,10 @@
   setHardState(replica, { term, vote: replica.id });
   replica.role = "candidate";
   resetVotes(replica);
-  allowForElection(replica);
+  if (!replica.hasHeardLeader) {
+    // Unlike a pre-vote, whose late answers count for the next one, an election needs time for synced votes.
+    scheduleElection(replica, replica.tuning.electionMs * FIRST_ELECTION_SHARE);
+  }
   const logEnd = lastPosition(replica);
   for (const to of otherVoters(replica)) {
     send(replica, {
@@ -85,19 +89,6 @@
   }
 }
 
-/**
- * Gives an election the time for synced votes over a slow link before the next pre-vote. Pre-votes may follow each other
- * faster than their answers, since an answer to one counts for the next.
- */
-function allowForElection(replica: Replica): void {
-  const { now, random, tuning } = replica;
-  const leastMs = tuning.electionMs * FIRST_ELECTION_SHARE;
-  replica.electionAt = Math.max(
-    replica.electionAt,
-    now + leastMs * (1 + random()),
-  );
-}
-
 function resetVotes(replica: Replica): void {
   replica.leader = undefined;
   replica.granted = new Set();
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -189,9 +189,16 @@
  * contact with it refuse the pre-vote.
  */
 export function resetElectionTimer(replica: Replica): void {
-  const { now, random, hasHeardLeader, tuning } = replica;
-  const timeoutMs = hasHeardLeader ? tuning.electionMs : tuning.heartbeatMs;
-  replica.electionAt = now + timeoutMs * (1 + random());
+  const { hasHeardLeader, tuning } = replica;
+  scheduleElection(
+    replica,
+    hasHeardLeader ? tuning.electionMs : tuning.heartbeatMs,
+  );
+}
+
+/** Schedules the next election after a random time from a timeout up to twice as long. */
+export function scheduleElection(replica: Replica, timeoutMs: number): void {
+  replica.electionAt = replica.now + timeoutMs * (1 + replica.random());
 }
 
 /** Becomes a follower, in a new term if it is higher. */
