Maintenance: capacity is unknown until a new leader has heard from the VMs

Entries report demand before targets report slots, so a new leader took the missing slots for a loss, returned the VM of the wave to service and postponed it for ten minutes.

Ruled out: the budget; 305 refused requests during an outage of 4 s hold no wave.

Change: a condition says whether this leader has heard from the VM. For at most 10 s an unheard serving VM makes the capacity of its pool unknown: the pool is not short, and reboots wait.

Result: the new test fails without the change.

--- a/bench/src/waves/simulation.ts
+++ b/bench/src/waves/simulation.ts
@@ -314,6 +314,7 @@
     return {
       live,
       since: stateChangedAt,
+      observed: true,
       slots: live ? { [service]: SLOTS_PER_VM } : {},
       inFlight: idle ? 0 : 1,
       tasks: 0,
--- a/packages/core/src/maintenance/capacity.ts
+++ b/packages/core/src/maintenance/capacity.ts
@@ -8,6 +8,7 @@
 import type { Maintenance, Service } from "../rules.ts";
 import type { State } from "../state.ts";
 import { expectedPeak, meanPeak, spendingOf } from "./budget.ts";
+import { isUnobserved } from "./health.ts";
 import type { Hold, Observation } from "./observation.ts";
 import { longestStopMs } from "./width.ts";
 
@@ -27,6 +28,8 @@
   demandNow: number;
   /** Highest expected demand in slots until a lost VM is replaced. */
   peakDemand: number;
+  /** A serving VM of the pool from which a new leader has not heard yet; its slots are not known. */
+  unobservedVm: string | undefined;
   /** Unserved demand that the worst further loss may cause during a wave, in slot milliseconds. */
   riskSlotMs: number;
 }
@@ -68,6 +71,12 @@
     for (const record of Object.values(state.vms)) {
       if (isServing(record, observation)) {
         this.#addSlots(record, 1);
+      } else if (
+        isUnobserved(record, observation.conditions.get(record.name), now)
+      ) {
+        for (const capacity of this.#capacitiesByPool.get(record.pool) ?? []) {
+          capacity.unobservedVm = record.name;
+        }
       }
     }
   }
@@ -99,10 +108,25 @@
     return hold;
   }
 
-  /** The hold for a service of this pool whose capacity is below its current demand; undefined when there is none. */
+  /** The hold while the capacity of this pool is not known; undefined when it is. */
+  unknownHold(pool: string): Hold | undefined {
+    const unknown = this.#capacitiesByPool.get(pool)?.find((capacity) =>
+      capacity.unobservedVm !== undefined
+    );
+    return unknown && {
+      rule: "capacity_unknown",
+      service: unknown.service.name,
+      message:
+        `The capacity of service "${unknown.service.name}" is not known: the leader has not heard from VM "${unknown.unobservedVm}" yet`,
+    };
+  }
+
+  /**
+   * The hold for a service of this pool whose known capacity is below its current demand; undefined when there is none.
+   */
   shortfall(pool: string): Hold | undefined {
     const short = this.#capacitiesByPool.get(pool)?.find((s) =>
-      s.totalSlots < s.demandNow
+      s.unobservedVm === undefined && s.totalSlots < s.demandNow
     );
     return short && {
       rule: "shortfall",
@@ -149,6 +173,7 @@
     const capacity: ServiceCapacity = {
       service,
       totalSlots: 0,
+      unobservedVm: undefined,
       slotsByDomain: new Map(),
       hold: isRecent ? budgetHold(service, left) : unknownDemandHold(service),
       demandNow: sample?.slots ?? 0,
--- a/packages/core/src/maintenance/observation.ts
+++ b/packages/core/src/maintenance/observation.ts
@@ -14,6 +14,8 @@
   live: boolean;
   /** Wall-clock time in milliseconds at which `live` last changed, or at which this leader started. */
   since: number;
+  /** Whether this leader has had an answer from the VM; false at first after an election. */
+  observed: boolean;
   /** Slots of the live targets on this VM by service. */
   slots: Readonly<Record<string, number>>;
   /**
@@ -60,6 +62,7 @@
   "budget",
   "need_unknown",
   "capacity",
+  "capacity_unknown",
   "shortfall",
   "observer",
   "postponed",
--- a/packages/core/src/maintenance/stop.ts
+++ b/packages/core/src/maintenance/stop.ts
@@ -157,6 +157,11 @@
   if (cancellation !== undefined) {
     pass.reportHold({ ...cancellation, vm: record.name });
     returnToService(pass, record);
+    return;
+  }
+  const unknown = pass.capacity.unknownHold(record.pool);
+  if (unknown !== undefined) {
+    pass.reportHold({ ...unknown, vm: record.name });
   } else if (answers(pass, record)) {
     pass.changePhase(record, "rebooting", "wave");
   } else {
--- a/packages/core/test/maintenance_simulation.ts
+++ b/packages/core/test/maintenance_simulation.ts
@@ -259,6 +259,7 @@
         (live
           ? Math.max(simulatedVm.downUntil, simulatedVm.resumedAt)
           : simulatedVm.since),
+      observed: true,
       slots: live ? { [pool]: SLOTS } : {},
       inFlight: this.#revisionInForce >= revision
         ? simulatedVm.requestEnds.length
--- a/packages/core/test/maintenance_stop_test.ts
+++ b/packages/core/test/maintenance_stop_test.ts
@@ -56,6 +56,7 @@
     const condition: VmCondition = {
       live: true,
       since: 0,
+      observed: true,
       slots: { a: 8 },
       inFlight: 0,
       tasks: 0,
@@ -142,6 +143,38 @@
     expect(simulation.state.vms[stopping]?.phase).toBe("serving");
   });
 
+  // Guards against waves that end as postponed after an election, because demand is reported before slots are.
+  test("waits, and is not cancelled, while a new leader has not heard from the other VMs", () => {
+    const simulation = new FleetSimulation();
+    const unheard = (silentMs: number): string[] => {
+      const [stopping = ""] = simulation.state.rollout.wave?.vms ?? [];
+      return holdRulesWith(simulation, ({ conditions }) => ({
+        conditions: new Map(
+          [...conditions].map(([vm, condition]) => [
+            vm,
+            vm === stopping ? condition : {
+              ...condition,
+              live: false,
+              observed: false,
+              since: simulation.now - silentMs,
+              slots: {},
+            },
+          ]),
+        ),
+      }));
+    };
+    const stoppingPhase = (): string | undefined => {
+      const [stopping = ""] = simulation.state.rollout.wave?.vms ?? [];
+      return simulation.state.vms[stopping]?.phase;
+    };
+    simulation.requestMs = 30_000;
+    simulation.until(() => stoppingPhase() === "draining");
+    expect(unheard(100)).not.toContain("shortfall");
+    simulation.until(() => stoppingPhase() === "drained");
+    expect(unheard(100)).toContain("capacity_unknown");
+    expect(unheard(20_000)).toContain("shortfall");
+  });
+
   test("moves a VM to another pool when it is idle", () => {
     const simulation = withoutWaves();
     simulation.vm(VM).stopsTargets = true;
--- a/packages/daemon/src/leader/observer.ts
+++ b/packages/daemon/src/leader/observer.ts
@@ -27,6 +27,8 @@
 
 interface Liveness {
   live: boolean;
+  /** Whether the VM has answered this leader. */
+  observed: boolean;
   /** Wall-clock time in milliseconds at which `live` last changed. */
   since: number;
 }
@@ -121,7 +123,11 @@
     }
     // A VM counts as silent only from when this leader could first have heard from it.
     const firstPossible = Math.max(this.#startedAt, vm.since);
-    const changed = { live, since: known === undefined ? firstPossible : at };
+    const changed = {
+      live,
+      observed: live || known !== undefined,
+      since: known === undefined ? firstPossible : at,
+    };
     this.#liveness.set(vm.name, changed);
     return changed;
   }
--- a/packages/daemon/test/observer_test.ts
+++ b/packages/daemon/test/observer_test.ts
@@ -54,6 +54,7 @@
   );
   expect(observation.conditions.get("vm-1")).toMatchObject({
     live: false,
+    observed: false,
     since: ADDED_AT,
   });
 });
