--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -23,6 +23,7 @@
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { MaintenanceController } from "./maintenance_controller.ts";
+import { logPoolUsage, POOL_USAGE_LOG_INTERVAL_MS } from "./pool_usage_log.ts";
 import { VmDirectory, type VmDirectoryParts } from "./vm_directory.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
@@ -60,6 +61,7 @@
   /** Busy VMs that get no new runs, so that they can be moved to another pool. */
   #reclaimed: ReadonlySet<string> = new Set();
   #movesDueAt = -Infinity;
+  #usageLoggedAt = -Infinity;
   /**
    * When the first job arrived in this leadership term. VMs count as idle only from then on, because demand is unknown
    * before.
@@ -138,6 +140,18 @@
           : now;
         this.#startMoves(now);
       }
+      this.#logUsage(now);
+    }
+  }
+
+  #logUsage(now: number): void {
+    if (now - this.#usageLoggedAt >= POOL_USAGE_LOG_INTERVAL_MS) {
+      this.#usageLoggedAt = now;
+      logPoolUsage({
+        jobStore: this.#jobStore,
+        absences: this.#vms.absences,
+        isCordoned: (worker) => this.isCordoned(worker),
+      }, this.#parts.log);
     }
   }
 
