--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,6 +1,6 @@
 // Bundles the platform program, with V8's code cache beside it: npm run bundle [-- --outdir FOLDER]
 import { execFileSync } from "node:child_process";
-import { copyFileSync } from "node:fs";
+import { copyFileSync, readFileSync } from "node:fs";
 import { join, resolve } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
@@ -86,11 +86,11 @@
 });
 
 const program = join(resolve(root, values.outdir), "quetzalcove-node.cjs");
-/** Flags of the roles in deploy/system.toml; V8 takes a code cache only under the flags that it was written with. */
+/** Flags of the roles; V8 takes a code cache only under the flags that it was written with. */
 const ROLE_FLAGS = [
-  ["--max-old-space-size=160"],
-  ["--max-old-space-size=200"],
-];
+  ...readFileSync(join(root, "deploy/system.toml"), "utf8")
+    .matchAll(/^run = "node (.*) target\//gm),
+].map(([, flags]) => flags.split(" "));
 copyFileSync(join(root, "platform/src/code_cache_loader.cjs"), program);
 for (const flags of ROLE_FLAGS) {
   execFileSync(process.execPath, [...flags, program, "--write-code-cache"], {
