--- a/packages/core/src/raft/election.ts
+++ b/packages/core/src/raft/election.ts
@@ -32,6 +32,7 @@
  * removed itself may still hold its lease, so that an only voter waits for its end, unless there was never another.
  */
 export function tickElection(replica: Replica): void {
+  answerHeldPreVotes(replica);
   if (!isVoter(replica)) {
     return;
   }
@@ -107,15 +108,33 @@
   return votersOf(replica.log.membership).filter((id) => id !== replica.id);
 }
 
-/** Answers whether a vote would be granted, without changing the state. */
+/**
+ * Answers whether a vote would be granted, without changing the state. A process that has just started, and only waits for
+ * the end of a lease by its earlier answers, answers then: refused candidates would try again later than that.
+ */
 export function handlePreVote(replica: Replica, request: PreVoteRequest): void {
-  const granted = request.term > replica.hardState.term &&
-    !hasRecentLeader(replica) && isUpToDate(replica, request);
+  const isEligible = request.term > replica.hardState.term &&
+    isUpToDate(replica, request);
+  const isAnyLeaderRecent = hasRecentLeader(replica);
+  if (isEligible && isAnyLeaderRecent && !replica.hasHeardLeader) {
+    replica.heldPreVotes.set(request.from, request);
+    return;
+  }
+  const granted = isEligible && !isAnyLeaderRecent;
   const answer = envelope(replica, request.from);
   const term = granted ? request.term : answer.term;
   send(replica, { kind: "pre_vote_answer", ...answer, term, granted });
 }
 
+function answerHeldPreVotes(replica: Replica): void {
+  const { heldPreVotes, hasHeardLeader } = replica;
+  if (heldPreVotes.size > 0 && (hasHeardLeader || !hasRecentLeader(replica))) {
+    const requests = [...heldPreVotes.values()];
+    heldPreVotes.clear();
+    requests.forEach((request) => handlePreVote(replica, request));
+  }
+}
+
 /** Counts an answer to this replica's pre-vote. */
 export function handlePreVoteAnswer(
   replica: Replica,
--- a/packages/core/src/raft/open.ts
+++ b/packages/core/src/raft/open.ts
@@ -52,6 +52,7 @@
     electionAt: Math.max(now, leaseEndsAt) + tuned.heartbeatMs * random(),
     granted: new Set(),
     refused: new Set(),
+    heldPreVotes: new Map(),
     leadership: undefined,
     commit: log.base.index,
     stable: log.last.index,
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -5,7 +5,7 @@
  */
 import type { Log } from "./log.ts";
 import { memberOf, type ReplicaId, votersOf } from "./member.ts";
-import type { RaftMessage } from "./message.ts";
+import type { PreVoteRequest, RaftMessage } from "./message.ts";
 import type { Progress, SendWindow } from "./progress.ts";
 import type { ReadQueue } from "./reads.ts";
 import type { HardState, Snapshot } from "./record.ts";
@@ -113,6 +113,8 @@
   /** Voters that granted and refused their vote in the current pre-vote or election. */
   granted: Set<ReplicaId>;
   refused: Set<ReplicaId>;
+  /** Pre-votes that are answered when no leader can hold a lease by an answer of an earlier process, by candidate. */
+  heldPreVotes: Map<ReplicaId, PreVoteRequest>;
   leadership: Leadership | undefined;
   commit: number;
   /** Last index that is synced on this replica. */
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -132,6 +132,19 @@
     expect(group.leaders).toHaveLength(1);
   });
 
+  // Guards against a candidate that is refused right before the others may vote, and tries again much later.
+  test("elect a leader as soon as a majority has waited for the lease", () => {
+    const group = Group.of(THREE);
+    group.isLost = ({ from, to }) => from === idOf("e3") || to === idOf("e3");
+    group.restart("e1");
+    group.advance(200);
+    group.restart("e2");
+    group.advance(500);
+    expect(group.leaders).toEqual([]);
+    group.advance(40);
+    expect(group.leaders).toEqual(["e1"]);
+  });
+
   test("do not elect another leader while one may hold a lease by their earlier answers", () => {
     const group = Group.of(THREE);
     const { raft } = group.node("e1");
