Imports: no circle in routing, settings and maintenance

Change: the router has its options, the check of the settings reads them, and silence of VMs has its own module.

--- a/packages/core/src/maintenance/capacity.ts
+++ b/packages/core/src/maintenance/capacity.ts
@@ -8,8 +8,8 @@
 import type { Maintenance, Service } from "../rules.ts";
 import type { State } from "../state.ts";
 import { expectedPeak, meanPeak, spendingOf } from "./budget.ts";
-import { isUnobserved } from "./health.ts";
 import type { Hold, Observation } from "./observation.ts";
+import { isUnobserved } from "./silence.ts";
 import { longestStopMs } from "./width.ts";
 
 /** Older demand estimates are ignored. */
--- a/packages/core/src/maintenance/health.ts
+++ b/packages/core/src/maintenance/health.ts
@@ -5,11 +5,9 @@
  * @module
  */
 import type { VmRecord } from "../fleet.ts";
-import type { VmCondition } from "./observation.ts";
 import type { Pass } from "./pass.ts";
+import { FAILURE_TIMEOUT_MS } from "./silence.ts";
 
-/** A VM that has not answered for this long counts as failed. */
-export const FAILURE_TIMEOUT_MS = 10_000;
 /** How long a VM must answer before it serves again after its first failure; doubles with each further failure. */
 const BASE_STABLE_MS = 5_000;
 const MAX_STABLE_MS = 1_800_000;
@@ -53,19 +51,6 @@
   return !answers(pass, record) && pass.now - since >= FAILURE_TIMEOUT_MS;
 }
 
-/**
- * Whether a serving VM may answer although this leader has not heard from it. After an election entries report their
- * demand before the targets report their slots, so that missing slots are no sign of a loss yet.
- */
-export function isUnobserved(
-  record: VmRecord,
-  condition: VmCondition | undefined,
-  now: number,
-): boolean {
-  return record.phase === "serving" && condition?.observed === false &&
-    now - condition.since < FAILURE_TIMEOUT_MS;
-}
-
 /** False for a VM that is known to be silent, unless the platform has drained it and may have stopped its targets. */
 export function answers(pass: Pass, record: VmRecord): boolean {
   const condition = pass.condition(record.name);
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -25,5 +25,6 @@
 export * from "./rules.ts";
 export * from "./schema_keys.ts";
 export * from "./settings.ts";
+export { parseSettings } from "./settings_check.ts";
 export * from "./state.ts";
 export * from "./validate.ts";
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -9,7 +9,7 @@
 export type { ServiceDescription, TargetDescription } from "./description.ts";
 export { RenewalSchedule } from "./renewal_schedule.ts";
 export { RetryBudget, type RetryBudgetTerms } from "./retry_budget.ts";
-export { Router } from "./router.ts";
+export { Router, type RouterOptions } from "./router.ts";
 export {
   type SlotAllocation,
   SlotAllocator,
@@ -19,7 +19,6 @@
 export type {
   Completion,
   Route,
-  RouterOptions,
   RoutingDecision,
   ServiceConfig,
   Submission,
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -46,13 +46,21 @@
 import type {
   Completion,
   Route,
-  RouterOptions,
   RoutingDecision,
   ServiceConfig,
   Submission,
 } from "./router_types.ts";
 import type { PendingRequest } from "./request_queue.ts";
 
+/** Options of a router. */
+export interface RouterOptions {
+  entry: string;
+  incarnation: number;
+  /** Random numbers in [0, 1). */
+  random: () => number;
+  admission?: Admission;
+}
+
 /** Router of one entry. It reads no clock and sets no timers; `now` is the caller's monotonic time in milliseconds. */
 export class Router {
   readonly #options: RouterOptions;
--- a/packages/core/src/routing/router_types.ts
+++ b/packages/core/src/routing/router_types.ts
@@ -5,7 +5,6 @@
  */
 import type { Fault } from "../fault.ts";
 import type { Priority } from "../names.ts";
-import type { Admission } from "./admission.ts";
 
 /** A request to be sent to a target of a service. */
 export interface Submission {
@@ -78,12 +77,3 @@
   | { kind: "refuse"; id: string; fault: Fault }
   | { kind: "fail"; id: string; completion: Completion; mayHaveRun: boolean }
   | { kind: "timeout"; id: string; target: string; fault: Fault };
-
-/** Options of a router. */
-export interface RouterOptions {
-  entry: string;
-  incarnation: number;
-  /** Random numbers in [0, 1). */
-  random: () => number;
-  admission?: Admission;
-}
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -4,12 +4,7 @@
  * @module
  */
 import { z } from "zod";
-import type { Fault } from "./fault.ts";
-import { parseJson } from "./json_text.ts";
 import { Address, DurationMs, Name } from "./names.ts";
-import type { Result } from "./result.ts";
-import { checkSettings } from "./settings_check.ts";
-import { parse } from "./validate.ts";
 
 const Count = z.number().int().positive();
 const Bytes = z.number().int().positive();
@@ -188,13 +183,3 @@
   stop: Stop.prefault({}).describe("Graceful shutdown."),
 });
 export type Settings = z.infer<typeof Settings>;
-
-/** Reads settings from JSON text; the fault names the file and each offending value. */
-export function parseSettings(
-  text: string,
-  fileName: string,
-): Result<Settings, Fault> {
-  return parseJson(text, fileName)
-    .andThen((value) => parse(Settings, value, fileName))
-    .andThen((settings) => checkSettings(settings, fileName));
-}
--- a/packages/core/src/settings_check.ts
+++ b/packages/core/src/settings_check.ts
@@ -4,9 +4,20 @@
  * @module
  */
 import type { Fault } from "./fault.ts";
+import { parseJson } from "./json_text.ts";
 import { Err, Ok, type Result } from "./result.ts";
-import type { Peer, Settings } from "./settings.ts";
-import { type Finding, invalid } from "./validate.ts";
+import { type Peer, Settings } from "./settings.ts";
+import { type Finding, invalid, parse } from "./validate.ts";
+
+/** Reads settings from JSON text; the fault names the file and each offending value. */
+export function parseSettings(
+  text: string,
+  fileName: string,
+): Result<Settings, Fault> {
+  return parseJson(text, fileName)
+    .andThen((value) => parse(Settings, value, fileName))
+    .andThen((settings) => checkSettings(settings, fileName));
+}
 
 /** Returns the settings when their values are consistent, and a fault with every finding otherwise. */
 export function checkSettings(
