Scheduling: no circle among placement and reservations

Cause: free_cpu_index, planned_workers, reservation_plan, reserved_capacity and task_placement import each other in a circle.

Change: candidate workers, their index and reservations of workers have modules of their own; the index of free CPU knows candidates by a type parameter. Moves and names only.

--- a/packages/core/src/scheduling/free_cpu_index.ts
+++ b/packages/core/src/scheduling/free_cpu_index.ts
@@ -4,31 +4,31 @@
  *
  * @module
  */
-import type { CandidateWorker } from "./task_placement.ts";
+import type { Resources } from "./batch_job.ts";
 
-export class FreeCpuIndex {
+export class FreeCpuIndex<Candidate extends { readonly free: Resources }> {
   /** By free CPU, then by position in the list of candidates. */
-  readonly #sorted: CandidateWorker[];
-  readonly #position = new Map<CandidateWorker, number>();
+  readonly #sorted: Candidate[];
+  readonly #position = new Map<Candidate, number>();
 
-  constructor(candidates: readonly CandidateWorker[]) {
+  constructor(candidates: readonly Candidate[]) {
     candidates.forEach((each, position) => this.#position.set(each, position));
     this.#sorted = [...candidates].sort((a, b) => this.#compare(a, b));
   }
 
   /** Candidates with at least as much free CPU, the fullest first. */
-  *from(cpuMilli: number): Generator<CandidateWorker> {
+  *from(cpuMilli: number): Generator<Candidate> {
     for (
       let index = this.#firstWith(cpuMilli);
       index < this.#sorted.length;
       index++
     ) {
-      yield this.#sorted[index] as CandidateWorker;
+      yield this.#sorted[index] as Candidate;
     }
   }
 
   /** Changes the free CPU of a candidate and puts it in its new place. */
-  update(candidate: CandidateWorker, change: () => void): void {
+  update(candidate: Candidate, change: () => void): void {
     this.#sorted.splice(this.#placeOf(candidate), 1);
     change();
     this.#sorted.splice(this.#placeOf(candidate), 0, candidate);
@@ -38,17 +38,17 @@
     return this.#search(({ free }) => free.cpuMilli < cpuMilli);
   }
 
-  #placeOf(candidate: CandidateWorker): number {
+  #placeOf(candidate: Candidate): number {
     return this.#search((other) => this.#compare(other, candidate) < 0);
   }
 
   /** Index of the first candidate that is not before a place (binary search). */
-  #search(isBefore: (candidate: CandidateWorker) => boolean): number {
+  #search(isBefore: (candidate: Candidate) => boolean): number {
     let low = 0;
     let high = this.#sorted.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (isBefore(this.#sorted[middle] as CandidateWorker)) {
+      if (isBefore(this.#sorted[middle] as Candidate)) {
         low = middle + 1;
       } else {
         high = middle;
@@ -57,28 +57,8 @@
     return low;
   }
 
-  #compare(a: CandidateWorker, b: CandidateWorker): number {
+  #compare(a: Candidate, b: Candidate): number {
     return a.free.cpuMilli - b.free.cpuMilli ||
       (this.#position.get(a) ?? 0) - (this.#position.get(b) ?? 0);
   }
 }
-
-const INDEXES = new WeakMap<readonly CandidateWorker[], FreeCpuIndex>();
-
-/** Indexes a list of candidates for one pass, if all are scored by their free CPU. */
-export function indexFreeCpu(candidates: readonly CandidateWorker[]): void {
-  if (candidates.every((candidate) => candidate.isScoredByFreeCpu)) {
-    const index = new FreeCpuIndex(candidates);
-    INDEXES.set(candidates, index);
-    for (const candidate of candidates) {
-      candidate.cpuIndex = index;
-    }
-  }
-}
-
-/** The index of a list of candidates; undefined for lists without one. */
-export function freeCpuIndexOf(
-  candidates: readonly CandidateWorker[],
-): FreeCpuIndex | undefined {
-  return INDEXES.get(candidates);
-}
--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead.ts
@@ -9,14 +9,13 @@
 import { reservation, type Resources } from "./batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { RunKey } from "./command.ts";
-import { freeCpuIndexOf } from "./free_cpu_index.ts";
+import { freeCpuIndexOf } from "./candidate_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import { countWaiting, maxRackWaitMs } from "./rack_wait.ts";
 import {
   isLarge,
   largestCapacity,
   planReservations,
-  type Reservation,
   RESERVATION_LIMITS,
   type ReservationLimits,
 } from "./reservation_plan.ts";
@@ -27,7 +26,9 @@
   TaskDurations,
   type TimedRun,
 } from "./run_ends.ts";
-import { type CandidateWorker, placeStep } from "./task_placement.ts";
+import type { CandidateWorker } from "./candidate_worker.ts";
+import { placeStep } from "./task_placement.ts";
+import type { WorkerReservation } from "./worker_reservation.ts";
 import { taskName } from "./task_name.ts";
 import { WaitTimes } from "./wait_times.ts";
 import { hasFaultyRuns } from "./waiting_tasks.ts";
@@ -59,14 +60,14 @@
 export class LookAhead {
   readonly #parts: LookAheadParts;
   readonly #waits = new WaitTimes();
-  #reservations = new Map<string, Reservation[]>();
+  #reservations = new Map<string, WorkerReservation[]>();
 
   constructor(parts: LookAheadParts) {
     this.#parts = parts;
   }
 
   /** Reservations of the last pass, by pool. */
-  get reservations(): ReadonlyMap<string, readonly Reservation[]> {
+  get reservations(): ReadonlyMap<string, readonly WorkerReservation[]> {
     return this.#reservations;
   }
 
@@ -96,7 +97,7 @@
       }
     }
     this.#waits.prune(now);
-    const reservations = new Map<string, Reservation[]>();
+    const reservations = new Map<string, WorkerReservation[]>();
     for (const [pool, { workers, large, spareWork }] of pools) {
       const plan = planReservations({
         waiting: large,
@@ -215,7 +216,7 @@
   }
 
   /** Puts a plan of reservations into effect. */
-  reserve(plan: readonly Reservation[]): void {
+  reserve(plan: readonly WorkerReservation[]): void {
     for (const each of plan) {
       const candidate = this.#workers.get(each.worker);
       if (candidate === undefined) {
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/placement_pass.ts
@@ -9,7 +9,7 @@
 import { CustomerLimits } from "./customer_limits.ts";
 import { CustomerShares } from "./customer_shares.ts";
 import type { CustomerUsage } from "./customer_usage.ts";
-import { indexFreeCpu } from "./free_cpu_index.ts";
+import { indexFreeCpu } from "./candidate_index.ts";
 import type { WaitingStep } from "./job_record.ts";
 import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
 import {
@@ -19,11 +19,8 @@
   type StepWait,
 } from "./placement_order.ts";
 import { addInPlace, NO_RESOURCES } from "./resource_sum.ts";
-import {
-  type CandidateWorker,
-  placeStep,
-  UnplaceableDemands,
-} from "./task_placement.ts";
+import { type CandidateWorker } from "./candidate_worker.ts";
+import { placeStep, UnplaceableDemands } from "./task_placement.ts";
 import {
   isSlow,
   poolsWithSlowWorkers,
--- a/packages/core/src/scheduling/planned_workers.ts
+++ b/packages/core/src/scheduling/planned_workers.ts
@@ -5,11 +5,12 @@
  */
 import { reservation, type Resources } from "./batch_job.ts";
 import type { WaitingStep } from "./job_record.ts";
-import type { Reservation, ReservationInput } from "./reservation_plan.ts";
+import { byRack, type CandidateWorker } from "./candidate_worker.ts";
 import { countFitting } from "./resource_sum.ts";
-import { byRack, type CandidateWorker } from "./task_placement.ts";
+import type { WorkerReservation } from "./worker_reservation.ts";
+import type { WorkerTimeline } from "./worker_timeline.ts";
 
-type Timeline = ReservationInput["timeline"];
+type Timeline = (worker: CandidateWorker) => WorkerTimeline;
 
 /** Advantage in expected start for which a reservation changes its worker, so that workers under it can empty. */
 const MIN_GAIN_MS = 200;
@@ -25,8 +26,8 @@
 export function workersOfTasks(
   step: WaitingStep,
   candidates: readonly CandidateWorker[],
-  { timeline, limits }: ReservationInput,
-  earlier: ReadonlyMap<string, Reservation>,
+  { timeline, limits }: { timeline: Timeline; limits: { maxTasks: number } },
+  earlier: ReadonlyMap<string, WorkerReservation>,
 ): PlannedWorker[] {
   const demand = reservation(step.spec);
   const planned: PlannedWorker[] = [];
@@ -46,7 +47,7 @@
 export function workersOfGang(
   step: WaitingStep,
   candidates: readonly CandidateWorker[],
-  { timeline }: ReservationInput,
+  { timeline }: { timeline: Timeline },
   now: number,
 ): PlannedWorker[] {
   const groups = step.spec.sameRack
--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/reservation_plan.ts
@@ -13,7 +13,7 @@
 import { reservation, type Resources } from "./batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { WaitingStep } from "./job_record.ts";
-import type { CandidateWorker } from "./task_placement.ts";
+import type { CandidateWorker } from "./candidate_worker.ts";
 import {
   type PlannedWorker,
   tasksAt,
@@ -21,6 +21,7 @@
   workersOfTasks,
 } from "./planned_workers.ts";
 import { scale } from "./resource_sum.ts";
+import type { WorkerReservation } from "./worker_reservation.ts";
 import type { WorkerTimeline } from "./worker_timeline.ts";
 
 /** Bounds of the reservations of one pool. */
@@ -73,22 +74,6 @@
 /** Durations do not matter where no reservation is in effect. */
 const ANY_DURATION = { shortestMs: 0, longestMs: 0 };
 
-/** A worker that is reserved for tasks of a step. */
-export interface Reservation {
-  step: string;
-  worker: string;
-  /** Resources of all its tasks for which it is reserved. */
-  demand: Resources;
-  /** Expected start of the tasks, in monotonic milliseconds. */
-  startsAt: number;
-  /** When the step first reserved, or held, the worker. */
-  since: number;
-  /** Whether it binds more urgent steps as well. */
-  isHeld: boolean;
-  /** Whether the worker takes no runs of other steps, whatever their expected ends. */
-  isStrict: boolean;
-}
-
 /** What reservations of one pool are planned on. */
 export interface ReservationInput {
   /** Waiting steps, most urgent first; only large ones matter. */
@@ -105,7 +90,7 @@
   /** Whether the backlog exceeds its limit. */
   isBacklogged: boolean;
   /** The plan of the previous pass. */
-  earlier: readonly Reservation[];
+  earlier: readonly WorkerReservation[];
   limits: ReservationLimits;
 }
 
@@ -113,14 +98,14 @@
 export function planReservations(
   input: ReservationInput,
   now: number,
-): Reservation[] {
+): WorkerReservation[] {
   const { limits, workers } = input;
   const largest = largestCapacity(workers);
   const large = input.waiting.filter((step) =>
     isLarge(step, largest, limits.largeShare) && isWhole(step)
   );
   const isBlocked = blockedCheck(input);
-  const plan: Reservation[] = [];
+  const plan: WorkerReservation[] = [];
   const held = new Set<WaitingStep>();
   for (const step of oldestOf(large, input)) {
     if (held.size === limits.maxHeldSteps) {
@@ -269,13 +254,13 @@
 function reservationsOf(
   step: WaitingStep,
   input: ReservationInput,
-  plan: readonly Reservation[],
+  plan: readonly WorkerReservation[],
   maxWorkers: number,
   isHeld: boolean,
   now: number,
-): Reservation[] {
+): WorkerReservation[] {
   const taken = new Set(plan.map(({ worker }) => worker));
-  const earlier = new Map<string, Reservation>();
+  const earlier = new Map<string, WorkerReservation>();
   for (const each of input.earlier) {
     if (each.step === step.name) {
       earlier.set(each.worker, each);
--- a/packages/core/src/scheduling/reserved_capacity.ts
+++ b/packages/core/src/scheduling/reserved_capacity.ts
@@ -5,7 +5,7 @@
  */
 import { reservation, type Resources } from "./batch_job.ts";
 import type { WaitingStep } from "./job_record.ts";
-import type { Reservation } from "./reservation_plan.ts";
+import type { WorkerReservation } from "./worker_reservation.ts";
 import { addInPlace, covers } from "./resource_sum.ts";
 
 export interface ReservedCapacityParts {
@@ -16,7 +16,7 @@
 }
 
 export class ReservedCapacity {
-  readonly #reservation: Reservation;
+  readonly #reservation: WorkerReservation;
   /** Resources beside the reserved ones at the expected start. */
   readonly #spare: Resources;
   readonly #parts: ReservedCapacityParts;
@@ -25,7 +25,7 @@
 
   /** `spare`: resources beside the reserved ones when the reservation starts. */
   constructor(
-    reservation: Reservation,
+    reservation: WorkerReservation,
     spare: Resources,
     parts: ReservedCapacityParts,
     now: number,
--- a/packages/core/src/scheduling/slow_workers.ts
+++ b/packages/core/src/scheduling/slow_workers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { WaitingStep } from "./job_record.ts";
-import type { CandidateWorker } from "./task_placement.ts";
+import type { CandidateWorker } from "./candidate_worker.ts";
 import { latestStart } from "./urgency.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 import type { Slowness } from "./worker_speed.ts";
--- a/packages/core/test/scheduling_look_ahead_test.ts
+++ b/packages/core/test/scheduling_look_ahead_test.ts
@@ -10,7 +10,6 @@
   maxRackWaitMs,
   type PlacementPass,
   planReservations,
-  type Reservation,
   RESERVATION_LIMITS,
   type ReservationInput,
   type Resources,
@@ -25,6 +24,7 @@
   timedStepOf,
   type WaitingStep,
   WaitTimes,
+  type WorkerReservation,
   WorkerTimeline,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -194,7 +194,7 @@
     store: JobStore,
     changes: Partial<ReservationInput> = {},
     now = 0,
-  ): Reservation[] {
+  ): WorkerReservation[] {
     const workers = candidatesOf(store);
     const durations = new TaskDurations(new WorkEstimate(), 2);
     const runsOn = timedRuns(store, new RunStarts(0));
