--- a/packages/core/src/scheduling/customer_admission.ts
+++ b/packages/core/src/scheduling/admission/customer_admission.ts
@@ -6,14 +6,14 @@
  *
  * @module
  */
-import type { SubmittedJob } from "./command.ts";
-import type { Customer } from "./customer.ts";
-import { CustomerRates, RATE_WINDOW_MS } from "./customer_rates.ts";
-import { newJob } from "./job_record.ts";
-import type { Queue } from "./queue_plan.ts";
+import type { SubmittedJob } from "../model/command.ts";
+import type { Customer } from "../model/customer.ts";
+import { CustomerRates, RATE_WINDOW_MS } from "../customers/customer_rates.ts";
+import { newJob } from "../model/job_record.ts";
+import type { Queue } from "../model/queue_plan.ts";
 import { RetrySlots } from "./retry_slots.ts";
-import { objectiveDeadline } from "./urgency.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
+import { objectiveDeadline } from "../order/urgency.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
 
 /** Burst that a customer may submit beyond its weight, in seconds of its weight. */
 const BURST_S = 1;
--- a/packages/core/src/scheduling/pool_backlog.ts
+++ b/packages/core/src/scheduling/admission/pool_backlog.ts
@@ -5,21 +5,25 @@
  *
  * @module
  */
-import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
-import type { SubmittedJob, Worker } from "./command.ts";
-import type { Customer } from "./customer.ts";
-import type { JobRecord } from "./job_record.ts";
-import type { JobStore } from "./job_store.ts";
+import {
+  reservation,
+  type Resources,
+  type StepSpec,
+} from "../model/batch_job.ts";
+import type { SubmittedJob, Worker } from "../model/command.ts";
+import type { Customer } from "../model/customer.ts";
+import type { JobRecord } from "../model/job_record.ts";
+import type { JobStore } from "../store/job_store.ts";
 import {
   addInPlace,
   NO_RESOURCES,
   RESOURCES,
   scale,
   within,
-} from "./resource_sum.ts";
+} from "../model/resource_sum.ts";
 import { StartRates } from "./start_rates.ts";
 import { StartableShares } from "./startable_shares.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
 
 /** Least drain rate as a share of the capacity, so that a pause in the placements is not taken for a standstill. */
 const MIN_DRAIN_SHARE = 0.1;
--- a/packages/core/src/scheduling/recent_submissions.ts
+++ b/packages/core/src/scheduling/admission/recent_submissions.ts
@@ -6,8 +6,8 @@
  *
  * @module
  */
-import { evictUntil } from "../eviction.ts";
-import { fnv1a } from "../hash.ts";
+import { evictUntil } from "../../eviction.ts";
+import { fnv1a } from "../../hash.ts";
 
 /** Time within which callers repeat a call without an answer; twice their deadline of 3 s. */
 export const REPEAT_HORIZON_MS = 6_000;
--- a/packages/core/src/scheduling/refusal_cache.ts
+++ b/packages/core/src/scheduling/admission/refusal_cache.ts
@@ -5,9 +5,9 @@
  *
  * @module
  */
-import { evictOldest } from "../eviction.ts";
-import { type Fault, isRefusal } from "../fault.ts";
-import type { Result } from "../result.ts";
+import { evictOldest } from "../../eviction.ts";
+import { type Fault, isRefusal } from "../../fault.ts";
+import type { Result } from "../../result.ts";
 import { markOf } from "./recent_submissions.ts";
 import { RetrySlots } from "./retry_slots.ts";
 
--- a/packages/core/src/scheduling/retry_slots.ts
+++ b/packages/core/src/scheduling/admission/retry_slots.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { evictOldest } from "../eviction.ts";
+import { evictOldest } from "../../eviction.ts";
 
 /** Bounds of Retry-After; callers wait whole seconds, and a backlog may drain sooner than estimated. */
 export const MIN_RETRY_AFTER_MS = 1_000;
--- a/packages/core/src/scheduling/start_rates.ts
+++ b/packages/core/src/scheduling/admission/start_rates.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { evictUntil } from "../eviction.ts";
-import type { Resources } from "./batch_job.ts";
-import { addInPlace, NO_RESOURCES, scale } from "./resource_sum.ts";
+import { evictUntil } from "../../eviction.ts";
+import type { Resources } from "../model/batch_job.ts";
+import { addInPlace, NO_RESOURCES, scale } from "../model/resource_sum.ts";
 
 /** Window over which rates are measured. */
 const WINDOW_MS = 2_000;
--- a/packages/core/src/scheduling/startable_shares.ts
+++ b/packages/core/src/scheduling/admission/startable_shares.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { reservation, type Resources } from "./batch_job.ts";
-import type { JobStore } from "./job_store.ts";
-import { addInPlace, NO_RESOURCES, RESOURCES } from "./resource_sum.ts";
+import { reservation, type Resources } from "../model/batch_job.ts";
+import type { JobStore } from "../store/job_store.ts";
+import { addInPlace, NO_RESOURCES, RESOURCES } from "../model/resource_sum.ts";
 
 /**
  * Share of a customer's waiting tasks that its cap allows to start. Tasks that wait for their customer's cap do not
--- a/packages/core/src/scheduling/customer_access.ts
+++ b/packages/core/src/scheduling/customers/customer_access.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { type Fault, fault } from "../fault.ts";
-import { Err, Ok, type Result } from "../result.ts";
-import type { Queue, QueuePlan } from "./queue_plan.ts";
+import { type Fault, fault } from "../../fault.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+import type { Queue, QueuePlan } from "../model/queue_plan.ts";
 
 /** What a call is allowed to. */
 export interface CallerAccess {
--- a/packages/core/src/scheduling/customer_limits.ts
+++ b/packages/core/src/scheduling/customers/customer_limits.ts
@@ -7,12 +7,12 @@
  *
  * @module
  */
-import { type Fault, fault } from "../fault.ts";
-import { Err, Ok, type Result } from "../result.ts";
-import type { BatchJobSpec, Resources, StepSpec } from "./batch_job.ts";
-import type { Customer } from "./customer.ts";
+import { type Fault, fault } from "../../fault.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+import type { BatchJobSpec, Resources, StepSpec } from "../model/batch_job.ts";
+import type { Customer } from "../model/customer.ts";
 import type { CustomerUsage, Owner } from "./customer_usage.ts";
-import { isNothing, NO_RESOURCES, plus } from "./resource_sum.ts";
+import { isNothing, NO_RESOURCES, plus } from "../model/resource_sum.ts";
 
 /** Whether a customer may start a task, given what its runs use. */
 export function allowsStart(
--- a/packages/core/src/scheduling/customer_rates.ts
+++ b/packages/core/src/scheduling/customers/customer_rates.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { evictUntil } from "../eviction.ts";
+import { evictUntil } from "../../eviction.ts";
 
 /** Length of the window; covers several submissions of a customer with a small weight. */
 export const RATE_WINDOW_MS = 2_000;
--- a/packages/core/src/scheduling/customer_shares.ts
+++ b/packages/core/src/scheduling/customers/customer_shares.ts
@@ -10,12 +10,16 @@
  *
  * @module
  */
-import { dominantShare } from "../dominant_share.ts";
-import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
+import { dominantShare } from "../../dominant_share.ts";
+import {
+  reservation,
+  type Resources,
+  type StepSpec,
+} from "../model/batch_job.ts";
 import type { CustomerLimit, CustomerLimits } from "./customer_limits.ts";
 import type { CustomerUsage, Owner } from "./customer_usage.ts";
-import type { WaitingStep } from "./job_record.ts";
-import { addInPlace, NO_RESOURCES } from "./resource_sum.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import { addInPlace, NO_RESOURCES } from "../model/resource_sum.ts";
 
 /** What the shares of a pass are derived from. */
 export interface SharesInput {
--- a/packages/core/src/scheduling/customer_usage.ts
+++ b/packages/core/src/scheduling/customers/customer_usage.ts
@@ -6,9 +6,13 @@
  *
  * @module
  */
-import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
-import type { JobRecord } from "./job_record.ts";
-import { isNothing, NO_RESOURCES, plus } from "./resource_sum.ts";
+import {
+  reservation,
+  type Resources,
+  type StepSpec,
+} from "../model/batch_job.ts";
+import type { JobRecord } from "../model/job_record.ts";
+import { isNothing, NO_RESOURCES, plus } from "../model/resource_sum.ts";
 
 type Owned = Pick<JobRecord, "customer" | "pool">;
 
--- a/packages/core/src/scheduling/expiring_set.ts
+++ b/packages/core/src/scheduling/customers/expiring_set.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { evictOldest } from "../eviction.ts";
+import { evictOldest } from "../../eviction.ts";
 
 export class ExpiringSet {
   readonly #maxSize: number;
--- a/packages/core/src/scheduling/key_cache.ts
+++ b/packages/core/src/scheduling/customers/key_cache.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { type Fault, fault } from "../fault.ts";
+import { type Fault, fault } from "../../fault.ts";
 import { CallAllowance } from "./call_allowance.ts";
 import { unknownKeyFault } from "./customer_access.ts";
 import { ExpiringSet } from "./expiring_set.ts";
--- a/packages/core/src/scheduling/blocked_demands.ts
+++ b/packages/core/src/scheduling/look_ahead/blocked_demands.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import { reservation } from "./batch_job.ts";
-import type { WaitingStep } from "./job_record.ts";
-import { onlyLacksResources } from "./waiting_tasks.ts";
+import { reservation } from "../model/batch_job.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import { onlyLacksResources } from "../placement/waiting_tasks.ts";
 
 /** A demand, and the number of reservations before whose start its tasks are expected to end. */
 type Demand = readonly [
--- a/packages/core/src/scheduling/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead/look_ahead.ts
@@ -6,11 +6,11 @@
  *
  * @module
  */
-import { reservation, type Resources } from "./batch_job.ts";
+import { reservation, type Resources } from "../model/batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
-import type { RunKey } from "./command.ts";
-import { freeCpuIndexOf } from "./candidate_index.ts";
-import type { WaitingStep } from "./job_record.ts";
+import type { RunKey } from "../model/command.ts";
+import { freeCpuIndexOf } from "../placement/candidate_index.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 import { countWaiting, maxRackWaitMs } from "./rack_wait.ts";
 import {
   isLarge,
@@ -19,20 +19,20 @@
   RESERVATION_LIMITS,
   type ReservationLimits,
 } from "./reservation_plan.ts";
-import { ReservedCapacity } from "./reserved_capacity.ts";
+import { ReservedCapacity } from "../placement/reserved_capacity.ts";
 import {
   type ExpectedEnd,
   expectedEnds,
   TaskDurations,
   type TimedRun,
 } from "./run_ends.ts";
-import type { CandidateWorker } from "./candidate_worker.ts";
-import { placeStep } from "./task_placement.ts";
-import type { WorkerReservation } from "./worker_reservation.ts";
-import { taskName } from "./task_name.ts";
+import type { CandidateWorker } from "../placement/candidate_worker.ts";
+import { placeStep } from "../placement/task_placement.ts";
+import type { WorkerReservation } from "../placement/worker_reservation.ts";
+import { taskName } from "../model/task_name.ts";
 import { WaitTimes } from "./wait_times.ts";
-import { hasFaultyRuns } from "./waiting_tasks.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
+import { hasFaultyRuns } from "../placement/waiting_tasks.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
 import { WorkerTimeline } from "./worker_timeline.ts";
 
 /** What look-ahead needs to know beside the waiting steps and the workers. */
--- a/packages/core/src/scheduling/planned_workers.ts
+++ b/packages/core/src/scheduling/look_ahead/planned_workers.ts
@@ -3,11 +3,11 @@
  *
  * @module
  */
-import { reservation, type Resources } from "./batch_job.ts";
-import type { WaitingStep } from "./job_record.ts";
-import { byRack, type CandidateWorker } from "./candidate_worker.ts";
-import { countFitting } from "./resource_sum.ts";
-import type { WorkerReservation } from "./worker_reservation.ts";
+import { reservation, type Resources } from "../model/batch_job.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import { byRack, type CandidateWorker } from "../placement/candidate_worker.ts";
+import { countFitting } from "../model/resource_sum.ts";
+import type { WorkerReservation } from "../placement/worker_reservation.ts";
 import type { WorkerTimeline } from "./worker_timeline.ts";
 
 type Timeline = (worker: CandidateWorker) => WorkerTimeline;
--- a/packages/core/src/scheduling/rack_wait.ts
+++ b/packages/core/src/scheduling/look_ahead/rack_wait.ts
@@ -6,8 +6,8 @@
  *
  * @module
  */
-import { reservation } from "./batch_job.ts";
-import type { WaitingStep } from "./job_record.ts";
+import { reservation } from "../model/batch_job.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 import type { WorkerTimeline } from "./worker_timeline.ts";
 
 /** Longest wait for a rack; a hung run or a wrong estimate costs no more. */
--- a/packages/core/src/scheduling/reservation_plan.ts
+++ b/packages/core/src/scheduling/look_ahead/reservation_plan.ts
@@ -10,18 +10,18 @@
  *
  * @module
  */
-import { reservation, type Resources } from "./batch_job.ts";
+import { reservation, type Resources } from "../model/batch_job.ts";
 import { BlockedDemands } from "./blocked_demands.ts";
-import type { WaitingStep } from "./job_record.ts";
-import type { CandidateWorker } from "./candidate_worker.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import type { CandidateWorker } from "../placement/candidate_worker.ts";
 import {
   type PlannedWorker,
   tasksAt,
   workersOfGang,
   workersOfTasks,
 } from "./planned_workers.ts";
-import { scale } from "./resource_sum.ts";
-import type { WorkerReservation } from "./worker_reservation.ts";
+import { scale } from "../model/resource_sum.ts";
+import type { WorkerReservation } from "../placement/worker_reservation.ts";
 import type { WorkerTimeline } from "./worker_timeline.ts";
 
 /** Bounds of the reservations of one pool. */
--- a/packages/core/src/scheduling/run_ends.ts
+++ b/packages/core/src/scheduling/look_ahead/run_ends.ts
@@ -3,10 +3,14 @@
  *
  * @module
  */
-import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
-import type { JobRecord, RunRecord } from "./job_record.ts";
-import type { JobStore } from "./job_store.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
+import {
+  reservation,
+  type Resources,
+  type StepSpec,
+} from "../model/batch_job.ts";
+import type { JobRecord, RunRecord } from "../model/job_record.ts";
+import type { JobStore } from "../store/job_store.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
 
 /**
  * Expected duration of an overrunning run as a multiple of the time that it has run. The later a run is, the larger was
--- a/packages/core/src/scheduling/wait_times.ts
+++ b/packages/core/src/scheduling/look_ahead/wait_times.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { WaitingStep } from "./job_record.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 
 interface Wait {
   since: number;
--- a/packages/core/src/scheduling/worker_timeline.ts
+++ b/packages/core/src/scheduling/look_ahead/worker_timeline.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { Resources } from "./batch_job.ts";
-import { addInPlace, covers } from "./resource_sum.ts";
+import type { Resources } from "../model/batch_job.ts";
+import { addInPlace, covers } from "../model/resource_sum.ts";
 import type { ExpectedEnd } from "./run_ends.ts";
 
 export class WorkerTimeline {
--- a/packages/core/src/scheduling/maintenance_waves.ts
+++ b/packages/core/src/scheduling/maintenance/maintenance_waves.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { JobStoreCommand, MaintenanceWave } from "./command.ts";
+import type { JobStoreCommand, MaintenanceWave } from "../model/command.ts";
 
 /** A maintenance wave and its progress. */
 export interface WaveRecord {
--- a/packages/core/src/scheduling/customer.ts
+++ b/packages/core/src/scheduling/model/customer.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import { z } from "zod";
-import { type Fault, fault } from "../fault.ts";
-import { Err, Ok, type Result } from "../result.ts";
+import { type Fault, fault } from "../../fault.ts";
+import { Err, Ok, type Result } from "../../result.ts";
 import { Resources } from "./batch_job.ts";
 
 export const Customer = z.object({
--- /dev/null
+++ b/packages/core/src/scheduling/model/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * What jobs, steps, runs, workers and commands are; no decisions.
+ *
+ * @module
+ */
+export * from "./batch_job.ts";
+export * from "./command.ts";
+export * from "./customer.ts";
+export * from "./job_record.ts";
+export * from "./queue_plan.ts";
+export * from "./resource_sum.ts";
+export * from "./scheduler_settings.ts";
+export * from "./task_name.ts";
--- a/packages/core/src/scheduling/queue_plan.ts
+++ b/packages/core/src/scheduling/model/queue_plan.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import { z } from "zod";
-import { type Fault, fault } from "../fault.ts";
-import { Err, type Result } from "../result.ts";
+import { type Fault, fault } from "../../fault.ts";
+import { Err, type Result } from "../../result.ts";
 import { checkCustomers, Customer } from "./customer.ts";
 
 /** A queue: requests under one host and path prefix become jobs on one pool. */
--- a/packages/core/src/scheduling/scheduler_settings.ts
+++ b/packages/core/src/scheduling/model/scheduler_settings.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { z } from "zod";
-import type { Fault } from "../fault.ts";
-import { Address, DurationMs, Name } from "../names.ts";
-import type { Result } from "../result.ts";
-import { parse } from "../validate.ts";
+import type { Fault } from "../../fault.ts";
+import { Address, DurationMs, Name } from "../../names.ts";
+import type { Result } from "../../result.ts";
+import { parse } from "../../validate.ts";
 
 const Count = z.number().int().positive();
 const Bytes = z.number().int().positive();
--- a/packages/core/src/scheduling/placement_order.ts
+++ b/packages/core/src/scheduling/order/placement_order.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
-import type { CustomerShare } from "./customer_shares.ts";
-import type { WaitingStep } from "./job_record.ts";
+import type { CustomerShare } from "../customers/customer_shares.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 import type { RankedStep } from "./urgency.ts";
 
 /** Places up to `count` waiting tasks of a step after its first `from`, and returns the number of those placed. */
--- a/packages/core/src/scheduling/urgency.ts
+++ b/packages/core/src/scheduling/order/urgency.ts
@@ -6,8 +6,8 @@
  *
  * @module
  */
-import type { CustomerShare } from "./customer_shares.ts";
-import type { JobRecord, WaitingStep } from "./job_record.ts";
+import type { CustomerShare } from "../customers/customer_shares.ts";
+import type { JobRecord, WaitingStep } from "../model/job_record.ts";
 import type { WorkEstimate } from "./work_estimate.ts";
 
 /** A waiting step with its sort keys, lowest first. They are computed once, since a sort compares each step often. */
--- a/packages/core/src/scheduling/work_estimate.ts
+++ b/packages/core/src/scheduling/order/work_estimate.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { JobRecord } from "./job_record.ts";
+import type { JobRecord } from "../model/job_record.ts";
 
 /** Weight that an observation keeps with each later one; about 50 tasks (6 to 10 jobs) set the estimate. */
 const DECAY = 0.98;
--- a/packages/core/src/scheduling/placement_pass.ts
+++ b/packages/core/src/scheduling/passes/placement_pass.ts
@@ -3,31 +3,38 @@
  *
  * @module
  */
-import type { Resources } from "./batch_job.ts";
-import type { RunKey } from "./command.ts";
-import type { Customer } from "./customer.ts";
-import { CustomerLimits } from "./customer_limits.ts";
-import { CustomerShares } from "./customer_shares.ts";
-import type { CustomerUsage } from "./customer_usage.ts";
-import { indexFreeCpu } from "./candidate_index.ts";
-import type { WaitingStep } from "./job_record.ts";
-import type { LookAheadInput, LookAheadPass } from "./look_ahead.ts";
+import type { Resources } from "../model/batch_job.ts";
+import type { RunKey } from "../model/command.ts";
+import type { Customer } from "../model/customer.ts";
+import { CustomerLimits } from "../customers/customer_limits.ts";
+import { CustomerShares } from "../customers/customer_shares.ts";
+import type { CustomerUsage } from "../customers/customer_usage.ts";
+import { indexFreeCpu } from "../placement/candidate_index.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import type {
+  LookAheadInput,
+  LookAheadPass,
+} from "../look_ahead/look_ahead.ts";
 import {
   placeByShare,
   placeByUrgency,
   type PlaceTasks,
   type StepWait,
-} from "./placement_order.ts";
-import { addInPlace, NO_RESOURCES } from "./resource_sum.ts";
-import { type CandidateWorker } from "./candidate_worker.ts";
-import { placeStep, UnplaceableDemands } from "./task_placement.ts";
+} from "../order/placement_order.ts";
+import { addInPlace, NO_RESOURCES } from "../model/resource_sum.ts";
+import { type CandidateWorker } from "../placement/candidate_worker.ts";
+import { placeStep, UnplaceableDemands } from "../placement/task_placement.ts";
 import {
   isSlow,
   poolsWithSlowWorkers,
   withoutTooSlow,
-} from "./slow_workers.ts";
-import { latestStart, rankByUrgency, type RankedStep } from "./urgency.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
+} from "../placement/slow_workers.ts";
+import {
+  latestStart,
+  rankByUrgency,
+  type RankedStep,
+} from "../order/urgency.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
 
 /** What a placement pass decides on. */
 export interface PlacementInput {
--- a/packages/core/src/scheduling/candidate_worker.ts
+++ b/packages/core/src/scheduling/placement/candidate_worker.ts
@@ -3,16 +3,20 @@
  *
  * @module
  */
-import { groupBy } from "../group_by.ts";
-import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
-import type { Worker } from "./command.ts";
+import { groupBy } from "../../group_by.ts";
+import {
+  reservation,
+  type Resources,
+  type StepSpec,
+} from "../model/batch_job.ts";
+import type { Worker } from "../model/command.ts";
 import { type FitScore, leastFreeCpu } from "./fit_score.ts";
 import type { FreeCpuIndex } from "./free_cpu_index.ts";
-import type { WaitingStep } from "./job_record.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 import type { ReservedCapacity } from "./reserved_capacity.ts";
-import { addInPlace, covers, plus } from "./resource_sum.ts";
-import type { WorkerLoad } from "./worker_load.ts";
-import type { Slowness } from "./worker_speed.ts";
+import { addInPlace, covers, plus } from "../model/resource_sum.ts";
+import type { WorkerLoad } from "../workers/worker_load.ts";
+import type { Slowness } from "../workers/worker_speed.ts";
 
 /** Conditions of a worker that restrict what is placed on it. */
 export interface WorkerCondition {
--- a/packages/core/src/scheduling/fit_score.ts
+++ b/packages/core/src/scheduling/placement/fit_score.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Resources } from "./batch_job.ts";
+import type { Resources } from "../model/batch_job.ts";
 
 /** Scores a demand against free resources; the lower, the better. */
 export type FitScore = (
--- a/packages/core/src/scheduling/free_cpu_index.ts
+++ b/packages/core/src/scheduling/placement/free_cpu_index.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Resources } from "./batch_job.ts";
+import type { Resources } from "../model/batch_job.ts";
 
 export class FreeCpuIndex<Candidate extends { readonly free: Resources }> {
   /** By free CPU, then by position in the list of candidates. */
--- a/packages/core/src/scheduling/reserved_capacity.ts
+++ b/packages/core/src/scheduling/placement/reserved_capacity.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { reservation, type Resources } from "./batch_job.ts";
-import type { WaitingStep } from "./job_record.ts";
+import { reservation, type Resources } from "../model/batch_job.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 import type { WorkerReservation } from "./worker_reservation.ts";
-import { addInPlace, covers } from "./resource_sum.ts";
+import { addInPlace, covers } from "../model/resource_sum.ts";
 
 export interface ReservedCapacityParts {
   /** Expected duration of a task on the worker, in milliseconds. */
--- a/packages/core/src/scheduling/slow_workers.ts
+++ b/packages/core/src/scheduling/placement/slow_workers.ts
@@ -3,11 +3,11 @@
  *
  * @module
  */
-import type { WaitingStep } from "./job_record.ts";
+import type { WaitingStep } from "../model/job_record.ts";
 import type { CandidateWorker } from "./candidate_worker.ts";
-import { latestStart } from "./urgency.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
-import type { Slowness } from "./worker_speed.ts";
+import { latestStart } from "../order/urgency.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
+import type { Slowness } from "../workers/worker_speed.ts";
 
 export function isSlow({ slowness }: CandidateWorker): boolean {
   return slowness !== undefined;
--- a/packages/core/src/scheduling/task_placement.ts
+++ b/packages/core/src/scheduling/placement/task_placement.ts
@@ -10,12 +10,12 @@
  */
 import { freeCpuIndexOf } from "./candidate_index.ts";
 import { byRack, type CandidateWorker } from "./candidate_worker.ts";
-import { reservation, type Resources } from "./batch_job.ts";
-import type { RunKey } from "./command.ts";
-import type { TaskRecord, WaitingStep } from "./job_record.ts";
-import { countFitting, covers } from "./resource_sum.ts";
+import { reservation, type Resources } from "../model/batch_job.ts";
+import type { RunKey } from "../model/command.ts";
+import type { TaskRecord, WaitingStep } from "../model/job_record.ts";
+import { countFitting, covers } from "../model/resource_sum.ts";
 import { isSuspected, onlyLacksResources, taskOf } from "./waiting_tasks.ts";
-import { taskName } from "./task_name.ts";
+import { taskName } from "../model/task_name.ts";
 
 /** Time for which a task avoids the worker on which it failed; as long as one or two tasks on another worker. */
 const AVOID_FAILED_WORKER_MS = 1_500;
--- a/packages/core/src/scheduling/waiting_tasks.ts
+++ b/packages/core/src/scheduling/placement/waiting_tasks.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { TaskRecord, WaitingStep } from "./job_record.ts";
+import type { TaskRecord, WaitingStep } from "../model/job_record.ts";
 
 export function taskOf(
   { job, round, step }: WaitingStep,
--- a/packages/core/src/scheduling/worker_reservation.ts
+++ b/packages/core/src/scheduling/placement/worker_reservation.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Resources } from "./batch_job.ts";
+import type { Resources } from "../model/batch_job.ts";
 
 /** A worker that is reserved for tasks of a step. */
 export interface WorkerReservation {
--- a/packages/core/src/scheduling/pool_demand.ts
+++ b/packages/core/src/scheduling/pools/pool_demand.ts
@@ -6,11 +6,11 @@
  *
  * @module
  */
-import type { StepSpec } from "./batch_job.ts";
+import type { StepSpec } from "../model/batch_job.ts";
 import type { DemandTrend } from "./demand_trend.ts";
-import type { WaitingStep } from "./job_record.ts";
-import type { JobStore } from "./job_store.ts";
-import type { WorkEstimate } from "./work_estimate.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import type { JobStore } from "../store/job_store.ts";
+import type { WorkEstimate } from "../order/work_estimate.ts";
 
 /** Window over which arrivals are counted; covers several jobs of a queue of large jobs. */
 const WINDOW_MS = 1_000;
--- a/packages/core/src/scheduling/ended_jobs.ts
+++ b/packages/core/src/scheduling/store/ended_jobs.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { JobRecord } from "./job_record.ts";
+import type { JobRecord } from "../model/job_record.ts";
 
 /** Bound of `recent`; a follower never empties the list. */
 const MAX_RECENT = 256;
--- a/packages/core/src/scheduling/ended_workers.ts
+++ b/packages/core/src/scheduling/store/ended_workers.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { evictOldest } from "../eviction.ts";
-import type { Worker } from "./command.ts";
+import { evictOldest } from "../../eviction.ts";
+import type { Worker } from "../model/command.ts";
 
 /** Maximum number of ended workers kept; stale reports arrive within seconds. */
 const MAX_ENDED_WORKERS = 4_096;
--- a/packages/core/src/scheduling/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import type { Fault } from "../fault.ts";
-import { Ok, type Result } from "../result.ts";
-import type { StepSpec } from "./batch_job.ts";
+import type { Fault } from "../../fault.ts";
+import { Ok, type Result } from "../../result.ts";
+import type { StepSpec } from "../model/batch_job.ts";
 import type {
   CrashSuspect,
   JobStoreCommand,
@@ -15,7 +15,7 @@
   RunKey,
   SubmittedJob,
   Worker,
-} from "./command.ts";
+} from "../model/command.ts";
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
   type JobPolicy,
@@ -27,22 +27,29 @@
   type RunRecord,
   type TaskRecord,
   type WaitingStep,
-} from "./job_record.ts";
-import { CustomerLimits } from "./customer_limits.ts";
-import { CustomerUsage } from "./customer_usage.ts";
+} from "../model/job_record.ts";
+import { CustomerLimits } from "../customers/customer_limits.ts";
+import { CustomerUsage } from "../customers/customer_usage.ts";
 import { EndedJobs } from "./ended_jobs.ts";
 import { type EndedLife, EndedWorkers } from "./ended_workers.ts";
-import { MaintenanceWaves, type WaveRecord } from "./maintenance_waves.ts";
-import { emptyQueuePlan, type QueuePlan, upgradePlan } from "./queue_plan.ts";
+import {
+  MaintenanceWaves,
+  type WaveRecord,
+} from "../maintenance/maintenance_waves.ts";
+import {
+  emptyQueuePlan,
+  type QueuePlan,
+  upgradePlan,
+} from "../model/queue_plan.ts";
 import {
   parseTaskName,
   stepName,
   taskName,
   type TaskPosition,
-} from "./task_name.ts";
+} from "../model/task_name.ts";
 import { WaitingIndex } from "./waiting_index.ts";
-import { isLaterLife } from "./worker_life.ts";
-import { WorkerLoad } from "./worker_load.ts";
+import { isLaterLife } from "../workers/worker_life.ts";
+import { WorkerLoad } from "../workers/worker_load.ts";
 
 /** The persisted state of the store, as JSON; the indexes are rebuilt from it. */
 interface JobStoreSnapshot {
--- /dev/null
+++ b/packages/core/src/scheduling/store/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The replicated state: all jobs, runs and workers.
+ *
+ * @module
+ */
+export * from "./crash_suspects.ts";
+export * from "./job_store.ts";
--- a/packages/core/src/scheduling/waiting_index.ts
+++ b/packages/core/src/scheduling/store/waiting_index.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { JobRecord, WaitingStep } from "./job_record.ts";
-import { stepName, type TaskPosition } from "./task_name.ts";
+import type { JobRecord, WaitingStep } from "../model/job_record.ts";
+import { stepName, type TaskPosition } from "../model/task_name.ts";
 
 export class WaitingIndex {
   /** Waiting steps by name, oldest first. */
--- a/packages/core/src/scheduling/relay_choice.ts
+++ b/packages/core/src/scheduling/workers/relay_choice.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
-import { fnv1a } from "../hash.ts";
-import type { Worker } from "./command.ts";
+import { fnv1a } from "../../hash.ts";
+import type { Worker } from "../model/command.ts";
 
 /** A replica other than the leader, as the leader sees it. */
 export interface RelayCandidate {
--- a/packages/core/src/scheduling/report_order.ts
+++ b/packages/core/src/scheduling/workers/report_order.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { evictOldest } from "../eviction.ts";
-import type { Worker } from "./command.ts";
+import { evictOldest } from "../../eviction.ts";
+import type { Worker } from "../model/command.ts";
 
 /** Maximum number of workers kept; those that reported longest ago are evicted first. */
 const MAX_WORKERS = 8_192;
--- a/packages/core/src/scheduling/unanswered_starts.ts
+++ b/packages/core/src/scheduling/workers/unanswered_starts.ts
@@ -6,8 +6,8 @@
  *
  * @module
  */
-import type { RunKey } from "./command.ts";
-import { runName } from "./task_name.ts";
+import type { RunKey } from "../model/command.ts";
+import { runName } from "../model/task_name.ts";
 
 /** Longest time after which an order without an answer is carried out: 12 s by the platform, and 1 s at a relay. */
 export const LONGEST_ORDER_DELAY_MS = 13_000;
--- a/packages/core/src/scheduling/worker_health.ts
+++ b/packages/core/src/scheduling/workers/worker_health.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
-import { evictOldest } from "../eviction.ts";
-import type { RunOutcome } from "./command.ts";
+import { evictOldest } from "../../eviction.ts";
+import type { RunOutcome } from "../model/command.ts";
 
 /** Jobs that must fail on a worker, without a completed task in between, before it is paused. */
 const MIN_FAILED_JOBS = 2;
--- a/packages/core/src/scheduling/worker_life.ts
+++ b/packages/core/src/scheduling/workers/worker_life.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { RunKey } from "./command.ts";
-import type { RunRecord } from "./job_record.ts";
-import { runName } from "./task_name.ts";
+import type { RunKey } from "../model/command.ts";
+import type { RunRecord } from "../model/job_record.ts";
+import { runName } from "../model/task_name.ts";
 import type { Listing } from "./worker_orders.ts";
 
 /**
--- a/packages/core/src/scheduling/worker_load.ts
+++ b/packages/core/src/scheduling/workers/worker_load.ts
@@ -3,10 +3,14 @@
  *
  * @module
  */
-import { reservation, type Resources, type StepSpec } from "./batch_job.ts";
-import type { RunRecord } from "./job_record.ts";
-import { addInPlace, NO_RESOURCES } from "./resource_sum.ts";
-import { stepName } from "./task_name.ts";
+import {
+  reservation,
+  type Resources,
+  type StepSpec,
+} from "../model/batch_job.ts";
+import type { RunRecord } from "../model/job_record.ts";
+import { addInPlace, NO_RESOURCES } from "../model/resource_sum.ts";
+import { stepName } from "../model/task_name.ts";
 
 export class WorkerLoad {
   readonly runs = new Map<string, RunRecord>();
--- a/packages/core/src/scheduling/worker_orders.ts
+++ b/packages/core/src/scheduling/workers/worker_orders.ts
@@ -6,9 +6,9 @@
  *
  * @module
  */
-import type { RunKey, RunOutcome } from "./command.ts";
-import type { RunRecord } from "./job_record.ts";
-import { runName } from "./task_name.ts";
+import type { RunKey, RunOutcome } from "../model/command.ts";
+import type { RunRecord } from "../model/job_record.ts";
+import { runName } from "../model/task_name.ts";
 
 /** Answer of a worker to a start order. */
 export type StartAnswer =
--- a/packages/core/src/scheduling/worker_speed.ts
+++ b/packages/core/src/scheduling/workers/worker_speed.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import { runName } from "./task_name.ts";
+import { runName } from "../model/task_name.ts";
 
 /** Age at which an observation expires; some ten tasks. */
 const WINDOW_MS = 15_000;
