Links: reconnect to a peer that has just connected

The replicas came back within 0.3 s of each other. The first to ask for votes had links to two others only 0.18 s after they had connected to it, since its own attempts are 0.2 s apart.

Change: a hello from a peer ends the delay before the next attempt to connect to it.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -32,6 +32,7 @@
 import { type Component, Lifecycle } from "./lifecycle.ts";
 import type { ConnectionParts, Handler } from "./link/connection.ts";
 import { Link } from "./link/link.ts";
+import { Hello } from "./link/hello.ts";
 import { LinkServer } from "./link/server.ts";
 import { hostAndPort } from "./net.ts";
 import { errorMessage, type Log, openLog } from "./observe/log.ts";
@@ -43,8 +44,6 @@
 import { openReplicaFolder, type ReplicaFolder } from "./replica_folder.ts";
 import { wait, waitUntil } from "./waiting.ts";
 
-const Hello = z.object({ cluster: z.string(), entry: z.string() });
-
 const TRACE_TIMEOUT_MS = 500;
 
 /** A running daemon. */
--- a/packages/daemon/src/link/link.ts
+++ b/packages/daemon/src/link/link.ts
@@ -15,6 +15,7 @@
 import { hostAndPort } from "../net.ts";
 import type { Log } from "../observe/log.ts";
 import { Connection, type ConnectionParts } from "./connection.ts";
+import type { Hello } from "./hello.ts";
 
 /** Dependencies of a link. */
 export interface LinkParts extends ConnectionParts {
@@ -23,8 +24,7 @@
   /** Local address to connect from, so that the peer sees the IP address of this daemon. */
   localHost: string;
   log: Log;
-  /** First message on a connection: names this daemon and its cluster to the peer. */
-  hello: { cluster: string; entry: string };
+  hello: Hello;
 }
 
 /** Delay between attempts to connect. */
@@ -60,6 +60,14 @@
     return Promise.resolve();
   }
 
+  /** Ends the delay before the next attempt to connect, if there is one. */
+  reconnect(): void {
+    if (!this.#stopped && this.#reconnectTimer !== undefined) {
+      clearTimeout(this.#reconnectTimer);
+      this.#connect();
+    }
+  }
+
   stop(): Promise<void> {
     this.#stopped = true;
     clearTimeout(this.#reconnectTimer);
@@ -90,6 +98,7 @@
   }
 
   #connect(): void {
+    this.#reconnectTimer = undefined;
     const { address, localHost } = this.#parts;
     const { host, port } = hostAndPort(address);
     const socket = connect({ host, port, localAddress: localHost });
--- a/packages/daemon/src/link/link_pool.ts
+++ b/packages/daemon/src/link/link_pool.ts
@@ -46,6 +46,14 @@
     return link;
   }
 
+  /**
+   * Reconnects at once to a host that has just connected to this one, if there is a link to it. After a loss of power hosts
+   * come back one by one, and an election would wait for the next attempts to connect.
+   */
+  reconnect(host: string): void {
+    this.#links.get(host)?.reconnect();
+  }
+
   /** IP addresses of the known hosts of replicas. */
   keys(): Iterable<string> {
     return this.#knownHosts;
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -26,6 +26,7 @@
 import { LeaderClient } from "../entry/leader_client.ts";
 import { type Component, Lifecycle } from "../lifecycle.ts";
 import type { ConnectionParts, Handler } from "../link/connection.ts";
+import { Hello } from "../link/hello.ts";
 import { LinkPool } from "../link/link_pool.ts";
 import { LinkServer } from "../link/server.ts";
 import { hostAndPort } from "../net.ts";
@@ -208,7 +209,7 @@
 
   #createComponents(folder: ReplicaFolder | undefined): Component[] {
     const { settings } = this.#parts;
-    this.#handlers.set("hello", () => Promise.resolve(Ok({})));
+    this.#handlers.set("hello", (params) => this.#receiveHello(params));
     const server = new LinkServer({
       address: settings.listen.link,
       ...this.#connectionParts(),
@@ -224,6 +225,14 @@
     ];
   }
 
+  #receiveHello(params: unknown): Promise<Result<unknown, Fault>> {
+    const hello = parse(Hello, params, "hello");
+    if (hello.ok) {
+      this.#linkPool.reconnect(hello.val.entry);
+    }
+    return Promise.resolve(hello.map(() => ({})));
+  }
+
   #createReplicaComponents(folder: ReplicaFolder): Component[] {
     const { settings, log } = this.#parts;
     const { host, zone, listen } = settings;
