--- a/packages/daemon/src/link/link.ts
+++ b/packages/daemon/src/link/link.ts
@@ -27,7 +27,13 @@
   hello: Hello;
 }
 
-/** Delay between attempts to connect. */
+/** Delay between attempts to connect to a peer that may be restarting. */
+const FIRST_RECONNECT_DELAY_MS = 50;
+
+/** Time after the loss of a connection, or from the start, in which a restart of the peer ends. */
+const RESTART_MS = 2_000;
+
+/** Delay between attempts to connect after that. */
 const RECONNECT_DELAY_MS = 200;
 
 /**
@@ -43,6 +49,8 @@
   #connection: Connection | undefined;
   #socket: Socket | undefined;
   #reconnectTimer: NodeJS.Timeout | undefined;
+  /** Since when there has been no connection, in monotonic milliseconds. */
+  #closedSince = 0;
   #stopped = false;
 
   constructor(parts: LinkParts) {
@@ -56,6 +64,7 @@
   }
 
   start(): Promise<void> {
+    this.#closedSince = this.#parts.now();
     this.#connect();
     return Promise.resolve();
   }
@@ -122,6 +131,7 @@
     connection.onClose = (reason) => {
       log.warn("link.closed", { peer, reason });
       this.#connection = undefined;
+      this.#closedSince = this.#parts.now();
     };
     this.#connection = connection;
     log.info("link.open", { peer });
@@ -129,11 +139,13 @@
   }
 
   #scheduleReconnect(): void {
-    if (!this.#stopped) {
-      this.#reconnectTimer = setTimeout(
-        () => this.#connect(),
-        RECONNECT_DELAY_MS,
-      );
+    if (this.#stopped) {
+      return;
     }
+    const isRestart = this.#parts.now() - this.#closedSince < RESTART_MS;
+    this.#reconnectTimer = setTimeout(
+      () => this.#connect(),
+      isRestart ? FIRST_RECONNECT_DELAY_MS : RECONNECT_DELAY_MS,
+    );
   }
 }
--- a/packages/daemon/test/link_test.ts
+++ b/packages/daemon/test/link_test.ts
@@ -60,3 +60,13 @@
   await wait(50);
   expect(link.isOpen).toBe(false);
 });
+
+// Guards against callers that wait for an entry's next attempt to connect when the replicas are back.
+it("finds a peer that restarts within a tenth of a second", async () => {
+  const pool = await start(createPool());
+  const link = pool.get(PEER);
+  await wait(300);
+  await start(new LinkServer({ ...CONNECTION, address: `${PEER}:${PORT}` }));
+  await wait(100);
+  expect(link.isOpen).toBe(true);
+});
