--- a/packages/core/src/raft/election.ts
+++ b/packages/core/src/raft/election.ts
@@ -115,12 +115,12 @@
 export function handlePreVote(replica: Replica, request: PreVoteRequest): void {
   const isEligible = request.term > replica.hardState.term &&
     isUpToDate(replica, request);
-  const isAnyLeaderRecent = hasRecentLeader(replica);
-  if (isEligible && isAnyLeaderRecent && !replica.hasHeardLeader) {
+  const hasLeader = hasRecentLeader(replica);
+  if (isEligible && hasLeader && !replica.hasHeardLeader) {
     replica.heldPreVotes.set(request.from, request);
     return;
   }
-  const granted = isEligible && !isAnyLeaderRecent;
+  const granted = isEligible && !hasLeader;
   const answer = envelope(replica, request.from);
   const term = granted ? request.term : answer.term;
   send(replica, { kind: "pre_vote_answer", ...answer, term, granted });
--- a/packages/core/src/scheduling/passes/placement_pass.ts
+++ b/packages/core/src/scheduling/passes/placement_pass.ts
@@ -22,7 +22,7 @@
   type StepWait,
 } from "../order/placement_order.ts";
 import { addInPlace, NO_RESOURCES } from "../model/resource_sum.ts";
-import { type CandidateWorker } from "../placement/candidate_worker.ts";
+import type { CandidateWorker } from "../placement/candidate_worker.ts";
 import { placeStep, UnplaceableDemands } from "../placement/task_placement.ts";
 import {
   isSlow,
--- a/packages/daemon/src/link/hello.ts
+++ b/packages/daemon/src/link/hello.ts
@@ -1,3 +1,8 @@
+/**
+ * The handshake of a link.
+ *
+ * @module
+ */
 import { z } from "zod";
 
 /** First message on a connection: names the connecting node and its cluster to the peer. */
