Process load: garbage collection, turns of the event loop, and activities by message

It now has the time of garbage collection, the turns of the event loop, and time and number of calls of each method of messages, of sending, of listings and of recorded ends; time of nested activities counts once. step.placed has the time left to the latest start, which tells how many placements go to steps that are late already.

--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -46,8 +46,6 @@
   advisorClient: AdvisorClient | undefined;
   /** Name of this node in its orders for VMs. */
   holder: string;
-  /** Runs a synchronous function and adds its duration to an activity of the process. */
-  measure: <T>(activity: string, run: () => T) => T;
 }
 
 /** Interval of passes that nothing else triggers; bounds the delay of retried orders. */
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -34,6 +34,7 @@
 import { LoadMonitor } from "../observe/load_monitor.ts";
 import { Metrics } from "../observe/metrics.ts";
 import { registerProcessGauges } from "../observe/process_gauges.ts";
+import { runtimeCounters } from "../observe/runtime_counters.ts";
 import type { ReplicaFolder } from "../replica_folder.ts";
 import { leadershipConfirmer } from "./leadership_confirmer.ts";
 import { CallRelay, CallRouter, RELAY_METHODS } from "./call_relay/mod.ts";
@@ -82,6 +83,7 @@
   readonly #parts: NodeParts;
   readonly #clock: Clock = systemClock;
   readonly #handlers = new Map<string, Handler>();
+  readonly #runtime = runtimeCounters();
   readonly #load: LoadMonitor;
   readonly #linkPool: LinkPool;
   readonly #lifecycle: Lifecycle;
@@ -101,6 +103,7 @@
       clock: this.#clock,
       log,
       metrics: this.metrics,
+      runtime: this.#runtime,
     });
     this.#linkPool = new LinkPool({
       ...this.#connectionParts(),
@@ -209,15 +212,18 @@
 
   #createComponents(folder: ReplicaFolder | undefined): Component[] {
     const { settings } = this.#parts;
-    this.#handlers.set("hello", (params) => this.#receiveHello(params));
+    this.#addHandlers(
+      new Map([["hello", (params) => this.#receiveHello(params)]]),
+    );
     const server = new LinkServer({
       address: settings.listen.link,
       ...this.#connectionParts(),
     });
     if (folder === undefined) {
-      return [this.#load, this.#linkPool, this.#discovery];
+      return [this.#runtime, this.#load, this.#linkPool, this.#discovery];
     }
     return [
+      this.#runtime,
       this.#load,
       this.#linkPool,
       ...this.#createReplicaComponents(folder),
@@ -251,8 +257,7 @@
       random: Math.random,
       log,
       metrics: this.metrics,
-      send: (entry, message) =>
-        this.#linkPool.get(entry).notify("raft", message),
+      send: (entry, message) => this.#notify(entry, "raft", message),
       onStorageFailure: (cause) => this.onFailure(cause),
     });
     this.#replica = replica;
@@ -298,13 +303,14 @@
       log,
       metrics: this.metrics,
       maxDelayMs: settings.raft.electionMinMs * RELAY_DELAY_SHARE,
-      send: (to, method, params) =>
-        this.#linkPool.get(to).notify(method, params),
+      send: (to, method, params) => this.#notify(to, method, params),
     });
     this.#addHandlers(callRelay.handlers());
-    this.#handlers.set(
-      RELAY_METHODS.answers,
-      (params) => Promise.resolve(leaderController.receiveAnswers(params)),
+    this.#addHandlers(
+      new Map([[
+        RELAY_METHODS.answers,
+        (params) => Promise.resolve(leaderController.receiveAnswers(params)),
+      ]]),
     );
     this.#addHandlers(membershipController.handlers());
     this.#addHandlers(leaderApi.handlers());
@@ -357,8 +363,7 @@
           clock: this.#clock,
           log,
           metrics: this.metrics,
-          send: (to, method, params) =>
-            this.#linkPool.get(to).notify(method, params),
+          send: (to, method, params) => this.#notify(to, method, params),
           request: (to, method, params, timeoutMs) =>
             this.#linkPool.get(to).request(method, params, timeoutMs),
         }),
@@ -403,7 +408,20 @@
   }
 
   #addHandlers(handlers: ReadonlyMap<string, Handler>): void {
-    handlers.forEach((handler, method) => this.#handlers.set(method, handler));
+    handlers.forEach((handler, method) =>
+      this.#handlers.set(
+        method,
+        (...call) => this.#load.measure(method, () => handler(...call)),
+      )
+    );
+  }
+
+  /** Sends a message to another node; it may be lost. */
+  #notify(host: string, method: string, params: unknown): void {
+    this.#load.measure(
+      "send",
+      () => this.#linkPool.get(host).notify(method, params),
+    );
   }
 
   #createLeaderClient(isReplica: boolean): LeaderClient {
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -42,7 +42,7 @@
   fleet: FleetController | undefined;
   /** Undefined if no advisor is configured. */
   permits: PermitCache | undefined;
-  /** Runs a synchronous function and adds its duration to an activity of the process. */
+  /** Runs a synchronous function as part of an activity of the process. */
   measure: <T>(activity: string, run: () => T) => T;
   /** Called when placements were committed. */
   onChange: () => void;
@@ -60,7 +60,7 @@
 
   constructor(parts: PlacementControllerParts) {
     this.#parts = parts;
-    this.#log = new PlacementLog(parts.log);
+    this.#log = new PlacementLog(parts.log, parts.estimate);
     this.#runStarts = new RunStarts(parts.clock.monotonic());
     this.#lookAhead = new LookAhead({
       estimate: parts.estimate,
@@ -113,6 +113,7 @@
         workers.map((worker) => this.#candidateOf(worker, now)),
       );
     }
+    const wallNow = clock.wall();
     const { steps, placements, waits } = runPlacementPass({
       waiting: this.#jobStore.waiting.values(),
       estimate,
@@ -126,8 +127,8 @@
       lookAhead: this.#looksAhead
         ? (input) => this.#lookAhead.begin(input, now)
         : undefined,
-    }, clock.wall());
-    this.#log.logPlacements(placements, waits);
+    }, wallNow);
+    this.#log.logPlacements(placements, waits, wallNow);
     this.#log.logCustomerWaits(waits, now);
     admission.recordPlacements(placements, now);
     this.#log.logHolds(this.#lookAhead.reservations, now);
--- a/packages/daemon/src/scheduler/placement_log.ts
+++ b/packages/daemon/src/scheduler/placement_log.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
-import type {
-  LookAhead,
-  StepPlacement,
-  StepWait,
-  WaitingStep,
-  WaitReason,
+import {
+  latestStart,
+  type LookAhead,
+  type StepPlacement,
+  type StepWait,
+  type WaitingStep,
+  type WaitReason,
+  type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import type { Log } from "../observe/log.ts";
 import { BACKLOG_LOG_INTERVAL_MS } from "./backlog_log.ts";
@@ -16,16 +18,22 @@
 
 export class PlacementLog {
   readonly #log: Log;
+  readonly #estimate: WorkEstimate;
   #customerWaitsLoggedAt = -Infinity;
 
-  constructor(log: Log) {
+  constructor(log: Log, estimate: WorkEstimate) {
     this.#log = log;
+    this.#estimate = estimate;
   }
 
-  /** Logs one line for each step of which tasks were placed, with the reason why others still wait. */
+  /**
+   * Logs one line for each step of which tasks were placed, with the time left to its latest start at `wallNow`, in
+   * wall-clock milliseconds, and the reason why others still wait.
+   */
   logPlacements(
     placements: readonly StepPlacement[],
     waits: readonly StepWait[],
+    wallNow: number,
   ): void {
     if (placements.length === 0) {
       return;
@@ -39,6 +47,7 @@
         tasks: runs.length,
         waiting: step.indices.size - runs.length,
         workers: new Set(runs.map(({ worker }) => worker)).size,
+        slackMs: Math.round(latestStart(step, this.#estimate) - wallNow),
         reason: reasons.get(step),
       });
     }
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -9,6 +9,7 @@
   LONGEST_ORDER_DELAY_MS,
   type RunEnd,
   type RunEvidence,
+  type RunKey,
   type RunRecord,
   sortEarlierRuns,
   type Worker,
@@ -225,7 +226,7 @@
       this.#orders.add(run, now);
       this.#probation.add(run);
     });
-    this.sendDue();
+    this.#parts.measure("orders", () => this.sendDue());
   }
 
   /** Requests the stop of a run that is no longer wanted. */
@@ -352,24 +353,16 @@
     sentAt: number,
     now: number,
   ): Promise<void> {
-    const { consensus, runEndBatcher } = this.#parts;
-    const jobStore = consensus.state;
+    const { runEndBatcher, measure } = this.#parts;
     const { id } = this.worker;
     if (this.#earlier !== undefined && hasUnreadableRows(listing)) {
       await this.#backOffUnreadable(listing);
       return;
     }
-    this.#settleEarlierLife(listing, now);
-    this.#lastListing = listing;
-    this.#orders.retain((run) => jobStore.findRun(run) !== undefined);
-    this.#probation.retain((task, run) =>
-      jobStore.findRun({ task, run, worker: id }) !== undefined
+    const dropped = measure(
+      "listings",
+      () => this.#reconcile(listing, sentAt, now),
     );
-    this.#verify(listing);
-    const dropped = this.#sender.reconcile(listing, sentAt, now);
-    this.#stopStuckRuns(listing, now);
-    this.#recorder.recordProgress(listing.running, now);
-    this.#pacer.update(this.worker, listing, now);
     const ends = listing.ended.map(({ task, run, how, checkpoint }): RunEnd => {
       return { task, run, worker: id, how, checkpoint };
     });
@@ -377,7 +370,7 @@
       const committed = await runEndBatcher.add(ends, dropped);
       if (committed.ok) {
         this.#lastCommittedEnd = lastReadEnd(listing, this.#lastCommittedEnd);
-        this.#recorder.recordEnds(ends, dropped);
+        measure("ends", () => this.#recorder.recordEnds(ends, dropped));
       } else {
         await wait(UNCONFIRMED_DELAY_MS);
       }
@@ -388,6 +381,24 @@
     }
   }
 
+  /** Brings orders and what is known of the runs in line with a listing; returns the runs that never start. */
+  #reconcile(listing: Listing, sentAt: number, now: number): RunKey[] {
+    const jobStore = this.#parts.consensus.state;
+    const { id } = this.worker;
+    this.#settleEarlierLife(listing, now);
+    this.#lastListing = listing;
+    this.#orders.retain((run) => jobStore.findRun(run) !== undefined);
+    this.#probation.retain((task, run) =>
+      jobStore.findRun({ task, run, worker: id }) !== undefined
+    );
+    this.#verify(listing);
+    const dropped = this.#sender.reconcile(listing, sentAt, now);
+    this.#stopStuckRuns(listing, now);
+    this.#recorder.recordProgress(listing.running, now);
+    this.#pacer.update(this.worker, listing, now);
+    return dropped;
+  }
+
   /** Waits after a listing with unreadable rows: an unreadable end stays listed, so the next renewal does not wait. */
   async #backOffUnreadable({ unreadableRows }: Listing): Promise<void> {
     const worker = this.worker.id;
--- a/packages/daemon/src/scheduler/worker_session_parts.ts
+++ b/packages/daemon/src/scheduler/worker_session_parts.ts
@@ -36,6 +36,8 @@
   speed: WorkerSpeed;
   /** The advisor's permit for running a step on a worker; undefined if there is none or it has expired. */
   permit: (step: string, worker: string) => string | undefined;
+  /** Runs a synchronous function as part of an activity of the process. */
+  measure: <T>(activity: string, run: () => T) => T;
   /** Whether this node is certain to be the leader still. */
   isConfirmedLeader: () => boolean;
   /** Called when capacity was freed or the worker became usable. */
--- a/packages/daemon/test/load_monitor_test.ts
+++ b/packages/daemon/test/load_monitor_test.ts
@@ -7,6 +7,8 @@
 
 describe("the load of a process", () => {
   let processorMs: number;
+  let collectionMs: number;
+  let turns: number;
   let lines: [string, LogFields | undefined][];
   let metrics: Metrics;
   let monitor: LoadMonitor;
@@ -14,6 +16,8 @@
   beforeEach(async () => {
     vi.useFakeTimers({ now: 0 });
     processorMs = 0;
+    collectionMs = 7;
+    turns = 100;
     lines = [];
     metrics = new Metrics();
     const clock: Clock = { ...TEST_CLOCK, processor: () => processorMs };
@@ -23,7 +27,11 @@
         lines.push([event, fields]);
       },
     };
-    monitor = new LoadMonitor({ clock, log, metrics });
+    const runtime = {
+      collectionMs: () => collectionMs,
+      turns: () => turns,
+    };
+    monitor = new LoadMonitor({ clock, log, metrics, runtime });
     await monitor.start();
   });
 
@@ -41,11 +49,42 @@
       intervalMs: 540,
       processorMs: 400,
       maxDelayMs: 40,
+      collectionMs: 0,
+      turns: 0,
       placementMs: 40,
+      placementCount: 2,
     }]]);
     expect(metrics.text()).toContain(
       'quetzalcove_activity_milliseconds_total{activity="placement"} 40',
     );
+    expect(metrics.text()).toContain(
+      'quetzalcove_activities_total{activity="placement"} 2',
+    );
+  });
+
+  it("counts the time of an activity within another one once", async () => {
+    processorMs = 400;
+    monitor.measure("orders", () => {
+      vi.setSystemTime(Date.now() + 5);
+      monitor.measure("send", () => vi.setSystemTime(Date.now() + 20));
+      vi.setSystemTime(Date.now() + 10);
+    });
+    await vi.advanceTimersByTimeAsync(500);
+    expect(lines).toMatchObject([["process.load", {
+      ordersMs: 15,
+      sendMs: 20,
+    }]]);
+  });
+
+  it("is logged with the garbage collection and the turns of the interval", async () => {
+    processorMs = 400;
+    collectionMs = 57;
+    turns = 400;
+    await vi.advanceTimersByTimeAsync(500);
+    expect(lines).toMatchObject([["process.load", {
+      collectionMs: 50,
+      turns: 300,
+    }]]);
   });
 
   it("is logged when the event loop is late, even if other processes use the processor", async () => {
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -187,6 +187,7 @@
     health: new WorkerHealth(),
     speed: new WorkerSpeed(),
     permit: () => undefined,
+    measure: (_, run) => run(),
     isConfirmedLeader: () => true,
     unansweredStarts,
     onBirth: () => {},
