Fleet: decide on VMs every 100 ms, and look up due VMs in a set

Cause: each placement pass looked at all VMs and waiting steps for moves that take more than a second, and asked for each worker whether its VM is due, which built the list of open waves and searched 119 VMs each time. Deployments where busy VMs are reclaimed already decided every 100 ms; now all do.

Both new tests fail on the code before: 24 readings of the waves in 200 ms where 6 are allowed, and 2 where none is.

--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -44,11 +44,8 @@
 /** Maximum number of moves in progress: half of what the platform accepts per second. */
 const MAX_PENDING_MOVES = 32;
 
-/**
- * Interval between decisions on moves where busy VMs are reclaimed. They look at every waiting step, and a VM takes more
- * than a second to move.
- */
-const RECLAIM_INTERVAL_MS = 100;
+/** Interval between decisions. They look at every VM and waiting step, and a VM takes more than a second to move. */
+const RECONCILE_INTERVAL_MS = 100;
 
 const MILLICORES_PER_CORE = 1_000;
 
@@ -60,7 +57,7 @@
   readonly #idleSince = new Map<string, number>();
   /** Busy VMs that get no new runs, so that they can be moved to another pool. */
   #reclaimed: ReadonlySet<string> = new Set();
-  #movesDueAt = -Infinity;
+  #reconcileDueAt = -Infinity;
   #usageLoggedAt = -Infinity;
   /**
    * When the first job arrived in this leadership term. VMs count as idle only from then on, because demand is unknown
@@ -128,18 +125,17 @@
     this.#firstArrivalAt = Math.min(this.#firstArrivalAt, now);
   }
 
-  /** Refreshes the VM list if due, then orders maintenance and moves as needed. */
+  /** If that is due, refreshes the VM list as needed and orders maintenance and moves. */
   reconcile(now: number): void {
+    if (now < this.#reconcileDueAt) {
+      return;
+    }
     this.#updateIdleTimes(now);
     this.#vms.refresh(now, this.#maintenance.hasOpenWaves);
     if (this.#vms.isLoaded) {
+      this.#reconcileDueAt = now + RECONCILE_INTERVAL_MS;
       this.#maintenance.reconcile(now);
-      if (now >= this.#movesDueAt) {
-        this.#movesDueAt = this.#parts.reclaimsBusyVms
-          ? now + RECLAIM_INTERVAL_MS
-          : now;
-        this.#startMoves(now);
-      }
+      this.#startMoves(now);
       this.#logUsage(now);
     }
   }
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -36,6 +36,8 @@
   readonly #parts: MaintenanceControllerParts;
   /** Workers that are being drained. */
   #draining = new Set<string>();
+  /** VMs of open waves whose maintenance is outstanding. */
+  #dueVms = new Set<string>();
   /** Long-running runs that were stopped to drain their worker and have not ended yet. */
   readonly #evacuatedRuns = new Set<RunRecord>();
   /** VMs whose maintenance is being recorded and ordered, with the ids of their waves. */
@@ -72,18 +74,22 @@
 
   /** Whether the VM of a worker is due for maintenance, so that long-running tasks are better placed elsewhere. */
   isMaintenanceDue({ vm }: Worker): boolean {
-    return vm !== undefined &&
-      this.#openWaves().some(({ wave, done }) =>
-        wave.vms.includes(vm) && !done.includes(vm)
-      );
+    return vm !== undefined && this.#dueVms.has(vm);
   }
 
   /** Advances all open waves: finishes maintenance, starts more, and drains workers for it. */
   reconcile(now: number): void {
     const draining = new Set<string>();
-    for (const record of this.#openWaves()) {
-      this.#finishMaintenance(record, now);
-      this.#startMaintenance(record, draining, now);
+    const waves = this.#openWaves();
+    this.#dueVms = dueVmsOf(waves);
+    if (waves.length > 0) {
+      const busyPools = new Set(
+        Array.from(this.#jobStore.waiting.values(), ({ job }) => job.pool),
+      );
+      for (const record of waves) {
+        this.#finishMaintenance(record, now);
+        this.#startMaintenance(record, busyPools, draining, now);
+      }
     }
     this.#draining = draining;
     this.#evacuate(now);
@@ -128,6 +134,7 @@
 
   #startMaintenance(
     { wave, down, done }: WaveRecord,
+    busyPools: ReadonlySet<string>,
     draining: Set<string>,
     now: number,
   ): void {
@@ -139,12 +146,10 @@
       id === wave.id ? [vm] : []
     );
     const downVms = new Set([...down.map(({ vm }) => vm), ...starting]);
-    const busyPools = new Set(
-      Array.from(this.#jobStore.waiting.values(), ({ job }) => job.pool),
-    );
+    const doneVms = new Set(done);
     const due: DueVm[] = [];
     for (const vm of wave.vms) {
-      if (done.includes(vm) || downVms.has(vm)) {
+      if (doneVms.has(vm) || downVms.has(vm)) {
         continue;
       }
       const isKnown = vms.find(vm) !== undefined ||
@@ -300,6 +305,16 @@
   }
 }
 
+/** VMs of the given waves whose maintenance is outstanding. */
+function dueVmsOf(waves: readonly WaveRecord[]): Set<string> {
+  const due = new Set<string>();
+  for (const { wave, done } of waves) {
+    const doneVms = new Set(done);
+    wave.vms.filter((vm) => !doneVms.has(vm)).forEach((vm) => due.add(vm));
+  }
+  return due;
+}
+
 function maintenanceKey(wave: number, vm: string): string {
   return `${wave} ${vm}`;
 }
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -50,6 +50,29 @@
     expect(passes).toBeLessThanOrEqual(7);
     await term.stop();
   });
+
+  // Guards against a leader whose processor goes to the moves of VMs, which take more than a second each, in every pass.
+  it("decides on VMs at most every 100 ms", async () => {
+    const jobStore = newJobStore([]);
+    const term = new LeadershipTerm(termParts({
+      consensus: consensusOf(jobStore),
+      vmClient: {
+        list: () => Promise.resolve({ vms: [], unnamedRecords: 0 }),
+        move: notExpected,
+        maintain: notExpected,
+      },
+    }));
+    await term.start();
+    await vi.advanceTimersByTimeAsync(200);
+    const waves = vi.spyOn(jobStore, "waves", "get");
+    for (let i = 0; i < 100; i++) {
+      term.wake();
+      await vi.advanceTimersByTimeAsync(2);
+    }
+    // Each decision reads them twice.
+    expect(waves.mock.calls.length).toBeLessThanOrEqual(2 * 3);
+    await term.stop();
+  });
 });
 
 describe("a worker that has ended", () => {
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -294,4 +294,22 @@
       expect(fixture.wave?.down).toHaveLength(1);
     });
   });
+
+  // Guards against placement passes that search the VMs of the wave once for each worker.
+  it("is known to be due without a search through the open waves", async () => {
+    fixture.join("w1");
+    await fixture.reconcile();
+    const waves = vi.spyOn(fixture.jobStore, "waves", "get");
+    const subject = worker("w1", { vm: VM });
+    const other = worker("w2", { vm: "vm-2" });
+    expect(fixture.maintenance.isMaintenanceDue(subject)).toBe(true);
+    expect(fixture.maintenance.isMaintenanceDue(other)).toBe(false);
+    expect(waves).not.toHaveBeenCalled();
+    await fixture.order();
+    fixture.join("w3");
+    await fixture.order();
+    await fixture.reconcile();
+    expect(fixture.wave?.done).toEqual([VM]);
+    expect(fixture.maintenance.isMaintenanceDue(subject)).toBe(false);
+  });
 });
