Worker speed: keep the ratios of a pool sorted

A new ratio is inserted into a sorted list now, and a run that is no slower than expected copies nothing. The decisions are the same; a property test compares them with a plain median. The test that nothing is sorted fails on the code before.

--- a/packages/core/src/scheduling/workers/worker_speed.ts
+++ b/packages/core/src/scheduling/workers/worker_speed.ts
@@ -66,8 +66,8 @@
 interface PoolRecord {
   /** Latest ratios of the pool's runs, oldest first. */
   ratios: number[];
-  /** Their median: how far off expectations are in the pool. Computed once for each new run, not for each report. */
-  typicalRatio: number;
+  /** The same in ascending order, so that a new run does not sort them anew. */
+  sorted: number[];
 }
 
 interface WorkerRecord {
@@ -122,8 +122,7 @@
     record.runs.delete(key);
     record.runs.set(key, { job, ratio, at: now });
     removeOld(record, now);
-    const typicalRatio = this.#pools.get(pool)?.typicalRatio ?? 1;
-    return judge(record, ratio, typicalRatio, now);
+    return judge(record, ratio, typicalRatioOf(this.#pools.get(pool)), now);
   }
 
   /** Deletes the record of a worker that was removed or has restarted. */
@@ -132,17 +131,40 @@
   }
 
   #recordInPool(pool: string, ratio: number): void {
-    const record = this.#pools.get(pool) ?? { ratios: [], typicalRatio: 1 };
+    const record = this.#pools.get(pool) ?? { ratios: [], sorted: [] };
     this.#pools.set(pool, record);
-    const { ratios } = record;
+    const { ratios, sorted } = record;
     ratios.push(ratio);
-    if (ratios.length > MAX_POOL_RUNS) {
-      ratios.shift();
+    sorted.splice(positionOf(ratio, sorted), 0, ratio);
+    const oldest = ratios.length > MAX_POOL_RUNS ? ratios.shift() : undefined;
+    if (oldest !== undefined) {
+      sorted.splice(positionOf(oldest, sorted), 1);
     }
-    record.typicalRatio = ratios.length < MIN_POOL_RUNS ? 1 : median(ratios);
   }
 }
 
+/** Median of the ratios of a pool's runs: how far off expectations are there. */
+function typicalRatioOf(pool: PoolRecord | undefined): number {
+  return pool === undefined || pool.sorted.length < MIN_POOL_RUNS
+    ? 1
+    : middleOf(pool.sorted);
+}
+
+/** Position of the first value that is not below `value` in an ascending list. */
+function positionOf(value: number, sorted: readonly number[]): number {
+  let from = 0;
+  let to = sorted.length;
+  while (from < to) {
+    const middle = (from + to) >> 1;
+    if ((sorted[middle] ?? Infinity) < value) {
+      from = middle + 1;
+    } else {
+      to = middle;
+    }
+  }
+  return from;
+}
+
 function removeOld({ runs }: WorkerRecord, now: number): void {
   for (const [key, { at }] of runs) {
     if (now - at > WINDOW_MS || runs.size > MAX_WORKER_RUNS) {
@@ -159,13 +181,10 @@
   now: number,
 ): SpeedChange {
   const { runs, slow } = record;
-  const observations = [...runs.values()];
-  const isFast = observations.every(({ ratio }) =>
-    ratio < SLOW_FACTOR * typicalRatio
-  );
-  if (slow === undefined && isFast) {
+  if (slow === undefined && areAllBelow(runs, SLOW_FACTOR * typicalRatio)) {
     return undefined;
   }
+  const observations = [...runs.values()];
   const jobs = new Set(observations.map(({ job }) => job));
   const isSufficient = observations.length >= MIN_RUNS &&
     jobs.size >= MIN_JOBS;
@@ -190,6 +209,16 @@
   return undefined;
 }
 
+/** Whether the ratios of all runs are below a limit. */
+function areAllBelow(runs: WorkerRecord["runs"], limit: number): boolean {
+  for (const { ratio } of runs.values()) {
+    if (ratio >= limit) {
+      return false;
+    }
+  }
+  return true;
+}
+
 /** Median over the jobs of the medians of their runs; the lower one of two, so that a single long job never decides. */
 function typicalOfJobs(observations: readonly Observation[]): number {
   const byJob = new Map<string, number[]>();
@@ -201,6 +230,9 @@
 }
 
 function median(values: readonly number[]): number {
-  const sorted = values.toSorted((a, b) => a - b);
+  return middleOf(values.toSorted((a, b) => a - b));
+}
+
+function middleOf(sorted: readonly number[]): number {
   return sorted[Math.floor(sorted.length / 2)] ?? 1;
 }
--- a/packages/core/test/scheduling_worker_speed_test.ts
+++ b/packages/core/test/scheduling_worker_speed_test.ts
@@ -1,5 +1,5 @@
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import {
   CandidateWorker,
   runPlacementPass,
@@ -50,6 +50,42 @@
   return speed;
 }
 
+describe("a run that ends as expected", () => {
+  // Guards against a leader that sorts the runs of a pool anew with each of some hundred ends a second.
+  it("is recorded without sorting the runs of its pool", () => {
+    const speed = ordinaryPool();
+    const sorts = vi.spyOn(Array.prototype, "toSorted");
+    record(speed, "a", [0.9, 1.1], 10_000);
+    expect(sorts).not.toHaveBeenCalled();
+    sorts.mockRestore();
+  });
+});
+
+describe("the expectations of a pool", () => {
+  it("count as off by the median of its latest 63 runs", () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: 8 }), {
+          minLength: 70,
+          maxLength: 140,
+        }),
+        (ratios) => {
+          const speed = new WorkerSpeed();
+          ratios.forEach((ratio, i) =>
+            record(speed, `w${i}`, [ratio], 1_000 * i)
+          );
+          const slow = [16, 16, 16];
+          record(speed, "s", slow, 1_000 * ratios.length);
+          const latest = [...ratios, ...slow].slice(-63).sort((a, b) => a - b);
+          const factor = 16 / (latest[31] ?? 0);
+          expect(speed.factor("s")).toBe(factor >= 2.2 ? factor : 1);
+        },
+      ),
+      { numRuns: 50 },
+    );
+  });
+});
+
 describe("a worker", () => {
   // Guards against deployments that leave `workers.avoidSlow` off and are placed differently all the same.
   it("is never slow if slow workers are not avoided", () => {
