Listings: look a run up only when it may be stalled or slow

For each listed run it parsed the name of the task with a regular expression up to five times, computed the expected duration, and looked for best-effort runs, although most runs have just begun and no worker there has best-effort ones.

The decisions are the same.

--- a/packages/core/src/scheduling/workers/progress_watch.ts
+++ b/packages/core/src/scheduling/workers/progress_watch.ts
@@ -48,7 +48,10 @@
 export class ProgressWatch {
   readonly #observations = new Map<string, Observation>();
 
-  /** Processes a listing of the worker's runs. `expect` returns undefined for runs that are not watched. */
+  /**
+   * Processes a listing of the worker's runs. `expect` returns undefined for runs that are not watched; it is asked only
+   * once a run has been listed for so long that it may be stalled.
+   */
   observe(
     running: readonly ListedRun[],
     expect: (run: ListedRun) => Expectation | undefined,
@@ -62,50 +65,61 @@
     }
     const stragglers: Stragglers = { stalled: [], slow: [] };
     for (const run of running) {
-      const expectation = expect(run);
+      const known = this.#record(run, now);
+      const expectation = now - known.firstAt > STALL_MS
+        ? expect(run)
+        : undefined;
       if (expectation !== undefined) {
-        this.#watch(run, expectation, now, stragglers);
+        judge(run, known, expectation, now, stragglers);
       }
     }
     return stragglers;
   }
 
-  #watch(
-    listed: ListedRun,
-    { expectedMs, resumes }: Expectation,
-    now: number,
-    { stalled, slow }: Stragglers,
-  ): void {
-    const { task, run, percent } = listed;
+  /** Records the progress of a listed run, and returns what is known of it. */
+  #record({ task, run, percent }: ListedRun, now: number): Observation {
     const known = this.#observations.get(task);
-    if (known === undefined || known.run !== run) {
-      this.#observations.set(task, {
+    if (known?.run !== run) {
+      const first = {
         run,
         percent,
         lastProgressAt: now,
         firstAt: now,
         firstPercent: percent,
-      });
-      return;
+      };
+      this.#observations.set(task, first);
+      return first;
     }
     if (percent > known.percent) {
       known.percent = percent;
       known.lastProgressAt = now;
     }
-    const stallMs = Math.max(
-      resumes ? RESUMING_STALL_MS : STALL_MS,
-      STALL_SHARE * expectedMs,
-    );
-    const watchedMs = now - known.firstAt;
-    const expectedPercent = 100 * watchedMs / expectedMs;
-    if (now - known.lastProgressAt > stallMs) {
-      stalled.push(listed);
-    } else if (
-      watchedMs > Math.max(stallMs, expectedMs) &&
-      percent < NEARLY_DONE_PERCENT &&
-      percent - known.firstPercent < SLOW_SHARE * expectedPercent
-    ) {
-      slow.push(listed);
-    }
+    return known;
+  }
+}
+
+/** Adds a run to the stragglers if it makes no or too little progress. */
+function judge(
+  listed: ListedRun,
+  known: Observation,
+  { expectedMs, resumes }: Expectation,
+  now: number,
+  { stalled, slow }: Stragglers,
+): void {
+  const { percent } = listed;
+  const stallMs = Math.max(
+    resumes ? RESUMING_STALL_MS : STALL_MS,
+    STALL_SHARE * expectedMs,
+  );
+  const watchedMs = now - known.firstAt;
+  const expectedPercent = 100 * watchedMs / expectedMs;
+  if (now - known.lastProgressAt > stallMs) {
+    stalled.push(listed);
+  } else if (
+    watchedMs > Math.max(stallMs, expectedMs) &&
+    percent < NEARLY_DONE_PERCENT &&
+    percent - known.firstPercent < SLOW_SHARE * expectedPercent
+  ) {
+    slow.push(listed);
   }
 }
--- a/packages/core/src/scheduling/workers/worker_orders.ts
+++ b/packages/core/src/scheduling/workers/worker_orders.ts
@@ -298,7 +298,7 @@
     const dropped: RunKey[] = [];
     for (const [task, order] of this.#orders) {
       const isListed = running.get(task) === order.run.run ||
-        ended.has(runName(order.run));
+        (ended.size > 0 && ended.has(runName(order.run)));
       if (!isListed && hasUnreadableRows) {
         continue;
       }
--- a/packages/daemon/src/scheduler/pacer.ts
+++ b/packages/daemon/src/scheduler/pacer.ts
@@ -44,13 +44,13 @@
 
   /** Adjusts the speed after a listing of the worker, and sends it to the best-effort runs that have another one. */
   update(worker: Worker, { running }: Listing, now: number): void {
-    const bestEffortRuns = running.filter(({ task }) =>
-      this.#specOf(task)?.fills
-    );
-    if (bestEffortRuns.length === 0) {
+    if (this.#parts.consensus.state.load(worker.id).bestEffortRuns === 0) {
       this.#appliedPercents.clear();
       return;
     }
+    const bestEffortRuns = running.filter(({ task }) =>
+      this.#specOf(task)?.fills
+    );
     const tails = running.flatMap((row) => this.#tailOf(row));
     if (now - this.#decidedAt >= DECISION_INTERVAL_MS) {
       this.#decidedAt = now;
--- a/packages/daemon/src/scheduler/run_end_recorder.ts
+++ b/packages/daemon/src/scheduler/run_end_recorder.ts
@@ -103,11 +103,12 @@
         this.#progress.set(task, { run, at: now, percent });
         continue;
       }
-      const expectedMs = this.#expectedMs(task, run);
       const watchedMs = now - known.at;
+      const expectedMs = watchedMs < MIN_WATCHED_MS
+        ? undefined
+        : this.#expectedMs(task, run);
       if (
-        expectedMs !== undefined &&
-        watchedMs >= Math.max(MIN_WATCHED_MS, MIN_WATCHED_SHARE * expectedMs)
+        expectedMs !== undefined && watchedMs >= MIN_WATCHED_SHARE * expectedMs
       ) {
         const tookMs = 100 * watchedMs / Math.max(1, percent - known.percent);
         this.#recordSpeed(task, run, expectedMs, tookMs, now);
--- a/packages/daemon/src/scheduler/straggler_detector.ts
+++ b/packages/daemon/src/scheduler/straggler_detector.ts
@@ -48,7 +48,8 @@
   ): StuckRun[] {
     const { stalled, slow } = this.#progress.observe(
       running,
-      (row) => this.#expectationOf(row, jobStore),
+      ({ task }) =>
+        this.#expectationOf(jobStore.load(worker).runs.get(task), jobStore),
       now,
     );
     // One slow job may just have a wrong estimate; slow runs of several jobs indicate a slow worker.
@@ -69,22 +70,21 @@
   }
 
   #expectationOf(
-    { task }: ListedRun,
+    run: RunRecord | undefined,
     jobStore: JobStore,
   ): Expectation | undefined {
-    const position = parseTaskName(task);
-    const job = position && jobStore.jobs.get(position.job);
-    const spec = position && jobStore.stepOf(position);
+    const job = run && jobStore.jobs.get(run.job);
+    const spec = run && jobStore.stepOf(run);
     if (
-      position === undefined || job === undefined || spec === undefined ||
+      run === undefined || job === undefined || spec === undefined ||
       spec.lasting || spec.fills || spec.gang
     ) {
       return undefined;
     }
     return {
       expectedMs: this.#estimate.taskMs(job.queue, spec.estimatedMs) *
-        PATIENCE_FACTOR ** (this.#stops.get(task) ?? 0),
-      resumes: (jobStore.taskOf(position)?.checkpoint ?? "") !== "",
+        PATIENCE_FACTOR ** (this.#stops.get(run.task) ?? 0),
+      resumes: (jobStore.taskOf(run)?.checkpoint ?? "") !== "",
     };
   }
 }
