Worker reports: followers answer those that repeat what is stored

Workers were told to send their reports to the leader, some 130 a second with 250 workers, each a request by itself; nearly all repeat what is stored. A follower that has heard of its leader answers those now, and passes on the others: an unknown worker, one that drains, another capacity or life. Workers stay with the replica that they report to; the leader names another one.

A replica that is cut off knows no leader after an election timeout and passes all on; one that does not vote, and may lag, does so always.

--- a/packages/core/src/scheduling/workers/mod.ts
+++ b/packages/core/src/scheduling/workers/mod.ts
@@ -15,4 +15,5 @@
 export * from "./worker_life.ts";
 export * from "./worker_load.ts";
 export * from "./worker_orders.ts";
+export * from "./worker_report.ts";
 export * from "./worker_speed.ts";
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -19,7 +19,8 @@
   findQueue,
   hasForwardDependency,
   isLaterLife,
-  isSameCapacity,
+  isOutdatedReport,
+  isReportNews,
   isVisibleTo,
   type Queue,
   ReportOrder,
@@ -275,17 +276,12 @@
       );
     }
     const known = workers.get(worker.id);
-    if (isLaterLife(worker.bornAtMs, known?.bornAtMs)) {
-      // Delayed: the worker has restarted since.
+    if (isOutdatedReport(worker, known)) {
       return Ok({});
     }
     const hasRestarted = isLaterLife(known?.bornAtMs, worker.bornAtMs);
     const isLatest = this.#reportOrder.isLatest(worker, known);
-    const isChange = known === undefined || hasRestarted ||
-      (known.bornAtMs === undefined && worker.bornAtMs !== undefined) ||
-      (worker.draining && !known.draining) ||
-      (isLatest && !isSameCapacity(worker.capacity, known.capacity));
-    if (!isChange) {
+    if (!isReportNews(worker, known, isLatest)) {
       return Ok({});
     }
     // Reports may arrive out of order, so a draining worker stays draining.
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -55,6 +55,7 @@
 import { openSchedulerFolder } from "./scheduler_folder.ts";
 import type { NodeStatus } from "./status.ts";
 import type { SchedulerSettings } from "@quetzalcove/core/scheduling";
+import { WorkerReports } from "./worker_reports.ts";
 
 type JobReplica = RaftDriver<JobStore, JobStoreCommand, JobStoreOutput>;
 
@@ -75,6 +76,9 @@
  */
 const RELAY_DELAY_SHARE = 0.5;
 
+/** Below the second after which workers try another replica. */
+const REPORT_TIMEOUT_MS = 900;
+
 /** Silence after which a learner is removed: much longer than any pause from which a learner recovers. */
 const LEARNER_LOST_AFTER_MS = 30_000;
 
@@ -91,6 +95,7 @@
   readonly #discovery: ReplicaDiscovery;
   #replica: JobReplica | undefined;
   #leaderController: LeaderController | undefined;
+  #workerReports: WorkerReports | undefined;
   /** Called on a fatal failure; the process must exit. */
   onFailure: (cause: Fault) => void = () => {};
 
@@ -172,6 +177,11 @@
     return this.#leaderClient.call(method, params, timeoutMs);
   }
 
+  /** Reports of workers; undefined on a node without a replica. */
+  get workerReports(): WorkerReports | undefined {
+    return this.#workerReports;
+  }
+
   /** Starts the components of the node in order, then the given servers; fails with a fault if one does not start. */
   async start(servers: readonly Component[]): Promise<Result<void, Fault>> {
     const { settings } = this.#parts;
@@ -295,6 +305,18 @@
       this.metrics,
       () => leaderController.describeCustomers(),
     );
+    this.#workerReports = new WorkerReports({
+      host,
+      consensus: replica,
+      isVoter: () =>
+        replica.replicas().some(({ replica: id, role }) =>
+          id === folder.replica && role === "follower"
+        ),
+      candidates: () => this.#relayCandidates(replica),
+      report: (worker) =>
+        this.call("report_worker", { worker }, REPORT_TIMEOUT_MS),
+      metrics: this.metrics,
+    });
     const callRelay = new CallRelay({
       host,
       consensus: replica,
