--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -106,12 +106,17 @@
 
   #choosePlacements(now: number): RunKey[] {
     const { admission, clock, estimate, permits, sessions } = this.#parts;
+    const waitingPools = new Set(
+      Array.from(this.#jobStore.waiting.values(), ({ job }) => job.pool),
+    );
     const candidates = new Map<string, CandidateWorker[]>();
     for (const [pool, workers] of sessions.usableWorkers(now)) {
-      candidates.set(
-        pool,
-        workers.map((worker) => this.#candidateOf(worker, now)),
-      );
+      if (waitingPools.has(pool)) {
+        candidates.set(
+          pool,
+          workers.map((worker) => this.#candidateOf(worker, now)),
+        );
+      }
     }
     const wallNow = clock.wall();
     const { steps, placements, waits } = runPlacementPass({
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -3,7 +3,13 @@
   JobStoreCommand,
   JobStoreOutput,
 } from "@quetzalcove/core/scheduling";
-import { newJobStore, worker } from "../../core/test/scheduling_fixture.ts";
+import {
+  newJobStore,
+  spec,
+  step,
+  submit,
+  worker,
+} from "../../core/test/scheduling_fixture.ts";
 import {
   coreCap,
   customer,
@@ -21,6 +27,25 @@
   termParts,
 } from "./scheduler_fixture.ts";
 
+/** Client of workers that list no runs. */
+function idleWorkers(): WorkerClient {
+  return {
+    start: notExpected,
+    stop: notExpected,
+    pace: notExpected,
+    renew: () =>
+      new Promise((resolve) =>
+        setTimeout(() =>
+          resolve({
+            kind: "listing",
+            listing: { running: [], ended: [] },
+            clockMs: Date.now(),
+          }), 50)
+      ),
+    disconnect: ignore,
+  };
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -75,6 +100,40 @@
   });
 });
 
+describe("a placement pass", () => {
+  // Guards against a leader that prepares all workers in each pass, although steps wait in one or two pools.
+  it("looks only at the workers of pools in which steps wait", async () => {
+    const jobStore = newJobStore([
+      worker("w1"),
+      worker("w2", { pool: "charts" }),
+    ]);
+    submit(jobStore, "j", spec(step({ taskCount: 100 })));
+    const looked = new Set<string>();
+    let isPlacing = false;
+    const load = jobStore.load.bind(jobStore);
+    vi.spyOn(jobStore, "load").mockImplementation((id) => {
+      if (isPlacing) {
+        looked.add(id);
+      }
+      return load(id);
+    });
+    const term = new LeadershipTerm(termParts({
+      consensus: consensusOf(jobStore),
+      client: { ...idleWorkers(), start: () => new Promise(ignore) },
+      measure: (activity, run) => {
+        isPlacing = activity === "placement";
+        const result = run();
+        isPlacing = false;
+        return result;
+      },
+    }));
+    await term.start();
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect([...looked]).toEqual(["w1"]);
+    await term.stop();
+  });
+});
+
 describe("a worker that has ended", () => {
   it("is called once, and not again while its removal is being committed", async () => {
     const jobStore = newJobStore([worker("w1")]);
@@ -134,22 +193,11 @@
         },
       }),
       client: {
+        ...idleWorkers(),
         start: (_, { task }) => {
           started.add(task);
           return new Promise(ignore);
         },
-        stop: notExpected,
-        pace: notExpected,
-        renew: () =>
-          new Promise((resolve) =>
-            setTimeout(() =>
-              resolve({
-                kind: "listing",
-                listing: { running: [], ended: [] },
-                clockMs: Date.now(),
-              }), 50)
-          ),
-        disconnect: ignore,
       },
       log: {
         ...QUIET_LOG,
