Maintenance: go on with an evacuation in each pass

Cause: since decisions on VMs are made every 100 ms, each task of a step waited so long for the one before it to be ready elsewhere, and steps let one task go at a time. What is unavailable is counted once for a step and pass.

--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -125,9 +125,13 @@
     this.#firstArrivalAt = Math.min(this.#firstArrivalAt, now);
   }
 
-  /** If that is due, refreshes the VM list as needed and orders maintenance and moves. */
+  /**
+   * If that is due, refreshes the VM list as needed and orders maintenance and moves. Goes on with the evacuation of
+   * draining workers each time.
+   */
   reconcile(now: number): void {
     if (now < this.#reconcileDueAt) {
+      this.#maintenance.evacuate(now);
       return;
     }
     this.#updateIdleTimes(now);
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -9,6 +9,7 @@
   type JobStore,
   planMaintenance,
   type RunRecord,
+  stepName,
   taskName,
   type WaveRecord,
   type Worker,
@@ -92,7 +93,7 @@
       }
     }
     this.#draining = draining;
-    this.#evacuate(now);
+    this.evacuate(now);
   }
 
   #openWaves(): WaveRecord[] {
@@ -261,22 +262,31 @@
     return recorded.ok;
   }
 
-  /** Stops long-running runs on draining workers, as far as the maxUnavailable of their steps allows. */
-  #evacuate(now: number): void {
+  /**
+   * Stops long-running runs on draining workers, as far as the maxUnavailable of their steps allows. The runs of a step
+   * follow each other, so that a wave ends late if each waits for the next decision on VMs.
+   */
+  evacuate(now: number): void {
     const { session, log } = this.#parts;
     for (const run of this.#evacuatedRuns) {
       if (this.#jobStore.findRun(run) !== run) {
         this.#evacuatedRuns.delete(run);
       }
     }
+    const unavailableOf = new Map<string, number>();
     for (const id of this.#draining) {
       for (const run of this.#jobStore.load(id).runs.values()) {
         const spec = this.#jobStore.stepOf(run);
-        const unavailable = this.#unavailableTasks(run, now);
-        if (
-          spec?.lasting === true && !this.#evacuatedRuns.has(run) &&
-          unavailable < (spec.maxUnavailable ?? 0)
-        ) {
+        if (spec?.lasting !== true || this.#evacuatedRuns.has(run)) {
+          continue;
+        }
+        const step = stepName(run);
+        const unavailable = unavailableOf.get(step) ??
+          this.#unavailableTasks(run, now);
+        unavailableOf.set(step, unavailable);
+        if (unavailable < (spec.maxUnavailable ?? 0)) {
+          // It may not have been ready, and is counted once.
+          unavailableOf.delete(step);
           this.#evacuatedRuns.add(run);
           session(id)?.requestStop(run);
           log.info("run.evacuated", {
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -19,6 +19,7 @@
 } from "../../core/test/scheduling_customers_fixture.ts";
 import type { WorkerClient } from "../src/scheduler/platform_clients.ts";
 import { LeadershipTerm } from "../src/scheduler/leadership_term.ts";
+import { MaintenanceController } from "../src/scheduler/maintenance_controller.ts";
 import {
   consensusOf,
   ignore,
@@ -76,8 +77,9 @@
     await term.stop();
   });
 
-  // Guards against a leader whose processor goes to the moves of VMs, which take more than a second each, in every pass.
-  it("decides on VMs at most every 100 ms", async () => {
+  // Guards against a leader whose processor goes to the moves of VMs, which take more than a second each, in every pass,
+  // and against waves that end late because each long-running task of a step waits for the next decision on VMs.
+  it("decides on VMs at most every 100 ms, and evacuates workers in each pass", async () => {
     const jobStore = newJobStore([]);
     const term = new LeadershipTerm(termParts({
       consensus: consensusOf(jobStore),
@@ -90,12 +92,15 @@
     await term.start();
     await vi.advanceTimersByTimeAsync(200);
     const waves = vi.spyOn(jobStore, "waves", "get");
+    const evacuate = vi.spyOn(MaintenanceController.prototype, "evacuate");
     for (let i = 0; i < 100; i++) {
       term.wake();
       await vi.advanceTimersByTimeAsync(2);
     }
-    // Each decision reads them twice.
+    // Each decision reads the waves twice.
     expect(waves.mock.calls.length).toBeLessThanOrEqual(2 * 3);
+    expect(evacuate.mock.calls.length).toBeGreaterThanOrEqual(9);
+    evacuate.mockRestore();
     await term.stop();
   });
 });
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -1,6 +1,18 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { JobStore, WaveRecord } from "@quetzalcove/core/scheduling";
-import { newJobStore, worker } from "../../core/test/scheduling_fixture.ts";
+import type {
+  JobStore,
+  RunRecord,
+  WaveRecord,
+} from "@quetzalcove/core/scheduling";
+import {
+  newJobStore,
+  place,
+  run,
+  spec,
+  step,
+  submit,
+  worker,
+} from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import type { VmAnswer } from "../src/scheduler/platform_clients.ts";
 import { MaintenanceController } from "../src/scheduler/maintenance_controller.ts";
@@ -8,6 +20,7 @@
 import {
   consensusOf,
   ignore,
+  notExpected,
   QUIET_LOG,
   TEST_CLOCK,
 } from "./scheduler_fixture.ts";
@@ -132,6 +145,86 @@
   }
 }
 
+/** Workers on the VMs of a wave, each with one task of a step that allows one of them to be away. */
+class EvacuationFixture {
+  readonly jobStore: JobStore;
+  readonly maintenance: MaintenanceController;
+  readonly stopped: string[] = [];
+  readonly #vms: VmDirectory;
+
+  constructor(vms: readonly string[]) {
+    this.jobStore = newJobStore([
+      ...vms.map((vm) => worker(`w-${vm}`, { vm })),
+      worker("free"),
+    ]);
+    submit(
+      this.jobStore,
+      "j",
+      spec(step({ taskCount: vms.length, lasting: true, maxUnavailable: 1 })),
+    );
+    place(
+      this.jobStore,
+      ...vms.map((vm, i) => run(`j.0.0.${i}`, 1, `w-${vm}`)),
+    );
+    const wave = {
+      ...WAVE,
+      vms: [...vms],
+      maxDown: vms.length,
+      // So short that all are drained at once.
+      durationMs: 10_000,
+    };
+    this.jobStore.apply({ kind: "wave", wave });
+    const parts = {
+      term: 7,
+      holder: "n1",
+      consensus: consensusOf(this.jobStore),
+      clock: TEST_CLOCK,
+      log: QUIET_LOG,
+      metrics: new Metrics(),
+      isConfirmedLeader: () => true,
+      onChange: ignore,
+      removeWorker: () => Promise.resolve(),
+      client: {
+        list: () => Promise.resolve({ vms: [], unnamedRecords: 0 }),
+        move: notExpected,
+        maintain: notExpected,
+      },
+      wasSilent: () => false,
+      lastSilenceAt: () => undefined,
+      hasAnsweredSince: () => true,
+      hasPendingPlacement: () => false,
+      session: () =>
+        ({
+          isInContact: () => true,
+          isReady: () => true,
+          requestStop: ({ task }: RunRecord) => this.stopped.push(task),
+        }) as never,
+    };
+    this.#vms = new VmDirectory(parts);
+    this.maintenance = new MaintenanceController({ ...parts, vms: this.#vms });
+  }
+
+  async reconcile(): Promise<void> {
+    this.#vms.refresh(Date.now(), true);
+    await vi.advanceTimersByTimeAsync(0);
+    this.maintenance.reconcile(Date.now());
+  }
+
+  /** Starts the task that was stopped last on a worker that is not in the wave. */
+  startElsewhere(): void {
+    const task = this.stopped.at(-1) ?? "";
+    const index = Number(task.at(-1));
+    const ended = run(task, 1, `w-vm-${index + 1}`);
+    this.jobStore.apply({
+      kind: "settle",
+      ends: [{ ...ended, how: "stopped", checkpoint: "" }],
+      dropped: [],
+      atMs: Date.now(),
+    });
+    place(this.jobStore, run(task, 2, "free"));
+  }
+}
+
 describe("the maintenance of a VM", () => {
   let fixture: Fixture;
 
@@ -313,3 +406,24 @@
     expect(fixture.maintenance.isMaintenanceDue(subject)).toBe(false);
   });
 });
+
+describe("long-running tasks on workers that are drained", () => {
+  // Guards against a step of which more tasks are away at once than it allows, and against evacuations that stop short.
+  it("leave one after the other, as each is ready elsewhere", async () => {
+    vi.useFakeTimers({ now: 0 });
+    const fixture = new EvacuationFixture(["vm-1", "vm-2", "vm-3"]);
+    const evacuated: string[][] = [];
+    await fixture.reconcile();
+    for (let round = 0; round < 3; round++) {
+      fixture.maintenance.evacuate(Date.now());
+      evacuated.push([...fixture.stopped]);
+      fixture.startElsewhere();
+    }
+    expect(evacuated).toEqual([
+      ["j.0.0.0"],
+      ["j.0.0.0", "j.0.0.1"],
+      ["j.0.0.0", "j.0.0.1", "j.0.0.2"],
+    ]);
+    vi.useRealTimers();
+  });
+});
