Maintenance: a pool is busy if steps waited in it at each look

Cause: busy workers are drained only while no step waits in their pool. That was looked at in every pass; since decisions are made every 100 ms, the look is mostly in a pass that an arrival has woken, whose steps wait for a moment. The pools are looked at in each pass again, and a pool counts as busy if steps waited each time. The new test fails without it.

--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -125,13 +125,10 @@
     this.#firstArrivalAt = Math.min(this.#firstArrivalAt, now);
   }
 
-  /**
-   * If that is due, refreshes the VM list as needed and orders maintenance and moves. Goes on with the evacuation of
-   * draining workers each time.
-   */
+  /** If that is due, refreshes the VM list as needed and orders maintenance and moves. Called in each pass. */
   reconcile(now: number): void {
     if (now < this.#reconcileDueAt) {
-      this.#maintenance.evacuate(now);
+      this.#maintenance.proceed(now);
       return;
     }
     this.#updateIdleTimes(now);
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -39,6 +39,8 @@
   #draining = new Set<string>();
   /** VMs of open waves whose maintenance is outstanding. */
   #dueVms = new Set<string>();
+  /** Pools in which steps waited at each look since the last decision; undefined before the first look. */
+  #busyPools: ReadonlySet<string> | undefined;
   /** Long-running runs that were stopped to drain their worker and have not ended yet. */
   readonly #evacuatedRuns = new Set<RunRecord>();
   /** VMs whose maintenance is being recorded and ordered, with the ids of their waves. */
@@ -84,16 +86,35 @@
     const waves = this.#openWaves();
     this.#dueVms = dueVmsOf(waves);
     if (waves.length > 0) {
-      const busyPools = new Set(
-        Array.from(this.#jobStore.waiting.values(), ({ job }) => job.pool),
-      );
+      const busyPools = this.#lookAtPools();
+      this.#busyPools = undefined;
       for (const record of waves) {
         this.#finishMaintenance(record, now);
         this.#startMaintenance(record, busyPools, draining, now);
       }
     }
     this.#draining = draining;
-    this.evacuate(now);
+    this.#evacuate(now);
+  }
+
+  /** To be called between two decisions: looks at the pools, and goes on with evacuations. */
+  proceed(now: number): void {
+    if (this.#dueVms.size > 0) {
+      this.#busyPools = this.#lookAtPools();
+      this.#evacuate(now);
+    }
+  }
+
+  /**
+   * Pools in which steps wait now and waited at each look before since the last decision. A decision often follows an
+   * arrival, whose steps wait for a moment in any pool.
+   */
+  #lookAtPools(): ReadonlySet<string> {
+    const waiting = new Set(
+      Array.from(this.#jobStore.waiting.values(), ({ job }) => job.pool),
+    );
+    const before = this.#busyPools ?? waiting;
+    return new Set([...waiting].filter((pool) => before.has(pool)));
   }
 
   #openWaves(): WaveRecord[] {
@@ -266,7 +287,7 @@
    * Stops long-running runs on draining workers, as far as the maxUnavailable of their steps allows. The runs of a step
    * follow each other, so that a wave ends late if each waits for the next decision on VMs.
    */
-  evacuate(now: number): void {
+  #evacuate(now: number): void {
     const { session, log } = this.#parts;
     for (const run of this.#evacuatedRuns) {
       if (this.#jobStore.findRun(run) !== run) {
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -79,7 +79,7 @@
 
   // Guards against a leader whose processor goes to the moves of VMs, which take more than a second each, in every pass,
   // and against waves that end late because each long-running task of a step waits for the next decision on VMs.
-  it("decides on VMs at most every 100 ms, and evacuates workers in each pass", async () => {
+  it("decides on VMs at most every 100 ms, and goes on with maintenance in each pass", async () => {
     const jobStore = newJobStore([]);
     const term = new LeadershipTerm(termParts({
       consensus: consensusOf(jobStore),
@@ -92,15 +92,15 @@
     await term.start();
     await vi.advanceTimersByTimeAsync(200);
     const waves = vi.spyOn(jobStore, "waves", "get");
-    const evacuate = vi.spyOn(MaintenanceController.prototype, "evacuate");
+    const proceed = vi.spyOn(MaintenanceController.prototype, "proceed");
     for (let i = 0; i < 100; i++) {
       term.wake();
       await vi.advanceTimersByTimeAsync(2);
     }
     // Each decision reads the waves twice.
     expect(waves.mock.calls.length).toBeLessThanOrEqual(2 * 3);
-    expect(evacuate.mock.calls.length).toBeGreaterThanOrEqual(9);
-    evacuate.mockRestore();
+    expect(proceed.mock.calls.length).toBeGreaterThanOrEqual(6);
+    proceed.mockRestore();
     await term.stop();
   });
 });
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -152,7 +152,8 @@
   readonly stopped: string[] = [];
   readonly #vms: VmDirectory;
 
-  constructor(vms: readonly string[]) {
+  /** By default the wave is so short that all workers are drained at once. */
+  constructor(vms: readonly string[], durationMs = 10_000) {
     this.jobStore = newJobStore([
       ...vms.map((vm) => worker(`w-${vm}`, { vm })),
       worker("free"),
@@ -170,8 +171,7 @@
       ...WAVE,
       vms: [...vms],
       maxDown: vms.length,
-      // So short that all are drained at once.
-      durationMs: 10_000,
+      durationMs,
     };
     this.jobStore.apply({ kind: "wave", wave });
     const parts = {
@@ -415,7 +415,7 @@
     const evacuated: string[][] = [];
     await fixture.reconcile();
     for (let round = 0; round < 3; round++) {
-      fixture.maintenance.evacuate(Date.now());
+      fixture.maintenance.proceed(Date.now());
       evacuated.push([...fixture.stopped]);
       fixture.startElsewhere();
     }
@@ -427,3 +427,34 @@
     vi.useRealTimers();
   });
 });
+
+describe("a busy worker that is due for maintenance", () => {
+  let fixture: EvacuationFixture;
+
+  beforeEach(async () => {
+    vi.useFakeTimers({ now: 0 });
+    fixture = new EvacuationFixture(["vm-1"], 60_000);
+    submit(fixture.jobStore, "waits", spec(step({ taskCount: 99 })));
+    await fixture.reconcile();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  // Guards against waves that end late: a decision often follows an arrival, whose steps wait for a moment.
+  it("is drained if no step waited in its pool at some time since the last decision", async () => {
+    const cancel = { kind: "cancel", atMs: 0 } as const;
+    fixture.jobStore.apply({ ...cancel, ids: ["waits"] });
+    fixture.maintenance.proceed(Date.now());
+    submit(fixture.jobStore, "arrives", spec(step()));
+    await fixture.reconcile();
+    expect(fixture.stopped).toEqual(["j.0.0.0"]);
+  });
+
+  it("is not drained while steps wait in its pool all the time", async () => {
+    fixture.maintenance.proceed(Date.now());
+    await fixture.reconcile();
+    expect(fixture.stopped).toEqual([]);
+  });
+});
