Maintenance: VMs with a long chain of evacuations are drained in time

Cause: the tasks of a step leave one after the other, 1.1 s each here, and VMs with long-running tasks were drained last. While the leader was slow, steps waited in most pools, so VMs of the few calm ones were drained early, whatever ran on them. Now that few pools are busy, all others go first, and 15 evacuations began when 12 s were left. A VM is now drained once its chain of evacuations takes the time left, before all others and also in a busy pool.

The new test fails without it.

--- a/packages/core/src/scheduling/maintenance/maintenance_plan.ts
+++ b/packages/core/src/scheduling/maintenance/maintenance_plan.ts
@@ -3,7 +3,8 @@
  *
  * No more VMs are out of service at once than the wave needs to end in time, so that the others can serve a burst of
  * demand. VMs that are off or idle go first. Busy ones are drained while no tasks wait in their pool, or regardless of
- * waiting tasks once the wave is short of time.
+ * waiting tasks once the wave is short of time. Long-running tasks of a step leave one after the other, so VMs with them
+ * are short of time earlier, and then go before all others.
  *
  * @module
  */
@@ -15,6 +16,8 @@
   runs: number;
   /** Number of these that are long-running. */
   lastingRuns: number;
+  /** Number of evacuations, one after the other, until its long-running tasks and others of their steps have left. */
+  evacuations: number;
   /** Whether tasks wait in its pool. */
   isPoolBusy: boolean;
   /** Whether it was chosen earlier and is being drained. */
@@ -45,6 +48,9 @@
 /** The same for a VM without runs, which needs no draining. */
 const EMPTY_VM_CYCLE_MS = 3_000;
 
+/** Time from the stop of a long-running task until it is ready elsewhere, so that the next one may leave. */
+const EVACUATION_MS = 1_500;
+
 /** Factor on the number of VMs out at once that an even spread over the time left needs, as some drains take longer. */
 const CONCURRENCY_MARGIN = 1.25;
 
@@ -69,17 +75,31 @@
   const draining = busy.filter(({ isDraining }) => isDraining).sort(byWork)
     .slice(0, Math.max(0, slots - drained.length));
   const continued = drained.length + draining.length;
-  const idle = empty.filter(({ isDraining }) => !isDraining)
+  const pending = busy.filter(({ isDraining }) => !isDraining).sort(byWork);
+  const isUrgent = (each: DueVm): boolean => drainMs(each) >= leftMs;
+  const urgent = pending.filter(isUrgent)
     .slice(0, Math.max(0, pacedSlots - continued));
-  const next = busy.filter(({ isDraining, isPoolBusy }) =>
-    !isDraining && (isShortOfTime || !isPoolBusy)
-  ).sort(byWork).slice(0, Math.max(0, pacedSlots - continued - idle.length));
+  const idle = empty.filter(({ isDraining }) => !isDraining)
+    .slice(0, Math.max(0, pacedSlots - continued - urgent.length));
+  const next = pending.filter((each) =>
+    !isUrgent(each) && (isShortOfTime || !each.isPoolBusy)
+  ).slice(
+    0,
+    Math.max(0, pacedSlots - continued - urgent.length - idle.length),
+  );
   return {
     takeDown: [...drained, ...idle].map(({ vm }) => vm),
-    drain: [...draining, ...next].map(({ vm }) => vm),
+    drain: [...draining, ...urgent, ...next].map(({ vm }) => vm),
   };
 }
 
+/** Time in which a VM with long-running tasks is drained and maintained, with a margin; 0 without such tasks. */
+function drainMs({ evacuations }: DueVm): number {
+  return evacuations === 0
+    ? 0
+    : CONCURRENCY_MARGIN * evacuations * EVACUATION_MS + VM_CYCLE_MS;
+}
+
 /** Number of VMs that must be out of service at once for all to be maintained in the time left. */
 function requiredConcurrency(due: readonly DueVm[], leftMs: number): number {
   const workMs = due.reduce(
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -241,6 +241,7 @@
   const due = fc.record({
     runs: fc.integer({ min: 0, max: 3 }),
     lastingRuns: fc.integer({ min: 0, max: 1 }),
+    evacuations: fc.integer({ min: 0, max: 12 }),
     isPoolBusy: fc.boolean(),
     isDraining: fc.boolean(),
     isUp: fc.boolean(),
@@ -274,6 +275,7 @@
     vm: "a",
     runs: 5,
     lastingRuns: 0,
+    evacuations: 0,
     isPoolBusy: true,
     isDraining: false,
     isUp: true,
@@ -287,6 +289,19 @@
     ]);
   });
 
+  // Guards against waves that end late, as the VMs whose long-running tasks leave one after the other come last.
+  it("drains VMs first whose long-running tasks take the time left to leave, also in a busy pool", () => {
+    const lasting = { ...busy, vm: "lasting", lastingRuns: 2, evacuations: 8 };
+    const due = [{ ...busy, isPoolBusy: false }, lasting];
+    const drainedAt = (leftMs: number): string[] =>
+      planMaintenance({ maxDown: 1, down: 0, leftMs, due }).drain;
+    expect([60_000, 25_000, 20_000].map(drainedAt)).toEqual([
+      ["a"],
+      ["a"],
+      ["lasting"],
+    ]);
+  });
+
   it("takes down no more VMs at once than it needs to end in time", () => {
     const off = Array.from({ length: 16 }, (_, i) => ({
       ...busy,
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -169,15 +169,16 @@
     );
     const downVms = new Set([...down.map(({ vm }) => vm), ...starting]);
     const doneVms = new Set(done);
+    const outstanding = wave.vms.filter((vm) =>
+      !doneVms.has(vm) && !downVms.has(vm)
+    );
+    const evacuations = this.#evacuations(outstanding);
     const due: DueVm[] = [];
-    for (const vm of wave.vms) {
-      if (doneVms.has(vm) || downVms.has(vm)) {
-        continue;
-      }
+    for (const vm of outstanding) {
       const isKnown = vms.find(vm) !== undefined ||
         vms.workerOn(vm) !== undefined;
       if (isKnown) {
-        due.push(this.#dueVm(vm, busyPools, now));
+        due.push(this.#dueVm(vm, busyPools, evacuations, now));
       } else if (vms.listedAt > seenAt && vms.isMissing(vm)) {
         void this.#recordPhase(wave.id, vm, "gone");
       }
@@ -199,13 +200,45 @@
     }
   }
 
-  #dueVm(vm: string, busyPools: ReadonlySet<string>, now: number): DueVm {
+  /** Number of evacuations, one after the other, of each step with long-running tasks on the given VMs. */
+  #evacuations(vms: readonly string[]): Map<string, number> {
+    const tasks = new Map<string, number>();
+    const evacuations = new Map<string, number>();
+    for (const vm of vms) {
+      for (const run of this.#lastingRunsOn(vm)) {
+        const step = stepName(run);
+        const count = (tasks.get(step) ?? 0) + 1;
+        tasks.set(step, count);
+        const atOnce = this.#jobStore.stepOf(run)?.maxUnavailable ?? 0;
+        evacuations.set(step, atOnce === 0 ? 0 : Math.ceil(count / atOnce));
+      }
+    }
+    return evacuations;
+  }
+
+  #runsOn(vm: string): RunRecord[] {
+    const worker = this.#parts.vms.workerOn(vm);
+    return worker === undefined
+      ? []
+      : [...this.#jobStore.load(worker.id).runs.values()];
+  }
+
+  #lastingRunsOn(vm: string): RunRecord[] {
+    return this.#runsOn(vm).filter((run) =>
+      this.#jobStore.stepOf(run)?.lasting === true
+    );
+  }
+
+  #dueVm(
+    vm: string,
+    busyPools: ReadonlySet<string>,
+    evacuations: ReadonlyMap<string, number>,
+    now: number,
+  ): DueVm {
     const { vms, session } = this.#parts;
     const worker = vms.workerOn(vm);
     const listed = vms.find(vm);
-    const runs = worker === undefined
-      ? []
-      : [...this.#jobStore.load(worker.id).runs.values()];
+    const lastingRuns = this.#lastingRunsOn(vm);
     const isUsable = worker !== undefined && !worker.draining &&
       !this.#parts.hasPendingPlacement(worker.id) &&
       session(worker.id)?.isInContact(now) === true;
@@ -213,9 +246,12 @@
       vms.isStandby(listed.pool);
     return {
       vm,
-      runs: runs.length,
-      lastingRuns:
-        runs.filter((run) => this.#jobStore.stepOf(run)?.lasting).length,
+      runs: this.#runsOn(vm).length,
+      lastingRuns: lastingRuns.length,
+      evacuations: Math.max(
+        0,
+        ...lastingRuns.map((run) => evacuations.get(stepName(run)) ?? 0),
+      ),
       isPoolBusy: worker !== undefined && busyPools.has(worker.pool),
       isDraining: worker !== undefined && this.#draining.has(worker.id),
       isUp: vms.isEligible(vm, now) && (isUsable || isIdleStandby),
