--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -44,8 +44,14 @@
 /** Maximum number of moves in progress: half of what the platform accepts per second. */
 const MAX_PENDING_MOVES = 32;
 
-/** Interval between decisions. They look at every VM and waiting step, and a VM takes more than a second to move. */
-const RECONCILE_INTERVAL_MS = 100;
+/**
+ * Pause after a decision, as a multiple of its duration, so that decisions take at most a twentieth of one core: they look
+ * at every VM, and a VM takes more than a second to move.
+ */
+const RECONCILE_PAUSE_FACTOR = 20;
+
+/** Interval between decisions on moves where busy VMs are reclaimed, which look at every waiting step. */
+const RECLAIM_INTERVAL_MS = 100;
 
 const MILLICORES_PER_CORE = 1_000;
 
@@ -58,6 +64,7 @@
   /** Busy VMs that get no new runs, so that they can be moved to another pool. */
   #reclaimed: ReadonlySet<string> = new Set();
   #reconcileDueAt = -Infinity;
+  #movesDueAt = -Infinity;
   #usageLoggedAt = -Infinity;
   /**
    * When the first job arrived in this leadership term. VMs count as idle only from then on, because demand is unknown
@@ -134,11 +141,17 @@
     this.#updateIdleTimes(now);
     this.#vms.refresh(now, this.#maintenance.hasOpenWaves);
     if (this.#vms.isLoaded) {
-      this.#reconcileDueAt = now + RECONCILE_INTERVAL_MS;
       this.#maintenance.reconcile(now);
-      this.#startMoves(now);
+      if (now >= this.#movesDueAt) {
+        this.#movesDueAt = this.#parts.reclaimsBusyVms
+          ? now + RECLAIM_INTERVAL_MS
+          : now;
+        this.#startMoves(now);
+      }
       this.#logUsage(now);
     }
+    const end = this.#parts.clock.monotonic();
+    this.#reconcileDueAt = end + RECONCILE_PAUSE_FACTOR * (end - now);
   }
 
   #logUsage(now: number): void {
