--- a/packages/daemon/src/scheduler/pacer.ts
+++ b/packages/daemon/src/scheduler/pacer.ts
@@ -44,13 +44,14 @@
 
   /** Adjusts the speed after a listing of the worker, and sends it to the best-effort runs that have another one. */
   update(worker: Worker, { running }: Listing, now: number): void {
-    if (this.#parts.consensus.state.load(worker.id).bestEffortRuns === 0) {
+    const load = this.#parts.consensus.state.load(worker.id);
+    const bestEffortRuns = load.bestEffortRuns === 0
+      ? []
+      : running.filter(({ task }) => this.#specOf(task)?.fills);
+    if (bestEffortRuns.length === 0) {
       this.#appliedPercents.clear();
       return;
     }
-    const bestEffortRuns = running.filter(({ task }) =>
-      this.#specOf(task)?.fills
-    );
     const tails = running.flatMap((row) => this.#tailOf(row));
     if (now - this.#decidedAt >= DECISION_INTERVAL_MS) {
       this.#decidedAt = now;
