Maintenance: look up the long-running runs on due VMs once in a decision

Each decision copied the runs on every due VM up to three times, for their number, for the long-running ones and for the evacuations of their steps, and counted the steps by hand beside groupBy. The two fixtures of the test stood the same parts out twice.

--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { groupBy } from "@quetzalcove/core";
 import {
   type DueVm,
   isLaterLife,
@@ -172,13 +173,16 @@
     const outstanding = wave.vms.filter((vm) =>
       !doneVms.has(vm) && !downVms.has(vm)
     );
-    const evacuations = this.#evacuations(outstanding);
+    const lastingRuns = new Map(
+      outstanding.map((vm) => [vm, this.#lastingRunsOn(vm)]),
+    );
+    const evacuations = this.#evacuations([...lastingRuns.values()].flat());
     const due: DueVm[] = [];
-    for (const vm of outstanding) {
+    for (const [vm, lasting] of lastingRuns) {
       const isKnown = vms.find(vm) !== undefined ||
         vms.workerOn(vm) !== undefined;
       if (isKnown) {
-        due.push(this.#dueVm(vm, busyPools, evacuations, now));
+        due.push(this.#dueVm(vm, lasting, { busyPools, evacuations }, now));
       } else if (vms.listedAt > seenAt && vms.isMissing(vm)) {
         void this.#recordPhase(wave.id, vm, "gone");
       }
@@ -200,45 +204,42 @@
     }
   }
 
-  /** Number of evacuations, one after the other, of each step with long-running tasks on the given VMs. */
-  #evacuations(vms: readonly string[]): Map<string, number> {
-    const tasks = new Map<string, number>();
+  /** Number of evacuations, one after the other, of each step of the given long-running runs. */
+  #evacuations(runs: readonly RunRecord[]): Map<string, number> {
     const evacuations = new Map<string, number>();
-    for (const vm of vms) {
-      for (const run of this.#lastingRunsOn(vm)) {
-        const step = stepName(run);
-        const count = (tasks.get(step) ?? 0) + 1;
-        tasks.set(step, count);
-        const atOnce = this.#jobStore.stepOf(run)?.maxUnavailable ?? 0;
-        evacuations.set(step, atOnce === 0 ? 0 : Math.ceil(count / atOnce));
-      }
-    }
+    groupBy(runs, stepName).forEach((ofStep, step) => {
+      const [first] = ofStep;
+      const spec = first && this.#jobStore.stepOf(first);
+      const atOnce = spec?.maxUnavailable ?? 0;
+      evacuations.set(
+        step,
+        atOnce === 0 ? 0 : Math.ceil(ofStep.length / atOnce),
+      );
+    });
     return evacuations;
   }
 
-  #runsOn(vm: string): RunRecord[] {
+  #lastingRunsOn(vm: string): RunRecord[] {
     const worker = this.#parts.vms.workerOn(vm);
     return worker === undefined
       ? []
-      : [...this.#jobStore.load(worker.id).runs.values()];
-  }
-
-  #lastingRunsOn(vm: string): RunRecord[] {
-    return this.#runsOn(vm).filter((run) =>
-      this.#jobStore.stepOf(run)?.lasting === true
-    );
+      : [...this.#jobStore.load(worker.id).runs.values()].filter((run) =>
+        this.#jobStore.stepOf(run)?.lasting === true
+      );
   }
 
   #dueVm(
     vm: string,
-    busyPools: ReadonlySet<string>,
-    evacuations: ReadonlyMap<string, number>,
+    lastingRuns: readonly RunRecord[],
+    { busyPools, evacuations }: {
+      busyPools: ReadonlySet<string>;
+      evacuations: ReadonlyMap<string, number>;
+    },
     now: number,
   ): DueVm {
     const { vms, session } = this.#parts;
     const worker = vms.workerOn(vm);
     const listed = vms.find(vm);
-    const lastingRuns = this.#lastingRunsOn(vm);
     const isUsable = worker !== undefined && !worker.draining &&
       !this.#parts.hasPendingPlacement(worker.id) &&
       session(worker.id)?.isInContact(now) === true;
@@ -246,7 +247,7 @@
       vms.isStandby(listed.pool);
     return {
       vm,
-      runs: this.#runsOn(vm).length,
+      runs: worker === undefined ? 0 : this.#jobStore.load(worker.id).runs.size,
       lastingRuns: lastingRuns.length,
       evacuations: Math.max(
         0,
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -15,8 +15,14 @@
 } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import type { VmAnswer } from "../src/scheduler/platform_clients.ts";
-import { MaintenanceController } from "../src/scheduler/maintenance_controller.ts";
-import { VmDirectory } from "../src/scheduler/vm_directory.ts";
+import {
+  MaintenanceController,
+  type MaintenanceControllerParts,
+} from "../src/scheduler/maintenance_controller.ts";
+import {
+  VmDirectory,
+  type VmDirectoryParts,
+} from "../src/scheduler/vm_directory.ts";
 import {
   consensusOf,
   ignore,
@@ -35,6 +41,28 @@
 };
 const ORDER_MS = 10;
 
+/** Dependencies that do nothing of a maintenance controller and its VM directory. */
+function partsOf(
+  jobStore: JobStore,
+):
+  & Omit<MaintenanceControllerParts, "vms" | "session">
+  & Omit<VmDirectoryParts, "client" | "removeWorker"> {
+  return {
+    term: 7,
+    holder: "n1",
+    consensus: consensusOf(jobStore),
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
+    metrics: new Metrics(),
+    isConfirmedLeader: () => true,
+    onChange: ignore,
+    wasSilent: () => false,
+    lastSilenceAt: () => undefined,
+    hasAnsweredSince: () => true,
+    hasPendingPlacement: () => false,
+  };
+}
+
 class Fixture {
   readonly jobStore: JobStore = newJobStore([]);
   readonly removed: string[] = [];
@@ -57,8 +85,7 @@
     this.jobStore.apply({ kind: "wave", wave: WAVE });
     const committing = consensusOf(this.jobStore);
     const parts = {
-      term: 7,
-      holder: "n1",
+      ...partsOf(this.jobStore),
       consensus: consensusOf(this.jobStore, {
         propose: (command) => {
           if (command.kind === "upkeep") {
@@ -67,11 +94,6 @@
           return committing.propose(command);
         },
       }),
-      clock: TEST_CLOCK,
-      log: QUIET_LOG,
-      metrics: new Metrics(),
-      isConfirmedLeader: () => true,
-      onChange: ignore,
       removeWorker: (id: string) => {
         this.removed.push(id);
         this.jobStore.apply({
@@ -102,10 +124,7 @@
           return this.answer;
         },
       },
-      wasSilent: () => false,
-      lastSilenceAt: () => undefined,
       hasAnsweredSince: () => this.workersAnswer,
-      hasPendingPlacement: () => false,
       session: () => ({ isInContact: () => true }) as never,
     };
     this.vms = new VmDirectory(parts);
@@ -175,24 +194,13 @@
     };
     this.jobStore.apply({ kind: "wave", wave });
     const parts = {
-      term: 7,
-      holder: "n1",
-      consensus: consensusOf(this.jobStore),
-      clock: TEST_CLOCK,
-      log: QUIET_LOG,
-      metrics: new Metrics(),
-      isConfirmedLeader: () => true,
-      onChange: ignore,
+      ...partsOf(this.jobStore),
       removeWorker: () => Promise.resolve(),
       client: {
         list: () => Promise.resolve({ vms: [], unnamedRecords: 0 }),
         move: notExpected,
         maintain: notExpected,
       },
-      wasSilent: () => false,
-      lastSilenceAt: () => undefined,
-      hasAnsweredSince: () => true,
-      hasPendingPlacement: () => false,
       session: () =>
         ({
           isInContact: () => true,
