Review: case 2, two disks are lost after a planned replacement

Seen: a core machine is replaced as planned. 4.5 s after it has ended, two other machines lose their disks. No node has a leader any more, and all reads are answered 503, for good.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -110,13 +110,15 @@
     this.bounds = { ...BOUNDS, ...bounds };
     this.folder = mkdtempSync(join(tmpdir(), "quetzalcove-review-"));
     this.cores = Array.from({ length: cores }, (_, i) => `core-${i + 1}`);
+    /** Machines that the settings name as seeds from now on. */
+    this.seeds = this.cores.slice(0, 3);
     this.fronts = Array.from({ length: fronts }, (_, i) => `front-${i + 1}`);
     this.children = new Map();
     this.exits = [];
     this.isStopped = false;
     this.platform = `${prefix}.3.1:8621`;
-    /** Addresses at which the nodes reach each other's control address; a test may put a proxy there. */
-    this.started = new Set();
+    /** Machines that are gone for good, or have no power. */
+    this.removed = new Set();
   }
 
   host(name) {
@@ -144,7 +146,7 @@
         readiness_addr: `${host}:8622`,
       },
       port_range: [7060, 7075],
-      seeds: this.cores.slice(0, 3).map((seed) => this.control(seed)),
+      seeds: this.seeds.map((seed) => this.control(seed)),
       bootstrap,
       data_dir: isCore ? join(this.folder, "disks", name) : null,
       bounds: this.bounds,
@@ -152,13 +154,11 @@
     };
   }
 
-  start(name) {
-    if (this.isStopped) {
+  start(name, bootstrap = false) {
+    if (this.isStopped || this.removed.has(name)) {
       return;
     }
     const file = join(this.folder, `${name}.json`);
-    const bootstrap = !this.started.has(name);
-    this.started.add(name);
     mkdirSync(join(this.folder, "disks", name), { recursive: true });
     writeFileSync(file, render(TEMPLATE, [this.settings(name, bootstrap)]));
     const [program, ...args] = commandOf(
@@ -180,7 +180,10 @@
     child.stderr.pipe(log, { end: false });
     this.children.set(name, child);
     child.once("exit", (code, signal) => {
-      if (this.isStopped || this.children.get(name) !== child) {
+      if (
+        this.isStopped || this.removed.has(name) ||
+        this.children.get(name) !== child
+      ) {
         return;
       }
       this.exits.push({ at: Date.now(), name, code, signal });
@@ -189,14 +192,40 @@
     });
   }
 
+  /** Ends all processes at once, when this one ends. */
+  killAll() {
+    this.isStopped = true;
+    this.children.forEach((child) => child.kill("SIGKILL"));
+  }
+
   startAll() {
-    [...this.cores, ...this.fronts].forEach((name) => this.start(name));
+    process.once("exit", () => this.killAll());
+    ["SIGINT", "SIGTERM"].forEach((signal) =>
+      process.once(signal, () => process.exit(2))
+    );
+    [...this.cores, ...this.fronts].forEach((name) => this.start(name, true));
   }
 
   signal(name, signal) {
     this.children.get(name)?.kill(signal);
   }
 
+  /** Ends a process with a signal and does not restart it; resolves when it has ended. */
+  async remove(name, signal) {
+    this.removed.add(name);
+    const child = this.children.get(name);
+    const ended = new Promise((resolve) => child.once("exit", resolve));
+    child.kill(signal);
+    await ended;
+  }
+
+  /** Starts a removed machine again, with an empty disk. */
+  restartEmpty(name) {
+    rmSync(join(this.folder, "disks", name), { recursive: true, force: true });
+    this.removed.delete(name);
+    this.start(name);
+  }
+
   async stop() {
     this.isStopped = true;
     await Promise.all([...this.children.values()].map((child) => {
