--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,5 +1,5 @@
 // deno-lint-ignore-file explicit-function-return-type -- JavaScript has no return types.
-// Case 1: a worker fails part of the orders that it gets for some seconds, while it goes on to report itself.
+// Case 3: a worker that leaves is cut off one way while it announces its end, so that its announcement gets no answer.
 import { writeFileSync } from "node:fs";
 import { Agent } from "node:http";
 import process from "node:process";
@@ -7,46 +7,37 @@
 import { Deployment, freePrefix } from "../lib/deployment.mjs";
 import { History } from "../lib/history.mjs";
 import { Platform } from "../lib/platform.mjs";
+import { Proxy } from "../lib/proxy.mjs";
 import { Worker } from "../lib/worker.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const SEED = Number(process.env.SEED ?? 1);
+const random = seeded(Number(process.env.SEED ?? 1));
 
-const WORKERS = 14;
-/** Number of workers that fail orders at the same time. */
-const GREY_WORKERS = 2;
+const WORKERS = 8;
 const CPU = 64000;
 const MEM_MB = 262144;
-const TASK_CPU = 2000;
+const JOBS = 6;
+const TASKS = 5;
+const TASK_CPU = 5300;
 const TASK_MEM_MB = 9400;
-const JOB_INTERVAL_MS = 30;
-const MAX_TASKS = 2;
-const TRAFFIC_MS = 68000;
-/** In each episode some workers fail this share of their orders. */
-const FAILED_SHARE = 0.5;
-const EPISODES_AT_MS = [0, 1, 2, 3, 4, 5, 6, 7, 8].map((n) => 4000 + 7000 * n);
-const EPISODE_MS = 5500;
+const DRAIN_MS = 2000;
+/** The worker serves on for a little after its drain time. */
+const LINGER_MS = 1500;
+const CUT_MS = 5000;
+const CUT_BEFORE_DEREGISTER_MS = 500;
+/** A worker whose announcement gets no answer ends some seconds later. */
+const UNANSWERED_END_MS = 4000;
 
 const HOST = "jobs.example";
-const PREFIX = "/routen/";
-const random = seeded(SEED);
+const PREFIX = "/archive/";
 const history = new History();
 const prefix = await freePrefix();
 const deployment = new Deployment(prefix);
-const durations = new Map();
+/** Proxies between a worker and the nodes, by the worker's machine. */
+const links = new Map();
 
 const world = {
-  control: () => {
-    const nodes = deployment.cores.map((name) => deployment.control(name));
-    const first = Math.floor(random() * nodes.length);
-    return [...nodes.slice(first), ...nodes.slice(0, first)];
-  },
-  durationMs: (task) => {
-    if (!durations.has(task)) {
-      durations.set(task, 600 + Math.round(random() * 600));
-    }
-    return durations.get(task);
-  },
+  durationMs: () => Infinity,
   demandOf: () => ({ cpu: TASK_CPU, mem: TASK_MEM_MB }),
   onStart: (task, run, worker) => history.recordStart(task, run, worker),
   onEnd: (task, run, how, worker) => history.recordEnd(task, run, how, worker),
@@ -54,17 +45,51 @@
     history.recordNoted(task, run, counts, worker),
 };
 
+/** Starts the proxies of a machine: one to its worker, and one from it to each node. */
+async function link(machine, index) {
+  const toWorker = new Proxy(machine.address, `${prefix}.5.${index}:8080`);
+  const toNodes = deployment.cores.map((name, i) =>
+    new Proxy(`${prefix}.6.${index * 10 + i}:8623`, deployment.control(name))
+  );
+  await Promise.all([toWorker, ...toNodes].map((proxy) => proxy.start()));
+  links.set(machine.id, { toWorker, toNodes });
+}
+
+/** Loses what the nodes send to a machine; what its worker sends arrives. */
+function cut(machine, isCut) {
+  const { toWorker, toNodes } = links.get(machine);
+  toWorker.losesToServer = isCut;
+  toNodes.forEach((proxy) => proxy.losesToClient = isCut);
+}
+
 const platform = new Platform(deployment.platform, async (machine) => {
+  const index = Number(machine.id.split("-")[1]);
+  const { toNodes } = links.get(machine.id);
   const worker = new Worker({
     id: `i-${machine.id}-${machine.lives}`,
     machine: machine.id,
     service: machine.pool,
     address: machine.address,
+    listen: `${prefix}.5.${index}:8080`,
     cpu: machine.cpu,
     memMb: machine.memMb,
     labels: machine.labels,
     maxHoldMs: deployment.bounds.max_hold_ms,
-  }, world);
+  }, {
+    ...world,
+    // Each node by the proxy of this machine.
+    viaProxy: (address) => {
+      const node = deployment.cores.findIndex((name) =>
+        deployment.control(name) === address
+      );
+      return toNodes[node]?.listen ?? address;
+    },
+    control: () => {
+      const nodes = toNodes.map((proxy) => proxy.listen);
+      const first = Math.floor(random() * nodes.length);
+      return [...nodes.slice(first), ...nodes.slice(0, first)];
+    },
+  });
   await worker.start();
   return worker;
 });
@@ -72,28 +97,26 @@
 const CONFIGURATION = {
   version: 1,
   routes: [{
-    name: "r-routen",
+    name: "r-archive",
     host: HOST,
     path_prefix: PREFIX,
     type: "unsafe",
     timeout_ms: 3000,
-    target_latency_ms: 600,
+    target_latency_ms: 2500,
     priority: 0,
     service: "routen",
-    max_attempts: 3,
-    slack_factor: 1.6,
+    max_attempts: 4,
+    slack_factor: 2.2,
+  }],
+  services: [{
+    name: "routen",
+    health_check_path: "/health",
+    max_connections: 64,
+    protocol: "h1",
+    tls: false,
+    enforce_capacity: true,
+    standby: false,
   }],
-  services: [
-    {
-      name: "routen",
-      health_check_path: "/health",
-      max_connections: 64,
-      protocol: "h1",
-      tls: false,
-      enforce_capacity: true,
-      standby: false,
-    },
-  ],
   limits: {
     max_header_bytes: 16384,
     max_body_bytes: 262144,
@@ -102,133 +125,120 @@
   },
 };
 
-async function configure() {
-  return await until(async () => {
-    const [node] = world.control();
-    const path = "/quetzalcove/Config.Replace";
-    return (await call(node, "POST", path, { body: CONFIGURATION })).status ===
-      200;
-  }, 20000);
-}
-
-function episodeAt(ms) {
-  return EPISODES_AT_MS.find((from) => ms >= from && ms < from + EPISODE_MS);
-}
-
-function busiestWorkers() {
-  return [...platform.machines.values()].map(({ worker }) => worker)
-    .sort((a, b) => b.running.size - a.running.size).slice(0, GREY_WORKERS);
-}
-
-/** Orders that the worker failed: a failed one is rejected with 503 and not carried out, or left without an answer. */
-function makeGrey(worker) {
-  let failed = 0;
-  worker.fate = (path, body) => {
-    if (path === "hold" || random() >= FAILED_SHARE) {
-      return "answer";
-    }
-    failed += 1;
-    const fate = failed % 2 === 0 ? "shed" : "hang";
-    history.note(`fails ${path} ${body.task} run ${body.run_id}: ${fate}`);
-    return fate;
-  };
-}
-
 async function run() {
   await platform.start();
   deployment.startAll();
   for (let i = 1; i <= WORKERS; i++) {
-    await platform.add({
+    const machine = {
       id: `m-${i}`,
       pool: "routen",
       address: `${prefix}.4.${i}:8080`,
       cpu: CPU,
       memMb: MEM_MB,
       labels: ["a", `r1-${Math.ceil(i / 4)}`],
-    });
+    };
+    await link(machine, i);
+    await platform.add(machine);
   }
-  if (!await configure()) {
+  const isConfigured = await until(async () => {
+    const node = deployment.control(deployment.cores[0]);
+    const path = "/quetzalcove/Config.Replace";
+    const answer = await call(node, "POST", path, { body: CONFIGURATION });
+    return answer.status === 200;
+  }, 20000);
+  if (!isConfigured) {
     return "the configuration was not acknowledged";
   }
   await wait(4000);
-  const agent = new Agent({ keepAlive: true });
-  const states = new Map();
-  const from = performance.now();
-  let current;
-  let grey = [];
-  for (let n = 0; performance.now() - from < TRAFFIC_MS; n++) {
-    const at = performance.now() - from;
-    const episode = HAS_TROUBLE ? episodeAt(at) : undefined;
-    if (episode !== current) {
-      current = episode;
-      grey.forEach((worker) => {
-        history.note(`${worker.identity.id} is sound again`);
-        worker.fate = () => "answer";
-      });
-      grey = episode === undefined ? [] : busiestWorkers();
-      grey.forEach((worker) => {
-        history.note(`${worker.identity.id} begins to fail orders`);
-        makeGrey(worker);
-      });
-    }
-    const id = (0x5c0e7a2100000000n + BigInt(n)).toString(16);
-    void submit(id, agent, states);
-    await wait(JOB_INTERVAL_MS);
-  }
-  await until(
-    () => [...states.values()].every((state) => state === "completed"),
-    20000,
+  await submitJobs();
+  const areAtWork = await until(
+    () =>
+      [...platform.machines.values()].reduce(
+        (sum, { worker }) => sum + worker.running.size,
+        0,
+      ) === JOBS * TASKS,
+    15000,
   );
-  agent.destroy();
-  const open = [...states].filter(([, state]) => state !== "completed");
-  open.forEach(([id, state]) => history.note(`job ${id} is ${state}`));
-  if (!HAS_TROUBLE && open.length > 0) {
-    return `${open.length} jobs have not completed`;
+  if (!areAtWork) {
+    return "the tasks did not start";
   }
+  await wait(3000);
+  const leaver = [...platform.machines.values()]
+    .sort((a, b) => b.worker.running.size - a.worker.running.size)[0];
+  await leave(leaver);
+  await wait(6000);
   return undefined;
 }
 
-async function submit(id, agent, states) {
-  const step = {
-    count: 1 + Math.floor(random() * MAX_TASKS),
-    cpu: TASK_CPU,
-    mem_mb: TASK_MEM_MB,
-    estimated_ms: 900,
-  };
-  const body = { spec: `text of ${id}`, steps: [step] };
-  for (let attempt = 0; attempt < 5; attempt++) {
-    const front = deployment.front(
-      deployment.fronts[attempt % deployment.fronts.length],
-    );
-    const answer = await call(front, "POST", PREFIX + id, {
-      body,
-      host: HOST,
-      agent,
-      headers: { "x-deadline-ms": "3000" },
-    });
-    history.note(`job ${id} is answered ${answer.status}`);
-    if (answer.status === 200) {
-      states.set(id, "accepted");
-      await follow(id, agent, states);
-      return;
-    }
-    await wait(1000);
+async function submitJobs() {
+  const agent = new Agent({ keepAlive: true });
+  for (let n = 0; n < JOBS; n++) {
+    const id = (0x5c0e7a2100000000n + BigInt(n)).toString(16);
+    const step = {
+      count: TASKS,
+      cpu: TASK_CPU,
+      mem_mb: TASK_MEM_MB,
+      estimated_ms: 500,
+      anti_affinity: 1,
+      long_running: true,
+      max_unavailable: 1,
+    };
+    await until(async () => {
+      const answer = await call(
+        deployment.front(deployment.fronts[0]),
+        "POST",
+        PREFIX + id,
+        { body: { spec: `text of ${id}`, steps: [step] }, host: HOST, agent },
+      );
+      history.note(`job ${id} is answered ${answer.status}`);
+      return answer.status === 200;
+    }, 10000);
   }
+  agent.destroy();
 }
 
-async function follow(id, agent, states) {
-  await until(async () => {
-    await wait(400);
-    const front = deployment.front(deployment.fronts[0]);
-    const answer = await call(front, "GET", PREFIX + id, { host: HOST, agent });
-    states.set(id, answer.body?.state ?? `answered ${answer.status}`);
-    return states.get(id) === "completed";
-  }, 40000);
+/** The worker of a machine drains, announces its end and ends; its machine is gone for good. */
+async function leave(machine) {
+  const { worker } = machine;
+  const name = worker.identity.id;
+  worker.state = "draining";
+  history.note(`${name} drains, with ${worker.running.size} runs`);
+  while (!await worker.beat()) {
+    history.note(`${name}: its report is not acknowledged yet`);
+  }
+  history.note(`${name}: draining is acknowledged`);
+  await wait(DRAIN_MS + LINGER_MS - CUT_BEFORE_DEREGISTER_MS);
+  if (HAS_TROUBLE) {
+    history.note(`what the nodes send to ${name} is lost from now on`);
+    cut(machine.id, true);
+    setTimeout(() => {
+      history.note(`the link to ${name} is sound again`);
+      cut(machine.id, false);
+    }, CUT_MS);
+  }
+  await wait(CUT_BEFORE_DEREGISTER_MS);
+  history.note(`${name} announces its end`);
+  const isAcknowledged = await Promise.race([
+    worker.deregister(),
+    wait(UNANSWERED_END_MS).then(() => false),
+  ]);
+  history.note(
+    `${name} ends; its announcement was ${
+      isAcknowledged ? "acknowledged" : "not acknowledged"
+    }`,
+  );
+  platform.machines.delete(machine.id);
+  await worker.end();
 }
 
 const problem = await run().catch((error) => error.stack);
 await deployment.stop();
 await platform.stop();
+await Promise.all(
+  [...links.values()].flatMap(({ toWorker, toNodes }) =>
+    [toWorker, ...toNodes].map((proxy) => proxy.stop())
+  ),
+);
 const breaks = history.twice();
 if (process.env.KEEP !== undefined) {
   process.stdout.write(`${deployment.folder}\n`);
@@ -241,7 +251,7 @@
   ? `TWICE is broken ${breaks.length} times`
   : "TWICE holds";
 const summary = [
-  `seed ${SEED}, trouble ${HAS_TROUBLE}: ${result}`,
+  `trouble ${HAS_TROUBLE}: ${result}`,
   `${history.runs.length} runs`,
   ...breaks,
 ];
