Review: case 3 no longer depends on a free connection

A sound worker may hold more than one; the stand-in now sends two reports at once before the cut, which opens a second connection.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -208,6 +208,8 @@
   }
   history.note(`${name}: draining is acknowledged`);
   await wait(DRAIN_MS + LINGER_MS - CUT_BEFORE_DEREGISTER_MS);
+  // Its periodic report and one more at once leave two open connections, so that a report that hangs holds up no other.
+  await Promise.all([worker.beat(), worker.beat()]);
   if (HAS_TROUBLE) {
     history.note(`what the nodes send to ${name} is lost from now on`);
     cut(machine.id, true);
