Replicas: one that was removed while it was away joins again

Cause: the leader removes a voter behind a cut for the successor of another machine, and sends it nothing from then on. A replica asked to join only if its own log did not name it, so the removed one never did, and the machine that was gone for good stayed a voter: four live of five. The loss of two disks left two.

Ruled out: a refused request to join, and a wrong removal.

A replica that knows no leader now asks to join, whatever its log says, also at its seeds; a learner forgets a silent leader like a voter does. Related: a new leader took a voter that it had not heard yet for one silent for ever; a silent learner counted as a replacement; a delayed request to join could remove the sound replica of a VM. The leader logs, counts and shows which voters do not answer. quetzalcoved joins by the same rule.

--- a/packages/core/src/raft/election.ts
+++ b/packages/core/src/raft/election.ts
@@ -33,10 +33,14 @@
  */
 export function tickElection(replica: Replica): void {
   answerHeldPreVotes(replica);
+  const { log, role, now, electionAt } = replica;
   if (!isVoter(replica)) {
+    if (now >= electionAt) {
+      // Without an election, nothing else would tell that the leader is lost or has removed this replica.
+      replica.leader = undefined;
+    }
     return;
   }
-  const { log, role, now, electionAt } = replica;
   const isOnlyVoter = votersOf(log.membership).length === 1;
   const mayLeadAlone = isOnlyVoter && role === "follower" &&
     (log.hadOneVoter || !hasRecentLeader(replica));
--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -79,7 +79,7 @@
         next: log.last.index + 1,
         window: replica.tuning.window,
       };
-      const progress = new Progress(other, start);
+      const progress = new Progress(other, start, replica.now);
       leadership.progress.set(other, progress);
     }
   }
--- a/packages/core/src/raft/progress.ts
+++ b/packages/core/src/raft/progress.ts
@@ -41,6 +41,8 @@
   match = 0;
   /** Next index to send. */
   next: number;
+  /** When the leader began to track the replica, in milliseconds. */
+  readonly trackedSince: number;
   /** When the replica last answered in this term, in milliseconds. */
   contactAt = Number.NEGATIVE_INFINITY;
   /** When anything was last sent, in milliseconds. */
@@ -58,8 +60,13 @@
   #inFlight: InFlightAppend[] = [];
   #inFlightSize = 0;
 
-  constructor(replica: ReplicaId, start: { next: number; window: SendWindow }) {
+  constructor(
+    replica: ReplicaId,
+    start: { next: number; window: SendWindow },
+    now: number,
+  ) {
     this.replica = replica;
+    this.trackedSince = now;
     this.next = start.next;
     this.#window = start.window;
   }
--- a/packages/core/src/raft/raft.ts
+++ b/packages/core/src/raft/raft.ts
@@ -53,6 +53,8 @@
   match: number;
   /** Time since the replica's last answer, in milliseconds; infinite before its first answer in this term. */
   silentMs: number;
+  /** Time for which this leader has tracked the replica, in milliseconds. */
+  trackedMs: number;
 }
 
 /** Where proposed commands were appended: one index each, from `first` on. */
@@ -92,11 +94,14 @@
   get progress(): ReplicaProgress[] {
     const { leadership, now } = this.#replica;
     const all = leadership?.progress.values() ?? [];
-    return [...all].map(({ replica, mode, match, contactAt }) => ({
+    return [...all].map((
+      { replica, mode, match, contactAt, trackedSince },
+    ) => ({
       replica,
       mode,
       match,
       silentMs: now - contactAt,
+      trackedMs: now - trackedSince,
     }));
   }
 
--- a/packages/core/src/raft/replacement.ts
+++ b/packages/core/src/raft/replacement.ts
@@ -12,8 +12,10 @@
   entry: string;
   isVoter: boolean;
   isCaughtUp: boolean;
-  /** Time since its last answer to the leader, in milliseconds; 0 for the leader itself. */
+  /** Time since its last answer to the leader, in milliseconds; infinite before the first, 0 for the leader itself. */
   silentMs: number;
+  /** Time for which the leader has tracked it, in milliseconds. */
+  trackedMs: number;
 }
 
 export interface ReplacementRules {
@@ -33,34 +35,58 @@
   members: readonly MemberView[],
   rules: ReplacementRules,
 ): MembershipChange | undefined {
-  const superseded = members.find(({ entry, silentMs }, index) =>
-    silentMs > 0 &&
-    members.slice(index + 1).some((later) => later.entry === entry)
+  const superseded = members.find((member, index) =>
+    members.slice(index + 1).some((later) => isSuperseded(member, later))
   );
   if (superseded !== undefined) {
     return { kind: "remove", replica: superseded.replica };
   }
   const voters = members.filter(({ isVoter }) => isVoter);
-  const readyLearner = members.find(({ isVoter, isCaughtUp }) =>
-    !isVoter && isCaughtUp
-  );
-  if (readyLearner !== undefined && voters.length < rules.voters) {
-    return { kind: "promote", replica: readyLearner.replica };
+  const successor = readyLearner(members, rules);
+  if (successor !== undefined && voters.length < rules.voters) {
+    return { kind: "promote", replica: successor.replica };
   }
-  const lostVoter = longestSilent(voters, rules.lostAfterMs);
-  if (readyLearner !== undefined && lostVoter !== undefined) {
+  const lostVoter = longestLost(voters, rules.lostAfterMs);
+  if (successor !== undefined && lostVoter !== undefined) {
     return { kind: "remove", replica: lostVoter.replica };
   }
   const learners = members.filter(({ isVoter }) => !isVoter);
-  const lostLearner = longestSilent(learners, rules.learnerLostAfterMs);
+  const lostLearner = longestLost(learners, rules.learnerLostAfterMs);
   return lostLearner && { kind: "remove", replica: lostLearner.replica };
 }
 
-function longestSilent(
+/** Members that have not answered for a time, or have not since the leader began to track them. */
+export function lostMembers(
+  members: readonly MemberView[],
+  afterMs: number,
+): MemberView[] {
+  return members.filter((member) => lostMs(member) > afterMs);
+}
+
+/** Whether a later replica of the same VM answers; an earlier one whose request to join was delayed does not. */
+function isSuperseded(member: MemberView, later: MemberView): boolean {
+  return later.entry === member.entry && later.silentMs < member.silentMs;
+}
+
+/** A learner that can become a voter now. */
+function readyLearner(
+  members: readonly MemberView[],
+  { lostAfterMs }: ReplacementRules,
+): MemberView | undefined {
+  return members.find(({ isVoter, isCaughtUp, silentMs }) =>
+    !isVoter && isCaughtUp && silentMs <= lostAfterMs
+  );
+}
+
+function longestLost(
   members: readonly MemberView[],
   afterMs: number,
 ): MemberView | undefined {
-  return members
-    .filter(({ silentMs }) => silentMs > afterMs)
-    .sort((a, b) => b.silentMs - a.silentMs)[0];
+  return lostMembers(members, afterMs)
+    .sort((a, b) => lostMs(b) - lostMs(a))[0];
+}
+
+/** A new leader has not heard the other members yet, so its silence counts from its election. */
+function lostMs({ silentMs, trackedMs }: MemberView): number {
+  return Math.min(silentMs, trackedMs);
 }
--- a/packages/core/test/scheduling_fleet_test.ts
+++ b/packages/core/test/scheduling_fleet_test.ts
@@ -364,6 +364,7 @@
       isVoter: true,
       isCaughtUp: true,
       silentMs: 0,
+      trackedMs: 60_000,
       ...changes,
     };
   }
@@ -409,6 +410,38 @@
     });
   });
 
+  // Guards against a new leader that takes a voter which it has not heard yet for one that has been silent for ever.
+  it("keep a voter that a new leader has tracked for a moment only", () => {
+    const members = [
+      ...five.slice(0, 4),
+      member("e", { silentMs: Infinity, trackedMs: 900 }),
+      member("f", { isVoter: false }),
+    ];
+    expect(nextMembershipChange(members, RULES)).toBeUndefined();
+  });
+
+  // Guards against a group that ends up with fewer voters, since the learner that was to replace one is lost too.
+  it("keep a silent voter while the learner that caught up is silent too", () => {
+    const members = [
+      ...five.slice(0, 4),
+      member("e", { silentMs: 7_000 }),
+      member("f", { isVoter: false, silentMs: 6_500 }),
+    ];
+    expect(nextMembershipChange(members, RULES)).toBeUndefined();
+  });
+
+  // Guards against the removal of a sound replica by a request to join that its VM had sent before it lost its disk.
+  it("keep a replica that answers when an earlier one of its VM is added after it", () => {
+    const members = [
+      ...five,
+      { ...member("e", { isVoter: false }), replica: "e#1111" },
+    ];
+    const [answering, late] = [members[4]!, members[5]!];
+    answering.silentMs = 90;
+    Object.assign(late, { silentMs: Infinity, trackedMs: 50 });
+    expect(nextMembershipChange(members, RULES)).toBeUndefined();
+  });
+
   it("lose a learner that stays silent", () => {
     const members = [
       ...five,
@@ -426,6 +459,7 @@
       isVoter: fc.boolean(),
       isCaughtUp: fc.boolean(),
       silentMs: fc.integer({ min: 0, max: 40_000 }),
+      trackedMs: fc.integer({ min: 0, max: 40_000 }),
     });
     fc.assert(fc.property(fc.array(view, { maxLength: 7 }), (views) => {
       const members = views.map((each, i) => ({
--- a/packages/daemon/src/consensus/dynamic_membership_controller.ts
+++ b/packages/daemon/src/consensus/dynamic_membership_controller.ts
@@ -8,6 +8,7 @@
   Err,
   type Fault,
   fault,
+  lostMembers,
   type MembershipChange,
   type MemberView,
   nextMembershipChange,
@@ -19,22 +20,26 @@
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
 import type { Log } from "../observe/log.ts";
-import { addReplica, isMember, JoinRequest } from "./joining.ts";
+import type { Metrics } from "../observe/metrics.ts";
+import { addReplica, JoinRequest, needsToJoin } from "./joining.ts";
 import type { RaftDriver } from "./raft_driver.ts";
 
 /** Dependencies of the dynamic membership controller. */
 export interface DynamicMembershipControllerParts {
   replica: Pick<
     RaftDriver<never, never, never>,
-    "leadership" | "replicas" | "silentTimes" | "changeMembership"
+    "leadership" | "replicas" | "contactTimes" | "changeMembership"
   >;
   /** This replica as it asks to join. */
   self: JoinRequest;
   rules: ReplacementRules;
-  leader: LeaderClient;
+  /** Hosts at which replicas may be found if none of the known members leads. */
+  seeds: readonly string[];
+  leader: Pick<LeaderClient, "call">;
   /** Called with the hosts of all members after each change. */
   onMembers: (hosts: readonly string[]) => void;
   log: Log;
+  metrics: Pick<Metrics, "gauge">;
 }
 
 /** Interval at which the membership is compared with the wanted one. */
@@ -46,6 +51,7 @@
   readonly #parts: DynamicMembershipControllerParts;
   readonly #ticker: Component;
   #reportedHosts = "";
+  #loggedVoters = "";
 
   constructor(parts: DynamicMembershipControllerParts) {
     this.#parts = parts;
@@ -54,6 +60,11 @@
       RECONCILE_INTERVAL_MS,
       () => this.#reconcile(),
     );
+    parts.metrics.gauge("quetzalcove_voters", () => this.#voters().length);
+    parts.metrics.gauge(
+      "quetzalcove_voters_silent",
+      () => this.#silentVoters().length,
+    );
   }
 
   start(): Promise<void> {
@@ -75,21 +86,20 @@
     const { replica, self } = this.#parts;
     this.#reportMembers();
     if (replica.leadership().isLeader) {
+      this.#logVoters();
       this.#changeMembershipIfNeeded();
-    } else if (!isMember(replica, self.replica)) {
+    } else if (needsToJoin(replica, self.replica)) {
       await this.#requestToJoin();
     }
   }
 
   #reportMembers(): void {
-    const { replica, self, onMembers } = this.#parts;
-    const hosts = [
-      ...new Set([
-        self.entry,
-        ...replica.replicas().map(({ entry }) => entry),
-      ]),
-    ];
-    const isFormed = hosts.length > 1;
+    const { replica, self, seeds, onMembers } = this.#parts;
+    const members = replica.replicas().map(({ entry }) => entry);
+    // The members of a replica that was away for long may all have been replaced.
+    const fallback = replica.leadership().leader === undefined ? seeds : [];
+    const hosts = [...new Set([self.entry, ...members, ...fallback])];
+    const isFormed = members.length > 1;
     if (isFormed && hosts.join() !== this.#reportedHosts) {
       this.#reportedHosts = hosts.join();
       onMembers(hosts);
@@ -107,44 +117,81 @@
 
   #join(params: unknown): Result<unknown, Fault> {
     const { replica, log } = this.#parts;
-    const { isLeader, leader } = replica.leadership();
-    if (!isLeader) {
-      const message = "This replica does not lead";
-      return Err(
-        leader === undefined
-          ? fault("no_leader", message, { outcome: "not run" })
-          : fault("not_leader", message, { outcome: "not run", leader }),
-      );
+    return this.#asLeader(() =>
+      parse(JoinRequest, params, "join").andThen((request) =>
+        addReplica(replica, request, log)
+      )
+    );
+  }
+
+  #asLeader(
+    handle: () => Result<unknown, Fault>,
+  ): Result<unknown, Fault> {
+    const { isLeader, leader } = this.#parts.replica.leadership();
+    if (isLeader) {
+      return handle();
     }
-    return parse(JoinRequest, params, "join").andThen((request) =>
-      addReplica(replica, request, log)
+    const message = "This replica does not lead";
+    return Err(
+      leader === undefined
+        ? fault("no_leader", message, { outcome: "not run" })
+        : fault("not_leader", message, { outcome: "not run", leader }),
     );
   }
 
   #changeMembershipIfNeeded(): void {
-    const { replica, rules, log } = this.#parts;
-    const change = nextMembershipChange(this.#members(), rules);
+    const change = nextMembershipChange(this.#members(), this.#parts.rules);
     if (change !== undefined) {
-      const changed = replica.changeMembership(change);
-      log.info("replica.membership", {
-        change: change.kind,
-        replica: replicaOf(change),
-        outcome: changed.ok ? "started" : changed.val.message,
+      this.#change(change);
+    }
+  }
+
+  #change(change: MembershipChange): Result<unknown, Fault> {
+    const { replica, log } = this.#parts;
+    const changed = replica.changeMembership(change);
+    log.info("replica.membership", {
+      change: change.kind,
+      replica: replicaOf(change),
+      outcome: changed.ok ? "started" : changed.val.message,
+    });
+    return changed.map(() => ({}));
+  }
+
+  /** Logs how many of the voters answer, when that changes: it tells how many more may be lost. */
+  #logVoters(): void {
+    const { rules, log } = this.#parts;
+    const voters = this.#voters().length;
+    const silent = this.#silentVoters().map(({ replica }) => replica).join();
+    const state = `${voters} ${silent}`;
+    if (state !== this.#loggedVoters) {
+      this.#loggedVoters = state;
+      log.info("group.voters", {
+        wanted: rules.voters,
+        voters,
+        silent: silent === "" ? undefined : silent,
       });
     }
   }
 
+  #voters(): MemberView[] {
+    return this.#members().filter(({ isVoter }) => isVoter);
+  }
+
+  /** Voters that do not answer; only the leader knows of any. */
+  #silentVoters(): MemberView[] {
+    return lostMembers(this.#voters(), this.#parts.rules.lostAfterMs);
+  }
+
   #members(): MemberView[] {
-    const { replica, self } = this.#parts;
-    const silentTimes = replica.silentTimes();
+    const { replica } = this.#parts;
+    const times = replica.contactTimes();
     return replica.replicas().map((member) => ({
       replica: member.replica,
       entry: member.entry,
       isVoter: member.role !== "learner",
       isCaughtUp: member.caughtUp,
-      silentMs: member.replica === self.replica
-        ? 0
-        : silentTimes.get(member.replica) ?? 0,
+      // The leader itself has no such times.
+      ...times.get(member.replica) ?? { silentMs: 0, trackedMs: Infinity },
     }));
   }
 }
--- a/packages/daemon/src/consensus/joining.ts
+++ b/packages/daemon/src/consensus/joining.ts
@@ -13,13 +13,24 @@
 export type JoinRequest = z.infer<typeof JoinRequest>;
 
 /** Whether a replica is a member of the group, as far as this one knows. */
-export function isMember(
+function isMember(
   group: Pick<RaftDriver<never, never, never>, "replicas">,
   replica: string,
 ): boolean {
   return group.replicas().some((member) => member.replica === replica);
 }
 
+/**
+ * Whether a replica has to ask the leader to join: it is no member, or hears from no leader, which tells nothing to a
+ * replica that was removed. A member that asks stays what it is.
+ */
+export function needsToJoin(
+  group: Pick<RaftDriver<never, never, never>, "replicas" | "leadership">,
+  replica: string,
+): boolean {
+  return !isMember(group, replica) || group.leadership().leader === undefined;
+}
+
 /** Adds a replica as a learner to the group that this one leads; a member is not added again. */
 export function addReplica(
   group: Pick<
--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -15,6 +15,7 @@
   type RaftMessage,
   type RaftOutput,
   type ReplicaId,
+  type ReplicaProgress,
   type Result,
   type Settings,
   type Snapshot,
@@ -62,6 +63,9 @@
   onStorageFailure: (cause: Fault) => void;
 }
 
+/** How long a replica has been tracked and has not answered, in milliseconds. */
+export type ContactTimes = Pick<ReplicaProgress, "silentMs" | "trackedMs">;
+
 /** Longest time that a proposal waits for the log write in progress: more than a sync of a healthy disk takes. */
 const MAX_PROPOSAL_WAIT_MS = 10;
 
@@ -253,10 +257,13 @@
       this.#barriers.hasLease(this.#clockTimes());
   }
 
-  /** Time since the last answer of each other replica to this leader, in milliseconds. */
-  silentTimes(): Map<ReplicaId, number> {
+  /** How long this leader has tracked each other replica, and since when that has not answered. */
+  contactTimes(): Map<ReplicaId, ContactTimes> {
     return new Map(
-      this.#raft.progress.map(({ replica, silentMs }) => [replica, silentMs]),
+      this.#raft.progress.map(({ replica, silentMs, trackedMs }) => [
+        replica,
+        { silentMs, trackedMs },
+      ]),
     );
   }
 
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -22,7 +22,7 @@
 import { type Clock, systemClock } from "../clock.ts";
 import { DynamicMembershipController } from "../consensus/dynamic_membership_controller.ts";
 import { transferLeadership } from "../consensus/leadership_transfer.ts";
-import { RaftDriver } from "../consensus/raft_driver.ts";
+import { type ContactTimes, RaftDriver } from "../consensus/raft_driver.ts";
 import { LeaderClient } from "../entry/leader_client.ts";
 import { type Component, Lifecycle } from "../lifecycle.ts";
 import type { ConnectionParts, Handler } from "../link/connection.ts";
@@ -148,6 +148,7 @@
     const { node, zone } = this.#parts.settings;
     const replica = this.#replica;
     const jobStore = replica?.state;
+    const times = replica?.contactTimes();
     return {
       node,
       zone,
@@ -157,6 +158,7 @@
         replica: member.replica,
         role: member.role,
         caughtUp: member.caughtUp,
+        silentMs: silenceOf(times?.get(member.replica)),
       })),
       plan: jobStore?.plan.version,
       openJobs: jobStore && countOf(jobStore.jobs.values(), isOpen),
@@ -286,10 +288,12 @@
         lostAfterMs: settings.raft.lostAfterMs,
         learnerLostAfterMs: LEARNER_LOST_AFTER_MS,
       },
+      seeds: this.#otherSeeds,
       leader: this.#leaderClient,
       onMembers: (hosts) =>
         this.#linkPool.setKnownHosts(hosts.filter((other) => other !== host)),
       log,
+      metrics: this.metrics,
     });
     const leaderController = this.#createLeaderController(replica);
     this.#leaderController = leaderController;
@@ -399,7 +403,7 @@
 
   /** The other replicas, which can relay calls of this leader. */
   #relayCandidates(replica: JobReplica): RelayCandidate[] {
-    const silentTimes = replica.silentTimes();
+    const times = replica.contactTimes();
     return replica.replicas()
       .filter(({ entry }) => entry !== this.#parts.settings.host)
       .map(({ replica: id, entry, zone, caughtUp }) => ({
@@ -407,7 +411,7 @@
         zone,
         caughtUp,
         isConnected: this.#linkPool.get(entry).isOpen,
-        silentMs: silentTimes.get(id) ?? Infinity,
+        silentMs: times.get(id)?.silentMs ?? Infinity,
       }));
   }
 
@@ -472,6 +476,11 @@
   }
 }
 
+/** Silence of a replica in whole milliseconds, counted from when the leader began to track it if it has not answered. */
+function silenceOf(times: ContactTimes | undefined): number | undefined {
+  return times && Math.round(Math.min(times.silentMs, times.trackedMs));
+}
+
 function countOf<T>(
   items: Iterable<T>,
   matches: (item: T) => boolean,
--- a/packages/daemon/src/scheduler/status.ts
+++ b/packages/daemon/src/scheduler/status.ts
@@ -41,6 +41,8 @@
     replica: z.string(),
     role: z.enum(["leader", "follower", "learner"]),
     caughtUp: z.boolean(),
+    /** Time since its last answer to this leader; undefined on other nodes, and for the leader itself. */
+    silentMs: Count.optional(),
   })),
   /** Version of the queue plan; undefined, like the counts of open jobs and waves, on nodes without a replica. */
   plan: Count.optional(),
