Replicas: a lost voter is replaced before the platform counts on its successor

Cause: the platform counts on a new machine catch_up_s (4 s) after its start, while a lost voter was replaced after 6 s of silence; and a replica that stops as planned told nobody. Ruled out: a successor that had not caught up, and a removal that was refused.

A replica that stops as planned now gives its vote to a learner that can take it. A silent voter is replaced after 1 s, and a quarter of catch_up_s at most. That is safe since a sound replica joins again.

--- a/packages/core/src/raft/replacement.ts
+++ b/packages/core/src/raft/replacement.ts
@@ -55,6 +55,23 @@
   return lostLearner && { kind: "remove", replica: lostLearner.replica };
 }
 
+/**
+ * The removal of a voter that is about to stop, if a learner can take its place. Its restart is not waited for: it joins
+ * again as a learner.
+ */
+export function departureOf(
+  replica: ReplicaId,
+  members: readonly MemberView[],
+  rules: ReplacementRules,
+): MembershipChange | undefined {
+  const isVoter = members.some((member) =>
+    member.replica === replica && member.isVoter
+  );
+  return isVoter && readyLearner(members, rules) !== undefined
+    ? { kind: "remove", replica }
+    : undefined;
+}
+
 /** Members that have not answered for a time, or have not since the leader began to track them. */
 export function lostMembers(
   members: readonly MemberView[],
--- a/packages/core/src/scheduling/model/scheduler_settings.ts
+++ b/packages/core/src/scheduling/model/scheduler_settings.ts
@@ -33,8 +33,11 @@
   voters: Count.default(5).describe(
     "Voters to keep; five survive the loss of two disks.",
   ),
-  lostAfterMs: DurationMs.default(6_000).describe(
-    "Silence after which a voter is replaced, if another replica can take its place.",
+  lostAfterMs: DurationMs.default(1_000).describe(
+    "Silence after which a voter is replaced, if another replica can take its place; it joins again if it answers later.",
+  ),
+  catchUpSeconds: z.number().positive().default(4).describe(
+    "Time after its start within which a replica has to be able to stand in for a lost one, from the platform.",
   ),
 });
 
@@ -152,11 +155,14 @@
   callTimeoutMs: DurationMs.default(2_500).describe(
     "Deadline of a call at the leader; below the callers' three seconds.",
   ),
-  graceMs: DurationMs.default(6_000).describe(
-    "Time from the signal to stop until the process is killed.",
+  graceSeconds: z.number().positive().default(6).describe(
+    "Time from the signal to stop until the process is killed, from the platform.",
+  ),
+  statusSeconds: z.number().positive().default(120).describe(
+    "How long callers may ask for the outcome of a job, from the platform.",
   ),
   retentionMs: DurationMs.default(180_000).describe(
-    "How long the outcome of a job is kept; above the two minutes that callers are promised.",
+    "How long the outcome of a job is kept; half as long again as callers may ask for it, or longer.",
   ),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info").describe(
     "Least severe events that are logged.",
@@ -164,15 +170,36 @@
 });
 export type SchedulerSettings = z.infer<typeof SchedulerSettings>;
 
-/** Checks settings and limits `leaseMs` to `maxLeaseMs`; the fault lists each invalid value. */
+/** Share of the time to catch up in which the loss of a voter is noticed; the rest is for the new replica to join. */
+const LOSS_SHARE_OF_CATCH_UP = 0.25;
+
+/** Retention of outcomes as a multiple of the time in which callers may ask for them. */
+const RETENTION_FACTOR = 1.5;
+
+/**
+ * Checks settings and limits `leaseMs` to `maxLeaseMs`, and `lostAfterMs` to a share of `catchUpSeconds`; raises
+ * `retentionMs` to a multiple of `statusSeconds`. The fault lists each invalid value.
+ */
 export function checkSchedulerSettings(
   value: unknown,
   fileName: string,
 ): Result<SchedulerSettings, Fault> {
   return parse(SchedulerSettings, value, fileName).map((settings) => {
     const { leaseMs, maxLeaseMs } = settings.workers;
+    const { lostAfterMs, catchUpSeconds } = settings.raft;
     return {
       ...settings,
+      retentionMs: Math.max(
+        settings.retentionMs,
+        settings.statusSeconds * 1_000 * RETENTION_FACTOR,
+      ),
+      raft: {
+        ...settings.raft,
+        lostAfterMs: Math.min(
+          lostAfterMs,
+          catchUpSeconds * 1_000 * LOSS_SHARE_OF_CATCH_UP,
+        ),
+      },
       workers: { ...settings.workers, leaseMs: Math.min(leaseMs, maxLeaseMs) },
     };
   });
--- a/packages/daemon/src/consensus/dynamic_membership_controller.ts
+++ b/packages/daemon/src/consensus/dynamic_membership_controller.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  departureOf,
   Err,
   type Fault,
   fault,
@@ -12,10 +13,13 @@
   type MembershipChange,
   type MemberView,
   nextMembershipChange,
+  Ok,
   parse,
   type ReplacementRules,
+  ReplicaId,
   type Result,
 } from "@quetzalcove/core";
+import { z } from "zod";
 import type { LeaderClient } from "../entry/leader_client.ts";
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
@@ -42,8 +46,11 @@
   metrics: Pick<Metrics, "gauge">;
 }
 
+/** Body of a `leave` call: the replica that is about to stop. */
+const LeaveRequest = z.object({ replica: ReplicaId });
+
 /** Interval at which the membership is compared with the wanted one. */
-const RECONCILE_INTERVAL_MS = 300;
+const RECONCILE_INTERVAL_MS = 100;
 const CALL_TIMEOUT_MS = 1_000;
 
 export class DynamicMembershipController implements Component {
@@ -79,9 +86,21 @@
   handlers(): Handlers {
     return new Map<string, Handler>([
       ["join", (params) => Promise.resolve(this.#join(params))],
+      ["leave", (params) => Promise.resolve(this.#leave(params))],
     ]);
   }
 
+  /** Before a planned stop: gives the vote of this replica to a learner that can take its place, if there is one. */
+  async leave(): Promise<void> {
+    const { self, leader, log } = this.#parts;
+    const { replica } = self;
+    const answer = await leader.call("leave", { replica }, CALL_TIMEOUT_MS);
+    log.info("replica.leaves", {
+      replica,
+      outcome: answer.ok ? "answered" : answer.val.message,
+    });
+  }
+
   async #reconcile(): Promise<void> {
     const { replica, self } = this.#parts;
     this.#reportMembers();
@@ -124,6 +143,16 @@
     );
   }
 
+  #leave(params: unknown): Result<unknown, Fault> {
+    const { rules } = this.#parts;
+    return this.#asLeader(() =>
+      parse(LeaveRequest, params, "leave").andThen((request) => {
+        const change = departureOf(request.replica, this.#members(), rules);
+        return change === undefined ? Ok({}) : this.#change(change);
+      })
+    );
+  }
+
   #asLeader(
     handle: () => Result<unknown, Fault>,
   ): Result<unknown, Fault> {
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -94,6 +94,7 @@
   #leaderClient: LeaderClient;
   readonly #discovery: ReplicaDiscovery;
   #replica: JobReplica | undefined;
+  #membershipController: DynamicMembershipController | undefined;
   #leaderController: LeaderController | undefined;
   #workerReports: WorkerReports | undefined;
   /** Called on a fatal failure; the process must exit. */
@@ -209,10 +210,11 @@
     return Ok.EMPTY;
   }
 
-  /** Transfers leadership to another replica, then stops all components. */
+  /** Gives the leadership and the vote of this replica to others, if they can take them, then stops all components. */
   async stop(): Promise<void> {
     if (this.#replica !== undefined) {
       await transferLeadership(this.#replica, this.#parts.settings.host);
+      await this.#membershipController?.leave();
     }
     await this.#lifecycle.stop();
   }
@@ -295,6 +297,7 @@
       log,
       metrics: this.metrics,
     });
+    this.#membershipController = membershipController;
     const leaderController = this.#createLeaderController(replica);
     this.#leaderController = leaderController;
     const leaderApi = new LeaderApi({
--- a/packages/daemon/test/dynamic_membership_test.ts
+++ b/packages/daemon/test/dynamic_membership_test.ts
@@ -32,6 +32,21 @@
   return await Promise.race([committed, false]);
 }
 
+/** Two initial voters other than the given ones lose power and their disks, and are back a second later. */
+async function loseTwoDisks(...others: string[]): Promise<void> {
+  const wiped = ["a", "b", "c", "d", "e"].filter((host) =>
+    !others.includes(host)
+  ).slice(0, 2);
+  for (const host of wiped) {
+    await group.kill(host);
+  }
+  await vi.advanceTimersByTimeAsync(1_000);
+  for (const host of wiped) {
+    await group.add(host, "0002");
+  }
+  await vi.advanceTimersByTimeAsync(2 * CATCH_UP_MS);
+}
+
 /** Replaces a voter that is away for a while, and then one that is lost for good. */
 async function replaceBoth(away: string, gone: string): Promise<void> {
   await group.add("f");
@@ -104,17 +119,43 @@
   group.heal(away);
   await vi.advanceTimersByTimeAsync(CATCH_UP_MS);
   expect(await canCommit()).toBe(true);
-  const wiped = ["a", "b", "c", "d", "e"].filter((host) =>
-    host !== away && host !== gone
-  ).slice(0, 2);
-  for (const host of wiped) {
-    await group.kill(host);
-  }
-  await vi.advanceTimersByTimeAsync(1_000);
-  for (const host of wiped) {
-    await group.add(host, "0002");
-  }
-  await vi.advanceTimersByTimeAsync(2 * CATCH_UP_MS);
+  await loseTwoDisks(away, gone);
+  expect(await canCommit()).toBe(true);
+  expect(group.members).toHaveLength(5);
+});
+
+/** Pause between the start of a successor and the end of the machine that it replaces. */
+const OVERLAP_MS = 2_000;
+
+// Guards against a machine that counts as a voter for longer than the platform waits before it may take two others.
+it("a voter that stops as planned gives its vote to its successor", async () => {
+  const [, gone] = followers();
+  await group.add("f");
+  await vi.advanceTimersByTimeAsync(OVERLAP_MS);
+  const left = group.leave(gone);
+  await vi.advanceTimersByTimeAsync(500);
+  await left;
+  expect(group.members).toEqual(survivors(gone));
+});
+
+// A planned stop also comes before a restart, after which the replica is wanted again.
+it("a voter that stops as planned keeps its vote while no other replica can take it", async () => {
+  const [, stopped] = followers();
+  const before = group.members;
+  const left = group.leave(stopped);
+  await vi.advanceTimersByTimeAsync(CATCH_UP_MS);
+  await left;
+  expect(group.members).toEqual(before);
+});
+
+// Guards against the same loss without notice.
+it("the group survives the loss of two disks as soon as the platform counts on the successor of a lost machine", async () => {
+  const [, gone] = followers();
+  await group.add("f");
+  await vi.advanceTimersByTimeAsync(OVERLAP_MS);
+  await group.kill(gone);
+  await vi.advanceTimersByTimeAsync(CATCH_UP_MS - OVERLAP_MS);
+  await loseTwoDisks(gone);
   expect(await canCommit()).toBe(true);
   expect(group.members).toHaveLength(5);
 });
--- a/packages/daemon/test/replica_group.ts
+++ b/packages/daemon/test/replica_group.ts
@@ -13,6 +13,7 @@
   type Result,
   type StoredState,
 } from "@quetzalcove/core";
+import { checkSchedulerSettings } from "@quetzalcove/core/scheduling";
 import { DynamicMembershipController } from "../src/consensus/dynamic_membership_controller.ts";
 import { RaftDriver } from "../src/consensus/raft_driver.ts";
 import { LeaderClient } from "../src/entry/leader_client.ts";
@@ -23,7 +24,16 @@
 import { wait } from "../src/waiting.ts";
 import { QUIET_LOG, TEST_CLOCK } from "./scheduler_fixture.ts";
 
-const RULES = { voters: 5, lostAfterMs: 1_000, learnerLostAfterMs: 30_000 };
+/** The rules of a node whose settings leave them out. */
+const { raft } = checkSchedulerSettings({
+  cluster: "c1",
+  node: "n1",
+  host: "127.0.0.1",
+  zone: "zone-a",
+  listen: { link: "127.0.0.1:7060", metrics: "127.0.0.1:9464" },
+  seeds: ["127.0.0.1:8600"],
+}, "settings").unwrap();
+const RULES = { ...raft, learnerLostAfterMs: 30_000 };
 
 type Driver = RaftDriver<string[], string, number>;
 
@@ -92,6 +102,12 @@
     await driver.stop();
   }
 
+  /** Stops a replica as planned. */
+  async leave(host: string): Promise<void> {
+    await this.#node(host).controller.leave();
+    await this.kill(host);
+  }
+
   async stop(): Promise<void> {
     await Promise.all([...this.#nodes.keys()].map((host) => this.kill(host)));
   }
@@ -147,11 +163,7 @@
         entry: host,
         zone: "zone-a",
         listen: { link: addressOf(host) },
-        raft: {
-          heartbeatMs: 100,
-          electionMinMs: 500,
-          snapshotEveryEntries: 1_000,
-        },
+        raft,
       },
       stateMachine: {
         empty: () => [],
