Orders: a refusal of one copy tells nothing of another, whoever sent it

Cause: undici sends pipelined calls again when the connection breaks on which they were sent. The first copy of a start is carried out, the repetition is rejected with 503, and the run was released as never started. Only the copies of a hedge were known to the client. Ruled out: hedges, relayed calls, late orders of an earlier life.

The result of a call now tells that it answers a repetition, and the refusal of one copy leaves a start in doubt; the log names it (refusedCopy). The same cause in VM orders: a refusal after a copy without an answer was taken for "not carried out", so that another VM of a wave could go down beside the limit.

--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -408,10 +408,13 @@
   if (outcome.kind !== "start") {
     return { answer: "no_answer", clockMs: undefined };
   }
-  const { answer, clockMs, isCopyInDoubt } = outcome;
-  return isCopyInDoubt === true
-    ? { answer, clockMs, isCopyInDoubt }
-    : { answer, clockMs };
+  const { answer, clockMs, isCopyInDoubt, refusedCopy } = outcome;
+  return {
+    answer,
+    clockMs,
+    ...(isCopyInDoubt === true && { isCopyInDoubt }),
+    ...(refusedCopy !== undefined && { refusedCopy }),
+  };
 }
 
 function renewalAnswer(outcome: Outcome): RenewalAnswer {
--- a/packages/daemon/src/scheduler/call_relay/messages.ts
+++ b/packages/daemon/src/scheduler/call_relay/messages.ts
@@ -74,6 +74,19 @@
 
 const Answer = z.object({ call: Count });
 
+const WireStartAnswer = z.enum([
+  "started",
+  "superseded",
+  "expired",
+  "no_room",
+  "no_permit",
+  "invalid",
+  "unwell",
+  "fenced",
+  "other_worker",
+  "no_answer",
+]);
+
 /** Time on the worker's clock, if its answer had one. */
 const ClockMs = z.number().optional();
 
@@ -82,21 +95,12 @@
   Answer.extend({ kind: z.literal("declined"), reason: z.string() }),
   Answer.extend({
     kind: z.literal("start"),
-    answer: z.enum([
-      "started",
-      "superseded",
-      "expired",
-      "no_room",
-      "no_permit",
-      "invalid",
-      "unwell",
-      "fenced",
-      "other_worker",
-      "no_answer",
-    ]),
+    answer: WireStartAnswer,
     clockMs: ClockMs,
     /** Whether another copy of the start may still be carried out. */
     isCopyInDoubt: z.boolean().optional(),
+    /** How one copy was refused while another got no answer. */
+    refusedCopy: WireStartAnswer.optional(),
   }),
   /** Answer to a stop or a change of pace. */
   Answer.extend({
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -10,12 +10,12 @@
   type Reconciliation,
   type RunKey,
   type RunRecord,
-  type StartAnswer,
   stepName,
   type Worker,
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
 import { wait } from "../waiting.ts";
+import type { StartReply } from "./platform_clients.ts";
 import type { RunEndRecorder } from "./run_end_recorder.ts";
 import type { RunProbation } from "./run_probation.ts";
 import type { WorkerSessionParts } from "./worker_session_parts.ts";
@@ -196,7 +196,7 @@
     if (this.#isSuperseded) {
       return;
     }
-    const { answer, clockMs, isCopyInDoubt = false } = reply;
+    const { answer, clockMs, isCopyInDoubt = false, refusedCopy } = reply;
     const now = clock.monotonic();
     metrics.observe("quetzalcove_start_order_seconds", now - sentAt);
     if (answer !== "no_answer") {
@@ -210,7 +210,7 @@
     }
     const refused = this.#orders.recordStartAnswer(run, answer, now);
     if (answer !== "started") {
-      this.#handleRefusal(run, answer, now);
+      this.#handleRefusal(run, { answer, refusedCopy }, now);
     }
     if (refused !== undefined) {
       await runEndBatcher.add([], [refused]);
@@ -238,11 +238,21 @@
     return permit(stepName(run), worker().id) ?? "";
   }
 
-  #handleRefusal(run: RunRecord, answer: StartAnswer, now: number): void {
+  #handleRefusal(
+    run: RunRecord,
+    { answer, refusedCopy }: Pick<StartReply, "answer" | "refusedCopy">,
+    now: number,
+  ): void {
     const { log, metrics, onReplaced } = this.#parts;
     const { task, worker } = run;
     metrics.count("quetzalcove_starts_refused_total", { answer });
-    log.warn("run.not_started", { task, run: run.run, worker, answer });
+    log.warn("run.not_started", {
+      task,
+      run: run.run,
+      worker,
+      answer,
+      refusedCopy,
+    });
     if (answer === "other_worker") {
       onReplaced();
     } else if (answer === "unwell") {
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -58,6 +58,8 @@
 export interface StartReply extends AnswerWithClock<StartAnswer> {
   /** Whether another copy of the start got no answer, so that it may still be carried out by a later life. */
   isCopyInDoubt?: boolean | undefined;
+  /** How one copy was refused while another got no answer, for the log: the start itself counts as unanswered. */
+  refusedCopy?: StartAnswer | undefined;
 }
 
 export type RenewalAnswer =
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -215,8 +215,8 @@
 
   /**
    * Sends an order and, once it is carried out, records the absence and removes its workers, which the order has ended.
-   * Returns whether it was carried out; undefined if the leadership term ended first. The answer is the same if the
-   * order had been carried out earlier, so workers that reported since are kept: they may still be running.
+   * Returns whether it was carried out; undefined if that is not known. The answer is the same if the order had been
+   * carried out earlier, so workers that reported since are kept: they may still be running.
    */
   async order(
     vm: string,
@@ -250,7 +250,7 @@
           reason: `VM ${action.kind} order carried out`,
         });
       }
-    } else if (answer !== undefined) {
+    } else {
       this.backOff(vm, now);
     }
     return answer === undefined ? undefined : answer === "done";
--- a/packages/daemon/src/scheduler/vm_orders.ts
+++ b/packages/daemon/src/scheduler/vm_orders.ts
@@ -56,19 +56,24 @@
     this.#stopped = true;
   }
 
-  /** Orders an action, retried until the answer is definite; undefined if the leadership term ended first. */
+  /**
+   * Orders an action, retried until the answer is definite; undefined if the leadership term ended first, or if only a
+   * copy was refused and an earlier one got no answer, so that it may have been carried out.
+   */
   async order(vm: string, action: VmAction): Promise<VmAnswer | undefined> {
     const { term, log, metrics, isConfirmedLeader } = this.#parts;
     this.#pending.set(vm, action.kind);
     this.#orderCount += 1;
     const fence = term * FENCES_PER_TERM + this.#orderCount;
     let answer: VmAnswer | undefined;
+    let isCopyInDoubt = false;
     while (!this.#stopped && !isDefinite(answer)) {
       if (answer !== undefined) {
         await wait(RETRY_DELAY_MS);
       }
       if (isConfirmedLeader()) {
         answer = await this.#send(vm, action, fence);
+        isCopyInDoubt ||= answer === "no_answer";
         metrics.count("quetzalcove_vm_orders_total", {
           kind: action.kind,
           answer,
@@ -84,8 +89,10 @@
       to: action.kind === "move" ? action.pool : String(action.wave),
       fence,
       answer,
+      isCopyInDoubt,
     });
-    return isDefinite(answer) ? answer : undefined;
+    const isKnown = answer === "done" || !isCopyInDoubt;
+    return isKnown && isDefinite(answer) ? answer : undefined;
   }
 
   #send(vm: string, action: VmAction, fence: number): Promise<VmAnswer> {
