Workers: an announced end releases nothing before the worker says so or its lease ends

Cause: with the announcement recorded, one unanswered renewal counted as the end of the worker, which runs on for seconds if its announcement gets no answer. Ruled out: a lease counted too short, and an announcement of another worker.

The runs of a worker are now kept until its lease has ended. So that a worker that leaves does not cost that wait, its runs are stopped when it announces its end, and it has its answer when they have ended, or after 0.4 s.

--- a/packages/core/src/scheduling/model/command.ts
+++ b/packages/core/src/scheduling/model/command.ts
@@ -34,7 +34,7 @@
   labels: z.array(z.string()),
   /** Whether it announced that it will leave; it gets no new work. */
   draining: z.boolean(),
-  /** Whether it announced its final departure; once it stops answering, nothing runs on it. */
+  /** Whether it announced that it is about to end. */
   hasLeft: z.boolean(),
   /** Number of the report that this is from; later reports of a worker have higher numbers. Undefined if not numbered. */
   reportNumber: z.number().int().optional(),
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -54,6 +54,8 @@
   onAccepted: (job: SubmittedJob) => void;
   /** Accepts or refuses a job that is not stored. */
   accept: (job: SubmittedJob) => Result<void, Fault>;
+  /** Stops the runs of a worker that has announced its end; resolves when they have ended, or after a while. */
+  vacate: (worker: string) => Promise<void>;
 }
 
 type MethodHandlers = {
@@ -314,16 +316,21 @@
   async #leaveWorker(
     { id }: Params<"leave_worker">,
   ): Promise<Result<unknown, Fault>> {
-    const { consensus, log } = this.#parts;
+    const { consensus, log, vacate } = this.#parts;
     const worker = consensus.state.workers.get(id);
     if (worker === undefined || worker.hasLeft) {
       return Ok({});
     }
-    log.info("worker.leaving", { worker: id });
-    return await consensus.propose({
+    const runs = consensus.state.load(id).runs.size;
+    const left = await consensus.propose({
       kind: "join",
       workers: [{ ...worker, draining: true, hasLeft: true }],
     });
+    // The worker ends with this answer.
+    await vacate(id);
+    const runsLeft = consensus.state.load(id).runs.size;
+    log.info("worker.leaving", { worker: id, runs, runsLeft });
+    return left;
   }
 
   async #replacePlan(
--- a/packages/daemon/src/scheduler/leader_controller.ts
+++ b/packages/daemon/src/scheduler/leader_controller.ts
@@ -60,6 +60,11 @@
     this.#activeTerm?.recordArrival(job);
   }
 
+  /** Stops the runs of a worker that has announced its end; resolves when they have ended, or after a while. */
+  async vacate(worker: string): Promise<void> {
+    await this.#activeTerm?.vacate(worker);
+  }
+
   /** Handles answers to relayed calls. */
   receiveAnswers(params: unknown): Result<void, Fault> {
     return this.#router?.receive(params) ??
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -208,6 +208,11 @@
     }
   }
 
+  /** Stops the runs of a worker that has announced its end; resolves when they have ended, or after a while. */
+  vacate(worker: string): Promise<void> {
+    return this.#sessions.vacate(worker);
+  }
+
   #pass(): void {
     if (this.#stopped || !this.#parts.isConfirmedLeader()) {
       return;
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -307,6 +307,7 @@
       onChange: () => leaderController.wake(),
       onAccepted: (job) => leaderController.recordArrival(job),
       accept: (job) => leaderController.accept(job),
+      vacate: (worker) => leaderController.vacate(worker),
     });
     registerCustomerMetrics(
       this.metrics,
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -92,7 +92,7 @@
       earlier?: EarlierLife | undefined;
     } = {},
   ) {
-    const { settings, clock, consensus } = parts;
+    const { settings, clock } = parts;
     const now = clock.monotonic();
     this.worker = worker;
     this.#parts = parts;
@@ -128,8 +128,7 @@
       checkProbation: () => void this.#checkProbation(),
     });
     if (earlier === undefined) {
-      const runs = consensus.state.load(worker.id).runs.values();
-      this.#adopt([...runs], now);
+      this.#adopt(this.#runs(), now);
     }
   }
 
@@ -191,8 +190,7 @@
 
   /** Whether all runs here are known to have run for a while. */
   isSettled(): boolean {
-    const runs = this.#parts.consensus.state.load(this.worker.id).runs;
-    return [...runs.values()].every((run) => this.#probation.hasSurvived(run));
+    return this.#runs().every((run) => this.#probation.hasSurvived(run));
   }
 
   /** Renews the lease until the session is stopped. */
@@ -234,11 +232,20 @@
     this.#sender.requestStop(run);
   }
 
-  /** Sends the orders that are due, if leadership is confirmed. */
+  /** Sends the orders that are due, if leadership is confirmed; a worker that has announced its end has to stop all runs. */
   sendDue(): void {
+    if (this.worker.hasLeft) {
+      this.#runs().filter((run) => !this.#orders.isUnsent(run))
+        .forEach((run) => this.#sender.requestStop(run));
+    }
     this.#sender.sendDue();
   }
 
+  /** The runs that the job store holds on this worker. */
+  #runs(): RunRecord[] {
+    return [...this.#parts.consensus.state.load(this.worker.id).runs.values()];
+  }
+
   async #renew(): Promise<void> {
     const { settings, clock, term } = this.#parts;
     const sentAt = clock.monotonic();
@@ -318,8 +325,9 @@
   #renewalWaitMs(): number {
     const { consensus, settings } = this.#parts;
     const jobStore = consensus.state;
-    const runs = [...jobStore.load(this.worker.id).runs.values()];
-    const isBusy = runs.some((run) => jobStore.stepOf(run)?.lasting === false);
+    const isBusy = this.#runs().some((run) =>
+      jobStore.stepOf(run)?.lasting === false
+    );
     const waitMs = this.#orders.awaitsListing
       ? UNDECIDED_WAIT_MS
       : isBusy
@@ -413,13 +421,13 @@
     if (earlier === undefined) {
       return;
     }
-    const { consensus, unansweredStarts, log } = this.#parts;
+    const { unansweredStarts, log } = this.#parts;
     const { id } = this.worker;
     // Runs that were placed since belong to this session.
     const isUnsent = (run: RunRecord): boolean =>
       this.#orders.isUnsent(run) || earlier.evidenceOf(run).start === "unsent";
     const { unsent, kept, repeated, ended, forestalled } = sortEarlierRuns(
-      [...consensus.state.load(id).runs.values()],
+      this.#runs(),
       listing,
       { isUnsent, mayArrive: unansweredStarts.mayArrive(id, now) },
     );
@@ -496,10 +504,12 @@
 
   #handleSilence(now: number, reason: string): void {
     this.#parts.metrics.count("quetzalcove_renewals_unanswered_total");
-    if (this.worker.hasLeft) {
-      this.#reportLost({ kind: "departed", reason });
-    } else if (this.#contact.hasExpired(now)) {
-      this.#reportLost({ kind: "unreachable", reason });
+    const { hasLeft } = this.worker;
+    // Its announcement says that it will end, not that it has: until its lease ends, what runs there may run on.
+    const mayRun = !this.#contact.hasExpired(now) &&
+      !(hasLeft && this.#runs().length === 0);
+    if (!mayRun) {
+      this.#reportLost({ kind: hasLeft ? "departed" : "unreachable", reason });
     }
   }
 
--- a/packages/daemon/src/scheduler/worker_sessions.ts
+++ b/packages/daemon/src/scheduler/worker_sessions.ts
@@ -10,6 +10,7 @@
   UnansweredStarts,
   type Worker,
 } from "@quetzalcove/core/scheduling";
+import { waitUntil } from "../waiting.ts";
 import { RunEndBatcher } from "./run_end_batcher.ts";
 import { WorkerLosses } from "./worker_losses.ts";
 import type { WorkerLoss } from "./worker_loss.ts";
@@ -26,6 +27,9 @@
   isCordoned: (worker: Worker) => boolean;
 }
 
+/** Time to stop the runs of a worker before its announcement is answered; below the deadline of the call. */
+const VACATE_TIMEOUT_MS = 400;
+
 /** A session that has ended, and the birth of the worker's life that it was with. */
 interface EndedSession {
   /** In monotonic milliseconds. */
@@ -127,6 +131,19 @@
     }
   }
 
+  /**
+   * Stops the runs of a worker that has announced its end, so that they run elsewhere at once. Resolves when they have
+   * ended, or after a while, as for a worker that cannot be reached.
+   */
+  async vacate(id: string): Promise<void> {
+    this.sync();
+    this.#sessions.get(id)?.sendDue();
+    await waitUntil(
+      () => this.#jobStore.load(id).runs.size === 0,
+      VACATE_TIMEOUT_MS,
+    );
+  }
+
   /** Closes the session with a lost worker and removes the worker from the job store. */
   async removeWorker(id: string, loss: WorkerLoss): Promise<void> {
     if (this.#losses.isPending(id)) {
--- a/packages/daemon/test/admission_test.ts
+++ b/packages/daemon/test/admission_test.ts
@@ -237,6 +237,7 @@
       onChange: ignore,
       onAccepted: ignore,
       accept: ({ id }) => accepted.includes(id) ? Ok.EMPTY : Err(REFUSAL),
+      vacate: () => Promise.resolve(),
     });
     const handler = api.handlers().get("submit_job");
     return {
--- a/packages/daemon/test/customer_calls_test.ts
+++ b/packages/daemon/test/customer_calls_test.ts
@@ -76,6 +76,7 @@
       onChange: ignore,
       onAccepted: ({ id }) => this.arrivals.push(id),
       accept: () => Ok.EMPTY,
+      vacate: () => Promise.resolve(),
     });
     if (plan !== undefined) {
       jobStore.apply({ kind: "plan", plan });
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -47,6 +47,7 @@
     onChange: ignore,
     onAccepted: ignore,
     accept: () => Ok.EMPTY,
+    vacate: () => Promise.resolve(),
   });
   const handler = leaderApi.handlers().get("submit_job");
   return {
@@ -122,6 +123,7 @@
       onChange: ignore,
       onAccepted: ignore,
       accept: () => Ok.EMPTY,
+      vacate: () => Promise.resolve(),
     });
     const report = leaderApi.handlers().get("report_worker");
     for (const changes of reports) {
