Jobs: the log tells why a job failed

Users saw jobs shown as failed of which no task had failed often enough, and the record could not tell which of the two ways had closed them: failed runs, or crashes of workers attributed to a task.

The job store keeps the cause, the task and the count with the outcome; `job.ended` logs them with the attempts that the queue allows. A new leader skips ends that its predecessor logged, but no failures: the predecessor may have been stopped right after the commit. `job.submitted` names the plan that the submission was checked against, not the one at the end of the call.

Test: leadership_term_test.ts; the fields were missing before. No decision changes.

--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -45,6 +45,15 @@
   "priority" | "maxAttempts" | "slackFactor" | "targetLatencyMs" | "advised"
 >;
 
+/** Why a job failed. */
+export interface JobFailure {
+  /** `failures`: runs of the task, or of its gang, have failed. `crashes`: workers crashed under the task. */
+  cause: "failures" | "crashes";
+  task: string;
+  /** Number of runs that failed, or of crashes that count. */
+  count: number;
+}
+
 export interface JobRecord {
   id: string;
   queue: string;
@@ -55,6 +64,8 @@
   /** Undefined once the job has ended and nothing of it runs. */
   spec: BatchJobSpec | undefined;
   outcome: "open" | "completed" | "failed" | "cancelled";
+  /** Undefined for a job that has not failed, or that was stored by an earlier version. */
+  failure?: JobFailure | undefined;
   /** Whether any run was placed. */
   hasStarted: boolean;
   acceptedAtMs: number;
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -18,6 +18,7 @@
 } from "../model/command.ts";
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
+  type JobFailure,
   type JobPolicy,
   type JobRecord,
   newJob,
@@ -442,7 +443,11 @@
         )
         : task.failures;
       if (!spec.lasting && failures >= job.terms.maxAttempts) {
-        this.#closeJob(job, "failed", atMs);
+        this.#failJob(
+          job,
+          { cause: "failures", task: end.task, count: failures },
+          atMs,
+        );
       }
     }
     this.#releaseRun(end);
@@ -503,6 +508,11 @@
     }
   }
 
+  #failJob(job: JobRecord, failure: JobFailure, atMs: number): void {
+    job.failure = failure;
+    this.#closeJob(job, "failed", atMs);
+  }
+
   #closeJob(
     job: JobRecord,
     outcome: "completed" | "failed" | "cancelled",
@@ -577,7 +587,11 @@
       }
       task.suspicion = addCrash(task.suspicion, isConfirmed);
       if (isCrashLoop(task.suspicion, jobs.size === 1)) {
-        this.#closeJob(job, "failed", atMs);
+        this.#failJob(
+          job,
+          { cause: "crashes", task: run.task, count: task.suspicion.crashes },
+          atMs,
+        );
       }
     }
   }
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -147,6 +147,7 @@
       return admitted;
     }
     const { queue, rest: id, access } = admitted.val;
+    const plan = consensus.state.plan.version;
     if (!JOB_ID_PATTERN.test(id) || hasForwardDependency(spec)) {
       return Err(
         fault("invalid", `Job "${id}" of queue "${queue.name}" is malformed`, {
@@ -178,7 +179,7 @@
       job: id,
       queue: queue.name,
       customer: access.customer,
-      plan: consensus.state.plan.version,
+      plan,
       tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
       outcome: stored.ok ? "accepted" : stored.val.kind,
     });
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -254,12 +254,15 @@
     }
   }
 
-  /** Skips the ends that an earlier leader logged; this leader has more urgent work. */
+  /**
+   * Skips the ends that an earlier leader logged; this leader has more urgent work. Failures, of which there are few, are
+   * logged again, since the earlier leader may have ended right after one was committed.
+   */
   #skipLoggedEnds(): void {
     const { justEnded } = this.#jobStore;
     const latest = Math.max(...justEnded.map((job) => job.endedAtMs ?? 0));
-    const unlogged = justEnded.filter(({ endedAtMs = 0 }) =>
-      endedAtMs > latest - UNLOGGED_ENDS_MS
+    const unlogged = justEnded.filter(({ endedAtMs = 0, outcome }) =>
+      outcome === "failed" || endedAtMs > latest - UNLOGGED_ENDS_MS
     );
     justEnded.splice(0, justEnded.length, ...unlogged);
   }
@@ -270,6 +273,10 @@
         job: job.id,
         queue: job.queue,
         outcome: job.outcome,
+        cause: job.failure?.cause,
+        task: job.failure?.task,
+        count: job.failure?.count,
+        attempts: job.failure && job.terms.maxAttempts,
         tookMs: Math.round((job.endedAtMs ?? 0) - job.acceptedAtMs),
         runsLeft: job.activeRuns,
       });
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -1,10 +1,14 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type {
+  JobStore,
   JobStoreCommand,
   JobStoreOutput,
 } from "@quetzalcove/core/scheduling";
 import {
+  end,
   newJobStore,
+  place,
+  run,
   spec,
   step,
   submit,
@@ -17,6 +21,7 @@
   planCustomers,
   submitFor,
 } from "../../core/test/scheduling_customers_fixture.ts";
+import type { LogFields } from "../src/observe/log.ts";
 import type { WorkerClient } from "../src/scheduler/platform_clients.ts";
 import { LeadershipTerm } from "../src/scheduler/leadership_term.ts";
 import { MaintenanceController } from "../src/scheduler/maintenance_controller.ts";
@@ -55,6 +60,65 @@
   vi.useRealTimers();
 });
 
+/** Ends of jobs that a new leadership term logs. */
+async function loggedEnds(jobStore: JobStore): Promise<LogFields[]> {
+  const ends: LogFields[] = [];
+  const info = (event: string, fields: LogFields = {}): void => {
+    if (event === "job.ended") {
+      ends.push(fields);
+    }
+  };
+  const term = new LeadershipTerm(termParts({
+    consensus: consensusOf(jobStore),
+    client: idleWorkers(),
+    log: { ...QUIET_LOG, info },
+  }));
+  await term.start();
+  await vi.advanceTimersByTimeAsync(500);
+  await term.stop();
+  return ends;
+}
+
+describe("the end of a job that failed", () => {
+  // Guards against records that cannot tell why a job failed, in particular when the leader is stopped right after.
+  it("is logged with its cause, also by the leaders that follow", async () => {
+    const jobStore = newJobStore([worker("w1")]);
+    submit(jobStore, "j", spec(step()));
+    for (const number of [1, 2]) {
+      place(jobStore, run("j.0.0.0", number, "w1"));
+      end(jobStore, run("j.0.0.0", number, "w1"), "failed");
+    }
+    submit(jobStore, "k", spec(step()));
+    jobStore.apply({ kind: "cancel", ids: ["k"], atMs: 60_000 });
+    expect(await loggedEnds(jobStore)).toMatchInlineSnapshot(`
+      [
+        {
+          "attempts": 2,
+          "cause": "failures",
+          "count": 2,
+          "job": "j",
+          "outcome": "failed",
+          "queue": "reports",
+          "runsLeft": 0,
+          "task": "j.0.0.0",
+          "tookMs": 1000,
+        },
+        {
+          "attempts": undefined,
+          "cause": undefined,
+          "count": undefined,
+          "job": "k",
+          "outcome": "cancelled",
+          "queue": "reports",
+          "runsLeft": 0,
+          "task": undefined,
+          "tookMs": 60000,
+        },
+      ]
+    `);
+  });
+});
+
 describe("a busy leadership term", () => {
   // Guards against a leader whose passes take the processor from the orders that they place.
   it("shares a pass between the changes of some round trips", async () => {
