Jobs: a crash counts against a task only if nothing else can have caused it

Users saw jobs shown as failed of which no task had failed often enough, and a long-running task of such a job that was not started again, while leaders were stopped one after the other.

Cause: a new leader counted the time that a run had survived from its own first look at it, so that a crash soon after took each run for one that crashes its worker right after its start. Unreachable workers, and such as an order had ended, counted too, and a job of long-running tasks could be given up.

A crash now counts if the worker certainly crashed, this leader had ordered the start, the task was on probation, and no run of another job, also of another leader, can be the cause. Long-running tasks are never given up.

--- a/packages/core/src/scheduling/model/command.ts
+++ b/packages/core/src/scheduling/model/command.ts
@@ -72,6 +72,8 @@
 export const CrashSuspect = RunKey.extend({
   /** Whether the worker confirmed the start of the run, and certainly crashed. */
   isConfirmed: z.boolean(),
+  /** Whether the run was on probation, and no other job can have caused the crash. */
+  isAttributed: z.boolean().default(false),
 });
 export type CrashSuspect = z.infer<typeof CrashSuspect>;
 
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -571,27 +571,26 @@
     this.#loads.delete(id);
   }
 
-  /** Records a crash of a worker, and fails the jobs of tasks that crash each worker. */
+  /**
+   * Records a crash of a worker, and fails the jobs of tasks that crash each worker. A long-running task is started again
+   * however it ends.
+   */
   #recordCrash(suspects: readonly CrashSuspect[], atMs: number): void {
-    const runs = suspects.flatMap((suspect) => {
-      const { isConfirmed } = suspect;
+    for (const suspect of suspects) {
       const run = this.findRun(suspect);
-      return run === undefined ? [] : [{ run, isConfirmed }];
-    });
-    const jobs = new Set(runs.map(({ run }) => run.job));
-    for (const { run, isConfirmed } of runs) {
-      const job = this.jobs.get(run.job);
-      const task = this.taskOf(run);
+      const job = run && this.jobs.get(run.job);
+      const task = run && this.taskOf(run);
+      const spec = run && this.stepOf(run);
       if (job?.outcome !== "open" || task === undefined) {
         continue;
       }
-      task.suspicion = addCrash(task.suspicion, isConfirmed);
-      if (isCrashLoop(task.suspicion, jobs.size === 1)) {
-        this.#failJob(
-          job,
-          { cause: "crashes", task: run.task, count: task.suspicion.crashes },
-          atMs,
-        );
+      task.suspicion = addCrash(task.suspicion, suspect);
+      if (spec?.lasting === false && isCrashLoop(task.suspicion)) {
+        this.#failJob(job, {
+          cause: "crashes",
+          task: suspect.task,
+          count: task.suspicion.crashes,
+        }, atMs);
       }
     }
   }
--- a/packages/daemon/src/scheduler/run_probation.ts
+++ b/packages/daemon/src/scheduler/run_probation.ts
@@ -24,6 +24,8 @@
   readonly #survival = new RunSurvival();
   /** Runs of suspected tasks that may still be on probation. */
   readonly #onProbation = new Set<RunRecord>();
+  /** Runs that another leader ordered, or that were ordered to an earlier life of the worker, by task. */
+  readonly #adopted = new Map<string, number>();
 
   constructor(parts: RunProbationParts) {
     this.#parts = parts;
@@ -38,6 +40,9 @@
   /** What is known of the start of a run and of how long it ran. */
   evidenceOf(run: RunRecord): RunEvidence {
     const survivedMs = this.#survival.survivedMs(run.task, run.run);
+    if (this.#adopted.get(run.task) === run.run) {
+      return { start: "unknown", survivedMs: survivedMs ?? 0 };
+    }
     if (survivedMs !== undefined) {
       return { start: "confirmed", survivedMs };
     }
@@ -57,6 +62,12 @@
     }
   }
 
+  /** The same for a run whose start this session did not order, so that it may have run for long. */
+  adopt(run: RunRecord): void {
+    this.#adopted.set(run.task, run.run);
+    this.add(run);
+  }
+
   isOnProbation(run: RunRecord): boolean {
     return this.#onProbation.has(run);
   }
@@ -80,6 +91,11 @@
   /** Deletes what is known of runs that are not held any more. */
   retain(isHeld: (task: string, run: number) => boolean): void {
     this.#survival.retain(isHeld);
+    for (const [task, run] of this.#adopted) {
+      if (!isHeld(task, run)) {
+        this.#adopted.delete(task);
+      }
+    }
   }
 
   /** Ends the probation of runs that have ended or have run for a while; the latter are cleared. */
--- a/packages/daemon/src/scheduler/worker_losses.ts
+++ b/packages/daemon/src/scheduler/worker_losses.ts
@@ -93,7 +93,7 @@
     const repeatedRuns = repeated.map((run) => this.#lostRun(run, session));
     const suspects = wasDraining
       ? []
-      : crashSuspects([...lostRuns, ...repeatedRuns]);
+      : crashSuspects([...lostRuns, ...repeatedRuns], true);
     this.#logLostRuns(lostRuns, suspects);
     if (ended.length + suspects.length === 0) {
       return true;
@@ -133,7 +133,7 @@
     return {
       run,
       evidence: session?.evidenceOf(run) ??
-        { start: "unanswered", survivedMs: 0 },
+        { start: "unknown", survivedMs: 0 },
       wasSuspected: this.#jobStore.isSuspected(run),
     };
   }
@@ -152,10 +152,7 @@
     if (isDraining || !mayHaveCrashed) {
       return [];
     }
-    return crashSuspects(lostRuns).map((suspect) => ({
-      ...suspect,
-      isConfirmed: suspect.isConfirmed && kind === "crashed",
-    }));
+    return crashSuspects(lostRuns, kind === "crashed");
   }
 
   #logLostRuns(
@@ -163,7 +160,7 @@
     suspects: readonly CrashSuspect[],
   ): void {
     const { log, metrics } = this.#parts;
-    const suspected = new Set(suspects.map(({ task }) => task));
+    const suspectOf = new Map(suspects.map((each) => [each.task, each]));
     for (const { run: { task, run, worker }, evidence } of lostRuns) {
       metrics.count("quetzalcove_runs_lost_total");
       log.info("run.lost", {
@@ -172,7 +169,8 @@
         worker,
         start: evidence.start,
         survivedMs: evidence.survivedMs,
-        suspect: suspected.has(task),
+        suspect: suspectOf.has(task),
+        attributed: suspectOf.get(task)?.isAttributed,
       });
     }
   }
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -140,7 +140,7 @@
   ): void {
     for (const run of runs) {
       this.#orders.add(run, now, true, undecidedUntil);
-      this.#probation.add(run);
+      this.#probation.adopt(run);
     }
   }
 
--- a/packages/daemon/test/crashing_task_test.ts
+++ b/packages/daemon/test/crashing_task_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { seededRandomInt } from "../../../test/harness/random_int.ts";
 import {
   type JobStore,
   visibleState,
@@ -15,6 +16,9 @@
 import { consensusOf, termParts } from "./scheduler_fixture.ts";
 import { SimulatedFleet } from "./simulated_fleet.ts";
 
+/** Seeds with which jobs were given up. */
+const SEEDS = [23];
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -77,3 +81,51 @@
     await term.stop();
   });
 });
+
+/** Time between two changes of leader, as when the core is restarted one by one. */
+const TERM_MS = 1_300;
+
+/** Long-running jobs of two tasks each on six workers, of which two crash at random moments of each term. */
+async function crashUnderNewLeaders(seed: number): Promise<JobStore> {
+  const randomInt = seededRandomInt(seed);
+  const fleetWorkers = workers(6);
+  const jobStore = newJobStore(fleetWorkers);
+  const fleet = new SimulatedFleet(jobStore, fleetWorkers, {
+    taskMs: 100_000,
+    crashAfterMs: 0,
+    downMs: 300 + randomInt(700),
+    crashes: () => false,
+  });
+  for (let i = 0; i < 6; i++) {
+    submit(jobStore, `j${i}`, spec(step({ lasting: true, taskCount: 2 })));
+  }
+  for (let i = 0; i < 12; i++) {
+    const term = new LeadershipTerm(termParts({
+      term: 7 + i,
+      consensus: consensusOf(jobStore),
+      client: fleet,
+    }));
+    await term.start();
+    const crashes = [randomInt(TERM_MS / 2), randomInt(TERM_MS / 2)];
+    for (const ms of crashes) {
+      await vi.advanceTimersByTimeAsync(ms);
+      const ids = [...jobStore.workers.keys()];
+      fleet.crash(ids[randomInt(ids.length)] ?? "");
+    }
+    await vi.advanceTimersByTimeAsync(
+      TERM_MS - crashes.reduce((sum, ms) => sum + ms, 0),
+    );
+    await term.stop();
+  }
+  return jobStore;
+}
+
+describe("an ordinary job on workers that crash while leaders follow each other", () => {
+  // Guards against jobs shown as failed of which no task has failed: a new leader knows only of the time since it first
+  // reached a worker, so that each run there seemed to have started right before the crash.
+  it.each(SEEDS)("is not given up (seed %i)", async (seed) => {
+    const { jobs } = await crashUnderNewLeaders(seed);
+    expect([...jobs.values()].map(({ outcome }) => outcome))
+      .toEqual(Array.from({ length: 6 }, () => "open"));
+  });
+});
