--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -1,4 +1,4 @@
-// Runs the fault soak test of the platform program: npm run soak -- --seeds N --seed FIRST --seconds S --entries N --at-once N
+// Runs the fault soak test of the platform program: npm run soak -- --seeds N --seed FIRST --seconds S --entries N --at-once N --schedule any|rolling
 import { parseArgs } from "node:util";
 import { runLongTest } from "./long_test.js";
 
@@ -9,6 +9,7 @@
     seconds: { type: "string", default: "20" },
     entries: { type: "string", default: "3" },
     "at-once": { type: "string", default: "2" },
+    schedule: { type: "string", default: "any" },
   },
 });
 runLongTest("vitest.soak.config.ts", {
@@ -18,5 +19,6 @@
     lengthMs: 1_000 * Number(values.seconds),
     entries: Number(values.entries),
     atOnce: Number(values["at-once"]),
+    schedule: values.schedule,
   }),
 });
