Jobs: the policy of a queue is stored with the submission that was checked against it

What callers may see: a job that is shown as failed after its first failed run, although its queue allows more.

Cause: a submission is checked against the plan in force, and its policy was looked up again when it is applied. A queue that leaves the plan between the two left the job a default policy of one attempt.

The policy now goes with the submission. In a log of an earlier version, where it is missing and the queue is gone, the job is not given up.

--- a/packages/core/src/scheduling/model/command.ts
+++ b/packages/core/src/scheduling/model/command.ts
@@ -5,7 +5,7 @@
  */
 import { z } from "zod";
 import { BatchJobSpec, Resources } from "./batch_job.ts";
-import { QueuePlan } from "./queue_plan.ts";
+import { JobPolicy, QueuePlan } from "./queue_plan.ts";
 
 /** How a run ended, as its worker reports it. */
 export const RunOutcome = z.enum([
@@ -49,6 +49,8 @@
   pool: z.string(),
   /** Name of the customer that submitted it; undefined for an anonymous job. */
   customer: z.string().optional(),
+  /** Policy of the queue that the submission was checked against; undefined in logs of an earlier version. */
+  policy: JobPolicy.optional(),
   spec: BatchJobSpec,
 });
 export type SubmittedJob = z.infer<typeof SubmittedJob>;
--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -5,7 +5,7 @@
  */
 import type { BatchJobSpec, BatchJobState, StepSpec } from "./batch_job.ts";
 import type { SubmittedJob } from "./command.ts";
-import type { Queue } from "./queue_plan.ts";
+import type { JobPolicy } from "./queue_plan.ts";
 import type { TaskPosition } from "./task_name.ts";
 
 /** Suspicion against a task that was on a worker when it crashed. */
@@ -40,12 +40,6 @@
   left: number[];
 }
 
-/** Settings of the queue at the time the job was accepted. */
-export type JobPolicy = Pick<
-  Queue,
-  "priority" | "maxAttempts" | "slackFactor" | "targetLatencyMs" | "advised"
->;
-
 /** Why a job failed. */
 export interface JobFailure {
   /** `failures`: runs of the task, or of its gang, have failed. `crashes`: workers crashed under the task. */
@@ -61,6 +55,7 @@
   pool: string;
   /** Undefined for an anonymous job. */
   customer?: string | undefined;
+  /** Policy of the queue when the job was accepted. */
   terms: JobPolicy;
   /** Undefined once the job has ended and nothing of it runs. */
   spec: BatchJobSpec | undefined;
--- a/packages/core/src/scheduling/model/queue_plan.ts
+++ b/packages/core/src/scheduling/model/queue_plan.ts
@@ -30,6 +30,23 @@
 });
 export type Queue = z.infer<typeof Queue>;
 
+/** How the jobs of a queue are run. */
+export const JobPolicy = Queue.pick({
+  priority: true,
+  maxAttempts: true,
+  slackFactor: true,
+  targetLatencyMs: true,
+  advised: true,
+});
+export type JobPolicy = z.infer<typeof JobPolicy>;
+
+/** The policy of a queue, without what concerns its requests. */
+export function policyOf(queue: JobPolicy): JobPolicy {
+  const { priority, maxAttempts, slackFactor, targetLatencyMs, advised } =
+    queue;
+  return { priority, maxAttempts, slackFactor, targetLatencyMs, advised };
+}
+
 /** A pool of VMs of one service. */
 export const PoolPlan = z.object({
   name: z.string(),
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -19,7 +19,6 @@
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
   type JobFailure,
-  type JobPolicy,
   type JobRecord,
   newJob,
   newRound,
@@ -39,6 +38,8 @@
 } from "../maintenance/maintenance_waves.ts";
 import {
   emptyQueuePlan,
+  type JobPolicy,
+  policyOf,
   type QueuePlan,
   upgradePlan,
 } from "../model/queue_plan.ts";
@@ -70,9 +71,10 @@
   spec: StepSpec;
 }
 
+/** Policy of a job of an earlier version whose queue has left the plan: it is not given up for want of one. */
 const DEFAULT_POLICY: JobPolicy = {
   priority: 0,
-  maxAttempts: 1,
+  maxAttempts: Number.MAX_SAFE_INTEGER,
   slackFactor: 1,
   targetLatencyMs: 0,
   advised: false,
@@ -273,8 +275,11 @@
     if (this.jobs.has(submitted.id)) {
       return;
     }
-    const queue = this.plan.queues.find(({ name }) => name === submitted.queue);
-    const job = newJob(submitted, policyOf(queue ?? DEFAULT_POLICY), atMs);
+    // The queue may have left the plan since the submission was checked.
+    const policy = submitted.policy ??
+      this.plan.queues.find(({ name }) => name === submitted.queue) ??
+      DEFAULT_POLICY;
+    const job = newJob(submitted, policyOf(policy), atMs);
     this.jobs.set(job.id, job);
     if (submitted.spec.repeat === undefined) {
       this.#countUnstarted(job, 1);
@@ -614,12 +619,6 @@
   }
 }
 
-function policyOf(queue: JobPolicy): JobPolicy {
-  const { priority, maxAttempts, slackFactor, targetLatencyMs, advised } =
-    queue;
-  return { priority, maxAttempts, slackFactor, targetLatencyMs, advised };
-}
-
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -22,6 +22,7 @@
   isOutdatedReport,
   isReportNews,
   isVisibleTo,
+  policyOf,
   type Queue,
   ReportOrder,
   type SubmittedJob,
@@ -163,6 +164,7 @@
       queue: queue.name,
       pool: queue.pool,
       customer: access.customer,
+      policy: policyOf(queue),
       spec,
     };
     const allowed = this.#checkCap(job);
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -6,7 +6,12 @@
   type Worker,
 } from "@quetzalcove/core/scheduling";
 import {
+  end,
   newJobStore,
+  place,
+  planOf,
+  queue,
+  run,
   spec,
   step,
   worker,
@@ -107,6 +112,37 @@
   });
 });
 
+// Guards against a job that is shown as failed after its first failed run: a queue that is removed between the check of a
+// submission and its commit left it a policy of one attempt.
+it("a job keeps the policy of its queue if the plan that is in force at its commit lacks the queue", async () => {
+  const jobStore = newJobStore([worker("w1")]);
+  const { propose } = consensusOf(jobStore);
+  const leaderApi = new LeaderApi({
+    consensus: consensusOf(jobStore, {
+      propose: async (command) => {
+        const plan = { ...planOf([]), version: 2, queues: [] };
+        await propose({ kind: "plan", plan });
+        return await propose(command);
+      },
+    }),
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
+    onChange: ignore,
+    onAccepted: ignore,
+    accept: () => Ok.EMPTY,
+    vacate: () => Promise.resolve(),
+  });
+  const { host, pathPrefix, maxAttempts } = queue();
+  const submitted = await leaderApi.handlers().get("submit_job")?.(
+    { host, path: `${pathPrefix}j`, spec: spec(step()) },
+  );
+  expect(submitted?.ok).toBe(true);
+  expect(jobStore.jobs.get("j")?.terms).toMatchObject({ maxAttempts });
+  place(jobStore, run("j.0.0.0", 1, "w1"));
+  end(jobStore, run("j.0.0.0", 1, "w1"), "failed");
+  expect(jobStore.jobs.get("j")?.outcome).toBe("open");
+});
+
 describe("the reports of a worker", () => {
   const FULL = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
   const SHRUNK = { cpuMilli: 1_000, memoryMb: 1_000, gpus: 0 };
