Jobs: a failed run of a gang counts once, however many of its members fail

What callers may see: a job with a gang that is shown as failed after one failed run, since several members failed in it.

Cause: the failures of all members were added up, though their runs share one number. The first failure of a number counts now.

Test: scheduling_job_store_test.ts, one; on the commit before, the job failed in its first run.

--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -16,13 +16,23 @@
   confirmed: number;
 }
 
+/** A run that failed. */
+export interface RunFailure {
+  /** Undefined if it was stored by an earlier version. */
+  run?: number;
+  worker: string;
+  /** Wall-clock time in milliseconds. */
+  atMs: number;
+}
+
 /** One task of a round. */
 export interface TaskRecord {
   /** Number of the latest run; 0 before the first. */
   run: number;
+  /** Failed runs; of a gang's run only the first failure counts. */
   failures: number;
-  /** Worker of the latest failure and its wall-clock time in milliseconds; undefined before the first failure. */
-  lastFailure?: { worker: string; atMs: number } | undefined;
+  /** Undefined before the first failure. */
+  lastFailure?: RunFailure | undefined;
   /** Undefined if its runs cannot have crashed a worker. */
   suspicion?: Suspicion | undefined;
   isDone: boolean;
--- a/packages/core/src/scheduling/model/queue_plan.ts
+++ b/packages/core/src/scheduling/model/queue_plan.ts
@@ -16,7 +16,7 @@
   pool: z.string(),
   /** 0 is the highest. */
   priority: z.number().int().nonnegative(),
-  /** Number of failed runs of a task, or of a gang's tasks together, at which its job fails. */
+  /** Number of failed runs of a task, or of a gang, at which its job fails. */
   maxAttempts: z.number().int().positive(),
   /** A job's objective is this factor times its critical path, plus the target latency. */
   slackFactor: z.number().positive(),
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -439,14 +439,14 @@
       return;
     }
     if (end.how === "failed" && wasActive) {
+      const members = spec.gang ? record.tasks[position.step] ?? [] : [task];
+      const isCounted = members.some(({ lastFailure }) =>
+        lastFailure?.run === end.run
+      );
       task.suspicion = undefined;
-      task.failures += 1;
-      task.lastFailure = { worker: end.worker, atMs };
-      const failures = spec.gang
-        ? sum(
-          record.tasks[position.step]?.map((member) => member.failures) ?? [],
-        )
-        : task.failures;
+      task.failures += isCounted ? 0 : 1;
+      task.lastFailure = { run: end.run, worker: end.worker, atMs };
+      const failures = sum(members.map((member) => member.failures));
       if (!spec.lasting && failures >= job.terms.maxAttempts) {
         this.#failJob(
           job,
--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -164,6 +164,19 @@
     expect(stateOf(store, "fails")).toBe("failed");
   });
 
+  // Guards against a gang that is given up after one failed run, since several of its members failed in it.
+  it("counts a failed run of a gang once, however many members fail", () => {
+    const store = newJobStore([worker("w1")]);
+    submit(store, "j", spec(step({ gang: true, taskCount: 2 })));
+    const members = ["j.0.0.0", "j.0.0.1"];
+    for (const number of [1, 2]) {
+      expect(stateOf(store, "j")).not.toBe("failed");
+      place(store, ...members.map((task) => run(task, number, "w1")));
+      members.forEach((task) => end(store, run(task, number, "w1"), "failed"));
+    }
+    expect(store.jobs.get("j")?.failure).toMatchObject({ count: 2 });
+  });
+
   it("runs as many rounds as its repetition has", () => {
     const store = newJobStore([worker("w1")]);
     submit(store, "j", {
