Jobs: a submission that takes more memory than a replica has is refused

Cause: each replica keeps a record of each task of an open job, and nothing limited their number. Ruled out: the size of the request or of the command.

The leader refuses a job with more tasks than limits.maxTasks (250,000) as invalid, and one for which there is no room now with a time to come back; both before anything is stored. Rounds of repeated jobs wait for room.

--- a/packages/core/src/scheduling/admission/mod.ts
+++ b/packages/core/src/scheduling/admission/mod.ts
@@ -9,3 +9,4 @@
 export * from "./refusal_cache.ts";
 export * from "./refusal_counts.ts";
 export * from "./retry_slots.ts";
+export * from "./task_limit.ts";
--- a/packages/core/src/scheduling/model/scheduler_settings.ts
+++ b/packages/core/src/scheduling/model/scheduler_settings.ts
@@ -117,6 +117,9 @@
     "How long an idle connection of a caller stays open.",
   ),
   maxConnections: Count.default(2_000).describe("Connections of callers."),
+  maxTasks: Count.default(250_000).describe(
+    "Most tasks of open jobs, of which every replica keeps a record of some 200 bytes.",
+  ),
 });
 
 const Pools = z.strictObject({
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -90,6 +90,8 @@
   readonly runsToStop = new Set<RunRecord>();
   /** Open jobs with a repetition. */
   readonly repeated = new Set<JobRecord>();
+  /** Number of tasks of all rounds that have begun and are not finished. */
+  openTasks = 0;
   /** What each customer's runs reserve. */
   readonly customerUsage = new CustomerUsage();
   readonly #loads = new Map<string, WorkerLoad>();
@@ -236,6 +238,7 @@
     }
     for (const [key, record] of Object.entries(job.rounds)) {
       const round = Number(key);
+      this.openTasks += openTasksOf(record);
       record.tasks.forEach((tasks, step) => {
         tasks.forEach((task, index) =>
           this.#restoreRun(job, { job: job.id, round, step, index }, task)
@@ -299,6 +302,7 @@
     }
     job.opened += 1;
     job.rounds[round] = newRound(job.spec.steps);
+    this.openTasks += openTasksOf(job.rounds[round]);
     job.spec.steps.forEach((_, step) => this.#waiting.update(job, round, step));
   }
 
@@ -485,7 +489,8 @@
         this.#waiting.update(job, round, other);
       }
     });
-    if (record.left.every((left) => left === 0)) {
+    if (isFinished(record)) {
+      this.openTasks -= sum(record.tasks.map(({ length }) => length));
       job.finished += 1;
       if (job.finished === roundCount(job)) {
         this.#closeJob(job, "completed", atMs);
@@ -545,6 +550,7 @@
   /** Keeps only the outcome of a job that has ended and has no active runs. */
   #discardDetails(job: JobRecord): void {
     if (job.outcome !== "open" && job.activeRuns === 0) {
+      this.openTasks -= sum(Object.values(job.rounds).map(openTasksOf));
       job.spec = undefined;
       job.rounds = {};
     }
@@ -619,6 +625,15 @@
   }
 }
 
+function isFinished({ left }: RoundRecord): boolean {
+  return left.every((count) => count === 0);
+}
+
+/** Number of tasks of a round that is not finished. */
+function openTasksOf(round: RoundRecord): number {
+  return isFinished(round) ? 0 : sum(round.tasks.map(({ length }) => length));
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -435,6 +435,7 @@
     runsToStop: [...store.runsToStop].map(({ task, run: n }) => [task, n])
       .sort(),
     pending: store.pendingJobs("reports"),
+    openTasks: store.openTasks,
   };
 }
 
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -15,6 +15,7 @@
   type CallerAccess,
   checkGangs,
   checkQueuePlan,
+  checkTaskLimit,
   decideAccess,
   findQueue,
   hasForwardDependency,
@@ -26,6 +27,7 @@
   type Queue,
   ReportOrder,
   type SubmittedJob,
+  taskCountOf,
   visibleState,
 } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
@@ -53,6 +55,8 @@
   onChange: () => void;
   /** Called with each job that was accepted. */
   onAccepted: (job: SubmittedJob) => void;
+  /** Most tasks of open jobs. */
+  maxTasks: number;
   /** Accepts or refuses a job that is not stored. */
   accept: (job: SubmittedJob) => Result<void, Fault>;
   /** Stops the runs of a worker that has announced its end; resolves when they have ended, or after a while. */
@@ -75,8 +79,8 @@
 export class LeaderApi {
   readonly #parts: LeaderApiParts;
   readonly #submissions: SubmissionBatcher;
-  /** Jobs that are being committed. */
-  readonly #pendingJobs = new Set<string>();
+  /** Number of tasks of each job that is being committed. */
+  readonly #pendingJobs = new Map<string, number>();
   readonly #reportOrder = new ReportOrder();
 
   constructor(parts: LeaderApiParts) {
@@ -182,7 +186,7 @@
       queue: queue.name,
       customer: access.customer,
       plan,
-      tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
+      tasks: taskCountOf(spec),
       outcome: stored.ok ? "accepted" : stored.val.kind,
     });
     return stored;
@@ -193,16 +197,32 @@
     if (this.#pendingJobs.has(job.id)) {
       return await this.#submissions.add(job);
     }
-    const accepted = this.#parts.accept(job);
+    const accepted = this.#checkTaskLimit(job).andThen(() =>
+      this.#parts.accept(job)
+    );
     if (accepted.err) {
       return accepted;
     }
-    this.#pendingJobs.add(job.id);
+    this.#pendingJobs.set(job.id, taskCountOf(job.spec));
     const committed = await this.#submissions.add(job);
     this.#pendingJobs.delete(job.id);
     return committed;
   }
 
+  /** Refuses a job whose tasks the replicas cannot hold. */
+  #checkTaskLimit({ id, spec }: SubmittedJob): Result<void, Fault> {
+    const { consensus, log, maxTasks } = this.#parts;
+    const pending = [...this.#pendingJobs.values()];
+    const heldTasks = consensus.state.openTasks +
+      pending.reduce((sum, count) => sum + count, 0);
+    const checked = checkTaskLimit(spec, heldTasks, maxTasks);
+    if (checked.err) {
+      const tasks = taskCountOf(spec);
+      log.warn("job.refused", { job: id, reason: "tasks", tasks, heldTasks });
+    }
+    return checked;
+  }
+
   /** Refuses a submission under the id of a job that does not exist for the caller. */
   #checkOwner(id: string, access: CallerAccess): Result<unknown, Fault> {
     const job = this.#parts.consensus.state.jobs.get(id);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -5,9 +5,11 @@
  */
 import {
   ArrivalRates,
+  hasRoomFor,
   type JobStore,
   poolDemands,
   type SubmittedJob,
+  taskCountOf,
   WorkerHealth,
   WorkerSpeed,
   WorkEstimate,
@@ -38,6 +40,8 @@
     | "unansweredStarts"
   > {
   retentionMs: number;
+  /** Most tasks of open jobs. */
+  maxTasks: number;
   /** Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective. */
   reclaimsBusyVms: boolean;
   /** Undefined if the platform has no VM API. */
@@ -237,15 +241,20 @@
   }
 
   #openRounds(): void {
-    const { consensus, clock } = this.#parts;
+    const { consensus, clock, maxTasks } = this.#parts;
     const wall = clock.wall();
     const rounds: { job: string; round: number }[] = [];
+    let heldTasks = this.#jobStore.openTasks;
     for (const job of this.#jobStore.repeated) {
-      const repeat = job.spec?.repeat;
+      const { spec } = job;
+      const repeat = spec?.repeat;
       if (
-        repeat !== undefined && job.opened < repeat.count &&
-        wall >= repeat.startAtMs + job.opened * repeat.intervalMs
+        spec !== undefined && repeat !== undefined &&
+        job.opened < repeat.count &&
+        wall >= repeat.startAtMs + job.opened * repeat.intervalMs &&
+        hasRoomFor(spec, heldTasks, maxTasks)
       ) {
+        heldTasks += taskCountOf(spec);
         rounds.push({ job: job.id, round: job.opened });
       }
     }
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -306,6 +306,7 @@
       log,
       onChange: () => leaderController.wake(),
       onAccepted: (job) => leaderController.recordArrival(job),
+      maxTasks: settings.limits.maxTasks,
       accept: (job) => leaderController.accept(job),
       vacate: (worker) => leaderController.vacate(worker),
     });
@@ -376,6 +377,7 @@
       holder: settings.node,
       settings: settings.workers,
       retentionMs: settings.retentionMs,
+      maxTasks: settings.limits.maxTasks,
       reclaimsBusyVms: settings.pools.reclaim,
       placement: settings.placement,
       consensus: replica,
--- a/packages/daemon/test/admission_test.ts
+++ b/packages/daemon/test/admission_test.ts
@@ -238,6 +238,7 @@
       onAccepted: ignore,
       accept: ({ id }) => accepted.includes(id) ? Ok.EMPTY : Err(REFUSAL),
       vacate: () => Promise.resolve(),
+      maxTasks: 250_000,
     });
     const handler = api.handlers().get("submit_job");
     return {
--- a/packages/daemon/test/customer_calls_test.ts
+++ b/packages/daemon/test/customer_calls_test.ts
@@ -77,6 +77,7 @@
       onAccepted: ({ id }) => this.arrivals.push(id),
       accept: () => Ok.EMPTY,
       vacate: () => Promise.resolve(),
+      maxTasks: 250_000,
     });
     if (plan !== undefined) {
       jobStore.apply({ kind: "plan", plan });
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -53,6 +53,7 @@
     onAccepted: ignore,
     accept: () => Ok.EMPTY,
     vacate: () => Promise.resolve(),
+    maxTasks: 250_000,
   });
   const handler = leaderApi.handlers().get("submit_job");
   return {
@@ -131,6 +132,7 @@
     onAccepted: ignore,
     accept: () => Ok.EMPTY,
     vacate: () => Promise.resolve(),
+    maxTasks: 250_000,
   });
   const { host, pathPrefix, maxAttempts } = queue();
   const submitted = await leaderApi.handlers().get("submit_job")?.(
@@ -143,6 +145,53 @@
   expect(jobStore.jobs.get("j")?.outcome).toBe("open");
 });
 
+// Guards against jobs that end all replicas for lack of memory, and end them again whenever they apply their logs.
+it("jobs whose tasks the replicas cannot hold are refused as not run, before they are stored", async () => {
+  const jobStore = newJobStore([worker("w1")]);
+  const leaderApi = new LeaderApi({
+    consensus: consensusOf(jobStore),
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
+    onChange: ignore,
+    onAccepted: ignore,
+    maxTasks: 100,
+    accept: () => Ok.EMPTY,
+    vacate: () => Promise.resolve(),
+  });
+  const { host, pathPrefix } = queue();
+  const submitJob = async (id: string, taskCount: number): Promise<unknown> => {
+    const submitted = await leaderApi.handlers().get("submit_job")?.(
+      { host, path: pathPrefix + id, spec: spec(step({ taskCount })) },
+    );
+    return submitted?.err ? submitted.val : "accepted";
+  };
+  const answers = await Promise.all([
+    submitJob("large", 3_000_000),
+    submitJob("first", 60),
+    submitJob("second", 60),
+  ]);
+  jobStore.apply({ kind: "cancel", ids: ["first"], atMs: 0 });
+  expect([...answers, await submitJob("second", 60)]).toMatchInlineSnapshot(`
+    [
+      {
+        "kind": "invalid",
+        "message": "Job has 3000000 tasks; a job may have 100",
+        "outcome": "not run",
+        "remedy": "Submit it as several jobs, or raise limits.maxTasks",
+      },
+      "accepted",
+      {
+        "kind": "overloaded",
+        "message": "Job has 60 tasks; 60 of 100 are taken",
+        "outcome": "not run",
+        "retryAfterMs": 2000,
+      },
+      "accepted",
+    ]
+  `);
+  expect([...jobStore.jobs.keys()]).toEqual(["first", "second"]);
+});
+
 describe("the reports of a worker", () => {
   const FULL = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
   const SHRUNK = { cpuMilli: 1_000, memoryMb: 1_000, gpus: 0 };
@@ -160,6 +209,7 @@
       onAccepted: ignore,
       accept: () => Ok.EMPTY,
       vacate: () => Promise.resolve(),
+      maxTasks: 250_000,
     });
     const report = leaderApi.handlers().get("report_worker");
     for (const changes of reports) {
--- a/packages/daemon/test/leader_controller_test.ts
+++ b/packages/daemon/test/leader_controller_test.ts
@@ -41,6 +41,7 @@
     advisorClient: undefined,
     holder: "n1",
     retentionMs: 60_000,
+    maxTasks: 250_000,
     reclaimsBusyVms: false,
     placement: PLACEMENT_SETTINGS,
     clock: TEST_CLOCK,
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -119,6 +119,24 @@
   });
 });
 
+// Guards against repeated jobs whose overlapping rounds end all replicas for lack of memory.
+it("a round of a repeated job waits while the replicas cannot hold its tasks", async () => {
+  const jobStore = newJobStore([]);
+  submit(jobStore, "j", {
+    ...spec(step({ taskCount: 60 })),
+    repeat: { count: 3, startAtMs: 0, intervalMs: 0 },
+  });
+  const term = new LeadershipTerm(termParts({
+    consensus: consensusOf(jobStore),
+    client: idleWorkers(),
+    maxTasks: 150,
+  }));
+  await term.start();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(jobStore.jobs.get("j")?.opened).toBe(2);
+  await term.stop();
+});
+
 describe("a busy leadership term", () => {
   // Guards against a leader whose passes take the processor from the orders that they place.
   it("shares a pass between the changes of some round trips", async () => {
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -81,6 +81,7 @@
     term: 7,
     holder: "n1",
     retentionMs: 60_000,
+    maxTasks: 250_000,
     reclaimsBusyVms: false,
     placement: PLACEMENT_SETTINGS,
     vmClient: undefined,
