Replicas of quetzalcoved: one that an operator removed stays out

There a replica is removed only by an operator, and `replicas remove` promises that it is permanent; it would have joined again after an election timeout. No caller saw this.

--- a/packages/daemon/src/consensus/joining.ts
+++ b/packages/daemon/src/consensus/joining.ts
@@ -13,7 +13,7 @@
 export type JoinRequest = z.infer<typeof JoinRequest>;
 
 /** Whether a replica is a member of the group, as far as this one knows. */
-function isMember(
+export function isMember(
   group: Pick<RaftDriver<never, never, never>, "replicas">,
   replica: string,
 ): boolean {
--- a/packages/daemon/src/consensus/static_membership_controller.ts
+++ b/packages/daemon/src/consensus/static_membership_controller.ts
@@ -23,7 +23,7 @@
 import type { Link } from "../link/link.ts";
 import type { Log } from "../observe/log.ts";
 import type { ReplicaStatus } from "./consensus.ts";
-import { addReplica, JoinRequest, needsToJoin } from "./joining.ts";
+import { addReplica, isMember, JoinRequest } from "./joining.ts";
 import type { RaftDriver } from "./raft_driver.ts";
 
 /** Dependencies of the static membership controller. */
@@ -151,7 +151,7 @@
     const { isLeader } = replica.leadership();
     if (isLeader) {
       this.#changeMembershipIfNeeded();
-    } else if (needsToJoin(replica, replica.replica)) {
+    } else if (!isMember(replica, replica.replica)) {
       await this.#requestToJoin();
     }
   }
