Job store: the runs of a pass are applied in its order, gangs included

One cause: the store applied all gangs after the other runs of a command. A task above the cap of its customer, which may start alone, counted first, and a gang without demand that the pass had placed before it was refused.

The runs are applied in the order of the pass now, a gang at the place of its first member.

--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -319,33 +319,39 @@
     return { kind: "cancelled", unknown };
   }
 
-  /** Places the runs that the caps of their customers allow at this point of the log; a gang whole or not at all. */
+  /**
+   * Places the runs that the caps of their customers allow at this point of the log, in the order of the pass that chose
+   * them; a gang whole or not at all.
+   */
   #placeRuns(keys: readonly RunKey[]): void {
     const limits = new CustomerLimits(this.plan.customers, this.customerUsage);
-    const placeAll = (runs: readonly PlaceableRun[]): void => {
-      const [first] = runs;
+    const runs = keys.flatMap((key) => this.#placeableRun(key) ?? []);
+    for (const [first, ...others] of this.#placementUnits(runs)) {
       if (first === undefined) {
-        return;
+        continue;
       }
       const { job, spec } = first;
+      const unit = [first, ...others];
       const limit = limits.of(job.customer);
-      const allowed = limit?.startable(spec, runs.length) ?? runs.length;
-      if (allowed === runs.length) {
-        limit?.addPlanned(spec, runs.length);
-        runs.forEach((run) => this.#placeRun(run));
-      }
-    };
-    const gangs = new Map<string, PlaceableRun[]>();
-    for (const key of keys) {
-      const run = this.#placeableRun(key);
-      if (run?.spec.gang === true) {
-        const gang = `${stepName(run.position)} ${key.run}`;
-        gangs.set(gang, [...gangs.get(gang) ?? [], run]);
-      } else if (run !== undefined) {
-        placeAll([run]);
+      const allowed = limit?.startable(spec, unit.length) ?? unit.length;
+      if (allowed === unit.length) {
+        limit?.addPlanned(spec, unit.length);
+        unit.forEach((run) => this.#placeRun(run));
       }
     }
-    gangs.forEach(placeAll);
+  }
+
+  /** Runs that are placed together: those of a gang, at the place of the first of them, and each other run alone. */
+  #placementUnits(runs: readonly PlaceableRun[]): PlaceableRun[][] {
+    const units = new Map<string, PlaceableRun[]>();
+    for (const run of runs) {
+      const { key, position, spec } = run;
+      const unit = spec.gang
+        ? `${stepName(position)} ${key.run}`
+        : `${key.task} ${key.run} ${key.worker}`;
+      units.set(unit, [...units.get(unit) ?? [], run]);
+    }
+    return [...units.values()];
   }
 
   /** The task of a run that may be placed; undefined if the run no longer applies. */
--- a/packages/core/test/scheduling_customers_test.ts
+++ b/packages/core/test/scheduling_customers_test.ts
@@ -6,7 +6,7 @@
   JobStore,
   type JobStoreCommand,
 } from "@quetzalcove/core/scheduling";
-import { end, run, spec, step } from "./scheduling_fixture.ts";
+import { end, place, run, spec, step } from "./scheduling_fixture.ts";
 import {
   activeRuns,
   commandOf,
@@ -112,6 +112,28 @@
     expect(placeWaiting(store)).toHaveLength(3);
   });
 
+  // Guards against a gang that the pass placed and the store refuses, since a later run of its customer counted first.
+  it("is checked in the order in which the pass chose the runs", () => {
+    const store = newSharedStore(
+      workers(1),
+      customer("a", { cap: coreCap(1) }),
+    );
+
+    submitFor(store, "a", "gang", {
+      taskCount: 2,
+      gang: true,
+      demand: NOTHING,
+    });
+    submitFor(store, "a", "large", {
+      demand: { ...NOTHING, cpuMilli: 2_000 },
+    });
+    const runs = ["gang.0.0.0", "gang.0.0.1", "large.0.0.0"].map((task) =>
+      run(task, 1, "w1")
+    );
+    place(store, ...runs);
+    expect(runs.filter((key) => store.findRun(key) === undefined)).toEqual([]);
+  });
+
   it("refuses a gang that can never fit, and no other step", () => {
     const owner = customer("a", { cap: coreCap(4) });
     const refused = checkGangs(
