Workers: a new leader stops nothing on a draining worker before its first listing

Cause: a new leader takes over all runs of a worker as starts in doubt, and replaces those of a draining worker by stops. That came before the first listing had told which of them run, so that all were stopped at once, and the evacuation for a wave counted them as ready. Ruled out: the evacuation itself, which counts right for runs whose stop it knows.

Starts in doubt are replaced after the first listing, and a run that was ordered to stop is not ready.

--- a/packages/core/src/scheduling/workers/worker_orders.ts
+++ b/packages/core/src/scheduling/workers/worker_orders.ts
@@ -129,6 +129,12 @@
       !order.phase.inDoubt;
   }
 
+  /** Whether a run was or will be ordered to stop. */
+  isStopping({ task, run }: RunRecord): boolean {
+    const order = this.#orders.get(task);
+    return order?.run.run === run && !isActivePhase(order.phase);
+  }
+
   /**
    * Adds a placed run to be started; `inDoubt` if an earlier leader may already have ordered its start. The run is not
    * dropped before `undecidedUntil`, while a start that was sent to an earlier life of the worker may be carried out.
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -119,7 +119,8 @@
     if (isClosed || this.#orders.isPaused) {
       void this.#dropUnsent();
     }
-    if (isClosed) {
+    // Before the first listing, a start in doubt may be a run that is at work.
+    if (isClosed && isVerified()) {
       this.#orders.stopPendingStarts(now);
     }
     for (const run of this.#orders.takeStops(now)) {
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -170,9 +170,10 @@
     return this.#contact.hasAnsweredSince(at);
   }
 
-  /** Whether a long-running task is ready: its worker is in contact and listed it so. */
-  isReady({ task, run }: RunRecord, now: number): boolean {
-    return this.isInContact(now) &&
+  /** Whether a long-running task is ready: its worker is in contact and listed it so, and it was not ordered to stop. */
+  isReady(record: RunRecord, now: number): boolean {
+    const { task, run } = record;
+    return this.isInContact(now) && !this.#orders.isStopping(record) &&
       this.#lastListing.running.some((row) =>
         row.task === task && row.run === run && row.percent === READY_PERCENT
       );
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -161,11 +161,15 @@
   lostAt: () => number | undefined;
 }
 
-function setUp(): Fixture {
+/** A session with a worker to which a run is placed; an earlier leader may have started it. */
+function setUp({ isStarted = false } = {}): Fixture {
   const jobStore = newJobStore([worker("w1")]);
   submit(jobStore, "j", spec(step({ lasting: true })));
   place(jobStore, run("j.0.0.0", 1, "w1"));
   const client = new ScriptedWorker();
+  if (isStarted) {
+    client.starts.push({ task: "j.0.0.0", run: 1 } as StartOrder);
+  }
   const unansweredStarts = new UnansweredStarts();
   let lostAt: number | undefined;
   const consensus = consensusOf(jobStore);
@@ -370,6 +374,25 @@
     expect(client.stops).toContain("k.0.0.0");
   });
 
+  // Guards against a new leader that stops all tasks of a draining worker at once, since each of them might not have started.
+  it("stops nothing on a draining worker that an earlier leader had started there", async () => {
+    fixture.session.stop();
+    fixture = setUp({ isStarted: true });
+    const { client, session, jobStore } = fixture;
+    const [placed] = jobStore.load("w1").runs.values();
+    session.worker = { ...session.worker, draining: true };
+    session.sendDue();
+    await vi.advanceTimersByTimeAsync(500);
+    session.sendDue();
+    await vi.advanceTimersByTimeAsync(500);
+    expect(client.stops).toEqual([]);
+    expect(placed && session.isReady(placed, Date.now())).toBe(true);
+    if (placed !== undefined) {
+      session.requestStop(placed);
+      expect(session.isReady(placed, Date.now())).toBe(false);
+    }
+  });
+
   it("starts a run that an earlier leader placed, with the fencing token of this term", async () => {
     await vi.advanceTimersByTimeAsync(200);
     expect(fixture.client.starts).toMatchObject([
