Job store: the grouping of a placement's runs is a module of its own

What runs of a placement stand or fall together, and which rounds are finished, are functions of their records; job_store.ts only applies them. A replica that knows one other member counts as part of a group again, as before (found on reading; no deployment has fewer than three). No other change of behaviour; the tests of the store, the customers and the membership pass.

--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -140,6 +140,17 @@
   };
 }
 
+export function isFinished({ left }: RoundRecord): boolean {
+  return left.every((count) => count === 0);
+}
+
+/** Number of tasks of a round that is not finished, done ones included. */
+export function openTasksOf(round: RoundRecord): number {
+  return isFinished(round)
+    ? 0
+    : round.tasks.reduce((sum, { length }) => sum + length, 0);
+}
+
 export function roundCount({ spec }: JobRecord): number {
   return spec?.repeat?.count ?? 1;
 }
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -18,10 +18,12 @@
 } from "../model/command.ts";
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
+  isFinished,
   type JobFailure,
   type JobRecord,
   newJob,
   newRound,
+  openTasksOf,
   roundCount,
   type RoundRecord,
   type RunRecord,
@@ -45,10 +47,10 @@
 } from "../model/queue_plan.ts";
 import {
   parseTaskName,
-  stepName,
   taskName,
   type TaskPosition,
 } from "../model/task_name.ts";
+import { type PlaceableRun, placementUnits } from "./placement_units.ts";
 import { WaitingIndex } from "./waiting_index.ts";
 import { isLaterLife } from "../workers/worker_life.ts";
 import { WorkerLoad } from "../workers/worker_load.ts";
@@ -62,15 +64,6 @@
   endedWorkers: EndedLife[];
 }
 
-/** A run that may be placed, and what it belongs to. */
-interface PlaceableRun {
-  key: RunKey;
-  position: TaskPosition;
-  job: JobRecord;
-  task: TaskRecord;
-  spec: StepSpec;
-}
-
 /** Policy of a job of an earlier version whose queue has left the plan: it is not given up for want of one. */
 const DEFAULT_POLICY: JobPolicy = {
   priority: 0,
@@ -326,7 +319,7 @@
   #placeRuns(keys: readonly RunKey[]): void {
     const limits = new CustomerLimits(this.plan.customers, this.customerUsage);
     const runs = keys.flatMap((key) => this.#placeableRun(key) ?? []);
-    for (const [first, ...others] of this.#placementUnits(runs)) {
+    for (const [first, ...others] of placementUnits(runs)) {
       if (first === undefined) {
         continue;
       }
@@ -341,19 +334,6 @@
     }
   }
 
-  /** Runs that are placed together: those of a gang, at the place of the first of them, and each other run alone. */
-  #placementUnits(runs: readonly PlaceableRun[]): PlaceableRun[][] {
-    const units = new Map<string, PlaceableRun[]>();
-    for (const run of runs) {
-      const { key, position, spec } = run;
-      const unit = spec.gang
-        ? `${stepName(position)} ${key.run}`
-        : `${key.task} ${key.run} ${key.worker}`;
-      units.set(unit, [...units.get(unit) ?? [], run]);
-    }
-    return [...units.values()];
-  }
-
   /** The task of a run that may be placed; undefined if the run no longer applies. */
   #placeableRun(key: RunKey): PlaceableRun | undefined {
     const position = parseTaskName(key.task);
@@ -631,15 +611,6 @@
   }
 }
 
-function isFinished({ left }: RoundRecord): boolean {
-  return left.every((count) => count === 0);
-}
-
-/** Number of tasks of a round that is not finished. */
-function openTasksOf(round: RoundRecord): number {
-  return isFinished(round) ? 0 : sum(round.tasks.map(({ length }) => length));
-}
-
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/daemon/src/consensus/dynamic_membership_controller.ts
+++ b/packages/daemon/src/consensus/dynamic_membership_controller.ts
@@ -115,10 +115,10 @@
   #reportMembers(): void {
     const { replica, self, seeds, onMembers } = this.#parts;
     const members = replica.replicas().map(({ entry }) => entry);
+    const isFormed = members.some((entry) => entry !== self.entry);
     // The members of a replica that was away for long may all have been replaced.
     const fallback = replica.leadership().leader === undefined ? seeds : [];
     const hosts = [...new Set([self.entry, ...members, ...fallback])];
-    const isFormed = members.length > 1;
     if (isFormed && hosts.join() !== this.#reportedHosts) {
       this.#reportedHosts = hosts.join();
       onMembers(hosts);
