Replicas: a member asks to join only when it has known no leader for long

A member asks after 1.5 s without a leader now, longer than an election; a replica that is none asks at once, as before. Its seeds are added to the known hosts only then.

The ten tests of dynamic_membership_test.ts pass.

--- a/packages/daemon/src/consensus/dynamic_membership_controller.ts
+++ b/packages/daemon/src/consensus/dynamic_membership_controller.ts
@@ -20,12 +20,13 @@
   type Result,
 } from "@quetzalcove/core";
 import { z } from "zod";
+import type { Clock } from "../clock.ts";
 import type { LeaderClient } from "../entry/leader_client.ts";
 import { type Component, ticker } from "../lifecycle.ts";
 import type { Handler, Handlers } from "../link/connection.ts";
 import type { Log } from "../observe/log.ts";
 import type { Metrics } from "../observe/metrics.ts";
-import { addReplica, JoinRequest, needsToJoin } from "./joining.ts";
+import { addReplica, isMember, JoinRequest } from "./joining.ts";
 import type { RaftDriver } from "./raft_driver.ts";
 
 /** Dependencies of the dynamic membership controller. */
@@ -42,6 +43,7 @@
   leader: Pick<LeaderClient, "call">;
   /** Called with the hosts of all members after each change. */
   onMembers: (hosts: readonly string[]) => void;
+  clock: Pick<Clock, "monotonic">;
   log: Log;
   metrics: Pick<Metrics, "gauge">;
 }
@@ -53,12 +55,17 @@
 const RECONCILE_INTERVAL_MS = 100;
 const CALL_TIMEOUT_MS = 1_000;
 
+/** Time without a leader after which a member asks to join; longer than an election, which needs the processor. */
+const LEADERLESS_TIMEOUT_MS = 1_500;
+
 export class DynamicMembershipController implements Component {
   readonly name = "assembly";
   readonly #parts: DynamicMembershipControllerParts;
   readonly #ticker: Component;
   #reportedHosts = "";
   #loggedVoters = "";
+  /** Monotonic time since which no leader is known; undefined if one is. */
+  #leaderlessSince: number | undefined;
 
   constructor(parts: DynamicMembershipControllerParts) {
     this.#parts = parts;
@@ -102,22 +109,29 @@
   }
 
   async #reconcile(): Promise<void> {
-    const { replica, self } = this.#parts;
-    this.#reportMembers();
-    if (replica.leadership().isLeader) {
+    const { replica, self, clock } = this.#parts;
+    const { isLeader, leader } = replica.leadership();
+    const now = clock.monotonic();
+    this.#leaderlessSince = leader === undefined
+      ? this.#leaderlessSince ?? now
+      : undefined;
+    const isLeaderless = now - (this.#leaderlessSince ?? now) >
+      LEADERLESS_TIMEOUT_MS;
+    this.#reportMembers(isLeaderless ? this.#parts.seeds : []);
+    if (isLeader) {
       this.#logVoters();
       this.#changeMembershipIfNeeded();
-    } else if (needsToJoin(replica, self.replica)) {
+    } else if (!isMember(replica, self.replica) || isLeaderless) {
+      // A replica that was removed while it was away is told nothing. A member that asks stays what it is.
       await this.#requestToJoin();
     }
   }
 
-  #reportMembers(): void {
-    const { replica, self, seeds, onMembers } = this.#parts;
+  /** Reports the hosts of the members; they may all have been replaced if none of them leads. */
+  #reportMembers(fallback: readonly string[]): void {
+    const { replica, self, onMembers } = this.#parts;
     const members = replica.replicas().map(({ entry }) => entry);
     const isFormed = members.some((entry) => entry !== self.entry);
-    // The members of a replica that was away for long may all have been replaced.
-    const fallback = replica.leadership().leader === undefined ? seeds : [];
     const hosts = [...new Set([self.entry, ...members, ...fallback])];
     if (isFormed && hosts.join() !== this.#reportedHosts) {
       this.#reportedHosts = hosts.join();
--- a/packages/daemon/src/consensus/joining.ts
+++ b/packages/daemon/src/consensus/joining.ts
@@ -20,17 +20,6 @@
   return group.replicas().some((member) => member.replica === replica);
 }
 
-/**
- * Whether a replica has to ask the leader to join: it is no member, or hears from no leader, which tells nothing to a
- * replica that was removed. A member that asks stays what it is.
- */
-export function needsToJoin(
-  group: Pick<RaftDriver<never, never, never>, "replicas" | "leadership">,
-  replica: string,
-): boolean {
-  return !isMember(group, replica) || group.leadership().leader === undefined;
-}
-
 /** Adds a replica as a learner to the group that this one leads; a member is not added again. */
 export function addReplica(
   group: Pick<
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -294,6 +294,7 @@
       leader: this.#leaderClient,
       onMembers: (hosts) =>
         this.#linkPool.setKnownHosts(hosts.filter((other) => other !== host)),
+      clock: this.#clock,
       log,
       metrics: this.metrics,
     });
--- a/packages/daemon/test/replica_group.ts
+++ b/packages/daemon/test/replica_group.ts
@@ -205,6 +205,7 @@
       onMembers: (hosts) => {
         this.#node(host).known = hosts;
       },
+      clock: TEST_CLOCK,
       log: this.#recordingLog(host),
       metrics,
     });
