Leader API tests: one builder in place of four copies of its dependencies

Each test names only what it is about now; no assertion changes, and the ten tests of the file pass. No code of the product changes.

--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -16,7 +16,7 @@
   step,
   worker,
 } from "../../core/test/scheduling_fixture.ts";
-import { LeaderApi } from "../src/scheduler/leader_api.ts";
+import { LeaderApi, type LeaderApiParts } from "../src/scheduler/leader_api.ts";
 import {
   consensusOf,
   ignore,
@@ -33,13 +33,31 @@
   spec: spec(step()),
 };
 
+/** A leader API that accepts every job; `changes` replaces dependencies. */
+function leaderApiOf(
+  changes:
+    & Pick<LeaderApiParts, "consensus">
+    & Partial<LeaderApiParts>,
+): LeaderApi {
+  return new LeaderApi({
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
+    onChange: ignore,
+    onAccepted: ignore,
+    accept: () => Ok.EMPTY,
+    vacate: () => Promise.resolve(),
+    maxTasks: 250_000,
+    ...changes,
+  });
+}
+
 /** A leader API whose leadership confirmations are answered by `barrier`. */
 function leaderApiWith(barrier: () => Promise<Result<void, Fault>>): {
   submit: () => Promise<Result<unknown, Fault>>;
   proposed: JobStoreCommand[];
 } {
   const proposed: JobStoreCommand[] = [];
-  const leaderApi = new LeaderApi({
+  const leaderApi = leaderApiOf({
     consensus: consensusOf(new JobStore(), {
       propose: (command) => {
         proposed.push(command);
@@ -47,13 +65,6 @@
       },
       barrier,
     }),
-    clock: TEST_CLOCK,
-    log: QUIET_LOG,
-    onChange: ignore,
-    onAccepted: ignore,
-    accept: () => Ok.EMPTY,
-    vacate: () => Promise.resolve(),
-    maxTasks: 250_000,
   });
   const handler = leaderApi.handlers().get("submit_job");
   return {
@@ -118,7 +129,7 @@
 it("a job keeps the policy of its queue if the plan that is in force at its commit lacks the queue", async () => {
   const jobStore = newJobStore([worker("w1")]);
   const { propose } = consensusOf(jobStore);
-  const leaderApi = new LeaderApi({
+  const leaderApi = leaderApiOf({
     consensus: consensusOf(jobStore, {
       propose: async (command) => {
         const plan = { ...planOf([]), version: 2, queues: [] };
@@ -126,13 +137,6 @@
         return await propose(command);
       },
     }),
-    clock: TEST_CLOCK,
-    log: QUIET_LOG,
-    onChange: ignore,
-    onAccepted: ignore,
-    accept: () => Ok.EMPTY,
-    vacate: () => Promise.resolve(),
-    maxTasks: 250_000,
   });
   const { host, pathPrefix, maxAttempts } = queue();
   const submitted = await leaderApi.handlers().get("submit_job")?.(
@@ -148,15 +152,9 @@
 // Guards against jobs that end all replicas for lack of memory, and end them again whenever they apply their logs.
 it("jobs whose tasks the replicas cannot hold are refused as not run, before they are stored", async () => {
   const jobStore = newJobStore([worker("w1")]);
-  const leaderApi = new LeaderApi({
+  const leaderApi = leaderApiOf({
     consensus: consensusOf(jobStore),
-    clock: TEST_CLOCK,
-    log: QUIET_LOG,
-    onChange: ignore,
-    onAccepted: ignore,
     maxTasks: 100,
-    accept: () => Ok.EMPTY,
-    vacate: () => Promise.resolve(),
   });
   const { host, pathPrefix } = queue();
   const submitJob = async (id: string, taskCount: number): Promise<unknown> => {
@@ -201,15 +199,8 @@
     ...reports: Partial<Worker>[]
   ): Promise<Worker | undefined> {
     const jobStore = newJobStore([]);
-    const leaderApi = new LeaderApi({
+    const leaderApi = leaderApiOf({
       consensus: consensusOf(jobStore),
-      clock: TEST_CLOCK,
-      log: QUIET_LOG,
-      onChange: ignore,
-      onAccepted: ignore,
-      accept: () => Ok.EMPTY,
-      vacate: () => Promise.resolve(),
-      maxTasks: 250_000,
     });
     const report = leaderApi.handlers().get("report_worker");
     for (const changes of reports) {
