Job store: memory and work of a step depend on what runs, not on its number of tasks

Cause: each replica kept a record of each task, and went over all tasks of a step at each start and each end of one of them: to list the tasks that wait, to stop runs of tasks that are done, to look for failures; a pass copied the list for each step. Applying a command then takes longer than an election, and heartbeats wait behind it. A limit on tasks bounds the memory only. One job of 5,000,000,000 tasks ended replicas with a RangeError.

A step keeps ranges of the tasks that wait and that are done, and records of those that have run and are not settled. Finished rounds of a repeated job are dropped, and the checkpoint of a gang is stored once.

Two tests that looked into the list of tasks ask for the tasks by index instead.

--- a/packages/core/src/scheduling/admission/task_limit.ts
+++ b/packages/core/src/scheduling/admission/task_limit.ts
@@ -8,16 +8,11 @@
  */
 import { type Fault, fault } from "../../fault.ts";
 import { Err, Ok, type Result } from "../../result.ts";
-import type { BatchJobSpec } from "../model/batch_job.ts";
+import { type BatchJobSpec, taskCountOf } from "../model/batch_job.ts";
 
 /** When a caller should retry while the store is full: after the duration of some tasks. */
 const RETRY_AFTER_MS = 2_000;
 
-/** Number of tasks of one round of a job. */
-export function taskCountOf({ steps }: BatchJobSpec): number {
-  return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
-}
-
 /** Whether the store may hold the tasks of one more round beside those that it holds. */
 export function hasRoomFor(
   spec: BatchJobSpec,
--- a/packages/core/src/scheduling/look_ahead/look_ahead.ts
+++ b/packages/core/src/scheduling/look_ahead/look_ahead.ts
@@ -10,6 +10,7 @@
 import { BlockedDemands } from "./blocked_demands.ts";
 import type { RunKey } from "../model/command.ts";
 import { freeCpuIndexOf } from "../placement/candidate_index.ts";
+import { IndicesPart } from "../model/index_set.ts";
 import type { WaitingStep } from "../model/job_record.ts";
 import { countWaiting, maxRackWaitMs } from "./rack_wait.ts";
 import {
@@ -284,21 +285,22 @@
       return { runs: this.#placeAny(step, candidates, wallNow), waiting: 0 };
     }
     const runs = this.#placeAny(step, near, wallNow);
-    const placed = new Set(runs.map(({ task }) => task));
-    const left = [...step.indices].filter((index) =>
-      !placed.has(nameOfTask(step, index))
-    );
+    const left = step.indices.size - runs.length;
     // Where no worker has capacity, there is nothing to decide.
-    const hasRoom = left.length > 0 && anyAccepts(step, candidates);
+    const hasRoom = left > 0 && anyAccepts(step, candidates);
     const waiting = !hasRoom ? 0 : countWaiting(step, {
-      tasks: left.length,
+      tasks: left,
       maxWaitMs,
       timelines: near.map((candidate) => this.timeline(candidate)),
     }, this.#now);
-    const rest = new Set(left.slice(waiting));
-    if (hasRoom && rest.size > 0) {
-      const remaining = { ...step, indices: rest };
-      runs.push(...this.#placeAny(remaining, candidates, wallNow));
+    if (hasRoom && left > waiting) {
+      const placed = new Set(runs.map(({ task }) => task));
+      const indices = new IndicesPart(
+        step.indices,
+        { from: waiting, size: left - waiting },
+        (index) => !placed.has(nameOfTask(step, index)),
+      );
+      runs.push(...this.#placeAny({ ...step, indices }, candidates, wallNow));
     }
     return { runs, waiting };
   }
--- a/packages/core/src/scheduling/model/batch_job.ts
+++ b/packages/core/src/scheduling/model/batch_job.ts
@@ -90,6 +90,11 @@
   );
 }
 
+/** Number of tasks of one round of a job. */
+export function taskCountOf({ steps }: BatchJobSpec): number {
+  return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+}
+
 /** Resources that a task of the step reserves on its worker; best-effort tasks reserve no CPU. */
 export function reservation({ demand, fills }: StepSpec): Resources {
   return fills ? { ...demand, cpuMilli: 0 } : demand;
--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -5,49 +5,17 @@
  */
 import type { BatchJobSpec, BatchJobState, StepSpec } from "./batch_job.ts";
 import type { SubmittedJob } from "./command.ts";
+import type { Indices } from "./index_set.ts";
 import type { JobPolicy } from "./queue_plan.ts";
+import { StepTasks, type StoredStepTasks } from "./step_tasks.ts";
 import type { TaskPosition } from "./task_name.ts";
 
-/** Suspicion against a task that was on a worker when it crashed. */
-export interface Suspicion {
-  /** Crashes on probation, which no other job can have caused. */
-  crashes: number;
-  /** Those for which the worker had confirmed the start. */
-  confirmed: number;
-}
-
-/** A run that failed. */
-export interface RunFailure {
-  /** Undefined if it was stored by an earlier version. */
-  run?: number;
-  worker: string;
-  /** Wall-clock time in milliseconds. */
-  atMs: number;
-}
-
-/** One task of a round. */
-export interface TaskRecord {
-  /** Number of the latest run; 0 before the first. */
-  run: number;
-  /** Failed runs; of a gang's run only the first failure counts. */
-  failures: number;
-  /** Undefined before the first failure. */
-  lastFailure?: RunFailure | undefined;
-  /** Undefined if its runs cannot have crashed a worker. */
-  suspicion?: Suspicion | undefined;
-  isDone: boolean;
-  /** Latest checkpoint; empty for none. */
-  checkpoint: string;
-  /** Worker of the active run, if any. */
-  worker: string | undefined;
-}
-
 /** One round: a repetition of all steps of a job. */
 export interface RoundRecord {
-  /** Tasks by step and index. */
-  tasks: TaskRecord[][];
-  /** Number of unfinished tasks by step. */
-  left: number[];
+  /** Tasks by step. */
+  tasks: StepTasks[];
+  /** Number of steps with unfinished tasks. */
+  openSteps: number;
 }
 
 /** Why a job failed. */
@@ -76,6 +44,7 @@
   hasStarted: boolean;
   acceptedAtMs: number;
   endedAtMs: number | undefined;
+  /** Rounds that have begun and have unfinished tasks or active runs. */
   rounds: Record<number, RoundRecord>;
   /** Number of opened rounds; 1 for a job that is not repeated. */
   opened: number;
@@ -99,7 +68,7 @@
   step: number;
   spec: StepSpec;
   /** Indices of the unfinished tasks without an active run. */
-  indices: Set<number>;
+  indices: Indices;
 }
 
 export function newJob(
@@ -127,21 +96,23 @@
 
 export function newRound(steps: readonly StepSpec[]): RoundRecord {
   return {
-    tasks: steps.map(({ taskCount }) =>
-      Array.from({ length: taskCount }, () => ({
-        run: 0,
-        failures: 0,
-        isDone: false,
-        checkpoint: "",
-        worker: undefined,
-      }))
-    ),
-    left: steps.map(({ taskCount }) => taskCount),
+    tasks: steps.map(({ taskCount }) => new StepTasks(taskCount)),
+    openSteps: steps.length,
   };
 }
 
-export function isFinished({ left }: RoundRecord): boolean {
-  return left.every((count) => count === 0);
+/** A job as it is stored. */
+export interface StoredJob extends Omit<JobRecord, "rounds"> {
+  rounds: Record<number, { tasks: StoredStepTasks[] }>;
+}
+
+/** Restores a round from its stored form. */
+export function restoreRound(
+  { tasks }: StoredJob["rounds"][number],
+): RoundRecord {
+  const restored = tasks.map((ofStep) => StepTasks.restore(ofStep));
+  const openSteps = restored.filter(({ left }) => left > 0).length;
+  return { tasks: restored, openSteps };
 }
 
 /** Number of tasks of a round that is not finished, done ones included. */
@@ -151,6 +122,10 @@
     : round.tasks.reduce((sum, { length }) => sum + length, 0);
 }
 
+export function isFinished({ openSteps }: RoundRecord): boolean {
+  return openSteps === 0;
+}
+
 export function roundCount({ spec }: JobRecord): number {
   return spec?.repeat?.count ?? 1;
 }
--- a/packages/core/src/scheduling/passes/placement_pass.ts
+++ b/packages/core/src/scheduling/passes/placement_pass.ts
@@ -10,6 +10,7 @@
 import { CustomerShares } from "../customers/customer_shares.ts";
 import type { CustomerUsage } from "../customers/customer_usage.ts";
 import { indexFreeCpu } from "../placement/candidate_index.ts";
+import { IndicesPart } from "../model/index_set.ts";
 import type { WaitingStep } from "../model/job_record.ts";
 import type {
   LookAheadInput,
@@ -159,8 +160,10 @@
   if (count === step.indices.size) {
     return step;
   }
-  const indices = [...step.indices].slice(from, from + count);
-  return { ...step, indices: new Set(indices) };
+  return {
+    ...step,
+    indices: new IndicesPart(step.indices, { from, size: count }),
+  };
 }
 
 /** The shares of the plan's customers; undefined if callers are not told apart. */
--- a/packages/core/src/scheduling/placement/task_placement.ts
+++ b/packages/core/src/scheduling/placement/task_placement.ts
@@ -12,9 +12,16 @@
 import { byRack, type CandidateWorker } from "./candidate_worker.ts";
 import { reservation, type Resources } from "../model/batch_job.ts";
 import type { RunKey } from "../model/command.ts";
-import type { TaskRecord, WaitingStep } from "../model/job_record.ts";
+import type { WaitingStep } from "../model/job_record.ts";
+import type { TaskRecord } from "../model/task_record.ts";
 import { countFitting, covers } from "../model/resource_sum.ts";
-import { isSuspected, onlyLacksResources, taskOf } from "./waiting_tasks.ts";
+import {
+  hasSuspects,
+  isSuspected,
+  onlyLacksResources,
+  taskOf,
+  tasksOf,
+} from "./waiting_tasks.ts";
 import { taskName } from "../model/task_name.ts";
 
 /** Time for which a task avoids the worker on which it failed; as long as one or two tasks on another worker. */
@@ -46,34 +53,32 @@
 }
 
 /**
- * Chooses workers for as many of the given tasks of a step as fit; all or none for a gang. `wallNow` is the wall-clock
+ * Chooses workers for as many of the waiting tasks of a step as fit; all or none for a gang. `wallNow` is the wall-clock
  * time in milliseconds.
  */
 export function placeStep(
   step: WaitingStep,
   candidates: readonly CandidateWorker[],
   wallNow: number,
-  indices: readonly number[] = [...step.indices],
 ): RunKey[] {
-  const hasSuspects = indices.some((index) => isSuspected(step, index));
-  if (!step.spec.gang && (!step.spec.sameRack || hasSuspects)) {
-    return placeTasks(step, indices, candidates, wallNow);
+  const { gang, sameRack, taskCount } = step.spec;
+  if (!gang && (!sameRack || hasSuspects(step))) {
+    return placeTasks(step, candidates, wallNow);
   }
-  if (step.spec.gang && indices.length < step.spec.taskCount) {
+  if (gang && step.indices.size < taskCount) {
     // Some members of the previous run have not ended, or may not start.
     return [];
   }
-  return placeTogether(step, indices, candidates, wallNow);
+  return placeTogether(step, candidates, wallNow);
 }
 
 function placeTasks(
   step: WaitingStep,
-  indices: readonly number[],
   candidates: readonly CandidateWorker[],
   wallNow: number,
 ): RunKey[] {
   const placed: RunKey[] = [];
-  for (const index of indices) {
+  for (const index of step.indices) {
     const task = taskOf(step, index);
     const allowed = avoidFailedWorker(step, task, candidates, wallNow);
     const isSuspect = isSuspected(step, index);
@@ -95,7 +100,7 @@
 /** Candidates other than the worker on which a task failed recently, if any of these could ever run it. */
 function avoidFailedWorker(
   step: WaitingStep,
-  task: TaskRecord | undefined,
+  task: Readonly<TaskRecord> | undefined,
   candidates: readonly CandidateWorker[],
   wallNow: number,
 ): readonly CandidateWorker[] {
@@ -116,7 +121,6 @@
 /** Places all tasks on one rack if possible, else on any. If not all fit, a gang is not placed; other steps in part. */
 function placeTogether(
   step: WaitingStep,
-  indices: readonly number[],
   candidates: readonly CandidateWorker[],
   wallNow: number,
 ): RunKey[] {
@@ -124,27 +128,27 @@
     freeCpu(b) - freeCpu(a)
   );
   for (const group of [...byFreeCpu, candidates]) {
-    const chosen = chooseForAll(step, indices, group);
+    const chosen = chooseForAll(step, group);
     if (chosen !== undefined) {
-      const isSuspect = indices.some((index) => isSuspected(step, index));
+      const isSuspect = hasSuspects(step);
       chosen.forEach((candidate) => candidate.reserve(step, isSuspect));
       const run = step.spec.gang ? nextGangRun(step) : undefined;
+      const indices = [...step.indices];
       return chosen.map((candidate, i) => {
         const key = runKey(step, indices[i] ?? 0, candidate.worker.id);
         return run === undefined ? key : { ...key, run };
       });
     }
   }
-  return step.spec.gang ? [] : placeTasks(step, indices, candidates, wallNow);
+  return step.spec.gang ? [] : placeTasks(step, candidates, wallNow);
 }
 
 /** Chooses a candidate for each task without reserving; undefined if the tasks do not all fit. */
 function chooseForAll(
   step: WaitingStep,
-  indices: readonly number[],
   candidates: readonly CandidateWorker[],
 ): CandidateWorker[] | undefined {
-  const { spec } = step;
+  const { spec, indices } = step;
   const demand = reservation(spec);
   const chosen: CandidateWorker[] = [];
   for (const candidate of candidates) {
@@ -154,13 +158,13 @@
     const fitting = Math.min(
       countFitting(candidate.free, demand),
       spec.maxPerWorker === 0 ? Infinity : spec.maxPerWorker,
-      indices.length - chosen.length,
+      indices.size - chosen.length,
     );
     for (let i = 0; i < fitting; i++) {
       chosen.push(candidate);
     }
   }
-  return chosen.length === indices.length ? chosen : undefined;
+  return chosen.length === indices.size ? chosen : undefined;
 }
 
 /**
@@ -254,9 +258,8 @@
 }
 
 /** The members of a gang share one run number. */
-function nextGangRun({ job, round, step }: WaitingStep): number {
-  const tasks = job.rounds[round]?.tasks[step] ?? [];
-  return 1 + Math.max(0, ...tasks.map(({ run }) => run));
+function nextGangRun(step: WaitingStep): number {
+  return 1 + (tasksOf(step)?.highestRun ?? 0);
 }
 
 function freeCpu(candidates: readonly CandidateWorker[]): number {
--- a/packages/core/src/scheduling/store/crash_suspects.ts
+++ b/packages/core/src/scheduling/store/crash_suspects.ts
@@ -12,7 +12,8 @@
  * @module
  */
 import type { CrashSuspect } from "../model/command.ts";
-import type { RunRecord, Suspicion } from "../model/job_record.ts";
+import type { RunRecord } from "../model/job_record.ts";
+import type { Suspicion } from "../model/task_record.ts";
 
 /** Time after its start in which a task that crashes workers has done so. */
 export const PROBATION_MS = 100;
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -6,7 +6,7 @@
  */
 import type { Fault } from "../../fault.ts";
 import { Ok, type Result } from "../../result.ts";
-import type { StepSpec } from "../model/batch_job.ts";
+import { type StepSpec, taskCountOf } from "../model/batch_job.ts";
 import type {
   CrashSuspect,
   JobStoreCommand,
@@ -24,12 +24,13 @@
   newJob,
   newRound,
   openTasksOf,
+  restoreRound,
   roundCount,
-  type RoundRecord,
   type RunRecord,
-  type TaskRecord,
+  type StoredJob,
   type WaitingStep,
 } from "../model/job_record.ts";
+import type { TaskRecord } from "../model/task_record.ts";
 import { CustomerLimits } from "../customers/customer_limits.ts";
 import { CustomerUsage } from "../customers/customer_usage.ts";
 import { EndedJobs } from "./ended_jobs.ts";
@@ -50,6 +51,7 @@
   taskName,
   type TaskPosition,
 } from "../model/task_name.ts";
+import type { StepTasks } from "../model/step_tasks.ts";
 import { type PlaceableRun, placementUnits } from "./placement_units.ts";
 import { WaitingIndex } from "./waiting_index.ts";
 import { isLaterLife } from "../workers/worker_life.ts";
@@ -58,7 +60,7 @@
 /** The persisted state of the store, as JSON; the indexes are rebuilt from it. */
 interface JobStoreSnapshot {
   plan: QueuePlan;
-  jobs: JobRecord[];
+  jobs: StoredJob[];
   workers: Worker[];
   waves: WaveRecord[];
   endedWorkers: EndedLife[];
@@ -171,12 +173,20 @@
     return this.#unstarted.get(queue) ?? 0;
   }
 
-  taskOf(run: Pick<RunRecord, "job" | "round" | "step" | "index">):
-    | TaskRecord
-    | undefined {
-    return this.jobs.get(run.job)?.rounds[run.round]?.tasks[run.step]?.[
-      run.index
-    ];
+  taskOf(position: TaskPosition): Readonly<TaskRecord> | undefined {
+    return this.tasksOf(position)?.at(position.index);
+  }
+
+  /** The tasks of a step of a round. */
+  tasksOf(
+    { job, round, step }: Omit<TaskPosition, "index">,
+  ): StepTasks | undefined {
+    return this.jobs.get(job)?.rounds[round]?.tasks[step];
+  }
+
+  /** The checkpoint from which the next run of a task resumes; empty for none. */
+  checkpointOf(position: TaskPosition): string {
+    return this.tasksOf(position)?.checkpointOf(position.index) ?? "";
   }
 
   /** The run with a key; undefined once it has ended. */
@@ -195,7 +205,7 @@
   }
 
   encode(): string {
-    const snapshot: JobStoreSnapshot = {
+    const snapshot: Omit<JobStoreSnapshot, "jobs"> & { jobs: JobRecord[] } = {
       plan: this.plan,
       jobs: [...this.jobs.values()],
       workers: [...this.workers.values()],
@@ -219,7 +229,8 @@
     return store;
   }
 
-  #restoreJob(job: JobRecord): void {
+  #restoreJob(stored: StoredJob): void {
+    const job: JobRecord = { ...stored, rounds: {} };
     this.jobs.set(job.id, job);
     const isOpen = job.outcome === "open";
     if (!isOpen) {
@@ -229,24 +240,27 @@
     } else if (!job.hasStarted) {
       this.#countUnstarted(job, 1);
     }
-    for (const [key, record] of Object.entries(job.rounds)) {
+    for (const [key, storedRound] of Object.entries(stored.rounds)) {
       const round = Number(key);
+      const record = restoreRound(storedRound);
+      job.rounds[round] = record;
       this.openTasks += openTasksOf(record);
       record.tasks.forEach((tasks, step) => {
-        tasks.forEach((task, index) =>
+        tasks.records.forEach((task, index) =>
           this.#restoreRun(job, { job: job.id, round, step, index }, task)
         );
         if (isOpen) {
           this.#waiting.update(job, round, step);
         }
       });
+      this.#discardRound(job, round);
     }
   }
 
   #restoreRun(
     job: JobRecord,
     position: TaskPosition,
-    { run, worker, isDone }: TaskRecord,
+    { run, worker, isDone }: Readonly<TaskRecord>,
   ): void {
     const spec = job.spec?.steps[position.step];
     if (worker === undefined || spec === undefined) {
@@ -343,22 +357,20 @@
     if (position === undefined || job?.outcome !== "open") {
       return undefined;
     }
-    const task = this.taskOf(position);
+    const tasks = this.tasksOf(position);
     const spec = job.spec?.steps[position.step];
-    const isFree = task !== undefined && !task.isDone &&
-      task.worker === undefined && key.run > task.run;
-    return isFree && spec !== undefined && this.workers.has(key.worker)
-      ? { key, position, job, task, spec }
+    return tasks !== undefined && isFree(tasks, position.index, key.run) &&
+        spec !== undefined && this.workers.has(key.worker)
+      ? { key, position, job, tasks, spec }
       : undefined;
   }
 
-  #placeRun({ key, position, job, task, spec }: PlaceableRun): void {
-    if (task.worker !== undefined || key.run <= task.run) {
+  #placeRun({ key, position, job, tasks, spec }: PlaceableRun): void {
+    if (!isFree(tasks, position.index, key.run)) {
       // The command names the task twice.
       return;
     }
-    task.run = key.run;
-    task.worker = key.worker;
+    tasks.start(position.index, key);
     this.load(key.worker).add({ ...position, ...key }, spec);
     this.customerUsage.add(job, spec);
     job.activeRuns += 1;
@@ -368,17 +380,17 @@
         this.#countUnstarted(job, -1);
       }
     }
-    this.#waiting.removeTask(position);
+    this.#waiting.update(job, position.round, position.step);
   }
 
   /** Frees the resources of a run; its task waits again unless it is done or its job has ended. */
   #releaseRun(key: RunKey): void {
     const run = this.findRun(key);
     const job = run === undefined ? undefined : this.jobs.get(run.job);
-    const task = run === undefined ? undefined : this.taskOf(run);
+    const tasks = run === undefined ? undefined : this.tasksOf(run);
     const spec = run === undefined ? undefined : this.stepOf(run);
     if (
-      run === undefined || job === undefined || task === undefined ||
+      run === undefined || job === undefined || tasks === undefined ||
       spec === undefined
     ) {
       return;
@@ -386,10 +398,11 @@
     this.load(run.worker).remove(run, spec);
     this.customerUsage.remove(job, spec);
     this.runsToStop.delete(run);
-    task.worker = undefined;
+    tasks.release(run.index);
     job.activeRuns -= 1;
     if (job.outcome === "open") {
       this.#waiting.update(job, run.round, run.step);
+      this.#discardRound(job, run.round);
     } else {
       this.#discardDetails(job);
     }
@@ -400,43 +413,30 @@
     const job = position === undefined
       ? undefined
       : this.jobs.get(position.job);
-    const record = job?.rounds[position?.round ?? -1];
+    const tasks = position === undefined ? undefined : this.tasksOf(position);
     const task = position === undefined ? undefined : this.taskOf(position);
     const spec = position === undefined
       ? undefined
       : job?.spec?.steps[position.step];
     const wasActive = this.findRun(end) !== undefined;
     if (
-      position === undefined || job === undefined || record === undefined ||
+      position === undefined || job === undefined || tasks === undefined ||
       task === undefined || spec === undefined || end.run > task.run
     ) {
       return;
     }
+    const { index } = position;
     if (end.checkpoint !== "" && !task.isDone) {
-      // All members of a gang resume from the same checkpoint.
-      const resuming = spec.gang ? record.tasks[position.step] ?? [] : [task];
-      resuming.forEach((other) => other.checkpoint = end.checkpoint);
+      tasks.saveCheckpoint(index, end.checkpoint, spec.gang);
     }
     if (end.how === "done" && !task.isDone && job.outcome === "open") {
-      const members = spec.gang ? record.tasks[position.step] ?? [] : [task];
-      members.forEach((member) =>
-        this.#markDone(record, position.step, member)
-      );
-      // A late report may complete a task that already waits for its next run.
-      this.#waiting.update(job, position.round, position.step);
+      this.#completeTasks(job, position, spec.gang);
       this.#releaseRun(end);
-      this.#afterTaskDone(job, position.round, position.step, atMs);
+      this.#afterTaskDone(job, position, atMs);
       return;
     }
     if (end.how === "failed" && wasActive) {
-      const members = spec.gang ? record.tasks[position.step] ?? [] : [task];
-      const isCounted = members.some(({ lastFailure }) =>
-        lastFailure?.run === end.run
-      );
-      task.suspicion = undefined;
-      task.failures += isCounted ? 0 : 1;
-      task.lastFailure = { run: end.run, worker: end.worker, atMs };
-      const failures = sum(members.map((member) => member.failures));
+      const failures = tasks.fail(index, end, { gang: spec.gang, atMs });
       if (!spec.lasting && failures >= job.terms.maxAttempts) {
         this.#failJob(
           job,
@@ -448,57 +448,60 @@
     this.#releaseRun(end);
   }
 
-  #markDone(record: RoundRecord, step: number, task: TaskRecord): void {
-    if (!task.isDone) {
-      task.isDone = true;
-      record.left[step] = (record.left[step] ?? 0) - 1;
+  /** Records that a task, or its gang, is done, and requests the stop of other runs. */
+  #completeTasks(job: JobRecord, position: TaskPosition, gang: boolean): void {
+    const { round, step } = position;
+    const tasks = this.tasksOf(position);
+    const members = gang
+      ? Array.from({ length: tasks?.length ?? 0 }, (_, index) => index)
+      : [position.index];
+    for (const index of members) {
+      if (tasks?.complete(index)) {
+        this.#requestStop({ ...position, index }, tasks.at(index));
+      }
     }
+    // A late report may complete a task that already waits for its next run.
+    this.#waiting.update(job, round, step);
   }
 
   #afterTaskDone(
     job: JobRecord,
-    round: number,
-    step: number,
+    position: TaskPosition,
     atMs: number,
   ): void {
+    const { round, step } = position;
     const record = job.rounds[round];
-    if (record === undefined || job.spec === undefined) {
-      return;
-    }
-    this.#stopRunsOfDoneTasks(job, round, step);
-    if (record.left[step] !== 0) {
+    if (
+      record === undefined || job.spec === undefined ||
+      this.tasksOf(position)?.left !== 0
+    ) {
       return;
     }
-    this.#waiting.removeStep(job, round, step);
+    record.openSteps -= 1;
     job.spec.steps.forEach((spec, other) => {
       if (spec.dependsOn.includes(step)) {
         this.#waiting.update(job, round, other);
       }
     });
     if (isFinished(record)) {
-      this.openTasks -= sum(record.tasks.map(({ length }) => length));
+      this.openTasks -= taskCountOf(job.spec);
       job.finished += 1;
       if (job.finished === roundCount(job)) {
         this.#closeJob(job, "completed", atMs);
+      } else {
+        this.#discardRound(job, round);
       }
     }
   }
 
-  /** Requests the stop of runs whose task is done, such as those of the other members of a gang. */
-  #stopRunsOfDoneTasks(job: JobRecord, round: number, step: number): void {
-    const tasks = job.rounds[round]?.tasks[step] ?? [];
-    tasks.forEach((task, index) => {
-      if (task.isDone) {
-        this.#requestStop({ job: job.id, round, step, index }, task);
-      }
-    });
-  }
-
   /** Requests the stop of a task's active run, if any. */
-  #requestStop(position: TaskPosition, { worker }: TaskRecord): void {
-    const run = worker === undefined
+  #requestStop(
+    position: TaskPosition,
+    task: Readonly<TaskRecord> | undefined,
+  ): void {
+    const run = task?.worker === undefined
       ? undefined
-      : this.load(worker).runs.get(taskName(position));
+      : this.load(task.worker).runs.get(taskName(position));
     if (run !== undefined) {
       this.runsToStop.add(run);
     }
@@ -525,7 +528,7 @@
       const round = Number(key);
       record.tasks.forEach((tasks, step) => {
         this.#waiting.removeStep(job, round, step);
-        tasks.forEach((task, index) =>
+        tasks.records.forEach((task, index) =>
           this.#requestStop({ job: job.id, round, step, index }, task)
         );
       });
@@ -533,10 +536,23 @@
     this.#discardDetails(job);
   }
 
+  /** Keeps nothing of a finished round without active runs: what arrives later about its tasks changes nothing. */
+  #discardRound(job: JobRecord, round: number): void {
+    const record = job.rounds[round];
+    if (
+      record !== undefined && isFinished(record) &&
+      record.tasks.every(({ records }) => records.size === 0)
+    ) {
+      delete job.rounds[round];
+    }
+  }
+
   /** Keeps only the outcome of a job that has ended and has no active runs. */
   #discardDetails(job: JobRecord): void {
     if (job.outcome !== "open" && job.activeRuns === 0) {
-      this.openTasks -= sum(Object.values(job.rounds).map(openTasksOf));
+      Object.values(job.rounds).forEach((round) =>
+        this.openTasks -= openTasksOf(round)
+      );
       job.spec = undefined;
       job.rounds = {};
     }
@@ -576,17 +592,20 @@
     for (const suspect of suspects) {
       const run = this.findRun(suspect);
       const job = run && this.jobs.get(run.job);
-      const task = run && this.taskOf(run);
+      const tasks = run && this.tasksOf(run);
       const spec = run && this.stepOf(run);
-      if (job?.outcome !== "open" || task === undefined) {
+      if (
+        job?.outcome !== "open" || run === undefined || tasks === undefined
+      ) {
         continue;
       }
-      task.suspicion = addCrash(task.suspicion, suspect);
-      if (spec?.lasting === false && isCrashLoop(task.suspicion)) {
+      const suspicion = addCrash(tasks.at(run.index)?.suspicion, suspect);
+      tasks.setSuspicion(run.index, suspicion);
+      if (spec?.lasting === false && isCrashLoop(suspicion)) {
         this.#failJob(job, {
           cause: "crashes",
           task: suspect.task,
-          count: task.suspicion.crashes,
+          count: suspicion.crashes,
         }, atMs);
       }
     }
@@ -594,9 +613,8 @@
 
   #clearSuspicion(key: RunKey): void {
     const run = this.findRun(key);
-    const task = run === undefined ? undefined : this.taskOf(run);
-    if (task !== undefined) {
-      task.suspicion = undefined;
+    if (run !== undefined) {
+      this.tasksOf(run)?.setSuspicion(run.index, undefined);
     }
   }
 
@@ -611,6 +629,9 @@
   }
 }
 
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
+/** Whether a run with a number may start a task. */
+function isFree(tasks: StepTasks, index: number, run: number): boolean {
+  const task = tasks.at(index);
+  return task !== undefined && !task.isDone && task.worker === undefined &&
+    run > task.run;
 }
--- a/packages/core/src/scheduling/store/placement_units.ts
+++ b/packages/core/src/scheduling/store/placement_units.ts
@@ -5,7 +5,8 @@
  */
 import type { StepSpec } from "../model/batch_job.ts";
 import type { RunKey } from "../model/command.ts";
-import type { JobRecord, TaskRecord } from "../model/job_record.ts";
+import type { JobRecord } from "../model/job_record.ts";
+import type { StepTasks } from "../model/step_tasks.ts";
 import { stepName, type TaskPosition } from "../model/task_name.ts";
 
 /** A run that may be placed, and what it belongs to. */
@@ -13,7 +14,8 @@
   key: RunKey;
   position: TaskPosition;
   job: JobRecord;
-  task: TaskRecord;
+  /** Tasks of its step. */
+  tasks: StepTasks;
   spec: StepSpec;
 }
 
--- a/packages/core/src/scheduling/store/waiting_index.ts
+++ b/packages/core/src/scheduling/store/waiting_index.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
-import type { JobRecord, WaitingStep } from "../model/job_record.ts";
-import { stepName, type TaskPosition } from "../model/task_name.ts";
+import type {
+  JobRecord,
+  RoundRecord,
+  WaitingStep,
+} from "../model/job_record.ts";
+import { stepName } from "../model/task_name.ts";
 
 export class WaitingIndex {
   /** Waiting steps by name, oldest first. */
@@ -14,33 +18,19 @@
   update(job: JobRecord, round: number, step: number): void {
     const record = job.rounds[round];
     const spec = job.spec?.steps[step];
-    if (record === undefined || spec === undefined) {
+    const indices = record?.tasks[step]?.waiting;
+    if (record === undefined || spec === undefined || indices === undefined) {
       return;
     }
-    if (spec.dependsOn.some((other) => record.left[other] !== 0)) {
-      return;
-    }
-    const tasks = record.tasks[step] ?? [];
-    const indices = new Set<number>();
-    tasks.forEach((task, index) => {
-      if (!task.isDone && task.worker === undefined) {
-        indices.add(index);
-      }
-    });
     const name = stepName({ job: job.id, round, step });
-    if (indices.size > 0) {
-      this.steps.set(name, { name, job, round, step, spec, indices });
-    } else {
+    if (indices.size === 0) {
       this.steps.delete(name);
+      return;
     }
-  }
-
-  /** Removes a task that was placed, and its step after the last one. */
-  removeTask(position: TaskPosition): void {
-    const name = stepName(position);
-    const waiting = this.steps.get(name);
-    if (waiting?.indices.delete(position.index) && waiting.indices.size === 0) {
-      this.steps.delete(name);
+    // A step that is listed stays so while tasks of it wait, since its dependencies stay done.
+    const isListed = this.steps.has(name);
+    if (!isListed && spec.dependsOn.every((other) => isDone(record, other))) {
+      this.steps.set(name, { name, job, round, step, spec, indices });
     }
   }
 
@@ -48,3 +38,7 @@
     this.steps.delete(stepName({ job: job.id, round, step }));
   }
 }
+
+function isDone({ tasks }: RoundRecord, step: number): boolean {
+  return tasks[step]?.left === 0;
+}
--- a/packages/core/test/scheduling_customers_fuzz_test.ts
+++ b/packages/core/test/scheduling_customers_fuzz_test.ts
@@ -307,9 +307,10 @@
               const canRun = candidates.get(waiting.job.pool)?.some((other) =>
                 other.accepts(waiting)
               ) === true;
-              const hasFailed = waiting.job.rounds[0]?.tasks[0]?.some((task) =>
+              const records = waiting.job.rounds[0]?.tasks[0]?.records;
+              const hasFailed = [...records?.values() ?? []].some((task) =>
                 task.lastFailure !== undefined
-              ) === true;
+              );
               if (!waiting.spec.gang && !hasFailed) {
                 expect(isAllowed && canRun).toBe(false);
                 expect(reason !== "cap" || !isAllowed).toBe(true);
--- a/packages/core/test/scheduling_restart_test.ts
+++ b/packages/core/test/scheduling_restart_test.ts
@@ -434,8 +434,8 @@
     expect({
       waiting: [...store.waiting.get("j.0.0")?.indices ?? []],
       running: [...store.load("w1").runs.keys()],
-      suspicion: store.jobs.get("j")?.rounds[0]?.tasks[0]?.map((task) =>
-        task.suspicion
+      suspicion: [0, 1].map((index) =>
+        store.taskOf({ job: "j", round: 0, step: 0, index })?.suspicion
       ),
     }).toEqual({
       waiting: [0],
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -359,17 +359,18 @@
 
   /** Number of tasks of a run's step that are not known to be ready. */
   #unavailableTasks({ job, round, step }: RunRecord, now: number): number {
-    const tasks = this.#jobStore.jobs.get(job)?.rounds[round]?.tasks[step] ??
-      [];
-    return tasks.filter((task, index) => {
-      const name = taskName({ job, round, step, index });
-      const run = task.worker === undefined
-        ? undefined
-        : this.#jobStore.load(task.worker).runs.get(name);
-      const session = run && this.#parts.session(run.worker);
-      return run === undefined || this.#evacuatedRuns.has(run) ||
-        session?.isReady(run, now) !== true;
-    }).length;
+    const tasks = this.#jobStore.tasksOf({ job, round, step });
+    const readyTasks = [...tasks?.records ?? []].filter(
+      ([index, { worker }]) => {
+        const name = taskName({ job, round, step, index });
+        const run = worker === undefined
+          ? undefined
+          : this.#jobStore.load(worker).runs.get(name);
+        return run !== undefined && !this.#evacuatedRuns.has(run) &&
+          this.#parts.session(run.worker)?.isReady(run, now) === true;
+      },
+    );
+    return (tasks?.length ?? 0) - readyTasks.length;
   }
 }
 
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -191,7 +191,7 @@
       text: job.spec?.text ?? "",
       leaseDeadlineMs,
       fence: term,
-      checkpoint: task.checkpoint,
+      checkpoint: jobStore.checkpointOf(run),
       permit: this.#permitOf(run),
     });
     if (this.#isSuperseded) {
--- a/packages/daemon/src/scheduler/run_end_recorder.ts
+++ b/packages/daemon/src/scheduler/run_end_recorder.ts
@@ -78,7 +78,7 @@
         queue: job.queue,
         estimatedMs: job.spec?.steps[run.step]?.estimatedMs ?? 0,
         // The rest of a task that resumes from a checkpoint is shorter.
-        expectedMs: jobStore.taskOf(run)?.checkpoint === ""
+        expectedMs: jobStore.checkpointOf(run) === ""
           ? this.#expectedMs(run.task, run.run)
           : undefined,
         startedAt: now,
--- a/packages/daemon/src/scheduler/straggler_detector.ts
+++ b/packages/daemon/src/scheduler/straggler_detector.ts
@@ -84,7 +84,7 @@
     return {
       expectedMs: this.#estimate.taskMs(job.queue, spec.estimatedMs) *
         PATIENCE_FACTOR ** (this.#stops.get(run.task) ?? 0),
-      resumes: (jobStore.taskOf(run)?.checkpoint ?? "") !== "",
+      resumes: jobStore.checkpointOf(run) !== "",
     };
   }
 }
