Passes: the critical paths of a job are computed once, not once for each of its steps

What callers may see: slow answers and changes of leader beside a job with thousands of steps.

Cause: a pass ranks each waiting step by the critical path from it on, which was computed anew from all steps of the job: the work of a pass grew with the square of their number, and 11,000 of them fit into a request.

All suffixes are computed in one go, and kept until the estimate of the queue changes.

--- a/packages/core/src/scheduling/order/work_estimate.ts
+++ b/packages/core/src/scheduling/order/work_estimate.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { BatchJobSpec } from "../model/batch_job.ts";
 import type { JobRecord } from "../model/job_record.ts";
 
 /** Weight that an observation keeps with each later one; about 50 tasks (6 to 10 jobs) set the estimate. */
@@ -49,6 +50,11 @@
  */
 export class WorkEstimate {
   readonly #queues = new Map<string, Fit>();
+  /** Critical paths by job, and the fit that they were computed with; a pass asks for those of each waiting step. */
+  readonly #criticalPaths = new WeakMap<
+    BatchJobSpec,
+    { fit: Fit | undefined; lengths: number[] }
+  >();
 
   /** Records the duration of a completed task; a guess of 0 ms means none. */
   observe(queue: string, guessedMs: number, tookMs: number): void {
@@ -86,20 +92,34 @@
 
   /** Expected length of the critical path through the steps from index `from` on, in milliseconds. */
   criticalPathMs({ spec, queue }: JobRecord, from = 0): number {
-    const steps = spec?.steps ?? [];
+    if (spec === undefined) {
+      return 0;
+    }
+    const fit = this.#queues.get(queue);
+    let known = this.#criticalPaths.get(spec);
+    if (known === undefined || known.fit !== fit) {
+      known = { fit, lengths: this.#criticalPathsMs(spec, queue) };
+      this.#criticalPaths.set(spec, known);
+    }
+    return known.lengths[from] ?? 0;
+  }
+
+  /** Lengths of the critical paths through the steps from each index on. */
+  #criticalPathsMs({ steps }: BatchJobSpec, queue: string): number[] {
+    // Length of the longest path that starts at a step, without that step.
+    const after = steps.map(() => 0);
     const lengths: number[] = [];
     let longest = 0;
-    for (let step = from; step < steps.length; step++) {
-      const { dependsOn = [], estimatedMs = 0 } = steps[step] ?? {};
-      const before = dependsOn.reduce(
-        (longestSoFar, other) => Math.max(longestSoFar, lengths[other] ?? 0),
-        0,
-      );
-      const length = before + this.taskMs(queue, estimatedMs);
-      lengths[step] = length;
+    for (let step = steps.length - 1; step >= 0; step--) {
+      const { dependsOn, estimatedMs } = steps[step]!;
+      const length = after[step]! + this.taskMs(queue, estimatedMs);
+      for (const other of dependsOn) {
+        after[other] = Math.max(after[other] ?? 0, length);
+      }
       longest = Math.max(longest, length);
+      lengths[step] = longest;
     }
-    return longest;
+    return lengths;
   }
 
   /** Expected CPU time of a whole job, in core-milliseconds, without long-running tasks. */
--- a/packages/core/test/scheduling_placement_test.ts
+++ b/packages/core/test/scheduling_placement_test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import {
   CandidateWorker,
   type JobStore,
@@ -459,3 +459,16 @@
     expect(percent).toBe(100);
   });
 });
+
+// Guards against passes that keep the leader from its heartbeats because a job has very many steps.
+it("ranks the steps of one job with one look at each", () => {
+  const STEPS = 500;
+  const store = newJobStore([]);
+  submit(store, "j", spec(...Array.from({ length: STEPS }, () => step())));
+  const estimate = new WorkEstimate();
+  const lookUps = vi.spyOn(estimate, "taskMs");
+  expect(sortByUrgency(store.waiting.values(), estimate, 0)).toHaveLength(
+    STEPS,
+  );
+  expect(lookUps.mock.calls.length).toBeLessThanOrEqual(2 * STEPS);
+});
