Jobs: the memory that they take in a replica is limited, by the heap that it was given

Cause: the limit of counts tasks. Texts, steps, rounds, runs, checkpoints and ended jobs have none; it is a number in a settings file that knows nothing of the heap; and one caller can take all of it for ever.

Each replica adds up what the jobs take, by owner: a customer, or the anonymous callers of a queue. The sizes are those of `heapUsed` beside 20,000 records of each kind. Jobs may take limits.jobHeapShare of the heap of the process. An owner may hold at most twice what is left free, and a job needs eight times its size, so that small jobs find room where large ones are refused.

Tests: leader_api_test.ts and leadership_term_test.ts, in place of those of limits.maxTasks, with the same promise in bytes; the property test of the job store compares the memory with that of a restored store.

--- /dev/null
+++ b/packages/core/src/scheduling/admission/memory_limit.ts
@@ -0,0 +1,103 @@
+/**
+ * Limit on the memory that jobs take in each replica.
+ *
+ * A replica that ends for lack of memory ends again when it applies its log, so what it cannot hold must be refused before
+ * it is stored. Room that is shared could be taken by one owner, or by large jobs of which few can be served, so:
+ *
+ * - an owner may hold at most `OWNER_SHARE` times what is left free (dynamic thresholds, Choudhury and Hahne 1998), and
+ * - a job needs `HEADROOM` times its size, so that large jobs are refused while small ones still find room.
+ *
+ * @module
+ */
+import { type Fault, fault } from "../../fault.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+
+/** Memory of a replica for jobs, in bytes. */
+export interface MemoryState {
+  /** What jobs may take. */
+  limit: number;
+  /** What they take, those that are being stored included. */
+  held: number;
+  /** What those of the owner take. */
+  heldByOwner: number;
+}
+
+/** What an owner may hold, as a multiple of what is free beside it. */
+const OWNER_SHARE = 2;
+
+/** Free memory that a job needs, as a multiple of its size. */
+const HEADROOM = 8;
+
+/** Largest job, as a share of the limit. */
+const MAX_JOB_SHARE = 1 / (4 * HEADROOM);
+
+const BYTES_PER_KB = 1_000;
+
+/** Size of the largest job that is accepted, in bytes. */
+export function maxJobBytes(limit: number): number {
+  return limit * MAX_JOB_SHARE;
+}
+
+/** Bytes that must be given back before the owner may add `bytes`; 0 if there is room. */
+export function missingBytes(
+  bytes: number,
+  { limit, held, heldByOwner }: MemoryState,
+): number {
+  const needed = bytes * HEADROOM;
+  const free = limit - held;
+  const shortfall = needed - free;
+  // What the owner gives back frees its share and, as free memory, raises it.
+  const ownShortfall = (needed + heldByOwner - OWNER_SHARE * free) /
+    (1 + OWNER_SHARE);
+  return Math.max(0, shortfall, ownShortfall);
+}
+
+/** Refuses a job that is larger than any may be. */
+export function checkJobSize(
+  bytes: number,
+  limit: number,
+): Result<void, Fault> {
+  const most = maxJobBytes(limit);
+  if (bytes <= most) {
+    return Ok.EMPTY;
+  }
+  return Err(
+    fault(
+      "too_large",
+      `Job takes ${
+        kilobytes(bytes)
+      } of memory in each replica; a job may take ${kilobytes(most)}`,
+      {
+        outcome: "not run",
+        remedy: "Submit it as several jobs, or give the replicas a larger heap",
+      },
+    ),
+  );
+}
+
+/** Fault for a job for which there is no room now. `owner` names whose share is full; undefined if all memory is. */
+export function noMemoryFault(
+  bytes: number,
+  { limit, held, heldByOwner }: MemoryState,
+  owner: string,
+  retryAfterMs: number,
+): Fault {
+  const isFull = bytes * HEADROOM > limit - held;
+  const message = isFull
+    ? `Jobs take ${kilobytes(held)} of the ${
+      kilobytes(limit)
+    } of memory in each replica, too much for one of ${kilobytes(bytes)}`
+    : `Jobs of ${owner} take ${
+      kilobytes(heldByOwner)
+    } of memory in each replica, too much for one of ${
+      kilobytes(bytes)
+    } beside the ${kilobytes(limit - held)} that are left for others`;
+  return fault("overloaded", message, {
+    outcome: "not run",
+    retryAfterMs: Math.round(retryAfterMs),
+  });
+}
+
+function kilobytes(bytes: number): string {
+  return `${Math.ceil(bytes / BYTES_PER_KB)} KB`;
+}
--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -115,11 +115,9 @@
   return { tasks: restored, openSteps };
 }
 
-/** Number of tasks of a round that is not finished, done ones included. */
-export function openTasksOf(round: RoundRecord): number {
-  return isFinished(round)
-    ? 0
-    : round.tasks.reduce((sum, { length }) => sum + length, 0);
+/** Estimated size of a round in memory, in bytes. */
+export function bytesOfRound({ tasks }: RoundRecord): number {
+  return tasks.reduce((sum, { bytes }) => sum + bytes, 0);
 }
 
 export function isFinished({ openSteps }: RoundRecord): boolean {
--- /dev/null
+++ b/packages/core/src/scheduling/model/memory_size.ts
@@ -0,0 +1,63 @@
+/**
+ * Estimated sizes in memory of what a replica holds, in bytes. Measured on Node.js 20 with `npm run bench -- job-memory`.
+ *
+ * @module
+ */
+import type { BatchJobSpec, StepSpec } from "./batch_job.ts";
+
+/** An open job without its steps and its text. */
+export const JOB_BYTES = 700;
+
+/** A step of a job, without its lists and labels. */
+export const STEP_BYTES = 300;
+
+/** A step of a round that has begun, without tasks that have run. */
+export const ROUND_STEP_BYTES = 900;
+
+/** A task that has run and is not settled. */
+export const TASK_BYTES = 250;
+
+/** What an active run adds to its task. */
+export const RUN_BYTES = 500;
+
+/** A range of indices. */
+export const RANGE_BYTES = 16;
+
+/** A job whose outcome is kept. */
+export const ENDED_JOB_BYTES = 500;
+
+/** An element of a list of numbers. */
+const NUMBER_BYTES = 8;
+
+/** Strings with other characters than those of Latin-1 take two bytes for each UTF-16 code unit. */
+// deno-lint-ignore no-control-regex -- The range of Latin-1 begins with control characters.
+const WIDE_CHARACTER = /[^\x00-\xff]/;
+
+export function textBytes(text: string): number {
+  return WIDE_CHARACTER.test(text) ? 2 * text.length : text.length;
+}
+
+/** Size of an open job without its rounds. */
+export function specBytes({ text, steps }: BatchJobSpec): number {
+  return steps.reduce(
+    (sum, step) => sum + stepBytes(step),
+    JOB_BYTES + textBytes(text),
+  );
+}
+
+/** Size of a round of a job in which no task has run. */
+export function roundBytes({ steps }: BatchJobSpec): number {
+  return steps.length * ROUND_STEP_BYTES;
+}
+
+/** Size of a job when it is accepted. */
+export function submissionBytes(spec: BatchJobSpec): number {
+  return specBytes(spec) + (spec.repeat === undefined ? roundBytes(spec) : 0);
+}
+
+function stepBytes(
+  { dependsOn, requiredLabel, dataRack, image }: StepSpec,
+): number {
+  return STEP_BYTES + NUMBER_BYTES * dependsOn.length +
+    textBytes(requiredLabel) + textBytes(dataRack) + textBytes(image);
+}
--- a/packages/core/src/scheduling/model/mod.ts
+++ b/packages/core/src/scheduling/model/mod.ts
@@ -8,6 +8,7 @@
 export * from "./customer.ts";
 export * from "./index_set.ts";
 export * from "./job_record.ts";
+export * from "./memory_size.ts";
 export * from "./queue_plan.ts";
 export * from "./resource_sum.ts";
 export * from "./scheduler_settings.ts";
--- a/packages/core/src/scheduling/model/scheduler_settings.ts
+++ b/packages/core/src/scheduling/model/scheduler_settings.ts
@@ -117,8 +117,8 @@
     "How long an idle connection of a caller stays open.",
   ),
   maxConnections: Count.default(2_000).describe("Connections of callers."),
-  maxTasks: Count.default(250_000).describe(
-    "Most tasks of open jobs, of which every replica keeps a record of some 200 bytes.",
+  jobHeapShare: z.number().positive().max(0.5).default(0.2).describe(
+    "Share of a replica's heap that jobs may take; loading, snapshots and the leader's own records need the rest.",
   ),
 });
 
--- a/packages/core/src/scheduling/model/step_tasks.ts
+++ b/packages/core/src/scheduling/model/step_tasks.ts
@@ -8,6 +8,12 @@
  */
 import { IndexSet } from "./index_set.ts";
 import type { RunKey } from "./command.ts";
+import {
+  RANGE_BYTES,
+  ROUND_STEP_BYTES,
+  RUN_BYTES,
+  TASK_BYTES,
+} from "./memory_size.ts";
 import type { Suspicion, TaskRecord } from "./task_record.ts";
 
 const NEW_TASK: Readonly<TaskRecord> = Object.freeze({
@@ -46,6 +52,9 @@
   readonly waiting: IndexSet;
   readonly #done: IndexSet;
   readonly #records = new Map<number, TaskRecord>();
+  #activeRuns = 0;
+  /** Length of the checkpoints in the records. */
+  #checkpointBytes = 0;
   /** Failed runs of all tasks; of a gang's run only the first failure counts. */
   #failures = 0;
   /** Highest number of a failed run. */
@@ -98,9 +107,12 @@
     return this.#records;
   }
 
-  /** Number of entries in memory that depend on what has run. */
-  get recordCount(): number {
-    return this.#records.size + this.#done.ranges + this.waiting.ranges;
+  /** Estimated size in memory. */
+  get bytes(): number {
+    const ranges = this.#done.ranges + this.waiting.ranges;
+    return ROUND_STEP_BYTES + TASK_BYTES * this.#records.size +
+      RUN_BYTES * this.#activeRuns + RANGE_BYTES * ranges +
+      this.#checkpointBytes + this.#gangCheckpoint.length;
   }
 
   /** Failed runs of all tasks; of a gang's run only the first failure counts. */
@@ -148,6 +160,7 @@
   /** Assigns a run of a task to a worker. */
   start(index: number, { run, worker }: Pick<RunKey, "run" | "worker">): void {
     const record = this.#edit(index);
+    this.#activeRuns += record.worker === undefined ? 1 : 0;
     record.run = run;
     record.worker = worker;
     this.waiting.delete(index);
@@ -156,9 +169,10 @@
   /** Records that the active run of a task has ended; the task waits again unless it is done. */
   release(index: number): void {
     const record = this.#edit(index);
+    this.#activeRuns -= record.worker === undefined ? 0 : 1;
     record.worker = undefined;
     if (record.isDone) {
-      this.#records.delete(index);
+      this.#delete(index);
     } else {
       this.waiting.add(index);
     }
@@ -172,7 +186,7 @@
     this.waiting.delete(index);
     const record = this.#records.get(index);
     if (record?.worker === undefined) {
-      this.#records.delete(index);
+      this.#delete(index);
     } else {
       record.isDone = true;
     }
@@ -189,7 +203,9 @@
     if (gang) {
       this.#gangCheckpoint = checkpoint;
     } else if (!this.#done.has(index)) {
-      this.#edit(index).checkpoint = checkpoint;
+      const record = this.#edit(index);
+      this.#checkpointBytes += checkpoint.length - record.checkpoint.length;
+      record.checkpoint = checkpoint;
     }
   }
 
@@ -230,11 +246,18 @@
 
   #restore(index: number, task: TaskRecord): void {
     this.#records.set(index, task);
+    this.#checkpointBytes += task.checkpoint.length;
     if (task.worker !== undefined) {
+      this.#activeRuns += 1;
       this.waiting.delete(index);
     }
   }
 
+  #delete(index: number): void {
+    this.#checkpointBytes -= this.#records.get(index)?.checkpoint.length ?? 0;
+    this.#records.delete(index);
+  }
+
   #edit(index: number): TaskRecord {
     let record = this.#records.get(index);
     if (record === undefined) {
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -6,7 +6,7 @@
  */
 import type { Fault } from "../../fault.ts";
 import { Ok, type Result } from "../../result.ts";
-import { type StepSpec, taskCountOf } from "../model/batch_job.ts";
+import type { StepSpec } from "../model/batch_job.ts";
 import type {
   CrashSuspect,
   JobStoreCommand,
@@ -18,12 +18,12 @@
 } from "../model/command.ts";
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
+  bytesOfRound,
   isFinished,
   type JobFailure,
   type JobRecord,
   newJob,
   newRound,
-  openTasksOf,
   restoreRound,
   roundCount,
   type RunRecord,
@@ -33,6 +33,8 @@
 import type { TaskRecord } from "../model/task_record.ts";
 import { CustomerLimits } from "../customers/customer_limits.ts";
 import { CustomerUsage } from "../customers/customer_usage.ts";
+import { HeldMemory } from "./held_memory.ts";
+import { ENDED_JOB_BYTES, specBytes } from "../model/memory_size.ts";
 import { EndedJobs } from "./ended_jobs.ts";
 import { type EndedLife, EndedWorkers } from "./ended_workers.ts";
 import {
@@ -85,8 +87,10 @@
   readonly runsToStop = new Set<RunRecord>();
   /** Open jobs with a repetition. */
   readonly repeated = new Set<JobRecord>();
-  /** Number of tasks of all rounds that have begun and are not finished. */
-  openTasks = 0;
+  /** What the jobs take in memory. */
+  readonly memory = new HeldMemory();
+  /** Number of runs that have not ended. */
+  activeRuns = 0;
   /** What each customer's runs reserve. */
   readonly customerUsage = new CustomerUsage();
   readonly #loads = new Map<string, WorkerLoad>();
@@ -233,6 +237,7 @@
     const job: JobRecord = { ...stored, rounds: {} };
     this.jobs.set(job.id, job);
     const isOpen = job.outcome === "open";
+    this.memory.add(job, bytesOf(job));
     if (!isOpen) {
       this.#endedJobs.restore(job);
     } else if (job.spec?.repeat !== undefined) {
@@ -244,7 +249,7 @@
       const round = Number(key);
       const record = restoreRound(storedRound);
       job.rounds[round] = record;
-      this.openTasks += openTasksOf(record);
+      this.memory.add(job, bytesOfRound(record));
       record.tasks.forEach((tasks, step) => {
         tasks.records.forEach((task, index) =>
           this.#restoreRun(job, { job: job.id, round, step, index }, task)
@@ -267,6 +272,7 @@
       return;
     }
     const record = { ...position, task: taskName(position), run, worker };
+    this.activeRuns += 1;
     this.load(worker).add(record, spec);
     this.customerUsage.add(job, spec);
     if (job.outcome !== "open" || isDone) {
@@ -291,6 +297,7 @@
       DEFAULT_POLICY;
     const job = newJob(submitted, policyOf(policy), atMs);
     this.jobs.set(job.id, job);
+    this.memory.add(job, bytesOf(job));
     if (submitted.spec.repeat === undefined) {
       this.#countUnstarted(job, 1);
       this.#openRound(job.id, 0);
@@ -309,7 +316,7 @@
     }
     job.opened += 1;
     job.rounds[round] = newRound(job.spec.steps);
-    this.openTasks += openTasksOf(job.rounds[round]);
+    this.memory.add(job, bytesOfRound(job.rounds[round]));
     job.spec.steps.forEach((_, step) => this.#waiting.update(job, round, step));
   }
 
@@ -370,7 +377,8 @@
       // The command names the task twice.
       return;
     }
-    tasks.start(position.index, key);
+    this.#change(job, tasks, () => tasks.start(position.index, key));
+    this.activeRuns += 1;
     this.load(key.worker).add({ ...position, ...key }, spec);
     this.customerUsage.add(job, spec);
     job.activeRuns += 1;
@@ -398,7 +406,8 @@
     this.load(run.worker).remove(run, spec);
     this.customerUsage.remove(job, spec);
     this.runsToStop.delete(run);
-    tasks.release(run.index);
+    this.#change(job, tasks, () => tasks.release(run.index));
+    this.activeRuns -= 1;
     job.activeRuns -= 1;
     if (job.outcome === "open") {
       this.#waiting.update(job, run.round, run.step);
@@ -427,7 +436,11 @@
     }
     const { index } = position;
     if (end.checkpoint !== "" && !task.isDone) {
-      tasks.saveCheckpoint(index, end.checkpoint, spec.gang);
+      this.#change(
+        job,
+        tasks,
+        () => tasks.saveCheckpoint(index, end.checkpoint, spec.gang),
+      );
     }
     if (end.how === "done" && !task.isDone && job.outcome === "open") {
       this.#completeTasks(job, position, spec.gang);
@@ -455,8 +468,11 @@
     const members = gang
       ? Array.from({ length: tasks?.length ?? 0 }, (_, index) => index)
       : [position.index];
+    if (tasks === undefined) {
+      return;
+    }
     for (const index of members) {
-      if (tasks?.complete(index)) {
+      if (this.#change(job, tasks, () => tasks.complete(index))) {
         this.#requestStop({ ...position, index }, tasks.at(index));
       }
     }
@@ -484,7 +500,6 @@
       }
     });
     if (isFinished(record)) {
-      this.openTasks -= taskCountOf(job.spec);
       job.finished += 1;
       if (job.finished === roundCount(job)) {
         this.#closeJob(job, "completed", atMs);
@@ -543,6 +558,7 @@
       record !== undefined && isFinished(record) &&
       record.tasks.every(({ records }) => records.size === 0)
     ) {
+      this.memory.add(job, -bytesOfRound(record));
       delete job.rounds[round];
     }
   }
@@ -550,11 +566,11 @@
   /** Keeps only the outcome of a job that has ended and has no active runs. */
   #discardDetails(job: JobRecord): void {
     if (job.outcome !== "open" && job.activeRuns === 0) {
-      Object.values(job.rounds).forEach((round) =>
-        this.openTasks -= openTasksOf(round)
-      );
+      const before = Object.values(job.rounds)
+        .reduce((sum, round) => sum + bytesOfRound(round), bytesOf(job));
       job.spec = undefined;
       job.rounds = {};
+      this.memory.add(job, bytesOf(job) - before);
     }
   }
 
@@ -619,11 +635,20 @@
   }
 
   #deleteEndedJobs(endedBeforeMs: number): void {
-    for (const { id } of this.#endedJobs.removeOlder(endedBeforeMs)) {
-      this.jobs.delete(id);
+    for (const job of this.#endedJobs.removeOlder(endedBeforeMs)) {
+      this.jobs.delete(job.id);
+      this.memory.add(job, -bytesOf(job));
     }
   }
 
+  /** Changes tasks of a job, and accounts for their memory. */
+  #change<T>(job: JobRecord, tasks: StepTasks, change: () => T): T {
+    const before = tasks.bytes;
+    const result = change();
+    this.memory.add(job, tasks.bytes - before);
+    return result;
+  }
+
   #countUnstarted({ queue }: JobRecord, by: 1 | -1): void {
     this.#unstarted.set(queue, (this.#unstarted.get(queue) ?? 0) + by);
   }
@@ -635,3 +660,8 @@
   return task !== undefined && !task.isDone && task.worker === undefined &&
     run > task.run;
 }
+
+/** Estimated size of a job in memory without its rounds, in bytes. */
+function bytesOf({ spec }: JobRecord): number {
+  return spec === undefined ? ENDED_JOB_BYTES : specBytes(spec);
+}
--- a/packages/core/src/scheduling/store/mod.ts
+++ b/packages/core/src/scheduling/store/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export * from "./crash_suspects.ts";
+export * from "./held_memory.ts";
 export * from "./job_store.ts";
--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -435,7 +435,8 @@
     runsToStop: [...store.runsToStop].map(({ task, run: n }) => [task, n])
       .sort(),
     pending: store.pendingJobs("reports"),
-    openTasks: store.openTasks,
+    memory: [store.memory.total, store.memory.of({ queue: "reports" })],
+    activeRuns: store.activeRuns,
   };
 }
 
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -15,7 +15,6 @@
   type CallerAccess,
   checkGangs,
   checkQueuePlan,
-  checkTaskLimit,
   decideAccess,
   findQueue,
   hasForwardDependency,
@@ -44,6 +43,7 @@
   type QueueResult,
   type WaveResult,
 } from "./methods.ts";
+import type { MemoryAdmission } from "./memory_admission.ts";
 import { SubmissionBatcher } from "./submission_batcher.ts";
 
 /** Dependencies of the leader's API. */
@@ -55,8 +55,7 @@
   onChange: () => void;
   /** Called with each job that was accepted. */
   onAccepted: (job: SubmittedJob) => void;
-  /** Most tasks of open jobs. */
-  maxTasks: number;
+  memory: MemoryAdmission;
   /** Accepts or refuses a job that is not stored. */
   accept: (job: SubmittedJob) => Result<void, Fault>;
   /** Stops the runs of a worker that has announced its end; resolves when they have ended, or after a while. */
@@ -79,8 +78,8 @@
 export class LeaderApi {
   readonly #parts: LeaderApiParts;
   readonly #submissions: SubmissionBatcher;
-  /** Number of tasks of each job that is being committed. */
-  readonly #pendingJobs = new Map<string, number>();
+  /** Ids of the jobs that are being committed. */
+  readonly #pendingJobs = new Set<string>();
   readonly #reportOrder = new ReportOrder();
 
   constructor(parts: LeaderApiParts) {
@@ -194,35 +193,22 @@
 
   /** Stores a job if it is admitted. A repeat of one that is being stored may not be refused as not run. */
   async #commit(job: SubmittedJob): Promise<Result<unknown, Fault>> {
+    const { memory, accept } = this.#parts;
     if (this.#pendingJobs.has(job.id)) {
       return await this.#submissions.add(job);
     }
-    const accepted = this.#checkTaskLimit(job).andThen(() =>
-      this.#parts.accept(job)
-    );
+    const accepted = memory.check(job).andThen(() => accept(job));
     if (accepted.err) {
       return accepted;
     }
-    this.#pendingJobs.set(job.id, taskCountOf(job.spec));
+    this.#pendingJobs.add(job.id);
+    const release = memory.reserve(job);
     const committed = await this.#submissions.add(job);
     this.#pendingJobs.delete(job.id);
+    release();
     return committed;
   }
 
-  /** Refuses a job whose tasks the replicas cannot hold. */
-  #checkTaskLimit({ id, spec }: SubmittedJob): Result<void, Fault> {
-    const { consensus, log, maxTasks } = this.#parts;
-    const pending = [...this.#pendingJobs.values()];
-    const heldTasks = consensus.state.openTasks +
-      pending.reduce((sum, count) => sum + count, 0);
-    const checked = checkTaskLimit(spec, heldTasks, maxTasks);
-    if (checked.err) {
-      const tasks = taskCountOf(spec);
-      log.warn("job.refused", { job: id, reason: "tasks", tasks, heldTasks });
-    }
-    return checked;
-  }
-
   /** Refuses a submission under the id of a job that does not exist for the caller. */
   #checkOwner(id: string, access: CallerAccess): Result<unknown, Fault> {
     const job = this.#parts.consensus.state.jobs.get(id);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -5,11 +5,10 @@
  */
 import {
   ArrivalRates,
-  hasRoomFor,
   type JobStore,
   poolDemands,
+  roundBytes,
   type SubmittedJob,
-  taskCountOf,
   WorkerHealth,
   WorkerSpeed,
   WorkEstimate,
@@ -18,6 +17,7 @@
 import { AdmissionController } from "./admission_controller.ts";
 import { BACKLOG_LOG_INTERVAL_MS, logBacklogs } from "./backlog_log.ts";
 import { FleetController } from "./fleet_controller.ts";
+import type { MemoryAdmission } from "./memory_admission.ts";
 import { PermitCache } from "./permit_cache.ts";
 import { PlacementController } from "./placement_controller.ts";
 import type { AdvisorClient, VmClient } from "./platform_clients.ts";
@@ -40,8 +40,7 @@
     | "unansweredStarts"
   > {
   retentionMs: number;
-  /** Most tasks of open jobs. */
-  maxTasks: number;
+  memory: MemoryAdmission;
   /** Whether a pool with a backlog gives up busy VMs to pools whose jobs can still meet their objective. */
   reclaimsBusyVms: boolean;
   /** Undefined if the platform has no VM API. */
@@ -226,6 +225,7 @@
     this.#sessions.stopUnwantedRuns();
     this.#openRounds();
     this.#pruneEndedJobs(now);
+    this.#parts.memory.observe(now);
     this.#logEndedJobs();
     this.#logBacklogs(now);
     const { measure } = this.#parts;
@@ -241,10 +241,10 @@
   }
 
   #openRounds(): void {
-    const { consensus, clock, maxTasks } = this.#parts;
+    const { consensus, clock, memory } = this.#parts;
     const wall = clock.wall();
     const rounds: { job: string; round: number }[] = [];
-    let heldTasks = this.#jobStore.openTasks;
+    let openedBytes = 0;
     for (const job of this.#jobStore.repeated) {
       const { spec } = job;
       const repeat = spec?.repeat;
@@ -252,9 +252,9 @@
         spec !== undefined && repeat !== undefined &&
         job.opened < repeat.count &&
         wall >= repeat.startAtMs + job.opened * repeat.intervalMs &&
-        hasRoomFor(spec, heldTasks, maxTasks)
+        memory.hasRoom(job, openedBytes + roundBytes(spec))
       ) {
-        heldTasks += taskCountOf(spec);
+        openedBytes += roundBytes(spec);
         rounds.push({ job: job.id, round: job.opened });
       }
     }
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { getHeapStatistics } from "node:v8";
 import {
   Err,
   type Fault,
@@ -46,6 +47,7 @@
 } from "./replica_discovery.ts";
 import { LeaderApi } from "./leader_api.ts";
 import { LeaderController } from "./leader_controller.ts";
+import { MemoryAdmission } from "./memory_admission.ts";
 import type { Method, Params } from "./methods.ts";
 import type {
   AdvisorClient,
@@ -299,7 +301,8 @@
       metrics: this.metrics,
     });
     this.#membershipController = membershipController;
-    const leaderController = this.#createLeaderController(replica);
+    const memory = this.#createMemoryAdmission(replica);
+    const leaderController = this.#createLeaderController(replica, memory);
     this.#leaderController = leaderController;
     const leaderApi = new LeaderApi({
       consensus: replica,
@@ -307,7 +310,7 @@
       log,
       onChange: () => leaderController.wake(),
       onAccepted: (job) => leaderController.recordArrival(job),
-      maxTasks: settings.limits.maxTasks,
+      memory,
       accept: (job) => leaderController.accept(job),
       vacate: (worker) => leaderController.vacate(worker),
     });
@@ -369,7 +372,24 @@
       .filter((seed) => seed !== host);
   }
 
-  #createLeaderController(replica: JobReplica): LeaderController {
+  /** Limits jobs to their share of the heap that this process was given. */
+  #createMemoryAdmission(replica: JobReplica): MemoryAdmission {
+    const { settings, log } = this.#parts;
+    const heapBytes = getHeapStatistics().heap_size_limit;
+    const limitBytes = heapBytes * settings.limits.jobHeapShare;
+    log.info("memory.limit", { heapBytes, jobs: Math.round(limitBytes) });
+    return new MemoryAdmission({
+      consensus: replica,
+      clock: this.#clock,
+      log,
+      limitBytes,
+    });
+  }
+
+  #createLeaderController(
+    replica: JobReplica,
+    memory: MemoryAdmission,
+  ): LeaderController {
     const { settings, log, workerClient, vmClient, advisorClient } =
       this.#parts;
     return new LeaderController({
@@ -378,7 +398,7 @@
       holder: settings.node,
       settings: settings.workers,
       retentionMs: settings.retentionMs,
-      maxTasks: settings.limits.maxTasks,
+      memory,
       reclaimsBusyVms: settings.pools.reclaim,
       placement: settings.placement,
       consensus: replica,
--- a/packages/daemon/test/admission_test.ts
+++ b/packages/daemon/test/admission_test.ts
@@ -35,6 +35,7 @@
 import {
   consensusOf,
   ignore,
+  memoryOf,
   QUIET_LOG,
   TEST_CLOCK,
 } from "./scheduler_fixture.ts";
@@ -238,7 +239,7 @@
       onAccepted: ignore,
       accept: ({ id }) => accepted.includes(id) ? Ok.EMPTY : Err(REFUSAL),
       vacate: () => Promise.resolve(),
-      maxTasks: 250_000,
+      memory: memoryOf({ state: store }),
     });
     const handler = api.handlers().get("submit_job");
     return {
--- a/packages/daemon/test/customer_calls_test.ts
+++ b/packages/daemon/test/customer_calls_test.ts
@@ -16,7 +16,12 @@
 import type { JobConsensus } from "../src/scheduler/job_state_machine.ts";
 import { LeaderApi } from "../src/scheduler/leader_api.ts";
 import type { CustomerMethod, Method } from "../src/scheduler/methods.ts";
-import { consensusOf, ignore, TEST_CLOCK } from "./scheduler_fixture.ts";
+import {
+  consensusOf,
+  ignore,
+  memoryOf,
+  TEST_CLOCK,
+} from "./scheduler_fixture.ts";
 
 const ACME_KEY = "a".repeat(64);
 const BLUE_KEY = "b".repeat(64);
@@ -77,7 +82,7 @@
       onAccepted: ({ id }) => this.arrivals.push(id),
       accept: () => Ok.EMPTY,
       vacate: () => Promise.resolve(),
-      maxTasks: 250_000,
+      memory: memoryOf(consensus),
     });
     if (plan !== undefined) {
       jobStore.apply({ kind: "plan", plan });
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -20,6 +20,7 @@
 import {
   consensusOf,
   ignore,
+  memoryOf,
   QUIET_LOG,
   TEST_CLOCK,
 } from "./scheduler_fixture.ts";
@@ -46,7 +47,7 @@
     onAccepted: ignore,
     accept: () => Ok.EMPTY,
     vacate: () => Promise.resolve(),
-    maxTasks: 250_000,
+    memory: memoryOf(changes.consensus),
     ...changes,
   });
 }
@@ -150,44 +151,77 @@
 });
 
 // Guards against jobs that end all replicas for lack of memory, and end them again whenever they apply their logs.
-it("jobs whose tasks the replicas cannot hold are refused as not run, before they are stored", async () => {
-  const jobStore = newJobStore([worker("w1")]);
-  const leaderApi = leaderApiOf({
-    consensus: consensusOf(jobStore),
-    maxTasks: 100,
-  });
-  const { host, pathPrefix } = queue();
-  const submitJob = async (id: string, taskCount: number): Promise<unknown> => {
-    const submitted = await leaderApi.handlers().get("submit_job")?.(
-      { host, path: pathPrefix + id, spec: spec(step({ taskCount })) },
-    );
-    return submitted?.err ? submitted.val : "accepted";
-  };
-  const answers = await Promise.all([
-    submitJob("large", 3_000_000),
-    submitJob("first", 60),
-    submitJob("second", 60),
-  ]);
-  jobStore.apply({ kind: "cancel", ids: ["first"], atMs: 0 });
-  expect([...answers, await submitJob("second", 60)]).toMatchInlineSnapshot(`
-    [
+describe("jobs that the replicas cannot hold", () => {
+  const LIMIT_BYTES = 1_000_000;
+  const LARGE_TEXT = "x".repeat(10_000);
+
+  function jobsOf(jobStore: JobStore): {
+    submit: (id: string, text?: string, path?: string) => Promise<unknown>;
+    accepted: () => string[];
+  } {
+    const consensus = consensusOf(jobStore);
+    const handler = leaderApiOf({
+      consensus,
+      memory: memoryOf(consensus, LIMIT_BYTES),
+    }).handlers().get("submit_job");
+    return {
+      submit: async (id, text = "", path = "/reports/") => {
+        const submitted = await handler?.({
+          host: "reports.example",
+          path: path + id,
+          spec: { ...spec(step()), text },
+        });
+        return submitted?.err ? submitted.val : "accepted";
+      },
+      accepted: () => [...jobStore.jobs.keys()],
+    };
+  }
+
+  it("are refused for good if no job may be so large", async () => {
+    const { submit, accepted } = jobsOf(newJobStore([]));
+    expect(await submit("huge", "x".repeat(40_000))).toMatchInlineSnapshot(`
       {
-        "kind": "invalid",
-        "message": "Job has 3000000 tasks; a job may have 100",
+        "kind": "too_large",
+        "message": "Job takes 42 KB of memory in each replica; a job may take 32 KB",
         "outcome": "not run",
-        "remedy": "Submit it as several jobs, or raise limits.maxTasks",
-      },
-      "accepted",
+        "remedy": "Submit it as several jobs, or give the replicas a larger heap",
+      }
+    `);
+    expect(accepted()).toEqual([]);
+  });
+
+  it("are refused as not run while others take the memory, whether these are stored or being stored", async () => {
+    const jobStore = newJobStore([]);
+    const { submit, accepted } = jobsOf(jobStore);
+    const ids = Array.from({ length: 100 }, (_, i) => `j${i}`);
+    const answers = await Promise.all(ids.map((id) => submit(id, LARGE_TEXT)));
+    const refusals = answers.filter((answer) => answer !== "accepted");
+    expect(refusals[0]).toMatchInlineSnapshot(`
       {
         "kind": "overloaded",
-        "message": "Job has 60 tasks; 60 of 100 are taken",
+        "message": "Jobs of queue reports take 643 KB of memory in each replica, too much for one of 12 KB beside the 358 KB that are left for others",
         "outcome": "not run",
-        "retryAfterMs": 2000,
-      },
-      "accepted",
-    ]
-  `);
-  expect([...jobStore.jobs.keys()]).toEqual(["first", "second"]);
+        "retryAfterMs": 30000,
+      }
+    `);
+    expect(accepted()).toHaveLength(100 - refusals.length);
+    expect(jobStore.memory.total).toBeLessThan(LIMIT_BYTES);
+    jobStore.apply({ kind: "cancel", ids: accepted(), atMs: 0 });
+    expect(await submit("later", LARGE_TEXT)).toBe("accepted");
+  });
+
+  // Guards against a caller that keeps all others out with jobs that never end.
+  it("leave room for small jobs, and for jobs of other queues", async () => {
+    const charts = queue({ name: "charts", pathPrefix: "/charts/" });
+    const jobStore = newJobStore([], queue(), charts);
+    const { submit } = jobsOf(jobStore);
+    for (let i = 0; i < 100; i++) {
+      await submit(`j${i}`, LARGE_TEXT);
+    }
+    expect(await submit("large", LARGE_TEXT)).not.toBe("accepted");
+    expect(await submit("small")).toBe("accepted");
+    expect(await submit("other", LARGE_TEXT, "/charts/")).toBe("accepted");
+  });
 });
 
 describe("the reports of a worker", () => {
--- a/packages/daemon/test/leader_controller_test.ts
+++ b/packages/daemon/test/leader_controller_test.ts
@@ -6,6 +6,7 @@
 import {
   consensusOf,
   ignore,
+  memoryOf,
   PLACEMENT_SETTINGS,
   QUIET_LOG,
   TEST_CLOCK,
@@ -41,7 +42,7 @@
     advisorClient: undefined,
     holder: "n1",
     retentionMs: 60_000,
-    maxTasks: 250_000,
+    memory: memoryOf({ state: newJobStore([]) }),
     reclaimsBusyVms: false,
     placement: PLACEMENT_SETTINGS,
     clock: TEST_CLOCK,
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -28,6 +28,7 @@
 import {
   consensusOf,
   ignore,
+  memoryOf,
   notExpected,
   QUIET_LOG,
   termParts,
@@ -124,16 +125,21 @@
   const jobStore = newJobStore([]);
   submit(jobStore, "j", {
     ...spec(step({ taskCount: 60 })),
-    repeat: { count: 3, startAtMs: 0, intervalMs: 0 },
+    repeat: { count: 100, startAtMs: 0, intervalMs: 0 },
   });
+  const consensus = consensusOf(jobStore);
   const term = new LeadershipTerm(termParts({
-    consensus: consensusOf(jobStore),
+    consensus,
     client: idleWorkers(),
-    maxTasks: 150,
+    memory: memoryOf(consensus, 20_000),
   }));
   await term.start();
-  await vi.advanceTimersByTimeAsync(1_000);
-  expect(jobStore.jobs.get("j")?.opened).toBe(2);
+  await vi.advanceTimersByTimeAsync(2_000);
+  const opened = jobStore.jobs.get("j")?.opened;
+  expect(opened).toBeGreaterThan(0);
+  expect(jobStore.memory.total).toBeLessThan(20_000);
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(jobStore.jobs.get("j")?.opened).toBe(opened);
   await term.stop();
 });
 
--- a/packages/daemon/test/scheduler_fixture.ts
+++ b/packages/daemon/test/scheduler_fixture.ts
@@ -10,6 +10,7 @@
 import { Metrics } from "../src/observe/metrics.ts";
 import type { JobConsensus } from "../src/scheduler/job_state_machine.ts";
 import type { LeadershipTermParts } from "../src/scheduler/leadership_term.ts";
+import { MemoryAdmission } from "../src/scheduler/memory_admission.ts";
 
 export const ignore = (): void => {};
 
@@ -66,6 +67,19 @@
   };
 }
 
+/** An admission by memory that has room for everything, or a limit in bytes. */
+export function memoryOf(
+  consensus: Pick<JobConsensus, "state">,
+  limitBytes = Infinity,
+): MemoryAdmission {
+  return new MemoryAdmission({
+    consensus,
+    clock: TEST_CLOCK,
+    log: QUIET_LOG,
+    limitBytes,
+  });
+}
+
 /** A call that a test does not expect. */
 export const notExpected = (): Promise<never> =>
   Promise.reject(new Error("not called"));
@@ -81,7 +95,7 @@
     term: 7,
     holder: "n1",
     retentionMs: 60_000,
-    maxTasks: 250_000,
+    memory: memoryOf(changes.consensus),
     reclaimsBusyVms: false,
     placement: PLACEMENT_SETTINGS,
     vmClient: undefined,
