Log entries: none is larger than what a link carries, or grows with a job

Cause: submissions that wait for one confirmation of the leadership share a log entry, without a limit. A message with such an entry is longer than link.maxMessageBytes, so that the receiver closes the connection, and the leader sends the entry again for ever. A placement, and the ends of a large fleet, had no limit either; tasks without a demand are all placed by one command.

A command that fits into no message is refused as not run. Submissions, run ends and placements are split; a gang, which one command places, has at most 10,000 tasks.

Tests: raft_driver_test.ts, leader_api_test.ts (two), run_end_batcher_test.ts and scheduling_placement_test.ts; each fails without its part.

--- /dev/null
+++ b/packages/core/src/raft/entry_size.ts
@@ -0,0 +1,18 @@
+/**
+ * Size of a command in a message between replicas.
+ *
+ * @module
+ */
+
+/** Most bytes in UTF-8 of one UTF-16 code unit of a JSON text; in a JSON string, a quote takes two. */
+const MAX_BYTES_PER_UNIT = 3;
+
+/** Room in a message for everything but the command. */
+const ENVELOPE_BYTES = 16_384;
+
+/** Whether a command, itself a JSON text, fits into a message of a size as the only entry. */
+export function fitsMessage(command: string, maxMessageBytes: number): boolean {
+  const maxBytes = maxMessageBytes - ENVELOPE_BYTES;
+  return command.length * MAX_BYTES_PER_UNIT <= maxBytes ||
+    new TextEncoder().encode(JSON.stringify(command)).length <= maxBytes;
+}
--- a/packages/core/src/scheduling/model/batch_job.ts
+++ b/packages/core/src/scheduling/model/batch_job.ts
@@ -95,6 +95,16 @@
   return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
 }
 
+/** Most tasks of a gang, which are placed by one command. */
+export const MAX_GANG_TASKS = 10_000;
+
+/** Whether a gang of the job has more tasks than can start together. */
+export function hasOversizeGang({ steps }: BatchJobSpec): boolean {
+  return steps.some(({ gang, taskCount }) =>
+    gang && taskCount > MAX_GANG_TASKS
+  );
+}
+
 /** Resources that a task of the step reserves on its worker; best-effort tasks reserve no CPU. */
 export function reservation({ demand, fills }: StepSpec): Resources {
   return fills ? { ...demand, cpuMilli: 0 } : demand;
--- a/packages/core/src/scheduling/passes/placement_pass.ts
+++ b/packages/core/src/scheduling/passes/placement_pass.ts
@@ -49,6 +49,8 @@
   customers?: CustomersInput | undefined;
   /** Plans for large steps and full racks; undefined for none. */
   lookAhead?: ((input: LookAheadInput) => LookAheadPass) | undefined;
+  /** Most runs to place; those of the last gang may exceed it. */
+  maxRuns?: number | undefined;
 }
 
 export interface CustomersInput {
@@ -99,8 +101,14 @@
         ? []
         : lookAhead.place(step, candidatesFor(step, input), wallNow);
   const placements = new Map<WaitingStep, RunKey[]>();
+  let runsLeft = input.maxRuns ?? Infinity;
   const place: PlaceTasks = (step, from, count) => {
-    const runs = placeTasks(partOf(step, from, count));
+    if (runsLeft <= 0) {
+      return 0;
+    }
+    const allowed = step.spec.gang ? count : Math.min(count, runsLeft);
+    const runs = placeTasks(partOf(step, from, allowed));
+    runsLeft -= runs.length;
     if (runs.length > 0) {
       placements.set(step, [...placements.get(step) ?? [], ...runs]);
     }
--- a/packages/core/test/scheduling_placement_test.ts
+++ b/packages/core/test/scheduling_placement_test.ts
@@ -6,6 +6,7 @@
   placeStep,
   ProgressWatch,
   type RunKey,
+  runPlacementPass,
   sortByUrgency,
   type StepSpec,
   UnplaceableDemands,
@@ -472,3 +473,20 @@
   );
   expect(lookUps.mock.calls.length).toBeLessThanOrEqual(2 * STEPS);
 });
+
+// Guards against one command that grows with a job: tasks without a demand all fit on one worker.
+it("a pass places a limited number of runs, and a gang whole", () => {
+  const store = newJobStore([worker("w1")]);
+  const demand = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+  submit(store, "a", spec(step({ gang: true, taskCount: 30, demand })));
+  submit(store, "b", spec(step({ taskCount: 5_000_000_000, demand })));
+  const { placements } = runPlacementPass({
+    waiting: store.waiting.values(),
+    estimate: new WorkEstimate(),
+    candidates: new Map([["intake", candidates(store)]]),
+    isPermitted: () => true,
+    maxRuns: 40,
+  }, 0);
+  expect(placements.map(({ step: { name }, runs }) => [name, runs.length]))
+    .toEqual([["a.0.0", 30], ["b.0.0", 10]]);
+});
--- a/packages/daemon/src/consensus/proposals.ts
+++ b/packages/daemon/src/consensus/proposals.ts
@@ -51,3 +51,15 @@
     "Leadership was lost before the command was confirmed",
   );
 }
+
+/** A command that no link carries would be sent again and again, and keep all later ones from their commit. */
+export function oversizeFault(length: number, maxMessageBytes: number): Fault {
+  return fault(
+    "too_large",
+    `Command of ${length} characters does not fit into a message of ${maxMessageBytes} bytes`,
+    {
+      outcome: "not run",
+      remedy: "Send less at once, or raise link.maxMessageBytes on all nodes",
+    },
+  );
+}
--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -8,6 +8,7 @@
   Err,
   type Fault,
   fault,
+  fitsMessage,
   type LogEntry,
   type MembershipChange,
   Ok,
@@ -34,6 +35,7 @@
 } from "./consensus.ts";
 import {
   leadershipLostFault,
+  oversizeFault,
   PendingProposals,
   replicaStoppedFault,
 } from "./proposals.ts";
@@ -44,6 +46,7 @@
 export interface RaftDriverSettings
   extends Pick<Settings, "entry" | "zone" | "raft"> {
   listen: Pick<Settings["listen"], "link">;
+  link: Pick<Settings["link"], "maxMessageBytes">;
 }
 
 /** Dependencies of a Raft driver. */
@@ -193,8 +196,13 @@
     if (this.#stopped) {
       return Promise.resolve(Err(replicaStoppedFault()));
     }
+    const text = JSON.stringify(command);
+    const { maxMessageBytes } = this.#parts.settings.link;
+    if (!fitsMessage(text, maxMessageBytes)) {
+      return Promise.resolve(Err(oversizeFault(text.length, maxMessageBytes)));
+    }
     return new Promise((settle) => {
-      this.#queuedProposals.push({ command: JSON.stringify(command), settle });
+      this.#queuedProposals.push({ command: text, settle });
       if (this.#entryWrites === 0) {
         this.#proposeQueued();
       } else {
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -18,13 +18,16 @@
   decideAccess,
   findQueue,
   hasForwardDependency,
+  hasOversizeGang,
   isLaterLife,
   isOutdatedReport,
   isReportNews,
   isVisibleTo,
+  MAX_GANG_TASKS,
   policyOf,
   type Queue,
   ReportOrder,
+  submissionBytes,
   type SubmittedJob,
   taskCountOf,
   visibleState,
@@ -159,6 +162,10 @@
         }),
       );
     }
+    if (hasOversizeGang(spec)) {
+      const message = `Job "${id}" has a gang of more than ${MAX_GANG_TASKS}`;
+      return Err(fault("invalid", message, { outcome: "not run" }));
+    }
     if (consensus.state.jobs.has(id)) {
       return this.#checkOwner(id, access);
     }
@@ -194,8 +201,9 @@
   /** Stores a job if it is admitted. A repeat of one that is being stored may not be refused as not run. */
   async #commit(job: SubmittedJob): Promise<Result<unknown, Fault>> {
     const { memory, accept } = this.#parts;
+    const bytes = submissionBytes(job.spec);
     if (this.#pendingJobs.has(job.id)) {
-      return await this.#submissions.add(job);
+      return await this.#submissions.add(job, bytes);
     }
     const accepted = memory.check(job).andThen(() => accept(job));
     if (accepted.err) {
@@ -203,7 +211,7 @@
     }
     this.#pendingJobs.add(job.id);
     const release = memory.reserve(job);
-    const committed = await this.#submissions.add(job);
+    const committed = await this.#submissions.add(job, bytes);
     this.#pendingJobs.delete(job.id);
     release();
     return committed;
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -48,6 +48,9 @@
   onChange: () => void;
 }
 
+/** Most runs of a pass, so that its log entry is applied between two heartbeats. */
+const MAX_PASS_RUNS = 1_000;
+
 export class PlacementController {
   readonly #parts: PlacementControllerParts;
   readonly #log: PlacementLog;
@@ -132,6 +135,7 @@
       lookAhead: this.#looksAhead
         ? (input) => this.#lookAhead.begin(input, now)
         : undefined,
+      maxRuns: MAX_PASS_RUNS,
     }, wallNow);
     this.#log.logPlacements(placements, waits, wallNow);
     this.#log.logCustomerWaits(waits, now);
--- a/packages/daemon/src/scheduler/run_end_batcher.ts
+++ b/packages/daemon/src/scheduler/run_end_batcher.ts
@@ -26,6 +26,9 @@
   cleared: RunKey[];
 }
 
+/** Most runs of each kind in one log entry, so that it is applied between two heartbeats. */
+const MAX_ENTRY_RUNS = 1_000;
+
 export class RunEndBatcher {
   readonly #parts: RunEndBatcherParts;
   #pendingBatch: Batch = { ends: [], dropped: [], cleared: [] };
@@ -54,17 +57,35 @@
     return this.#pendingResult;
   }
 
-  #commit(): Promise<Result<JobStoreOutput, Fault>> {
+  async #commit(): Promise<Result<JobStoreOutput, Fault>> {
     const { consensus, clock } = this.#parts;
-    const { ends, dropped, cleared } = this.#pendingBatch;
+    const batch = this.#pendingBatch;
     this.#pendingBatch = { ends: [], dropped: [], cleared: [] };
     this.#pendingResult = undefined;
-    return consensus.propose({
-      kind: "settle",
-      ends,
-      dropped,
-      cleared,
-      atMs: clock.wall(),
-    });
+    const atMs = clock.wall();
+    const parts = partsOf(batch);
+    const results = await Promise.all(
+      parts.map((part) => consensus.propose({ kind: "settle", ...part, atMs })),
+    );
+    return results.find((result) => result.err) ?? results[0]!;
   }
 }
+
+/** Parts of a batch that become a log entry each; their order is that of the batch. */
+function partsOf({ ends, dropped, cleared }: Batch): Batch[] {
+  const count = Math.max(
+    1,
+    ...[ends, dropped, cleared].map(({ length }) =>
+      Math.ceil(length / MAX_ENTRY_RUNS)
+    ),
+  );
+  return Array.from({ length: count }, (_, part) => {
+    const from = part * MAX_ENTRY_RUNS;
+    const to = from + MAX_ENTRY_RUNS;
+    return {
+      ends: ends.slice(from, to),
+      dropped: dropped.slice(from, to),
+      cleared: cleared.slice(from, to),
+    };
+  });
+}
--- a/packages/daemon/src/scheduler/submission_batcher.ts
+++ b/packages/daemon/src/scheduler/submission_batcher.ts
@@ -1,5 +1,5 @@
 /**
- * Group commit of job submissions: those of one turn of the event loop share one log entry.
+ * Group commit of job submissions: small ones of one turn of the event loop share log entries.
  *
  * @module
  */
@@ -17,29 +17,49 @@
   onChange: () => void;
 }
 
+/** A log entry with submissions. */
+interface Batch {
+  jobs: SubmittedJob[];
+  bytes: number;
+  result: Promise<Result<JobStoreOutput, Fault>>;
+}
+
+/** Size of a batch to which no more jobs are added, so that one entry never fills a message between replicas. */
+const FULL_BATCH_BYTES = 65_536;
+
 export class SubmissionBatcher {
   readonly #parts: SubmissionBatcherParts;
-  #pendingJobs: SubmittedJob[] = [];
-  #pendingResult: Promise<Result<JobStoreOutput, Fault>> | undefined;
+  /** The batch of this turn that is not full. */
+  #openBatch: Batch | undefined;
 
   constructor(parts: SubmissionBatcherParts) {
     this.#parts = parts;
   }
 
-  /** Adds a job to the batch of this turn; resolves when it is committed or has failed. */
-  add(job: SubmittedJob): Promise<Result<JobStoreOutput, Fault>> {
-    this.#pendingJobs.push(job);
-    this.#pendingResult ??= new Promise((resolve) => {
-      setImmediate(() => resolve(this.#commit()));
+  /** Adds a job of an estimated size to a batch of this turn; resolves when it is committed or has failed. */
+  add(
+    job: SubmittedJob,
+    bytes: number,
+  ): Promise<Result<JobStoreOutput, Fault>> {
+    const open = this.#openBatch;
+    if (open !== undefined && open.bytes + bytes <= FULL_BATCH_BYTES) {
+      open.jobs.push(job);
+      open.bytes += bytes;
+      return open.result;
+    }
+    const jobs = [job];
+    const result = new Promise<Result<JobStoreOutput, Fault>>((resolve) => {
+      setImmediate(() => {
+        this.#openBatch = undefined;
+        resolve(this.#commit(jobs));
+      });
     });
-    return this.#pendingResult;
+    this.#openBatch = { jobs, bytes, result };
+    return result;
   }
 
-  async #commit(): Promise<Result<JobStoreOutput, Fault>> {
+  async #commit(jobs: SubmittedJob[]): Promise<Result<JobStoreOutput, Fault>> {
     const { consensus, clock, onChange } = this.#parts;
-    const jobs = this.#pendingJobs;
-    this.#pendingJobs = [];
-    this.#pendingResult = undefined;
     const stored = await consensus.propose({
       kind: "submit",
       jobs,
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -222,6 +222,48 @@
     expect(await submit("small")).toBe("accepted");
     expect(await submit("other", LARGE_TEXT, "/charts/")).toBe("accepted");
   });
+
+  it("are refused if a gang has more tasks than one command places", async () => {
+    const api = leaderApiOf({ consensus: consensusOf(newJobStore([])) });
+    const submitted = await api.handlers().get("submit_job")?.({
+      host: "reports.example",
+      path: "/reports/j",
+      spec: spec(step({ gang: true, taskCount: 10_001 })),
+    });
+    expect(submitted?.err && submitted.val).toMatchInlineSnapshot(`
+      {
+        "kind": "invalid",
+        "message": "Job "j" has a gang of more than 10000",
+        "outcome": "not run",
+      }
+    `);
+  });
+});
+
+// Guards against submissions that wait for one confirmation of the leader and then fill one log entry together.
+it("large submissions of one turn get log entries of their own", async () => {
+  const jobStore = newJobStore([]);
+  const sizes: number[] = [];
+  const leaderApi = leaderApiOf({
+    consensus: consensusOf(jobStore, {
+      propose: (command) => {
+        sizes.push(command.kind === "submit" ? command.jobs.length : 0);
+        return Promise.resolve(jobStore.apply(command));
+      },
+    }),
+  });
+  const handler = leaderApi.handlers().get("submit_job");
+  const submitJob = (id: string, text: string): unknown =>
+    handler?.({
+      host: "reports.example",
+      path: `/reports/${id}`,
+      spec: { ...spec(step()), text },
+    });
+  await Promise.all([
+    ...["a", "b", "c"].map((id) => submitJob(id, "x".repeat(40_000))),
+    ...["d", "e", "f"].map((id) => submitJob(id, "small")),
+  ]);
+  expect(sizes).toEqual([1, 1, 4]);
 });
 
 describe("the reports of a worker", () => {
--- a/packages/daemon/test/raft_driver_test.ts
+++ b/packages/daemon/test/raft_driver_test.ts
@@ -67,6 +67,7 @@
         entry: "e1",
         zone: "zone-a",
         listen: { link: MEMBER.address },
+        link: { maxMessageBytes: 65_536 },
         raft: {
           heartbeatMs: 100,
           electionMinMs: 500,
@@ -130,4 +131,20 @@
       expect.objectContaining({ kind: "no_leader", outcome: "not run" }),
     );
   });
+
+  // Guards against a log entry that fits into no message, which is sent again for ever and keeps all later ones waiting.
+  it("have not run if no link carries them", async () => {
+    propose("x".repeat(65_536));
+    // Quotes take four bytes each in a message: the command is JSON, and an entry holds it as a string.
+    propose('"'.repeat(20_000));
+    propose("a");
+    await vi.advanceTimersByTimeAsync(1);
+    await storage.finishWrites();
+    const refusal = { kind: "too_large", outcome: "not run" };
+    expect(results).toEqual([
+      expect.objectContaining(refusal),
+      expect.objectContaining(refusal),
+      1,
+    ]);
+  });
 });
--- a/packages/daemon/test/replica_group.ts
+++ b/packages/daemon/test/replica_group.ts
@@ -166,6 +166,7 @@
         entry: host,
         zone: "zone-a",
         listen: { link: addressOf(host) },
+        link: { maxMessageBytes: 4_194_304 },
         raft,
       },
       stateMachine: {
--- a/packages/daemon/test/run_end_batcher_test.ts
+++ b/packages/daemon/test/run_end_batcher_test.ts
@@ -54,6 +54,21 @@
     expect((await stored).ok).toBe(true);
   });
 
+  // Guards against heartbeats that wait while the ends of a large fleet are applied by one command.
+  it("become several log entries if they are very many", async () => {
+    const log = new ControlledLog();
+    const ends = Array.from({ length: 2_500 }, (_, i) => endOf(`a${i}`));
+    const stored = log.batcher.add(ends, []);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(log.proposed.map(({ ends: { length } }) => length))
+      .toEqual([1_000, 1_000, 500]);
+    expect(log.proposed.flatMap(tasksOf)).toEqual(ends.map(({ task }) => task));
+    await log.finishCommit();
+    await log.finishCommit(Err(fault("no_leader", "Leadership was lost")));
+    await log.finishCommit();
+    expect((await stored).err).toBe(true);
+  });
+
   it("share one log entry when they arrive while another is being committed", async () => {
     const log = new ControlledLog();
     void log.batcher.add([endOf("a")], []);
