--- a/bench/src/commits/host.ts
+++ b/bench/src/commits/host.ts
@@ -10,6 +10,7 @@
   type RaftOutput,
   type RaftWrite,
   type Snapshot,
+  textOf,
 } from "@quetzalcove/core";
 import {
   type OpenedStorage,
@@ -110,8 +111,9 @@
   /** Compacts the log at the applied index. */
   async compact(): Promise<void> {
     const data = JSON.stringify([...this.#state]);
-    const snapshot = this.#raft.compact(this.#raft.status.applied, data);
-    (await this.#storage.compact(snapshot.unwrap())).unwrap();
+    const { applied } = this.#raft.status;
+    const snapshot = this.#raft.compact(applied, data).unwrap();
+    (await this.#storage.compact(snapshot, [data])).unwrap();
   }
 
   async stop(): Promise<void> {
@@ -184,7 +186,7 @@
   #restore(snapshot: Snapshot | undefined): void {
     if (snapshot !== undefined) {
       this.#state.clear();
-      const pairs = JSON.parse(snapshot.data) as [string, string][];
+      const pairs = JSON.parse(textOf(snapshot.data)) as [string, string][];
       pairs.forEach(([key, value]) => this.#state.set(key, value));
     }
   }
--- a/packages/core/src/raft/follower.ts
+++ b/packages/core/src/raft/follower.ts
@@ -5,6 +5,7 @@
  */
 import type { AppendRequest, Heartbeat, SnapshotRequest } from "./message.ts";
 import type { LogEntry, Snapshot } from "./record.ts";
+import { ChunkedText } from "./snapshot_text.ts";
 import {
   commitTo,
   envelope,
@@ -107,7 +108,7 @@
     partial.chunks.push(chunk);
     partial.offset += chunk.length;
     if (last) {
-      install(replica, { ...head, data: partial.chunks.join("") });
+      install(replica, { ...head, data: new ChunkedText(partial.chunks) });
       answerChunk(replica, request, { offset: 0, installed: true });
       return;
     }
--- a/packages/core/src/raft/log.ts
+++ b/packages/core/src/raft/log.ts
@@ -7,6 +7,7 @@
 import { emptyMembership, votersOf } from "./member.ts";
 import type { LogEntry, Snapshot, StoredState } from "./record.ts";
 import { sizeOf } from "./record.ts";
+import type { SnapshotText } from "./snapshot_text.ts";
 
 /** Index and term of an entry. */
 export interface Position {
@@ -188,6 +189,13 @@
     return base;
   }
 
+  /** Replaces the text of the snapshot at an index by an equal one. */
+  replaceSnapshotText(index: number, data: SnapshotText): void {
+    if (this.#snapshot?.index === index) {
+      this.#snapshot = { ...this.#snapshot, data };
+    }
+  }
+
   /** Replaces the whole log by a snapshot. */
   install(snapshot: Snapshot): void {
     this.#snapshot = snapshot;
--- a/packages/core/src/raft/mod.ts
+++ b/packages/core/src/raft/mod.ts
@@ -12,3 +12,4 @@
 export * from "./record.ts";
 export * from "./replacement.ts";
 export { DEFAULT_TUNING, type RaftRole, type RaftTuning } from "./replica.ts";
+export * from "./snapshot_text.ts";
--- a/packages/core/src/raft/raft.ts
+++ b/packages/core/src/raft/raft.ts
@@ -25,14 +25,21 @@
 import { openReplica, type RaftOptions } from "./open.ts";
 import { hasOutput, type RaftOutput, takeOutput } from "./output.ts";
 import { receive } from "./receive.ts";
-import type { Snapshot } from "./record.ts";
+import type { Snapshot, SnapshotMetadata } from "./record.ts";
 import type { ProgressMode } from "./progress.ts";
+import type { SnapshotText } from "./snapshot_text.ts";
 import type { RaftRole, Replica } from "./replica.ts";
 import { flushReads } from "./replication.ts";
 
 /** Share of `maxLogSize` that the entries kept after a compaction may take up. */
 const TRAILING_SIZE_RATIO = 0.25;
 
+/** Size of the log above which a compaction is due, as a share of the snapshot's. */
+const LOG_SIZE_RATIO = 0.25;
+
+/** Size of the log below which no number of entries makes a compaction due, as a share of the snapshot's. */
+const MIN_LOG_SIZE_RATIO = 0.0625;
+
 /** State of one replica and its view of the group. */
 export interface RaftStatus {
   replica: ReplicaId;
@@ -171,39 +178,74 @@
     });
   }
 
-  /** Whether the log exceeds its limits and may be compacted at the applied index. */
+  /**
+   * Whether the log exceeds its limits and may be compacted at the applied index. The limits grow with the snapshot, so
+   * that the time to write snapshots stays a share of the time to write the log.
+   */
   get compactionDue(): boolean {
     const { log, tuning, applied, stable } = this.#replica;
-    const exceedsLimits = log.length > tuning.maxLogEntries ||
-      log.size > tuning.maxLogSize;
+    const snapshotLength = log.snapshot?.data.length ?? 0;
+    const maxSize = Math.max(
+      tuning.maxLogSize,
+      snapshotLength * LOG_SIZE_RATIO,
+    );
+    const exceedsLimits = log.size > maxSize ||
+      log.length > tuning.maxLogEntries &&
+        log.size > snapshotLength * MIN_LOG_SIZE_RATIO;
     return exceedsLimits && applied > (log.snapshot?.index ?? 0) &&
       applied <= stable;
   }
 
-  /**
-   * Replaces the log up to an applied entry by a snapshot of the state after it. The driver may store the returned
-   * snapshot later; the stored log must keep the entries after the snapshot.
-   */
-  compact(index: number, data: string): Result<Snapshot, Fault> {
-    const { log, applied, stable, tuning } = this.#replica;
+  /** Position and membership of a snapshot at an applied index at which the log may be compacted. */
+  snapshotAt(index: number): Result<SnapshotMetadata, Fault> {
+    const { log, applied, stable } = this.#replica;
     const term = log.termAt(index);
     const floor = log.snapshot?.index ?? 0;
     const ceiling = Math.min(applied, stable);
-    if (term === undefined || index <= floor || index > ceiling) {
-      return Err(
+    return term === undefined || index <= floor || index > ceiling
+      ? Err(
         fault(
           "conflict",
           `Log cannot be compacted at ${index}; it must be above ${floor} and at most ${ceiling}`,
         ),
-      );
-    }
-    const membership = log.membershipAt(index);
-    const snapshot = { index, term, membership, data };
-    log.compact(snapshot, {
-      entries: tuning.trailingEntries,
-      size: tuning.maxLogSize * TRAILING_SIZE_RATIO,
+      )
+      : Ok({ index, term, membership: log.membershipAt(index) });
+  }
+
+  /**
+   * Replaces the log up to an applied entry by a snapshot of the state after it. The stored log must keep the entries
+   * after the snapshot.
+   */
+  compact(index: number, data: SnapshotText): Result<Snapshot, Fault> {
+    const { log, tuning } = this.#replica;
+    return this.snapshotAt(index).map((metadata) => {
+      const snapshot = { ...metadata, data };
+      log.compact(snapshot, {
+        entries: tuning.trailingEntries,
+        size: tuning.maxLogSize * TRAILING_SIZE_RATIO,
+      });
+      return snapshot;
+    });
+  }
+
+  /** Replaces the text of the snapshot at an index by an equal one, such as a file that holds it. */
+  replaceSnapshotText(index: number, data: SnapshotText): void {
+    const { log, leadership } = this.#replica;
+    log.replaceSnapshotText(index, data);
+    leadership?.progress.forEach(({ transmission }) => {
+      if (transmission?.snapshot.index === index) {
+        transmission.snapshot = { ...transmission.snapshot, data };
+      }
     });
-    return Ok(snapshot);
+  }
+
+  /** Index of the oldest snapshot that is being sent, or else of the newest one. */
+  get oldestSnapshotInUse(): number {
+    const { log, leadership } = this.#replica;
+    const sent = [...leadership?.progress.values() ?? []].map(
+      ({ transmission }) => transmission?.snapshot.index ?? Infinity,
+    );
+    return Math.min(log.snapshot?.index ?? 0, ...sent);
   }
 
   /** Whether `takeOutput` would return anything. */
--- a/packages/core/src/raft/record.ts
+++ b/packages/core/src/raft/record.ts
@@ -5,6 +5,7 @@
  */
 import { z } from "zod";
 import { Member, Membership, ReplicaId } from "./member.ts";
+import type { SnapshotText } from "./snapshot_text.ts";
 
 export const LogEntry = z.discriminatedUnion("kind", [
   /** The first entry of a leader's term, which has no effect. */
@@ -45,9 +46,10 @@
 });
 export type SnapshotMetadata = z.infer<typeof SnapshotMetadata>;
 
-/** The state machine after the entry at `index`; `data` is JSON text. */
-export const Snapshot = SnapshotMetadata.extend({ data: z.string() });
-export type Snapshot = z.infer<typeof Snapshot>;
+/** The state machine after the entry at `index`, as lines of JSON. */
+export interface Snapshot extends SnapshotMetadata {
+  data: SnapshotText;
+}
 
 /** The state that a replica reads from its data folder when it starts. */
 export interface StoredState {
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -55,14 +55,18 @@
 } from "../model/task_name.ts";
 import type { StepTasks } from "../model/step_tasks.ts";
 import { type PlaceableRun, placementUnits } from "./placement_units.ts";
+import {
+  readSnapshotLines,
+  type SnapshotHead,
+  StoreSnapshot,
+} from "./store_snapshot.ts";
 import { WaitingIndex } from "./waiting_index.ts";
 import { isLaterLife } from "../workers/worker_life.ts";
 import { WorkerLoad } from "../workers/worker_load.ts";
 
-/** The persisted state of the store, as JSON; the indexes are rebuilt from it. */
-interface JobStoreSnapshot {
+/** The persisted state of the store without its jobs; the indexes are rebuilt from it. */
+interface JobStoreSnapshot extends SnapshotHead {
   plan: QueuePlan;
-  jobs: StoredJob[];
   workers: Worker[];
   waves: WaveRecord[];
   endedWorkers: EndedLife[];
@@ -100,6 +104,8 @@
   readonly #waves = new MaintenanceWaves();
   readonly #endedWorkers = new EndedWorkers();
   readonly #endedJobs = new EndedJobs();
+  /** The snapshot that is being read, if any. */
+  #snapshot: StoreSnapshot | undefined;
 
   /** Steps with tasks that may be placed, oldest first. */
   get waiting(): ReadonlyMap<string, WaitingStep> {
@@ -208,31 +214,51 @@
     return this.jobs.get(run.job)?.spec?.steps[run.step];
   }
 
-  encode(): string {
-    const snapshot: Omit<JobStoreSnapshot, "jobs"> & { jobs: JobRecord[] } = {
+  /**
+   * The store as lines of JSON, which tell of it as it is now, while commands are applied. To be read once, and by one
+   * reader at a time: the lines of an earlier call end.
+   */
+  snapshot(): Iterable<string> {
+    const head: Omit<JobStoreSnapshot, "jobs"> = {
       plan: this.plan,
-      jobs: [...this.jobs.values()],
       workers: [...this.workers.values()],
       waves: [...this.waves.values()],
       endedWorkers: [...this.#endedWorkers.lives],
     };
-    return JSON.stringify(snapshot);
+    const snapshot = new StoreSnapshot(head, this.jobs.values(), () => {
+      if (this.#snapshot === snapshot) {
+        this.#snapshot = undefined;
+      }
+    });
+    this.#snapshot = snapshot;
+    return snapshot.lines();
   }
 
-  /** Restores a store from `encode`'s text. */
-  static decode(text: string): JobStore {
-    const snapshot = JSON.parse(text) as JobStoreSnapshot;
+  /** Restores a store from the lines of a snapshot. */
+  static restore(lines: Iterable<string>): JobStore {
     const store = new JobStore();
-    store.plan = upgradePlan(snapshot.plan);
-    snapshot.workers.forEach((worker) => store.workers.set(worker.id, worker));
-    snapshot.waves.forEach((record) => store.#waves.restore(record));
-    snapshot.endedWorkers.forEach((ended) =>
-      store.#endedWorkers.restore(ended)
-    );
-    snapshot.jobs.forEach((job) => store.#restoreJob(job));
+    const snapshot = readSnapshotLines<JobStoreSnapshot>(lines);
+    if (snapshot === undefined) {
+      return store;
+    }
+    const { head, jobs } = snapshot;
+    store.plan = upgradePlan(head.plan);
+    head.workers.forEach((worker) => store.workers.set(worker.id, worker));
+    head.waves.forEach((record) => store.#waves.restore(record));
+    head.endedWorkers.forEach((ended) => store.#endedWorkers.restore(ended));
+    jobs.forEach((job) => store.#restoreJob(job));
     return store;
   }
 
+  encode(): string {
+    return [...this.snapshot()].join("\n");
+  }
+
+  /** Restores a store from `encode`'s text. */
+  static decode(text: string): JobStore {
+    return JobStore.restore(text.split("\n"));
+  }
+
   #restoreJob(stored: StoredJob): void {
     const job: JobRecord = { ...stored, rounds: {} };
     this.jobs.set(job.id, job);
@@ -314,6 +340,7 @@
     ) {
       return;
     }
+    this.#snapshot?.preserve(job);
     job.opened += 1;
     job.rounds[round] = newRound(job.spec.steps);
     this.memory.add(job, bytesOfRound(job.rounds[round]));
@@ -377,6 +404,7 @@
       // The command names the task twice.
       return;
     }
+    this.#snapshot?.preserve(job);
     this.#change(job, tasks, () => tasks.start(position.index, key));
     this.activeRuns += 1;
     this.load(key.worker).add({ ...position, ...key }, spec);
@@ -403,6 +431,7 @@
     ) {
       return;
     }
+    this.#snapshot?.preserve(job);
     this.load(run.worker).remove(run, spec);
     this.customerUsage.remove(job, spec);
     this.runsToStop.delete(run);
@@ -434,6 +463,7 @@
     ) {
       return;
     }
+    this.#snapshot?.preserve(job);
     const { index } = position;
     if (end.checkpoint !== "" && !task.isDone) {
       this.#change(
@@ -523,6 +553,7 @@
   }
 
   #failJob(job: JobRecord, failure: JobFailure, atMs: number): void {
+    this.#snapshot?.preserve(job);
     job.failure = failure;
     this.#closeJob(job, "failed", atMs);
   }
@@ -532,6 +563,7 @@
     outcome: "completed" | "failed" | "cancelled",
     atMs: number,
   ): void {
+    this.#snapshot?.preserve(job);
     if (!job.hasStarted && job.spec?.repeat === undefined) {
       this.#countUnstarted(job, -1);
     }
@@ -615,6 +647,7 @@
       ) {
         continue;
       }
+      this.#snapshot?.preserve(job);
       const suspicion = addCrash(tasks.at(run.index)?.suspicion, suspect);
       tasks.setSuspicion(run.index, suspicion);
       if (spec?.lasting === false && isCrashLoop(suspicion)) {
@@ -629,13 +662,16 @@
 
   #clearSuspicion(key: RunKey): void {
     const run = this.findRun(key);
-    if (run !== undefined) {
+    const job = run && this.jobs.get(run.job);
+    if (run !== undefined && job !== undefined) {
+      this.#snapshot?.preserve(job);
       this.tasksOf(run)?.setSuspicion(run.index, undefined);
     }
   }
 
   #deleteEndedJobs(endedBeforeMs: number): void {
     for (const job of this.#endedJobs.removeOlder(endedBeforeMs)) {
+      this.#snapshot?.preserve(job);
       this.jobs.delete(job.id);
       this.memory.add(job, -bytesOf(job));
     }
--- a/packages/core/test/raft_checker.ts
+++ b/packages/core/test/raft_checker.ts
@@ -4,11 +4,12 @@
  *
  * @module
  */
-import type {
-  LogEntry,
-  RaftMessage,
-  Snapshot,
-  StoredState,
+import {
+  type LogEntry,
+  type RaftMessage,
+  type Snapshot,
+  type StoredState,
+  textOf,
 } from "@quetzalcove/core";
 
 /** A violated property. */
@@ -183,7 +184,7 @@
 
   /** An installed snapshot comes from one author only and holds exactly the commands up to its index. */
   checkRestore({ index, data }: Snapshot, count: number): void {
-    const { author, end } = JSON.parse(data);
+    const { author, end } = JSON.parse(textOf(data));
     assertProperty(
       author === end,
       `snapshot: at ${index} mixes chunks of ${author} and ${end}`,
--- a/packages/core/test/raft_disk.ts
+++ b/packages/core/test/raft_disk.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import type {
-  Membership,
-  RaftOutput,
-  Snapshot,
-  StoredState,
+import {
+  type Membership,
+  type RaftOutput,
+  type Snapshot,
+  type StoredState,
+  textOf,
 } from "@quetzalcove/core";
 
 /** Term of the stored entry at an index; NaN if there is none. */
@@ -38,14 +39,14 @@
   stored.entries = held
     ? stored.entries.filter(({ index }) => index > snapshot.index)
     : [];
-  stored.snapshot = snapshot;
+  stored.snapshot = { ...snapshot, data: textOf(snapshot.data) };
 }
 
 /** Stores a write; its entries replace all stored ones from the index of the first on. */
 export function writeTo(stored: StoredState, { write }: RaftOutput): void {
   const { installed, hardState, entries } = write;
   if (installed !== undefined) {
-    stored.snapshot = installed;
+    stored.snapshot = { ...installed, data: textOf(installed.data) };
     stored.entries = [];
   }
   stored.hardState = hardState ?? stored.hardState;
--- a/packages/core/test/raft_group.ts
+++ b/packages/core/test/raft_group.ts
@@ -14,6 +14,7 @@
   type RaftOutput,
   type RaftTuning,
   type StoredState,
+  textOf,
 } from "@quetzalcove/core";
 
 /** One replica with its stored state, the commands that it applied and the results of its reads. */
@@ -41,7 +42,8 @@
 /** Stores the write of an output as a driver has to. */
 export function store(stored: StoredState, { write }: RaftOutput): void {
   if (write.installed !== undefined) {
-    stored.snapshot = write.installed;
+    const { data, ...metadata } = write.installed;
+    stored.snapshot = { ...metadata, data: textOf(data) };
     stored.entries = [];
   }
   if (write.hardState !== undefined) {
@@ -179,7 +181,7 @@
 
   #apply(node: Node, { write, committed, reads, lostReads }: RaftOutput): void {
     if (write.installed !== undefined) {
-      node.applied = JSON.parse(write.installed.data);
+      node.applied = JSON.parse(textOf(write.installed.data));
     }
     const isCommand = (entry: LogEntry) => entry.kind === "command";
     node.applied.push(...committed.filter(isCommand).map((e) => e.data));
--- a/packages/core/test/raft_node.ts
+++ b/packages/core/test/raft_node.ts
@@ -12,6 +12,7 @@
   type RaftTuning,
   type Snapshot,
   type StoredState,
+  textOf,
   votersOf,
 } from "@quetzalcove/core";
 import type { Checker, VoterDisk } from "./raft_checker.ts";
@@ -307,7 +308,8 @@
 }
 
 function stateMachineOf(snapshot: Snapshot | undefined): StateMachine {
-  return snapshot === undefined
-    ? { index: 0, commands: [] }
-    : { index: snapshot.index, commands: JSON.parse(snapshot.data).commands };
+  return snapshot === undefined ? { index: 0, commands: [] } : {
+    index: snapshot.index,
+    commands: JSON.parse(textOf(snapshot.data)).commands,
+  };
 }
--- a/packages/core/test/scheduling_customers_fuzz_test.ts
+++ b/packages/core/test/scheduling_customers_fuzz_test.ts
@@ -274,8 +274,8 @@
             const command = commandOf(passOver(store, 100 * index));
             store.apply(command);
             replica.apply(command);
-            expect(JSON.parse(replica.encode()))
-              .toEqual(JSON.parse(store.encode()));
+            expect([...replica.snapshot()].map((line) => JSON.parse(line)))
+              .toEqual([...store.snapshot()].map((line) => JSON.parse(line)));
             const runs = command.kind === "place" ? command.runs : [];
             expect(runs.filter((run) => store.findRun(run) === undefined))
               .toEqual([]);
--- a/packages/core/test/scheduling_job_store_test.ts
+++ b/packages/core/test/scheduling_job_store_test.ts
@@ -450,6 +450,34 @@
 });
 
 describe("any sequence of commands", () => {
+  // Guards against snapshots that mix the states before and after commands that are applied while they are written.
+  it("changes nothing in a snapshot that was begun before it", () => {
+    fc.assert(fc.property(
+      fc.array(command, { maxLength: 40 }),
+      fc.array(fc.tuple(command, fc.nat(3)), { maxLength: 40 }),
+      (before, after) => {
+        const store = newJobStore([worker("w1"), worker("w2")]);
+        before.forEach((each) => store.apply(each));
+        const expected = store.encode();
+        const lines = store.snapshot()[Symbol.iterator]();
+        const read: string[] = [];
+        const readOne = (): boolean => {
+          const { done, value } = lines.next();
+          if (done !== true) {
+            read.push(value);
+          }
+          return done !== true;
+        };
+        for (const [each, count] of after) {
+          Array.from({ length: count }, readOne);
+          store.apply(each);
+        }
+        while (readOne());
+        expect(JobStore.restore(read).encode()).toBe(expected);
+      },
+    ));
+  });
+
   it("leaves a store that is restored from its encoding, indexes included", () => {
     fc.assert(fc.property(fc.array(command, { maxLength: 40 }), (commands) => {
       const store = newJobStore([worker("w1"), worker("w2")]);
--- a/packages/daemon/src/consensus/consensus.ts
+++ b/packages/daemon/src/consensus/consensus.ts
@@ -35,8 +35,12 @@
   empty(): S;
   /** Applies a command in place. */
   apply(state: S, command: C): Result<O, Fault>;
-  encode(state: S): string;
-  decode(text: string): S;
+  /**
+   * The state as lines of JSON, without their ends. They are taken one after the other while commands are applied, and
+   * tell of the state as it is now.
+   */
+  encode(state: S): Iterable<string>;
+  decode(lines: Iterable<string>): S;
 }
 
 export interface Consensus<S = State, C = Command, O = CommandOutput> {
--- a/packages/daemon/src/consensus/daemon_state_machine.ts
+++ b/packages/daemon/src/consensus/daemon_state_machine.ts
@@ -15,6 +15,6 @@
 export const daemonStateMachine: StateMachine<State, Command, CommandOutput> = {
   empty: emptyState,
   apply,
-  encode: (state) => JSON.stringify(state),
-  decode: (text) => JSON.parse(text) as State,
+  encode: (state) => [JSON.stringify(state)],
+  decode: (lines) => JSON.parse([...lines].join("")) as State,
 };
--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -9,6 +9,7 @@
   type Fault,
   fault,
   fitsMessage,
+  linesOf,
   type LogEntry,
   type MembershipChange,
   Ok,
@@ -19,7 +20,7 @@
   type ReplicaProgress,
   type Result,
   type Settings,
-  type Snapshot,
+  type SnapshotMetadata,
   type StoredState,
 } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
@@ -86,7 +87,7 @@
 
 export class RaftDriver<S, C, O> implements Consensus<S, C, O>, Component {
   readonly name = "replica";
-  readonly #parts: RaftDriverParts<S, C, O>;
+  readonly #parts: Omit<RaftDriverParts<S, C, O>, "stored">;
   #raft: Raft;
   readonly #ticker: Component;
   readonly #proposals = new PendingProposals<O>();
@@ -104,14 +105,15 @@
   #wasLeader = false;
   #isSavingSnapshot = false;
 
-  constructor(parts: RaftDriverParts<S, C, O>) {
+  constructor({ stored, ...parts }: RaftDriverParts<S, C, O>) {
+    // The stored log would stay in memory with the parts.
     this.#parts = parts;
-    this.#raft = openRaft(parts, parts.stored, parts.clock.processStart());
+    this.#raft = openRaft(parts, stored, parts.clock.processStart());
     this.#barriers = new ReadBarriers(leaseMsOf(parts.settings));
-    const { snapshot } = parts.stored;
+    const { snapshot } = stored;
     this.#state = snapshot === undefined
       ? parts.stateMachine.empty()
-      : parts.stateMachine.decode(snapshot.data);
+      : parts.stateMachine.decode(linesOf(snapshot.data));
     this.#appliedIndex = snapshot?.index ?? 0;
     this.#ticker = ticker(
       "raft ticks",
@@ -338,8 +340,10 @@
     output.messages.forEach((message) => this.#send(message));
     void this.#store(output);
     if (output.write.installed !== undefined) {
+      // The earlier state is given up first, since both may not fit into memory.
+      this.#state = this.#parts.stateMachine.empty();
       this.#state = this.#parts.stateMachine.decode(
-        output.write.installed.data,
+        linesOf(output.write.installed.data),
       );
       this.#appliedIndex = output.write.installed.index;
     }
@@ -369,6 +373,11 @@
       "quetzalcove_log_sync_seconds",
       clock.monotonic() - startedAt,
     );
+    const { installed } = output.write;
+    const { snapshotFile } = storage;
+    if (installed !== undefined && snapshotFile?.index === installed.index) {
+      raft.replaceSnapshotText(installed.index, snapshotFile);
+    }
     this.#step((now) => {
       output.messagesAfterSync.forEach((message) => this.#send(message));
       // A write that was pending while the cluster was initialized belongs to the previous Raft instance.
@@ -426,29 +435,51 @@
     if (this.#isSavingSnapshot || this.#stopped || !this.#raft.compactionDue) {
       return;
     }
-    const compacted = this.#raft.compact(
-      this.#appliedIndex,
-      this.#parts.stateMachine.encode(this.#state),
-    );
-    if (compacted.ok) {
+    const metadata = this.#raft.snapshotAt(this.#appliedIndex);
+    if (metadata.ok) {
       this.#isSavingSnapshot = true;
-      void this.#saveSnapshot(compacted.val);
+      void this.#saveSnapshot(metadata.val);
     }
   }
 
-  async #saveSnapshot(snapshot: Snapshot): Promise<void> {
-    const saved = await this.#parts.storage.compact(snapshot);
+  /** Writes a snapshot while commands are applied, then drops the log that it covers. */
+  async #saveSnapshot(metadata: SnapshotMetadata): Promise<void> {
+    const { storage, log, clock } = this.#parts;
+    const raft = this.#raft;
+    const state = this.#state;
+    const startedAt = clock.monotonic();
+    const saved = await storage.compact(
+      metadata,
+      this.#snapshotParts(state),
+      () => raft.oldestSnapshotInUse,
+    );
     this.#isSavingSnapshot = false;
+    if (this.#state !== state) {
+      // The leader's snapshot took its place.
+      return;
+    }
     if (saved.err) {
       this.#onStorageFailure(saved.val);
       return;
     }
-    this.#parts.log.info("raft.snapshot", {
-      index: snapshot.index,
-      bytes: snapshot.data.length,
+    raft.compact(metadata.index, saved.val);
+    log.info("raft.snapshot", {
+      index: metadata.index,
+      bytes: saved.val.length,
+      tookMs: Math.round(clock.monotonic() - startedAt),
     });
   }
 
+  /** The parts of a snapshot of the state, as long as it is that of this replica. */
+  *#snapshotParts(state: S): Generator<string> {
+    for (const line of this.#parts.stateMachine.encode(state)) {
+      if (this.#state !== state) {
+        throw new Error("The state was replaced by a snapshot of the leader");
+      }
+      yield `${line}\n`;
+    }
+  }
+
   /** Stops the replica: after a failed write it must not send or confirm anything. */
   #onStorageFailure(cause: Fault): void {
     if (!this.#stopped) {
--- a/packages/daemon/src/scheduler/job_state_machine.ts
+++ b/packages/daemon/src/scheduler/job_state_machine.ts
@@ -17,8 +17,8 @@
 > = {
   empty: () => new JobStore(),
   apply: (jobStore, command) => jobStore.apply(command),
-  encode: (jobStore) => jobStore.encode(),
-  decode: (text) => JobStore.decode(text),
+  encode: (jobStore) => jobStore.snapshot(),
+  decode: (lines) => JobStore.restore(lines),
 };
 
 /** Consensus over the commands of the job store. */
--- a/packages/daemon/src/storage/frame.ts
+++ b/packages/daemon/src/storage/frame.ts
@@ -13,7 +13,7 @@
 const LENGTH_OFFSET = 4;
 const BODY_CHECKSUM_OFFSET = 8;
 const HEADER_CHECKSUM_OFFSET = 12;
-const HEADER_BYTES = 16;
+export const HEADER_BYTES = 16;
 
 /** The frame bodies of a file and the length of its valid part. */
 export interface ScannedFrames {
@@ -21,22 +21,51 @@
   validBytes: number;
 }
 
+/** Length and checksum of a frame's body. */
+export interface FrameHeader {
+  length: number;
+  checksum: number;
+}
+
+/** CRC-32 of bytes, continued from that of the bytes before them. */
+export function checksumOf(bytes: Buffer, before = 0): number {
+  return crc32.buf(bytes, before);
+}
+
 /** Encodes a body as a frame. */
 export function encodeFrame(body: string): Buffer {
   const length = Buffer.byteLength(body);
   const frame = Buffer.allocUnsafe(HEADER_BYTES + length);
   frame.write(body, HEADER_BYTES);
-  MAGIC.copy(frame, 0);
-  frame.writeUInt32LE(length, LENGTH_OFFSET);
-  frame.writeInt32LE(
-    crc32.buf(frame.subarray(HEADER_BYTES)),
-    BODY_CHECKSUM_OFFSET,
-  );
-  const header = frame.subarray(0, HEADER_CHECKSUM_OFFSET);
-  frame.writeInt32LE(crc32.buf(header), HEADER_CHECKSUM_OFFSET);
+  const checksum = checksumOf(frame.subarray(HEADER_BYTES));
+  encodeFrameHeader(length, checksum).copy(frame, 0);
   return frame;
 }
 
+/** Encodes the header of a frame. */
+export function encodeFrameHeader(length: number, checksum: number): Buffer {
+  const header = Buffer.allocUnsafe(HEADER_BYTES);
+  MAGIC.copy(header, 0);
+  header.writeUInt32LE(length, LENGTH_OFFSET);
+  header.writeInt32LE(checksum, BODY_CHECKSUM_OFFSET);
+  const checked = header.subarray(0, HEADER_CHECKSUM_OFFSET);
+  header.writeInt32LE(checksumOf(checked), HEADER_CHECKSUM_OFFSET);
+  return header;
+}
+
+/** Decodes the header of a frame; undefined if it is damaged. */
+export function readFrameHeader(header: Buffer): FrameHeader | undefined {
+  const checked = header.subarray(0, HEADER_CHECKSUM_OFFSET);
+  const isIntact = checked.subarray(0, MAGIC.length).equals(MAGIC) &&
+    checksumOf(checked) === header.readInt32LE(HEADER_CHECKSUM_OFFSET);
+  return isIntact
+    ? {
+      length: header.readUInt32LE(LENGTH_OFFSET),
+      checksum: header.readInt32LE(BODY_CHECKSUM_OFFSET),
+    }
+    : undefined;
+}
+
 /** Reads all frames; a torn last frame ends the valid part, corruption before it is a fault. */
 export function scanFrames(
   file: Buffer,
@@ -70,18 +99,12 @@
   if (start > file.length) {
     return undefined;
   }
-  const header = file.subarray(position, position + HEADER_CHECKSUM_OFFSET);
-  if (!header.subarray(0, MAGIC.length).equals(MAGIC)) {
-    return undefined;
-  }
-  const headerChecksum = file.readInt32LE(position + HEADER_CHECKSUM_OFFSET);
-  const end = start + header.readUInt32LE(LENGTH_OFFSET);
-  if (crc32.buf(header) !== headerChecksum || end > file.length) {
+  const header = readFrameHeader(file.subarray(position, start));
+  if (header === undefined || start + header.length > file.length) {
     return undefined;
   }
-  const body = file.subarray(start, end);
-  const checksum = header.readInt32LE(BODY_CHECKSUM_OFFSET);
-  return crc32.buf(body) === checksum ? body : undefined;
+  const body = file.subarray(start, start + header.length);
+  return checksumOf(body) === header.checksum ? body : undefined;
 }
 
 function hasFrameAfter(file: Buffer, position: number): boolean {
--- a/packages/daemon/src/storage/open_storage.ts
+++ b/packages/daemon/src/storage/open_storage.ts
@@ -23,7 +23,7 @@
 import { type LogEnd, LogWriter } from "./log_writer.ts";
 import { recover } from "./recovery.ts";
 import { readSegments } from "./segment.ts";
-import { readSnapshot } from "./snapshot_file.ts";
+import { readSnapshot, SnapshotFile } from "./snapshot_file.ts";
 import { Storage } from "./storage.ts";
 
 /** Result of `openStorage`. */
@@ -90,7 +90,9 @@
   if (detached) {
     await writer.reset(end.last, { entries: [] });
   }
-  return Ok({ stored, storage: new Storage(folder, lock, writer) });
+  const data = snapshot.val?.data;
+  const file = data instanceof SnapshotFile ? data : undefined;
+  return Ok({ stored, storage: new Storage(folder, lock, writer, file) });
 }
 
 function lastPosition({ snapshot, entries }: StoredState): LogEnd["last"] {
--- a/packages/daemon/src/storage/storage.ts
+++ b/packages/daemon/src/storage/storage.ts
@@ -8,14 +8,19 @@
   Err,
   type Fault,
   fault,
+  partsOf,
   type RaftWrite,
   type Result,
-  type Snapshot,
+  type SnapshotMetadata,
 } from "@quetzalcove/core";
 import { catchStorageFault } from "./files.ts";
 import type { FolderLock } from "./lock.ts";
 import type { LogWriter } from "./log_writer.ts";
-import { removeSnapshotsBefore, writeSnapshot } from "./snapshot_file.ts";
+import {
+  removeSnapshotsBefore,
+  type SnapshotFile,
+  writeSnapshot,
+} from "./snapshot_file.ts";
 
 interface QueuedOperation {
   /** A write to the log, or an operation that must run alone, between writes. */
@@ -35,9 +40,18 @@
   #queue: QueuedOperation[] = [];
   #processing: Promise<void> | undefined;
   #failure: Fault | undefined;
+  /** Snapshots that are read, oldest first. */
+  #snapshotFiles: SnapshotFile[] = [];
   #closed = false;
 
-  constructor(folder: string, lock: FolderLock, writer: LogWriter) {
+  /** `snapshotFile` is that of the newest snapshot. */
+  constructor(
+    folder: string,
+    lock: FolderLock,
+    writer: LogWriter,
+    snapshotFile?: SnapshotFile,
+  ) {
+    this.#snapshotFiles = snapshotFile === undefined ? [] : [snapshotFile];
     this.#folder = folder;
     this.#lock = lock;
     this.#writer = writer;
@@ -56,19 +70,35 @@
     return this.#enqueue({ exclusive: () => this.#install(write) });
   }
 
-  /** Stores a snapshot of the local state machine, concurrently with writes, and deletes the log that it covers. */
-  async compact(snapshot: Snapshot): Promise<Result<void, Fault>> {
+  /** The newest snapshot's data in its file; undefined if none was written by this process. */
+  get snapshotFile(): SnapshotFile | undefined {
+    return this.#snapshotFiles.at(-1);
+  }
+
+  /**
+   * Stores a snapshot of the local state machine, concurrently with writes, and deletes the log that it covers. `parts`
+   * make up its data. `oldestInUse` tells, when it is stored, which earlier snapshots are still read.
+   */
+  async compact(
+    metadata: SnapshotMetadata,
+    parts: Iterable<string>,
+    oldestInUse: () => number = () => metadata.index,
+  ): Promise<Result<SnapshotFile, Fault>> {
     const written = await catchStorageFault(
       "Writing a snapshot",
-      () => writeSnapshot(this.#folder, snapshot),
+      () => writeSnapshot(this.#folder, metadata, parts),
     );
-    return written.err ? written : this.#enqueue({
+    if (written.err) {
+      return written;
+    }
+    const stored = await this.#enqueue({
       exclusive: async () => {
         await this.#writer.rotate();
-        await this.#writer.removeCovered(snapshot.index);
-        await removeSnapshotsBefore(this.#folder, snapshot.index);
+        await this.#writer.removeCovered(metadata.index);
+        await this.#adoptSnapshot(written.val, oldestInUse());
       },
     });
+    return stored.map(() => written.val);
   }
 
   /** Waits for queued writes and releases the folder. */
@@ -76,15 +106,34 @@
     this.#closed = true;
     await this.#processing;
     await this.#writer.close();
+    this.#snapshotFiles.forEach((file) => file.close());
     await this.#lock.release();
   }
 
   /** Replaces snapshot and log with a snapshot of the leader. */
   async #install({ installed, hardState, entries }: RaftWrite): Promise<void> {
-    const { index, term } = installed!;
-    await writeSnapshot(this.#folder, installed!);
+    const { index, term, data } = installed!;
+    const file = await writeSnapshot(this.#folder, installed!, partsOf(data));
     await this.#writer.reset({ index, term }, { hardState, entries });
-    await removeSnapshotsBefore(this.#folder, index);
+    await this.#adoptSnapshot(file, index);
+  }
+
+  /** Keeps a new snapshot and those that are still read, and removes all others. */
+  async #adoptSnapshot(
+    file: SnapshotFile,
+    oldestInUse: number,
+  ): Promise<void> {
+    const keptFrom = Math.min(file.index, oldestInUse);
+    this.#snapshotFiles.push(file);
+    this.#snapshotFiles.sort((a, b) => a.index - b.index);
+    this.#snapshotFiles = this.#snapshotFiles.filter((each) => {
+      const isKept = each.index >= keptFrom;
+      if (!isKept) {
+        each.close();
+      }
+      return isKept;
+    });
+    await removeSnapshotsBefore(this.#folder, keptFrom);
   }
 
   #enqueue(
--- a/packages/daemon/test/raft_driver_test.ts
+++ b/packages/daemon/test/raft_driver_test.ts
@@ -77,8 +77,8 @@
       stateMachine: {
         empty: () => [],
         apply: (state, command) => Ok(state.push(command)),
-        encode: JSON.stringify,
-        decode: (text) => JSON.parse(text) as string[],
+        encode: (state) => [JSON.stringify(state)],
+        decode: (lines) => JSON.parse([...lines].join("")) as string[],
       },
       replica: MEMBER.replica,
       stored: bootstrapState(MEMBER),
--- a/packages/daemon/test/replica_group.ts
+++ b/packages/daemon/test/replica_group.ts
@@ -12,6 +12,7 @@
   type RaftWrite,
   type Result,
   type StoredState,
+  textOf,
 } from "@quetzalcove/core";
 import { checkSchedulerSettings } from "@quetzalcove/core/scheduling";
 import { DynamicMembershipController } from "../src/consensus/dynamic_membership_controller.ts";
@@ -172,8 +173,8 @@
       stateMachine: {
         empty: () => [],
         apply: (state, command) => Ok(state.push(command)),
-        encode: JSON.stringify,
-        decode: (text) => JSON.parse(text) as string[],
+        encode: (state) => [JSON.stringify(state)],
+        decode: (lines) => JSON.parse([...lines].join("")) as string[],
       },
       replica,
       stored: structuredClone(stored),
@@ -286,7 +287,7 @@
   return {
     save: ({ hardState, installed, entries }: RaftWrite) => {
       if (installed !== undefined) {
-        stored.snapshot = installed;
+        stored.snapshot = { ...installed, data: textOf(installed.data) };
         stored.entries = [];
       }
       stored.hardState = hardState ?? stored.hardState;
@@ -298,7 +299,8 @@
       return Promise.resolve(Ok.EMPTY);
     },
     // The log stays longer than the snapshot allows, which recovery accepts.
-    compact: () => Promise.resolve(Ok.EMPTY),
+    compact: (_: unknown, parts: Iterable<string>) =>
+      Promise.resolve(Ok([...parts].join(""))),
     close: () => Promise.resolve(),
   } as unknown as Storage;
 }
--- a/packages/daemon/test/storage_model_test.ts
+++ b/packages/daemon/test/storage_model_test.ts
@@ -8,7 +8,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import type { LogEntry, Snapshot, StoredState } from "@quetzalcove/core";
+import {
+  type LogEntry,
+  type Snapshot,
+  type StoredState,
+  textOf,
+} from "@quetzalcove/core";
 import { formatFolder, openStorage, type Storage } from "@quetzalcove/daemon";
 import fc from "fast-check";
 import { expect, test } from "vitest";
@@ -140,7 +145,7 @@
     const entry = this.#expected.entries[index - this.#base - 1];
     if (entry !== undefined) {
       const snapshot = snapshotAt(index, entry.term);
-      (await this.#storage.compact(snapshot)).unwrap();
+      (await this.#storage.compact(snapshot, [textOf(snapshot.data)])).unwrap();
       const { entries } = this.#expected;
       this.#expected.entries = entries.filter((e) => e.index > index);
       this.#expected.snapshot = snapshot;
@@ -171,7 +176,13 @@
   async #open(): Promise<void> {
     const { stored, storage } = (await openStorage(this.#folder)).unwrap();
     this.#storage = storage;
-    expect(stored).toEqual(this.#expected);
+    const { snapshot } = stored;
+    expect({
+      ...stored,
+      ...snapshot && {
+        snapshot: { ...snapshot, data: textOf(snapshot.data) },
+      },
+    }).toEqual(this.#expected);
   }
 }
 
--- a/packages/daemon/test/storage_test.ts
+++ b/packages/daemon/test/storage_test.ts
@@ -10,7 +10,16 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import type { LogEntry, RaftWrite, Snapshot } from "@quetzalcove/core";
+import {
+  type Fault,
+  linesOf,
+  type LogEntry,
+  type RaftWrite,
+  type Result,
+  type Snapshot,
+  type SnapshotText,
+  textOf,
+} from "@quetzalcove/core";
 import {
   formatFolder,
   type OpenedStorage,
@@ -18,6 +27,7 @@
   readFormat,
 } from "@quetzalcove/daemon";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { encodeFrame } from "../src/storage/frame.ts";
 
 let root: string;
 let folder: string;
@@ -74,6 +84,18 @@
   return { index, term, membership: { members: [] }, data: `"at ${index}"` };
 }
 
+/** A snapshot with its data in memory. */
+function loaded(snapshot: Snapshot | undefined): Snapshot | undefined {
+  return snapshot && { ...snapshot, data: textOf(snapshot.data) };
+}
+
+function compact(
+  storage: OpenedStorage["storage"],
+  { data, ...metadata }: Snapshot,
+): Promise<Result<SnapshotText, Fault>> {
+  return storage.compact(metadata, [textOf(data)]);
+}
+
 function files(prefix: string, path = folder): string[] {
   return readdirSync(path).filter((name) => name.startsWith(prefix)).sort();
 }
@@ -216,21 +238,21 @@
     for (let round = 1; round <= 5; round++) {
       const last = round * 100;
       await storage.save(write(commands(last - 99, last)));
-      (await storage.compact(snapshotAt(last - 10))).unwrap();
+      (await compact(storage, snapshotAt(last - 10))).unwrap();
     }
     expect(files("log-")).toHaveLength(2);
     expect(files("snapshot-")).toHaveLength(1);
     const { stored } = await reopen();
-    expect(stored.snapshot).toEqual(snapshotAt(490));
+    expect(loaded(stored.snapshot)).toEqual(snapshotAt(490));
     expect(stored.entries).toEqual(commands(491, 500));
   });
 
   test("keep a segment whose entries a later segment partly replaces", async () => {
     const { storage } = await open();
     await storage.save(write(commands(1, 100)));
-    await storage.compact(snapshotAt(50));
+    await compact(storage, snapshotAt(50));
     await storage.save(write(commands(95, 120, 2), 2));
-    await storage.compact(snapshotAt(110, 2));
+    await compact(storage, snapshotAt(110, 2));
     const { stored } = await reopen();
     expect(stored.snapshot?.index).toBe(110);
     expect(stored.entries).toEqual(commands(111, 120, 2));
@@ -240,11 +262,11 @@
     const { storage } = await open();
     await storage.save(write(commands(1, 20)));
     const before = crashCopy("before");
-    await storage.compact(snapshotAt(15));
+    await compact(storage, snapshotAt(15));
     const [name = ""] = files("snapshot-");
     cpSync(join(folder, name), join(before, name));
     const crashed = await open(before);
-    expect(crashed.stored.snapshot).toEqual(snapshotAt(15));
+    expect(loaded(crashed.stored.snapshot)).toEqual(snapshotAt(15));
     expect(crashed.stored.entries).toEqual(commands(16, 20));
   });
 
@@ -262,7 +284,8 @@
     for (const path of [folder, before]) {
       await Promise.all(opened.map(({ storage }) => storage.close()));
       const first = await open(path);
-      expect(first.stored).toMatchObject({ snapshot: installed, entries: [] });
+      expect(loaded(first.stored.snapshot)).toEqual(installed);
+      expect(first.stored.entries).toEqual([]);
       await first.storage.save(write(commands(31, 32, 3), 3));
       await first.storage.close();
       const second = await open(path);
@@ -271,10 +294,67 @@
     }
   });
 
+  // Guards against replicas that end for lack of memory while a snapshot is written, sent or loaded.
+  test("are written and read in parts, whatever characters they have", async () => {
+    const { storage } = await open();
+    await storage.save(write(commands(1, 20)));
+    const line = JSON.stringify("a\u00e4\u0436\u{1f600}".repeat(20_000)) + "\n";
+    let written = 0;
+    function* parts(): Generator<string> {
+      for (; written < 10; written++) {
+        yield line;
+      }
+    }
+    const compacting = storage.compact(snapshotAt(20), parts());
+    await storage.save(write(commands(21, 21)));
+    expect(written).toBeLessThan(10);
+    (await compacting).unwrap();
+    const { stored } = await reopen();
+    const data = stored.snapshot!.data;
+    expect(typeof data).not.toBe("string");
+    const lines = [...linesOf(data)];
+    expect(lines).toHaveLength(10);
+    expect(new Set(lines.map((each) => JSON.parse(each)))).toEqual(
+      new Set([JSON.parse(line)]),
+    );
+    expect(data.slice(70_000, 70_100)).toBe(
+      textOf(data).slice(70_000, 70_100),
+    );
+  });
+
+  test("of an earlier version, which stored UTF-8, are read", async () => {
+    const { storage } = await open();
+    await storage.save(write(commands(1, 20)));
+    (await compact(storage, snapshotAt(20))).unwrap();
+    await storage.close();
+    const [name = ""] = files("snapshot-");
+    const { data: _, ...metadata } = snapshotAt(20);
+    writeFileSync(
+      join(folder, name),
+      Buffer.concat(
+        [JSON.stringify(metadata), '"\u00e4\u0436"'].map(encodeFrame),
+      ),
+    );
+    const { stored } = (await openStorage(folder)).unwrap();
+    expect(loaded(stored.snapshot)?.data).toBe('"\u00e4\u0436"');
+  });
+
+  test("stay readable while they are in use", async () => {
+    const { storage } = await open();
+    await storage.save(write(commands(1, 20)));
+    const first = (await compact(storage, snapshotAt(10))).unwrap();
+    const { data, ...metadata } = snapshotAt(15);
+    (await storage.compact(metadata, [textOf(data)], () => 10)).unwrap();
+    expect(textOf(first)).toBe('"at 10"');
+    expect(files("snapshot-")).toHaveLength(2);
+    (await compact(storage, snapshotAt(18))).unwrap();
+    expect(files("snapshot-")).toHaveLength(1);
+  });
+
   test("are refused if corrupt or missing", async () => {
     const { storage } = await open();
     await storage.save(write(commands(1, 20)));
-    await storage.compact(snapshotAt(20));
+    await compact(storage, snapshotAt(20));
     await storage.close();
     const [name = ""] = files("snapshot-");
     const path = join(folder, name);
