Raft: an entry that is too large for a message is sent in chunks

Commands of this size are refused now, but the entries are in the log of the leader.

Cause: entries were not split, so that no other replica can take such an entry, and nothing after it can be committed. Dropping it is not safe: with another limit it may have been committed.

Tests: raft_test.ts (three); the simulation under faults sends part of its entries in chunks.

--- a/packages/core/src/raft/follower.ts
+++ b/packages/core/src/raft/follower.ts
@@ -3,13 +3,19 @@
  *
  * @module
  */
-import type { AppendRequest, Heartbeat, SnapshotRequest } from "./message.ts";
+import type {
+  AppendRequest,
+  EntryChunkRequest,
+  Heartbeat,
+  SnapshotRequest,
+} from "./message.ts";
 import type { LogEntry, Snapshot } from "./record.ts";
 import { ChunkedText } from "./snapshot_text.ts";
 import {
   commitTo,
   envelope,
   markUnsaved,
+  type PartialEntry,
   type PartialSnapshot,
   recordLeaderContact,
   type Replica,
@@ -35,6 +41,73 @@
   accept(replica, request, match);
 }
 
+/** Collects the chunks of an entry, and appends it when it is complete. */
+export function handleEntryChunk(
+  replica: Replica,
+  request: EntryChunkRequest,
+): void {
+  const { entry, offset, chunk, last } = request;
+  const { log } = replica;
+  const previous = { index: request.previousIndex, term: request.previousTerm };
+  const isNeeded = entry.index > replica.commit && !log.has(entry) &&
+    log.has(previous);
+  if (!isNeeded) {
+    replica.partialEntry = undefined;
+    handleAppend(replica, appendOf(request, log.slice(entry.index, 1)));
+    return;
+  }
+  recordLeaderContact(replica, request.from);
+  const partial = partialEntryOf(replica, entry);
+  if (partial.offset === offset) {
+    partial.chunks.push(chunk);
+    partial.offset += chunk.length;
+    if (last) {
+      const data = partial.chunks.join("");
+      replica.partialEntry = undefined;
+      const complete: LogEntry = { kind: "command", ...entry, data };
+      handleAppend(replica, appendOf(request, [complete]));
+      return;
+    }
+  }
+  send(replica, {
+    kind: "entry_chunk_answer",
+    ...envelope(replica, request.from),
+    index: entry.index,
+    offset: partial.offset,
+  });
+}
+
+/** The append with which a leader would send entries that it sends in chunks. */
+function appendOf(
+  { from, to, term, previousIndex, previousTerm, commit, entry }:
+    EntryChunkRequest,
+  entries: LogEntry[],
+): AppendRequest {
+  return {
+    kind: "append",
+    from,
+    to,
+    term,
+    previousIndex,
+    previousTerm,
+    entries: entries.filter((held) => held.term === entry.term),
+    commit,
+  };
+}
+
+function partialEntryOf(
+  replica: Replica,
+  { index, term }: EntryChunkRequest["entry"],
+): PartialEntry {
+  const { partialEntry } = replica;
+  if (partialEntry?.index === index && partialEntry.term === term) {
+    return partialEntry;
+  }
+  const fresh = { index, term, chunks: [], offset: 0 };
+  replica.partialEntry = fresh;
+  return fresh;
+}
+
 /** Appends an entry that the log lacks, after removing any entries of another term from its index on. */
 function appendOrReplace(replica: Replica, entry: LogEntry): void {
   const { log } = replica;
--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -7,6 +7,7 @@
 import { memberOf, type ReplicaId, votersOf } from "./member.ts";
 import type {
   AppendAnswer,
+  EntryChunkAnswer,
   HeartbeatAnswer,
   SnapshotAnswer,
 } from "./message.ts";
@@ -189,6 +190,20 @@
   }
 }
 
+export function handleEntryChunkAnswer(
+  replica: Replica,
+  answer: EntryChunkAnswer,
+): void {
+  const transmission = recordContact(replica, answer.from)?.entryTransmission;
+  if (
+    transmission?.index === answer.index &&
+    transmission.offset !== answer.offset
+  ) {
+    transmission.offset = answer.offset;
+    transmission.sentAt = Number.NEGATIVE_INFINITY;
+  }
+}
+
 function recordContact(
   replica: Replica,
   from: ReplicaId,
--- a/packages/core/src/raft/log.ts
+++ b/packages/core/src/raft/log.ts
@@ -98,6 +98,11 @@
     return this.#entries[index - this.#base.index - 1]?.term;
   }
 
+  /** The entry at an index, or undefined where it is compacted or missing. */
+  at(index: number): LogEntry | undefined {
+    return this.#entries[index - this.#base.index - 1];
+  }
+
   has(position: Position): boolean {
     return this.termAt(position.index) === position.term;
   }
--- a/packages/core/src/raft/message.ts
+++ b/packages/core/src/raft/message.ts
@@ -59,6 +59,30 @@
 });
 export type AppendRequest = z.infer<typeof AppendRequest>;
 
+/** One chunk of an entry that is too large for a message, a command. */
+export const EntryChunkRequest = z.object({
+  kind: z.literal("entry_chunk"),
+  ...envelope,
+  previousIndex: z.number().int(),
+  previousTerm: z.number().int(),
+  entry: z.object({ index: z.number().int(), term: z.number().int() }),
+  offset: z.number().int(),
+  chunk: z.string(),
+  last: z.boolean(),
+  commit: z.number().int(),
+});
+export type EntryChunkRequest = z.infer<typeof EntryChunkRequest>;
+
+/** Answers a chunk after which others are needed; the last one is answered like an append. */
+export const EntryChunkAnswer = z.object({
+  kind: z.literal("entry_chunk_answer"),
+  ...envelope,
+  index: z.number().int(),
+  /** The offset that the follower needs next. */
+  offset: z.number().int(),
+});
+export type EntryChunkAnswer = z.infer<typeof EntryChunkAnswer>;
+
 export const AppendAnswer = z.object({
   kind: z.literal("append_answer"),
   ...envelope,
@@ -122,6 +146,8 @@
   VoteAnswer,
   AppendRequest,
   AppendAnswer,
+  EntryChunkRequest,
+  EntryChunkAnswer,
   Heartbeat,
   HeartbeatAnswer,
   SnapshotRequest,
--- a/packages/core/src/raft/mod.ts
+++ b/packages/core/src/raft/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { fitsMessage } from "./entry_size.ts";
+export { entrySizeOf, fitsMessage } from "./entry_size.ts";
 export * from "./member.ts";
 export * from "./message.ts";
 export type { RaftOptions } from "./open.ts";
--- a/packages/core/src/raft/open.ts
+++ b/packages/core/src/raft/open.ts
@@ -58,6 +58,7 @@
     stable: log.last.index,
     applied: log.base.index,
     partialSnapshot: undefined,
+    partialEntry: undefined,
     outbox: emptyOutbox(),
     pendingWrites: [],
     outputCount: 0,
--- a/packages/core/src/raft/progress.ts
+++ b/packages/core/src/raft/progress.ts
@@ -27,6 +27,15 @@
   sentAt: number;
 }
 
+/** An entry that is sent in chunks. */
+interface EntryTransmission {
+  index: number;
+  /** Offset of the next chunk, in UTF-16 code units. */
+  offset: number;
+  /** When the chunk at the offset was sent, in milliseconds; -Infinity if it is to be sent. */
+  sentAt: number;
+}
+
 /** Limits on the appends in flight to one replica: their number and total size in UTF-16 code units. */
 export interface SendWindow {
   messages: number;
@@ -56,6 +65,8 @@
   /** Highest read round that the replica confirmed. */
   confirmedRound = 0;
   transmission: SnapshotTransmission | undefined;
+  /** The next entry, if it is sent in chunks; no append is sent until it has been accepted. */
+  entryTransmission: EntryTransmission | undefined;
   readonly #window: SendWindow;
   #inFlight: InFlightAppend[] = [];
   #inFlightSize = 0;
@@ -76,7 +87,7 @@
     if (this.mode === "probe") {
       return !this.isProbePaused;
     }
-    return this.mode === "replicate" &&
+    return this.mode === "replicate" && this.entryTransmission === undefined &&
       this.#inFlight.length < this.#window.messages &&
       this.#inFlightSize < this.#window.size;
   }
@@ -96,6 +107,9 @@
   recordAccepted(index: number): void {
     this.match = Math.max(this.match, index);
     this.next = Math.max(this.next, this.match + 1);
+    if ((this.entryTransmission?.index ?? Infinity) <= this.match) {
+      this.entryTransmission = undefined;
+    }
     this.isProbePaused = false;
     if (this.mode === "probe") {
       this.mode = "replicate";
@@ -110,6 +124,7 @@
     this.isVerificationDue = false;
     this.next = Math.max(next, this.match + 1);
     this.transmission = undefined;
+    this.entryTransmission = undefined;
     this.#inFlight = [];
     this.#inFlightSize = 0;
   }
@@ -125,10 +140,21 @@
     };
   }
 
-  /** Marks an unanswered snapshot chunk to be sent again if it was sent at or before a time. */
+  /** Starts to send the next entry in chunks. */
+  startEntry(): void {
+    this.entryTransmission = {
+      index: this.next,
+      offset: 0,
+      sentAt: Number.NEGATIVE_INFINITY,
+    };
+  }
+
+  /** Marks an unanswered chunk to be sent again if it was sent at or before a time. */
   retryChunk(sentBy: number): void {
-    if (this.transmission !== undefined && this.transmission.sentAt <= sentBy) {
-      this.transmission.sentAt = Number.NEGATIVE_INFINITY;
+    for (const sent of [this.transmission, this.entryTransmission]) {
+      if (sent !== undefined && sent.sentAt <= sentBy) {
+        sent.sentAt = Number.NEGATIVE_INFINITY;
+      }
     }
   }
 
--- a/packages/core/src/raft/receive.ts
+++ b/packages/core/src/raft/receive.ts
@@ -10,9 +10,15 @@
   handleVoteAnswer,
   startElection,
 } from "./election.ts";
-import { handleAppend, handleHeartbeat, handleSnapshot } from "./follower.ts";
+import {
+  handleAppend,
+  handleEntryChunk,
+  handleHeartbeat,
+  handleSnapshot,
+} from "./follower.ts";
 import {
   handleAppendAnswer,
+  handleEntryChunkAnswer,
   handleHeartbeatAnswer,
   handleSnapshotAnswer,
 } from "./leader.ts";
@@ -57,7 +63,7 @@
 
 function isFromLeader(message: RaftMessage): boolean {
   return message.kind === "append" || message.kind === "heartbeat" ||
-    message.kind === "snapshot";
+    message.kind === "snapshot" || message.kind === "entry_chunk";
 }
 
 /** Answers a deposed leader or a pre-candidate of an old term with the current term. */
@@ -87,6 +93,10 @@
       return handleAppend(replica, message);
     case "append_answer":
       return handleAppendAnswer(replica, message);
+    case "entry_chunk":
+      return handleEntryChunk(replica, message);
+    case "entry_chunk_answer":
+      return handleEntryChunkAnswer(replica, message);
     case "heartbeat":
       return handleHeartbeat(replica, message);
     case "heartbeat_answer":
--- a/packages/core/src/raft/replica.ts
+++ b/packages/core/src/raft/replica.ts
@@ -30,8 +30,10 @@
   window: SendWindow;
   /** Limit on the size of the entries in one append; a larger entry is sent alone. */
   maxAppendSize: number;
-  /** Length of a snapshot chunk. */
-  snapshotChunkLength: number;
+  /** Size of an entry above which it is sent in chunks. */
+  maxEntrySize: number;
+  /** Length of a chunk of a snapshot or an entry. */
+  chunkLength: number;
 }
 
 export const DEFAULT_TUNING: RaftTuning = {
@@ -44,7 +46,8 @@
   maxBacklogSize: 4_194_304,
   window: { messages: 64, size: 1_048_576 },
   maxAppendSize: 65_536,
-  snapshotChunkLength: 65_536, // keeps a message below 256 KB as UTF-8 in JSON
+  maxEntrySize: 1_048_576,
+  chunkLength: 65_536, // keeps a message below 256 KB as UTF-8 in JSON
 };
 
 export type RaftRole = "follower" | "pre_candidate" | "candidate" | "leader";
@@ -72,6 +75,15 @@
   offset: number;
 }
 
+/** An entry of which some chunks have arrived. */
+export interface PartialEntry {
+  index: number;
+  /** Term of the entry; entries of one index and term are equal, whoever sends them. */
+  term: number;
+  chunks: string[];
+  offset: number;
+}
+
 /** Output that the driver has not taken yet. */
 export interface Outbox {
   messages: RaftMessage[];
@@ -122,6 +134,7 @@
   /** Last index that was put into an output to be applied. */
   applied: number;
   partialSnapshot: PartialSnapshot | undefined;
+  partialEntry: PartialEntry | undefined;
   outbox: Outbox;
   pendingWrites: PendingWrite[];
   /** Number of outputs taken. */
--- a/packages/core/src/raft/replication.ts
+++ b/packages/core/src/raft/replication.ts
@@ -31,8 +31,13 @@
     return;
   }
   while (progress.canSendAppend && progress.next <= log.last.index) {
-    sendAppend(replica, progress);
+    if (progress.mode === "replicate" && isOversize(replica, progress.next)) {
+      progress.startEntry();
+    } else {
+      sendAppend(replica, progress);
+    }
   }
+  sendEntryChunk(replica, progress);
   // A verification is sent even if the window is full: nothing else detects that all appends in it were lost.
   if (
     progress.isVerificationDue ||
@@ -59,7 +64,8 @@
   const previousIndex = progress.next - 1;
   const previousTerm = log.termAt(previousIndex) ?? 0;
   const { maxAppendSize } = replica.tuning;
-  const entries = progress.canSendAppend
+  // An append without entries shows whether the logs match before an oversize entry.
+  const entries = progress.canSendAppend && !isOversize(replica, progress.next)
     ? log.batch(progress.next, maxAppendSize)
     : [];
   send(replica, {
@@ -79,6 +85,41 @@
   }
 }
 
+/** Whether the entry at an index is a command that is sent in chunks. */
+function isOversize({ log, tuning }: Replica, index: number): boolean {
+  const entry = log.at(index);
+  return entry?.kind === "command" && sizeOf(entry) > tuning.maxEntrySize;
+}
+
+/** Sends the chunk of an oversize entry that the follower needs next; again if no answer comes before a heartbeat's. */
+function sendEntryChunk(replica: Replica, progress: Progress): void {
+  const { log, tuning, now } = replica;
+  const transmission = progress.entryTransmission;
+  const entry = transmission && log.at(transmission.index);
+  if (
+    transmission === undefined || entry?.kind !== "command" ||
+    now - transmission.sentAt < tuning.electionMs
+  ) {
+    return;
+  }
+  const { index, term, data } = entry;
+  const { offset } = transmission;
+  const end = Math.min(data.length, offset + tuning.chunkLength);
+  send(replica, {
+    kind: "entry_chunk",
+    ...envelope(replica, progress.replica),
+    previousIndex: index - 1,
+    previousTerm: log.termAt(index - 1) ?? 0,
+    entry: { index, term },
+    offset,
+    chunk: data.slice(offset, end),
+    last: end === data.length,
+    commit: replica.commit,
+  });
+  transmission.sentAt = now;
+  progress.sentAt = now;
+}
+
 /** Sends the chunk that the follower needs next, and again if no answer came within the election timeout. */
 function sendChunk(replica: Replica, progress: Progress): void {
   const transmission = progress.transmission!;
@@ -88,8 +129,8 @@
   }
   const { snapshot, offset } = transmission;
   const { data, index, term, membership } = snapshot;
-  const { snapshotChunkLength } = replica.tuning;
-  const end = Math.min(data.length, offset + snapshotChunkLength);
+  const { chunkLength } = replica.tuning;
+  const end = Math.min(data.length, offset + chunkLength);
   send(replica, {
     kind: "snapshot",
     ...envelope(replica, progress.replica),
--- a/packages/core/test/raft_node.ts
+++ b/packages/core/test/raft_node.ts
@@ -29,7 +29,8 @@
   trailingEntries: 2,
   window: { messages: 3, size: 1_000 },
   maxAppendSize: 100,
-  snapshotChunkLength: 24,
+  maxEntrySize: 67,
+  chunkLength: 24,
 };
 
 /** What all replicas of a simulated group share. */
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -296,6 +296,61 @@
   });
 });
 
+// Guards against a group that is stuck for good: an earlier version stored entries that no link carries as a whole.
+describe("entries that are too large for a message", () => {
+  const tuning = { maxEntrySize: 1_000, chunkLength: 100 };
+  const large = (name: string): string => name.repeat(1_500);
+
+  function committed(group: Group): unknown[] {
+    ["a", large("b"), "c", large("d"), "e"].forEach((data) =>
+      group.propose("e1", data)
+    );
+    group.advance(6_000);
+    return ["e1", "e2", "e3"].map((name) =>
+      group.node(name).applied.map((data) => data[0])
+    );
+  }
+
+  const ALL = ["a", "b", "c", "d", "e"];
+
+  test("are sent in chunks, each after the answer to the one before", () => {
+    const group = Group.of(THREE, tuning);
+    expect(committed(group)).toEqual([ALL, ALL, ALL]);
+    const sent = group.sent.flatMap((message) => {
+      switch (message.kind) {
+        case "append":
+          return message.entries.map((entry) =>
+            entry.kind === "command" ? entry.data.length : 0
+          );
+        case "entry_chunk":
+          return message.chunk.length;
+        default:
+          return [];
+      }
+    });
+    expect(Math.max(...sent)).toBe(100);
+    expect(group.node("e3").applied[1]).toBe(large("b"));
+  });
+
+  test("arrive although chunks and answers are lost", () => {
+    const group = Group.of(THREE, tuning);
+    let messages = 0;
+    group.isLost = ({ kind }) =>
+      kind.startsWith("entry_chunk") && ++messages % 7 === 0;
+    expect(committed(group)).toEqual([ALL, ALL, ALL]);
+  });
+
+  test("bring a replica up to date that returns behind them", () => {
+    const group = Group.of(THREE, tuning);
+    isolate(group, "e3");
+    ["a", large("b"), "c"].forEach((data) => group.propose("e1", data));
+    group.advance(3_000);
+    group.isLost = () => false;
+    group.advance(3_000);
+    expect(group.node("e3").applied).toEqual(["a", large("b"), "c"]);
+  });
+});
+
 describe("snapshots", () => {
   const tuning = { trailingEntries: 4 };
 
--- a/packages/daemon/src/consensus/raft_driver.ts
+++ b/packages/daemon/src/consensus/raft_driver.ts
@@ -5,6 +5,7 @@
  */
 import {
   bootstrapState,
+  entrySizeOf,
   Err,
   type Fault,
   fault,
@@ -523,6 +524,7 @@
       electionMs: settings.raft.electionMinMs,
       leaseMs: leaseMsOf(settings),
       maxLogEntries: settings.raft.snapshotEveryEntries,
+      maxEntrySize: entrySizeOf(settings.link.maxMessageBytes),
     },
   }, clock.monotonic());
 }
