Workers: a limited number of starts waits for the answer of one worker

Cause: a pass places all tasks that fit, and all their starts were sent at once. A worker that doesn't answer 640 of them within 300 ms gets them again, with new ones beside them. The log tells it from the other ways: all but one of 22,716 had no_answer. Ruled out: changes of leader, of which there were none any more.

A worker has at most 32 starts to answer; the others follow its answers.

--- a/packages/core/src/scheduling/workers/worker_orders.ts
+++ b/packages/core/src/scheduling/workers/worker_orders.ts
@@ -187,10 +187,13 @@
     return unsent.map(({ run }) => keyOf(run));
   }
 
-  /** Returns the runs whose start is due and marks them as being started. */
-  takeStarts(now: number): RunRecord[] {
+  /** Returns up to `count` runs whose start is due and marks them as being started. */
+  takeStarts(now: number, count = Infinity): RunRecord[] {
     const due: RunRecord[] = [];
     for (const order of this.#unsent) {
+      if (due.length >= count) {
+        break;
+      }
       const { phase } = order;
       if (phase.kind === "start_due" && phase.at <= now) {
         const { inDoubt } = phase;
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -60,9 +60,16 @@
 /** How long a worker without the free resources that the job store expects gets no new runs; a renewal corrects that. */
 const NO_ROOM_PAUSE_MS = 200;
 
+/** Most starts that wait for the answer of one worker; what it cannot answer in time is sent again, and adds to its load. */
+const MAX_UNANSWERED_STARTS = 32;
+
 export class OrderSender {
   readonly #parts: OrderSenderParts;
   readonly #orders: WorkerOrders;
+  /** Number of starts that wait for their answer. */
+  #unansweredStarts = 0;
+  /** Whether starts may be due that were held back for this limit. */
+  #hasHeldStarts = false;
   #pausedUntil = -Infinity;
   #stopped = false;
   #isSuperseded = false;
@@ -127,9 +134,10 @@
       void this.#sendStop(run);
     }
     if (isVerified()) {
-      for (const run of this.#orders.takeStarts(now)) {
-        void this.#sendStart(run);
-      }
+      const count = MAX_UNANSWERED_STARTS - this.#unansweredStarts;
+      const starts = this.#orders.takeStarts(now, count);
+      this.#hasHeldStarts = starts.length >= count;
+      starts.forEach((run) => void this.#sendStart(run));
     }
   }
 
@@ -185,6 +193,7 @@
       return;
     }
     unansweredStarts.recordSent(run, sentAt);
+    this.#unansweredStarts += 1;
     const reply = await client.start(this.#parts.worker(), {
       task: run.task,
       run: run.run,
@@ -194,6 +203,7 @@
       checkpoint: jobStore.checkpointOf(run),
       permit: this.#permitOf(run),
     });
+    this.#unansweredStarts -= 1;
     if (this.#isSuperseded) {
       return;
     }
@@ -213,6 +223,9 @@
     if (answer !== "started") {
       this.#handleRefusal(run, { answer, refusedCopy }, now);
     }
+    if (this.#hasHeldStarts) {
+      this.sendDue();
+    }
     if (refused !== undefined) {
       await runEndBatcher.add([], [refused]);
       this.#parts.onChange();
