Jobs: one that no VM of the fleet can ever run is refused at once

Cause: a submission was not compared with the fleet.

The leader knows the platform's list of VMs, whatever their state and pool, and the workers. A job with a task that is larger than all VMs that this leader has known, or needs a label that none of them has, is refused with 422, and the answer names what no VM has. A leader that has not read the list, or that cannot read a record of it, refuses none.

Test: leadership_term_test.ts, two.

--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -19,6 +19,7 @@
   stale_version: 409,
   too_large: 413,
   key_reused: 422,
+  unplaceable: 422,
   fenced: 409,
   over_quota: 429,
   overloaded: 503,
--- a/packages/core/src/scheduling/admission/mod.ts
+++ b/packages/core/src/scheduling/admission/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./customer_admission.ts";
 export * from "./memory_limit.ts";
+export * from "./placeable.ts";
 export * from "./pool_backlog.ts";
 export * from "./recent_submissions.ts";
 export * from "./refusal_cache.ts";
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -3,10 +3,12 @@
  *
  * @module
  */
+import type { Fault, Result } from "@quetzalcove/core";
 import {
   allocateCores,
   anticipate,
   type ArrivalRates,
+  type BatchJobSpec,
   type BusyVm,
   chooseMoves,
   chooseReclaims,
@@ -89,6 +91,11 @@
     return this.#parts.consensus.state;
   }
 
+  /** Refuses a job with tasks that no VM of the fleet can run. */
+  checkPlaceable(spec: BatchJobSpec): Result<void, Fault> {
+    return this.#vms.checkPlaceable(spec);
+  }
+
   stop(): void {
     this.#vms.stop();
   }
--- a/packages/daemon/src/scheduler/leader_controller.ts
+++ b/packages/daemon/src/scheduler/leader_controller.ts
@@ -47,7 +47,7 @@
 
   /** Accepts or refuses a submission; all are accepted until the term has started. */
   accept(job: SubmittedJob): Result<void, Fault> {
-    return this.#activeTerm?.admission.accept(job) ?? Ok.EMPTY;
+    return this.#activeTerm?.accept(job) ?? Ok.EMPTY;
   }
 
   /** Status of the customers; empty on a node that does not lead. */
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -13,6 +13,7 @@
   WorkerSpeed,
   WorkEstimate,
 } from "@quetzalcove/core/scheduling";
+import { type Fault, Ok, type Result } from "@quetzalcove/core";
 import { type Component, ticker } from "../lifecycle.ts";
 import { AdmissionController } from "./admission_controller.ts";
 import { BACKLOG_LOG_INTERVAL_MS, logBacklogs } from "./backlog_log.ts";
@@ -198,6 +199,18 @@
     }
   }
 
+  /** Accepts or refuses a submission that is not stored. */
+  accept(job: SubmittedJob): Result<void, Fault> {
+    const { log } = this.#parts;
+    const placeable = this.#fleet?.checkPlaceable(job.spec) ?? Ok.EMPTY;
+    if (placeable.err) {
+      const reason = placeable.val.message;
+      log.info("job.refused", { job: job.id, queue: job.queue, reason });
+      return placeable;
+    }
+    return this.admission.accept(job);
+  }
+
   /** Records that a job was accepted. */
   recordArrival(job: SubmittedJob): void {
     const record = this.#jobStore.jobs.get(job.id);
--- a/packages/daemon/src/scheduler/platform_clients.ts
+++ b/packages/daemon/src/scheduler/platform_clients.ts
@@ -6,6 +6,7 @@
 import type {
   Listing,
   StartAnswer,
+  VmShape,
   Worker,
 } from "@quetzalcove/core/scheduling";
 
@@ -103,6 +104,8 @@
   /** `unknown` if its record cannot be read; then only its name is known. */
   state: "up" | "moving" | "upkeep" | "down" | "unknown";
   cores: number;
+  /** Undefined if its record cannot be read. */
+  shape: VmShape | undefined;
   /** Worker on the VM; empty if there is none, undefined if the platform does not say. */
   worker: string | undefined;
 }
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -3,9 +3,12 @@
  *
  * @module
  */
+import { type Fault, Ok, type Result } from "@quetzalcove/core";
 import {
+  type BatchJobSpec,
   isLaterLife,
   type JobStore,
+  VmShapes,
   type Worker,
 } from "@quetzalcove/core/scheduling";
 import type { Clock } from "../clock.ts";
@@ -72,6 +75,10 @@
   readonly #orders: VmOrders;
   #listed = new Map<string, ListedVm>();
   #listedAt = -Infinity;
+  /** Shapes of all VMs that this leader has known. */
+  readonly #shapes = new VmShapes();
+  /** Whether the list has VMs whose shape is not known. */
+  #hasUnknownShapes = false;
   #unnamedRecords = 0;
   #isRefreshing = false;
   readonly #absences = new Map<string, Absence>();
@@ -107,6 +114,22 @@
       !this.#listed.has(vm);
   }
 
+  /** Refuses a job with tasks that no VM or worker can run of which this leader has known; if in doubt, none. */
+  checkPlaceable(spec: BatchJobSpec): Result<void, Fault> {
+    if (!this.isLoaded || this.#hasUnknownShapes) {
+      return Ok.EMPTY;
+    }
+    const listed = this.#shapes.check(spec);
+    if (listed.ok) {
+      return listed;
+    }
+    // A worker may have reported a VM that is not in the list yet.
+    for (const { capacity, labels } of this.#jobStore.workers.values()) {
+      this.#shapes.add({ capacity, labels });
+    }
+    return this.#shapes.check(spec);
+  }
+
   /** Number of moves that may still be carried out. */
   get pendingMoves(): number {
     return this.#orders.pendingMoves;
@@ -291,6 +314,9 @@
     }
     this.#listed = new Map(list.vms.map((vm) => [vm.vm, vm]));
     this.#unnamedRecords = list.unnamedRecords;
+    this.#hasUnknownShapes = list.unnamedRecords > 0 ||
+      list.vms.some(({ shape }) => shape === undefined);
+    list.vms.forEach(({ shape }) => shape && this.#shapes.add(shape));
     this.#listedAt = sentAt;
     this.#removeEndedWorkers(sentAt);
     onChange();
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -3,6 +3,7 @@
   JobStore,
   JobStoreCommand,
   JobStoreOutput,
+  StepSpec,
 } from "@quetzalcove/core/scheduling";
 import {
   end,
@@ -22,7 +23,10 @@
   submitFor,
 } from "../../core/test/scheduling_customers_fixture.ts";
 import type { LogFields } from "../src/observe/log.ts";
-import type { WorkerClient } from "../src/scheduler/platform_clients.ts";
+import type {
+  ListedVm,
+  WorkerClient,
+} from "../src/scheduler/platform_clients.ts";
 import { LeadershipTerm } from "../src/scheduler/leadership_term.ts";
 import { MaintenanceController } from "../src/scheduler/maintenance_controller.ts";
 import {
@@ -315,3 +319,88 @@
     await term.stop();
   });
 });
+
+// Guards against jobs that no VM can ever run, and that take room from others for ever.
+describe("a submission with tasks that no VM of the fleet can run", () => {
+  const SHAPE = {
+    capacity: { cpuMilli: 8_000, memoryMb: 4_000, gpus: 0 },
+    labels: ["a", "r1"],
+  };
+  const VM: ListedVm = {
+    vm: "vm-1",
+    pool: "intake",
+    state: "down",
+    cores: 8,
+    shape: SHAPE,
+    worker: undefined,
+  };
+
+  /** Answers to submissions whose tasks need so many millicores, or a label, of a term with a list of VMs. */
+  async function answersWith(vms: ListedVm[]): Promise<unknown[]> {
+    const term = new LeadershipTerm(termParts({
+      consensus: consensusOf(newJobStore([worker("w1")])),
+      client: idleWorkers(),
+      vmClient: {
+        list: () => Promise.resolve({ vms, unnamedRecords: 0 }),
+        move: notExpected,
+        maintain: notExpected,
+      },
+    }));
+    const accept = (changes: Partial<StepSpec>): unknown => {
+      const accepted = term.accept({
+        id: "j",
+        queue: "reports",
+        pool: "intake",
+        spec: spec(step(), step(changes)),
+      });
+      return accepted.err ? accepted.val : "accepted";
+    };
+    const large = {
+      demand: { cpuMilli: 8_001, memoryMb: 100, gpus: 0 },
+      taskCount: 249_998,
+    };
+    const beforeFirstList = accept(large);
+    await term.start();
+    await vi.advanceTimersByTimeAsync(1_000);
+    const answers = [
+      beforeFirstList,
+      accept({ demand: SHAPE.capacity }),
+      accept(large),
+      accept({ requiredLabel: "b" }),
+      accept({ ...large, fills: true }),
+    ];
+    await term.stop();
+    return answers;
+  }
+
+  it("is refused for good, with what it asks for", async () => {
+    expect(await answersWith([VM])).toMatchInlineSnapshot(`
+      [
+        "accepted",
+        "accepted",
+        {
+          "kind": "unplaceable",
+          "message": "No VM of the fleet has 8001 millicores, 100 MB and 0 GPUs for one task",
+          "outcome": "not run",
+          "path": "steps[1]",
+          "remedy": "Submit smaller tasks, or again when the fleet has such a VM",
+        },
+        {
+          "kind": "unplaceable",
+          "message": "No VM of the fleet has 1000 millicores, 100 MB and 0 GPUs for one task and the label "b"",
+          "outcome": "not run",
+          "path": "steps[1]",
+          "remedy": "Submit smaller tasks, or again when the fleet has such a VM",
+        },
+        "accepted",
+      ]
+    `);
+  });
+
+  it("is accepted while a VM is listed of which nothing is known", async () => {
+    const unknown: ListedVm = { ...VM, vm: "vm-2", shape: undefined };
+    expect(await answersWith([VM, unknown])).toEqual(
+      Array.from({ length: 5 }, () => "accepted"),
+    );
+  });
+});
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -112,6 +112,7 @@
               pool: "intake",
               state: "up" as const,
               cores: 4,
+              shape: undefined,
               worker: undefined,
             })),
             unnamedRecords: this.unnamedRecords,
--- a/packages/daemon/test/vm_directory_test.ts
+++ b/packages/daemon/test/vm_directory_test.ts
@@ -84,6 +84,7 @@
       pool: "intake",
       state: "up",
       cores: 4,
+      shape: undefined,
       worker: undefined,
       ...changes,
     } as const;
@@ -101,7 +102,14 @@
   #listedVm(): ListedVm {
     const shown = this.#history.filter(({ from }) => from <= Date.now()).at(-1);
     return shown?.vm ??
-      { vm: VM, pool: "", state: "down", cores: 0, worker: undefined };
+      {
+        vm: VM,
+        pool: "",
+        state: "down",
+        cores: 0,
+        shape: undefined,
+        worker: undefined,
+      };
   }
 
   /** Orders an action, and returns the time in milliseconds for which the VM is absent; Infinity if over 10 s. */
