Jobs: the operators' limit on the size of a request holds for submissions

Cause: only the entries' own limit was checked (limits.maxBodyBytes, 1 MB); the one of the configuration was read by nothing.

An entry of an earlier version tells no size, and a plan that was stored by one has no limit.

Test: leader_api_test.ts, one.

--- a/packages/core/src/scheduling/model/queue_plan.ts
+++ b/packages/core/src/scheduling/model/queue_plan.ts
@@ -63,6 +63,8 @@
   pools: z.array(PoolPlan),
   /** Empty if callers are not told apart. */
   customers: z.array(Customer).default([]),
+  /** Largest body of a submission, in bytes; undefined if the operators set none. */
+  maxBodyBytes: z.number().int().positive().optional(),
   /** The document as the operator sent it, returned unchanged. */
   source: z.string(),
 });
--- a/packages/daemon/src/scheduler/leader_api.ts
+++ b/packages/daemon/src/scheduler/leader_api.ts
@@ -146,7 +146,7 @@
   }
 
   async #submit(
-    { spec, ...call }: Params<"submit_job">,
+    { spec, bodyBytes = 0, ...call }: Params<"submit_job">,
   ): Promise<Result<unknown, Fault>> {
     const { consensus, log } = this.#parts;
     const admitted = this.#admit(call);
@@ -154,7 +154,10 @@
       return admitted;
     }
     const { queue, rest: id, access } = admitted.val;
-    const plan = consensus.state.plan.version;
+    const { version: plan, maxBodyBytes = Infinity } = consensus.state.plan;
+    if (bodyBytes > maxBodyBytes) {
+      return Err(bodyLimitFault(bodyBytes, maxBodyBytes));
+    }
     if (!JOB_ID_PATTERN.test(id) || hasForwardDependency(spec)) {
       return Err(
         fault("invalid", `Job "${id}" of queue "${queue.name}" is malformed`, {
@@ -437,6 +440,14 @@
   }
 }
 
+function bodyLimitFault(bodyBytes: number, maxBodyBytes: number): Fault {
+  return fault(
+    "too_large",
+    `Body has ${bodyBytes} bytes; the operators' plan allows ${maxBodyBytes}`,
+    { outcome: "not run" },
+  );
+}
+
 function noPlanFault(): Fault {
   return fault("overloaded", "No plan of queues was received yet", {
     outcome: "not run",
--- a/packages/daemon/src/scheduler/methods.ts
+++ b/packages/daemon/src/scheduler/methods.ts
@@ -23,7 +23,11 @@
 
 /** Schemas of the parameters, by method. */
 export const METHOD_PARAMS = {
-  submit_job: CustomerCall.extend({ spec: BatchJobSpec }),
+  submit_job: CustomerCall.extend({
+    spec: BatchJobSpec,
+    /** Size of the customer's request; undefined from entries of an earlier version. */
+    bodyBytes: z.number().int().nonnegative().optional(),
+  }),
   /** The state of a job, or the number of pending jobs of its queue. */
   read_queue: CustomerCall,
   cancel_job: CustomerCall,
--- a/packages/daemon/test/leader_api_test.ts
+++ b/packages/daemon/test/leader_api_test.ts
@@ -240,6 +240,35 @@
   });
 });
 
+// Guards against bodies that are accepted although the operators allow only smaller ones.
+it("a submission with a larger body than the plan allows is refused as not run", async () => {
+  const jobStore = newJobStore([]);
+  const leaderApi = leaderApiOf({ consensus: consensusOf(jobStore) });
+  const submitWith = async (bodyBytes: number): Promise<unknown> => {
+    const submitted = await leaderApi.handlers().get("submit_job")?.({
+      host: "reports.example",
+      path: `/reports/${bodyBytes}`,
+      spec: spec(step()),
+      bodyBytes,
+    });
+    return submitted?.err ? submitted.val : "accepted";
+  };
+  expect(await submitWith(900_000)).toBe("accepted");
+  const { plan } = jobStore;
+  jobStore.apply({
+    kind: "plan",
+    plan: { ...plan, version: 2, maxBodyBytes: 1_000 },
+  });
+  expect(await submitWith(1_000)).toBe("accepted");
+  expect(await submitWith(1_001)).toMatchInlineSnapshot(`
+    {
+      "kind": "too_large",
+      "message": "Body has 1001 bytes; the operators' plan allows 1000",
+      "outcome": "not run",
+    }
+  `);
+});
+
 // Guards against submissions that wait for one confirmation of the leader and then fill one log entry together.
 it("large submissions of one turn get log entries of their own", async () => {
   const jobStore = newJobStore([]);
