Jobs: their limit follows from the disk too, and runs have one of their own

The size of the disk comes with the settings (limits.diskMb); the lower limit holds. Active runs may take a quarter beyond the limit, and 1,000 are always allowed, so that jobs which fill the memory are worked off. What jobs take, and the limit, are metrics, and the limit is logged at the start.

--- a/packages/core/src/scheduling/admission/memory_limit.ts
+++ b/packages/core/src/scheduling/admission/memory_limit.ts
@@ -11,6 +11,7 @@
  */
 import { type Fault, fault } from "../../fault.ts";
 import { Err, Ok, type Result } from "../../result.ts";
+import { RUN_BYTES, TASK_BYTES } from "../model/memory_size.ts";
 
 /** Memory of a replica for jobs, in bytes. */
 export interface MemoryState {
@@ -31,8 +32,34 @@
 /** Largest job, as a share of the limit. */
 const MAX_JOB_SHARE = 1 / (4 * HEADROOM);
 
+/** What runs may take beyond the limit, as a share of it. */
+const RUN_SHARE = 0.25;
+
+/** Number of active runs that is always allowed, so that jobs which fill the memory are worked off. */
+const MIN_ACTIVE_RUNS = 1_000;
+
 const BYTES_PER_KB = 1_000;
 
+/** Copies of the jobs' size on a disk: two snapshots, and the log between them, of which there may be two. */
+const DISK_COPIES = 2.5;
+
+/** What else is on a disk, in bytes. */
+const DISK_BASE_BYTES = 16_000_000;
+
+/** What jobs may take in a replica with a heap and, if its size is known, a disk; all in bytes. */
+export function jobLimitBytes(
+  { heapBytes, heapShare, diskBytes }: {
+    heapBytes: number;
+    heapShare: number;
+    diskBytes: number | undefined;
+  },
+): number {
+  const onDisk = diskBytes === undefined
+    ? Infinity
+    : Math.max(0, diskBytes - DISK_BASE_BYTES) / DISK_COPIES;
+  return Math.min(heapBytes * heapShare, onDisk);
+}
+
 /** Size of the largest job that is accepted, in bytes. */
 export function maxJobBytes(limit: number): number {
   return limit * MAX_JOB_SHARE;
@@ -52,6 +79,21 @@
   return Math.max(0, shortfall, ownShortfall);
 }
 
+/** Number of runs that may be placed beside those that are active. */
+export function runsLeft(
+  { limit, held }: Pick<MemoryState, "limit" | "held">,
+  activeRuns: number,
+): number {
+  const freeBytes = limit * (1 + RUN_SHARE) - held;
+  return Math.floor(
+    Math.max(
+      0,
+      MIN_ACTIVE_RUNS - activeRuns,
+      freeBytes / (TASK_BYTES + RUN_BYTES),
+    ),
+  );
+}
+
 /** Refuses a job that is larger than any may be. */
 export function checkJobSize(
   bytes: number,
--- a/packages/core/src/scheduling/model/memory_size.ts
+++ b/packages/core/src/scheduling/model/memory_size.ts
@@ -1,5 +1,6 @@
 /**
- * Estimated sizes in memory of what a replica holds, in bytes. Measured on Node.js 20 with `npm run bench -- job-memory`.
+ * Estimated sizes of what a replica holds, in bytes: in memory, as measured with Node.js 20 (`npm run bench -- job-memory`),
+ * or in a snapshot, if that is more.
  *
  * @module
  */
@@ -26,15 +27,23 @@
 /** A job whose outcome is kept. */
 export const ENDED_JOB_BYTES = 500;
 
+/** Largest code of an ASCII character. */
+const MAX_ASCII = 0x7f;
+
 /** An element of a list of numbers. */
 const NUMBER_BYTES = 8;
 
-/** Strings with other characters than those of Latin-1 take two bytes for each UTF-16 code unit. */
-// deno-lint-ignore no-control-regex -- The range of Latin-1 begins with control characters.
-const WIDE_CHARACTER = /[^\x00-\xff]/;
+/** What a character beyond ASCII takes more than one in a snapshot, where it is escaped. */
+const ESCAPE_BYTES = 5;
 
+/** Size of a text in a snapshot; in memory it takes less. */
 export function textBytes(text: string): number {
-  return WIDE_CHARACTER.test(text) ? 2 * text.length : text.length;
+  const quoted = JSON.stringify(text);
+  let bytes = quoted.length - 2;
+  for (let i = 0; i < quoted.length; i++) {
+    bytes += quoted.charCodeAt(i) > MAX_ASCII ? ESCAPE_BYTES : 0;
+  }
+  return bytes;
 }
 
 /** Size of an open job without its rounds. */
@@ -47,7 +56,7 @@
 
 /** Size of a round of a job in which no task has run. */
 export function roundBytes({ steps }: BatchJobSpec): number {
-  return steps.length * ROUND_STEP_BYTES;
+  return steps.length * (ROUND_STEP_BYTES + RANGE_BYTES);
 }
 
 /** Size of a job when it is accepted. */
--- a/packages/core/src/scheduling/model/scheduler_settings.ts
+++ b/packages/core/src/scheduling/model/scheduler_settings.ts
@@ -117,6 +117,9 @@
     "How long an idle connection of a caller stays open.",
   ),
   maxConnections: Count.default(2_000).describe("Connections of callers."),
+  diskMb: z.number().nonnegative().nullable().default(null).describe(
+    "Size of the disk with the data folder in MB, from the platform; 0 or null if it is not known.",
+  ),
   jobHeapShare: z.number().positive().max(0.5).default(0.2).describe(
     "Share of a replica's heap that jobs may take; loading, snapshots and the leader's own records need the rest.",
   ),
--- a/packages/daemon/src/scheduler/memory_admission.ts
+++ b/packages/daemon/src/scheduler/memory_admission.ts
@@ -14,6 +14,7 @@
   noMemoryFault,
   RefusalCounts,
   ReleaseForecast,
+  runsLeft,
   submissionBytes,
   type SubmittedJob,
 } from "@quetzalcove/core/scheduling";
@@ -80,6 +81,13 @@
     return missingBytes(bytes, this.#stateFor(owner)) === 0;
   }
 
+  /** Number of runs that may be placed beside those that are active. */
+  get runsLeft(): number {
+    const { memory, activeRuns } = this.#parts.consensus.state;
+    const { limitBytes: limit } = this.#parts;
+    return runsLeft({ limit, held: memory.total }, activeRuns);
+  }
+
   /** Counts a job that is being stored until the returned function is called. */
   reserve(job: SubmittedJob): () => void {
     const bytes = submissionBytes(job.spec);
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -13,12 +13,13 @@
   RaftMessage,
   type Result,
 } from "@quetzalcove/core";
-import type {
-  JobRecord,
-  JobStore,
-  JobStoreCommand,
-  JobStoreOutput,
-  RelayCandidate,
+import {
+  jobLimitBytes,
+  type JobRecord,
+  type JobStore,
+  type JobStoreCommand,
+  type JobStoreOutput,
+  type RelayCandidate,
 } from "@quetzalcove/core/scheduling";
 import { type Clock, systemClock } from "../clock.ts";
 import { DynamicMembershipController } from "../consensus/dynamic_membership_controller.ts";
@@ -78,6 +79,8 @@
  */
 const RELAY_DELAY_SHARE = 0.5;
 
+const BYTES_PER_MB = 1_000_000;
+
 /** Below the second after which workers try another replica. */
 const REPORT_TIMEOUT_MS = 900;
 
@@ -372,12 +375,26 @@
       .filter((seed) => seed !== host);
   }
 
-  /** Limits jobs to their share of the heap that this process was given. */
+  /** Limits jobs to what fits into the heap and on the disk that this process was given. */
   #createMemoryAdmission(replica: JobReplica): MemoryAdmission {
     const { settings, log } = this.#parts;
+    const { jobHeapShare, diskMb } = settings.limits;
     const heapBytes = getHeapStatistics().heap_size_limit;
-    const limitBytes = heapBytes * settings.limits.jobHeapShare;
-    log.info("memory.limit", { heapBytes, jobs: Math.round(limitBytes) });
+    const limitBytes = jobLimitBytes({
+      heapBytes,
+      heapShare: jobHeapShare,
+      diskBytes: diskMb ? diskMb * BYTES_PER_MB : undefined,
+    });
+    log.info("memory.limit", {
+      heapBytes,
+      diskMb: diskMb ?? 0,
+      jobBytes: Math.round(limitBytes),
+    });
+    this.metrics.gauge(
+      "quetzalcove_job_memory_bytes",
+      () => replica.state.memory.total,
+    );
+    this.metrics.gauge("quetzalcove_job_memory_limit_bytes", () => limitBytes);
     return new MemoryAdmission({
       consensus: replica,
       clock: this.#clock,
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -24,6 +24,7 @@
 import type { AdmissionController } from "./admission_controller.ts";
 import type { FleetController } from "./fleet_controller.ts";
 import type { JobConsensus } from "./job_state_machine.ts";
+import type { MemoryAdmission } from "./memory_admission.ts";
 import type { PermitCache } from "./permit_cache.ts";
 import { PlacementLog } from "./placement_log.ts";
 import type { WorkerSessions } from "./worker_sessions.ts";
@@ -42,6 +43,7 @@
   fleet: FleetController | undefined;
   /** Undefined if no advisor is configured. */
   permits: PermitCache | undefined;
+  memory: MemoryAdmission;
   /** Runs a synchronous function as part of an activity of the process. */
   measure: <T>(activity: string, run: () => T) => T;
   /** Called when placements were committed. */
@@ -135,7 +137,7 @@
       lookAhead: this.#looksAhead
         ? (input) => this.#lookAhead.begin(input, now)
         : undefined,
-      maxRuns: MAX_PASS_RUNS,
+      maxRuns: Math.min(MAX_PASS_RUNS, this.#parts.memory.runsLeft),
     }, wallNow);
     this.#log.logPlacements(placements, waits, wallNow);
     this.#log.logCustomerWaits(waits, now);
