Workers: the starts that wait for an answer are limited in bytes

Cause: each start of a task carries the text of its job. 32 starts to each of four workers are 50 MB in each direction of a link, in front of heartbeats; a replica that relays them spends 400 ms of each half second on them (relay_callsMs of the load line).

At most 2 MB of starts wait, of all workers; a larger one waits alone. The limit of 32 per worker stays.

Test: worker_session_test.ts, one; on the commit before, ten starts of 900,000 characters wait at once.

--- a/packages/core/src/scheduling/workers/mod.ts
+++ b/packages/core/src/scheduling/workers/mod.ts
@@ -8,6 +8,7 @@
 export * from "./relay_choice.ts";
 export * from "./report_order.ts";
 export * from "./run_survival.ts";
+export * from "./start_window.ts";
 export * from "./transit_delay.ts";
 export * from "./unanswered_starts.ts";
 export * from "./worker_health.ts";
--- a/packages/core/src/scheduling/workers/worker_orders.ts
+++ b/packages/core/src/scheduling/workers/worker_orders.ts
@@ -187,15 +187,18 @@
     return unsent.map(({ run }) => keyOf(run));
   }
 
-  /** Returns up to `count` runs whose start is due and marks them as being started. */
-  takeStarts(now: number, count = Infinity): RunRecord[] {
+  /** Returns the runs whose start is due, up to the first that may not be sent now, and marks them as being started. */
+  takeStarts(
+    now: number,
+    maySend: (run: RunRecord) => boolean = () => true,
+  ): RunRecord[] {
     const due: RunRecord[] = [];
     for (const order of this.#unsent) {
-      if (due.length >= count) {
-        break;
-      }
       const { phase } = order;
       if (phase.kind === "start_due" && phase.at <= now) {
+        if (!maySend(order.run)) {
+          break;
+        }
         const { inDoubt } = phase;
         this.#setPhase(order, { kind: "starting", inDoubt, sentAt: now });
         due.push(order.run);
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -38,6 +38,7 @@
     | "speed"
     | "permit"
     | "runEndBatcher"
+    | "startWindow"
     | "unansweredStarts"
   > {
   retentionMs: number;
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -32,6 +32,7 @@
     | "log"
     | "metrics"
     | "permit"
+    | "startWindow"
     | "unansweredStarts"
     | "isConfirmedLeader"
     | "onChange"
@@ -60,16 +61,12 @@
 /** How long a worker without the free resources that the job store expects gets no new runs; a renewal corrects that. */
 const NO_ROOM_PAUSE_MS = 200;
 
-/** Most starts that wait for the answer of one worker; what it cannot answer in time is sent again, and adds to its load. */
-const MAX_UNANSWERED_STARTS = 32;
+/** Size of a start without the text of its job and its checkpoint. */
+const START_BYTES = 512;
 
 export class OrderSender {
   readonly #parts: OrderSenderParts;
   readonly #orders: WorkerOrders;
-  /** Number of starts that wait for their answer. */
-  #unansweredStarts = 0;
-  /** Whether starts may be due that were held back for this limit. */
-  #hasHeldStarts = false;
   #pausedUntil = -Infinity;
   #stopped = false;
   #isSuperseded = false;
@@ -134,9 +131,11 @@
       void this.#sendStop(run);
     }
     if (isVerified()) {
-      const count = MAX_UNANSWERED_STARTS - this.#unansweredStarts;
-      const starts = this.#orders.takeStarts(now, count);
-      this.#hasHeldStarts = starts.length >= count;
+      const { startWindow } = this.#parts;
+      const starts = this.#orders.takeStarts(
+        now,
+        (run) => startWindow.tryOpen(run.worker, this.#sizeOf(run)),
+      );
       starts.forEach((run) => void this.#sendStart(run));
     }
   }
@@ -177,10 +176,18 @@
     return !covers(capacity, reserved);
   }
 
+  /** Size of the start of a run, in bytes. */
+  #sizeOf(run: RunRecord): number {
+    const { state } = this.#parts.consensus;
+    const { text = "" } = state.jobs.get(run.job)?.spec ?? {};
+    return START_BYTES + text.length + state.checkpointOf(run).length;
+  }
+
   async #sendStart(run: RunRecord): Promise<void> {
     const { client, consensus, clock, term, metrics, runEndBatcher } =
       this.#parts;
-    const { unansweredStarts } = this.#parts;
+    const { startWindow, unansweredStarts, onChange } = this.#parts;
+    const bytes = this.#sizeOf(run);
     const jobStore = consensus.state;
     const job = jobStore.jobs.get(run.job);
     const task = jobStore.taskOf(run);
@@ -190,10 +197,10 @@
     const leaseDeadlineMs = this.#parts.leaseDeadlineFor(sentAt);
     if (!isWanted || leaseDeadlineMs === undefined) {
       this.#orders.requestStop(run, sentAt);
+      startWindow.close(run.worker, bytes);
       return;
     }
     unansweredStarts.recordSent(run, sentAt);
-    this.#unansweredStarts += 1;
     const reply = await client.start(this.#parts.worker(), {
       task: run.task,
       run: run.run,
@@ -203,7 +210,7 @@
       checkpoint: jobStore.checkpointOf(run),
       permit: this.#permitOf(run),
     });
-    this.#unansweredStarts -= 1;
+    const wasFull = startWindow.close(run.worker, bytes);
     if (this.#isSuperseded) {
       return;
     }
@@ -223,12 +230,13 @@
     if (answer !== "started") {
       this.#handleRefusal(run, { answer, refusedCopy }, now);
     }
-    if (this.#hasHeldStarts) {
+    if (wasFull) {
       this.sendDue();
+      onChange();
     }
     if (refused !== undefined) {
       await runEndBatcher.add([], [refused]);
-      this.#parts.onChange();
+      onChange();
     }
   }
 
--- a/packages/daemon/src/scheduler/worker_session_parts.ts
+++ b/packages/daemon/src/scheduler/worker_session_parts.ts
@@ -5,6 +5,7 @@
  */
 import type {
   SchedulerSettings,
+  StartWindow,
   UnansweredStarts,
   WorkerHealth,
   WorkerSpeed,
@@ -44,6 +45,8 @@
   onChange: () => void;
   /** Starts of this leadership term that got no answer, of all workers and their lives. */
   unansweredStarts: UnansweredStarts;
+  /** Limits of the starts that wait for an answer, of all workers. */
+  startWindow: StartWindow;
   /** Called when a listing names the birth of a worker that had none, or that of a later life. */
   onBirth: (worker: string, bornAtMs: number) => void;
   /** Called when the worker certainly has no runs any more. */
--- a/packages/daemon/src/scheduler/worker_sessions.ts
+++ b/packages/daemon/src/scheduler/worker_sessions.ts
@@ -7,6 +7,7 @@
   isLaterLife,
   type JobStore,
   LONGEST_ORDER_DELAY_MS,
+  StartWindow,
   UnansweredStarts,
   type Worker,
 } from "@quetzalcove/core/scheduling";
@@ -21,7 +22,7 @@
 export interface WorkerSessionsParts extends
   Omit<
     WorkerSessionParts,
-    "onBirth" | "onLost" | "runEndBatcher" | "unansweredStarts"
+    "onBirth" | "onLost" | "runEndBatcher" | "startWindow" | "unansweredStarts"
   > {
   /** Whether a worker must get no new runs because its VM is about to be moved or taken down. */
   isCordoned: (worker: Worker) => boolean;
@@ -43,6 +44,7 @@
   readonly #runEndBatcher: RunEndBatcher;
   readonly #losses: WorkerLosses;
   readonly #unansweredStarts = new UnansweredStarts();
+  readonly #startWindow = new StartWindow();
   /** The latest session with each worker that has ended; kept while its orders may arrive. */
   readonly #ended = new Map<string, EndedSession>();
 
@@ -174,6 +176,7 @@
       ...this.#parts,
       runEndBatcher: this.#runEndBatcher,
       unansweredStarts: this.#unansweredStarts,
+      startWindow: this.#startWindow,
       onBirth: (id, bornAtMs) => void this.#recordBirth(id, bornAtMs),
       onLost: (id, loss) => void this.removeWorker(id, loss),
     }, {
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -3,6 +3,7 @@
   type JobStore,
   type ListedEnd,
   type RunRecord,
+  StartWindow,
   UnansweredStarts,
   WorkerHealth,
   WorkerSpeed,
@@ -194,6 +195,7 @@
     measure: (_, run) => run(),
     isConfirmedLeader: () => true,
     unansweredStarts,
+    startWindow: new StartWindow(),
     onBirth: () => {},
     onChange: () => {},
     onLost: () => lostAt = Date.now(),
@@ -259,6 +261,36 @@
     expect(client.starts).toHaveLength(101);
   });
 
+  // Guards against heartbeats that wait behind starts, each of which carries the text of its job.
+  it("leaves few starts to be answered at once if their text is long", async () => {
+    const { client, jobStore, session } = fixture;
+    await vi.advanceTimersByTimeAsync(100);
+    const demand = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+    const text = "x".repeat(900_000);
+    submit(jobStore, "k", {
+      ...spec(step({ taskCount: 10, lasting: true, demand })),
+      text,
+    });
+    place(
+      jobStore,
+      ...Array.from({ length: 10 }, (_, i) => run(`k.0.0.${i}`, 1, "w1")),
+    );
+    let unanswered = 0;
+    let most = 0;
+    const answer = client.start.bind(client);
+    vi.spyOn(client, "start").mockImplementation(async (...order) => {
+      unanswered += 1;
+      most = Math.max(most, unanswered);
+      const reply = await answer(...order);
+      unanswered -= 1;
+      return reply;
+    });
+    session.start([...jobStore.load("w1").runs.values()].slice(1));
+    await vi.advanceTimersByTimeAsync(100);
+    expect(most).toBe(2);
+    expect(client.starts).toHaveLength(11);
+  });
+
   // Guards against a second run of a task: a worker whose announcement that it leaves gets no answer runs on for seconds.
   it("keeps the runs of a silent worker that has reported that it leaves until the lease has ended", async () => {
     const { client, session } = fixture;
