Raft: large commands leave room in the backlog for small ones

Cause: the backlog was filled to its limit by whoever came first.

A command needs four times its size in the backlog, unless that is empty.

Test: raft_test.ts, one; on the commit before, a small command is refused.

--- a/packages/core/src/raft/admission.ts
+++ b/packages/core/src/raft/admission.ts
@@ -18,6 +18,9 @@
 /** A learner that is at most this far behind the commit index has caught up. */
 const MAX_LEARNER_LAG_ENTRIES = 64;
 
+/** Room in the backlog that a command needs, as a multiple of its size, so that large ones leave room for small ones. */
+const HEADROOM = 4;
+
 /** The fault of a request that only the leader accepts. */
 export function notLeader({ leader, tuning }: Replica): Fault {
   if (leader === undefined) {
@@ -49,7 +52,7 @@
 }
 
 /**
- * Refuses commands at a replica that does not lead, and when they would exceed `maxBacklogSize`. An empty backlog
+ * Refuses commands at a replica that does not lead, and when `HEADROOM` times their size would exceed `maxBacklogSize`. An empty backlog
  * accepts commands of any size.
  */
 export function checkProposal(
@@ -60,7 +63,7 @@
   const size = commands.reduce((sum, data) => sum + data.length, 0);
   return leadershipOf(replica).andThen((leadership) => {
     const backlogSize = leadership.backlogSize;
-    if (backlogSize === 0 || backlogSize + size <= maxBacklogSize) {
+    if (backlogSize === 0 || backlogSize + size * HEADROOM <= maxBacklogSize) {
       return Ok(leadership);
     }
     return Err(
--- a/packages/core/test/raft_test.ts
+++ b/packages/core/test/raft_test.ts
@@ -296,6 +296,24 @@
   });
 });
 
+// Guards against ordinary commands that are refused for as long as someone sends large ones.
+test("large commands leave room in the backlog for small ones", () => {
+  const group = Group.of(THREE, { maxBacklogSize: 40_000 });
+  const { raft } = group.node("e1");
+  group.isLost = () => true;
+  const isAccepted = (length: number): boolean =>
+    raft.propose(["x".repeat(length)], group.now).ok;
+  expect([100_000, 9_000].map(isAccepted)).toEqual([true, false]);
+  const other = Group.of(THREE, { maxBacklogSize: 40_000 });
+  other.isLost = () => true;
+  const proposed = Array.from(
+    { length: 10 },
+    () => other.node("e1").raft.propose(["x".repeat(5_000)], other.now).ok,
+  );
+  expect(proposed.filter(Boolean).length).toBeLessThan(7);
+  expect(other.node("e1").raft.propose(["small"], other.now).ok).toBe(true);
+});
+
 // Guards against a group that is stuck for good: an earlier version stored entries that no link carries as a whole.
 describe("entries that are too large for a message", () => {
   const tuning = { maxEntrySize: 1_000, chunkLength: 100 };
