Jobs: what runs does not count against the room for new jobs

Cause: runs may take a quarter beyond the limit of jobs, but counted as held by their owner, so that no room was left below its share.

Tasks that have run are added up apart; they have a quarter of the limit of their own.

Tests: scheduling_memory_test.ts and the property of the job store.

--- a/packages/core/src/scheduling/admission/memory_limit.ts
+++ b/packages/core/src/scheduling/admission/memory_limit.ts
@@ -32,7 +32,7 @@
 /** Largest job, as a share of the limit. */
 const MAX_JOB_SHARE = 1 / (4 * HEADROOM);
 
-/** What runs may take beyond the limit, as a share of it. */
+/** What tasks that have run may take beside the jobs, as a share of the limit. */
 const RUN_SHARE = 0.25;
 
 /** Number of active runs that is always allowed, so that jobs which fill the memory are worked off. */
@@ -81,10 +81,14 @@
 
 /** Number of runs that may be placed beside those that are active. */
 export function runsLeft(
-  { limit, held }: Pick<MemoryState, "limit" | "held">,
-  activeRuns: number,
+  { limit, runs, activeRuns }: {
+    limit: number;
+    /** What tasks that have run take, in bytes. */
+    runs: number;
+    activeRuns: number;
+  },
 ): number {
-  const freeBytes = limit * (1 + RUN_SHARE) - held;
+  const freeBytes = limit * RUN_SHARE - runs;
   return Math.floor(
     Math.max(
       0,
--- a/packages/core/src/scheduling/model/job_record.ts
+++ b/packages/core/src/scheduling/model/job_record.ts
@@ -115,8 +115,8 @@
   return { tasks: restored, openSteps };
 }
 
-/** Estimated size of a round in memory, in bytes. */
-export function bytesOfRound({ tasks }: RoundRecord): number {
+/** Estimated size in memory of what has run of a round and is not settled, in bytes. */
+export function runBytesOf({ tasks }: RoundRecord): number {
   return tasks.reduce((sum, { bytes }) => sum + bytes, 0);
 }
 
--- a/packages/core/src/scheduling/model/memory_size.ts
+++ b/packages/core/src/scheduling/model/memory_size.ts
@@ -56,7 +56,7 @@
 
 /** Size of a round of a job in which no task has run. */
 export function roundBytes({ steps }: BatchJobSpec): number {
-  return steps.length * (ROUND_STEP_BYTES + RANGE_BYTES);
+  return steps.length * ROUND_STEP_BYTES;
 }
 
 /** Size of a job when it is accepted. */
--- a/packages/core/src/scheduling/store/held_memory.ts
+++ b/packages/core/src/scheduling/store/held_memory.ts
@@ -1,5 +1,6 @@
 /**
- * What the jobs of a store take in memory, in all and by owner. Each replica computes the same from the log.
+ * What the jobs of a store take in memory, in all and by owner, and what has run of them. Each replica computes the same
+ * from the log.
  *
  * @module
  */
@@ -11,14 +12,20 @@
 export class HeldMemory {
   #total = 0;
   #freed = 0;
+  #runs = 0;
   readonly #byOwner = new Map<string, number>();
 
-  /** In bytes. */
+  /** What all jobs take without their runs, in bytes. */
   get total(): number {
     return this.#total;
   }
 
-  /** All that was given back since the process started, in bytes. */
+  /** What tasks that have run and are not settled take, in bytes. */
+  get runs(): number {
+    return this.#runs;
+  }
+
+  /** All that jobs gave back since the process started, in bytes. */
   get freed(): number {
     return this.#freed;
   }
@@ -28,7 +35,12 @@
     return this.#byOwner.get(memoryKey(owner)) ?? 0;
   }
 
-  /** Adds bytes, or gives them back if they are negative. */
+  /** Adds bytes of runs, or gives them back if they are negative. */
+  addRuns(bytes: number): void {
+    this.#runs += bytes;
+  }
+
+  /** Adds bytes of a job, or gives them back if they are negative. */
   add(owner: MemoryOwner, bytes: number): void {
     this.#total += bytes;
     this.#freed += Math.max(0, -bytes);
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -18,7 +18,6 @@
 } from "../model/command.ts";
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
 import {
-  bytesOfRound,
   isFinished,
   type JobFailure,
   type JobRecord,
@@ -26,6 +25,8 @@
   newRound,
   restoreRound,
   roundCount,
+  type RoundRecord,
+  runBytesOf,
   type RunRecord,
   type StoredJob,
   type WaitingStep,
@@ -34,7 +35,11 @@
 import { CustomerLimits } from "../customers/customer_limits.ts";
 import { CustomerUsage } from "../customers/customer_usage.ts";
 import { HeldMemory } from "./held_memory.ts";
-import { ENDED_JOB_BYTES, specBytes } from "../model/memory_size.ts";
+import {
+  ENDED_JOB_BYTES,
+  ROUND_STEP_BYTES,
+  specBytes,
+} from "../model/memory_size.ts";
 import { EndedJobs } from "./ended_jobs.ts";
 import { type EndedLife, EndedWorkers } from "./ended_workers.ts";
 import {
@@ -275,7 +280,7 @@
       const round = Number(key);
       const record = restoreRound(storedRound);
       job.rounds[round] = record;
-      this.memory.add(job, bytesOfRound(record));
+      this.#addRound(job, record, 1);
       record.tasks.forEach((tasks, step) => {
         tasks.records.forEach((task, index) =>
           this.#restoreRun(job, { job: job.id, round, step, index }, task)
@@ -343,7 +348,7 @@
     this.#snapshot?.preserve(job);
     job.opened += 1;
     job.rounds[round] = newRound(job.spec.steps);
-    this.memory.add(job, bytesOfRound(job.rounds[round]));
+    this.#addRound(job, job.rounds[round], 1);
     job.spec.steps.forEach((_, step) => this.#waiting.update(job, round, step));
   }
 
@@ -405,7 +410,7 @@
       return;
     }
     this.#snapshot?.preserve(job);
-    this.#change(job, tasks, () => tasks.start(position.index, key));
+    this.#change(tasks, () => tasks.start(position.index, key));
     this.activeRuns += 1;
     this.load(key.worker).add({ ...position, ...key }, spec);
     this.customerUsage.add(job, spec);
@@ -435,7 +440,7 @@
     this.load(run.worker).remove(run, spec);
     this.customerUsage.remove(job, spec);
     this.runsToStop.delete(run);
-    this.#change(job, tasks, () => tasks.release(run.index));
+    this.#change(tasks, () => tasks.release(run.index));
     this.activeRuns -= 1;
     job.activeRuns -= 1;
     if (job.outcome === "open") {
@@ -467,7 +472,6 @@
     const { index } = position;
     if (end.checkpoint !== "" && !task.isDone) {
       this.#change(
-        job,
         tasks,
         () => tasks.saveCheckpoint(index, end.checkpoint, spec.gang),
       );
@@ -502,7 +506,7 @@
       return;
     }
     for (const index of members) {
-      if (this.#change(job, tasks, () => tasks.complete(index))) {
+      if (this.#change(tasks, () => tasks.complete(index))) {
         this.#requestStop({ ...position, index }, tasks.at(index));
       }
     }
@@ -590,7 +594,7 @@
       record !== undefined && isFinished(record) &&
       record.tasks.every(({ records }) => records.size === 0)
     ) {
-      this.memory.add(job, -bytesOfRound(record));
+      this.#addRound(job, record, -1);
       delete job.rounds[round];
     }
   }
@@ -598,8 +602,10 @@
   /** Keeps only the outcome of a job that has ended and has no active runs. */
   #discardDetails(job: JobRecord): void {
     if (job.outcome !== "open" && job.activeRuns === 0) {
-      const before = Object.values(job.rounds)
-        .reduce((sum, round) => sum + bytesOfRound(round), bytesOf(job));
+      Object.values(job.rounds).forEach((round) =>
+        this.#addRound(job, round, -1)
+      );
+      const before = bytesOf(job);
       job.spec = undefined;
       job.rounds = {};
       this.memory.add(job, bytesOf(job) - before);
@@ -678,13 +684,19 @@
   }
 
   /** Changes tasks of a job, and accounts for their memory. */
-  #change<T>(job: JobRecord, tasks: StepTasks, change: () => T): T {
+  #change<T>(tasks: StepTasks, change: () => T): T {
     const before = tasks.bytes;
     const result = change();
-    this.memory.add(job, tasks.bytes - before);
+    this.memory.addRuns(tasks.bytes - before);
     return result;
   }
 
+  /** Accounts for the memory of a round that is added or removed. */
+  #addRound(job: JobRecord, round: RoundRecord, by: 1 | -1): void {
+    this.memory.add(job, by * round.tasks.length * ROUND_STEP_BYTES);
+    this.memory.addRuns(by * runBytesOf(round));
+  }
+
   #countUnstarted({ queue }: JobRecord, by: 1 | -1): void {
     this.#unstarted.set(queue, (this.#unstarted.get(queue) ?? 0) + by);
   }
--- a/packages/daemon/src/scheduler/memory_admission.ts
+++ b/packages/daemon/src/scheduler/memory_admission.ts
@@ -85,7 +85,7 @@
   get runsLeft(): number {
     const { memory, activeRuns } = this.#parts.consensus.state;
     const { limitBytes: limit } = this.#parts;
-    return runsLeft({ limit, held: memory.total }, activeRuns);
+    return runsLeft({ limit, runs: memory.runs, activeRuns });
   }
 
   /** Counts a job that is being stored until the returned function is called. */
