--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -1,4 +1,4 @@
-// Runs the fault soak test of the platform program: npm run soak -- --seeds N --seed FIRST --seconds S --entries N --at-once N --schedule any|rolling
+// Runs the fault soak test of the platform program: npm run soak -- --seeds N --seed FIRST --seconds S --entries N --at-once N --schedule any|rolling|overload
 import { parseArgs } from "node:util";
 import { runLongTest } from "./long_test.js";
 
