--- a/bench/src/scenarios.ts
+++ b/bench/src/scenarios.ts
@@ -8,6 +8,7 @@
 import { live } from "./live/live.ts";
 import { placement } from "./placement/scenario.ts";
 import { ROUTING } from "./routing/mod.ts";
+import { jobMemory } from "./scheduling/job_memory.ts";
 import { LOOK_AHEAD } from "./scheduling/look_ahead.ts";
 import { passCost } from "./scheduling/pass_cost.ts";
 import type { Scenario } from "./scenario.ts";
@@ -24,6 +25,7 @@
   scheduling,
   ...LOOK_AHEAD,
   passCost,
+  jobMemory,
   capacity,
   live,
   sweep,
