--- a/packages/core/src/scheduling/store/store_snapshot.ts
+++ b/packages/core/src/scheduling/store/store_snapshot.ts
@@ -51,15 +51,13 @@
   *lines(): Generator<string> {
     try {
       yield this.#head;
-      while (this.#pending.size > 0 || this.#changed.length > 0) {
+      // Jobs that are preserved meanwhile leave the map.
+      for (const [job, place] of this.#pending) {
+        this.#pending.delete(job);
+        yield lineOf(job, place);
         yield* this.#changed.splice(0);
-        const [next] = this.#pending;
-        if (next !== undefined) {
-          const [job, place] = next;
-          this.#pending.delete(job);
-          yield lineOf(job, place);
-        }
       }
+      yield* this.#changed.splice(0);
     } finally {
       this.#pending.clear();
       this.#changed = [];
