--- a/packages/core/src/raft/admission.ts
+++ b/packages/core/src/raft/admission.ts
@@ -52,8 +52,8 @@
 }
 
 /**
- * Refuses commands at a replica that does not lead, and when `HEADROOM` times their size would exceed `maxBacklogSize`. An empty backlog
- * accepts commands of any size.
+ * Refuses commands at a replica that does not lead, and when `HEADROOM` times their size would exceed `maxBacklogSize`.
+ * An empty backlog accepts commands of any size.
  */
 export function checkProposal(
   replica: Replica,
--- a/packages/core/src/raft/entry_size.ts
+++ b/packages/core/src/raft/entry_size.ts
@@ -20,7 +20,7 @@
 
 /** Whether a command, itself a JSON text, fits into a message of a size as the only entry. */
 export function fitsMessage(command: string, maxMessageBytes: number): boolean {
-  const maxBytes = maxMessageBytes - ENVELOPE_BYTES;
-  return command.length * MAX_BYTES_PER_UNIT <= maxBytes ||
-    new TextEncoder().encode(JSON.stringify(command)).length <= maxBytes;
+  return command.length <= entrySizeOf(maxMessageBytes) ||
+    new TextEncoder().encode(JSON.stringify(command)).length <=
+      maxMessageBytes - ENVELOPE_BYTES;
 }
--- a/packages/core/src/raft/leader.ts
+++ b/packages/core/src/raft/leader.ts
@@ -11,7 +11,7 @@
   HeartbeatAnswer,
   SnapshotAnswer,
 } from "./message.ts";
-import { Progress } from "./progress.ts";
+import { continueAt, Progress } from "./progress.ts";
 import { ReadQueue } from "./reads.ts";
 import { type LogEntry, sizeOf } from "./record.ts";
 import {
@@ -184,9 +184,8 @@
     progress.match = Math.max(progress.match, answer.index);
     progress.probe(progress.match + 1);
     advanceCommit(replica);
-  } else if (answer.offset !== transmission.offset) {
-    transmission.offset = answer.offset;
-    transmission.sentAt = Number.NEGATIVE_INFINITY;
+  } else {
+    continueAt(transmission, answer.offset);
   }
 }
 
@@ -195,12 +194,8 @@
   answer: EntryChunkAnswer,
 ): void {
   const transmission = recordContact(replica, answer.from)?.entryTransmission;
-  if (
-    transmission?.index === answer.index &&
-    transmission.offset !== answer.offset
-  ) {
-    transmission.offset = answer.offset;
-    transmission.sentAt = Number.NEGATIVE_INFINITY;
+  if (transmission?.index === answer.index) {
+    continueAt(transmission, answer.offset);
   }
 }
 
--- a/packages/core/src/raft/progress.ts
+++ b/packages/core/src/raft/progress.ts
@@ -19,21 +19,20 @@
   size: number;
 }
 
-interface SnapshotTransmission {
-  snapshot: Snapshot;
+/** A text that is sent in chunks, each after the answer to the one before. */
+export interface ChunkTransmission {
   /** Offset of the next chunk, in UTF-16 code units. */
   offset: number;
   /** When the chunk at the offset was sent, in milliseconds; -Infinity if it is to be sent. */
   sentAt: number;
 }
 
-/** An entry that is sent in chunks. */
-interface EntryTransmission {
+interface SnapshotTransmission extends ChunkTransmission {
+  snapshot: Snapshot;
+}
+
+interface EntryTransmission extends ChunkTransmission {
   index: number;
-  /** Offset of the next chunk, in UTF-16 code units. */
-  offset: number;
-  /** When the chunk at the offset was sent, in milliseconds; -Infinity if it is to be sent. */
-  sentAt: number;
 }
 
 /** Limits on the appends in flight to one replica: their number and total size in UTF-16 code units. */
@@ -42,6 +41,22 @@
   size: number;
 }
 
+const FIRST_CHUNK: ChunkTransmission = {
+  offset: 0,
+  sentAt: Number.NEGATIVE_INFINITY,
+};
+
+/** Goes on with the chunk at the offset that the receiver needs next. */
+export function continueAt(
+  transmission: ChunkTransmission,
+  offset: number,
+): void {
+  if (offset !== transmission.offset) {
+    transmission.offset = offset;
+    transmission.sentAt = Number.NEGATIVE_INFINITY;
+  }
+}
+
 /** Replication state of one replica, held by the leader. */
 export class Progress {
   readonly replica: ReplicaId;
@@ -133,20 +148,12 @@
   startSnapshot(snapshot: Snapshot): void {
     this.probe(this.next);
     this.mode = "snapshot";
-    this.transmission = {
-      snapshot,
-      offset: 0,
-      sentAt: Number.NEGATIVE_INFINITY,
-    };
+    this.transmission = { snapshot, ...FIRST_CHUNK };
   }
 
   /** Starts to send the next entry in chunks. */
   startEntry(): void {
-    this.entryTransmission = {
-      index: this.next,
-      offset: 0,
-      sentAt: Number.NEGATIVE_INFINITY,
-    };
+    this.entryTransmission = { index: this.next, ...FIRST_CHUNK };
   }
 
   /** Marks an unanswered chunk to be sent again if it was sent at or before a time. */
--- a/packages/core/src/raft/replication.ts
+++ b/packages/core/src/raft/replication.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import type { Progress } from "./progress.ts";
+import type { ChunkTransmission, Progress } from "./progress.ts";
 import { sizeOf } from "./record.ts";
+import type { SnapshotText } from "./snapshot_text.ts";
 import {
   envelope,
   isQuorum,
@@ -27,7 +28,7 @@
     progress.startSnapshot(log.snapshot!);
   }
   if (progress.mode === "snapshot") {
-    sendChunk(replica, progress);
+    sendSnapshotChunk(replica, progress);
     return;
   }
   while (progress.canSendAppend && progress.next <= log.last.index) {
@@ -91,58 +92,63 @@
   return entry?.kind === "command" && sizeOf(entry) > tuning.maxEntrySize;
 }
 
-/** Sends the chunk of an oversize entry that the follower needs next; again if no answer comes before a heartbeat's. */
+/** Sends the chunk of an oversize entry that the follower needs next, if it is due. */
 function sendEntryChunk(replica: Replica, progress: Progress): void {
-  const { log, tuning, now } = replica;
+  const { log } = replica;
   const transmission = progress.entryTransmission;
   const entry = transmission && log.at(transmission.index);
-  if (
-    transmission === undefined || entry?.kind !== "command" ||
-    now - transmission.sentAt < tuning.electionMs
-  ) {
+  if (transmission === undefined || entry?.kind !== "command") {
     return;
   }
-  const { index, term, data } = entry;
-  const { offset } = transmission;
-  const end = Math.min(data.length, offset + tuning.chunkLength);
+  const part = takeChunk(replica, transmission, entry.data);
+  if (part === undefined) {
+    return;
+  }
+  const { index, term } = entry;
   send(replica, {
     kind: "entry_chunk",
     ...envelope(replica, progress.replica),
     previousIndex: index - 1,
     previousTerm: log.termAt(index - 1) ?? 0,
     entry: { index, term },
-    offset,
-    chunk: data.slice(offset, end),
-    last: end === data.length,
+    ...part,
     commit: replica.commit,
   });
-  transmission.sentAt = now;
-  progress.sentAt = now;
+  progress.sentAt = replica.now;
 }
 
-/** Sends the chunk that the follower needs next, and again if no answer came within the election timeout. */
-function sendChunk(replica: Replica, progress: Progress): void {
+/** Sends the chunk of the snapshot that the follower needs next, if it is due. */
+function sendSnapshotChunk(replica: Replica, progress: Progress): void {
   const transmission = progress.transmission!;
-  const waitedMs = replica.now - transmission.sentAt;
-  if (waitedMs < replica.tuning.electionMs) {
+  const { data, index, term, membership } = transmission.snapshot;
+  const part = takeChunk(replica, transmission, data);
+  if (part === undefined) {
     return;
   }
-  const { snapshot, offset } = transmission;
-  const { data, index, term, membership } = snapshot;
-  const { chunkLength } = replica.tuning;
-  const end = Math.min(data.length, offset + chunkLength);
   send(replica, {
     kind: "snapshot",
     ...envelope(replica, progress.replica),
     head: { index, term, membership },
-    offset,
-    chunk: data.slice(offset, end),
-    last: end === data.length,
+    ...part,
   });
-  transmission.sentAt = replica.now;
   progress.sentAt = replica.now;
 }
 
+/** The next chunk of a text; undefined while an answer may come, which is for the election timeout. */
+function takeChunk(
+  { now, tuning }: Replica,
+  transmission: ChunkTransmission,
+  text: SnapshotText,
+): { offset: number; chunk: string; last: boolean } | undefined {
+  const { offset, sentAt } = transmission;
+  if (now - sentAt < tuning.electionMs) {
+    return undefined;
+  }
+  transmission.sentAt = now;
+  const end = Math.min(text.length, offset + tuning.chunkLength);
+  return { offset, chunk: text.slice(offset, end), last: end === text.length };
+}
+
 export function sendHeartbeat(replica: Replica, progress: Progress): void {
   send(replica, {
     kind: "heartbeat",
