--- a/packages/daemon/src/storage/files.ts
+++ b/packages/daemon/src/storage/files.ts
@@ -50,25 +50,29 @@
   path: string,
   content: Uint8Array,
 ): Promise<void> {
-  const handle = await createDurably(path, content);
+  const handle = await createDurably(
+    path,
+    (file) => writeFully(file, content, 0),
+  );
   await handle.close();
 }
 
-/** Like `writeDurably`, and keeps the file open for further writes. */
+/** Like `writeDurably`, with what a function writes, and keeps the file open for further writes. */
 export async function createDurably(
   path: string,
-  content: Uint8Array,
+  write: (file: FileHandle) => Promise<void>,
 ): Promise<FileHandle> {
   const temporary = path + TEMPORARY_SUFFIX;
   const handle = await open(temporary, "w");
   try {
-    await writeFully(handle, content, 0);
+    await write(handle);
     await handle.sync();
     await rename(temporary, path);
     await syncFolder(dirname(path));
     return handle;
   } catch (error) {
     await handle.close();
+    await removeFile(temporary);
     throw error;
   }
 }
--- a/packages/daemon/src/storage/segment.ts
+++ b/packages/daemon/src/storage/segment.ts
@@ -15,7 +15,7 @@
   Ok,
   type Result,
 } from "@quetzalcove/core";
-import { createDurably } from "./files.ts";
+import { createDurably, writeFully } from "./files.ts";
 import { corruptionFault, encodeFrame, scanFrames } from "./frame.ts";
 
 const SEGMENT_NAME = /^log-(\d{10})$/;
@@ -83,7 +83,10 @@
     frames.push(encodeRecord({ kind: "write", entries: [...entries] }));
   }
   const path = join(folder, segmentName(start.number));
-  return createDurably(path, Buffer.concat(frames));
+  return createDurably(
+    path,
+    (file) => writeFully(file, Buffer.concat(frames), 0),
+  );
 }
 
 /** Reads all segments of a folder in order. Only the last one may end in a torn write. */
--- a/packages/daemon/src/storage/snapshot_file.ts
+++ b/packages/daemon/src/storage/snapshot_file.ts
@@ -8,8 +8,8 @@
  */
 import { Buffer, isAscii } from "node:buffer";
 import { closeSync, openSync, readSync } from "node:fs";
-import { type FileHandle, open, readdir, rename } from "node:fs/promises";
-import { dirname, join } from "node:path";
+import { type FileHandle, open, readdir } from "node:fs/promises";
+import { join } from "node:path";
 import {
   Err,
   type Fault,
@@ -19,12 +19,7 @@
   SnapshotMetadata,
   type SnapshotText,
 } from "@quetzalcove/core";
-import {
-  removeFile,
-  syncFolder,
-  TEMPORARY_SUFFIX,
-  writeFully,
-} from "./files.ts";
+import { createDurably, removeFile, writeFully } from "./files.ts";
 import {
   checksumOf,
   corruptionFault,
@@ -105,22 +100,13 @@
   parts: Iterable<string>,
 ): Promise<SnapshotFile> {
   const path = join(folder, snapshotName(index));
-  const temporary = path + TEMPORARY_SUFFIX;
   const head = encodeFrame(JSON.stringify({ index, term, membership }));
-  const handle = await open(temporary, "w");
-  let length: number;
-  try {
-    await writeFully(handle, head, 0);
-    length = await writeData(handle, head.length, parts);
-    await handle.sync();
-  } catch (error) {
-    await handle.close();
-    await removeFile(temporary);
-    throw error;
-  }
+  let length = 0;
+  const handle = await createDurably(path, async (file) => {
+    await writeFully(file, head, 0);
+    length = await writeData(file, head.length, parts);
+  });
   await handle.close();
-  await rename(temporary, path);
-  await syncFolder(dirname(path));
   const start = head.length + HEADER_BYTES;
   return new SnapshotFile(path, index, { start, length });
 }
