Scheduler: two tests of starts in one, and a getter that nothing read

No change for callers. The tests of the limits on starts differed in their text, number and limit only; both keep what they expect. StepTasks.failures had no reader.

--- a/packages/core/src/scheduling/model/step_tasks.ts
+++ b/packages/core/src/scheduling/model/step_tasks.ts
@@ -110,11 +110,6 @@
       this.#gangCheckpoint.length;
   }
 
-  /** Failed runs of all tasks; of a gang's run only the first failure counts. */
-  get failures(): number {
-    return this.#failures;
-  }
-
   at(index: number): Readonly<TaskRecord> | undefined {
     const record = this.#records.get(index);
     if (record !== undefined) {
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -499,12 +499,12 @@
   #completeTasks(job: JobRecord, position: TaskPosition, gang: boolean): void {
     const { round, step } = position;
     const tasks = this.tasksOf(position);
-    const members = gang
-      ? Array.from({ length: tasks?.length ?? 0 }, (_, index) => index)
-      : [position.index];
     if (tasks === undefined) {
       return;
     }
+    const members = gang
+      ? Array.from({ length: tasks.length }, (_, index) => index)
+      : [position.index];
     for (const index of members) {
       if (this.#change(tasks, () => tasks.complete(index))) {
         this.#requestStop({ ...position, index }, tasks.at(index));
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -231,64 +231,44 @@
     );
   });
 
-  // Guards against starts that are all sent again, since the worker gets more at once than it can answer in time.
-  it("leaves a limited number of starts to be answered at once", async () => {
-    const { client, jobStore, session } = fixture;
-    await vi.advanceTimersByTimeAsync(100);
-    const demand = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
-    submit(
-      jobStore,
-      "k",
-      spec(step({ taskCount: 100, lasting: true, demand })),
-    );
-    place(
-      jobStore,
-      ...Array.from({ length: 100 }, (_, i) => run(`k.0.0.${i}`, 1, "w1")),
-    );
-    let unanswered = 0;
-    let most = 0;
-    const answer = client.start.bind(client);
-    vi.spyOn(client, "start").mockImplementation(async (...order) => {
-      unanswered += 1;
-      most = Math.max(most, unanswered);
-      const reply = await answer(...order);
-      unanswered -= 1;
-      return reply;
-    });
-    session.start([...jobStore.load("w1").runs.values()].slice(1));
-    await vi.advanceTimersByTimeAsync(100);
-    expect(most).toBe(32);
-    expect(client.starts).toHaveLength(101);
-  });
-
-  // Guards against heartbeats that wait behind starts, each of which carries the text of its job.
-  it("leaves few starts to be answered at once if their text is long", async () => {
-    const { client, jobStore, session } = fixture;
-    await vi.advanceTimersByTimeAsync(100);
-    const demand = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
-    const text = "x".repeat(900_000);
-    submit(jobStore, "k", {
-      ...spec(step({ taskCount: 10, lasting: true, demand })),
-      text,
-    });
-    place(
-      jobStore,
-      ...Array.from({ length: 10 }, (_, i) => run(`k.0.0.${i}`, 1, "w1")),
-    );
-    let unanswered = 0;
-    let most = 0;
-    const answer = client.start.bind(client);
-    vi.spyOn(client, "start").mockImplementation(async (...order) => {
-      unanswered += 1;
-      most = Math.max(most, unanswered);
-      const reply = await answer(...order);
-      unanswered -= 1;
-      return reply;
+  describe.each([
+    // Guards against starts that are all sent again, since the worker gets more at once than it can answer in time.
+    { name: "a limited number of starts", text: "", tasks: 100, limit: 32 },
+    // Guards against heartbeats that wait behind starts, each of which carries the text of its job.
+    {
+      name: "few starts with a long text",
+      text: "x".repeat(900_000),
+      tasks: 10,
+      limit: 2,
+    },
+  ])("that gets many runs", ({ name, text, tasks, limit }) => {
+    it(`leaves ${name} to be answered at once`, async () => {
+      const { client, jobStore, session } = fixture;
+      await vi.advanceTimersByTimeAsync(100);
+      const demand = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+      submit(jobStore, "k", {
+        ...spec(step({ taskCount: tasks, lasting: true, demand })),
+        text,
+      });
+      place(
+        jobStore,
+        ...Array.from({ length: tasks }, (_, i) => run(`k.0.0.${i}`, 1, "w1")),
+      );
+      let unanswered = 0;
+      let most = 0;
+      const answer = client.start.bind(client);
+      vi.spyOn(client, "start").mockImplementation(async (...order) => {
+        unanswered += 1;
+        most = Math.max(most, unanswered);
+        const reply = await answer(...order);
+        unanswered -= 1;
+        return reply;
+      });
+      session.start([...jobStore.load("w1").runs.values()].slice(1));
+      await vi.advanceTimersByTimeAsync(100);
+      expect(most).toBe(limit);
+      expect(client.starts).toHaveLength(tasks + 1);
     });
-    session.start([...jobStore.load("w1").runs.values()].slice(1));
-    await vi.advanceTimersByTimeAsync(100);
-    expect(most).toBe(2);
-    expect(client.starts).toHaveLength(11);
   });
 
   // Guards against a second run of a task: a worker whose announcement that it leaves gets no answer runs on for seconds.
