Tests: crowds of clients that misbehave, apart from all other tests

Clusters of real processes take options of Node.js and limits, and tell process ids and addresses without relays.

--- a/packages/emulator/src/child_process.ts
+++ b/packages/emulator/src/child_process.ts
@@ -38,6 +38,11 @@
     return this.#ended;
   }
 
+  /** Process id; undefined if the process could not be started. */
+  get pid(): number | undefined {
+    return this.#process.pid;
+  }
+
   signal(name: NodeJS.Signals): void {
     this.#process.kill(name);
   }
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -29,6 +29,8 @@
   replicas: number;
   /** Overrides of the settings of every daemon. */
   settings?: Partial<Settings>;
+  /** Options of Node.js for every daemon; none unless given. */
+  nodeOptions?: readonly string[];
 }
 
 const DAEMON = fileURLToPath(
@@ -91,6 +93,11 @@
     return `${this.#hostOf(name)}:${PORTS.admin}`;
   }
 
+  /** Address at which a daemon accepts links, without a relay. */
+  link(name: string): string {
+    return `${this.#hostOf(name)}:${PORTS.link}`;
+  }
+
   /** Service addresses of all entries. */
   services(): string[] {
     return this.names.map((name) => this.service(name));
@@ -139,7 +146,8 @@
   startDaemon(name: string): void {
     const file = join(this.folder, `${name}.json`);
     writeFileSync(file, JSON.stringify(this.#settingsOf(name), null, 2));
-    const command = [DAEMON, "--settings", file];
+    const { nodeOptions = [] } = this.#options;
+    const command = [...nodeOptions, DAEMON, "--settings", file];
     this.#children.set(name, new Child(name, command, this.#logOf(name)));
   }
 
@@ -160,6 +168,11 @@
     return exit?.code ?? null;
   }
 
+  /** Process id of a daemon; undefined if it was not started. */
+  pid(name: string): number | undefined {
+    return this.#children.get(name)?.pid;
+  }
+
   /** Waits until a daemon exits by itself; resolves with its exit code. */
   async exitCode(name: string): Promise<number | null> {
     return (await this.#children.get(name)?.ended)?.code ?? null;
@@ -276,7 +289,7 @@
       listen: {
         service: this.service(name),
         admin: this.admin(name),
-        link: `${this.#hostOf(name)}:${PORTS.link}`,
+        link: this.link(name),
       },
       peers: this.names.map((peer, peerIndex) => ({
         entry: peer,
--- a/test/harness/cluster_fixture.ts
+++ b/test/harness/cluster_fixture.ts
@@ -36,6 +36,8 @@
   /** Overrides of the maintenance rules. */
   maintenance?: Partial<Rules["maintenance"]>;
   settings?: Partial<Settings>;
+  /** Options of Node.js for every daemon; none unless given. */
+  nodeOptions?: readonly string[];
   /** Whether each VM has a target of every service, so that VMs can move between pools. */
   allServices?: boolean;
   /** Default run time of a request. */
@@ -78,6 +80,9 @@
       entries: options.entries,
       replicas: options.replicas,
       ...(options.settings !== undefined && { settings: options.settings }),
+      ...(options.nodeOptions !== undefined && {
+        nodeOptions: options.nodeOptions,
+      }),
     });
   }
 
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,12 @@
   return fileURLToPath(new URL(path, import.meta.url));
 }
 
+/** Tests that fill the memory of a process; they run one at a time, after all others. */
+const CLIENT_TESTS = [
+  "platform/test/clients/**/*_test.ts",
+  "test/clients/**/*_test.ts",
+];
+
 export default defineConfig({
   resolve: {
     alias: {
@@ -21,16 +27,42 @@
     },
   },
   test: {
-    include: [
-      "packages/*/test/**/*_test.ts",
-      "bench/test/**/*_test.ts",
-      "platform/test/**/*_test.ts",
-      "test/**/*_test.ts",
-    ],
-    exclude: ["test/torture/**", "**/node_modules/**", "**/dist/**"],
     setupFiles: [source("test/harness/memory_folder.ts")],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 3,
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: "tests",
+          include: [
+            "packages/*/test/**/*_test.ts",
+            "bench/test/**/*_test.ts",
+            "platform/test/**/*_test.ts",
+            "test/**/*_test.ts",
+          ],
+          exclude: [
+            "test/torture/**",
+            "**/node_modules/**",
+            "**/dist/**",
+            ...CLIENT_TESTS,
+          ],
+          maxWorkers: 3,
+          sequence: { groupOrder: 0 },
+        },
+      },
+      {
+        extends: true,
+        test: {
+          name: "clients",
+          include: CLIENT_TESTS,
+          testTimeout: 120_000,
+          maxWorkers: 1,
+          fileParallelism: false,
+          sequence: { groupOrder: 1 },
+        },
+      },
+    ],
   },
 });
--- a/vitest.soak.config.ts
+++ b/vitest.soak.config.ts
@@ -8,5 +8,9 @@
 
 export default {
   ...config,
-  test: { ...config.test, include: ["platform/test/soak/long_run.ts"] },
+  test: {
+    ...config.test,
+    projects: undefined,
+    include: ["platform/test/soak/long_run.ts"],
+  },
 };
--- a/vitest.torture.config.ts
+++ b/vitest.torture.config.ts
@@ -10,6 +10,7 @@
   ...config,
   test: {
     ...config.test,
+    projects: undefined,
     include: ["test/torture/*_test.ts"],
     exclude: ["**/node_modules/**", "**/dist/**"],
   },
