HTTP servers: what callers make a process hold is counted as it arrives

What callers saw: 100 connections that sent 36 MB in chunks of one byte ended an entry with 160 MB of heap; requests sent ahead ended entries, replicas (readiness and control) and quetzalcoved; bodies that stopped short took 462 MB of a replica whose machine has 346 MB. A body whose length was not declared was refused from 64 KB on, and a refusal left a connection on which the next request hung for 25 s.

Cause: a body was counted whole or as declared, by one listener only, while each chunk kept an object; the parser made requests of all that a read returned, whatever was in progress; answers that wait behind others on a closed connection were kept for good, since they have no `close` event of their own; a refused body was paused and never read on.

Now a connection stands between its socket and the parser (`CallerConnection`). The parser gets slices of 512 bytes, in turn with other connections, and none while 16 requests are in progress or 256 KB of answers are unread. Bodies grow in one buffer. What is unparsed, half a header, a body, an unread answer and each request until its handler has ended is counted by connection and in total (`CallerMemory`), against a limit from the heap and the machine's memory (`limits.memoryMb`). At the limit the connections with the most bytes times age are closed first, so small requests that arrive without delay find room. Deadlines are checked each second by the server; an answer of which nothing is read for `limits.answerTimeoutMs` ends its connection. After a refusal the connection is closed, what still comes is dropped for 2 s or 4 MB, and the answer is not overtaken by a reset. Refusals and closed connections are counted by server and reason.

`calm_caller_test.ts` has the single caller: bodies up to the limit in any chunks, and the request after a refusal.

`body_budget_test.ts` goes with the class it tested. Its first checks (limited bytes, one body in any case, "not run") stand in `caller_memory_test.ts` and the tests of clients; its last one asked for the refusal of undeclared bodies, which was the fault.

--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -17,6 +17,7 @@
   not_found: 404,
   conflict: 409,
   stale_version: 409,
+  incomplete: 408,
   too_large: 413,
   key_reused: 422,
   unplaceable: 422,
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./admin_api.ts";
 export * from "./announcement.ts";
+export * from "./callers/mod.ts";
 export * from "./configuration.ts";
 export * from "./eviction.ts";
 export * from "./fault.ts";
--- a/packages/core/src/scheduling/model/scheduler_settings.ts
+++ b/packages/core/src/scheduling/model/scheduler_settings.ts
@@ -117,6 +117,12 @@
     "How long an idle connection of a caller stays open.",
   ),
   maxConnections: Count.default(2_000).describe("Connections of callers."),
+  answerTimeoutMs: DurationMs.default(30_000).describe(
+    "How long a caller may read nothing of an answer before its connection is closed.",
+  ),
+  memoryMb: z.number().positive().nullable().default(null).describe(
+    "Memory of the machine in MB, from the platform, a part of which callers may take; as the system says if null.",
+  ),
   diskMb: z.number().nonnegative().nullable().default(null).describe(
     "Size of the disk with the data folder in MB, from the platform; 0 or null if it is not known.",
   ),
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -142,6 +142,12 @@
   keepAliveMs: DurationMs.default(65_000).describe(
     "How long an idle connection of a caller stays open.",
   ),
+  answerTimeoutMs: DurationMs.default(30_000).describe(
+    "How long a caller may read nothing of an answer before its connection is closed.",
+  ),
+  memoryMb: z.number().positive().nullable().default(null).describe(
+    "Memory of the machine in MB, a part of which callers may take; as the system says if null.",
+  ),
   maxAdminBytes: Bytes.default(1_048_576).describe(
     "Largest body of a request to the administration API.",
   ),
--- a/packages/daemon/src/admin/admin_api.ts
+++ b/packages/daemon/src/admin/admin_api.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   type Command,
@@ -55,6 +56,9 @@
 
 const LEADER_TIMEOUT_MS = 5_000;
 
+/** Memory for each byte of a body: as received, as text, decoded, and in the message to the leader. */
+const BODY_MEMORY_FACTOR = 5;
+
 type Params = Record<string, string | undefined>;
 type AsyncResult = Promise<Result<unknown, Fault>>;
 
@@ -77,8 +81,11 @@
   }
 
   /** Handles one HTTP request. */
-  handle(request: IncomingMessage, response: ServerResponse): void {
-    this.#router.lookup(request, response);
+  handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> | undefined {
+    return this.#router.lookup(request, response) as Promise<void> | undefined;
   }
 
   #registerReads(): void {
@@ -161,9 +168,16 @@
         this.#parts.ready(),
       );
     });
-    this.#router.get("/metrics", (_request, response) => {
-      response.setHeader("content-type", "text/plain; version=0.0.4");
-      response.end(this.#parts.metrics.text());
+    this.#router.get("/metrics", (request, response) => {
+      const body = Buffer.from(this.#parts.metrics.text());
+      writeReply(request as IncomingMessage, response as ServerResponse, {
+        status: 200,
+        headers: {
+          "content-type": "text/plain; version=0.0.4",
+          "content-length": String(body.length),
+        },
+        body,
+      });
     });
   }
 
@@ -202,10 +216,10 @@
     request: IncomingMessage,
     schema: T,
   ): Promise<Result<z.output<T>, Fault>> {
-    const bytes = await readBody(
-      request,
-      this.#parts.settings.limits.maxAdminBytes,
-    );
+    const bytes = await readBody(request, {
+      maxBytes: this.#parts.settings.limits.maxAdminBytes,
+      memoryFactor: BODY_MEMORY_FACTOR,
+    });
     return bytes
       .andThen((read) =>
         parseJson(read.length === 0 ? "{}" : read.toString("utf8"), "body")
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,7 +27,8 @@
 import { RaftDriver } from "./consensus/raft_driver.ts";
 import { Entry } from "./entry/entry.ts";
 import { LeaderClient } from "./entry/leader_client.ts";
-import { HttpServer } from "./http_server.ts";
+import { createCallerMemory } from "./callers/caller_limits.ts";
+import { HttpServer, type HttpServerParts, writeReply } from "./http_server.ts";
 import { Leader } from "./leader/leader.ts";
 import { type Component, Lifecycle } from "./lifecycle.ts";
 import type { ConnectionParts, Handler } from "./link/connection.ts";
@@ -60,6 +61,10 @@
       direction: "received",
     }),
   };
+  readonly #serverLimits: Pick<
+    HttpServerParts,
+    "limits" | "memory" | "refuse" | "onShed"
+  >;
   readonly #tracing: Tracing;
   readonly #lifecycle: Lifecycle;
   readonly #handlers = new Map<string, Handler>();
@@ -78,6 +83,14 @@
     this.log = openLog({ ...log, entry });
     this.#tracing = new Tracing({ ...traces, entry, zone });
     registerProcessGauges(this.#metrics);
+    this.#serverLimits = {
+      limits: settings.limits,
+      memory: createCallerMemory(settings.limits.memoryMb, this.#metrics),
+      refuse: (request, response, cause) =>
+        writeReply(request, response, problemReply(cause)),
+      onShed: (server, reason) =>
+        this.#metrics.count("quetzalcove_shed_total", { server, reason }),
+    };
     this.#lifecycle = new Lifecycle((component, error) => {
       this.log.error("component.stop_failed", {
         component,
@@ -251,6 +264,7 @@
       metrics: this.#metrics,
       tracing: this.#tracing,
       random: Math.random,
+      server: this.#serverLimits,
     });
     return this.#entry;
   }
@@ -271,7 +285,7 @@
     return new HttpServer({
       name: "admin server",
       address: this.#settings.listen.admin,
-      limits: this.#settings.limits,
+      ...this.#serverLimits,
       listener: (request, response) => adminApi.handle(request, response),
     });
   }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -5,7 +5,7 @@
  */
 import { Router, routesOf, type Settings, type View } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
-import { HttpServer } from "../http_server.ts";
+import { HttpServer, type HttpServerParts } from "../http_server.ts";
 import type { Component } from "../lifecycle.ts";
 import type { Log } from "../observe/log.ts";
 import type { Metrics } from "../observe/metrics.ts";
@@ -29,6 +29,7 @@
   metrics: Metrics;
   tracing: Tracing;
   random: () => number;
+  server: Pick<HttpServerParts, "limits" | "memory" | "refuse" | "onShed">;
 }
 
 /** Delay of a renewal that is requested early for more slots; bounds the rate of such renewals. */
@@ -100,7 +101,7 @@
 
   /** Returns the components of the entry in the order in which they start. */
   components(): Component[] {
-    const { settings } = this.#parts;
+    const { settings, server } = this.#parts;
     return [
       this.#forwarder,
       this.#dispatcher,
@@ -108,7 +109,7 @@
       new HttpServer({
         name: "service server",
         address: settings.listen.service,
-        limits: settings.limits,
+        ...server,
         listener: (request, response) => this.api.handle(request, response),
       }),
     ];
--- a/packages/daemon/src/entry/entry_api.ts
+++ b/packages/daemon/src/entry/entry_api.ts
@@ -68,7 +68,7 @@
       );
     });
     this.#router.post(`${SYSTEM_PREFIX}announce`, (request, response) => {
-      void this.#announce(
+      return this.#announce(
         request as IncomingMessage,
         response as ServerResponse,
       );
@@ -76,7 +76,7 @@
     for (const route of ["/:service", "/:service/*"]) {
       this.#router.all(route, (request, response, params) => {
         const service = params["service"] ?? "";
-        void this.#serve(
+        return this.#serve(
           request as IncomingMessage,
           response as ServerResponse,
           service,
@@ -91,8 +91,11 @@
   }
 
   /** Handles one HTTP request. */
-  handle(request: IncomingMessage, response: ServerResponse): void {
-    this.#router.lookup(request, response);
+  handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> | undefined {
+    return this.#router.lookup(request, response) as Promise<void> | undefined;
   }
 
   /** Returns the health check reply, which tells the load balancer whether this entry accepts new requests. */
@@ -153,10 +156,9 @@
       );
     }
     const serviceRule = this.#parts.leaseController.view.service(service);
-    const body = await readBody(
-      request,
-      serviceRule?.maxRequestBytes ?? forward.maxRequestBytes,
-    );
+    const body = await readBody(request, {
+      maxBytes: serviceRule?.maxRequestBytes ?? forward.maxRequestBytes,
+    });
     if (body.err) {
       return body;
     }
@@ -178,7 +180,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const body = await readBody(request, MAX_ANNOUNCEMENT_BYTES);
+    const body = await readBody(request, {
+      maxBytes: MAX_ANNOUNCEMENT_BYTES,
+    });
     const announcement = body
       .andThen((bytes) => parseJson(bytes.toString("utf8"), "announcement"))
       .andThen((value) => parse(Announcement, value, "announcement"));
--- a/packages/daemon/src/problem.ts
+++ b/packages/daemon/src/problem.ts
@@ -10,7 +10,7 @@
 export interface HttpReply {
   status: number;
   headers: Record<string, string | string[]>;
-  body: Buffer;
+  body: Buffer | string;
 }
 
 export const OUTCOME_HEADER = "x-quetzalcove-outcome";
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -4,7 +4,12 @@
  * @module
  */
 export type { Component } from "../lifecycle.ts";
-export { HttpServer, readBody } from "../http_server.ts";
+export {
+  HttpServer,
+  type HttpServerParts,
+  readBody,
+  writeReply,
+} from "../http_server.ts";
 export { hostAndPort } from "../net.ts";
 export { errorMessage, type Log, openLog } from "../observe/log.ts";
 export { wait } from "../waiting.ts";
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -5,6 +5,7 @@
  */
 import { getHeapStatistics } from "node:v8";
 import {
+  type CallerMemory,
   Err,
   type Fault,
   fault,
@@ -21,6 +22,7 @@
   type JobStoreOutput,
   type RelayCandidate,
 } from "@quetzalcove/core/scheduling";
+import { createCallerMemory } from "../callers/caller_limits.ts";
 import { type Clock, systemClock } from "../clock.ts";
 import { DynamicMembershipController } from "../consensus/dynamic_membership_controller.ts";
 import { transferLeadership } from "../consensus/leadership_transfer.ts";
@@ -89,6 +91,8 @@
 
 export class SchedulerNode {
   readonly metrics = new Metrics();
+  /** Memory for the callers of all servers of this node. */
+  readonly callerMemory: CallerMemory;
   readonly #parts: NodeParts;
   readonly #clock: Clock = systemClock;
   readonly #handlers = new Map<string, Handler>();
@@ -110,6 +114,10 @@
     const { cluster, host, listen } = settings;
     this.#parts = parts;
     registerProcessGauges(this.metrics);
+    this.callerMemory = createCallerMemory(
+      settings.limits.memoryMb,
+      this.metrics,
+    );
     this.#load = new LoadMonitor({
       clock: this.#clock,
       log,
--- a/packages/daemon/test/http_server_test.ts
+++ b/packages/daemon/test/http_server_test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { Agent, request } from "node:http";
 import { expect, it } from "vitest";
-import { Settings } from "@quetzalcove/core";
+import { CallerMemory, Settings } from "@quetzalcove/core";
 import { HttpServer, writeReply } from "../src/http_server.ts";
 
 const ADDRESS = "127.0.0.1:20991";
@@ -23,6 +23,9 @@
       name: "server",
       address: ADDRESS,
       limits,
+      memory: new CallerMemory(10_000_000),
+      refuse: () => {},
+      onShed: () => {},
       listener: (incoming, response) => {
         if (answers.length === ANSWERS_BEFORE_STOP) {
           stopping = server.stop();
