Links: what the other end makes a process hold is counted and limited

What was seen: 100 connections to a replica's link address that sent a message in small pieces without an end took 378 MB (256 MB allowed); 100 that sent calls ahead without reading answers ended the replica.

Cause: a message that was not whole was kept as a list of pieces and limited by their bytes alone; all calls of a read were started at once; answers were limited by peer only (8 MB each), and whoever connected was taken for a daemon, also of another cluster.

Now a message grows in one buffer, and what a connection holds is counted in the account of callers. Until it has said hello for this cluster, a connection has at most 16 calls in progress and messages of 64 KB, is closed first when memory is short, and after the idle timeout in any case. Known daemons have 4,096 calls in progress; more are read when some have ended. Their connections are not closed for want of memory, since their peers are limited themselves.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -183,6 +183,7 @@
     return new LinkServer({
       address: this.#settings.listen.link,
       ...this.#connectionParts(),
+      memory: this.#serverLimits.memory,
     });
   }
 
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -8,7 +8,15 @@
  */
 import type { Socket } from "node:net";
 import { Buffer } from "node:buffer";
-import { Err, Fault, fault, Ok, type Result } from "@quetzalcove/core";
+import {
+  type CallerAccount,
+  type CallerMemory,
+  Err,
+  Fault,
+  fault,
+  Ok,
+  type Result,
+} from "@quetzalcove/core";
 import {
   isJSONRPCRequest,
   isJSONRPCResponse,
@@ -16,6 +24,7 @@
   JSONRPCErrorException,
   JSONRPCServer,
 } from "json-rpc-2.0";
+import { BodyBuffer } from "../callers/body_buffer.ts";
 
 /** Intervals and limits of a connection. */
 export interface ConnectionSettings {
@@ -36,8 +45,16 @@
 
 const FAULT_CODE = -32_000;
 const HEARTBEAT_METHOD = "heartbeat";
+const HELLO_METHOD = "hello";
 const NEWLINE = 0x0a;
 
+/** Calls of a peer in progress from which no more are read: of one that has not said hello, and of a daemon. */
+const MAX_STRANGER_CALLS = 16;
+const MAX_CALLS = 4_096;
+
+/** Largest message of a peer that has not said hello. */
+const MAX_STRANGER_MESSAGE_BYTES = 65_536;
+
 /** Dependencies shared by all connections of a daemon. */
 export interface ConnectionParts {
   handlers: Handlers;
@@ -46,6 +63,11 @@
   now: () => number;
   /** Counts bytes sent and received. */
   count: (direction: "sent" | "received", bytes: number) => void;
+  /**
+   * Memory for callers, for connections that others have opened: whoever can reach the address may open one. Until it has
+   * said hello it has few calls in progress.
+   */
+  memory?: CallerMemory;
 }
 
 export class Connection {
@@ -56,9 +78,15 @@
   readonly #server = new JSONRPCServer({ errorListener: () => {} });
   readonly #heartbeatTimer: NodeJS.Timeout;
   #idleTimer: NodeJS.Timeout | undefined;
+  readonly #account: CallerAccount | undefined;
+  readonly #now: () => number;
   #hasSent = false;
-  #partialLine: Buffer[] = [];
-  #partialLineBytes = 0;
+  readonly #partialLine = new BodyBuffer();
+  /** Received, but not read while too many calls are in progress. */
+  #unread: Buffer | undefined;
+  #callsInProgress = 0;
+  /** Whether the peer is known to be a daemon of this cluster. */
+  #isKnown: boolean;
   #lastReceivedAt: number;
   #closed = false;
   /** Name of the entry at the other end; undefined until it is known. */
@@ -67,14 +95,27 @@
   onClose: (reason: string) => void = () => {};
 
   constructor(socket: Socket, parts: ConnectionParts) {
-    const { handlers, settings, now, count } = parts;
+    const { handlers, settings, now, count, memory } = parts;
     this.#socket = socket;
     this.#settings = settings;
     this.#count = count;
     this.#lastReceivedAt = now();
+    this.#now = now;
+    this.#isKnown = memory === undefined;
+    this.#account = memory?.open(
+      () => this.close("callers take all the memory for them"),
+      now(),
+    );
     this.#client = new JSONRPCClient((request) => this.#write(request));
     for (const [method, handler] of handlers) {
-      this.#server.addMethod(method, (params) => this.#handle(handler, params));
+      this.#server.addMethod(method, async (params) => {
+        const result = await this.#handle(handler, params);
+        if (method === HELLO_METHOD) {
+          this.#isKnown = true;
+          this.#account?.protect();
+        }
+        return result;
+      });
     }
     this.#server.addMethod(HEARTBEAT_METHOD, () => null);
     socket.setNoDelay(true);
@@ -127,7 +168,9 @@
     clearInterval(this.#heartbeatTimer);
     clearTimeout(this.#idleTimer);
     this.#socket.destroy();
-    this.#partialLine = [];
+    this.#partialLine.clear();
+    this.#unread = undefined;
+    this.#account?.close(this.#now());
     this.#client.rejectAllPendingRequests(`Connection closed: ${reason}`);
     this.onClose(reason);
   }
@@ -139,7 +182,13 @@
       this.close(`nothing arrived for ${this.#settings.idleMs} ms`);
       return;
     }
-    this.#idleTimer = setTimeout(() => this.#watchIdle(now), leftMs);
+    this.#idleTimer = setTimeout(() => {
+      if (this.#isKnown) {
+        this.#watchIdle(now);
+      } else {
+        this.close(`no hello for ${this.#settings.idleMs} ms`);
+      }
+    }, leftMs);
   }
 
   /** Sends a heartbeat if nothing was sent for one interval; any message shows the peer that this end is alive. */
@@ -160,7 +209,15 @@
     const line = Buffer.from(`${JSON.stringify(message)}\n`);
     this.#count("sent", line.length);
     this.#hasSent = true;
-    this.#socket.write(line);
+    if (this.#account === undefined) {
+      this.#socket.write(line);
+    } else {
+      this.#account.hold(line.length, this.#now());
+      this.#socket.write(
+        line,
+        () => this.#account?.free(line.length, this.#now()),
+      );
+    }
     return Promise.resolve();
   }
 
@@ -168,21 +225,63 @@
     let rest = chunk;
     for (
       let end = rest.indexOf(NEWLINE);
-      end >= 0;
+      end >= 0 && !this.#closed;
       end = rest.indexOf(NEWLINE)
     ) {
-      const line = Buffer.concat([...this.#partialLine, rest.subarray(0, end)]);
-      this.#partialLine = [];
-      this.#partialLineBytes = 0;
+      if (this.#callsInProgress >= this.#maxCalls) {
+        this.#stopReading(rest);
+        return;
+      }
+      const line = this.#endLine(rest.subarray(0, end));
       rest = rest.subarray(end + 1);
-      this.#receive(line.toString("utf8"));
+      this.#receive(line);
     }
-    this.#partialLine.push(rest);
-    this.#partialLineBytes += rest.length;
-    if (this.#partialLineBytes > this.#settings.maxMessageBytes) {
-      this.close(
-        `message is longer than ${this.#settings.maxMessageBytes} bytes`,
-      );
+    if (!this.#closed && rest.length > 0) {
+      this.#keepPartialLine(rest);
+    }
+  }
+
+  get #maxCalls(): number {
+    return this.#isKnown ? MAX_CALLS : MAX_STRANGER_CALLS;
+  }
+
+  /** Text of a line whose last part is given. */
+  #endLine(end: Buffer): string {
+    if (this.#partialLine.length === 0) {
+      return end.toString("utf8");
+    }
+    this.#partialLine.append(end);
+    this.#account?.free(this.#partialLine.capacity, this.#now());
+    return this.#partialLine.take().toString("utf8");
+  }
+
+  #keepPartialLine(part: Buffer): void {
+    const before = this.#partialLine.capacity;
+    this.#partialLine.append(part);
+    const maxBytes = this.#isKnown
+      ? this.#settings.maxMessageBytes
+      : Math.min(MAX_STRANGER_MESSAGE_BYTES, this.#settings.maxMessageBytes);
+    if (this.#partialLine.length > maxBytes) {
+      this.close(`message is longer than ${maxBytes} bytes`);
+      return;
+    }
+    this.#account?.hold(this.#partialLine.capacity - before, this.#now());
+  }
+
+  /** Keeps what was received until a call has ended. */
+  #stopReading(unread: Buffer): void {
+    this.#socket.pause();
+    this.#unread = unread;
+    this.#account?.hold(unread.length, this.#now());
+  }
+
+  #readOn(): void {
+    const unread = this.#unread;
+    if (unread !== undefined && !this.#closed) {
+      this.#unread = undefined;
+      this.#account?.free(unread.length, this.#now());
+      this.#socket.resume();
+      this.#read(unread);
     }
   }
 
@@ -206,7 +305,10 @@
   async #serveRequest(
     message: Parameters<JSONRPCServer["receive"]>[0],
   ): Promise<void> {
+    this.#callsInProgress += 1;
     const response = await this.#server.receive(message);
+    this.#callsInProgress -= 1;
+    this.#readOn();
     if (response !== null) {
       await this.#write(response).catch(() =>
         this.close("answer could not be sent")
--- a/packages/daemon/src/link/server.ts
+++ b/packages/daemon/src/link/server.ts
@@ -14,6 +14,9 @@
   address: Address;
 }
 
+/** Connections to be accepted: of the other daemons, which have one each, and of some that are being replaced. */
+const MAX_CONNECTIONS = 1_024;
+
 export class LinkServer implements Component {
   readonly name = "link server";
   readonly #parts: LinkServerParts;
@@ -30,6 +33,7 @@
       this.#connections.add(connection);
       connection.onClose = () => this.#connections.delete(connection);
     });
+    server.maxConnections = MAX_CONNECTIONS;
     this.#server = server;
     return new Promise((resolve, reject) => {
       server.once("error", reject);
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -245,6 +245,7 @@
     const server = new LinkServer({
       address: settings.listen.link,
       ...this.#connectionParts(),
+      memory: this.callerMemory,
     });
     if (folder === undefined) {
       return [this.#runtime, this.#load, this.#linkPool, this.#discovery];
@@ -259,7 +260,15 @@
   }
 
   #receiveHello(params: unknown): Promise<Result<unknown, Fault>> {
-    const hello = parse(Hello, params, "hello");
+    const { cluster } = this.#parts.settings;
+    const hello = parse(Hello, params, "hello").andThen((value) =>
+      value.cluster === cluster ? Ok(value) : Err(
+        fault(
+          "conflict",
+          `This is cluster "${cluster}", not "${value.cluster}"`,
+        ),
+      )
+    );
     if (hello.ok) {
       this.#linkPool.reconnect(hello.val.entry);
     }
--- a/test/clients/daemon_clients_test.ts
+++ b/test/clients/daemon_clients_test.ts
@@ -112,6 +112,24 @@
   }],
 ];
 
+const LINK_KINDS: Kind[] = [
+  ["send a message in single bytes and stop before its end", 60, {
+    head: `{"jsonrpc":"2.0","method":"`,
+    piece: Buffer.from("x"),
+    pieces: 4_000_000,
+  }],
+  [
+    "send calls ahead",
+    60,
+    {
+      head: "",
+      piece: Buffer.from(
+        `{"jsonrpc":"2.0","id":1,"method":"read","params":{"what":"vms"}}\n`,
+      ),
+    },
+  ],
+];
+
 describe("a daemon beside clients that", () => {
   const fixture = new ClusterFixture({
     entries: 1,
@@ -170,4 +188,9 @@
     "%s at the administration address, %i connections",
     (...kind) => expectSurvival(cluster.admin("e1"), kind, isRead),
   );
+
+  it.each(LINK_KINDS)(
+    "%s at the link address, %i connections",
+    (...kind) => expectSurvival(cluster.link("e1"), kind, isServed),
+  );
 });
