Answers of workers, targets and agents: what arrives is limited and counted

What could happen: an answer of a worker, of the VM API or of the advisor was read whatever its length until the call's deadline, each piece kept as an object; answers of targets up to 64 MB each counted as nothing while they arrived. One worker whose answer has no end could end the leader.

The bytes of targets' answers count toward the memory for callers while they arrive. One for which there is none is `broken_answer`, as one that is too long: the request may have run, so no "not run" is promised.

--- a/packages/core/src/callers/caller_memory.ts
+++ b/packages/core/src/callers/caller_memory.ts
@@ -151,13 +151,16 @@
     return account;
   }
 
-  /** Whether there is room for more bytes of a request, after room was made; always if nothing else is in progress. */
-  hasRoom(bytes: number, now: number): boolean {
+  /**
+   * Whether there is room for more bytes of a request that needs `own` already, after room was made; always if little
+   * else is in progress.
+   */
+  hasRoom(bytes: number, now: number, own = 0): boolean {
     if (this.#held + bytes > this.limitBytes) {
       this.makeRoom(now, bytes);
     }
     return this.#held + bytes <= this.limitBytes ||
-      this.#pinned <= REQUEST_BYTES;
+      this.#pinned - own <= REQUEST_BYTES;
   }
 
   /** Closes connections until the limit is kept with `bytes` more; used by accounts. */
@@ -189,7 +192,7 @@
     this.#held += bytes;
   }
 
-  /** Used by accounts. */
+  /** Counts bytes that are needed until a request has ended; less than 0 if they are given back. */
   addPinned(bytes: number): void {
     this.#pinned += bytes;
     this.#held += bytes;
--- a/packages/daemon/src/agents/platform_agent_client.ts
+++ b/packages/daemon/src/agents/platform_agent_client.ts
@@ -17,6 +17,9 @@
 
 const CALL_TIMEOUT_MS = 2_000;
 
+/** Longest answer that is read. */
+const MAX_ANSWER_BYTES = 65_536;
+
 /** Maximum number of operations whose last status is kept. */
 const MAX_STATUSES = 8_192;
 
@@ -26,6 +29,7 @@
   readonly #dispatcher = new Agent({
     connect: { timeout: CALL_TIMEOUT_MS },
     pipelining: 1,
+    maxResponseSize: MAX_ANSWER_BYTES,
   });
   readonly #statuses = new Map<string, OperationStatus>();
   readonly #drained = new Map<string, boolean>();
--- a/packages/daemon/src/agents/task_agent_client.ts
+++ b/packages/daemon/src/agents/task_agent_client.ts
@@ -13,6 +13,8 @@
 
 /** Timeout of a call that the agent answers at once. */
 const CALL_TIMEOUT_MS = 2_000;
+/** Longest report that is read: some thousand tasks. */
+const MAX_ANSWER_BYTES = 1_048_576;
 /** Maximum number of concurrent calls to one agent. */
 const MAX_CONNECTIONS = 4;
 
@@ -25,6 +27,7 @@
     connect: { timeout: CALL_TIMEOUT_MS },
     connections: MAX_CONNECTIONS,
     pipelining: 1,
+    maxResponseSize: MAX_ANSWER_BYTES,
   });
   /** Renewals without an answer yet, so that calls to a VM that does not answer do not pile up. */
   readonly #pendingRenewals = new Set<string>();
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -50,7 +50,7 @@
     const { settings, leader, clock, log, metrics, tracing, random } = parts;
     this.#parts = parts;
     this.#usage = new Usage(metrics);
-    this.#forwarder = new Forwarder(settings.forward);
+    this.#forwarder = new Forwarder(settings.forward, parts.server.memory);
     this.#router = new Router({
       entry: settings.entry,
       incarnation: Math.floor(clock.wall()),
--- a/packages/daemon/src/entry/forwarder.ts
+++ b/packages/daemon/src/entry/forwarder.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import {
   type Announcement,
+  type CallerMemory,
   Err,
   type Fault,
   fault,
@@ -15,6 +16,7 @@
   type Settings,
 } from "@quetzalcove/core";
 import { type Dispatcher, Pool } from "undici";
+import { BodyBuffer } from "../callers/body_buffer.ts";
 import type { Component } from "../lifecycle.ts";
 import { endToEndHeaders } from "./headers.ts";
 
@@ -54,10 +56,13 @@
 export class Forwarder implements Component {
   readonly name = "forwarder";
   readonly #settings: Settings["forward"];
+  readonly #memory: CallerMemory;
   readonly #upstreams = new Map<string, Upstream>();
 
-  constructor(settings: Settings["forward"]) {
+  /** Answers count toward the memory for callers while they arrive. */
+  constructor(settings: Settings["forward"], memory: CallerMemory) {
     this.#settings = settings;
+    this.#memory = memory;
   }
 
   start(): Promise<void> {
@@ -99,7 +104,7 @@
           body: request.body.length === 0 ? null : request.body,
           idempotent: false,
         },
-        new AnswerReader(request, resolve),
+        new AnswerReader(request, this.#memory, resolve),
       );
     });
   }
@@ -129,8 +134,8 @@
 class AnswerReader implements Dispatcher.DispatchHandler {
   readonly #request: OutgoingRequest;
   readonly #settle: (result: Result<BufferedAnswer, AttemptFailure>) => void;
-  readonly #chunks: Buffer[] = [];
-  #bytes = 0;
+  readonly #memory: CallerMemory;
+  readonly #body = new BodyBuffer();
   #status = 0;
   #headers: IncomingHttpHeaders = {};
   #sent = false;
@@ -141,9 +146,11 @@
 
   constructor(
     request: OutgoingRequest,
+    memory: CallerMemory,
     settle: (result: Result<BufferedAnswer, AttemptFailure>) => void,
   ) {
     this.#request = request;
+    this.#memory = memory;
     this.#settle = settle;
     request.signal.addEventListener("abort", this.#onAbort, { once: true });
   }
@@ -191,19 +198,35 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.#bytes += chunk.length;
-    if (this.#bytes > this.#request.maxAnswerBytes) {
+    if (this.#settled) {
+      return;
+    }
+    if (this.#body.length + chunk.length > this.#request.maxAnswerBytes) {
       this.#failTooLarge();
       return;
     }
-    this.#chunks.push(chunk);
+    const before = this.#body.capacity;
+    this.#body.append(chunk);
+    const more = this.#body.capacity - before;
+    if (!this.#memory.hasRoom(more, performance.now(), before)) {
+      this.#body.clear();
+      this.#memory.addPinned(-before);
+      this.#fail(
+        fault(
+          "broken_answer",
+          "Requests take all the memory that the answer of the target needs",
+        ),
+      );
+      return;
+    }
+    this.#memory.addPinned(more);
   }
 
   onResponseEnd(): void {
     this.#end(Ok({
       status: this.#status,
       headers: this.#answerHeaders(),
-      body: Buffer.concat(this.#chunks),
+      body: this.#takeBody(),
       hasBody: this.#hasBody(),
     }));
   }
@@ -218,6 +241,11 @@
     );
   }
 
+  #takeBody(): Buffer {
+    this.#memory.addPinned(-this.#body.capacity);
+    return this.#body.take();
+  }
+
   #answerHeaders(): Record<string, string | string[]> {
     const headers = endToEndHeaders(this.#headers);
     const declared = this.#headers["content-length"];
@@ -250,6 +278,8 @@
   #end(result: Result<BufferedAnswer, AttemptFailure>): void {
     if (!this.#settled) {
       this.#settled = true;
+      this.#memory.addPinned(-this.#body.capacity);
+      this.#body.clear();
       this.#request.signal.removeEventListener("abort", this.#onAbort);
       this.#settle(result);
     }
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export type { Component } from "../lifecycle.ts";
+export { BodyBuffer } from "../callers/body_buffer.ts";
 export {
   HttpServer,
   type HttpServerParts,
