--- a/packages/daemon/src/callers/caller_connection.ts
+++ b/packages/daemon/src/callers/caller_connection.ts
@@ -152,7 +152,7 @@
   #headSince = 0;
   #requests = 0;
   /** Requests in progress. */
-  readonly #holds = new Set<RequestHold>();
+  readonly #holds = new Map<ServerResponse, RequestHold>();
   /** Requests that have ended since the connection was closed. */
   readonly #endedHolds: RequestHold[] = [];
   /** That of the request that was parsed last. */
@@ -222,10 +222,10 @@
     const hold = new RequestHold(
       response,
       hasRoom,
-      () => this.#endRequest(hold),
+      () => this.#endRequest(response, hold),
     );
     hold.add(this.#account.pin(REQUEST_BYTES));
-    this.#holds.add(hold);
+    this.#holds.set(response, hold);
     this.#hold = hold;
     response.once("close", () => hold.endAnswer());
     return hold;
@@ -235,7 +235,7 @@
   holdAnswer(response: ServerResponse, bytes: number): void {
     this.#answerBytes += bytes;
     this.#account.hold(bytes, this.#parts.now());
-    response.once("close", () => {
+    this.#holds.get(response)?.add(() => {
       this.#answerBytes -= bytes;
       this.#account.free(bytes, this.#parts.now());
     });
@@ -394,8 +394,8 @@
     callback(error);
   }
 
-  #endRequest(hold: RequestHold): void {
-    this.#holds.delete(hold);
+  #endRequest(response: ServerResponse, hold: RequestHold): void {
+    this.#holds.delete(response);
     if (this.destroyed) {
       this.#endRequestOfClosed(hold);
     } else {
