--- a/test/harness/crowd.ts
+++ b/test/harness/crowd.ts
@@ -14,6 +14,8 @@
   piece?: Buffer;
   /** How often the piece is sent; without end unless given. */
   pieces?: number;
+  /** Time between two pieces in milliseconds; they are sent at once unless given. */
+  pauseMs?: number;
 }
 
 export interface CrowdOptions {
@@ -75,13 +77,18 @@
   }
 
   #sendPieces(socket: Socket, left: number): void {
-    const { piece } = this.#options.script;
+    const { piece, pauseMs } = this.#options.script;
     if (piece === undefined || left <= 0 || socket.destroyed) {
       return;
     }
-    const count = Math.min(left, Math.ceil(WRITE_BYTES / piece.length));
+    const count = pauseMs === undefined
+      ? Math.min(left, Math.ceil(WRITE_BYTES / piece.length))
+      : 1;
     const data = Buffer.alloc(count * piece.length, piece);
-    socket.write(data, (error) => {
+    socket.write(data, async (error) => {
+      if (pauseMs !== undefined) {
+        await wait(pauseMs);
+      }
       if (!error) {
         this.#sendPieces(socket, left - count);
       }
