--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -115,11 +115,6 @@
     );
   }
 
-  /** Number of open connections. */
-  get connectionCount(): number {
-    return this.#connections.size;
-  }
-
   start(): Promise<void> {
     this.#checkTimer = setInterval(
       () => this.#checkTimeouts(),
