Callers: a slice never exceeds a body by more than a slice, and paused connections go on

Read again: the rest of a body whose length is known was computed from what a handler had read. Of a body that nobody reads (DELETE with a body) the slice was as long as the whole body, so that thousands of requests behind it would be parsed at once. It is now computed from what the parser was given. A connection whose socket the parser had paused during a turn was waiting for a turn that nobody gave; it listens to `resume` all the time now.

Looking for room is repeated after 2 ms at the earliest if too little was found: it looks at all connections. `RequestHold` has a file of its own.

--- a/packages/core/src/callers/caller_memory.ts
+++ b/packages/core/src/callers/caller_memory.ts
@@ -114,6 +114,9 @@
   }
 }
 
+/** Time for which no room is made after too little was found, since that looks at all connections. */
+const SEARCH_PAUSE_MS = 2;
+
 export class CallerMemory {
   readonly limitBytes: number;
   readonly #accounts = new Set<CallerAccount>();
@@ -121,6 +124,7 @@
   /** Part of it that requests in progress need. */
   #pinned = 0;
   #isMakingRoom = false;
+  #searchAfter = -Infinity;
 
   constructor(limitBytes: number) {
     this.limitBytes = limitBytes;
@@ -166,7 +170,7 @@
   /** Closes connections until the limit is kept with `bytes` more; used by accounts. */
   makeRoom(now: number, bytes = 0): void {
     // Closing a connection may count its answer, which must not start this anew.
-    if (this.#isMakingRoom) {
+    if (this.#isMakingRoom || now < this.#searchAfter) {
       return;
     }
     this.#isMakingRoom = true;
@@ -178,6 +182,9 @@
       reclaim();
     }
     this.#isMakingRoom = false;
+    if (this.#held > target) {
+      this.#searchAfter = now + SEARCH_PAUSE_MS;
+    }
   }
 
   /** Closes the first of some connections in order; false if all have requests in progress. */
--- a/packages/daemon/src/callers/body_reader.ts
+++ b/packages/daemon/src/callers/body_reader.ts
@@ -76,10 +76,9 @@
     }
     const before = this.#body.capacity;
     this.#body.append(chunk, declared > 0 ? declared : undefined);
-    this.#connection?.countBody(
-      chunk.length,
-      this.#body.capacity - before,
-    );
+    if (this.#body.capacity > before) {
+      this.#connection?.holdBody(this.#body.capacity - before);
+    }
   }
 
   #finish(): void {
--- a/packages/daemon/src/callers/caller_connection.ts
+++ b/packages/daemon/src/callers/caller_connection.ts
@@ -23,6 +23,7 @@
   REQUEST_BYTES,
 } from "@quetzalcove/core";
 import type { ParseTurns, Parsing } from "./parse_turns.ts";
+import { RequestHold } from "./request_hold.ts";
 
 /** Why a request was refused, or a connection closed, before a handler has answered. */
 export type ShedReason =
@@ -85,62 +86,6 @@
   });
 }
 
-/** A request in progress and its memory. It ends when the answer is written or lost and the handler has ended. */
-export class RequestHold {
-  /** Whether there is memory for the request. */
-  readonly hasRoom: boolean;
-  readonly #response: ServerResponse;
-  readonly #releases: (() => void)[] = [];
-  readonly #onEnd: () => void;
-  #isAnswered = false;
-  #isHandled = false;
-
-  constructor(
-    response: ServerResponse,
-    hasRoom: boolean,
-    onEnd: () => void,
-  ) {
-    this.#response = response;
-    this.hasRoom = hasRoom;
-    this.#onEnd = onEnd;
-  }
-
-  /** Adds a function that gives memory back. */
-  add(release: () => void): void {
-    this.#releases.push(release);
-  }
-
-  /** Gives the memory back. */
-  release(): void {
-    this.#releases.forEach((release) => release());
-  }
-
-  /** Closes the connection after the answer, unless that is being written already. */
-  closeAfterAnswer(): void {
-    if (!this.#response.headersSent) {
-      this.#response.setHeader("connection", "close");
-    }
-  }
-
-  endAnswer(): void {
-    if (!this.#isAnswered) {
-      this.#isAnswered = true;
-      this.#endIfOver();
-    }
-  }
-
-  endHandler(): void {
-    this.#isHandled = true;
-    this.#endIfOver();
-  }
-
-  #endIfOver(): void {
-    if (this.#isAnswered && this.#isHandled) {
-      this.#onEnd();
-    }
-  }
-}
-
 export class CallerConnection extends Duplex implements Parsing {
   readonly #parts: CallerConnectionParts;
   readonly #account: CallerAccount;
@@ -161,7 +106,8 @@
   /** The request that was parsed last. */
   #request: IncomingMessage | undefined;
   #requestSince = 0;
-  #bodyReceived = 0;
+  /** Bytes of its body that were given to the parser, apart from those that came with the header. */
+  #bodyGiven = 0;
   #failBody: ((cause: Fault) => void) | undefined;
   #hasEnded = false;
   #droppingSince: number | undefined;
@@ -181,10 +127,7 @@
     socket.on("end", () => this.#endReading());
     socket.on("error", () => this.destroy());
     socket.on("close", () => this.destroy());
-  }
-
-  get remoteAddress(): string | undefined {
-    return this.#parts.socket.remoteAddress;
+    this.on("resume", () => this.#continue());
   }
 
   /** Whether no request is in progress or arriving. */
@@ -210,7 +153,7 @@
     this.#freeHead(now);
     this.#request = request;
     this.#requestSince = now;
-    this.#bodyReceived = 0;
+    this.#bodyGiven = 0;
     this.#requests += 1;
     const hasRoom = this.#parts.memory.hasRoom(REQUEST_BYTES, now);
     if (!hasRoom && this.#holds.size > 0) {
@@ -251,12 +194,9 @@
     this.#failBody = fail;
   }
 
-  /** Counts bytes of a body as received, and what they take. */
-  countBody(received: number, held: number): void {
-    this.#bodyReceived += received;
-    if (held > 0) {
-      this.#account.hold(held, this.#parts.now());
-    }
+  /** Counts what a body takes more than before. */
+  holdBody(bytes: number): void {
+    this.#account.hold(bytes, this.#parts.now());
   }
 
   /** Called when a body is whole: counts its memory until the request has ended. Returns false if there is none. */
@@ -429,11 +369,11 @@
     this.#unparsed = this.#unparsed === undefined
       ? chunk
       : Buffer.concat([this.#unparsed, chunk]);
-    this.parseSlice();
-    while (
-      this.#unparsed !== undefined && this.#sliceBytes() > SLICE_BYTES &&
-      this.parseSlice()
-    ) { /* The rest of a body whose length is known is cheap. */ }
+    let mayGoOn = this.parseSlice();
+    // The rest of a body whose length is known makes no further requests.
+    while (mayGoOn && this.#sliceBytes() > SLICE_BYTES) {
+      mayGoOn = this.parseSlice();
+    }
     if (this.#unparsed !== undefined) {
       this.#waitForTurn();
     }
@@ -443,9 +383,11 @@
   #give(slice: Buffer): void {
     const { now } = this.#parts;
     const before = this.#requests;
-    const isHead = !this.#isBodyOpen;
+    const isBody = this.#isBodyOpen;
+    this.#bodyGiven += isBody ? slice.length : 0;
     this.push(slice);
-    if (isHead && this.#requests === before && !this.destroyed) {
+    const isPartOfHead = !isBody && this.#requests === before;
+    if (isPartOfHead && !this.destroyed && this.#droppingSince === undefined) {
       if (this.#headHeld === 0) {
         this.#headSince = now();
       }
@@ -455,11 +397,12 @@
     }
   }
 
+  /** Length of the next slice: the rest of the body if it is known, which a slice exceeds by less than its own length. */
   #sliceBytes(): number {
     const declared = this.#isBodyOpen
       ? Number(this.#request?.headers["content-length"] ?? 0)
       : 0;
-    return Math.max(SLICE_BYTES, declared - this.#bodyReceived);
+    return Math.max(SLICE_BYTES, declared - this.#bodyGiven);
   }
 
   #mayParse(): boolean {
@@ -476,9 +419,7 @@
     const more = bytes - this.#unparsedHeld;
     this.#unparsedHeld = bytes;
     this.#account.hold(more, now());
-    if (this.isPaused()) {
-      this.once("resume", () => this.#continue());
-    } else if (!this.destroyed) {
+    if (!this.destroyed) {
       turns.add(this);
     }
   }
