HTTP servers: a connection that is closing makes no room for another one

At `limits.maxConnections` the connection to be closed was sought among all that had not ended yet, so that during a flood of new connections the same ones were found again and the limit was exceeded. Seen when the code was read; no run has shown it.

--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -155,7 +155,9 @@
     const now = performance.now();
     if (this.#connections.size >= limits.maxConnections) {
       this.#onShed("connections");
-      const accounts = [...this.#connections].map(({ account }) => account);
+      const accounts = [...this.#connections]
+        .filter(({ destroyed }) => !destroyed)
+        .map(({ account }) => account);
       if (!memory.closeOne(accounts, now)) {
         socket.destroy();
         return;
