--- a/test/harness/crowd.ts
+++ b/test/harness/crowd.ts
@@ -16,6 +16,8 @@
   pieces?: number;
   /** Time between two pieces in milliseconds; they are sent at once unless given. */
   pauseMs?: number;
+  /** Whether the connection is closed after the last piece, and opened anew. */
+  leaves?: boolean;
 }
 
 export interface CrowdOptions {
@@ -77,8 +79,11 @@
   }
 
   #sendPieces(socket: Socket, left: number): void {
-    const { piece, pauseMs } = this.#options.script;
+    const { piece, pauseMs, leaves = false } = this.#options.script;
     if (piece === undefined || left <= 0 || socket.destroyed) {
+      if (leaves) {
+        socket.destroySoon();
+      }
       return;
     }
     const count = pauseMs === undefined
