Callers: a chunk that is most of its memory is kept without a copy

A chunk is now kept as it is if it refers to little else, and counts all that it refers to; a short one that refers to a large read is copied as before.

--- a/packages/daemon/src/callers/body_buffer.ts
+++ b/packages/daemon/src/callers/body_buffer.ts
@@ -13,6 +13,8 @@
 export class BodyBuffer {
   #buffer: Buffer = Buffer.alloc(0);
   #length = 0;
+  /** Bytes that the buffer keeps in memory beside its own. */
+  #excess = 0;
 
   /** Number of bytes received. */
   get length(): number {
@@ -21,14 +23,15 @@
 
   /** Number of bytes allocated. */
   get capacity(): number {
-    return this.#buffer.length;
+    return this.#buffer.length + this.#excess;
   }
 
   /** Adds a chunk; `expected` is the length of the whole, if it is known. */
   append(chunk: Buffer, expected = Infinity): void {
     const needed = this.#length + chunk.length;
-    if (this.#length === 0 && chunk.length >= expected) {
+    if (this.#length === 0 && isMostOfItsMemory(chunk)) {
       this.#buffer = chunk;
+      this.#excess = chunk.buffer.byteLength - chunk.length;
     } else {
       this.#reserve(needed, expected);
       chunk.copy(this.#buffer, this.#length);
@@ -46,6 +49,7 @@
   clear(): void {
     this.#buffer = Buffer.alloc(0);
     this.#length = 0;
+    this.#excess = 0;
   }
 
   /** Grows by a factor, but not beyond the expected length. */
@@ -63,5 +67,11 @@
     );
     this.#buffer.copy(larger, 0, 0, this.#length);
     this.#buffer = larger;
+    this.#excess = 0;
   }
 }
+
+/** Whether a chunk can be kept without a copy: it refers to all that was read together with it. */
+function isMostOfItsMemory({ buffer, length }: Buffer): boolean {
+  return buffer.byteLength <= MIN_CAPACITY + GROWTH_FACTOR * length;
+}
