Links: what a message held is given back exactly, and names of limits

The last part of a message could grow its buffer right before that was counted as given back, which took from the account what answers held. Found when the change was read; the account is cleared with the connection, so it was never more than a message.

--- a/packages/daemon/src/callers/body_reader.ts
+++ b/packages/daemon/src/callers/body_reader.ts
@@ -76,7 +76,7 @@
     }
     const before = this.#body.capacity;
     this.#body.append(chunk, declared > 0 ? declared : undefined);
-    if (this.#body.capacity > before) {
+    if (this.#body.capacity !== before) {
       this.#connection?.holdBody(this.#body.capacity - before);
     }
   }
--- a/packages/daemon/src/link/connection.ts
+++ b/packages/daemon/src/link/connection.ts
@@ -49,11 +49,11 @@
 const NEWLINE = 0x0a;
 
 /** Calls of a peer in progress from which no more are read: of one that has not said hello, and of a daemon. */
-const MAX_STRANGER_CALLS = 16;
+const MAX_UNIDENTIFIED_CALLS = 16;
 const MAX_CALLS = 4_096;
 
 /** Largest message of a peer that has not said hello. */
-const MAX_STRANGER_MESSAGE_BYTES = 65_536;
+const MAX_UNIDENTIFIED_MESSAGE_BYTES = 65_536;
 
 /** Dependencies shared by all connections of a daemon. */
 export interface ConnectionParts {
@@ -86,7 +86,7 @@
   #unread: Buffer | undefined;
   #callsInProgress = 0;
   /** Whether the peer is known to be a daemon of this cluster. */
-  #isKnown: boolean;
+  #isIdentified: boolean;
   #lastReceivedAt: number;
   #closed = false;
   /** Name of the entry at the other end; undefined until it is known. */
@@ -101,7 +101,7 @@
     this.#count = count;
     this.#lastReceivedAt = now();
     this.#now = now;
-    this.#isKnown = memory === undefined;
+    this.#isIdentified = memory === undefined;
     this.#account = memory?.open(
       () => this.close("callers take all the memory for them"),
       now(),
@@ -111,7 +111,7 @@
       this.#server.addMethod(method, async (params) => {
         const result = await this.#handle(handler, params);
         if (method === HELLO_METHOD) {
-          this.#isKnown = true;
+          this.#isIdentified = true;
           this.#account?.protect();
         }
         return result;
@@ -183,7 +183,7 @@
       return;
     }
     this.#idleTimer = setTimeout(() => {
-      if (this.#isKnown) {
+      if (this.#isIdentified) {
         this.#watchIdle(now);
       } else {
         this.close(`no hello for ${this.#settings.idleMs} ms`);
@@ -242,7 +242,7 @@
   }
 
   get #maxCalls(): number {
-    return this.#isKnown ? MAX_CALLS : MAX_STRANGER_CALLS;
+    return this.#isIdentified ? MAX_CALLS : MAX_UNIDENTIFIED_CALLS;
   }
 
   /** Text of a line whose last part is given. */
@@ -250,17 +250,20 @@
     if (this.#partialLine.length === 0) {
       return end.toString("utf8");
     }
-    this.#partialLine.append(end);
     this.#account?.free(this.#partialLine.capacity, this.#now());
+    this.#partialLine.append(end);
     return this.#partialLine.take().toString("utf8");
   }
 
   #keepPartialLine(part: Buffer): void {
     const before = this.#partialLine.capacity;
     this.#partialLine.append(part);
-    const maxBytes = this.#isKnown
+    const maxBytes = this.#isIdentified
       ? this.#settings.maxMessageBytes
-      : Math.min(MAX_STRANGER_MESSAGE_BYTES, this.#settings.maxMessageBytes);
+      : Math.min(
+        MAX_UNIDENTIFIED_MESSAGE_BYTES,
+        this.#settings.maxMessageBytes,
+      );
     if (this.#partialLine.length > maxBytes) {
       this.close(`message is longer than ${maxBytes} bytes`);
       return;
