HTTP servers: the limits of a process's servers have one type

Three places spelled the same part of HttpServerParts out; it is ServerLimits beside it now. A reason for shed connections that nothing gave is gone.

--- a/packages/daemon/src/callers/caller_connection.ts
+++ b/packages/daemon/src/callers/caller_connection.ts
@@ -34,8 +34,7 @@
   | "unread_answer"
   | "malformed"
   | "no_host"
-  | "expectation"
-  | "unread_body";
+  | "expectation";
 
 /** Deadlines of a connection, in milliseconds. */
 export interface ConnectionTimeouts {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,7 +28,7 @@
 import { Entry } from "./entry/entry.ts";
 import { LeaderClient } from "./entry/leader_client.ts";
 import { createCallerMemory } from "./callers/caller_limits.ts";
-import { HttpServer, type HttpServerParts, writeReply } from "./http_server.ts";
+import { HttpServer, type ServerLimits, writeReply } from "./http_server.ts";
 import { Leader } from "./leader/leader.ts";
 import { type Component, Lifecycle } from "./lifecycle.ts";
 import type { ConnectionParts, Handler } from "./link/connection.ts";
@@ -61,10 +61,7 @@
       direction: "received",
     }),
   };
-  readonly #serverLimits: Pick<
-    HttpServerParts,
-    "limits" | "memory" | "refuse" | "onShed"
-  >;
+  readonly #serverLimits: ServerLimits;
   readonly #tracing: Tracing;
   readonly #lifecycle: Lifecycle;
   readonly #handlers = new Map<string, Handler>();
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -5,7 +5,7 @@
  */
 import { Router, routesOf, type Settings, type View } from "@quetzalcove/core";
 import type { Clock } from "../clock.ts";
-import { HttpServer, type HttpServerParts } from "../http_server.ts";
+import { HttpServer, type ServerLimits } from "../http_server.ts";
 import type { Component } from "../lifecycle.ts";
 import type { Log } from "../observe/log.ts";
 import type { Metrics } from "../observe/metrics.ts";
@@ -29,7 +29,7 @@
   metrics: Metrics;
   tracing: Tracing;
   random: () => number;
-  server: Pick<HttpServerParts, "limits" | "memory" | "refuse" | "onShed">;
+  server: ServerLimits;
 }
 
 /** Delay of a renewal that is requested early for more slots; bounds the rate of such renewals. */
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -56,6 +56,12 @@
   onShed: (server: string, reason: ShedReason) => void;
 }
 
+/** How the servers of a process limit their callers. */
+export type ServerLimits = Pick<
+  HttpServerParts,
+  "limits" | "memory" | "refuse" | "onShed"
+>;
+
 /** Time after which connections that are still open during a stop are closed. */
 const CLOSE_TIMEOUT_MS = 5_000;
 
--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -7,8 +7,8 @@
 export { BodyBuffer } from "../callers/body_buffer.ts";
 export {
   HttpServer,
-  type HttpServerParts,
   readBody,
+  type ServerLimits,
   writeReply,
 } from "../http_server.ts";
 export { hostAndPort } from "../net.ts";
