--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -8,6 +8,9 @@
 const ENDS_A_LISTING = 500;
 const MAX_WAIT_MS = 2_000;
 
+// A task that lasts is at work so long after its start.
+export const STARTUP_MS = 500;
+
 // `spec` of a job names for each of its steps how long a task takes and what it needs: {"steps":[{"ms":..,"cpu":..}]}.
 export class Worker {
   constructor(
@@ -299,16 +302,13 @@
     if (waitMs > 0 && this.ended.length === 0) {
       await this.#waitForEnd(waitMs);
     }
-    const now = performance.now();
     this.#answer(response, 200, {
-      running: [...this.running.values()].map(({ task, run, needs, at }) => [
-        task,
-        run,
+      running: [...this.running.values()].map((entry) => [
+        entry.task,
+        entry.run,
         "",
-        needs.ms === undefined
-          ? 100
-          : Math.min(99, Math.floor(100 * (now - at) / needs.ms)),
-        needs.cpu,
+        percentOf(entry),
+        entry.needs.cpu,
       ]),
       ended: this.ended.slice(0, ENDS_A_LISTING),
     });
@@ -345,3 +345,10 @@
   const u = (hash * 7_919 % 1_000) / 1_000;
   return ms === undefined ? undefined : ms * (1 - spread + 2 * spread * u);
 }
+
+function percentOf({ needs: { ms }, at }) {
+  const ranMs = performance.now() - at;
+  return ms === undefined && ranMs >= STARTUP_MS
+    ? 100
+    : Math.min(99, Math.floor(100 * ranMs / (ms ?? STARTUP_MS)));
+}
