--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -59,6 +59,8 @@
     this.deadline = 0;
     // Called with each start order; a number delays it by so many milliseconds and leaves it unanswered.
     this.delayOf = () => undefined;
+    // How a run ends and after which time, if not by itself: {ms, how}.
+    this.outcomeOf = () => undefined;
     this.server = createServer(
       { keepAliveTimeout: 120_000 },
       (request, response) => void this.#serve(request, response),
@@ -230,7 +232,11 @@
       return { status: 409, reason: "late" };
     }
     const step = JSON.parse(spec).steps[Number(task.split(".")[2])];
-    const needs = { ...step, ms: durationOf(task, step) };
+    const needs = {
+      ...step,
+      ms: durationOf(task, step),
+      ...this.outcomeOf(task),
+    };
     if (
       this.usedCpu + needs.cpu > this.cpu || this.usedMb + needs.mb > this.memMb
     ) {
