--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -57,6 +57,8 @@
     this.usedMb = 0;
     this.waiters = new Set();
     this.deadline = 0;
+    // When the last renewal of the lease came.
+    this.heldAt = 0;
     // Called with each start order; a number delays it by so many milliseconds and leaves it unanswered.
     this.delayOf = () => undefined;
     // How a run ends and after which time, if not by itself: {ms, how}.
@@ -299,6 +301,7 @@
     }
     this.fence = fence;
     this.#extend(body.deadline_ms);
+    this.heldAt = performance.now();
     const seen = body.last_seen ?? 0;
     while (this.ended.length > 0 && this.ended[0][0] <= seen) {
       const [number, task, run, how] = this.ended.shift();
