--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,3 +1,4 @@
+// deno-lint-ignore-file explicit-function-return-type -- JavaScript has no return types.
 // Upkeep that one leader has begun and another one orders again, on machines that meanwhile run tasks that last.
 import { Client } from "../lib-2/deployment.mjs";
 import { call } from "../lib-2/http.mjs";
