--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -59,6 +59,11 @@
     this.isStopped = false;
     this.replicas = names("core", replicas);
     this.entries = names("front", entries);
+    // Also if the script is ended from outside.
+    process.on("exit", () => this.killAll());
+    ["SIGINT", "SIGTERM"].forEach((signal) =>
+      process.on(signal, () => process.exit(2))
+    );
   }
 
   host(name) {
@@ -200,13 +205,17 @@
     return isDone;
   }
 
+  killAll() {
+    for (const child of this.children.values()) {
+      child.kill("SIGCONT");
+      child.kill("SIGKILL");
+    }
+  }
+
   async stop() {
     this.isStopped = true;
     const children = [...this.children.values()];
-    children.forEach((child) => {
-      child.kill("SIGCONT");
-      child.kill("SIGKILL");
-    });
+    this.killAll();
     await until(
       () =>
         children.every((child) =>
--- a/review/lib-2/scene.mjs
+++ b/review/lib-2/scene.mjs
@@ -9,6 +9,9 @@
 
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
+// A script ends within 120 s.
+const LIMIT_MS = 105_000;
+
 // Runs a case: `play` gets the scene, and returns 0, 1 or 2.
 export async function runCase(url, options, play) {
   const record = new Record(new URL("record.txt", url).pathname);
@@ -16,7 +19,13 @@
   const scene = new Scene(await freePrefix(), folder, record, options);
   let code = 2;
   try {
-    code = await scene.start() ? await play(scene) : 2;
+    code = await Promise.race([
+      scene.start().then((hasStarted) => hasStarted ? play(scene) : 2),
+      wait(LIMIT_MS).then(() => {
+        record.add("script", "not done in time");
+        return 2;
+      }),
+    ]);
   } catch (error) {
     record.add("script", "failed", { reason: String(error?.stack ?? error) });
   }
