Listings tell whether more ends follow, and only complete ones prove absence

Cause: a worker lists its ends 500 at a time. The new leader took the first pages for the whole list: a start in doubt was answered "superseded", and a page requested 200 ms later that lacked the end counted as proof that the run had never started (run.dropped, 338 ms after run.not_started in the log). The same conclusion was drawn for runs of the present leader, for stops whose end is awaited, and for runs of a worker's life before a restart.

Fix: Listing has the required fields unreadableRows and hasMoreEnds; only the type CompleteListing proves that a run is absent. Relays hand the field on, and a frame without it means that more may follow. A worker is verified once its ends were read, so that starts are not repeated that a later page tells of. The log line listing.incomplete tells a page from a whole list.

--- a/packages/core/src/scheduling/workers/mod.ts
+++ b/packages/core/src/scheduling/workers/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./best_effort_speed.ts";
+export * from "./listing.ts";
 export * from "./progress_watch.ts";
 export * from "./relay_choice.ts";
 export * from "./report_order.ts";
--- a/packages/core/src/scheduling/workers/progress_watch.ts
+++ b/packages/core/src/scheduling/workers/progress_watch.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { ListedRun } from "./worker_orders.ts";
+import type { ListedRun } from "./listing.ts";
 
 /** Time without progress after which a run is stalled; several increments of the listed percentage. */
 const STALL_MS = 700;
--- a/packages/core/src/scheduling/workers/run_survival.ts
+++ b/packages/core/src/scheduling/workers/run_survival.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ListedRun } from "./worker_orders.ts";
+import type { ListedRun } from "./listing.ts";
 
 interface Start {
   run: number;
--- a/packages/core/src/scheduling/workers/worker_life.ts
+++ b/packages/core/src/scheduling/workers/worker_life.ts
@@ -6,7 +6,7 @@
 import type { RunKey } from "../model/command.ts";
 import type { RunRecord } from "../model/job_record.ts";
 import { runName } from "../model/task_name.ts";
-import type { Listing } from "./worker_orders.ts";
+import type { CompleteListing } from "./listing.ts";
 
 /**
  * Whether `seen` is the birth of a later life than `known`, in Unix milliseconds. A birth that the platform does not tell
@@ -48,12 +48,11 @@
 }
 
 /**
- * Sorts the runs of an earlier life by a complete listing of the new one, which was requested after the new life was
- * known. A start that was answered before was carried out by one of the two lives, and the new one lists it if it was it.
+ * Sorts the runs of an earlier life by a listing of the new one, which was requested after the new life was known. A start that was answered before was carried out by one of the two lives, and the new one lists it if it was it.
  */
 export function sortEarlierRuns(
   runs: readonly RunRecord[],
-  { running, ended }: Listing,
+  { running, ended }: CompleteListing,
   { isUnsent, mayArrive }: EarlierStarts,
 ): EarlierRuns {
   const listed = new Set([...running, ...ended].map(runName));
--- a/packages/core/src/scheduling/workers/worker_orders.ts
+++ b/packages/core/src/scheduling/workers/worker_orders.ts
@@ -6,9 +6,10 @@
  *
  * @module
  */
-import type { RunKey, RunOutcome } from "../model/command.ts";
+import type { RunKey } from "../model/command.ts";
 import type { RunRecord } from "../model/job_record.ts";
 import { runName } from "../model/task_name.ts";
+import { isComplete, type Listing } from "./listing.ts";
 
 /** Answer of a worker to a start order. */
 export type StartAnswer =
@@ -27,41 +28,14 @@
   | "other_worker"
   | "no_answer";
 
-/** A run that a worker lists as running. */
-export interface ListedRun {
-  task: string;
-  run: number;
-  checkpoint: string;
-  /** Progress in percent; 100 for a long-running task that is up. */
-  percent: number;
-  /** Tail latency in milliseconds of a latency-sensitive task; CPU use in millicores of other tasks. */
-  gauge: number;
-}
-
-/** A run that a worker lists as ended. */
-export interface ListedEnd {
-  /** Position in the worker's list of ends, from 1. */
-  number: number;
-  task: string;
-  run: number;
-  how: RunOutcome;
-  checkpoint: string;
-}
-
-/** A worker's list of its runs. */
-export interface Listing {
-  running: ListedRun[];
-  ended: ListedEnd[];
-  /** Rows that could not be read; undefined for none. If there are any, a run that is not listed may still run. */
-  unreadableRows?: number | undefined;
-}
-
 /** Result of comparing a listing with the orders. */
 export interface Reconciliation {
   /** Runs that are known never to start any more. */
   dropped: RunKey[];
   /** Listed runs without an order. */
   strays: { task: string; run: number }[];
+  /** Number of runs of which the listing tells nothing, since it is incomplete. */
+  undecided: number;
 }
 
 /** `inDoubt`: an earlier start of this run got no answer and may still be executed. */
@@ -298,7 +272,10 @@
     }
   }
 
-  /** Reconciles the orders with a listing that was requested at `requestedAt`. */
+  /**
+   * Reconciles the orders with a listing that was requested at `requestedAt`. An incomplete one proves nothing about the
+   * runs that it does not contain.
+   */
   reconcile(
     listing: Listing,
     requestedAt: number,
@@ -306,12 +283,14 @@
   ): Reconciliation {
     const running = new Map(listing.running.map((row) => [row.task, row.run]));
     const ended = new Set(listing.ended.map(runName));
-    const hasUnreadableRows = (listing.unreadableRows ?? 0) > 0;
+    const provesAbsence = isComplete(listing);
     const dropped: RunKey[] = [];
+    let undecided = 0;
     for (const [task, order] of this.#orders) {
       const isListed = running.get(task) === order.run.run ||
         (ended.size > 0 && ended.has(runName(order.run)));
-      if (!isListed && hasUnreadableRows) {
+      if (!isListed && !provesAbsence) {
+        undecided += 1;
         continue;
       }
       if (this.#reconcileOrder(order, isListed, requestedAt, now)) {
@@ -322,7 +301,7 @@
     const strays = listing.running.filter(({ task, run }) =>
       this.#orders.get(task)?.run.run !== run
     );
-    return { dropped, strays };
+    return { dropped, strays, undecided };
   }
 
   #add(run: RunRecord, phase: Phase, undecidedUntil = -Infinity): void {
--- a/packages/core/test/scheduling_fixture.ts
+++ b/packages/core/test/scheduling_fixture.ts
@@ -5,6 +5,7 @@
  */
 import {
   type BatchJobSpec,
+  type CompleteListing,
   type Customer,
   JobStore,
   type Queue,
@@ -41,6 +42,19 @@
   return { text: "work", steps, repeat: undefined };
 }
 
+/** A complete listing of a worker; by default of one without runs. */
+export function listing(
+  rows: Partial<Pick<CompleteListing, "running" | "ended">> = {},
+): CompleteListing {
+  return {
+    running: [],
+    ended: [],
+    unreadableRows: 0,
+    hasMoreEnds: false,
+    ...rows,
+  };
+}
+
 export function queue(changes: Partial<Queue> = {}): Queue {
   return {
     name: "reports",
--- a/packages/core/test/scheduling_late_orders_test.ts
+++ b/packages/core/test/scheduling_late_orders_test.ts
@@ -5,6 +5,7 @@
   type RunRecord,
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
+import { listing } from "./scheduling_fixture.ts";
 
 const DELAYS = { unansweredMs: 250, pausesUnanswered: true, stopMs: 200 };
 const ORDER_TIMEOUT_MS = 300;
@@ -46,7 +47,7 @@
       percent: 1,
       gauge: 0,
     }));
-    return { running: rows, ended: [] };
+    return listing({ running: rows });
   }
 }
 
--- a/packages/core/test/scheduling_orders_test.ts
+++ b/packages/core/test/scheduling_orders_test.ts
@@ -37,6 +37,8 @@
       how: "done",
       checkpoint: "",
     })),
+    unreadableRows: 0,
+    hasMoreEnds: false,
   };
 }
 
@@ -231,22 +233,32 @@
     expect(orders.takeStops(160)).toEqual([run]);
   });
 
-  // Guards against a second run of a task whose row in the listing could not be read.
-  it("with unreadable rows neither stops nor drops a run that it does not contain", () => {
-    const unreadable = { ...listing(), unreadableRows: 1 };
-    const orders = new WorkerOrders(DELAYS);
-    const run = record();
-    orders.add(run, 0);
-    orders.takeStarts(0);
-    orders.recordStartAnswer(run, "started", 100);
-    orders.reconcile(unreadable, 150, 160);
-    expect(orders.takeStops(160)).toEqual([]);
-    orders.requestStop(run, 200);
-    orders.takeStops(200);
-    orders.recordStopAnswer(run, true, 210);
-    expect(orders.reconcile(unreadable, 500, 510).dropped).toEqual([]);
-    expect(orders.reconcile(listing(), 600, 610).dropped).toHaveLength(1);
-  });
+  it.each([
+    // Guards against a second run of a task whose row in the listing could not be read.
+    { name: "with unreadable rows", omission: { unreadableRows: 1 } },
+    // Guards against a second run of a task whose end is on a later page (review/6).
+    { name: "with more ends to come", omission: { hasMoreEnds: true } },
+  ])(
+    "$name neither stops nor drops a run that it does not contain",
+    ({ omission }) => {
+      const incomplete = { ...listing(), ...omission };
+      const orders = new WorkerOrders(DELAYS);
+      const run = record();
+      orders.add(run, 0);
+      orders.takeStarts(0);
+      orders.recordStartAnswer(run, "started", 100);
+      orders.reconcile(incomplete, 150, 160);
+      expect(orders.takeStops(160)).toEqual([]);
+      orders.requestStop(run, 200);
+      orders.takeStops(200);
+      orders.recordStopAnswer(run, true, 210);
+      expect(orders.reconcile(incomplete, 500, 510)).toMatchObject({
+        dropped: [],
+        undecided: 1,
+      });
+      expect(orders.reconcile(listing(), 600, 610).dropped).toHaveLength(1);
+    },
+  );
 
   it("reports runs without an order", () => {
     const orders = new WorkerOrders(DELAYS);
--- a/packages/core/test/scheduling_restart_test.ts
+++ b/packages/core/test/scheduling_restart_test.ts
@@ -1,10 +1,10 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import {
+  type CompleteListing,
   type EarlierRuns,
   isLaterLife,
   JobStore,
-  type Listing,
   LONGEST_ORDER_DELAY_MS,
   ReportOrder,
   type RunRecord,
@@ -13,6 +13,7 @@
   WorkerOrders,
 } from "@quetzalcove/core/scheduling";
 import {
+  listing,
   newJobStore,
   place,
   run,
@@ -30,7 +31,7 @@
   return { ...position, task: TASK, run: number, worker: "w1" };
 }
 
-function running(...numbers: number[]): Listing {
+function running(...numbers: number[]): CompleteListing {
   const rows = numbers.map((number) => ({
     task: TASK,
     run: number,
@@ -38,7 +39,7 @@
     percent: 1,
     gauge: 0,
   }));
-  return { running: rows, ended: [] };
+  return listing({ running: rows });
 }
 
 /** What happens to one order: its way to the worker, and the way of its answer, in milliseconds. */
@@ -109,7 +110,7 @@
     }
   }
 
-  list(): Listing {
+  list(): CompleteListing {
     return this.runningRun === undefined ? running() : running(this.runningRun);
   }
 }
@@ -271,7 +272,7 @@
     });
   }
 
-  #process(session: Session, listing: Listing, sentAt: number): void {
+  #process(session: Session, listing: CompleteListing, sentAt: number): void {
     if (!session.isSettled) {
       session.isSettled = true;
       this.#settle(session, listing);
@@ -283,7 +284,7 @@
     }
   }
 
-  #settle({ orders }: Session, listing: Listing): void {
+  #settle({ orders }: Session, listing: CompleteListing): void {
     const sorted: EarlierRuns = sortEarlierRuns(
       this.runsElsewhere ? [] : [record(1)],
       listing,
--- a/packages/daemon/src/scheduler/call_relay/call_relay.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_relay.ts
@@ -224,7 +224,7 @@
   if (answer.kind !== "listing") {
     return { ...answer, call };
   }
-  const { running, ended, unreadableRows } = answer.listing;
+  const { running, ended, unreadableRows, hasMoreEnds } = answer.listing;
   return {
     kind: "listing",
     call,
@@ -236,6 +236,7 @@
       { number, task, run, how, checkpoint },
     ) => [number, task, run, how, checkpoint]),
     unreadableRows,
+    hasMoreEnds,
     bornAtMs: answer.bornAtMs,
   };
 }
--- a/packages/daemon/src/scheduler/call_relay/call_router.ts
+++ b/packages/daemon/src/scheduler/call_relay/call_router.ts
@@ -432,6 +432,7 @@
             [number, task, run, how, checkpoint],
           ) => ({ number, task, run, how, checkpoint })),
           unreadableRows: outcome.unreadableRows,
+          hasMoreEnds: outcome.hasMoreEnds,
         },
       };
     case "other_worker":
--- a/packages/daemon/src/scheduler/call_relay/messages.ts
+++ b/packages/daemon/src/scheduler/call_relay/messages.ts
@@ -113,7 +113,9 @@
     clockMs: z.number(),
     running: z.array(RunningRow),
     ended: z.array(EndedRow),
-    unreadableRows: Count.optional(),
+    unreadableRows: Count.default(0),
+    /** A relay of an earlier version does not tell. */
+    hasMoreEnds: z.boolean().default(true),
     bornAtMs: Count.optional(),
   }),
   Answer.extend({ kind: z.literal("other_worker") }),
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -145,10 +145,12 @@
     listing: Listing,
     sentAt: number,
     now: number,
-  ): Reconciliation["dropped"] {
-    const { dropped, strays } = this.#orders.reconcile(listing, sentAt, now);
-    strays.forEach(({ task, run }) => void this.#stopStray(task, run));
-    return dropped;
+  ): Reconciliation {
+    const reconciliation = this.#orders.reconcile(listing, sentAt, now);
+    reconciliation.strays.forEach(({ task, run }) =>
+      void this.#stopStray(task, run)
+    );
+    return reconciliation;
   }
 
   /** Releases the runs whose start was not sent, so that they run elsewhere. */
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import {
+  type CompleteListing,
+  isComplete,
   isLaterLife,
   type Listing,
   LONGEST_ORDER_DELAY_MS,
@@ -27,7 +29,7 @@
 import { lossOfEnded, type WorkerLoss } from "./worker_loss.ts";
 import type { WorkerSessionParts } from "./worker_session_parts.ts";
 
-function hasUnreadableRows({ unreadableRows = 0 }: Listing): boolean {
+function hasUnreadableRows({ unreadableRows }: Listing): boolean {
   return unreadableRows > 0;
 }
 
@@ -75,13 +77,18 @@
   readonly #pacer: Pacer;
   /** Number of the latest run end that is committed. */
   #lastCommittedEnd = 0;
-  /** Whether the worker has listed its runs in this leadership term. */
+  /** Whether the worker has listed its runs in this leadership term, with all of its ends where these can be read. */
   #isVerified = false;
   #stopped = false;
   #isSuperseded = false;
-  /** Undefined once a listing of this life has told which runs ended with the earlier one. */
+  /** Undefined once a complete listing of this life has told which runs ended with the earlier one. */
   #earlier: EarlierLife | undefined;
-  #lastListing: Listing = { running: [], ended: [] };
+  #lastListing: Listing = {
+    running: [],
+    ended: [],
+    unreadableRows: 0,
+    hasMoreEnds: false,
+  };
 
   /** `hasRestarted` if the worker had an earlier life in this term; `earlier` if that life may have had runs. */
   constructor(
@@ -364,10 +371,6 @@
   ): Promise<void> {
     const { runEndBatcher, measure } = this.#parts;
     const { id } = this.worker;
-    if (this.#earlier !== undefined && hasUnreadableRows(listing)) {
-      await this.#backOffUnreadable(listing);
-      return;
-    }
     const dropped = measure(
       "listings",
       () => this.#reconcile(listing, sentAt, now),
@@ -390,24 +393,52 @@
     }
   }
 
-  /** Brings orders and what is known of the runs in line with a listing; returns the runs that never start. */
+  /**
+   * Brings orders and what is known of the runs in line with a listing; returns the runs that never start. While it is
+   * not known which runs ended with an earlier life, the ends of an incomplete listing are committed and nothing else.
+   */
   #reconcile(listing: Listing, sentAt: number, now: number): RunKey[] {
+    if (isComplete(listing)) {
+      this.#settleEarlierLife(listing, now);
+    }
+    if (this.#earlier !== undefined) {
+      this.#logIncomplete(listing, this.#runs().length);
+      return [];
+    }
     const jobStore = this.#parts.consensus.state;
     const { id } = this.worker;
-    this.#settleEarlierLife(listing, now);
     this.#lastListing = listing;
     this.#orders.retain((run) => jobStore.findRun(run) !== undefined);
     this.#probation.retain((task, run) =>
       jobStore.findRun({ task, run, worker: id }) !== undefined
     );
     this.#verify(listing);
-    const dropped = this.#sender.reconcile(listing, sentAt, now);
+    const { dropped, undecided } = this.#sender.reconcile(
+      listing,
+      sentAt,
+      now,
+    );
+    this.#logIncomplete(listing, undecided);
     this.#stopStuckRuns(listing, now);
     this.#recorder.recordProgress(listing.running, now);
     this.#pacer.update(this.worker, listing, now);
     return dropped;
   }
 
+  /** Logs that nothing is concluded from the absence of `undecided` runs in a listing. */
+  #logIncomplete(listing: Listing, undecided: number): void {
+    if (!isComplete(listing)) {
+      this.#parts.log.info("listing.incomplete", {
+        worker: this.worker.id,
+        firstEnd: listing.ended[0]?.number,
+        lastEnd: listing.ended.at(-1)?.number,
+        hasMoreEnds: listing.hasMoreEnds,
+        unreadableRows: listing.unreadableRows,
+        undecided,
+      });
+    }
+  }
+
   /** Waits after a listing with unreadable rows: an unreadable end stays listed, so the next renewal does not wait. */
   async #backOffUnreadable({ unreadableRows }: Listing): Promise<void> {
     const worker = this.worker.id;
@@ -416,8 +447,8 @@
     await wait(UNANSWERED_BACKOFF_MS);
   }
 
-  /** Decides by the first listing of this life what becomes of the runs of the earlier one. */
-  #settleEarlierLife(listing: Listing, now: number): void {
+  /** Decides by the first complete listing of this life what becomes of the runs of the earlier one. */
+  #settleEarlierLife(listing: CompleteListing, now: number): void {
     const earlier = this.#earlier;
     if (earlier === undefined) {
       return;
@@ -452,8 +483,14 @@
     });
   }
 
-  #verify({ running }: Listing): void {
-    if (!this.#isVerified) {
+  /**
+   * Lets orders be sent from the first listing on. If more ends follow, they tell first which starts need not be repeated;
+   * a row that cannot be read keeps them from following.
+   */
+  #verify(listing: Listing): void {
+    const { running, hasMoreEnds } = listing;
+    const awaitsEnds = hasMoreEnds && !hasUnreadableRows(listing);
+    if (!this.#isVerified && !awaitsEnds) {
       this.#isVerified = true;
       this.#parts.log.info("worker.verified", {
         worker: this.worker.id,
--- a/packages/daemon/test/call_relay_test.ts
+++ b/packages/daemon/test/call_relay_test.ts
@@ -8,6 +8,7 @@
   submit,
 } from "../../core/test/scheduling_fixture.ts";
 import { Metrics } from "../src/observe/metrics.ts";
+import { RelayedAnswer } from "../src/scheduler/call_relay/messages.ts";
 import { CallRelay, CallRouter } from "../src/scheduler/call_relay/mod.ts";
 import type {
   StartOrder,
@@ -35,6 +36,7 @@
 /** Records the calls that reach workers from one node, and answers them at once. */
 class RecordingClient implements WorkerClient {
   readonly calls: string[] = [];
+  hasMoreEnds = false;
 
   start: WorkerClient["start"] = ({ id }, { task, text, fence }) => {
     this.calls.push(`start ${task} "${text}" at ${id}, fence ${fence}`);
@@ -64,6 +66,8 @@
         ended: [
           { number: 3, task: "job.0.0.1", run: 1, how: "done", checkpoint: "" },
         ],
+        unreadableRows: 0,
+        hasMoreEnds: this.hasMoreEnds,
       },
     });
   };
@@ -237,6 +241,34 @@
     expect(fixture.direct.calls).toEqual([]);
   });
 
+  // Guards against a page of ends that a relay hands on as the whole list (review/6).
+  it("that renew tell whether the worker has more ends to list", async () => {
+    fixture.relayed.hasMoreEnds = true;
+    const outcome = await outcomeOf(fixture.router.client.renew(WORKER, {
+      fence: TERM,
+      leaseDeadlineMs: 4_000,
+      seenEnds: 0,
+      waitMs: 0,
+      timeoutMs: 1_000,
+    }));
+    expect(outcome).toMatchObject({ listing: { hasMoreEnds: true } });
+  });
+
+  // Guards against a relay of an earlier version, which does not tell.
+  it("are answered with more ends to come where the relay does not tell", () => {
+    const answer = {
+      kind: "listing",
+      call: 1,
+      clockMs: 1,
+      running: [],
+      ended: [],
+    };
+    expect(RelayedAnswer.parse(answer)).toMatchObject({
+      unreadableRows: 0,
+      hasMoreEnds: true,
+    });
+  });
+
   it("that are made in one turn share a frame", async () => {
     const { client } = fixture.router;
     const starts = [0, 1, 2, 3].map((index) =>
--- a/packages/daemon/test/leadership_term_test.ts
+++ b/packages/daemon/test/leadership_term_test.ts
@@ -7,6 +7,7 @@
 } from "@quetzalcove/core/scheduling";
 import {
   end,
+  listing,
   newJobStore,
   place,
   run,
@@ -49,7 +50,7 @@
         setTimeout(() =>
           resolve({
             kind: "listing",
-            listing: { running: [], ended: [] },
+            listing: listing(),
             clockMs: Date.now(),
           }), 50)
       ),
--- a/packages/daemon/test/pacer_test.ts
+++ b/packages/daemon/test/pacer_test.ts
@@ -1,6 +1,7 @@
 import { expect, it } from "vitest";
 import type { ListedRun } from "@quetzalcove/core/scheduling";
 import {
+  listing,
   newJobStore,
   place,
   run,
@@ -46,7 +47,7 @@
     return { task, run: 1, checkpoint: "", percent: 100, gauge };
   };
   const list = (now: number, ...running: ListedRun[]): void =>
-    pacer.update(worker("w1"), { running, ended: [] }, now);
+    pacer.update(worker("w1"), listing({ running }), now);
   list(0, row("serves.0.0.0", 5 * TARGET_MS));
   list(100, row("serves.0.0.0", TARGET_MS / 10), row("fills.0.0.0", 1_000));
   expect(paces).toEqual([]);
--- a/packages/daemon/test/simulated_fleet.ts
+++ b/packages/daemon/test/simulated_fleet.ts
@@ -10,6 +10,7 @@
   ListedRun,
   Worker,
 } from "@quetzalcove/core/scheduling";
+import { listing } from "../../core/test/scheduling_fixture.ts";
 import type {
   CalledWorker,
   RenewalAnswer,
@@ -154,7 +155,7 @@
         const running = [...worker.running.values()];
         return {
           kind: "listing",
-          listing: { running, ended },
+          listing: listing({ running, ended }),
           clockMs: worker.clockMs,
           bornAtMs: this.#behaviour.restarts && worker.bornAtMs,
         };
--- a/packages/daemon/test/worker_restart_test.ts
+++ b/packages/daemon/test/worker_restart_test.ts
@@ -5,6 +5,7 @@
   visibleState,
 } from "@quetzalcove/core/scheduling";
 import {
+  listing,
   newJobStore,
   spec,
   step,
@@ -103,7 +104,7 @@
     const jobStore = newJobStore([worker("w1", { bornAtMs: 500 })]);
     const answer: RenewalAnswer = {
       kind: "listing",
-      listing: { running: [], ended: [] },
+      listing: listing(),
       clockMs: 1,
       bornAtMs: 400,
     };
--- a/packages/daemon/test/worker_session_test.ts
+++ b/packages/daemon/test/worker_session_test.ts
@@ -61,7 +61,7 @@
   readonly stops: string[] = [];
   /** Run ends that it lists. */
   ended: ListedEnd[] = [];
-  unreadableRows: number | undefined;
+  unreadableRows = 0;
 
   start(_: unknown, order: StartOrder): ReturnType<WorkerClient["start"]> {
     if (this.losesOrders) {
@@ -130,6 +130,7 @@
         running,
         ended: this.ended,
         unreadableRows: this.unreadableRows,
+        hasMoreEnds: false,
       },
       clockMs: 1_000_000 + Date.now(),
     };
