A step that only a paused worker can take tries it again within the bound

Cause: only a task that is done cleared the failures of a worker, which a long-running one never is; and a paused worker got nothing as long as its pool had any other, also steps that no other could ever take. Of a pool in which all workers were paused, one was used. A worker that was slow once was not probed while a long-running task stayed on it. The VM of a paused worker went to the standby pool as idle although a step waited for it.

Fix: a long-running task that becomes ready clears the failures of its worker, and failures are forgotten after 16 s without one. Steps that the others could not take even if all tasks that end had ended (spread, size, labels, permits, gangs, what long-running tasks keep) try a paused worker again after 4 s at most. All paused workers of a pool without others are used. For other steps a worker is left out as soon and as long as before. pool.backlog leftOut= and worker.paused forMs= name who is left out, why and for how long.

--- a/packages/core/src/scheduling/passes/placement_pass.ts
+++ b/packages/core/src/scheduling/passes/placement_pass.ts
@@ -43,6 +43,8 @@
   estimate: WorkEstimate;
   /** Workers that may get new runs, by pool. */
   candidates: ReadonlyMap<string, CandidateWorker[]>;
+  /** Paused workers that may be tried again, by pool; only for steps that the candidates could never take. */
+  paused?: ReadonlyMap<string, CandidateWorker[]> | undefined;
   /** Whether the advisor permits a step on a worker; asked only for advised queues. */
   isPermitted: (step: string, worker: string) => boolean;
   /** Undefined if callers are not told apart. */
@@ -94,12 +96,18 @@
     candidatesFor: (step) => candidatesFor(step, input),
     slackMs: (step) => latestStart(step, input.estimate) - wallNow,
   });
-  const placeTasks = lookAhead === undefined
+  const placeOnCandidates = lookAhead === undefined
     ? withoutLookAhead(input, wallNow)
     : (step: WaitingStep) =>
       lookAhead.covers(step)
         ? []
         : lookAhead.place(step, candidatesFor(step, input), wallNow);
+  const placeTasks = (step: WaitingStep): RunKey[] => {
+    const withPaused = candidatesWithPaused(step, input);
+    return withPaused === undefined
+      ? placeOnCandidates(step)
+      : placeStep(step, withPaused, wallNow);
+  };
   const placements = new Map<WaitingStep, RunKey[]>();
   let runsLeft = input.maxRuns ?? Infinity;
   const place: PlaceTasks = (step, from, count) => {
@@ -205,11 +213,44 @@
 
 /** Candidate workers of the step's pool; for an advised queue only those with a permit. */
 function candidatesFor(
-  { name, job }: WaitingStep,
+  step: WaitingStep,
   { candidates, isPermitted }: PlacementInput,
 ): CandidateWorker[] {
-  const poolCandidates = candidates.get(job.pool) ?? [];
+  const inPool = candidates.get(step.job.pool) ?? [];
+  return permitted(step, inPool, isPermitted);
+}
+
+function permitted(
+  { name, job }: WaitingStep,
+  inPool: CandidateWorker[],
+  isPermitted: PlacementInput["isPermitted"],
+): CandidateWorker[] {
   return job.terms.advised
-    ? poolCandidates.filter(({ worker }) => isPermitted(name, worker.id))
-    : poolCandidates;
+    ? inPool.filter(({ worker }) => isPermitted(name, worker.id))
+    : inPool;
+}
+
+/**
+ * The candidates of a step and the paused workers of its pool, if the candidates could not take the step even when idle;
+ * undefined otherwise. A gang needs room for all of its tasks at once, and long-running tasks never make room for others.
+ */
+function candidatesWithPaused(
+  step: WaitingStep,
+  input: PlacementInput,
+): CandidateWorker[] | undefined {
+  const inPool = input.paused?.get(step.job.pool) ?? [];
+  if (inPool.length === 0) {
+    return undefined;
+  }
+  const { gang, lasting, taskCount } = step.spec;
+  const needed = gang ? taskCount : lasting ? step.indices.size : 1;
+  const candidates = candidatesFor(step, input);
+  let count = 0;
+  for (const candidate of candidates) {
+    count += candidate.countForGood(step);
+    if (count >= needed) {
+      return undefined;
+    }
+  }
+  return [...candidates, ...permitted(step, inPool, input.isPermitted)];
 }
--- a/packages/core/src/scheduling/placement/candidate_worker.ts
+++ b/packages/core/src/scheduling/placement/candidate_worker.ts
@@ -14,7 +14,12 @@
 import type { FreeCpuIndex } from "./free_cpu_index.ts";
 import type { WaitingStep } from "../model/job_record.ts";
 import type { ReservedCapacity } from "./reserved_capacity.ts";
-import { addInPlace, covers, plus } from "../model/resource_sum.ts";
+import {
+  addInPlace,
+  countFitting,
+  covers,
+  plus,
+} from "../model/resource_sum.ts";
 import type { WorkerLoad } from "../workers/worker_load.ts";
 import type { Slowness } from "../workers/worker_speed.ts";
 
@@ -26,6 +31,8 @@
   jobOnProbation?: string | undefined;
   /** How slow the worker is; undefined if it is not known to be slow. */
   slowness?: Slowness | undefined;
+  /** Whether the worker is paused since runs fail or hang there, so that it is only for steps that no other can take. */
+  isPaused?: boolean;
   /** Whether all runs on the worker have run for a while, so that a crash would not be attributed to them. */
   isSettled?: () => boolean;
   /** How well a task fits into free resources; by default, the fullest worker fits best. */
@@ -40,11 +47,14 @@
   readonly #planned = new Map<string, number>();
   #latencySensitiveRuns: number;
   #bestEffortRuns: number;
+  /** Number of runs that do not end by themselves, with those planned. */
+  #lastingRuns: number;
   /** Number of runs, with those planned. */
   runCount: number;
   jobOnProbation: string | undefined;
   readonly isDueForMaintenance: boolean;
   readonly slowness: Slowness | undefined;
+  readonly isPaused: boolean;
   readonly isSettled: () => boolean;
   /** Capacity that is reserved here for a step; undefined for none. */
   reservedCapacity: ReservedCapacity | undefined;
@@ -59,11 +69,13 @@
       isDueForMaintenance = false,
       jobOnProbation,
       slowness,
+      isPaused = false,
       isSettled = () => true,
       fitScore = leastFreeCpu,
     }: WorkerCondition = {},
   ) {
     this.slowness = slowness;
+    this.isPaused = isPaused;
     this.isSettled = isSettled;
     this.#fitScore = fitScore;
     this.isDueForMaintenance = isDueForMaintenance;
@@ -73,6 +85,7 @@
     this.#load = load;
     this.#latencySensitiveRuns = load.latencySensitiveRuns;
     this.#bestEffortRuns = load.bestEffortRuns;
+    this.#lastingRuns = load.lastingRuns;
     this.free = plus(worker.capacity, load.reserved, -1);
   }
 
@@ -80,7 +93,7 @@
   accepts(step: WaitingStep): boolean {
     const { spec, name, job } = step;
     return (this.jobOnProbation ?? job.id) === job.id &&
-      (this.slowness?.isProbed !== true || this.runCount === 0) &&
+      (this.slowness?.isProbed !== true || !this.#hasEndingRuns) &&
       covers(this.free, reservation(spec)) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker) &&
@@ -103,6 +116,27 @@
       hasLabel(this.worker, spec.requiredLabel);
   }
 
+  /**
+   * How many tasks of a step could run here once the runs that end by themselves have ended. Those of long-running tasks
+   * keep their place.
+   */
+  countForGood({ spec, name }: WaitingStep): number {
+    if (!hasLabel(this.worker, spec.requiredLabel)) {
+      return 0;
+    }
+    const left = plus(this.worker.capacity, this.#load.reservedForGood, -1);
+    const kept = spec.lasting ? this.#runsOfStep(name) : 0;
+    return Math.min(
+      countFitting(left, reservation(spec)),
+      spec.maxPerWorker === 0 ? Infinity : spec.maxPerWorker - kept,
+    );
+  }
+
+  /** A probed worker runs one task at a time, beside those that never end. */
+  get #hasEndingRuns(): boolean {
+    return this.runCount > this.#lastingRuns;
+  }
+
   /** Whether best-effort and latency-sensitive tasks would run together, which raises the latency of the latter. */
   wouldInterfere({ fills, targetLatencyMs }: StepSpec): boolean {
     return fills
@@ -127,6 +161,7 @@
     this.#planned.set(name, (this.#planned.get(name) ?? 0) + 1);
     this.#latencySensitiveRuns += spec.targetLatencyMs > 0 ? 1 : 0;
     this.#bestEffortRuns += spec.fills ? 1 : 0;
+    this.#lastingRuns += spec.lasting ? 1 : 0;
   }
 
   #runsOfStep(name: string): number {
--- a/packages/core/src/scheduling/placement/task_placement.ts
+++ b/packages/core/src/scheduling/placement/task_placement.ts
@@ -168,7 +168,7 @@
 }
 
 /**
- * Prefers, in this order, candidates that are not slow, those without interference, those not due for maintenance if the
+ * Prefers, in this order, candidates that are not paused, those that are not slow, those without interference, those not due for maintenance if the
  * task is long-running, those on the rack of its data, and those where the task fits best.
  */
 function chooseCandidate(
@@ -187,7 +187,8 @@
     }
     const isFar = dataRack !== "" &&
       !candidate.worker.labels.includes(dataRack);
-    const rank = 8 * Number(candidate.slowness !== undefined) +
+    const rank = 16 * Number(candidate.isPaused) +
+      8 * Number(candidate.slowness !== undefined) +
       4 * Number(candidate.wouldInterfere(step.spec)) +
       2 * Number(lasting && candidate.isDueForMaintenance) + Number(isFar);
     const score = candidate.scoreOf(step);
--- a/packages/core/src/scheduling/workers/worker_load.ts
+++ b/packages/core/src/scheduling/workers/worker_load.ts
@@ -16,6 +16,10 @@
   readonly runs = new Map<string, RunRecord>();
   /** Resources that the runs reserve. */
   readonly reserved: Resources = { ...NO_RESOURCES };
+  /** The part of `reserved` that long-running tasks keep. */
+  readonly reservedForGood: Resources = { ...NO_RESOURCES };
+  /** Number of runs of long-running tasks. */
+  lastingRuns = 0;
   latencySensitiveRuns = 0;
   bestEffortRuns = 0;
   readonly #byStep = new Map<string, number>();
@@ -37,6 +41,10 @@
 
   #count(run: RunRecord, spec: StepSpec, by: 1 | -1): void {
     addInPlace(this.reserved, reservation(spec), by);
+    if (spec.lasting) {
+      addInPlace(this.reservedForGood, reservation(spec), by);
+      this.lastingRuns += by;
+    }
     this.latencySensitiveRuns += spec.targetLatencyMs > 0 ? by : 0;
     this.bestEffortRuns += spec.fills ? by : 0;
     const name = stepName(run);
--- a/packages/core/test/scheduling_placement_test.ts
+++ b/packages/core/test/scheduling_placement_test.ts
@@ -363,6 +363,45 @@
     expect(health.isTrusted("w", 100)).toBe(false);
   });
 
+  // Guards against a worker of long-running tasks that is paused ever longer, since none of them is ever done (review/8).
+  it("is trusted once a long-running task is ready there", () => {
+    const health = new WorkerHealth();
+    health.recordEnd("w", "a", "failed", 0);
+    health.recordEnd("w", "b", "failed", 0);
+    health.recordEnd("w", "c", "failed", 2_000);
+    health.recordSound("w");
+    expect(health.isTrusted("w", 2_000)).toBe(true);
+    expect(health.recordEnd("w", "d", "failed", 2_100)).toBe(false);
+  });
+
+  // Guards against a worker that is paused for one failure because others failed there long ago.
+  it("is not paused for failures that lie far apart", () => {
+    const health = new WorkerHealth();
+    health.recordEnd("w", "a", "failed", 0);
+    expect(health.recordEnd("w", "b", "failed", 16_000)).toBe(false);
+    expect(health.recordEnd("w", "c", "failed", 16_100)).toBe(true);
+    // The pause ends after 18.1 s.
+    expect(health.recordEnd("w", "d", "failed", 34_100)).toBe(false);
+  });
+
+  // Guards against a step that waits for longer than a long-running task may have no run: 9 s.
+  it("may be tried again after 4 s at most, however long its pause is", () => {
+    const health = new WorkerHealth();
+    health.recordEnd("w", "a", "failed", 0);
+    const pauses = [0, 2_000, 6_000, 14_000, 30_000].map((now) => {
+      health.recordEnd("w", `b${now}`, "failed", now);
+      const { until, retryAt } = health.pauseOf("w", now)!;
+      return [until - now, retryAt - now];
+    });
+    expect(pauses).toEqual([
+      [2_000, 2_000],
+      [4_000, 4_000],
+      [8_000, 4_000],
+      [16_000, 4_000],
+      [16_000, 4_000],
+    ]);
+  });
+
   it("is not paused for runs that were stopped or whose lease expired", () => {
     const health = new WorkerHealth();
     for (const how of ["stopped", "lapsed", "broken", "alone"] as const) {
--- a/packages/daemon/src/scheduler/backlog_log.ts
+++ b/packages/daemon/src/scheduler/backlog_log.ts
@@ -12,6 +12,7 @@
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import type { Log } from "../observe/log.ts";
+import type { LeftOutWorker } from "./worker_sessions.ts";
 
 /** State of the pools at one moment. */
 export interface BacklogSnapshot {
@@ -19,17 +20,23 @@
   demands: ReadonlyMap<string, PoolDemand>;
   /** Workers that may get new runs, by pool. */
   usableWorkers: ReadonlyMap<string, readonly Worker[]>;
+  /** Workers that get no new runs. */
+  leftOutWorkers: readonly LeftOutWorker[];
   estimate: WorkEstimate;
 }
 
 /** Interval at which backlogs, and the customers that wait, are logged while steps wait. */
 export const BACKLOG_LOG_INTERVAL_MS = 500;
 
+/** Most workers named in one line. */
+const MAX_NAMED_WORKERS = 4;
+
 const MILLICORES_PER_CORE = 1_000;
 
 /** Logs one line for each pool in which steps wait. `wallNow` is the wall-clock time in milliseconds. */
 export function logBacklogs(
-  { jobStore, demands, usableWorkers, estimate }: BacklogSnapshot,
+  { jobStore, demands, usableWorkers, leftOutWorkers, estimate }:
+    BacklogSnapshot,
   log: Log,
   wallNow: number,
 ): void {
@@ -55,10 +62,27 @@
       freeCores: Math.round(
         freeMillicores(jobStore, workers) / MILLICORES_PER_CORE,
       ),
+      ...describeLeftOut(leftOutWorkers.filter((each) => each.pool === pool)),
     });
   }
 }
 
+/** Names the first of the workers that are left out, each with the reason and the milliseconds until it ends. */
+function describeLeftOut(
+  workers: readonly LeftOutWorker[],
+): { leftOutWorkers?: number; leftOut?: string } {
+  if (workers.length === 0) {
+    return {};
+  }
+  const described = workers.slice(0, MAX_NAMED_WORKERS).map(
+    ({ worker, reason, endsInMs }) =>
+      endsInMs === undefined
+        ? `${worker}: ${reason}`
+        : `${worker}: ${reason}, ${Math.round(endsInMs)} ms`,
+  );
+  return { leftOutWorkers: workers.length, leftOut: described.join("; ") };
+}
+
 function freeMillicores(
   jobStore: JobStore,
   workers: readonly Worker[],
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -12,6 +12,7 @@
   type BusyVm,
   chooseMoves,
   chooseReclaims,
+  covers,
   CustomerLimits,
   DemandTrend,
   isLate,
@@ -21,6 +22,7 @@
   poolDemands,
   type PoolState,
   type QueuePlan,
+  reservation,
   type Worker,
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -41,6 +43,8 @@
   sessions: () => Iterable<WorkerSession>;
   /** Whether a placement on a worker is still being committed. */
   hasPendingPlacement: (worker: string) => boolean;
+  /** Whether a worker is not paused because runs fail or hang there. */
+  isTrusted: (worker: string, now: number) => boolean;
 }
 
 /** Maximum number of moves in progress: half of what the platform accepts per second. */
@@ -333,11 +337,17 @@
     return [...pools.values()];
   }
 
-  #addWorker(
-    pool: PoolState,
-    { id, vm, capacity }: Worker,
-    now: number,
-  ): void {
+  /** Whether a worker is idle only because it is paused, although a step waits that it could take. */
+  #isAwaited({ id, pool, capacity, labels }: Worker, now: number): boolean {
+    return !this.#parts.isTrusted(id, now) &&
+      [...this.#jobStore.waiting.values()].some(({ job, spec }) =>
+        job.pool === pool && covers(capacity, reservation(spec)) &&
+        (spec.requiredLabel === "" || labels.includes(spec.requiredLabel))
+      );
+  }
+
+  #addWorker(pool: PoolState, worker: Worker, now: number): void {
+    const { id, vm, capacity } = worker;
     if (this.#parts.session(id)?.isInContact(now) !== true) {
       return;
     }
@@ -346,7 +356,8 @@
     pool.vms += 1;
     const idleSince = this.#idleSince.get(id);
     const isIdle = idleSince !== undefined &&
-      !this.#parts.hasPendingPlacement(id);
+      !this.#parts.hasPendingPlacement(id) &&
+      !this.#isAwaited(worker, now);
     if (
       vm !== undefined && isIdle && this.#vms.workerOn(vm)?.id === id &&
       this.#vms.isEligible(vm, now)
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -95,10 +95,11 @@
     this.#rates = new ArrivalRates(now);
     this.#prunedAt = now;
     this.#ticker = ticker("passes", PASS_INTERVAL_MS, () => this.#pass());
+    const health = new WorkerHealth();
     this.#sessions = new WorkerSessions({
       ...parts,
       estimate,
-      health: new WorkerHealth(),
+      health,
       speed,
       permit: (step, worker) =>
         this.#permits?.permit(step, worker, parts.clock.monotonic()),
@@ -113,6 +114,7 @@
       session: (worker) => this.#sessions.get(worker),
       sessions: () => this.#sessions.values(),
       hasPendingPlacement: (worker) => this.#placements.hasPending(worker),
+      isTrusted: (worker, now) => health.isTrusted(worker, now),
       removeWorker: (worker, loss) => this.#sessions.removeWorker(worker, loss),
       onChange,
     });
@@ -320,8 +322,9 @@
     const { log, clock } = this.#parts;
     const demands = poolDemands(jobStore, this.#rates, estimate, now);
     const usableWorkers = this.#sessions.usableWorkers(now);
+    const leftOutWorkers = this.#sessions.leftOutWorkers(now);
     logBacklogs(
-      { jobStore, demands, usableWorkers, estimate },
+      { jobStore, demands, usableWorkers, leftOutWorkers, estimate },
       log,
       clock.wall(),
     );
--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -76,9 +76,12 @@
     this.#parts = parts;
   }
 
-  /** Whether the worker leaves orders unanswered, or refused one just now, and gets no new runs for a while. */
-  isPaused(now: number): boolean {
-    return now < this.#pausedUntil || this.#orders.isPaused;
+  /** Why the worker gets no new runs for a while; undefined if it may. */
+  pauseReason(now: number): string | undefined {
+    if (this.#orders.isPaused) {
+      return "orders unanswered";
+    }
+    return now < this.#pausedUntil ? "order refused" : undefined;
   }
 
   stop(): void {
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -114,20 +114,26 @@
     const waitingPools = new Set(
       Array.from(this.#jobStore.waiting.values(), ({ job }) => job.pool),
     );
-    const candidates = new Map<string, CandidateWorker[]>();
-    for (const [pool, workers] of sessions.usableWorkers(now)) {
-      if (waitingPools.has(pool)) {
-        candidates.set(
+    const candidatesOf = (
+      pools: ReadonlyMap<string, readonly Worker[]>,
+      isPaused: boolean,
+    ): Map<string, CandidateWorker[]> =>
+      new Map(
+        [...pools].filter(([pool]) => waitingPools.has(pool)).map((
+          [pool, workers],
+        ) => [
           pool,
-          workers.map((worker) => this.#candidateOf(worker, now)),
-        );
-      }
-    }
+          workers.map((worker) => this.#candidateOf(worker, now, isPaused)),
+        ]),
+      );
+    const candidates = candidatesOf(sessions.usableWorkers(now), false);
+    const paused = candidatesOf(sessions.retriedWorkers(now), true);
     const wallNow = clock.wall();
     const { steps, placements, waits } = runPlacementPass({
       waiting: this.#jobStore.waiting.values(),
       estimate,
       candidates,
+      paused,
       isPermitted: (step, worker) =>
         permits?.permit(step, worker, now) !== undefined,
       customers: {
@@ -146,7 +152,7 @@
     permits?.requestMissing(
       steps,
       (step) =>
-        (candidates.get(step.job.pool) ?? [])
+        [candidates, paused].flatMap((pools) => pools.get(step.job.pool) ?? [])
           .filter((candidate) => candidate.accepts(step))
           .map(({ worker }) => worker),
       (name) => this.#jobStore.waiting.has(name),
@@ -170,13 +176,18 @@
     );
   }
 
-  #candidateOf(worker: Worker, now: number): CandidateWorker {
+  #candidateOf(
+    worker: Worker,
+    now: number,
+    isPaused: boolean,
+  ): CandidateWorker {
     const { fleet, sessions, speed } = this.#parts;
     const session = sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
       isDueForMaintenance: fleet?.isMaintenanceDue(worker) === true,
       jobOnProbation: session?.jobOnProbation,
       slowness: speed.slownessOf(worker.id, now),
+      isPaused,
       isSettled: () => session?.isSettled() === true,
     });
   }
--- a/packages/daemon/src/scheduler/run_end_recorder.ts
+++ b/packages/daemon/src/scheduler/run_end_recorder.ts
@@ -167,8 +167,13 @@
     const { health, clock, log } = this.#parts;
     const job = parseTaskName(task)?.job ?? "";
     const worker = this.#worker().id;
-    if (health.recordEnd(worker, job, how, clock.monotonic())) {
-      log.warn("worker.paused", { worker, reason: "runs fail there" });
+    const now = clock.monotonic();
+    if (health.recordEnd(worker, job, how, now)) {
+      log.warn("worker.paused", {
+        worker,
+        reason: "runs fail there",
+        forMs: (health.pauseOf(worker, now)?.until ?? now) - now,
+      });
     }
   }
 
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -12,6 +12,7 @@
   type RunEnd,
   type RunEvidence,
   type RunKey,
+  runName,
   type RunRecord,
   sortEarlierRuns,
   type Worker,
@@ -83,6 +84,8 @@
   #isSuperseded = false;
   /** Undefined once a complete listing of this life has told which runs ended with the earlier one. */
   #earlier: EarlierLife | undefined;
+  /** Runs that were listed as ready, so that becoming ready counts once as a sign that the worker is sound. */
+  #readyRuns = new Set<string>();
   #lastListing: Listing = {
     running: [],
     ended: [],
@@ -153,8 +156,19 @@
 
   /** Whether the worker may get new runs. */
   isUsable(now: number): boolean {
-    return this.isInContact(now) && this.silentSince === undefined &&
-      !this.worker.draining && !this.#sender.isPaused(now);
+    return this.unusableReason(now) === undefined;
+  }
+
+  /** Why the worker must get no new runs; undefined if it may. */
+  unusableReason(now: number): string | undefined {
+    if (this.worker.draining) {
+      return "draining";
+    }
+    if (!this.#isVerified) {
+      return "runs not listed";
+    }
+    const isSilent = this.silentSince !== undefined || !this.isInContact(now);
+    return isSilent ? "silent" : this.#sender.pauseReason(now);
   }
 
   /** Whether the worker has listed its runs and has answered within `contactMs`. */
@@ -419,6 +433,7 @@
       now,
     );
     this.#logIncomplete(listing, undecided);
+    this.#recordReadiness(listing);
     this.#stopStuckRuns(listing, now);
     this.#recorder.recordProgress(listing.running, now);
     this.#pacer.update(this.worker, listing, now);
@@ -500,6 +515,17 @@
     }
   }
 
+  /** Takes each long-running task that becomes ready for a sign that the worker is sound. */
+  #recordReadiness({ running }: Listing): void {
+    const ready = new Set(
+      running.filter(({ percent }) => percent === READY_PERCENT).map(runName),
+    );
+    if ([...ready].some((run) => !this.#readyRuns.has(run))) {
+      this.#parts.health.recordSound(this.worker.id);
+    }
+    this.#readyRuns = ready;
+  }
+
   /** Stops runs that are stuck, so that they run elsewhere, and gives the worker no new runs for a while. */
   #stopStuckRuns({ running }: Listing, now: number): void {
     const { consensus, health, log, metrics } = this.#parts;
--- a/packages/daemon/src/scheduler/worker_sessions.ts
+++ b/packages/daemon/src/scheduler/worker_sessions.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { groupBy } from "@quetzalcove/core";
 import {
   isLaterLife,
   type JobStore,
@@ -31,6 +32,15 @@
 /** Time to stop the runs of a worker before its announcement is answered; below the deadline of the call. */
 const VACATE_TIMEOUT_MS = 400;
 
+/** A worker that gets no new runs. */
+export interface LeftOutWorker {
+  worker: string;
+  pool: string;
+  reason: string;
+  /** Time until it gets new runs again, in milliseconds; undefined if that is not known. */
+  endsInMs: number | undefined;
+}
+
 /** A session that has ended, and the birth of the worker's life that it was with. */
 interface EndedSession {
   /** In monotonic milliseconds. */
@@ -71,30 +81,58 @@
     this.#sessions.clear();
   }
 
-  /** Workers that may get new runs, by pool. Untrusted ones, where runs fail or hang, only if the pool has no other. */
+  /** Workers that may get new runs, by pool. Paused ones, where runs fail or hang, only if the pool has no other. */
   usableWorkers(now: number): Map<string, Worker[]> {
+    const { trusted, paused } = this.#reachableWorkers(now);
+    const usable = groupBy(trusted, ({ pool }) => pool);
+    groupBy(paused, ({ pool }) => pool).forEach((workers, pool) => {
+      if (!usable.has(pool)) {
+        usable.set(pool, workers);
+      }
+    });
+    return usable;
+  }
+
+  /** Paused workers beside usable ones that a step may try again which none of these can take, by pool. */
+  retriedWorkers(now: number): Map<string, Worker[]> {
+    const { health } = this.#parts;
+    const { trusted, paused } = this.#reachableWorkers(now);
+    const pools = new Set(trusted.map(({ pool }) => pool));
+    const retried = paused.filter(({ id, pool }) =>
+      pools.has(pool) && now >= (health.pauseOf(id, now)?.retryAt ?? Infinity)
+    );
+    return groupBy(retried, ({ pool }) => pool);
+  }
+
+  /** Workers that get no new runs, and why. */
+  leftOutWorkers(now: number): LeftOutWorker[] {
     const { health, isCordoned } = this.#parts;
-    const pools = new Map<string, Worker[]>();
-    const untrusted: Worker[] = [];
+    return [...this.#sessions.values()].flatMap((session) => {
+      const { worker } = session;
+      const pause = health.pauseOf(worker.id, now);
+      const reason = session.unusableReason(now) ??
+        (isCordoned(worker) ? "VM held" : pause?.cause);
+      return reason === undefined ? [] : [{
+        worker: worker.id,
+        pool: worker.pool,
+        reason,
+        endsInMs: reason === pause?.cause ? pause.until - now : undefined,
+      }];
+    });
+  }
+
+  /** Workers that take orders and whose VM stays. */
+  #reachableWorkers(now: number): { trusted: Worker[]; paused: Worker[] } {
+    const { health, isCordoned } = this.#parts;
+    const trusted: Worker[] = [];
+    const paused: Worker[] = [];
     for (const session of this.#sessions.values()) {
       const { worker } = session;
-      if (!session.isUsable(now) || isCordoned(worker)) {
-        continue;
-      }
-      if (health.isTrusted(worker.id, now)) {
-        const trusted = pools.get(worker.pool) ?? [];
-        trusted.push(worker);
-        pools.set(worker.pool, trusted);
-      } else {
-        untrusted.push(worker);
-      }
-    }
-    for (const worker of untrusted) {
-      if (!pools.has(worker.pool)) {
-        pools.set(worker.pool, [worker]);
+      if (session.isUsable(now) && !isCordoned(worker)) {
+        (health.isTrusted(worker.id, now) ? trusted : paused).push(worker);
       }
     }
-    return pools;
+    return { trusted, paused };
   }
 
   /** Brings the sessions in line with the workers of the job store. */
--- a/packages/daemon/test/backlog_log_test.ts
+++ b/packages/daemon/test/backlog_log_test.ts
@@ -30,6 +30,11 @@
       jobStore,
       demands: poolDemands(jobStore, new ArrivalRates(0), estimate, 10_000),
       usableWorkers: new Map([["intake", workers]]),
+      leftOutWorkers: [
+        { worker: "w3", pool: "intake", reason: "failures", endsInMs: 11_500 },
+        { worker: "w4", pool: "intake", reason: "silent", endsInMs: undefined },
+        { worker: "w5", pool: "charts", reason: "silent", endsInMs: undefined },
+      ],
       estimate,
     },
     {
@@ -49,5 +54,7 @@
     wantedCores: 2,
     usableWorkers: 2,
     freeCores: 8,
+    leftOutWorkers: 2,
+    leftOut: "w3: failures, 11500 ms; w4: silent",
   }]]);
 });
--- a/packages/daemon/test/scripted_platform.ts
+++ b/packages/daemon/test/scripted_platform.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import type { JobStore } from "@quetzalcove/core/scheduling";
+import {
+  type JobStore,
+  type ListedEnd,
+  parseTaskName,
+  type RunOutcome,
+} from "@quetzalcove/core/scheduling";
 import { listing, worker } from "../../core/test/scheduling_fixture.ts";
 import type {
   ListedVm,
@@ -41,6 +46,11 @@
   fence: number;
   /** Waves whose maintenance was carried out. */
   waves: Set<number>;
+  /** Whether all that it starts fails soon. */
+  isFailing: boolean;
+  labels: string[];
+  ends: ListedEnd[];
+  endCount: number;
   /** When each task began, and its run. */
   running: Map<string, { run: number; startedAt: number }>;
 }
@@ -50,6 +60,9 @@
 const STARTUP_MS = 500;
 const ABSENCE_MS = 2_000;
 const LATE_MS = 6_000;
+const FAILS_AFTER_MS = 20;
+const TASK_MS = STARTUP_MS;
+const READY_PERCENT = 100;
 
 export class ScriptedPlatform {
   handling: VmApiHandling = "answers";
@@ -58,8 +71,12 @@
   readonly #jobStore: JobStore;
   readonly #vms: Vm[];
 
-  /** All VMs are up, in the pool "intake", and their workers have joined. */
-  constructor(jobStore: JobStore, vms: readonly string[]) {
+  /** All VMs are up, in the pool "intake", and their workers have joined; `labelsOf` names those of some VMs. */
+  constructor(
+    jobStore: JobStore,
+    vms: readonly string[],
+    labelsOf: Record<string, string[]> = {},
+  ) {
     this.#jobStore = jobStore;
     this.#vms = vms.map((vm) => ({
       vm,
@@ -68,6 +85,10 @@
       lives: 0,
       fence: 0,
       waves: new Set(),
+      isFailing: false,
+      labels: labelsOf[vm] ?? ["a", "r1"],
+      ends: [],
+      endCount: 0,
       running: new Map(),
     }));
     this.#vms.forEach((vm) => this.#boot(vm));
@@ -78,6 +99,16 @@
     return this.#vms.flatMap(tasksAtWork).sort();
   }
 
+  isRunning(task: string): boolean {
+    return this.#vms.some(({ running }) => running.has(task));
+  }
+
+  /** A task that runs on a VM; empty if there is none. */
+  taskOn(name: string): string {
+    const vm = this.#vms.find((each) => each.vm === name);
+    return vm?.running.keys().next().value ?? "";
+  }
+
   workerOn(name: string): string {
     const vm = this.#vms.find((each) => each.vm === name);
     return vm === undefined ? "" : idOf(vm);
@@ -87,6 +118,23 @@
     return this.#vms.find((each) => each.vm === name)?.pool;
   }
 
+  /** Sets whether all that the worker of a VM starts fails soon. */
+  setFailing(name: string, isFailing: boolean): void {
+    const vm = this.#vms.find((each) => each.vm === name);
+    if (vm !== undefined) {
+      vm.isFailing = isFailing;
+    }
+  }
+
+  /** Ends a task by its own fault; returns whether it ran. */
+  fail(task: string): boolean {
+    const vm = this.#vms.find(({ running }) => running.has(task));
+    if (vm !== undefined) {
+      end(vm, task, "failed");
+    }
+    return vm !== undefined;
+  }
+
   /** Takes a VM away for good, with its worker. */
   remove(name: string): void {
     const index = this.#vms.findIndex((each) => each.vm === name);
@@ -99,7 +147,7 @@
       await delay(CALL_MS);
       const vm = this.#vmOf(id);
       if (vm?.running.get(task)?.run === run) {
-        vm.running.delete(task);
+        end(vm, task, "stopped");
       }
       return { answer: vm !== undefined, clockMs: Date.now() };
     },
@@ -125,7 +173,7 @@
       };
     },
     move: (order, pool) =>
-      this.#order(order, "move", (vm) => {
+      this.#order(order, (vm) => {
         if (vm.pool === pool) {
           return "done";
         }
@@ -133,7 +181,7 @@
         return this.#takeDown(vm, "move");
       }),
     maintain: (order, wave) =>
-      this.#order(order, "upkeep", (vm) => {
+      this.#order(order, (vm) => {
         if (vm.waves.has(wave)) {
           return "done";
         }
@@ -157,31 +205,53 @@
     if (vm.running.get(task)?.run !== run) {
       vm.running.set(task, { run, startedAt: Date.now() });
       this.starts.push({ task, worker: id, atMs: Date.now() });
+      const endAs = (how: RunOutcome): void => {
+        if (vm.running.get(task)?.run === run) {
+          end(vm, task, how);
+        }
+      };
+      if (vm.isFailing) {
+        setTimeout(() => endAs("failed"), FAILS_AFTER_MS);
+      } else if (!this.#isLasting(task)) {
+        setTimeout(() => endAs("done"), TASK_MS);
+      }
     }
     return { answer: "started", clockMs: Date.now() };
   }
 
-  async #renew(id: string, { waitMs }: WorkerRenewal): Promise<RenewalAnswer> {
+  #isLasting(task: string): boolean {
+    const position = parseTaskName(task);
+    return position !== undefined &&
+      this.#jobStore.stepOf(position)?.lasting === true;
+  }
+
+  async #renew(
+    id: string,
+    { waitMs, seenEnds }: WorkerRenewal,
+  ): Promise<RenewalAnswer> {
     await delay(CALL_MS + Math.min(waitMs, 100));
     const vm = this.#vmOf(id);
     return vm === undefined ? { kind: "other_worker" } : {
       kind: "listing",
       clockMs: Date.now(),
       listing: listing({
-        running: Array.from(vm.running, ([task, { run }]) => ({
+        running: Array.from(vm.running, ([task, { run, startedAt }]) => ({
           task,
           run,
           checkpoint: "",
-          percent: tasksAtWork(vm).includes(task) ? 100 : 10,
+          percent: Math.min(
+            this.#isLasting(task) ? READY_PERCENT : READY_PERCENT - 1,
+            Math.floor(READY_PERCENT * (Date.now() - startedAt) / STARTUP_MS),
+          ),
           gauge: 0,
         })),
+        ended: vm.ends.filter(({ number }) => number > seenEnds),
       }),
     };
   }
 
   async #order(
     { vm: name, fence }: VmOrder,
-    kind: CarriedOutOrder["kind"],
     carryOut: (vm: Vm) => VmAnswer,
   ): Promise<VmAnswer> {
     await delay(CALL_MS);
@@ -215,6 +285,8 @@
       tasksAtWork: tasksAtWork(vm),
     });
     vm.running.clear();
+    vm.ends = [];
+    vm.endCount = 0;
     vm.state = kind === "move" ? "moving" : "upkeep";
     setTimeout(() => {
       vm.state = "up";
@@ -234,6 +306,7 @@
           worker(idOf(vm), {
             vm: vm.vm,
             pool,
+            labels: vm.labels,
             address: `10.0.0.1:${8_000 + this.#vms.indexOf(vm)}`,
           }),
         ],
@@ -254,6 +327,16 @@
   return `${vm}+${lives}`;
 }
 
+function end(vm: Vm, task: string, how: RunOutcome): void {
+  const running = vm.running.get(task);
+  if (running !== undefined) {
+    vm.running.delete(task);
+    vm.endCount += 1;
+    const { run } = running;
+    vm.ends.push({ number: vm.endCount, task, run, how, checkpoint: "" });
+  }
+}
+
 function tasksAtWork({ running }: Vm): string[] {
   return [...running].flatMap(([task, { startedAt }]) =>
     Date.now() - startedAt >= STARTUP_MS ? [task] : []
