Moves of VMs are recorded before they are ordered

A test with a platform that carries orders out late: six long-running tasks of a step with max_unavailable 1 ended within a moment.

Cause: a move was ordered without a record, so that the next leader placed tasks on a VM whose move was still to be carried out. The same leader did so once a copy of the order had got no answer and the next was refused.

Fix: moves are recorded, those of one decision in one log entry.

--- a/packages/core/src/scheduling/model/command.ts
+++ b/packages/core/src/scheduling/model/command.ts
@@ -90,6 +90,16 @@
 });
 export type MaintenanceWave = z.infer<typeof MaintenanceWave>;
 
+/** A move of a VM to another pool. */
+export const VmMove = z.object({
+  vm: z.string(),
+  pool: z.string(),
+  /** Worker on the VM before the move, if any, and its birth. */
+  worker: z.string().optional(),
+  bornAtMs: z.number().int().optional(),
+});
+export type VmMove = z.infer<typeof VmMove>;
+
 export const JobStoreCommand = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("plan"), plan: QueuePlan }),
   z.object({
@@ -146,6 +156,12 @@
     worker: z.string().optional(),
     bornAtMs: z.number().int().optional(),
   }),
+  /** Moves of VMs that are about to be ordered, and VMs whose move was carried out, refused, or can no longer be. */
+  z.object({
+    kind: z.literal("move"),
+    begun: z.array(VmMove),
+    ended: z.array(z.string()),
+  }),
 ]);
 export type JobStoreCommand = z.infer<typeof JobStoreCommand>;
 
--- a/packages/core/src/scheduling/store/job_store.ts
+++ b/packages/core/src/scheduling/store/job_store.ts
@@ -14,6 +14,7 @@
   RunEnd,
   RunKey,
   SubmittedJob,
+  VmMove,
   Worker,
 } from "../model/command.ts";
 import { addCrash, isCrashLoop } from "./crash_suspects.ts";
@@ -74,6 +75,8 @@
   plan: QueuePlan;
   workers: Worker[];
   waves: WaveRecord[];
+  /** Undefined in snapshots of an earlier version. */
+  moves?: VmMove[];
   endedWorkers: EndedLife[];
 }
 
@@ -107,6 +110,7 @@
   readonly #unstarted = new Map<string, number>();
   readonly #waiting = new WaitingIndex();
   readonly #waves = new MaintenanceWaves();
+  readonly #moves = new Map<string, VmMove>();
   readonly #endedWorkers = new EndedWorkers();
   readonly #endedJobs = new EndedJobs();
   /** The snapshot that is being read, if any. */
@@ -121,6 +125,11 @@
     return this.#waves.records;
   }
 
+  /** Moves of VMs that were ordered and have not ended, by VM. */
+  get moves(): ReadonlyMap<string, VmMove> {
+    return this.#moves;
+  }
+
   /** Waves whose maintenance of a VM was ordered and has not ended. */
   wavesTakingDown(vm: string): ReadonlySet<number> {
     return this.#waves.takingDown(vm);
@@ -180,6 +189,10 @@
       case "upkeep":
         this.#waves.record(command);
         return Ok(APPLIED);
+      case "move":
+        command.ended.forEach((vm) => this.#moves.delete(vm));
+        command.begun.forEach((move) => this.#moves.set(move.vm, move));
+        return Ok(APPLIED);
     }
   }
 
@@ -238,6 +251,7 @@
       plan: this.plan,
       workers: [...this.workers.values()],
       waves: [...this.waves.values()],
+      moves: [...this.#moves.values()],
       endedWorkers: [...this.#endedWorkers.lives],
     };
     const snapshot = new StoreSnapshot(head, this.jobs.values(), () => {
@@ -260,6 +274,7 @@
     store.plan = upgradePlan(head.plan);
     head.workers.forEach((worker) => store.workers.set(worker.id, worker));
     head.waves.forEach((record) => store.#waves.restore(record));
+    head.moves?.forEach((move) => store.#moves.set(move.vm, move));
     head.endedWorkers.forEach((ended) => store.#endedWorkers.restore(ended));
     jobs.forEach((job) => store.#restoreJob(job));
     return store;
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -27,6 +27,7 @@
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
 import { MaintenanceController } from "./maintenance_controller.ts";
+import { MoveController } from "./move_controller.ts";
 import { logPoolUsage, POOL_USAGE_LOG_INTERVAL_MS } from "./pool_usage_log.ts";
 import { VmDirectory, type VmDirectoryParts } from "./vm_directory.ts";
 import type { WorkerSession } from "./worker_session.ts";
@@ -65,6 +66,7 @@
   readonly #parts: FleetControllerParts;
   readonly #vms: VmDirectory;
   readonly #maintenance: MaintenanceController;
+  readonly #moves: MoveController;
   readonly #trend = new DemandTrend();
   readonly #idleSince = new Map<string, number>();
   /** Busy VMs that get no new runs, so that they can be moved to another pool. */
@@ -88,7 +90,12 @@
         parts.session(worker)?.wasSilent(since, until) === true,
       lastSilenceAt: () => this.#lastSilenceAt(),
     });
-    this.#maintenance = new MaintenanceController({ ...parts, vms: this.#vms });
+    this.#moves = new MoveController({ ...parts, vms: this.#vms });
+    this.#maintenance = new MaintenanceController({
+      ...parts,
+      vms: this.#vms,
+      mayMove: (vm) => this.#moves.mayMove(vm),
+    });
   }
 
   get #jobStore(): JobStore {
@@ -116,8 +123,13 @@
     const { vm } = worker;
     return this.#maintenance.isDraining(worker) ||
       (vm !== undefined &&
-        (this.#vms.hasPendingOrder(vm) || this.#vms.isAbsent(vm) ||
-          this.#maintenance.mayGoDown(vm)));
+        (this.#vms.isAbsent(vm) || this.#mayBeOrdered(vm)));
+  }
+
+  /** Whether an order for a VM may still be carried out. */
+  #mayBeOrdered(vm: string): boolean {
+    return this.#vms.hasPendingOrder(vm) || this.#moves.mayMove(vm) ||
+      this.#maintenance.mayGoDown(vm);
   }
 
   /** Whether the VM of a worker is due for maintenance, so that long-running tasks are better placed elsewhere. */
@@ -153,6 +165,7 @@
     this.#vms.refresh(now, this.#maintenance.hasOpenWaves);
     if (this.#vms.isLoaded) {
       this.#maintenance.reconcile(now);
+      this.#moves.reconcile(now);
       if (now >= this.#movesDueAt) {
         this.#movesDueAt = this.#parts.reclaimsBusyVms
           ? now + RECLAIM_INTERVAL_MS
@@ -202,11 +215,13 @@
     if (this.#parts.reclaimsBusyVms) {
       this.#updateReclaims(pools);
     }
-    for (const { vm, from, to } of moves) {
-      if (this.#vms.pendingMoves >= MAX_PENDING_MOVES) {
-        return;
-      }
-      this.#move(vm, from, to, pools);
+    const room = Math.max(0, MAX_PENDING_MOVES - this.#moves.pending.length);
+    const requests = moves.slice(0, room).map(({ vm, from, to }) => {
+      this.#logMove(vm, from, to, pools);
+      return { vm, pool: to };
+    });
+    if (requests.length > 0) {
+      void this.#moves.start(requests);
     }
   }
 
@@ -233,7 +248,7 @@
     return demands;
   }
 
-  #move(
+  #logMove(
     vm: string,
     from: string,
     to: string,
@@ -247,12 +262,6 @@
       wanted: Math.round(target?.demand.wanted ?? 0),
       waiting: Math.round(target?.demand.waiting ?? 0),
     });
-    const worker = this.#vms.workerOn(vm);
-    const cores = (worker?.capacity.cpuMilli ?? 0) / MILLICORES_PER_CORE ||
-      (this.#vms.find(vm)?.cores ?? 0);
-    const action = { kind: "move", pool: to } as const;
-    const absence = { pool: to, cores, workers: this.#vms.workersOn(vm) };
-    void this.#vms.order(vm, action, absence);
   }
 
   #updateReclaims(pools: readonly PoolState[]): void {
@@ -323,13 +332,20 @@
         state.vms += 1;
       }
     }
+    for (const { vm, pool, cores } of this.#moves.pending) {
+      const state = pools.get(pool);
+      if (state !== undefined && !this.#vms.isAbsent(vm)) {
+        state.cores += cores;
+        state.vms += 1;
+      }
+    }
     for (const { vm, pool, state, cores } of this.#vms.listed) {
       const homePool = pools.get(pool);
       const isIdleStandby = homePool?.standby === true && state === "up" &&
         this.#vms.workerOn(vm) === undefined;
       if (
         isIdleStandby && this.#vms.isEligible(vm, now) &&
-        !this.#maintenance.mayGoDown(vm)
+        !this.#mayBeOrdered(vm)
       ) {
         homePool.idle.push({ vm, pool, cores, idleMs: Infinity });
       }
--- a/packages/daemon/src/scheduler/leadership_term.ts
+++ b/packages/daemon/src/scheduler/leadership_term.ts
@@ -145,6 +145,7 @@
       term,
       workers: this.#jobStore.workers.size,
       mayGoDown: this.#jobStore.vmsGoingDown().join(),
+      mayMove: [...this.#jobStore.moves.keys()].join(),
     });
     this.#skipLoggedEnds();
     this.#sessions.sync();
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -27,6 +27,8 @@
   vms: VmDirectory;
   hasPendingPlacement: (worker: string) => boolean;
   session: (worker: string) => WorkerSession | undefined;
+  /** Whether a move of a VM may still be carried out. */
+  mayMove: (vm: string) => boolean;
 }
 
 /** Id and birth of the worker on a VM, if there is one. */
@@ -165,7 +167,7 @@
     draining: Set<string>,
     now: number,
   ): void {
-    const { vms, hasPendingPlacement, log } = this.#parts;
+    const { vms, hasPendingPlacement, mayMove, log } = this.#parts;
     const workers = vms.workersOn(vm);
     const runs = workers.flatMap((id) => [
       ...this.#jobStore.load(id).runs.keys(),
@@ -174,7 +176,7 @@
       workers.forEach((id) => draining.add(id));
       return;
     }
-    if (!vms.isEligible(vm, now)) {
+    if (!vms.isEligible(vm, now) || mayMove(vm)) {
       return;
     }
     // Any other worker may have started after the maintenance; if it still answers later, it did.
@@ -293,7 +295,7 @@
     },
     now: number,
   ): DueVm {
-    const { vms, session } = this.#parts;
+    const { vms, session, mayMove } = this.#parts;
     const worker = vms.workerOn(vm);
     const listed = vms.find(vm);
     const isUsable = worker !== undefined && !worker.draining &&
@@ -311,7 +313,8 @@
       ),
       isPoolBusy: worker !== undefined && busyPools.has(worker.pool),
       isDraining: worker !== undefined && this.#draining.has(worker.id),
-      isUp: vms.isEligible(vm, now) && (isUsable || isIdleStandby),
+      isUp: vms.isEligible(vm, now) && !mayMove(vm) &&
+        (isUsable || isIdleStandby),
     };
   }
 
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -133,11 +133,6 @@
     return this.#shapes.check(spec);
   }
 
-  /** Number of moves that may still be carried out. */
-  get pendingMoves(): number {
-    return this.#orders.pendingMoves;
-  }
-
   get listed(): Iterable<ListedVm> {
     return this.#listed.values();
   }
--- a/packages/daemon/src/scheduler/vm_orders.ts
+++ b/packages/daemon/src/scheduler/vm_orders.ts
@@ -33,8 +33,8 @@
 
 export class VmOrders {
   readonly #parts: VmOrdersParts;
-  /** Kind of the pending order, by VM. */
-  readonly #pending = new Map<string, VmAction["kind"]>();
+  /** VMs with a pending order. */
+  readonly #pending = new Set<string>();
   #orderCount = 0;
   #stopped = false;
 
@@ -47,11 +47,6 @@
     return this.#pending.has(vm);
   }
 
-  /** Number of moves that may still be carried out. */
-  get pendingMoves(): number {
-    return [...this.#pending.values()].filter((kind) => kind === "move").length;
-  }
-
   stop(): void {
     this.#stopped = true;
   }
@@ -62,7 +57,7 @@
    */
   async order(vm: string, action: VmAction): Promise<VmAnswer | undefined> {
     const { term, log, metrics, isConfirmedLeader } = this.#parts;
-    this.#pending.set(vm, action.kind);
+    this.#pending.add(vm);
     this.#orderCount += 1;
     const fence = term * FENCES_PER_TERM + this.#orderCount;
     let answer: VmAnswer | undefined;
--- a/packages/daemon/test/maintenance_controller_test.ts
+++ b/packages/daemon/test/maintenance_controller_test.ts
@@ -60,6 +60,7 @@
     lastSilenceAt: () => undefined,
     hasAnsweredSince: () => true,
     hasPendingPlacement: () => false,
+    mayMove: () => false,
   };
 }
 
--- a/packages/daemon/test/takeover_test.ts
+++ b/packages/daemon/test/takeover_test.ts
@@ -71,6 +71,19 @@
     );
   }
 
+  /** Lets the pool have a job that is cancelled, so that VMs leave it as idle. */
+  bringDemandToAnEnd(): void {
+    const job = spec(step());
+    submit(this.jobStore, "ends", job);
+    this.#term?.recordArrival({
+      id: "ends",
+      queue: "reports",
+      pool: "intake",
+      spec: job,
+    });
+    this.jobStore.apply({ kind: "cancel", ids: ["ends"], atMs: Date.now() });
+  }
+
   isWaveComplete(id = 1): boolean {
     const record = this.jobStore.waves.get(id);
     return record !== undefined &&
@@ -190,6 +203,85 @@
   });
 });
 
+describe("a move that an earlier leader ordered", () => {
+  /** A leader that moves an idle VM to the standby pool, and is lost before its order is answered. */
+  async function moveAndLose(handling: VmApiHandling): Promise<string> {
+    await fixture.nextLeader();
+    fixture.bringDemandToAnEnd();
+    await vi.advanceTimersByTimeAsync(1_000);
+    fixture.platform.handling = handling;
+    await vi.advanceTimersByTimeAsync(2_500);
+    const [vm = ""] = fixture.jobStore.moves.keys();
+    expect(VMS).toContain(vm);
+    return vm;
+  }
+
+  // Guards against tasks on a VM whose move the platform carries out late, for a leader that is gone (review/10).
+  it.each<VmApiHandling>(["silent", "late"])(
+    "ends no task at work, with orders that were %s",
+    async (handling) => {
+      await moveAndLose(handling);
+      await fixture.nextLeader();
+      fixture.submitLasting();
+      await vi.advanceTimersByTimeAsync(SILENCE_MS);
+      fixture.platform.handling = "answers";
+      await vi.advanceTimersByTimeAsync(20_000);
+      expect(fixture.brokenOff).toEqual([]);
+      expect(fixture.platform.atWork).toHaveLength(VMS.length);
+      expect(fixture.jobStore.moves.size).toBe(0);
+    },
+  );
+
+  it("keeps new runs off its VM through the loss of two leaders, and frees it again", async () => {
+    const vm = await moveAndLose("silent");
+    await fixture.nextLeader();
+    fixture.submitLasting();
+    await vi.advanceTimersByTimeAsync(2_000);
+    await fixture.nextLeader();
+    await vi.advanceTimersByTimeAsync(SILENCE_MS - 2_000);
+    expect(fixture.platform.starts.map(({ worker }) => worker))
+      .not.toContain(`${vm}+1`);
+    fixture.platform.handling = "answers";
+    await vi.advanceTimersByTimeAsync(20_000);
+    expect(fixture.brokenOff).toEqual([]);
+    expect(fixture.platform.atWork).toHaveLength(VMS.length);
+  });
+
+  // Guards against a VM that is held back for ever for an order that the platform refuses.
+  it("is given up once it can no longer be carried out", async () => {
+    const vm = await moveAndLose("silent");
+    vi.spyOn(fixture.platform.vmClient, "move").mockResolvedValue("busy");
+    await fixture.nextLeader();
+    fixture.platform.handling = "answers";
+    fixture.submitLasting();
+    await vi.advanceTimersByTimeAsync(20_000);
+    expect(fixture.jobStore.moves.has(vm)).toBe(false);
+    expect(fixture.platform.atWork).toHaveLength(VMS.length);
+  });
+});
+
+describe("a move whose order got no answer and was then refused", () => {
+  // Guards against new runs on a VM whose first order may still be carried out by the platform.
+  it("ends no task at work, since its VM gets no new runs until that is decided", async () => {
+    await fixture.nextLeader();
+    fixture.bringDemandToAnEnd();
+    await vi.advanceTimersByTimeAsync(2_000);
+    fixture.platform.handling = "late";
+    await vi.advanceTimersByTimeAsync(1_500);
+    const refuse = vi.spyOn(fixture.platform.vmClient, "move")
+      .mockResolvedValue("busy");
+    fixture.platform.handling = "answers";
+    await vi.advanceTimersByTimeAsync(1_500);
+    fixture.submitLasting();
+    await vi.advanceTimersByTimeAsync(4_000);
+    refuse.mockRestore();
+    await vi.advanceTimersByTimeAsync(20_000);
+    expect(fixture.platform.carriedOut.length).toBeGreaterThan(0);
+    expect(fixture.brokenOff).toEqual([]);
+    expect(fixture.platform.atWork).toHaveLength(VMS.length);
+  });
+});
+
 describe("maintenance whose order got no answer and was then refused", () => {
   // Guards against new runs on a VM whose first order may still be carried out by the platform.
   it("ends no task at work, since its VM gets no new runs until an order is answered", async () => {
