--- a/packages/core/src/scheduling/placement/task_placement.ts
+++ b/packages/core/src/scheduling/placement/task_placement.ts
@@ -168,8 +168,8 @@
 }
 
 /**
- * Prefers, in this order, candidates that are not paused, those that are not slow, those without interference, those not due for maintenance if the
- * task is long-running, those on the rack of its data, and those where the task fits best.
+ * Prefers, in this order, candidates that are not paused, those that are not slow, those without interference, those not
+ * due for maintenance if the task is long-running, those on the rack of its data, and those where the task fits best.
  */
 function chooseCandidate(
   step: WaitingStep,
--- a/packages/core/src/scheduling/workers/worker_life.ts
+++ b/packages/core/src/scheduling/workers/worker_life.ts
@@ -48,7 +48,8 @@
 }
 
 /**
- * Sorts the runs of an earlier life by a listing of the new one, which was requested after the new life was known. A start that was answered before was carried out by one of the two lives, and the new one lists it if it was it.
+ * Sorts the runs of an earlier life by a listing of the new one, which was requested after the new life was known. A start
+ * that was answered before was carried out by one of the two lives, and the new one lists it if it was it.
  */
 export function sortEarlierRuns(
   runs: readonly RunRecord[],
