Moves of an earlier leader are revoked, not repeated

Fix: the VM is ordered to stay in the pool in which the list shows it. That changes nothing there, but the platform rejects the earlier order by its fencing token, and the VM is free again at once. A VM that is listed in its new pool was moved. Moves are decided anew by the present demand.

Evidence: takeover_test.ts, "is revoked, so that its VM stays and is free as soon as the platform answers".

--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -162,7 +162,9 @@
       return;
     }
     this.#updateIdleTimes(now);
-    this.#vms.refresh(now, this.#maintenance.hasOpenWaves);
+    const expectsChanges = this.#maintenance.hasOpenWaves ||
+      this.#jobStore.moves.size > 0;
+    this.#vms.refresh(now, expectsChanges);
     if (this.#vms.isLoaded) {
       this.#maintenance.reconcile(now);
       this.#moves.reconcile(now);
--- a/packages/daemon/src/scheduler/move_controller.ts
+++ b/packages/daemon/src/scheduler/move_controller.ts
@@ -1,5 +1,5 @@
 /**
- * Orders moves of VMs to other pools, and finishes those that an earlier leader may have ordered.
+ * Orders moves of VMs to other pools, and revokes those that an earlier leader may have ordered.
  *
  * A move is recorded before it is ordered, since its order may be carried out at any time after it was sent, also when the
  * leader is lost or gets no answer. Until an order is answered, the VM gets no new runs, which the move would end.
@@ -7,7 +7,6 @@
  * @module
  */
 import {
-  isLaterLife,
   type JobStore,
   LONGEST_ORDER_DELAY_MS,
   type VmMove,
@@ -20,12 +19,6 @@
   vms: VmDirectory;
 }
 
-/** A move to order. */
-export interface MoveRequest {
-  vm: string;
-  pool: string;
-}
-
 const MILLICORES_PER_CORE = 1_000;
 
 export class MoveController {
@@ -51,10 +44,9 @@
     return this.#starting.has(vm) || this.#jobStore.moves.has(vm);
   }
 
-  /** Moves that may still be carried out, and the cores that each brings to its pool. */
+  /** Moves that this leader is recording or ordering, and the cores that each brings to its pool. */
   get pending(): { vm: string; pool: string; cores: number }[] {
-    const moves = new Map([...this.#jobStore.moves, ...this.#starting]);
-    return Array.from(moves.values(), ({ vm, pool }) => ({
+    return Array.from(this.#starting.values(), ({ vm, pool }) => ({
       vm,
       pool,
       cores: this.#coresOf(vm),
@@ -62,27 +54,23 @@
   }
 
   /** Records moves of idle VMs, then orders them. */
-  async start(requests: readonly MoveRequest[]): Promise<void> {
-    const { consensus, onChange, vms } = this.#parts;
-    const begun = requests.map(({ vm, pool }): VmMove => {
-      const worker = vms.workerOn(vm);
-      return { vm, pool, worker: worker?.id, bornAtMs: worker?.bornAtMs };
-    });
-    begun.forEach((move) => this.#starting.set(move.vm, move));
+  async start(moves: readonly VmMove[]): Promise<void> {
+    const { consensus, onChange } = this.#parts;
+    moves.forEach((move) => this.#starting.set(move.vm, move));
     const recorded = await consensus.propose({
       kind: "move",
-      begun,
+      begun: [...moves],
       ended: [],
     });
     if (recorded.ok) {
-      begun.forEach((move) => void this.#order(move, vms.workersOn(move.vm)));
+      moves.forEach((move) => void this.#order(move));
     } else {
-      begun.forEach(({ vm }) => this.#starting.delete(vm));
+      moves.forEach(({ vm }) => this.#starting.delete(vm));
     }
     onChange();
   }
 
-  /** Records the moves that have ended, and repeats those that may have been ordered before. */
+  /** Records the moves that have ended, and settles those that may have been ordered before. */
   reconcile(now: number): void {
     void this.#recordEnds();
     const { moves } = this.#jobStore;
@@ -93,54 +81,54 @@
     }
     for (const move of moves.values()) {
       if (!this.#starting.has(move.vm) && !this.#ended.has(move.vm)) {
-        this.#repeat(move, now);
+        this.#settle(move, now);
       }
     }
   }
 
-  /** Repeats a move whose VM is idle, unless the order that may have been sent can no longer arrive. */
-  #repeat(move: VmMove, now: number): void {
+  /**
+   * Settles a move that may have been ordered. If the list still shows the VM in another pool, an order to stay there has
+   * no effect but that the platform rejects the earlier one, whose fencing token is lower.
+   */
+  #settle({ vm, pool }: VmMove, now: number): void {
     const { vms, log } = this.#parts;
-    const { vm, pool, worker, bornAtMs } = move;
     const inDoubtSince = this.#inDoubtSince.get(vm) ?? now;
     this.#inDoubtSince.set(vm, inDoubtSince);
-    const workers = vms.workersOn(vm);
-    const hasLeft = workers.length === 0 && vms.isMissing(vm, inDoubtSince);
-    if (hasLeft || now - inDoubtSince > LONGEST_ORDER_DELAY_MS) {
+    const listed = vms.find(vm);
+    const isCurrent = vms.listedAt > inDoubtSince;
+    if (
+      vms.isMissing(vm, inDoubtSince) ||
+      (isCurrent && listed?.pool === pool) ||
+      now - inDoubtSince > LONGEST_ORDER_DELAY_MS
+    ) {
       this.#ended.add(vm);
-      return;
+    } else if (
+      isCurrent && listed?.state === "up" && vms.isEligible(vm, now)
+    ) {
+      log.info("vm.move_revoked", { vm, to: pool, staysIn: listed.pool });
+      void this.#revoke(vm, listed.pool);
     }
-    const isIdle = workers.every((id) =>
-      this.#jobStore.load(id).runs.size === 0
-    );
-    if (isIdle && vms.isEligible(vm, now)) {
-      log.info("vm.move_repeated", { vm, to: pool, worker });
-      // Any other worker may have started after the move; if it still answers later, it did.
-      const current = this.#jobStore.workers.get(worker ?? "");
-      const hasRestarted = isLaterLife(bornAtMs, current?.bornAtMs);
-      const before = worker === undefined || hasRestarted ? [] : [worker];
-      this.#starting.set(vm, move);
-      void this.#order(move, before, true);
+  }
+
+  async #revoke(vm: string, pool: string): Promise<void> {
+    const { vms } = this.#parts;
+    if (await vms.keep(vm, pool)) {
+      this.#ended.add(vm);
     }
   }
 
-  /** Orders a move; `workers` are those that are known to end with it. */
-  async #order(
-    move: VmMove,
-    workers: readonly string[],
-    isRepeated = false,
-  ): Promise<void> {
+  /** Orders a move, which ends the workers of its VM. */
+  async #order(move: VmMove): Promise<void> {
     const { vms, clock } = this.#parts;
     const { vm, pool } = move;
     const isDone = await vms.order(
       vm,
       { kind: "move", pool },
-      { pool, cores: this.#coresOf(vm), workers },
+      { pool, cores: this.#coresOf(vm), workers: vms.workersOn(vm) },
     );
     if (isDone === undefined) {
       this.#inDoubtSince.set(vm, clock.monotonic());
-    } else if (isDone || !isRepeated) {
-      // The refusal of a repeated order says nothing about the first one.
+    } else {
       this.#ended.add(vm);
     }
     this.#starting.delete(vm);
--- a/packages/daemon/src/scheduler/vm_directory.ts
+++ b/packages/daemon/src/scheduler/vm_directory.ts
@@ -102,6 +102,11 @@
     this.#orders.stop();
   }
 
+  /** When the list as last read was requested, in monotonic milliseconds; -Infinity before the first one. */
+  get listedAt(): number {
+    return this.#listedAt;
+  }
+
   /** Whether the list has been read at least once. */
   get isLoaded(): boolean {
     return this.#listedAt !== -Infinity;
@@ -277,6 +282,16 @@
     return answer === undefined ? undefined : answer === "done";
   }
 
+  /**
+   * Orders a VM to stay in its pool, after which the platform rejects earlier orders for it; returns whether it confirmed
+   * that.
+   */
+  async keep(vm: string, pool: string): Promise<boolean> {
+    const answer = await this.#orders.order(vm, { kind: "move", pool });
+    this.backOff(vm, this.#parts.clock.monotonic());
+    return answer === "done";
+  }
+
   /** Ends absences: a VM is back when a new worker on it has reported, or is listed as up in a standby pool. */
   #detectReturns(): void {
     const { hasAnsweredSince } = this.#parts;
