Fleet controller: one check for whether a worker could take a step

Seen: nothing. FleetController#isAwaited had its own copy of what CandidateWorker.acceptsWhenIdle decides (size and label); it calls that now. Behaviour is the same.

--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -10,9 +10,9 @@
   type ArrivalRates,
   type BatchJobSpec,
   type BusyVm,
+  CandidateWorker,
   chooseMoves,
   chooseReclaims,
-  covers,
   CustomerLimits,
   DemandTrend,
   isLate,
@@ -22,7 +22,6 @@
   poolDemands,
   type PoolState,
   type QueuePlan,
-  reservation,
   type Worker,
   type WorkEstimate,
 } from "@quetzalcove/core/scheduling";
@@ -356,12 +355,15 @@
   }
 
   /** Whether a worker is idle only because it is paused, although a step waits that it could take. */
-  #isAwaited({ id, pool, capacity, labels }: Worker, now: number): boolean {
-    return !this.#parts.isTrusted(id, now) &&
-      [...this.#jobStore.waiting.values()].some(({ job, spec }) =>
-        job.pool === pool && covers(capacity, reservation(spec)) &&
-        (spec.requiredLabel === "" || labels.includes(spec.requiredLabel))
-      );
+  #isAwaited(worker: Worker, now: number): boolean {
+    const { id, pool } = worker;
+    if (this.#parts.isTrusted(id, now)) {
+      return false;
+    }
+    const candidate = new CandidateWorker(worker, this.#jobStore.load(id));
+    return [...this.#jobStore.waiting.values()].some((step) =>
+      step.job.pool === pool && candidate.acceptsWhenIdle(step)
+    );
   }
 
   #addWorker(pool: PoolState, worker: Worker, now: number): void {
