--- a/packages/daemon/src/scheduler/mod.ts
+++ b/packages/daemon/src/scheduler/mod.ts
@@ -19,4 +19,5 @@
 export { SchedulerNode } from "./node.ts";
 export * from "./platform_clients.ts";
 export type { CustomerStatus } from "./customer_status.ts";
+export { type Build, UNKNOWN_BUILD } from "./build.ts";
 export { NodeStatus } from "./status.ts";
