--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -29,7 +29,11 @@
 import { type ContactTimes, RaftDriver } from "../consensus/raft_driver.ts";
 import { LeaderClient } from "../entry/leader_client.ts";
 import { type Component, Lifecycle } from "../lifecycle.ts";
-import type { ConnectionParts, Handler } from "../link/connection.ts";
+import type {
+  Connection,
+  ConnectionParts,
+  Handler,
+} from "../link/connection.ts";
 import { Hello } from "../link/hello.ts";
 import { LinkPool } from "../link/link_pool.ts";
 import { LinkServer } from "../link/server.ts";
@@ -40,6 +44,7 @@
 import { registerProcessGauges } from "../observe/process_gauges.ts";
 import { runtimeCounters } from "../observe/runtime_counters.ts";
 import type { ReplicaFolder } from "../replica_folder.ts";
+import { type Build, PeerBuilds, UNKNOWN_BUILD } from "./build.ts";
 import { leadershipConfirmer } from "./leadership_confirmer.ts";
 import { CallRelay, CallRouter, RELAY_METHODS } from "./call_relay/mod.ts";
 import { registerCustomerMetrics } from "./customer_metrics.ts";
@@ -68,6 +73,8 @@
 export interface NodeParts {
   settings: SchedulerSettings;
   log: Log;
+  /** Build that the process runs; unknown unless given. */
+  build?: Build;
   workerClient: WorkerClient;
   /** Undefined if the platform has no VM API. */
   vmClient: VmClient | undefined;
@@ -94,6 +101,8 @@
   /** Memory for the callers of all servers of this node. */
   readonly callerMemory: CallerMemory;
   readonly #parts: NodeParts;
+  readonly #build: Build;
+  readonly #peerBuilds: PeerBuilds;
   readonly #clock: Clock = systemClock;
   readonly #handlers = new Map<string, Handler>();
   readonly #runtime = runtimeCounters();
@@ -110,10 +119,12 @@
   onFailure: (cause: Fault) => void = () => {};
 
   constructor(parts: NodeParts) {
-    const { settings, log } = parts;
+    const { settings, log, build = UNKNOWN_BUILD } = parts;
     const { cluster, host, listen } = settings;
     this.#parts = parts;
+    this.#build = build;
     registerProcessGauges(this.metrics);
+    this.#peerBuilds = new PeerBuilds(build, this.metrics, log);
     this.callerMemory = createCallerMemory(
       settings.limits.memoryMb,
       this.metrics,
@@ -128,7 +139,7 @@
       ...this.#connectionParts(),
       log,
       localHost: host,
-      hello: { cluster, entry: host },
+      hello: { cluster, entry: host, build: build.id },
     }, hostAndPort(listen.link).port);
     this.#discovery = new ReplicaDiscovery(
       this.#linkPool,
@@ -166,6 +177,8 @@
     return {
       node,
       zone,
+      build: this.#build,
+      otherBuilds: this.#peerBuilds.others(),
       isReady: this.isReady,
       leader: replica?.leadership().leader ?? this.leaderHost,
       replicas: (replica?.replicas() ?? []).map((member) => ({
@@ -240,7 +253,12 @@
   #createComponents(folder: ReplicaFolder | undefined): Component[] {
     const { settings } = this.#parts;
     this.#addHandlers(
-      new Map([["hello", (params) => this.#receiveHello(params)]]),
+      new Map<string, Handler>([
+        [
+          "hello",
+          (params, connection) => this.#receiveHello(params, connection),
+        ],
+      ]),
     );
     const server = new LinkServer({
       address: settings.listen.link,
@@ -259,7 +277,10 @@
     ];
   }
 
-  #receiveHello(params: unknown): Promise<Result<unknown, Fault>> {
+  #receiveHello(
+    params: unknown,
+    connection?: Connection,
+  ): Promise<Result<unknown, Fault>> {
     const { cluster } = this.#parts.settings;
     const hello = parse(Hello, params, "hello").andThen((value) =>
       value.cluster === cluster ? Ok(value) : Err(
@@ -270,7 +291,11 @@
       )
     );
     if (hello.ok) {
-      this.#linkPool.reconnect(hello.val.entry);
+      const { entry, build = UNKNOWN_BUILD.id } = hello.val;
+      if (connection !== undefined) {
+        this.#peerBuilds.record(connection, { host: entry, build });
+      }
+      this.#linkPool.reconnect(entry);
     }
     return Promise.resolve(hello.map(() => ({})));
   }
--- a/packages/daemon/src/scheduler/status.ts
+++ b/packages/daemon/src/scheduler/status.ts
@@ -34,6 +34,11 @@
 export const NodeStatus = z.object({
   node: z.string(),
   zone: z.string(),
+  /** Build that the node runs; undefined if it does not tell. */
+  build: z.object({ id: z.string(), revision: z.string() }).optional(),
+  /** Nodes that are connected to this one and run another build. */
+  otherBuilds: z.array(z.object({ host: z.string(), build: z.string() }))
+    .default([]),
   isReady: z.boolean(),
   /** The leader, as far as this node knows. */
   leader: z.string().optional(),
