Settings: a key of another version does not keep a process from starting

What callers saw: nothing was served, since every process of the deployment ended with code 3 at each start.

Cause: the schema that finds mistakes also decided whether a process may run, and refused every key that the program does not know. Templates and programs change at different moments.

Why this works: a start leaves unknown keys out, logs them with remedy and build, and shows them in status and metrics. The same for quetzalcoved.

--- a/packages/cli/src/reference.ts
+++ b/packages/cli/src/reference.ts
@@ -14,19 +14,22 @@
   text: string;
 }
 
+const UNKNOWN_KEYS =
+  "A process that starts leaves out keys that it does not know and logs them, since\nprograms and settings change at different moments. It refuses a key that\nresembles one that is missing, and bad values. `--check` refuses every unknown\nkey.";
+
 const SCHEMAS = [
   {
     path: "packages/daemon/settings.schema.json",
     title: "Settings of one daemon",
     intro:
-      "One JSON file for each `quetzalcoved`. A change needs a restart of that daemon.",
+      `One JSON file for each \`quetzalcoved\`. A change needs a restart of that daemon.\n\n${UNKNOWN_KEYS}`,
     schema: Settings,
   },
   {
     path: "platform/settings.schema.json",
     title: "Settings of one scheduler node",
     intro:
-      "One JSON file for each `quetzalcove-node`. A change needs a restart of that\nnode.",
+      `One JSON file for each \`quetzalcove-node\`. A change needs a restart of that\nnode.\n\n${UNKNOWN_KEYS}`,
     schema: SchedulerSettings,
   },
   {
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -26,6 +26,7 @@
 export * from "./rules.ts";
 export * from "./schema_keys.ts";
 export * from "./settings.ts";
-export { parseSettings } from "./settings_check.ts";
+export { parseSettings, readSettings } from "./settings_check.ts";
 export * from "./state.ts";
+export * from "./tolerant_parse.ts";
 export * from "./validate.ts";
--- a/packages/core/src/settings_check.ts
+++ b/packages/core/src/settings_check.ts
@@ -7,6 +7,7 @@
 import { parseJson } from "./json_text.ts";
 import { Err, Ok, type Result } from "./result.ts";
 import { type Peer, Settings } from "./settings.ts";
+import { parseTolerantly, type TolerantResult } from "./tolerant_parse.ts";
 import { type Finding, invalid, parse } from "./validate.ts";
 
 /** Reads settings from JSON text; the fault names the file and each offending value. */
@@ -19,6 +20,21 @@
     .andThen((settings) => checkSettings(settings, fileName));
 }
 
+/** As `parseSettings`, for a start: leaves out keys of another version (`parseTolerantly`). */
+export function readSettings(
+  text: string,
+  fileName: string,
+): Result<TolerantResult<Settings>, Fault> {
+  return parseJson(text, fileName)
+    .andThen((value) => parseTolerantly(Settings, value, fileName))
+    .andThen(({ value, ignored }) =>
+      checkSettings(value, fileName).map((settings) => ({
+        value: settings,
+        ignored,
+      }))
+    );
+}
+
 /** Returns the settings when their values are consistent, and a fault with every finding otherwise. */
 export function checkSettings(
   settings: Settings,
--- a/packages/core/src/validate.ts
+++ b/packages/core/src/validate.ts
@@ -49,7 +49,11 @@
 /** Issue codes that zod also reports for missing values. */
 const MISSING_CODES: readonly string[] = ["invalid_type", "invalid_value"];
 
-function toFindings(issue: z.core.$ZodIssue, schema: z.ZodType): Finding[] {
+/** The findings of an issue: one for each unknown key, else one. */
+export function toFindings(
+  issue: z.core.$ZodIssue,
+  schema: z.ZodType,
+): Finding[] {
   const path = pathOf(issue.path);
   if (issue.code === "unrecognized_keys") {
     const known = keysAt(schema, issue.path);
@@ -200,7 +204,7 @@
 }
 
 /** Levenshtein distance (Wagner and Fischer, 1974). */
-function editDistance(a: string, b: string): number {
+export function editDistance(a: string, b: string): number {
   let previous = Array.from({ length: b.length + 1 }, (_, j) => j);
   for (let i = 1; i <= a.length; i++) {
     const row = [i];
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -5,7 +5,7 @@
  */
 import { readFile } from "node:fs/promises";
 import process from "node:process";
-import { type Fault, parseSettings } from "@quetzalcove/core";
+import { type Fault, parseSettings, readSettings } from "@quetzalcove/core";
 import { cac } from "cac";
 import { Daemon } from "./daemon.ts";
 import { errorMessage } from "./observe/log.ts";
@@ -45,13 +45,19 @@
     );
     return;
   }
-  const settings = parseSettings(text, file);
+  const settings = checkOnly
+    ? parseSettings(text, file).map((value) => ({ value, ignored: [] }))
+    : readSettings(text, file);
   if (settings.err) {
     fail(describe(settings.val), EXIT_CODE.settings);
   } else if (checkOnly) {
     process.stdout.write(`${file}: settings are valid\n`);
   } else {
-    await run(new Daemon(settings.val));
+    const daemon = new Daemon(settings.val.value);
+    for (const { path, message } of settings.val.ignored) {
+      daemon.log.warn("settings.key_ignored", { key: path, reason: message });
+    }
+    await run(daemon);
   }
 }
 
--- a/packages/daemon/src/scheduler/node.ts
+++ b/packages/daemon/src/scheduler/node.ts
@@ -75,6 +75,8 @@
   log: Log;
   /** Build that the process runs; unknown unless given. */
   build?: Build;
+  /** Keys of the settings file that the program does not know. */
+  ignoredSettings?: readonly string[];
   workerClient: WorkerClient;
   /** Undefined if the platform has no VM API. */
   vmClient: VmClient | undefined;
@@ -125,6 +127,10 @@
     this.#build = build;
     registerProcessGauges(this.metrics);
     this.#peerBuilds = new PeerBuilds(build, this.metrics, log);
+    this.metrics.gauge(
+      "quetzalcove_settings_ignored_keys",
+      () => parts.ignoredSettings?.length ?? 0,
+    );
     this.callerMemory = createCallerMemory(
       settings.limits.memoryMb,
       this.metrics,
@@ -179,6 +185,7 @@
       zone,
       build: this.#build,
       otherBuilds: this.#peerBuilds.others(),
+      ignoredSettings: [...this.#parts.ignoredSettings ?? []],
       isReady: this.isReady,
       leader: replica?.leadership().leader ?? this.leaderHost,
       replicas: (replica?.replicas() ?? []).map((member) => ({
--- a/packages/daemon/src/scheduler/status.ts
+++ b/packages/daemon/src/scheduler/status.ts
@@ -39,6 +39,8 @@
   /** Nodes that are connected to this one and run another build. */
   otherBuilds: z.array(z.object({ host: z.string(), build: z.string() }))
     .default([]),
+  /** Keys of the settings file that the node does not know. */
+  ignoredSettings: z.array(z.string()).default([]),
   isReady: z.boolean(),
   /** The leader, as far as this node knows. */
   leader: z.string().optional(),
