Tests: a node that cannot start fails a test at once, with its reason

What was seen: where every process refuses its settings, a test waited 30 to 60 s for a configuration or a leader and then named that, and not the exit.

Cause: the harnesses started nodes again whatever their exit code, and waited without looking at them.

The harness keeps the last line of the log, and whoever waits for the cluster throws it.

--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -124,7 +124,18 @@
   async start(): Promise<void> {
     await this.#startRelays();
     this.names.forEach((name) => this.startDaemon(name));
+    const exits: string[] = [];
+    for (const [name, child] of this.#children) {
+      void child.ended.then(({ code }) => {
+        const lastLine = this.log(name).trim().split("\n").at(-1);
+        exits.push(`Daemon ${name} ended with code ${code}: ${lastLine}`);
+      });
+    }
     await this.waitFor("all voters", async () => {
+      const [exit] = exits;
+      if (exit !== undefined) {
+        throw new Error(exit);
+      }
       await callAdmin(this.admin("e1"), "/v1/init", {});
       return await this.#isFormed();
     });
