Workers that come back do not carry out starts that were given up with them

Cause: a start without an answer is forestalled in the next life of a worker only. One that was lost as unreachable and comes back in the same life got a lease, which made the late start valid.

Why this works: the next session stops such runs first, and grants no lease until that is answered. A worker never starts a run that it was told to stop.

--- a/packages/daemon/src/scheduler/order_sender.ts
+++ b/packages/daemon/src/scheduler/order_sender.ts
@@ -94,9 +94,12 @@
     this.#isSuperseded = true;
   }
 
-  /** Stops runs that the worker does not hold, so that it never carries out a late start of theirs. */
-  forestall(runs: readonly RunKey[]): void {
-    runs.forEach((run) => void this.#forestall(run));
+  /**
+   * Stops runs that the worker does not hold, so that it never carries out a late start of theirs; resolves once all stops
+   * were answered, or the sender was stopped.
+   */
+  async forestall(runs: readonly RunKey[]): Promise<void> {
+    await Promise.all(runs.map((run) => this.#forestall(run)));
   }
 
   async #forestall({ task, run }: RunKey): Promise<void> {
--- a/packages/daemon/src/scheduler/worker_session.ts
+++ b/packages/daemon/src/scheduler/worker_session.ts
@@ -82,6 +82,8 @@
   #isVerified = false;
   #stopped = false;
   #isSuperseded = false;
+  /** Runs of an earlier session whose start the worker may still carry out; empty once it was told to stop them. */
+  #forestalled: readonly RunKey[];
   /** Undefined once a complete listing of this life has told which runs ended with the earlier one. */
   #earlier: EarlierLife | undefined;
   /** Runs that were listed as ready, so that becoming ready counts once as a sign that the worker is sound. */
@@ -93,13 +95,17 @@
     hasMoreEnds: false,
   };
 
-  /** `hasRestarted` if the worker had an earlier life in this term; `earlier` if that life may have had runs. */
+  /**
+   * `hasRestarted` if the worker had an earlier life in this term; `earlier` if that life may have had runs. `forestalled`
+   * are runs that an earlier session with this life gave up without an answer to their start.
+   */
   constructor(
     worker: Worker,
     parts: WorkerSessionParts,
-    { hasRestarted = false, earlier }: {
+    { hasRestarted = false, earlier, forestalled = [] }: {
       hasRestarted?: boolean;
       earlier?: EarlierLife | undefined;
+      forestalled?: readonly RunKey[];
     } = {},
   ) {
     const { settings, clock } = parts;
@@ -114,6 +120,7 @@
     this.#pacer = new Pacer(parts);
     this.#stragglers = new StragglerDetector(parts.estimate);
     this.#earlier = earlier;
+    this.#forestalled = forestalled;
     const { leaseMs, maxLeaseMs, contactMs } = settings;
     this.#contact = new WorkerContact(
       contactMs,
@@ -217,6 +224,7 @@
 
   /** Renews the lease until the session is stopped. */
   async run(): Promise<void> {
+    void this.#forestall();
     while (!this.#stopped) {
       if (this.#parts.isConfirmedLeader()) {
         await this.#renew();
@@ -226,6 +234,14 @@
     }
   }
 
+  /** Stops what the worker may still start; until that is answered it gets no lease, under which it would. */
+  async #forestall(): Promise<void> {
+    if (this.#forestalled.length > 0) {
+      await this.#sender.forestall(this.#forestalled);
+      this.#forestalled = [];
+    }
+  }
+
   stop(): void {
     this.#stopped = true;
     this.#sender.stop();
@@ -337,7 +353,9 @@
     const { client, settings, term } = this.#parts;
     return client.renew(this.worker, {
       fence: term,
-      leaseDeadlineMs: this.#contact.leaseDeadlineFor(now),
+      leaseDeadlineMs: this.#forestalled.length > 0
+        ? undefined
+        : this.#contact.leaseDeadlineFor(now),
       seenEnds: this.#lastCommittedEnd,
       waitMs,
       timeoutMs: Math.min(timeoutMs, settings.callTimeoutMs),
@@ -482,7 +500,7 @@
     this.start(unsent);
     this.#adopt(kept, now);
     this.#adopt(repeated, now, now + LONGEST_ORDER_DELAY_MS);
-    this.#sender.forestall(forestalled);
+    void this.#sender.forestall(forestalled);
     log.warn("worker.restarted", {
       worker: id,
       kept: unsent.length + kept.length,
@@ -499,13 +517,14 @@
   }
 
   /**
-   * Lets orders be sent from the first listing on. If more ends follow, they tell first which starts need not be repeated;
-   * a row that cannot be read keeps them from following.
+   * Lets orders be sent from the first listing on, and not before all late starts are forestalled. If more ends follow,
+   * they tell first which starts need not be repeated; a row that cannot be read keeps them from following.
    */
   #verify(listing: Listing): void {
     const { running, hasMoreEnds } = listing;
     const awaitsEnds = hasMoreEnds && !hasUnreadableRows(listing);
-    if (!this.#isVerified && !awaitsEnds) {
+    const mayStart = this.#forestalled.length > 0;
+    if (!this.#isVerified && !awaitsEnds && !mayStart) {
       this.#isVerified = true;
       this.#parts.log.info("worker.verified", {
         worker: this.worker.id,
--- a/packages/daemon/src/scheduler/worker_sessions.ts
+++ b/packages/daemon/src/scheduler/worker_sessions.ts
@@ -8,6 +8,7 @@
   isLaterLife,
   type JobStore,
   LONGEST_ORDER_DELAY_MS,
+  type RunKey,
   StartWindow,
   UnansweredStarts,
   type Worker,
@@ -219,6 +220,7 @@
       onLost: (id, loss) => void this.removeWorker(id, loss),
     }, {
       earlier,
+      forestalled: earlier === undefined ? this.#lateStarts(worker) : [],
       hasRestarted: isLaterLife(
         this.#ended.get(worker.id)?.bornAtMs,
         worker.bornAtMs,
@@ -228,6 +230,14 @@
     void session.run();
   }
 
+  /** Runs that a worker may still start, although the job store does not hold them on it any more. */
+  #lateStarts({ id }: Worker): RunKey[] {
+    const now = this.#parts.clock.monotonic();
+    return this.#unansweredStarts.mayArrive(id, now).filter((run) =>
+      this.#jobStore.findRun(run) === undefined
+    );
+  }
+
   /** Opens a session with the next life of a worker. */
   #replace(session: WorkerSession, worker: Worker): void {
     const { health, speed, onChange } = this.#parts;
