VMs with an order in doubt run tasks that end by themselves

What callers saw: jobs waited while up to 25 VMs stood idle, for as long as the platform was silent after a change of leader.

Cause: a VM whose move or maintenance an earlier leader may have ordered was held back from all tasks, although only the end of tasks that last, and of gangs, costs more than another run.

Why this works: such VMs take tasks that end by themselves. While this leader sends an order the VM takes nothing, and it is emptied before maintenance is repeated.

--- a/packages/core/src/scheduling/placement/candidate_worker.ts
+++ b/packages/core/src/scheduling/placement/candidate_worker.ts
@@ -27,6 +27,8 @@
 export interface WorkerCondition {
   /** Whether long-running tasks are better placed elsewhere. */
   isDueForMaintenance?: boolean;
+  /** Whether its VM may be moved or taken down at any time; it gets no tasks that are costly to run again. */
+  mayEnd?: boolean;
   /** Job that has runs on probation on the worker; no other one gets runs beside them. */
   jobOnProbation?: string | undefined;
   /** How slow the worker is; undefined if it is not known to be slow. */
@@ -61,12 +63,14 @@
   /** Index that lists the candidate by its free CPU; undefined for none. */
   cpuIndex: FreeCpuIndex<CandidateWorker> | undefined;
   readonly #fitScore: FitScore;
+  readonly #mayEnd: boolean;
 
   constructor(
     worker: Worker,
     load: WorkerLoad,
     {
       isDueForMaintenance = false,
+      mayEnd = false,
       jobOnProbation,
       slowness,
       isPaused = false,
@@ -79,6 +83,7 @@
     this.isSettled = isSettled;
     this.#fitScore = fitScore;
     this.isDueForMaintenance = isDueForMaintenance;
+    this.#mayEnd = mayEnd;
     this.jobOnProbation = jobOnProbation;
     this.runCount = load.runs.size;
     this.worker = worker;
@@ -94,6 +99,7 @@
     const { spec, name, job } = step;
     return (this.jobOnProbation ?? job.id) === job.id &&
       (this.slowness?.isProbed !== true || !this.#hasEndingRuns) &&
+      !(this.#mayEnd && isCostlyToEnd(spec)) &&
       covers(this.free, reservation(spec)) &&
       hasLabel(this.worker, spec.requiredLabel) &&
       (spec.maxPerWorker === 0 || this.#runsOfStep(name) < spec.maxPerWorker) &&
@@ -112,7 +118,8 @@
   /** Whether a task of a step could run here if the worker were idle. */
   acceptsWhenIdle({ spec }: WaitingStep): boolean {
     const { capacity } = this.worker;
-    return covers(capacity, reservation(spec)) &&
+    return !(this.#mayEnd && isCostlyToEnd(spec)) &&
+      covers(capacity, reservation(spec)) &&
       hasLabel(this.worker, spec.requiredLabel);
   }
 
@@ -184,3 +191,8 @@
 function rackOf({ labels }: Worker): string {
   return labels[1] ?? "";
 }
+
+/** Whether the end of a task's worker costs more than one run: it may be missed by its step, or end its gang. */
+function isCostlyToEnd({ lasting, gang }: StepSpec): boolean {
+  return lasting || gang;
+}
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -113,8 +113,18 @@
   /** Whether a worker must get no new runs because its VM is about to be moved or taken down. */
   isCordoned(worker: Worker): boolean {
     const { vm } = worker;
-    return this.#isLeaving(worker) ||
-      (vm !== undefined && this.#reclaimed.has(vm));
+    return this.#maintenance.isDraining(worker) ||
+      (vm !== undefined &&
+        (this.#vms.isAbsent(vm) || this.#isBeingOrdered(vm) ||
+          this.#reclaimed.has(vm)));
+  }
+
+  /**
+   * Whether the VM of a worker may be moved or taken down by an order that got no answer, or that an earlier leader sent.
+   * While the platform is silent that cannot be decided, and the VM still runs what costs little to run again.
+   */
+  mayEnd({ vm }: Worker): boolean {
+    return vm !== undefined && this.#mayBeOrdered(vm);
   }
 
   /** Whether the VM of a worker is certain to be moved or taken down. */
@@ -125,6 +135,12 @@
         (this.#vms.isAbsent(vm) || this.#mayBeOrdered(vm)));
   }
 
+  /** Whether this leader records or sends an order for a VM. */
+  #isBeingOrdered(vm: string): boolean {
+    return this.#vms.hasPendingOrder(vm) || this.#moves.isStarting(vm) ||
+      this.#maintenance.isStarting(vm);
+  }
+
   /** Whether an order for a VM may still be carried out. */
   #mayBeOrdered(vm: string): boolean {
     return this.#vms.hasPendingOrder(vm) || this.#moves.mayMove(vm) ||
--- a/packages/daemon/src/scheduler/maintenance_controller.ts
+++ b/packages/daemon/src/scheduler/maintenance_controller.ts
@@ -2,7 +2,8 @@
  * Takes the VMs of maintenance waves down, and drains them first.
  *
  * An order that an earlier leader recorded, or that got no answer, may be carried out at any time. Until an order of this
- * leader is answered, the VM gets no new runs, and the order is repeated under the same conditions as the first one.
+ * leader is answered, the VM gets no new runs that are costly to run again, and the order is repeated under the same
+ * conditions as the first one.
  *
  * @module
  */
@@ -76,9 +77,14 @@
     return this.#draining.has(id);
   }
 
+  /** Whether this leader records or orders the maintenance of a VM. */
+  isStarting(vm: string): boolean {
+    return this.#starting.has(vm);
+  }
+
   /**
-   * Whether an order to take a VM down is being recorded or sent, or may still be carried out; its worker must get no new
-   * runs. Known from the job store alone, so that it holds before the list of VMs was read.
+   * Whether an order to take a VM down is being recorded or sent, or may still be carried out. Known from the job store
+   * alone, so that it holds before the list of VMs was read.
    */
   mayGoDown(vm: string): boolean {
     return this.#starting.has(vm) ||
--- a/packages/daemon/src/scheduler/move_controller.ts
+++ b/packages/daemon/src/scheduler/move_controller.ts
@@ -2,7 +2,8 @@
  * Orders moves of VMs to other pools, and revokes those that an earlier leader may have ordered.
  *
  * A move is recorded before it is ordered, since its order may be carried out at any time after it was sent, also when the
- * leader is lost or gets no answer. Until an order is answered, the VM gets no new runs, which the move would end.
+ * leader is lost or gets no answer. The VM gets no new runs while this leader orders the move, and none that are costly to
+ * run again until it is known that no earlier order will be carried out.
  *
  * @module
  */
@@ -39,7 +40,12 @@
     return this.#parts.consensus.state;
   }
 
-  /** Whether a move of a VM is being recorded or sent, or may still be carried out; its worker must get no new runs. */
+  /** Whether this leader records or orders a move of a VM. */
+  isStarting(vm: string): boolean {
+    return this.#starting.has(vm);
+  }
+
+  /** Whether a move of a VM is being recorded or sent, or may still be carried out. */
   mayMove(vm: string): boolean {
     return this.#starting.has(vm) || this.#jobStore.moves.has(vm);
   }
--- a/packages/daemon/src/scheduler/placement_controller.ts
+++ b/packages/daemon/src/scheduler/placement_controller.ts
@@ -185,6 +185,7 @@
     const session = sessions.get(worker.id);
     return new CandidateWorker(worker, this.#jobStore.load(worker.id), {
       isDueForMaintenance: fleet?.isMaintenanceDue(worker) === true,
+      mayEnd: fleet?.mayEnd(worker) === true,
       jobOnProbation: session?.jobOnProbation,
       slowness: speed.slownessOf(worker.id, now),
       isPaused,
