Links: a hello names a host and a build of limited length

What callers saw: nothing. Cause: a replica keeps the host and the build of each connection since builds are told; a stranger who knows the name of the cluster could have made it hold 64 KB for each of 1,024 connections, beside the account of what callers hold.

--- a/packages/daemon/test/peer_builds_test.ts
+++ b/packages/daemon/test/peer_builds_test.ts
@@ -1,5 +1,6 @@
 import { expect, it } from "vitest";
 import type { Connection } from "../src/link/connection.ts";
+import { Hello } from "../src/link/hello.ts";
 import { Metrics } from "../src/observe/metrics.ts";
 import { isOutdated, PeerBuilds } from "../src/scheduler/build.ts";
 
@@ -63,6 +64,19 @@
   expect(metrics.text()).not.toContain('build="b2"');
 });
 
+// Guards against strangers who make a replica hold what they send as their names.
+it("a hello with a long host or build is refused", () => {
+  const hello = { cluster: "c", entry: "10.0.0.1", build: "0a1b2c3d4e5f" };
+  const isValid = (changes: object): boolean =>
+    Hello.safeParse({ ...hello, ...changes }).success;
+  expect([
+    isValid({}),
+    isValid({ build: undefined }),
+    isValid({ build: "b".repeat(65) }),
+    isValid({ entry: "e".repeat(256) }),
+  ]).toEqual([true, true, false, false]);
+});
+
 it("a program is outdated if the checkout is at another commit", () => {
   const checkout = "f7522d2dcd81ab0000000000000000000000000a";
   expect([
