Settings and builds: one parse at a start, one schema of a build

A start parsed its settings twice although they seldom have an unknown key; the second parse and the copy are made only after a strict one has failed. A comment called VMs whose order is in doubt certain to go. No behaviour changes.

--- a/packages/core/src/tolerant_parse.ts
+++ b/packages/core/src/tolerant_parse.ts
@@ -27,6 +27,10 @@
   value: unknown,
   what: string,
 ): Result<TolerantResult<z.output<T>>, Fault> {
+  const strict = parse(schema, value, what);
+  if (strict.ok) {
+    return strict.map((parsed) => ({ value: parsed, ignored: [] }));
+  }
   const known = structuredClone(value);
   const ignored = unknownKeys(schema, known).flatMap((issue) => {
     const object = issue.input as Record<string, unknown>;
--- a/packages/daemon/src/scheduler/build.ts
+++ b/packages/daemon/src/scheduler/build.ts
@@ -3,19 +3,24 @@
  *
  * @module
  */
+import { z } from "zod";
 import type { Connection } from "../link/connection.ts";
 import type { Log } from "../observe/log.ts";
 import type { Metrics } from "../observe/metrics.ts";
 
 /** Identity of a build, as its bundle names it. */
-export interface Build {
+export const Build = z.object({
   /** Hash of the bundle. */
-  id: string;
+  id: z.string(),
   /** Commit that was built; `-dirty` marks changes to it. */
-  revision: string;
+  revision: z.string(),
   /** Commit of the checkout from which the program was started; undefined outside of a Git repository. */
-  checkout?: string;
-}
+  checkout: z.string().optional(),
+});
+export type Build = z.infer<typeof Build>;
+
+/** Build of a program that runs without a bundle, for instance in a test. */
+export const UNKNOWN_BUILD: Build = { id: "unknown", revision: "unknown" };
 
 /** Whether a build is known to be of another commit than the checkout from which it was started. */
 export function isOutdated({ revision, checkout }: Build): boolean {
@@ -24,15 +29,13 @@
     !checkout.startsWith(commit);
 }
 
-/** Build of a program that runs without a bundle, for instance in a test. */
-export const UNKNOWN_BUILD: Build = { id: "unknown", revision: "unknown" };
-
 /** A process that has a connection to this one. */
-export interface PeerBuild {
-  host: string;
+export const PeerBuild = z.object({
+  host: z.string(),
   /** Identity of its build; "unknown" for a program that does not tell it. */
-  build: string;
-}
+  build: z.string(),
+});
+export type PeerBuild = z.infer<typeof PeerBuild>;
 
 /** The builds of the processes that are connected to this one. */
 export class PeerBuilds {
--- a/packages/daemon/src/scheduler/fleet_controller.ts
+++ b/packages/daemon/src/scheduler/fleet_controller.ts
@@ -127,7 +127,7 @@
     return vm !== undefined && this.#mayBeOrdered(vm);
   }
 
-  /** Whether the VM of a worker is certain to be moved or taken down. */
+  /** Whether the VM of a worker is being moved or taken down, or may be. */
   #isLeaving(worker: Worker): boolean {
     const { vm } = worker;
     return this.#maintenance.isDraining(worker) ||
--- a/packages/daemon/src/scheduler/status.ts
+++ b/packages/daemon/src/scheduler/status.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { z } from "zod";
+import { Build, PeerBuild } from "./build.ts";
 import { CustomerStatus } from "./customer_status.ts";
 
 const Count = z.number().int();
@@ -35,10 +36,9 @@
   node: z.string(),
   zone: z.string(),
   /** Build that the node runs; undefined if it does not tell. */
-  build: z.object({ id: z.string(), revision: z.string() }).optional(),
+  build: Build.optional(),
   /** Nodes that are connected to this one and run another build. */
-  otherBuilds: z.array(z.object({ host: z.string(), build: z.string() }))
-    .default([]),
+  otherBuilds: z.array(PeerBuild).default([]),
   /** Keys of the settings file that the node does not know. */
   ignoredSettings: z.array(z.string()).default([]),
   isReady: z.boolean(),
