Builds: one form of name for what a build leaves behind

Staging folders and temporary files had two forms of names, and a pattern that told them apart again; caches were found by a pattern although all that is staged beside the bundle is one. BUNDLE_FILE is imported from where it is.

--- a/scripts/build/build_program.js
+++ b/scripts/build/build_program.js
@@ -3,9 +3,9 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
+import { BUNDLE_FILE } from "../../platform/bin/quetzalcove-node.cjs";
 import {
   beginBuild,
-  BUNDLE_FILE,
   createStagingFolder,
   frameBundle,
   installProgram,
--- a/scripts/build/program_folder.js
+++ b/scripts/build/program_folder.js
@@ -21,15 +21,8 @@
   startTimeOf,
 } from "../../platform/bin/quetzalcove-node.cjs";
 
-export { BUNDLE_FILE };
-
-const STAGING_PREFIX = ".staging-";
-
-/** What a build writes before it renames it, with its process id. */
-const LEFTOVER = /^\.staging-(\d+)$|\.(\d+)\.tmp$/;
-
-/** Files of a program, other than the bundle. */
-const CACHE_NAME = /^quetzalcove-node\..+\.cache$/;
+/** Files and folders that a build renames or removes at its end, with its process id. */
+const TEMPORARY = /\.(\d+)\.tmp$/;
 
 /**
  * Marks the program in a folder as outdated until a build of the given sources is installed. A build that fails or is
@@ -45,7 +38,7 @@
 
 /** A new folder next to the program's files, in which they are prepared. */
 export function createStagingFolder(folder) {
-  const staging = join(folder, `${STAGING_PREFIX}${process.pid}`);
+  const staging = temporaryPath(folder, "program");
   rmSync(staging, { recursive: true, force: true });
   mkdirSync(staging);
   return staging;
@@ -59,7 +52,7 @@
 
 /** Writes a file so that a reader, also one after a loss of power, gets the file before or the whole new one. */
 export function writeWhole(folder, name, text) {
-  const temporary = join(folder, `${name}.${process.pid}.tmp`);
+  const temporary = temporaryPath(folder, name);
   const file = openSync(temporary, "w");
   try {
     writeSync(file, text);
@@ -72,8 +65,7 @@
 
 /** Moves a program into its folder, the bundle last, and removes the caches of the program before. */
 export function installProgram(staging, folder) {
-  const names = readdirSync(staging);
-  const caches = names.filter((name) => CACHE_NAME.test(name));
+  const caches = readdirSync(staging).filter((name) => name !== BUNDLE_FILE);
   for (const name of [...caches, BUNDLE_FILE]) {
     renameSync(join(staging, name), join(folder, name));
   }
@@ -111,10 +103,13 @@
 /** Removes what builds that were interrupted have left. */
 function removeLeftovers(folder) {
   for (const name of readdirSync(folder)) {
-    const [, ...pids] = LEFTOVER.exec(name) ?? [];
-    const pid = pids.find((each) => each !== undefined);
+    const [, pid] = TEMPORARY.exec(name) ?? [];
     if (pid !== undefined && startTimeOf(pid) === undefined) {
       rmSync(join(folder, name), { recursive: true, force: true });
     }
   }
 }
+
+function temporaryPath(folder, name) {
+  return join(folder, `${name}.${process.pid}.tmp`);
+}
